--- a/src/main/java/madderpaddle/BalancerApi.java
+++ b/src/main/java/tulipshed/BalancerApi.java
@@ -1,4 +1,4 @@
-package madderpaddle;
+package tulipshed;
 
 import java.util.List;
 
--- a/src/main/java/madderpaddle/FadingCount.java
+++ b/src/main/java/tulipshed/FadingCount.java
@@ -1,4 +1,4 @@
-package madderpaddle;
+package tulipshed;
 
 /** A count of events that fades exponentially with time. */
 final class FadingCount {
--- a/src/main/java/madderpaddle/wire/Adapter.java
+++ b/src/main/java/tulipshed/wire/Adapter.java
@@ -1,4 +1,4 @@
-package madderpaddle.wire;
+package tulipshed.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,11 +10,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import madderpaddle.Balancer;
-import madderpaddle.BalancerApi;
-import madderpaddle.BalancerApi.Actions;
-import madderpaddle.BalancerApi.Outcome;
-import madderpaddle.BalancerApi.Settings;
+import tulipshed.Balancer;
+import tulipshed.BalancerApi;
+import tulipshed.BalancerApi.Actions;
+import tulipshed.BalancerApi.Outcome;
+import tulipshed.BalancerApi.Settings;
 
 /**
  * Hosts instances of the decision module behind the simulator's wire: reads batches of events, hands each
@@ -53,7 +53,7 @@
             return 0;
         } catch (IOException | MalformedInput e) {
             String what = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
-            String line = "madderpaddle: malformed input: " + String.valueOf(what).replaceAll("\\s+", " ") + "\n";
+            String line = "tulipshed: malformed input: " + String.valueOf(what).replaceAll("\\s+", " ") + "\n";
             try {
                 err.write(line.getBytes(StandardCharsets.UTF_8));
                 err.flush();
--- a/src/main/java/madderpaddle/wire/MalformedInput.java
+++ b/src/main/java/tulipshed/wire/MalformedInput.java
@@ -1,4 +1,4 @@
-package madderpaddle.wire;
+package tulipshed.wire;
 
 /** A line that is not of the wire; the adapter says so and ends. */
 final class MalformedInput extends RuntimeException {
--- a/src/main/java/madderpaddle/wire/SettingsReader.java
+++ b/src/main/java/tulipshed/wire/SettingsReader.java
@@ -1,19 +1,19 @@
-package madderpaddle.wire;
+package tulipshed.wire;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import madderpaddle.BalancerApi.Effect;
-import madderpaddle.BalancerApi.Limits;
-import madderpaddle.BalancerApi.Prices;
-import madderpaddle.BalancerApi.RepeatGroup;
-import madderpaddle.BalancerApi.Reports;
-import madderpaddle.BalancerApi.RequestClass;
-import madderpaddle.BalancerApi.Rules;
-import madderpaddle.BalancerApi.Settings;
-import madderpaddle.BalancerApi.Tenant;
-import madderpaddle.BalancerApi.Weights;
+import tulipshed.BalancerApi.Effect;
+import tulipshed.BalancerApi.Limits;
+import tulipshed.BalancerApi.Prices;
+import tulipshed.BalancerApi.RepeatGroup;
+import tulipshed.BalancerApi.Reports;
+import tulipshed.BalancerApi.RequestClass;
+import tulipshed.BalancerApi.Rules;
+import tulipshed.BalancerApi.Settings;
+import tulipshed.BalancerApi.Tenant;
+import tulipshed.BalancerApi.Weights;
 
 /** Turns the wire's settings into the module's; what is absent takes the value that assumes least. */
 final class SettingsReader {
--- a/src/main/java/madderpaddle/wire/WireEvent.java
+++ b/src/main/java/tulipshed/wire/WireEvent.java
@@ -1,4 +1,4 @@
-package madderpaddle.wire;
+package tulipshed.wire;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -7,12 +7,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import madderpaddle.BalancerApi.ListKind;
-import madderpaddle.BalancerApi.NewRequest;
-import madderpaddle.BalancerApi.Outcome;
-import madderpaddle.BalancerApi.Report;
-import madderpaddle.BalancerApi.ServerEntry;
-import madderpaddle.BalancerApi.ServerState;
+import tulipshed.BalancerApi.ListKind;
+import tulipshed.BalancerApi.NewRequest;
+import tulipshed.BalancerApi.Outcome;
+import tulipshed.BalancerApi.Report;
+import tulipshed.BalancerApi.ServerEntry;
+import tulipshed.BalancerApi.ServerState;
 
 /** One line of input, read field by field; reused from line to line. Unknown fields are skipped. */
 final class WireEvent {
--- a/src/test/java/madderpaddle/DelegateActions.java
+++ b/src/test/java/tulipshed/DelegateActions.java
@@ -1,4 +1,4 @@
-package madderpaddle;
+package tulipshed;
 
 /** Passes everything on; tests override what they look at. */
 class DelegateActions implements BalancerApi.Actions {
--- a/src/test/java/madderpaddle/EmbeddingTest.java
+++ b/src/test/java/tulipshed/EmbeddingTest.java
@@ -1,15 +1,15 @@
-package madderpaddle;
+package tulipshed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import madderpaddle.BalancerApi.ListKind;
-import madderpaddle.BalancerApi.NewRequest;
-import madderpaddle.BalancerApi.Outcome;
-import madderpaddle.BalancerApi.Report;
-import madderpaddle.BalancerApi.ServerEntry;
-import madderpaddle.BalancerApi.ServerState;
-import madderpaddle.BalancerApi.Settings;
+import tulipshed.BalancerApi.ListKind;
+import tulipshed.BalancerApi.NewRequest;
+import tulipshed.BalancerApi.Outcome;
+import tulipshed.BalancerApi.Report;
+import tulipshed.BalancerApi.ServerEntry;
+import tulipshed.BalancerApi.ServerState;
+import tulipshed.BalancerApi.Settings;
 import org.junit.jupiter.api.Test;
 
 /** The README's example, run. */
--- a/src/test/java/madderpaddle/RandomEventsTest.java
+++ b/src/test/java/tulipshed/RandomEventsTest.java
@@ -1,6 +1,6 @@
-package madderpaddle;
+package tulipshed;
 
-import static madderpaddle.Setup.SECOND;
+import static tulipshed.Setup.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,10 +13,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import madderpaddle.BalancerApi.Effect;
-import madderpaddle.BalancerApi.ListKind;
-import madderpaddle.BalancerApi.Outcome;
-import madderpaddle.BalancerApi.ServerState;
+import tulipshed.BalancerApi.Effect;
+import tulipshed.BalancerApi.ListKind;
+import tulipshed.BalancerApi.Outcome;
+import tulipshed.BalancerApi.ServerState;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
--- a/src/test/java/madderpaddle/Setup.java
+++ b/src/test/java/tulipshed/Setup.java
@@ -1,23 +1,23 @@
-package madderpaddle;
+package tulipshed;
 
 import java.util.ArrayList;
 import java.util.List;
-import madderpaddle.BalancerApi.Effect;
-import madderpaddle.BalancerApi.Limits;
-import madderpaddle.BalancerApi.ListKind;
-import madderpaddle.BalancerApi.NewRequest;
-import madderpaddle.BalancerApi.Outcome;
-import madderpaddle.BalancerApi.Prices;
-import madderpaddle.BalancerApi.RepeatGroup;
-import madderpaddle.BalancerApi.Report;
-import madderpaddle.BalancerApi.Reports;
-import madderpaddle.BalancerApi.RequestClass;
-import madderpaddle.BalancerApi.Rules;
-import madderpaddle.BalancerApi.ServerEntry;
-import madderpaddle.BalancerApi.ServerState;
-import madderpaddle.BalancerApi.Settings;
-import madderpaddle.BalancerApi.Tenant;
-import madderpaddle.BalancerApi.Weights;
+import tulipshed.BalancerApi.Effect;
+import tulipshed.BalancerApi.Limits;
+import tulipshed.BalancerApi.ListKind;
+import tulipshed.BalancerApi.NewRequest;
+import tulipshed.BalancerApi.Outcome;
+import tulipshed.BalancerApi.Prices;
+import tulipshed.BalancerApi.RepeatGroup;
+import tulipshed.BalancerApi.Report;
+import tulipshed.BalancerApi.Reports;
+import tulipshed.BalancerApi.RequestClass;
+import tulipshed.BalancerApi.Rules;
+import tulipshed.BalancerApi.ServerEntry;
+import tulipshed.BalancerApi.ServerState;
+import tulipshed.BalancerApi.Settings;
+import tulipshed.BalancerApi.Tenant;
+import tulipshed.BalancerApi.Weights;
 
 /** Settings and events for tests of the module alone; a builder whose defaults are plain. */
 final class Setup {
--- a/src/test/java/madderpaddle/wire/AdapterTest.java
+++ b/src/test/java/tulipshed/wire/AdapterTest.java
@@ -1,4 +1,4 @@
-package madderpaddle.wire;
+package tulipshed.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import madderpaddle.Balancer;
+import tulipshed.Balancer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -48,7 +48,7 @@
         assertEquals(2, play(input));
         List<String> lines = err.toString(StandardCharsets.UTF_8).lines().toList();
         assertEquals(1, lines.size(), lines.toString());
-        assertTrue(lines.get(0).startsWith("madderpaddle: malformed input: "), lines.get(0));
+        assertTrue(lines.get(0).startsWith("tulipshed: malformed input: "), lines.get(0));
         assertEquals("", out.toString(StandardCharsets.UTF_8));
     }
 
