--- a/src/main/java/tulipshed/BalancerApi.java
+++ b/src/main/java/tulipshed/decision/BalancerApi.java
@@ -1,4 +1,4 @@
-package tulipshed;
+package tulipshed.decision;
 
 import java.util.List;
 
--- a/src/main/java/tulipshed/FadingCount.java
+++ b/src/main/java/tulipshed/decision/FadingCount.java
@@ -1,4 +1,4 @@
-package tulipshed;
+package tulipshed.decision;
 
 /** A count of events that fades exponentially with time. */
 final class FadingCount {
--- a/src/main/java/tulipshed/Hashing.java
+++ b/src/main/java/tulipshed/decision/Hashing.java
@@ -1,4 +1,4 @@
-package tulipshed;
+package tulipshed.decision;
 
 /** Hashes that are the same in every process, which those of the language need not be. */
 final class Hashing {
--- a/src/main/java/tulipshed/wire/Adapter.java
+++ b/src/main/java/tulipshed/simulator/Adapter.java
@@ -1,4 +1,4 @@
-package tulipshed.wire;
+package tulipshed.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,11 +10,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import tulipshed.Balancer;
-import tulipshed.BalancerApi;
-import tulipshed.BalancerApi.Actions;
-import tulipshed.BalancerApi.Outcome;
-import tulipshed.BalancerApi.Settings;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.Actions;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Settings;
 
 /**
  * Hosts instances of the decision module behind the simulator's wire: reads batches of events, hands each
--- a/src/main/java/tulipshed/wire/MalformedInput.java
+++ b/src/main/java/tulipshed/simulator/MalformedInput.java
@@ -1,4 +1,4 @@
-package tulipshed.wire;
+package tulipshed.simulator;
 
 /** A line that is not of the wire; the adapter says so and ends. */
 final class MalformedInput extends RuntimeException {
--- a/src/main/java/tulipshed/wire/ReplyWriter.java
+++ b/src/main/java/tulipshed/simulator/ReplyWriter.java
@@ -1,4 +1,4 @@
-package tulipshed.wire;
+package tulipshed.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -6,7 +6,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
-import tulipshed.BalancerApi.Actions;
+import tulipshed.decision.BalancerApi.Actions;
 
 /** Writes the actions of all instances in the simulator's words, one line each. */
 final class ReplyWriter implements Actions {
--- a/src/main/java/tulipshed/wire/SettingsReader.java
+++ b/src/main/java/tulipshed/simulator/SettingsReader.java
@@ -1,19 +1,19 @@
-package tulipshed.wire;
+package tulipshed.simulator;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import tulipshed.BalancerApi.Effect;
-import tulipshed.BalancerApi.Limits;
-import tulipshed.BalancerApi.Prices;
-import tulipshed.BalancerApi.RepeatGroup;
-import tulipshed.BalancerApi.Reports;
-import tulipshed.BalancerApi.RequestClass;
-import tulipshed.BalancerApi.Rules;
-import tulipshed.BalancerApi.Settings;
-import tulipshed.BalancerApi.Tenant;
-import tulipshed.BalancerApi.Weights;
+import tulipshed.decision.BalancerApi.Effect;
+import tulipshed.decision.BalancerApi.Limits;
+import tulipshed.decision.BalancerApi.Prices;
+import tulipshed.decision.BalancerApi.RepeatGroup;
+import tulipshed.decision.BalancerApi.Reports;
+import tulipshed.decision.BalancerApi.RequestClass;
+import tulipshed.decision.BalancerApi.Rules;
+import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.decision.BalancerApi.Tenant;
+import tulipshed.decision.BalancerApi.Weights;
 
 /** Turns the wire's settings into the module's; what is absent takes the value that assumes least. */
 final class SettingsReader {
--- a/src/main/java/tulipshed/wire/WireEvent.java
+++ b/src/main/java/tulipshed/simulator/WireEvent.java
@@ -1,4 +1,4 @@
-package tulipshed.wire;
+package tulipshed.simulator;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -7,12 +7,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import tulipshed.BalancerApi.ListKind;
-import tulipshed.BalancerApi.NewRequest;
-import tulipshed.BalancerApi.Outcome;
-import tulipshed.BalancerApi.Report;
-import tulipshed.BalancerApi.ServerEntry;
-import tulipshed.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
 
 /** One line of input, read field by field; reused from line to line. Unknown fields are skipped. */
 final class WireEvent {
--- a/src/test/java/tulipshed/DelegateActions.java
+++ b/src/test/java/tulipshed/decision/DelegateActions.java
@@ -1,4 +1,4 @@
-package tulipshed;
+package tulipshed.decision;
 
 /** Passes everything on; tests override what they look at. */
 class DelegateActions implements BalancerApi.Actions {
--- a/src/test/java/tulipshed/EmbeddingTest.java
+++ b/src/test/java/tulipshed/decision/EmbeddingTest.java
@@ -1,15 +1,15 @@
-package tulipshed;
+package tulipshed.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import tulipshed.BalancerApi.ListKind;
-import tulipshed.BalancerApi.NewRequest;
-import tulipshed.BalancerApi.Outcome;
-import tulipshed.BalancerApi.Report;
-import tulipshed.BalancerApi.ServerEntry;
-import tulipshed.BalancerApi.ServerState;
-import tulipshed.BalancerApi.Settings;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.Settings;
 import org.junit.jupiter.api.Test;
 
 /** The README's example, run. */
--- a/src/test/java/tulipshed/RandomEventsTest.java
+++ b/src/test/java/tulipshed/decision/RandomEventsTest.java
@@ -1,6 +1,6 @@
-package tulipshed;
+package tulipshed.decision;
 
-import static tulipshed.Setup.SECOND;
+import static tulipshed.decision.Setup.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,10 +13,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import tulipshed.BalancerApi.Effect;
-import tulipshed.BalancerApi.ListKind;
-import tulipshed.BalancerApi.Outcome;
-import tulipshed.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.Effect;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.ServerState;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
--- a/src/test/java/tulipshed/Setup.java
+++ b/src/test/java/tulipshed/decision/Setup.java
@@ -1,23 +1,23 @@
-package tulipshed;
+package tulipshed.decision;
 
 import java.util.ArrayList;
 import java.util.List;
-import tulipshed.BalancerApi.Effect;
-import tulipshed.BalancerApi.Limits;
-import tulipshed.BalancerApi.ListKind;
-import tulipshed.BalancerApi.NewRequest;
-import tulipshed.BalancerApi.Outcome;
-import tulipshed.BalancerApi.Prices;
-import tulipshed.BalancerApi.RepeatGroup;
-import tulipshed.BalancerApi.Report;
-import tulipshed.BalancerApi.Reports;
-import tulipshed.BalancerApi.RequestClass;
-import tulipshed.BalancerApi.Rules;
-import tulipshed.BalancerApi.ServerEntry;
-import tulipshed.BalancerApi.ServerState;
-import tulipshed.BalancerApi.Settings;
-import tulipshed.BalancerApi.Tenant;
-import tulipshed.BalancerApi.Weights;
+import tulipshed.decision.BalancerApi.Effect;
+import tulipshed.decision.BalancerApi.Limits;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Prices;
+import tulipshed.decision.BalancerApi.RepeatGroup;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.Reports;
+import tulipshed.decision.BalancerApi.RequestClass;
+import tulipshed.decision.BalancerApi.Rules;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.decision.BalancerApi.Tenant;
+import tulipshed.decision.BalancerApi.Weights;
 
 /** Settings and events for tests of the module alone; a builder whose defaults are plain. */
 final class Setup {
--- a/src/test/java/tulipshed/wire/AdapterTest.java
+++ b/src/test/java/tulipshed/simulator/AdapterTest.java
@@ -1,4 +1,4 @@
-package tulipshed.wire;
+package tulipshed.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import tulipshed.Balancer;
+import tulipshed.decision.Balancer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
