--- /dev/null
+++ b/src/main/java/tulipshed/command/AdapterCommand.java
@@ -0,0 +1,12 @@
+package tulipshed.command;
+
+import tulipshed.decision.Balancer;
+import tulipshed.simulator.Adapter;
+
+/** The decision module on the simulator's wire, over standard input and output. */
+public final class AdapterCommand implements Command {
+    @Override
+    public int run() {
+        return Adapter.run(System.in, System.out, System.err, Balancer::new);
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/command/Command.java
@@ -0,0 +1,10 @@
+package tulipshed.command;
+
+/** One sub-command. */
+interface Command {
+    /** The program keeps running by itself. */
+    int STAYS = -1;
+
+    /** Does its work; the exit code, or {@link #STAYS}. */
+    int run();
+}
--- /dev/null
+++ b/src/main/java/tulipshed/command/Node.java
@@ -0,0 +1,118 @@
+package tulipshed.command;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.discovery.MemberList;
+import tulipshed.discovery.Watch;
+import tulipshed.limits.Limits;
+import tulipshed.line.LineFront;
+import tulipshed.link.XnioLoop;
+import tulipshed.time.Clock;
+import tulipshed.transaction.TransactionCore;
+
+/** Puts the parts of one node together, and takes it out of service in good order. */
+final class Node {
+    private static final double LEAVING_STEP_MS = 25;
+
+    private final NodeConfig config;
+    private final Clock clock;
+    private final Consumer<String> log;
+    private final Limits limits;
+    private final XnioLoop loop;
+    private TransactionCore core;
+    private LineFront front;
+    private AcceptingChannel<StreamConnection> server;
+    private double leavingSinceMs;
+
+    Node(NodeConfig config, Clock clock, Consumer<String> log) throws IOException {
+        this.config = config;
+        this.clock = clock;
+        this.log = log;
+        limits = Limits.forDescriptors(config.sockets());
+        loop = new XnioLoop(limits);
+        // All parts live on the loop; whoever starts the node waits until it takes connections.
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        loop.afterGathering(() -> {
+            try {
+                start();
+                started.complete(null);
+            } catch (IOException | RuntimeException e) {
+                started.completeExceptionally(e);
+            }
+        });
+        try {
+            started.get();
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted", e);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof RuntimeException r) {
+                throw r;
+            }
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    private void start() throws IOException {
+        core = new TransactionCore(clock, limits, config.settings(), config.seed(), loop, log, Balancer::new);
+        MemberList known = config.known().isEmpty() ? null : MemberList.read(config.known());
+        if (known != null) {
+            core.members(ListKind.REMEMBERED, known.members());
+        }
+        core.source(new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log));
+        front = new LineFront(clock, limits, config.names(), loop, core, log);
+        server = loop.listen(config.listen(), front::accepted);
+        log.accept("tulipshed: " + config.name() + " serves on " + config.listen());
+    }
+
+    /**
+     * Leaves in good order and returns when done: goes on taking what still arrives, then asks the standing
+     * clients to move, spread over the time there is, and answers all that is owed.
+     */
+    void leave() {
+        CountDownLatch gone = new CountDownLatch(1);
+        loop.afterGathering(() -> {
+            leavingSinceMs = clock.nowMs();
+            front.leaving();
+            log.accept("tulipshed: leaving, " + core.standingCount() + " connections stand");
+            step(gone);
+        });
+        try {
+            gone.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void step(CountDownLatch gone) {
+        double sinceMs = clock.nowMs() - leavingSinceMs;
+        double movingMs = limits.drainEndMs() - limits.drainTakeMs();
+        if (sinceMs >= limits.drainTakeMs() && server != null) {
+            server.suspendAccepts();
+            IoUtils.safeClose(server);
+            server = null;
+        }
+        if (sinceMs >= limits.drainTakeMs()) {
+            double leftMs = Math.max(LEAVING_STEP_MS, limits.drainEndMs() - sinceMs);
+            int now = (int) Math.ceil(core.standingCount() * Math.min(1, LEAVING_STEP_MS / leftMs));
+            for (int i = 0; i < now && core.moveOne(); i++) { }
+        }
+        if (sinceMs >= limits.drainTakeMs() + movingMs) {
+            core.rejectAllOwed();
+            while (core.moveOne()) { }
+            if (loop.open() == 0 || sinceMs > limits.drainEndMs() + limits.lingerMs() / 2) {
+                gone.countDown();
+                return;
+            }
+        }
+        loop.after(LEAVING_STEP_MS, () -> step(gone));
+    }
+}
--- a/src/main/java/tulipshed/simulator/MalformedInput.java
+++ b/src/main/java/tulipshed/config/MalformedInput.java
@@ -1,10 +1,10 @@
-package tulipshed.simulator;
+package tulipshed.config;
 
 /** A line that is not of the wire; the adapter says so and ends. */
-final class MalformedInput extends RuntimeException {
+public final class MalformedInput extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    MalformedInput(String message) {
+    public MalformedInput(String message) {
         super(message);
     }
 }
--- /dev/null
+++ b/src/main/java/tulipshed/config/NodeConfig.java
@@ -0,0 +1,99 @@
+package tulipshed.config;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import tulipshed.decision.BalancerApi.Settings;
+
+/** What a node is told at its start, from the file that PROXY_CONFIG names and the variables beside it. */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int memoryMb, int sockets, Map<String, Object> known, Settings settings, SettingsReader.Names names) {
+
+    /** Reads the configuration; a {@link MalformedInput} tells in one line what is wrong with it. */
+    public static NodeConfig load(Map<String, String> environment) {
+        String file = environment.get("PROXY_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new MalformedInput("PROXY_CONFIG is not set");
+        }
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(Path.of(file));
+        } catch (IOException | java.nio.file.InvalidPathException e) {
+            throw new MalformedInput("cannot read " + file + ": " + e.getClass().getSimpleName());
+        }
+        return parse(JsonValues.object(bytes), environment);
+    }
+
+    static NodeConfig parse(Map<String, Object> json, Map<String, String> environment) {
+        String name = text(json, "name", environment.get("PROXY_NAME"));
+        InetSocketAddress listen = address("listen", text(json, "listen", environment.get("PROXY_LISTEN")));
+        InetSocketAddress discovery =
+                address("discovery", text(json, "discovery", environment.get("PROXY_DISCOVERY")));
+        Map<String, Object> limits = child(json, "limits");
+        SettingsReader.Names names = new SettingsReader.Names();
+        Map<String, Object> settings = child(json, "settings");
+        if (settings.isEmpty()) {
+            throw new MalformedInput("no settings");
+        }
+        return new NodeConfig(name, listen, discovery, seed(text(json, "seed", "0")),
+                (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
+                child(json, "known"), SettingsReader.read(settings, names), names);
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new MalformedInput("seed is not a hexadecimal number: " + hex);
+        }
+    }
+
+    /** An address of the form host:port; the host is a numeric address, as there is no DNS. */
+    public static InetSocketAddress address(String what, String text) {
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+\\]")) {
+            throw new MalformedInput(what + " is not a numeric host:port: " + text);
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw new MalformedInput(what + " is not a numeric host:port: " + text);
+        }
+    }
+
+    private static String text(Map<String, Object> json, String key, String otherwise) {
+        Object value = json.get(key);
+        if (value != null && !(value instanceof String)) {
+            throw new MalformedInput(key + " is not a text");
+        }
+        return value == null ? otherwise : (String) value;
+    }
+
+    private static double number(Map<String, Object> json, String key, double otherwise) {
+        Object value = json.get(key);
+        if (value != null && !(value instanceof Double)) {
+            throw new MalformedInput(key + " is not a number");
+        }
+        return value == null ? otherwise : (Double) value;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> child(Map<String, Object> json, String key) {
+        Object value = json.get(key);
+        if (value != null && !(value instanceof Map)) {
+            throw new MalformedInput(key + " is not an object");
+        }
+        return value == null ? Map.of() : (Map<String, Object>) value;
+    }
+
+    /** Listed servers in discovery's form, or an empty list. */
+    public List<?> knownServers() {
+        return known.get("servers") instanceof List<?> l ? l : List.of();
+    }
+}
--- a/src/main/java/tulipshed/simulator/SettingsReader.java
+++ b/src/main/java/tulipshed/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package tulipshed.simulator;
+package tulipshed.config;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,11 +16,11 @@
 import tulipshed.decision.BalancerApi.Weights;
 
 /** Turns the wire's settings into the module's; what is absent takes the value that assumes least. */
-final class SettingsReader {
+public final class SettingsReader {
     /** Names used on the wire, by index in the module's settings. */
-    static final class Names {
-        final Map<String, Integer> classes = new HashMap<>();
-        final Map<String, Integer> tenants = new HashMap<>();
+    public static final class Names {
+        public final Map<String, Integer> classes = new HashMap<>();
+        public final Map<String, Integer> tenants = new HashMap<>();
     }
 
     private final Map<String, Object> map;
@@ -29,7 +29,7 @@
         this.map = map;
     }
 
-    static Settings read(Map<String, Object> wire, Names names) {
+    public static Settings read(Map<String, Object> wire, Names names) {
         SettingsReader top = new SettingsReader(wire);
         SettingsReader family = top.child("FamilyInfo");
         SettingsReader bounds = top.child("Bounds");
--- /dev/null
+++ b/src/main/java/tulipshed/discovery/Watch.java
@@ -0,0 +1,160 @@
+package tulipshed.discovery;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+import org.xnio.StreamConnection;
+import tulipshed.config.JsonValues;
+import tulipshed.config.MalformedInput;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.limits.Limits;
+import tulipshed.link.Link;
+import tulipshed.link.XnioLoop;
+import tulipshed.transaction.MemberSource;
+import tulipshed.transaction.TransactionCore;
+
+/**
+ * Watches discovery's list: each call waits for news, and the next follows as soon as it is answered. A call
+ * that fails in any way ends the watch and is told to the core; when to ask again is the module's to say.
+ */
+public final class Watch implements MemberSource, Link.Owner {
+    private final InetSocketAddress discovery;
+    private final Limits limits;
+    private final XnioLoop loop;
+    private final TransactionCore core;
+    private final Consumer<String> log;
+    private final ByteBuffer in;
+    private long version;
+    private Link link;
+    private XnioLoop.Dialing dialing;
+    private HttpAnswer answer;
+    private boolean calling;
+    private long calls;
+
+    public Watch(InetSocketAddress discovery, Limits limits, XnioLoop loop, TransactionCore core, long version,
+            Consumer<String> log) {
+        this.discovery = discovery;
+        this.limits = limits;
+        this.loop = loop;
+        this.core = core;
+        this.version = version;
+        this.log = log;
+        in = ByteBuffer.allocate(limits.readBytes());
+    }
+
+    @Override
+    public void watch() {
+        if (!calling) {
+            call();
+        }
+    }
+
+    private void call() {
+        calling = true;
+        answer = new HttpAnswer(limits.httpHeadBytes(), limits.httpBodyBytes());
+        long call = ++calls;
+        loop.after(limits.watchWaitMs() + limits.watchSilenceMs(), () -> {
+            if (calling && call == calls) {
+                failed("silence");
+            }
+        });
+        if (link != null) {
+            ask();
+        } else {
+            dialing = loop.dial(discovery, this::up, this::failed);
+        }
+    }
+
+    private void up(StreamConnection connection) {
+        dialing = null;
+        link = loop.link(connection, this);
+        link.listen(true);
+        ask();
+    }
+
+    private void ask() {
+        String host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
+        link.write(("GET /discovery/hosts?index=" + version + "&wait=" + (long) limits.watchWaitMs()
+                + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void readable(Link from) {
+        while (link == from && !from.ended()) {
+            in.clear();
+            int n = from.read(in);
+            if (n == 0) {
+                return;
+            }
+            boolean whole;
+            try {
+                whole = n < 0 ? calling && answer.end() : calling && answer.take(in.flip());
+            } catch (HttpAnswer.BadAnswer e) {
+                failed(e.getMessage());
+                return;
+            }
+            if (whole) {
+                answered(n < 0);
+            } else if (n < 0 || !calling) {
+                broken(from);
+                return;
+            }
+        }
+    }
+
+    private void answered(boolean ended) {
+        if (answer.status() != 200) {
+            failed("status " + answer.status());
+            return;
+        }
+        MemberList list;
+        try {
+            list = MemberList.read(JsonValues.object(answer.body()));
+        } catch (MalformedInput e) {
+            failed(e.getMessage());
+            return;
+        }
+        calling = false;
+        version = list.version();
+        if (ended || answer.closes()) {
+            hangUp();
+        }
+        core.members(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list.members());
+        call();
+    }
+
+    private void failed(String why) {
+        if (!calling) {
+            return;
+        }
+        calling = false;
+        log.accept("discovery: " + why);
+        hangUp();
+        core.members(ListKind.FAILED, List.of());
+    }
+
+    private void hangUp() {
+        if (dialing != null) {
+            dialing.giveUp();
+            dialing = null;
+        }
+        if (link != null) {
+            link.close();
+            link = null;
+        }
+    }
+
+    @Override
+    public void drained(Link from) { }
+
+    @Override
+    public void broken(Link from) {
+        if (link == from) {
+            hangUp();
+            failed("the connection broke");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -0,0 +1,53 @@
+package tulipshed.limits;
+
+/**
+ * Every size, count and time of the node that is not a setting of the site. Filled once at start and handed
+ * down; times are in milliseconds, sizes in bytes.
+ */
+public record Limits(
+        /** Longest line, with its end. */
+        int lineBytes,
+        /** What a relay holds for one direction of one connection. */
+        int relayBytes,
+        /** What one read takes from a socket at most. */
+        int readBytes,
+        /** Descriptors that the process may hold. */
+        int descriptors,
+        /** Descriptors kept for the virtual machine, the listener and discovery. */
+        int reservedDescriptors,
+        /** Connections waiting in the kernel to be accepted. */
+        int backlog,
+        /** Longest head of an answer of discovery. */
+        int httpHeadBytes,
+        /** Longest body of an answer of discovery. */
+        int httpBodyBytes,
+        /** How long a watch waits at discovery for something new. */
+        double watchWaitMs,
+        /** How long after that wait silence counts as a failed call. */
+        double watchSilenceMs,
+        /** Final answers are due this much before the client gives up, so that they arrive in time. */
+        double answerMarginMs,
+        /** A member that returned nothing for this long after a client's line counts as silent. */
+        double silentMs,
+        /** How long a connection may linger once one side has ended it. */
+        double lingerMs,
+        /** A first line must be complete within this time. */
+        double firstLineMs,
+        /** How long connections that stood before the start may take to come up again. */
+        double standingMs,
+        /** After SIGTERM: how long new connections are taken. */
+        double drainTakeMs,
+        /** After SIGTERM: when the last client is asked to move and the last answer is given. */
+        double drainEndMs) {
+
+    /** The limits of a node that may hold this many descriptors. */
+    public static Limits forDescriptors(int descriptors) {
+        return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
+                10_000, 1_500, 10, 4_500, 900, 10_000, 40_000, 500, 3_000);
+    }
+
+    /** How many descriptors connections may take together. */
+    public int connectionDescriptors() {
+        return Math.max(2, descriptors - reservedDescriptors);
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/line/MemberConnection.java
@@ -0,0 +1,247 @@
+package tulipshed.line;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.xnio.StreamConnection;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.link.Link;
+import tulipshed.link.XnioLoop;
+import tulipshed.transaction.ServerSideFlow;
+
+/** One server-side flow on a connection of its own to a pool member. */
+final class MemberConnection implements Link.Owner {
+    private enum State { DIALING, WAITING, STANDING, OVER }
+
+    private final LineFront front;
+    private final ClientSession client;
+    private final ServerSideFlow flow;
+    private final LineSplitter splitter;
+    private State state = State.DIALING;
+    private XnioLoop.Dialing dialing;
+    private Link link;
+    private String lastWord = "";
+    private boolean clientFinished;
+    private double askedMs = Double.NaN;
+
+    MemberConnection(LineFront front, ClientSession client, ServerSideFlow flow) {
+        this.front = front;
+        this.client = client;
+        this.flow = flow;
+        this.splitter = new LineSplitter(front.limits.lineBytes());
+    }
+
+    ServerSideFlow flow() {
+        return flow;
+    }
+
+    void dial() {
+        dialing = front.loop.dial(flow.member().address(), this::up, why -> over(Outcome.CONNECT_FAILED));
+    }
+
+    private void up(StreamConnection connection) {
+        link = front.loop.link(connection, this);
+        if (state != State.DIALING || !front.core.maySend(flow)) {
+            link.close();
+            over(Outcome.CONNECT_FAILED);
+            return;
+        }
+        state = State.WAITING;
+        double nowMs = front.clock.nowMs();
+        double waitMs = client.line().at() == null ? flow.waitLeftMs(nowMs)
+                : flow.transaction().deadlineMs() - nowMs;
+        link.write(client.line().onward(waitMs));
+        link.listen(true);
+    }
+
+    /** Ends the flow without a word to the core. */
+    void drop() {
+        close();
+        if (dialing != null) {
+            dialing.giveUp();
+        }
+    }
+
+    private void close() {
+        state = State.OVER;
+        front.relaying(this, false);
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    private void over(Outcome outcome) {
+        if (state != State.OVER) {
+            close();
+            front.core.ended(flow, outcome);
+        }
+    }
+
+    // ---- What the member does ----
+
+    @Override
+    public void readable(Link from) {
+        ByteBuffer in = front.scratch;
+        while (state != State.OVER) {
+            int room = front.limits.relayBytes() - client.queued();
+            if (state == State.STANDING && room <= 0) {
+                link.listen(false);
+                return;
+            }
+            in.clear().limit(Math.min(Math.max(1, room), in.capacity()));
+            int n = link.read(in);
+            if (n <= 0) {
+                if (n < 0) {
+                    ended();
+                }
+                return;
+            }
+            in.flip();
+            take(in);
+        }
+    }
+
+    private void take(ByteBuffer in) {
+        while (state != State.OVER && in.hasRemaining()) {
+            try {
+                byte[] line = splitter.next(in);
+                if (line != null) {
+                    line(line);
+                }
+            } catch (BadLine e) {
+                if (state != State.STANDING) {
+                    over(Outcome.ERROR);
+                    return;
+                }
+                // Longer than the protocol allows; it is the client's to judge.
+                client.fromMember(splitter.rest());
+            }
+        }
+    }
+
+    private void line(byte[] line) {
+        String text = new String(line, StandardCharsets.ISO_8859_1).strip();
+        int space = text.indexOf(' ');
+        lastWord = space < 0 ? text : text.substring(0, space);
+        if (state == State.STANDING) {
+            answered();
+            client.fromMember(line);
+            if (lastWord.equals("LOAD")) {
+                load(text.substring(space + 1));
+            }
+            return;
+        }
+        switch (lastWord) {
+            case "UP" -> {
+                if (front.core.up(flow)) {
+                    state = State.STANDING;
+                    front.relaying(this, true);
+                    client.joined(this, line);
+                } else {
+                    close();
+                }
+            }
+            case "BUSY" -> over(Outcome.FULL);
+            case "ERR" -> over(Outcome.ERROR);
+            // BYE and MOVE tell how the flow ends; its end follows.
+            case "BYE", "MOVE" -> { }
+            default -> {
+                front.log.accept("a member answered: " + text);
+                over(Outcome.ERROR);
+            }
+        }
+    }
+
+    private void load(String figure) {
+        try {
+            front.core.loadChanged(flow, Double.parseDouble(figure));
+        } catch (NumberFormatException e) {
+            front.log.accept("a load that is not a number: " + figure);
+        }
+    }
+
+    private Outcome endOutcome(Outcome otherwise) {
+        return switch (lastWord) {
+            case "BYE" -> Outcome.OK;
+            case "MOVE" -> Outcome.CANCELLED;
+            default -> otherwise;
+        };
+    }
+
+    /** The member ended its sending. */
+    private void ended() {
+        link.listen(false);
+        if (state == State.STANDING) {
+            client.fromMember(splitter.rest());
+            client.memberFinished();
+        }
+        over(endOutcome(clientFinished ? Outcome.CANCELLED : Outcome.RESET));
+    }
+
+    @Override
+    public void broken(Link from) {
+        if (state == State.STANDING) {
+            client.memberBroke();
+            over(endOutcome(Outcome.RESET));
+        } else {
+            // Without the line's last byte the member cannot have taken it.
+            over(link.queued() > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET);
+        }
+    }
+
+    // ---- Relay ----
+
+    int queued() {
+        return link == null ? 0 : link.queued();
+    }
+
+    void fromClient(byte[] bytes) {
+        if (Double.isNaN(askedMs)) {
+            askedMs = front.clock.nowMs();
+        }
+        link.write(bytes);
+    }
+
+    private void answered() {
+        if (!Double.isNaN(askedMs)) {
+            front.core.replied(flow, front.clock.nowMs() - askedMs);
+            askedMs = Double.NaN;
+        }
+    }
+
+    /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
+    void lookAtSilence(double nowMs) {
+        if (nowMs - askedMs > front.limits.silentMs()) {
+            front.core.silent(flow);
+        }
+    }
+
+    @Override
+    public void drained(Link from) {
+        client.memberDrained();
+    }
+
+    void clientDrained() {
+        if (state == State.STANDING) {
+            link.listen(true);
+        }
+    }
+
+    /** The client ended its sending: so does this side, and the member's end is awaited for a while. */
+    void clientFinished() {
+        clientFinished = true;
+        link.finish();
+        front.loop.after(front.limits.lingerMs(), () -> {
+            if (state == State.STANDING) {
+                client.memberFinished();
+                over(Outcome.CANCELLED);
+            }
+        });
+    }
+
+    void clientBroke() {
+        if (state == State.STANDING) {
+            link.abort();
+            over(Outcome.CANCELLED);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/line/OpeningLine.java
@@ -0,0 +1,134 @@
+package tulipshed.line;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import tulipshed.config.SettingsReader.Names;
+import tulipshed.transaction.Transaction.Arrival;
+
+/**
+ * A client's first line: {@code OPEN ID KEY name=value,...}. Keeps the text as it came, so that it can go on
+ * to a member unchanged but for the time that the node will wait.
+ */
+final class OpeningLine {
+    private static final String END = "\r\n";
+    private final String text;
+    private final int waitFrom;
+    private final int waitTo;
+    private final Arrival arrival;
+    private final String at;
+
+    private OpeningLine(String text, int waitFrom, int waitTo, Arrival arrival, String at) {
+        this.text = text;
+        this.waitFrom = waitFrom;
+        this.waitTo = waitTo;
+        this.arrival = arrival;
+        this.at = at;
+    }
+
+    /** Reads one whole line; anything that a client would not send in this form is a {@link BadLine}. */
+    static OpeningLine parse(byte[] line, Names names) {
+        String text = new String(line, StandardCharsets.ISO_8859_1);
+        if (!text.endsWith(END)) {
+            throw new BadLine("a line that does not end with CRLF");
+        }
+        for (int i = 0; i < text.length() - END.length(); i++) {
+            if (text.charAt(i) < ' ' || text.charAt(i) > '~') {
+                throw new BadLine("a character that is not printable ASCII");
+            }
+        }
+        String[] words = text.substring(0, text.length() - END.length()).split(" ", -1);
+        if (words.length != 4 || !words[0].equals("OPEN") || words[1].isEmpty() || words[2].isEmpty()) {
+            throw new BadLine("not of the form OPEN ID KEY NAMES");
+        }
+        return new Reader(text, words, names).read();
+    }
+
+    /** What the client asks for. */
+    Arrival arrival() {
+        return arrival;
+    }
+
+    /** The member at which this connection stood before, or null. */
+    String at() {
+        return at;
+    }
+
+    /** The line as it goes on to a member that is told how long the node will wait. */
+    byte[] onward(double waitMs) {
+        long wait = Math.max(1, (long) Math.floor(waitMs));
+        return (text.substring(0, waitFrom) + wait + text.substring(waitTo)).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Takes the names and values apart. */
+    private static final class Reader {
+        private final String text;
+        private final String[] words;
+        private final Names names;
+        private final Set<String> seen = new HashSet<>();
+        private int requestClass = -1;
+        private int tenant = -1;
+        private double waitMs = -1;
+        private int waitFrom;
+        private int waitTo;
+        private String group;
+        private double hint;
+        private boolean repeat;
+        private boolean again;
+        private String at;
+
+        Reader(String text, String[] words, Names names) {
+            this.text = text;
+            this.words = words;
+            this.names = names;
+        }
+
+        OpeningLine read() {
+            int from = words[0].length() + words[1].length() + words[2].length() + 3;
+            for (String pair : words[3].split(",", -1)) {
+                int equals = pair.indexOf('=');
+                if (equals <= 0 || equals == pair.length() - 1 || !seen.add(pair.substring(0, equals))) {
+                    throw new BadLine("a name without a value, or twice: " + pair);
+                }
+                take(pair.substring(0, equals), pair.substring(equals + 1), from + equals + 1);
+                from += pair.length() + 1;
+            }
+            if (requestClass < 0 || waitMs < 0) {
+                throw new BadLine("no class or no time to wait");
+            }
+            Arrival arrival = new Arrival(requestClass, tenant, words[2], group, waitMs, hint, repeat, again);
+            return new OpeningLine(text, waitFrom, waitTo, arrival, at);
+        }
+
+        private void take(String name, String value, int from) {
+            switch (name) {
+                case "c" -> {
+                    Integer known = names.classes.get(value);
+                    if (known == null) {
+                        throw new BadLine("an unknown class: " + value);
+                    }
+                    requestClass = known;
+                }
+                case "t" -> tenant = names.tenants.getOrDefault(value, -1);
+                case "d" -> {
+                    waitMs = number(value);
+                    waitFrom = from;
+                    waitTo = from + value.length();
+                }
+                case "g" -> group = value;
+                case "h" -> hint = number(value);
+                case "r" -> repeat = value.equals("1");
+                case "again" -> again = value.equals("1");
+                case "at" -> at = value;
+                default -> { }
+            }
+        }
+
+        private static double number(String value) {
+            if (!value.matches("[0-9]{1,15}(\\.[0-9]{1,15})?")) {
+                throw new BadLine("not a number: " + value);
+            }
+            return Double.parseDouble(value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -0,0 +1,152 @@
+package tulipshed.link;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import tulipshed.limits.Limits;
+import tulipshed.transaction.Loop;
+
+/** The one I/O thread: XNIO's, which runs listeners and, after those that were ready, the tasks given to it. */
+public final class XnioLoop implements Loop {
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final Limits limits;
+    private int open;
+
+    public XnioLoop(Limits limits) throws IOException {
+        this.limits = limits;
+        Xnio xnio = Xnio.getInstance("nio", XnioLoop.class.getClassLoader());
+        worker = xnio.createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "tulipshed")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .getMap());
+        thread = worker.getIoThread();
+    }
+
+    @Override
+    public void afterGathering(Runnable task) {
+        thread.execute(task);
+    }
+
+    @Override
+    public void after(double ms, Runnable task) {
+        if (ms <= 0) {
+            thread.execute(task);
+        } else {
+            thread.executeAfter(task, (long) Math.ceil(ms), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whether two more connections, a client's and its member's, stay within the descriptors allowed. */
+    public boolean hasRoom() {
+        return open + 2 <= limits.connectionDescriptors();
+    }
+
+    /** Connections open now. */
+    public int open() {
+        return open;
+    }
+
+    /** Accepts connections at the address, and nowhere else. */
+    public AcceptingChannel<StreamConnection> listen(InetSocketAddress address, Consumer<StreamConnection> taker)
+            throws IOException {
+        ChannelListener<AcceptingChannel<StreamConnection>> accept = server -> {
+            try {
+                for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
+                    taker.accept(c);
+                }
+            } catch (IOException e) {
+                System.err.println("tulipshed: cannot accept: " + e.getMessage());
+            }
+        };
+        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address, accept,
+                OptionMap.builder().set(Options.BACKLOG, limits.backlog()).set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.TCP_NODELAY, true).getMap());
+        server.resumeAccepts();
+        return server;
+    }
+
+    /** Makes a connection known to be open; it is counted until it is closed. */
+    public Link link(StreamConnection connection, Link.Owner owner) {
+        open++;
+        return new Link(connection, owner, () -> open--);
+    }
+
+    /** A connection being made. */
+    public interface Dialing {
+        /** Nothing more is told of it; a connection that comes up all the same is closed. */
+        void giveUp();
+    }
+
+    /** Opens a connection; one of the two is called, on the loop, unless it is given up before. */
+    public Dialing dial(InetSocketAddress to, Consumer<StreamConnection> up, Consumer<String> failed) {
+        Dial dial = new Dial(up, failed);
+        open++;
+        IoFuture<StreamConnection> future = thread.openStreamConnection(to, dial::up,
+                OptionMap.create(Options.TCP_NODELAY, true));
+        dial.future = future;
+        future.addNotifier((f, x) -> {
+            if (f.getStatus() != IoFuture.Status.DONE) {
+                String why = f.getStatus() == IoFuture.Status.FAILED ? f.getException().getMessage() : "given up";
+                thread.execute(() -> dial.failed(why));
+            }
+        }, null);
+        return dial;
+    }
+
+    /** One dialled connection; whichever comes first of up, failed and given up is the end of it. */
+    private final class Dial implements Dialing {
+        private final Consumer<StreamConnection> up;
+        private final Consumer<String> failed;
+        private IoFuture<StreamConnection> future;
+        private boolean given;
+        private boolean over;
+
+        Dial(Consumer<StreamConnection> up, Consumer<String> failed) {
+            this.up = up;
+            this.failed = failed;
+        }
+
+        void up(StreamConnection c) {
+            if (!over) {
+                over = true;
+                open--;
+                if (given) {
+                    org.xnio.IoUtils.safeClose(c);
+                } else {
+                    up.accept(c);
+                }
+            }
+        }
+
+        void failed(String why) {
+            if (!over) {
+                over = true;
+                open--;
+                if (!given) {
+                    failed.accept(why);
+                }
+            }
+        }
+
+        @Override
+        public void giveUp() {
+            given = true;
+            if (future != null) {
+                future.cancel();
+            }
+        }
+    }
+}
--- a/src/main/java/tulipshed/simulator/Adapter.java
+++ b/src/main/java/tulipshed/simulator/Adapter.java
@@ -10,7 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import tulipshed.decision.Balancer;
+import tulipshed.config.MalformedInput;
+import tulipshed.config.SettingsReader;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.Actions;
 import tulipshed.decision.BalancerApi.Outcome;
@@ -28,7 +29,7 @@
     private final Factory factory;
 
     /** Makes the module of one instance. */
-    interface Factory {
+    public interface Factory {
         BalancerApi create(Settings settings, long seed, long now, Actions actions);
     }
 
@@ -41,13 +42,8 @@
         this.out = new ReplyWriter(out);
     }
 
-    /** Runs the adapter on standard input and output. */
-    public static void main(String[] args) {
-        System.exit(run(System.in, System.out, System.err, Balancer::new));
-    }
-
     /** Plays all batches; the exit code is 0 at the end of the input, 2 where the input is malformed. */
-    static int run(InputStream in, OutputStream out, OutputStream err, Factory factory) {
+    public static int run(InputStream in, OutputStream out, OutputStream err, Factory factory) {
         try {
             new Adapter(in, out, factory).loop();
             return 0;
--- a/src/main/java/tulipshed/simulator/WireEvent.java
+++ b/src/main/java/tulipshed/simulator/WireEvent.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import tulipshed.config.JsonValues;
+import tulipshed.config.MalformedInput;
+import tulipshed.config.SettingsReader;
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
@@ -89,7 +91,10 @@
             case "TimeS" -> timeS = number(in, name);
             case "frame" -> frame = whole(in, name);
             case "RngSeed" -> seed = seed(in);
-            case "Settings" -> settings = object(in, name);
+            case "Settings" -> {
+                expect(in, JsonToken.START_OBJECT, name);
+                settings = JsonValues.object(in);
+            }
             case "MsgId" -> msgId = whole(in, name);
             case "Service" -> service = text(in, name);
             case "Org" -> org = in.getValueAsString();
@@ -226,39 +231,6 @@
         };
     }
 
-    private static Map<String, Object> object(JsonParser in, String name) throws IOException {
-        expect(in, JsonToken.START_OBJECT, name);
-        Map<String, Object> map = new LinkedHashMap<>();
-        for (String key = in.nextFieldName(); key != null; key = in.nextFieldName()) {
-            in.nextToken();
-            map.put(key, any(in, key));
-        }
-        return map;
-    }
-
-    private static Object any(JsonParser in, String name) throws IOException {
-        switch (in.currentToken()) {
-            case START_OBJECT:
-                return object(in, name);
-            case START_ARRAY:
-                List<Object> list = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(any(in, name));
-                }
-                return list;
-            case VALUE_TRUE:
-            case VALUE_FALSE:
-                return in.getBooleanValue();
-            case VALUE_NUMBER_INT:
-            case VALUE_NUMBER_FLOAT:
-                return in.getDoubleValue();
-            case VALUE_STRING:
-                return in.getText();
-            default:
-                return null;
-        }
-    }
-
     private static void expect(JsonParser in, JsonToken token, String name) {
         if (in.currentToken() != token) {
             throw new MalformedInput(name + " is " + in.currentToken() + ", not " + token);
--- /dev/null
+++ b/src/main/java/tulipshed/transaction/MemberConnector.java
@@ -0,0 +1,13 @@
+package tulipshed.transaction;
+
+/**
+ * Opens server-side flows towards pool members; each front brings its own. What becomes of a flow is told to
+ * {@link TransactionCore}, never from within a call of this interface.
+ */
+public interface MemberConnector {
+    /** Starts the flow. Before its first byte is sent, {@link TransactionCore#maySend} must allow it. */
+    void open(ServerSideFlow flow);
+
+    /** Ends a flow of which nothing more is wanted; nothing is told of it from here on. */
+    void giveUp(ServerSideFlow flow);
+}
--- /dev/null
+++ b/src/main/java/tulipshed/transaction/ServerSideFlow.java
@@ -0,0 +1,70 @@
+package tulipshed.transaction;
+
+/** One attempt of a transaction at one pool member. */
+public final class ServerSideFlow {
+    private final Transaction transaction;
+    private final PoolMember member;
+    private final int number;
+    private final double startedMs;
+    private final double endsMs;
+    private boolean connected;
+    private boolean over;
+    private double upMs;
+
+    ServerSideFlow(Transaction transaction, PoolMember member, int number, double startedMs, double endsMs) {
+        this.transaction = transaction;
+        this.member = member;
+        this.number = number;
+        this.startedMs = startedMs;
+        this.endsMs = endsMs;
+    }
+
+    public Transaction transaction() {
+        return transaction;
+    }
+
+    public PoolMember member() {
+        return member;
+    }
+
+    int number() {
+        return number;
+    }
+
+    /** How long the node will still wait for this flow to come up. */
+    public double waitLeftMs(double nowMs) {
+        return Math.max(0, endsMs - nowMs);
+    }
+
+    double startedMs() {
+        return startedMs;
+    }
+
+    double endsMs() {
+        return endsMs;
+    }
+
+    boolean connected() {
+        return connected;
+    }
+
+    void connect() {
+        connected = true;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    void end() {
+        over = true;
+    }
+
+    double upMs() {
+        return upMs;
+    }
+
+    void up(double nowMs) {
+        upMs = nowMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -0,0 +1,103 @@
+package tulipshed.transaction;
+
+import tulipshed.decision.BalancerApi.NewRequest;
+
+/** One request of a client for a connection, from its arrival to its end. */
+public final class Transaction {
+    /** How far it has come; the first answer is the last. */
+    enum State { OWED, STANDING, ANSWERED }
+
+    private final VirtualServer client;
+    private final MemberConnector connector;
+    private final Arrival arrival;
+    private final double deadlineMs;
+    private final boolean standingBefore;
+    private long id;
+    private State state = State.OWED;
+    private ServerSideFlow flow;
+    private int attempts;
+
+    /** What the client asks for, in the terms of the settings; tenant -1 where there is none. */
+    public record Arrival(int requestClass, int tenant, String key, String group, double waitMs, double hintUsPerS,
+            boolean repeat, boolean returning) { }
+
+    /**
+     * A transaction that arrived at {@code nowMs}; {@code standingBefore} marks one whose connection stood at
+     * a member before this node started, which no deadline ends.
+     */
+    public Transaction(VirtualServer client, MemberConnector connector, Arrival arrival, double nowMs,
+            boolean standingBefore) {
+        this.client = client;
+        this.connector = connector;
+        this.arrival = arrival;
+        this.deadlineMs = nowMs + arrival.waitMs();
+        this.standingBefore = standingBefore;
+    }
+
+    void number(long id) {
+        this.id = id;
+    }
+
+    long id() {
+        return id;
+    }
+
+    NewRequest asRequest(double nowMs) {
+        double left = Math.max(0, deadlineMs - nowMs);
+        return new NewRequest(id, arrival.requestClass(), arrival.tenant(), arrival.key(), arrival.group(),
+                tulipshed.time.Clock.toMicros(left), arrival.hintUsPerS(), arrival.repeat(), false,
+                arrival.returning());
+    }
+
+    MemberConnector connector() {
+        return connector;
+    }
+
+    /** When the client gives up. */
+    public double deadlineMs() {
+        return deadlineMs;
+    }
+
+    boolean stoodBefore() {
+        return standingBefore;
+    }
+
+    /** Whether a final answer is still owed. */
+    public boolean owed() {
+        return state == State.OWED;
+    }
+
+    /** Whether its connection stands at a pool member. */
+    public boolean standing() {
+        return state == State.STANDING;
+    }
+
+    void stand() {
+        state = State.STANDING;
+    }
+
+    /** Nothing more is owed from here on. */
+    void close() {
+        state = State.ANSWERED;
+    }
+
+    /** The flow that is out, or null; never more than one. */
+    ServerSideFlow flow() {
+        return flow;
+    }
+
+    void flow(ServerSideFlow flow) {
+        this.flow = flow;
+        if (flow != null) {
+            attempts++;
+        }
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    VirtualServer client() {
+        return client;
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -0,0 +1,445 @@
+package tulipshed.transaction;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.RequestClass;
+import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.limits.Limits;
+import tulipshed.time.Clock;
+
+/**
+ * Stands between fronts, pool members and the decision module, and knows no wire. Fronts and connectors tell
+ * it what happened; it gathers that, hands all of it to the module in one turn, and then carries out what the
+ * module decided, in the order decided. It keeps the rules that need no decision: one final answer for each
+ * transaction, one flow out at a time, nothing sent to a member that is not serving, every wait bounded.
+ */
+public final class TransactionCore {
+    private static final double SLOW_SHARE = 1 / 3.0; // of the shortest aim: delays above are news
+    private static final double NEWS_EVERY_MS = 1000;
+
+    /** Makes the decision module once the core stands. */
+    public interface Module {
+        BalancerApi create(Settings settings, long seed, long nowUs, BalancerApi.Actions actions);
+    }
+
+    private final Clock clock;
+    private final Limits limits;
+    private final Settings settings;
+    private final Loop loop;
+    private final Consumer<String> log;
+    private final BalancerApi module;
+    private final double slowMs;
+    private final Map<String, PoolMember> members = new HashMap<>();
+    private final Map<Long, Transaction> transactions = new HashMap<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>();
+    private final List<Event> gathered = new ArrayList<>();
+    private final List<Runnable> decided = new ArrayList<>();
+    private final Set<Transaction> standing = new LinkedHashSet<>();
+    private MemberSource source = () -> { };
+    private boolean turnAhead;
+    private double armedMs = Double.MAX_VALUE;
+    private long lastId;
+    private long dueCount;
+
+    /** Something for the module. */
+    private interface Event {
+        void tell(BalancerApi module, double nowMs, long nowUs);
+    }
+
+    /** Something to look at when its time has come. */
+    private record Due(double atMs, long order, Runnable what) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Double.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    public TransactionCore(Clock clock, Limits limits, Settings settings, long seed, Loop loop,
+            Consumer<String> log, Module factory) {
+        this.clock = clock;
+        this.limits = limits;
+        this.settings = settings;
+        this.loop = loop;
+        this.log = log;
+        this.slowMs = SLOW_SHARE * Clock.toMillis(settings.classes().stream()
+                .mapToLong(RequestClass::messageAimUs).filter(a -> a > 0).min().orElse(Long.MAX_VALUE));
+        this.module = factory.create(settings, seed, Clock.toMicros(clock.nowMs()), new Decisions());
+        // The module may have asked for timers already, before anything was gathered.
+        wake();
+    }
+
+    /** Where the module's wish for the list goes. */
+    public void source(MemberSource source) {
+        this.source = source;
+    }
+
+    // ---- What fronts, connectors and discovery tell ----
+
+    /** A transaction arrived; it is owed one final answer from here on. */
+    public void arrived(Transaction t) {
+        take(t);
+        due(t.deadlineMs() - limits.answerMarginMs(), () -> overdue(t));
+        gather((module, nowMs, nowUs) -> module.request(nowUs, t.asRequest(nowMs)));
+    }
+
+    /** A connection that stood at that member before this node started wants to go on. */
+    public void alreadyOpen(Transaction t, String memberId) {
+        PoolMember member = members.get(memberId);
+        if (member == null || member.address() == null) {
+            t.close();
+            t.client().fail();
+            return;
+        }
+        take(t);
+        double nowMs = clock.nowMs();
+        ServerSideFlow flow = new ServerSideFlow(t, member, 0, nowMs, nowMs + limits.standingMs());
+        t.flow(flow);
+        due(flow.endsMs(), () -> timeOut(flow));
+        gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, t.asRequest(ms), memberId));
+        decided.add(() -> t.connector().open(flow));
+    }
+
+    private void take(Transaction t) {
+        t.number(++lastId);
+        transactions.put(t.id(), t);
+    }
+
+    /**
+     * Asked by a connector when a flow's connection is up and its first byte could go out: whether it may.
+     * Guards against a member that began to drain, or left, while the connection was being made.
+     */
+    public boolean maySend(ServerSideFlow flow) {
+        flow.connect();
+        return !flow.over() && flow.transaction().owed()
+                && (flow.member().serving() || flow.transaction().stoodBefore());
+    }
+
+    /** The member serves the flow; false where the flow is over and its answer must not reach the client. */
+    public boolean up(ServerSideFlow flow) {
+        Transaction t = flow.transaction();
+        if (flow.over() || !t.owed()) {
+            return false;
+        }
+        t.stand();
+        standing.add(t);
+        flow.up(clock.nowMs());
+        if (!t.stoodBefore()) {
+            long tookUs = Clock.toMicros(flow.upMs() - flow.startedMs());
+            gather((module, ms, nowUs) -> module.started(nowUs, t.id(), flow.number(), tookUs));
+        }
+        return true;
+    }
+
+    /** How a flow ended; told once, later tellings are passed over. */
+    public void ended(ServerSideFlow flow, Outcome outcome) {
+        if (flow.over()) {
+            return;
+        }
+        flow.end();
+        Transaction t = flow.transaction();
+        t.flow(null);
+        if (t.standing()) {
+            t.close();
+            standing.remove(t);
+        } else if (t.stoodBefore() && t.owed()) {
+            // The module counts it as standing and will not answer; the client is owed a word all the same.
+            t.close();
+            t.client().fail();
+        }
+        gather((module, ms, nowUs) -> {
+            module.finished(nowUs, t.id(), flow.number(), !t.owed(), outcome, Report.NONE);
+            forget(t);
+        });
+    }
+
+    /** The client left before it was answered. */
+    public void clientLeft(Transaction t) {
+        if (!t.owed()) {
+            return;
+        }
+        t.close();
+        gather((module, ms, nowUs) -> {
+            module.abandoned(nowUs, t.id());
+            // The module calls its flow off where the site allows that; nobody waits for it either way.
+            decided.add(() -> callOff(t));
+            forget(t);
+        });
+    }
+
+    /** A standing flow's member took this long to answer a line of the client's. */
+    public void replied(ServerSideFlow flow, double tookMs) {
+        double delayMs = flow.member().ownDelayMs(tookMs);
+        if (!flow.over() && flow.member().isNews(clock.nowMs(), delayMs, slowMs, NEWS_EVERY_MS)) {
+            long id = flow.transaction().id();
+            gather((module, ms, nowUs) -> module.delayNote(nowUs, id, delayMs));
+        }
+    }
+
+    /** A standing connection's load changed, in microseconds of work a second. */
+    public void loadChanged(ServerSideFlow flow, double loadUsPerS) {
+        if (!flow.over()) {
+            long id = flow.transaction().id();
+            gather((module, ms, nowUs) -> module.loadNote(nowUs, id, loadUsPerS));
+        }
+    }
+
+    /** What discovery told; takes effect for {@link #maySend} at once. */
+    public void members(ListKind kind, List<ListedMember> listed) {
+        if (kind == ListKind.COMPLETE || kind == ListKind.REMEMBERED) {
+            Set<String> named = new HashSet<>();
+            listed.forEach(m -> named.add(m.entry().server()));
+            members.values().stream().filter(m -> !named.contains(m.id())).forEach(PoolMember::gone);
+        }
+        for (ListedMember m : listed) {
+            PoolMember member = members.computeIfAbsent(m.entry().server(), PoolMember::new);
+            member.update(m.entry(), m.address() == null ? member.address() : m.address());
+        }
+        List<BalancerApi.ServerEntry> entries = listed.stream().map(ListedMember::entry).toList();
+        gather((module, ms, nowUs) -> module.servers(nowUs, kind, entries));
+    }
+
+    // ---- Gathering and turns ----
+
+    private void gather(Event event) {
+        gathered.add(event);
+        wake();
+    }
+
+    private void wake() {
+        if (!turnAhead) {
+            turnAhead = true;
+            loop.afterGathering(this::turn);
+        }
+    }
+
+    private void due(double atMs, Runnable what) {
+        dues.add(new Due(atMs, dueCount++, what));
+        wake();
+    }
+
+    /** Hands all that was gathered to the module, then carries out what it decided. */
+    void turn() {
+        turnAhead = false;
+        double nowMs = clock.nowMs();
+        while (!dues.isEmpty() && dues.peek().atMs() <= nowMs) {
+            guarded(dues.poll().what());
+        }
+        List<Event> events = List.copyOf(gathered);
+        gathered.clear();
+        for (Event e : events) {
+            guarded(() -> e.tell(module, nowMs, Clock.toMicros(nowMs)));
+        }
+        List<Runnable> actions = List.copyOf(decided);
+        decided.clear();
+        actions.forEach(this::guarded);
+        arm(nowMs);
+    }
+
+    /** One event that cannot be dealt with must not cost the others their answers. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+        }
+    }
+
+    private void arm(double nowMs) {
+        if (dues.isEmpty() || armedMs > nowMs && armedMs <= dues.peek().atMs()) {
+            return;
+        }
+        armedMs = dues.peek().atMs();
+        loop.after(Math.max(0, armedMs - nowMs), this::wake);
+    }
+
+    private void forget(Transaction t) {
+        if (!t.owed() && t.flow() == null) {
+            transactions.remove(t.id());
+        }
+    }
+
+    // ---- Deadlines ----
+
+    /** The module answers in time by itself; should it not, the client still gets its one answer. */
+    private void overdue(Transaction t) {
+        if (t.owed() && t.flow() == null) {
+            log.accept("transaction " + t.id() + " was overdue");
+            t.close();
+            t.client().fail();
+            gather((module, ms, nowUs) -> {
+                module.abandoned(nowUs, t.id());
+                forget(t);
+            });
+        }
+    }
+
+    private void timeOut(ServerSideFlow flow) {
+        if (!flow.over() && !flow.transaction().standing()) {
+            flow.transaction().connector().giveUp(flow);
+            ended(flow, Outcome.TIMEOUT);
+        }
+    }
+
+    private void connectTimeOut(ServerSideFlow flow) {
+        if (!flow.over() && !flow.connected()) {
+            flow.transaction().connector().giveUp(flow);
+            ended(flow, Outcome.CONNECT_FAILED);
+        }
+    }
+
+    private void callOff(Transaction t) {
+        ServerSideFlow flow = t.flow();
+        if (flow != null && !t.standing()) {
+            t.connector().giveUp(flow);
+            ended(flow, Outcome.CANCELLED);
+        }
+    }
+
+    // ---- What the module decides ----
+
+    /** Keeps what the module decides until the whole batch has been handed over. */
+    private final class Decisions implements BalancerApi.Actions {
+        @Override
+        public void send(long request, String server, long timeoutUs) {
+            decided.add(() -> open(transactions.get(request), server, Clock.toMillis(timeoutUs)));
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            decided.add(() -> {
+                Transaction t = transactions.get(request);
+                if (t != null && t.flow() != null && t.flow().number() == attempt) {
+                    callOff(t);
+                }
+            });
+        }
+
+        @Override
+        public void refuse(long request, long retryAfterUs) {
+            decided.add(() -> answer(request, t -> t.client().reject(Clock.toMillis(retryAfterUs))));
+        }
+
+        @Override
+        public void fail(long request) {
+            decided.add(() -> answer(request, t -> t.client().fail()));
+        }
+
+        @Override
+        public void move(long request) {
+            decided.add(() -> {
+                Transaction t = transactions.get(request);
+                if (t != null && t.standing()) {
+                    moveNow(t, Outcome.CANCELLED);
+                }
+            });
+        }
+
+        @Override
+        public void timer(long afterUs, long token) {
+            due(clock.nowMs() + Clock.toMillis(afterUs),
+                    () -> gather((module, ms, nowUs) -> module.timer(nowUs, token)));
+        }
+
+        @Override
+        public void probe(String server) {
+            log.accept("probes are not allowed here: " + server);
+        }
+
+        @Override
+        public void watchList() {
+            decided.add(() -> source.watch());
+        }
+
+        @Override
+        public void log(String message) {
+            log.accept(message);
+        }
+    }
+
+    private void answer(long request, Consumer<Transaction> how) {
+        Transaction t = transactions.get(request);
+        if (t != null && t.owed()) {
+            t.close();
+            how.accept(t);
+            forget(t);
+        }
+    }
+
+    private void open(Transaction t, String server, double timeoutMs) {
+        if (t == null) {
+            return;
+        }
+        double nowMs = clock.nowMs();
+        PoolMember member = members.computeIfAbsent(server, PoolMember::new);
+        double deadlineMs = t.deadlineMs() - limits.answerMarginMs();
+        double endsMs = timeoutMs > 0 ? Math.min(deadlineMs, nowMs + timeoutMs) : deadlineMs;
+        if (!t.owed() || t.flow() != null || endsMs <= nowMs || t.attempts() >= settings.limits().maxAttempts()) {
+            int number = t.attempts();
+            gather((module, ms, nowUs) ->
+                    module.finished(nowUs, t.id(), number, !t.owed(), Outcome.UNUSED, Report.NONE));
+            return;
+        }
+        ServerSideFlow flow = new ServerSideFlow(t, member, t.attempts(), nowMs, endsMs);
+        t.flow(flow);
+        if (!member.serving() || member.address() == null) {
+            ended(flow, Outcome.CONNECT_FAILED);
+            return;
+        }
+        due(endsMs, () -> timeOut(flow));
+        due(nowMs + Clock.toMillis(settings.limits().connectTimeoutUs()), () -> connectTimeOut(flow));
+        t.connector().open(flow);
+    }
+
+    // ---- Leaving ----
+
+    /** Ends a standing connection politely and tells the module how its flow ended. */
+    private void moveNow(Transaction t, Outcome outcome) {
+        ServerSideFlow flow = t.flow();
+        t.client().move();
+        if (flow != null) {
+            ended(flow, outcome);
+        }
+    }
+
+    /** A standing connection's member has gone silent: its client is sent elsewhere. */
+    public void silent(ServerSideFlow flow) {
+        if (!flow.over() && flow.transaction().standing()) {
+            moveNow(flow.transaction(), Outcome.RESET);
+        }
+    }
+
+    /** Asks the client that has stood longest to move; false where none stands. */
+    public boolean moveOne() {
+        if (standing.isEmpty()) {
+            return false;
+        }
+        moveNow(standing.iterator().next(), Outcome.CANCELLED);
+        return true;
+    }
+
+    public int standingCount() {
+        return standing.size();
+    }
+
+    /** The node is about to go: everything still owed is answered now. */
+    public void rejectAllOwed() {
+        for (Transaction t : List.copyOf(transactions.values())) {
+            if (t.owed()) {
+                answer(t.id(), x -> x.client().reject(0));
+                callOff(t);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tulipshed/PackagesTest.java
@@ -0,0 +1,34 @@
+package tulipshed;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+class PackagesTest {
+    private final JavaClasses classes =
+            new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("tulipshed");
+
+    @Test
+    void noneImportsInACircle() {
+        slices().matching("tulipshed.(*)..").should().beFreeOfCycles().check(classes);
+    }
+
+    @Test
+    void theCoreKnowsNoWire() {
+        noClasses().that().resideInAnyPackage("tulipshed.transaction..", "tulipshed.decision..")
+                .should().dependOnClassesThat().resideInAnyPackage("org.xnio..", "java.nio..", "java.io..",
+                        "com.fasterxml..", "tulipshed.line..", "tulipshed.quic..", "tulipshed.link..",
+                        "tulipshed.discovery..").check(classes);
+    }
+
+    @Test
+    void theModuleKnowsNothingElse() {
+        noClasses().that().resideInAPackage("tulipshed.decision..").should().dependOnClassesThat()
+                .resideInAnyPackage("tulipshed.transaction..", "tulipshed.limits..", "tulipshed.time..",
+                        "tulipshed.config..").check(classes);
+    }
+}
--- /dev/null
+++ b/src/test/java/tulipshed/discovery/DiscoveryParserTest.java
@@ -0,0 +1,72 @@
+package tulipshed.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import tulipshed.config.JsonValues;
+import tulipshed.config.MalformedInput;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.testing.Cuts;
+
+class DiscoveryParserTest {
+    private static final String LIST = "{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-5b\",\"addr\":"
+            + "\"10.1.0.18:8080\",\"zone\":\"a\",\"kind\":\"m2\",\"cell\":3,\"state\":\"DRAINING\",\"weight\":1.0,"
+            + "\"started_ms\":5}]}";
+
+    private static byte[] answer(boolean chunked) {
+        String body = chunked ? "5\r\n" + LIST.substring(0, 5) + "\r\n" + Integer.toHexString(LIST.length() - 5)
+                + ";x\r\n" + LIST.substring(5) + "\r\n0\r\n\r\n" : LIST;
+        String length = chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + LIST.length();
+        return ("HTTP/1.1 200 OK\r\n" + length + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    @Property(tries = 300, seed = "21")
+    void cutsDoNotChangeAnAnswer(@ForAll boolean chunked, @ForAll long seed) {
+        HttpAnswer answer = new HttpAnswer(200, 1000);
+        Cuts.feed(answer(chunked), seed, answer::take);
+        assertTrue(answer.take(java.nio.ByteBuffer.allocate(0)));
+        assertEquals(200, answer.status());
+        assertEquals(LIST, new String(answer.body(), StandardCharsets.ISO_8859_1));
+        MemberList list = MemberList.read(JsonValues.object(answer.body()));
+        assertEquals(43, list.version());
+        assertEquals(ServerState.DRAINING, list.members().get(0).entry().state());
+        assertEquals(5_000, list.members().get(0).entry().startedUs());
+    }
+
+    @Property(tries = 500, seed = "22")
+    void aSpoiltAnswerIsReadOrCalledBadAndNothingElse(@ForAll boolean chunked, @ForAll long seed) {
+        HttpAnswer answer = new HttpAnswer(200, 1000);
+        try {
+            Cuts.feed(Cuts.spoil(answer(chunked), seed), seed, answer::take);
+            if (answer.end()) {
+                MemberList.read(JsonValues.object(answer.body()));
+            }
+        } catch (HttpAnswer.BadAnswer | MalformedInput expected) {
+            assertFalse(expected.getMessage().isEmpty());
+        }
+    }
+
+    @Property(tries = 300, seed = "23")
+    void garbageStaysBounded(@ForAll @Size(max = 600) byte[] garbage, @ForAll long seed) {
+        HttpAnswer answer = new HttpAnswer(50, 100);
+        try {
+            Cuts.feed(garbage, seed, answer::take);
+        } catch (HttpAnswer.BadAnswer expected) {
+            assertFalse(expected.getMessage().isEmpty());
+        }
+        assertTrue(answer.body().length <= 100);
+    }
+
+    @Test
+    void anEntryWithoutItsIdIsRefused() {
+        byte[] json = LIST.replace("\"id\":\"s-5b\",", "").getBytes(StandardCharsets.ISO_8859_1);
+        assertThrows(MalformedInput.class, () -> MemberList.read(JsonValues.object(json)));
+    }
+}
