Add the QUIC front: routing by connection id through the same core and decisions

A datagram belongs to the connection that its destination id names; an address is only the way back. An Initial opens a transaction, rejects and failures are protected Initial packets, a move past the handshake is a stateless reset under a key shared with the servers, and later ids are routed by the server id in them. From the news of a drain on no datagram goes to that member, and its clients are reset within 0.6 of the drain grace. Ruled out: one shared socket towards the members, as clients with empty ids could not be told apart.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -16,6 +16,8 @@
 import tulipshed.limits.Limits;
 import tulipshed.line.LineFront;
 import tulipshed.link.XnioLoop;
+import tulipshed.quic.QuicConfig;
+import tulipshed.quic.QuicFront;
 import tulipshed.time.Clock;
 import tulipshed.transaction.TransactionCore;
 
@@ -24,17 +26,21 @@
     private static final double LEAVING_STEP_MS = 25;
 
     private final NodeConfig config;
+    private final QuicConfig quicConfig;
     private final Clock clock;
     private final Consumer<String> log;
     private final Limits limits;
     private final XnioLoop loop;
     private TransactionCore core;
     private LineFront front;
+    private QuicFront quic;
     private AcceptingChannel<StreamConnection> server;
     private double leavingSinceMs;
 
-    Node(NodeConfig config, Clock clock, Consumer<String> log) throws IOException {
+    /** Starts a node; the second front stays off where its configuration is null or says so. */
+    Node(NodeConfig config, QuicConfig quicConfig, Clock clock, Consumer<String> log) throws IOException {
         this.config = config;
+        this.quicConfig = quicConfig;
         this.clock = clock;
         this.log = log;
         limits = Limits.forDescriptors(config.sockets());
@@ -69,6 +75,10 @@
         }
         core.source(new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log));
         front = new LineFront(clock, limits, config.names(), loop, core, log);
+        if (quicConfig != null && quicConfig.listen() != null) {
+            quic = new QuicFront(clock, limits, quicConfig, loop, core, log);
+            log.accept("tulipshed: QUIC on " + quic.address());
+        }
         server = loop.listen(config.listen(), front::accepted);
         log.accept("tulipshed: " + config.name() + " serves on " + config.listen());
     }
@@ -99,6 +109,9 @@
             server.suspendAccepts();
             IoUtils.safeClose(server);
             server = null;
+            if (quic != null) {
+                quic.leaving();
+            }
         }
         if (sinceMs >= limits.drainTakeMs()) {
             double leftMs = Math.max(LEAVING_STEP_MS, limits.drainEndMs() - sinceMs);
--- a/src/main/java/tulipshed/command/ServeCommand.java
+++ b/src/main/java/tulipshed/command/ServeCommand.java
@@ -1,19 +1,26 @@
 package tulipshed.command;
 
+import java.io.File;
 import java.io.IOException;
 import java.util.Map;
+import org.kohsuke.args4j.Option;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
+import tulipshed.quic.QuicConfig;
 import tulipshed.time.SystemClock;
 
 /** One real node, until it is told to stop. */
 public final class ServeCommand implements Command {
+    @Option(name = "--quic", metaVar = "FILE", usage = "what the second front reads; it is off without")
+    private File quic;
+
     @Override
     public int run() {
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
+        QuicConfig second = quic == null ? null : QuicConfig.load(quic.toPath(), config.names());
         try {
-            Node node = new Node(config, new SystemClock(), System.out::println);
+            Node node = new Node(config, second, new SystemClock(), System.out::println);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
         } catch (IOException e) {
--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -38,12 +38,27 @@
         /** After SIGTERM: how long new connections are taken. */
         double drainTakeMs,
         /** After SIGTERM: when the last client is asked to move and the last answer is given. */
-        double drainEndMs) {
+        double drainEndMs,
+        /** Largest datagram taken. */
+        int datagramBytes,
+        /** Connections of QUIC kept at most. */
+        int quicSessions,
+        /** Ids learned of one connection of QUIC at most; the oldest learned goes first. */
+        int quicIds,
+        /** First datagrams of a client kept for a further attempt. */
+        int quicFirstDatagrams,
+        /** A connection of QUIC on which nothing came for this long is forgotten. */
+        double quicIdleMs,
+        /** How long a final answer over QUIC is repeated to a client that sends its first packet again. */
+        double quicAnsweredMs,
+        /** A member counts as silent only after this many datagrams without one in return. */
+        int quicUnanswered) {
 
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
-                10_000, 1_500, 10, 4_500, 900, 10_000, 40_000, 500, 3_000);
+                10_000, 1_500, 10, 4_500, 900, 10_000, 40_000, 500, 3_000,
+                2048, 4096, 8, 4, 30_000, 5_000, 3);
     }
 
     /** How many descriptors connections may take together. */
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.ChannelListener;
@@ -13,6 +14,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.MulticastMessageChannel;
 import tulipshed.limits.Limits;
 import tulipshed.transaction.Loop;
 
@@ -78,6 +80,19 @@
         return server;
     }
 
+    /** Opens a UDP socket at the address; it counts among the descriptors until it is closed. */
+    public DatagramPort datagrams(InetSocketAddress address, ByteBuffer scratch, DatagramPort.Receiver receiver)
+            throws IOException {
+        MulticastMessageChannel channel = worker.createUdpServer(address, OptionMap.EMPTY);
+        open++;
+        return new DatagramPort(channel, scratch, receiver, () -> open--);
+    }
+
+    /** Ends the I/O thread; for tests and for programs that embed a node. */
+    public void stop() {
+        worker.shutdownNow();
+    }
+
     /** Makes a connection known to be open; it is counted until it is closed. */
     public Link link(StreamConnection connection, Link.Owner owner) {
         open++;
--- /dev/null
+++ b/src/main/java/tulipshed/quic/Packet.java
@@ -0,0 +1,115 @@
+package tulipshed.quic;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What can be read of a packet without keys (RFC 8999, and RFC 9000 section 17 for version 1). A datagram may
+ * hold several with long headers, one after the other.
+ */
+record Packet(Type type, long version, ConnectionId destination, ConnectionId source, byte[] datagram, int from,
+        int packetNumberAt, int to) {
+    static final long VERSION_1 = 1;
+    private static final int LONG_FORM = 0x80;
+    private static final int FIXED_BIT = 0x40;
+
+    /** The kinds of packet; {@code OTHER_VERSION} stands for any long header of a version not known here. */
+    enum Type { INITIAL, ZERO_RTT, HANDSHAKE, RETRY, VERSION_NEGOTIATION, OTHER_VERSION, SHORT }
+
+    /**
+     * Reads all packets of a datagram; of one with a short header the destination id has the length given,
+     * as such a header does not tell it. A later packet that cannot be read ends the list.
+     */
+    static List<Packet> read(byte[] datagram, int shortIdLength) {
+        List<Packet> packets = new ArrayList<>();
+        int from = 0;
+        while (from < datagram.length) {
+            try {
+                Packet p = one(datagram, from, shortIdLength);
+                packets.add(p);
+                from = p.to;
+            } catch (BadPacket | BufferUnderflowException | IllegalArgumentException e) {
+                if (packets.isEmpty()) {
+                    throw new BadPacket("not a packet of QUIC");
+                }
+                return packets;
+            }
+        }
+        if (packets.isEmpty()) {
+            throw new BadPacket("an empty datagram");
+        }
+        return packets;
+    }
+
+    private static Packet one(byte[] datagram, int from, int shortIdLength) {
+        ByteBuffer in = ByteBuffer.wrap(datagram);
+        in.position(from);
+        int first = in.get() & 0xFF;
+        if ((first & LONG_FORM) == 0) {
+            if ((first & FIXED_BIT) == 0) {
+                throw new BadPacket("a short header without its fixed bit");
+            }
+            ConnectionId id = id(in, shortIdLength);
+            return new Packet(Type.SHORT, VERSION_1, id, null, datagram, from, in.position(), datagram.length);
+        }
+        long version = in.getInt() & 0xFFFFFFFFL;
+        ConnectionId destination = id(in, in.get() & 0xFF);
+        ConnectionId source = id(in, in.get() & 0xFF);
+        if (version != VERSION_1) {
+            Type type = version == 0 ? Type.VERSION_NEGOTIATION : Type.OTHER_VERSION;
+            return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length);
+        }
+        if ((first & FIXED_BIT) == 0) {
+            throw new BadPacket("a long header without its fixed bit");
+        }
+        Type type = switch (first >> 4 & 3) {
+            case 0 -> Type.INITIAL;
+            case 1 -> Type.ZERO_RTT;
+            case 2 -> Type.HANDSHAKE;
+            default -> Type.RETRY;
+        };
+        if (type == Type.RETRY) {
+            return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length);
+        }
+        if (type == Type.INITIAL) {
+            skip(in, number(in));
+        }
+        long length = number(in);
+        int at = in.position();
+        skip(in, length);
+        return new Packet(type, version, destination, source, datagram, from, at, in.position());
+    }
+
+    private static ConnectionId id(ByteBuffer in, int length) {
+        if (length > ConnectionId.LONGEST) {
+            throw new BadPacket("a connection id of " + length + " bytes");
+        }
+        byte[] bytes = new byte[length];
+        in.get(bytes);
+        return new ConnectionId(bytes);
+    }
+
+    private static void skip(ByteBuffer in, long bytes) {
+        if (bytes > in.remaining()) {
+            throw new BadPacket("a length past the end of the datagram");
+        }
+        in.position(in.position() + (int) bytes);
+    }
+
+    /** An integer of variable length (RFC 9000 section 16). */
+    static long number(ByteBuffer in) {
+        int first = in.get() & 0xFF;
+        long value = first & 0x3F;
+        for (int i = (1 << (first >> 6)) - 1; i > 0; i--) {
+            value = value << 8 | in.get() & 0xFF;
+        }
+        return value;
+    }
+
+    /** Writes an integer below 2^14 in two bytes. */
+    static void number(ByteBuffer out, int value) {
+        out.putShort((short) (0x4000 | value));
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -0,0 +1,181 @@
+package tulipshed.quic;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import tulipshed.limits.Limits;
+import tulipshed.link.DatagramPort;
+import tulipshed.link.XnioLoop;
+import tulipshed.time.Clock;
+import tulipshed.transaction.TransactionCore;
+
+/**
+ * The second front: QUIC by connection ids. A datagram belongs to the connection that its destination id
+ * names, wherever it comes from; an address is only where answers go. The node holds no keys but those of
+ * Initial packets, which follow from what is on the wire.
+ */
+public final class QuicFront {
+    private static final double SWEEP_MS = 250;
+    private static final int LEAST_FIRST_DATAGRAM = 1200; // RFC 9000 section 14.1
+    private static final int LEAST_FIRST_ID = 8; // RFC 9000 section 7.2
+
+    final Clock clock;
+    final Limits limits;
+    final QuicConfig config;
+    final XnioLoop loop;
+    final TransactionCore core;
+    final Consumer<String> log;
+    final RandomGenerator random = new SecureRandom();
+    final ByteBuffer scratch;
+    private final Map<ConnectionId, QuicSession> sessions = new HashMap<>();
+    private final Set<QuicSession> all = new LinkedHashSet<>();
+    private final DatagramPort port;
+    private boolean leaving;
+
+    public QuicFront(Clock clock, Limits limits, QuicConfig config, XnioLoop loop, TransactionCore core,
+            Consumer<String> log) throws IOException {
+        this.clock = clock;
+        this.limits = limits;
+        this.config = config;
+        this.loop = loop;
+        this.core = core;
+        this.log = log;
+        scratch = ByteBuffer.allocate(limits.datagramBytes());
+        port = loop.datagrams(config.listen(), scratch, this::received);
+        loop.after(SWEEP_MS, this::sweep);
+    }
+
+    /** Where this front listens. */
+    public InetSocketAddress address() {
+        return port.address();
+    }
+
+    /** The node is leaving: no new connection is taken any more. */
+    public void leaving() {
+        leaving = true;
+    }
+
+    /** Closes the port; what comes later is not taken. */
+    public void close() {
+        port.close();
+    }
+
+    /** Connections kept; for tests. */
+    int sessionCount() {
+        return all.size();
+    }
+
+    /** Ids kept; for tests. */
+    int idCount() {
+        return sessions.size();
+    }
+
+    private void received(InetSocketAddress from, byte[] datagram) {
+        try {
+            List<Packet> packets = Packet.read(datagram, config.ids().idLength());
+            // All packets of a datagram belong to one connection (RFC 9000 section 12.2).
+            Packet first = packets.get(0);
+            QuicSession session = sessions.get(first.destination());
+            if (session != null) {
+                session.fromClient(from, datagram, packets);
+            } else if (first.type() == Packet.Type.INITIAL) {
+                open(from, datagram, first);
+            } else if (first.type() == Packet.Type.OTHER_VERSION) {
+                negotiate(from, datagram, first);
+            } else if (first.type() == Packet.Type.SHORT) {
+                carryOn(from, datagram, first, packets);
+            }
+        } catch (BadPacket e) {
+            // Anyone can send anything to a UDP port; what is not QUIC gets no answer.
+            return;
+        }
+    }
+
+    /** An Initial that no connection knows opens a transaction, if it is one that a client would send. */
+    private void open(InetSocketAddress from, byte[] datagram, Packet initial) {
+        if (datagram.length < LEAST_FIRST_DATAGRAM || initial.destination().length() < LEAST_FIRST_ID) {
+            return;
+        }
+        InitialFrames frames = InitialFrames.read(InitialKeys.client(initial.destination()).open(initial));
+        if (!frames.handshake() || frames.closes()) {
+            return;
+        }
+        if (all.size() >= limits.quicSessions() || !loop.hasRoom() || leaving) {
+            // Turned away without keeping anything of it.
+            send(from, QuicSession.closing(initial.destination(), initial.source(),
+                    InitialFrames.CONNECTION_REFUSED, "busy"));
+            return;
+        }
+        QuicSession session = new QuicSession(this, from, initial.destination(), initial.source());
+        all.add(session);
+        learn(initial.destination(), session);
+        session.open(datagram);
+    }
+
+    /**
+     * A later id that was not seen before: the server id in it tells where it belongs. Clients change ids when
+     * they change networks, and a restarted node knows none. A member that is not serving gets nothing.
+     */
+    private void carryOn(InetSocketAddress from, byte[] datagram, Packet p, List<Packet> packets) {
+        String member = config.member(p.destination());
+        if (member == null) {
+            return;
+        }
+        if (!core.serving(member) || all.size() >= limits.quicSessions() || !loop.hasRoom() || leaving) {
+            reset(from, p.destination(), datagram.length);
+            return;
+        }
+        QuicSession session = new QuicSession(this, from, p.destination(), null);
+        all.add(session);
+        learn(p.destination(), session);
+        session.carryOn(member, datagram, packets);
+    }
+
+    /** A version that is not spoken here is answered with the one that is (RFC 8999 section 6). */
+    private void negotiate(InetSocketAddress from, byte[] datagram, Packet p) {
+        if (datagram.length < LEAST_FIRST_DATAGRAM) {
+            return;
+        }
+        ByteBuffer out = ByteBuffer.allocate(11 + p.source().length() + p.destination().length());
+        out.put((byte) (0x80 | random.nextInt(0x80))).putInt(0);
+        out.put((byte) p.source().length()).put(p.source().bytes());
+        out.put((byte) p.destination().length()).put(p.destination().bytes());
+        out.putInt((int) Packet.VERSION_1);
+        send(from, out.array());
+    }
+
+    void reset(InetSocketAddress to, ConnectionId id, int answered) {
+        send(to, config.reset().datagram(id, answered, random));
+    }
+
+    void send(InetSocketAddress to, byte[] datagram) {
+        port.send(to, datagram);
+    }
+
+    /** From now on the id leads to this session, unless it leads to another already. */
+    boolean learn(ConnectionId id, QuicSession session) {
+        return sessions.putIfAbsent(id, session) == null;
+    }
+
+    void forget(ConnectionId id, QuicSession session) {
+        sessions.remove(id, session);
+    }
+
+    void closed(QuicSession session) {
+        all.remove(session);
+    }
+
+    private void sweep() {
+        double nowMs = clock.nowMs();
+        List.copyOf(all).forEach(s -> s.lookAtAge(nowMs));
+        loop.after(SWEEP_MS, this::sweep);
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -0,0 +1,331 @@
+package tulipshed.quic;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.link.DatagramPort;
+import tulipshed.transaction.MemberConnector;
+import tulipshed.transaction.ServerSideFlow;
+import tulipshed.transaction.Transaction;
+import tulipshed.transaction.VirtualServer;
+
+/**
+ * One connection of QUIC: the client's side, and the connector of its flows to members. Every flow has a UDP
+ * socket of its own, so that what a member sends needs no id to find its client, and a client that changes its
+ * address looks to its member as if it had not.
+ */
+final class QuicSession implements VirtualServer, MemberConnector {
+    private static final int LONGEST_REPLY = 43;
+
+    private enum State { OWED, STANDING, ANSWERED }
+
+    private final QuicFront front;
+    private final ArrayDeque<ConnectionId> ids = new ArrayDeque<>();
+    private final List<byte[]> first = new ArrayList<>();
+    private final ConnectionId clientId;
+    private ConnectionId keyedBy;
+    private ConnectionId current;
+    private InetSocketAddress client;
+    private State state = State.OWED;
+    private Transaction transaction;
+    private ServerSideFlow flow;
+    private DatagramPort port;
+    private byte[] answer;
+    private boolean pastInitial;
+    private double heardMs;
+    private double answeredMs;
+    private double unansweredSinceMs = Double.NaN;
+    private int unanswered;
+
+    QuicSession(QuicFront front, InetSocketAddress client, ConnectionId destination, ConnectionId clientId) {
+        this.front = front;
+        this.client = client;
+        this.keyedBy = destination;
+        this.current = destination;
+        this.clientId = clientId;
+        this.heardMs = front.clock.nowMs();
+        ids.add(destination);
+    }
+
+    /** A new connection. */
+    void open(byte[] datagram) {
+        first.add(datagram);
+        transaction = new Transaction(this, this, arrival(), heardMs, false);
+        front.core.arrived(transaction);
+    }
+
+    /** A connection that stands at that member already, though this node knows nothing else of it. */
+    void carryOn(String member, byte[] datagram, List<Packet> packets) {
+        first.add(datagram);
+        pastInitial = true;
+        transaction = new Transaction(this, this, arrival(), heardMs, true);
+        front.core.alreadyOpen(transaction, member);
+    }
+
+    private Transaction.Arrival arrival() {
+        QuicConfig c = front.config;
+        return new Transaction.Arrival(c.requestClass(), c.tenant(), current.toString(), null, c.deadlineMs(), 0,
+                false, false);
+    }
+
+    // ---- What the client sends ----
+
+    void fromClient(InetSocketAddress from, byte[] datagram, List<Packet> packets) {
+        heardMs = front.clock.nowMs();
+        // A client that came to another port or network is the same client: only its return address changes.
+        client = from;
+        if (state == State.ANSWERED) {
+            repeatAnswer(datagram.length);
+            return;
+        }
+        if (state == State.OWED && leaves(packets.get(0))) {
+            front.core.clientLeft(transaction);
+            end();
+            return;
+        }
+        Packet.Type type = packets.get(packets.size() - 1).type();
+        pastInitial |= type == Packet.Type.HANDSHAKE || type == Packet.Type.SHORT;
+        current = packets.get(0).destination();
+        if (state == State.OWED && first.size() < front.limits.quicFirstDatagrams()) {
+            first.add(datagram);
+        }
+        toMember(datagram);
+    }
+
+    /** A client that missed its one answer and sends again is given the same; nothing is begun anew. */
+    private void repeatAnswer(int length) {
+        if (answer != null) {
+            front.send(client, answer);
+        } else {
+            front.reset(client, current, length);
+        }
+    }
+
+    /** Whether this is the Initial of a client that takes its wish back. */
+    private boolean leaves(Packet p) {
+        try {
+            return p.type() == Packet.Type.INITIAL
+                    && InitialFrames.read(InitialKeys.client(keyedBy).open(p)).closes();
+        } catch (BadPacket e) {
+            return false;
+        }
+    }
+
+    private void toMember(byte[] datagram) {
+        // Every datagram is a sending of its own: from the news of a drain on, none goes there any more.
+        if (port != null && flow.member().serving()) {
+            if (Double.isNaN(unansweredSinceMs)) {
+                unansweredSinceMs = heardMs;
+            }
+            unanswered++;
+            port.send(flow.member().address(), datagram);
+        }
+    }
+
+    // ---- Answers ----
+
+    /** An Initial with CONNECTION_CLOSE, as a server sends it that has not begun the handshake. */
+    static byte[] closing(ConnectionId destination, ConnectionId clientId, int code, String reason) {
+        return InitialKeys.server(destination).seal(clientId, destination, 0, InitialFrames.close(code, reason));
+    }
+
+    @Override
+    public void reject(double retryAfterMs) {
+        long ms = (long) Math.ceil(retryAfterMs);
+        answer(InitialFrames.CONNECTION_REFUSED, ms > 0 ? "busy; come again after " + ms + " ms" : "busy");
+    }
+
+    @Override
+    public void fail() {
+        answer(InitialFrames.INTERNAL_ERROR, "failed");
+    }
+
+    @Override
+    public void move() {
+        answer(InitialFrames.CONNECTION_REFUSED, "moved; come again");
+    }
+
+    /**
+     * The last word to the client. While it can still read Initial packets that is a close; later only a reset
+     * is left, which it accepts once it has learnt its tokens in the handshake.
+     */
+    private void answer(int code, String reason) {
+        if (state == State.ANSWERED) {
+            return;
+        }
+        end();
+        if (!pastInitial && clientId != null) {
+            answer = closing(keyedBy, clientId, code, reason);
+            front.send(client, answer);
+        } else {
+            front.reset(client, current, LONGEST_REPLY + 1);
+        }
+    }
+
+    private void end() {
+        state = State.ANSWERED;
+        answeredMs = front.clock.nowMs();
+        first.clear();
+        closePort();
+    }
+
+    private void closePort() {
+        if (port != null) {
+            port.close();
+            port = null;
+        }
+    }
+
+    // ---- Flows ----
+
+    @Override
+    public void open(ServerSideFlow flow) {
+        this.flow = flow;
+        unanswered = 0;
+        unansweredSinceMs = Double.NaN;
+        if (!front.core.maySend(flow)) {
+            front.core.ended(flow, Outcome.CONNECT_FAILED);
+            return;
+        }
+        try {
+            InetSocketAddress local = new InetSocketAddress(front.address().getAddress(), 0);
+            DatagramPort[] own = new DatagramPort[1];
+            own[0] = front.loop.datagrams(local, front.scratch, (from, datagram) -> {
+                // Only from its member, and only while it is the flow's own socket.
+                if (port == own[0] && from.equals(flow.member().address())) {
+                    fromMember(datagram);
+                }
+            });
+            port = own[0];
+        } catch (IOException e) {
+            front.log.accept("no socket for a flow: " + e.getMessage());
+            front.core.ended(flow, Outcome.CONNECT_FAILED);
+            return;
+        }
+        List.copyOf(first).forEach(this::toMember);
+    }
+
+    @Override
+    public void giveUp(ServerSideFlow given) {
+        if (flow == given) {
+            closePort();
+        }
+    }
+
+    @Override
+    public boolean leavesDraining() {
+        return true;
+    }
+
+    // ---- What the member sends ----
+
+    private void fromMember(byte[] datagram) {
+        List<Packet> packets;
+        try {
+            packets = Packet.read(datagram, clientId == null ? 0 : clientId.length());
+        } catch (BadPacket e) {
+            return;
+        }
+        heardMs = front.clock.nowMs();
+        unanswered = 0;
+        unansweredSinceMs = Double.NaN;
+        if (state == State.OWED && !begins(packets)) {
+            return;
+        }
+        for (Packet p : packets) {
+            boolean fromServer = p.type() == Packet.Type.INITIAL || p.type() == Packet.Type.HANDSHAKE;
+            if (fromServer && !ids.contains(p.source())) {
+                learn(p.source());
+            }
+        }
+        front.send(client, datagram);
+    }
+
+    /** Before the connection stands: whether what the member sent makes it stand, and goes to the client. */
+    private boolean begins(List<Packet> packets) {
+        Packet p = packets.get(0);
+        if (transaction.stoodBefore()) {
+            return stands();
+        }
+        switch (p.type()) {
+            case RETRY -> {
+                // The client begins again under the id that the server chose, and its keys follow from that.
+                keyedBy = p.source();
+                learn(p.source());
+                first.clear();
+                front.send(client, p.datagram());
+                return false;
+            }
+            case INITIAL -> {
+                InitialFrames frames;
+                try {
+                    frames = InitialFrames.read(InitialKeys.server(keyedBy).open(p));
+                } catch (BadPacket e) {
+                    return false;
+                }
+                if (!frames.closes()) {
+                    return stands();
+                }
+                closePort();
+                front.core.ended(flow, frames.closeCode() == InitialFrames.CONNECTION_REFUSED
+                        ? Outcome.FULL : Outcome.ERROR);
+                return false;
+            }
+            case HANDSHAKE, SHORT -> {
+                return stands();
+            }
+            default -> {
+                closePort();
+                front.core.ended(flow, Outcome.ERROR);
+                return false;
+            }
+        }
+    }
+
+    private boolean stands() {
+        if (!front.core.up(flow)) {
+            return false;
+        }
+        state = State.STANDING;
+        first.clear();
+        return true;
+    }
+
+    private void learn(ConnectionId id) {
+        if (id.length() == 0 || !front.learn(id, this)) {
+            return;
+        }
+        ids.add(id);
+        if (ids.size() > front.limits.quicIds()) {
+            front.forget(ids.poll(), this);
+        }
+    }
+
+    // ---- Age ----
+
+    void lookAtAge(double nowMs) {
+        double idleMs = nowMs - heardMs;
+        if (state == State.ANSWERED) {
+            if (nowMs - answeredMs > front.limits.quicAnsweredMs()) {
+                forget();
+            }
+        } else if (state == State.STANDING && unanswered >= front.limits.quicUnanswered()
+                && nowMs - unansweredSinceMs > front.limits.silentMs()) {
+            front.core.silent(flow);
+        } else if (state == State.STANDING && idleMs > front.limits.quicIdleMs()) {
+            // How it ended cannot be seen: its last packets could not be read.
+            front.core.ended(flow, Outcome.OK);
+            end();
+            forget();
+        }
+    }
+
+    private void forget() {
+        ids.forEach(id -> front.forget(id, this));
+        ids.clear();
+        front.closed(this);
+    }
+}
--- a/src/main/java/tulipshed/transaction/MemberConnector.java
+++ b/src/main/java/tulipshed/transaction/MemberConnector.java
@@ -10,4 +10,12 @@
 
     /** Ends a flow of which nothing more is wanted; nothing is told of it from here on. */
     void giveUp(ServerSideFlow flow);
+
+    /**
+     * Whether flows must leave a member that drains: where each message is sent anew rather than on a
+     * connection that stands, going on would be sending something new.
+     */
+    default boolean leavesDraining() {
+        return false;
+    }
 }
--- a/src/main/java/tulipshed/transaction/ServerSideFlow.java
+++ b/src/main/java/tulipshed/transaction/ServerSideFlow.java
@@ -9,6 +9,7 @@
     private final double endsMs;
     private boolean connected;
     private boolean over;
+    private boolean leaving;
     private double upMs;
 
     ServerSideFlow(Transaction transaction, PoolMember member, int number, double startedMs, double endsMs) {
@@ -60,6 +61,15 @@
         over = true;
     }
 
+    /** Whether it is about to leave a member that drains. */
+    boolean leaving() {
+        return leaving;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
     double upMs() {
         return upMs;
     }
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -58,7 +58,8 @@
         return deadlineMs;
     }
 
-    boolean stoodBefore() {
+    /** Whether its connection stood at a member before this node took it. */
+    public boolean stoodBefore() {
         return standingBefore;
     }
 
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -26,6 +26,7 @@
  */
 public final class TransactionCore {
     private static final double SLOW_SHARE = 1 / 3.0; // of the shortest aim: delays above are news
+    private static final double LEAVING_SHARE = 0.6; // of the drain grace: over which flows leave a member
     private static final double NEWS_EVERY_MS = 1000;
 
     /** Makes the decision module once the core stands. */
@@ -123,7 +124,8 @@
     public boolean maySend(ServerSideFlow flow) {
         flow.connect();
         return !flow.over() && flow.transaction().owed()
-                && (flow.member().serving() || flow.transaction().stoodBefore());
+                && (flow.member().serving()
+                        || flow.transaction().stoodBefore() && !flow.transaction().connector().leavesDraining());
     }
 
     /** The member serves the flow; false where the flow is over and its answer must not reach the client. */
@@ -206,10 +208,41 @@
             PoolMember member = members.computeIfAbsent(m.entry().server(), PoolMember::new);
             member.update(m.entry(), m.address() == null ? member.address() : m.address());
         }
+        leaveDraining();
         List<BalancerApi.ServerEntry> entries = listed.stream().map(ListedMember::entry).toList();
         gather((module, ms, nowUs) -> module.servers(nowUs, kind, entries));
     }
 
+    /** Whether the list names this member as serving. */
+    public boolean serving(String memberId) {
+        PoolMember member = members.get(memberId);
+        return member != null && member.serving() && member.address() != null;
+    }
+
+    /** Ends the flows that may not stay on a draining member, spread over part of the time that the rule gives. */
+    private void leaveDraining() {
+        List<ServerSideFlow> leaving = transactions.values().stream().map(Transaction::flow)
+                .filter(f -> f != null && !f.member().serving() && !f.leaving()
+                        && f.transaction().connector().leavesDraining()).toList();
+        double spreadMs = LEAVING_SHARE * Clock.toMillis(settings.rules().drainGraceUs());
+        double nowMs = clock.nowMs();
+        for (int i = 0; i < leaving.size(); i++) {
+            ServerSideFlow flow = leaving.get(i);
+            flow.leave();
+            due(nowMs + spreadMs * i / leaving.size(), () -> leaveMember(flow));
+        }
+    }
+
+    private void leaveMember(ServerSideFlow flow) {
+        Transaction t = flow.transaction();
+        if (!flow.over() && t.standing()) {
+            moveNow(t, Outcome.CANCELLED);
+        } else if (!flow.over()) {
+            t.connector().giveUp(flow);
+            ended(flow, Outcome.RESET);
+        }
+    }
+
     // ---- Gathering and turns ----
 
     private void gather(Event event) {
--- /dev/null
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -0,0 +1,246 @@
+package tulipshed.quic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import tulipshed.config.NodeConfig;
+import tulipshed.config.JsonValues;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.quic.StandIns.Client;
+import tulipshed.quic.StandIns.Client.Heard;
+import tulipshed.quic.StandIns.Server;
+import tulipshed.quic.StandIns.Server.Manner;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.ListedMember;
+import tulipshed.transaction.TransactionCore;
+
+/** The second front with the real core and module between stand-in clients and servers on loopback. */
+class QuicFrontTest {
+    private final List<Server> servers = new ArrayList<>();
+    private XnioLoop loop;
+    private TransactionCore core;
+    private QuicFront front;
+    private double deadlineMs = 1200;
+
+    private interface Task<T> {
+        T run() throws IOException;
+    }
+
+    private <T> T onLoop(Task<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.afterGathering(() -> {
+            try {
+                result.complete(task.run());
+            } catch (IOException | RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.join();
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        loop = new XnioLoop(Limits.forDescriptors(1024));
+    }
+
+    private void front(Manner... manners) throws IOException {
+        Map<String, String> members = new HashMap<>();
+        for (Manner manner : manners) {
+            Server server = new Server(servers.size() + 1, manner);
+            servers.add(server);
+            members.put(HexFormat.of().formatHex(server.id), "s-" + servers.size());
+        }
+        Map<String, String> environment = Map.of("PROXY_CONFIG", "src/test/resources/node.json");
+        NodeConfig config = NodeConfig.load(environment);
+        Limits limits = Limits.forDescriptors(1024);
+        front = onLoop(() -> {
+            core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, l -> { }, Balancer::new);
+            QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2, 0,
+                    deadlineMs, StandIns.IDS, members, StandIns.RESET);
+            return new QuicFront(new SystemClock(), limits, quic, loop, core, l -> { });
+        });
+        for (int i = 0; i < servers.size(); i++) {
+            tell(i, ServerState.SERVING);
+        }
+    }
+
+    /** Discovery's news of one server. */
+    private void tell(int i, ServerState state) {
+        ServerEntry entry = new ServerEntry("s-" + (i + 1), state, "decin", 0, "std-2c", 1, 0);
+        onLoop(() -> {
+            core.members(ListKind.CHANGES, List.of(new ListedMember(entry, servers.get(i).address())));
+            return null;
+        });
+    }
+
+    @AfterEach
+    void stop() {
+        servers.forEach(Server::close);
+        loop.stop();
+    }
+
+    private Heard open(Client client) throws IOException {
+        client.send(client.initial());
+        return client.hear();
+    }
+
+    @Test
+    void aClientThatRebindsKeepsItsConnectionAndItsServerSeesOneAddress() throws IOException {
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 1)) {
+            assertEquals("served", open(client).what());
+            for (int i = 0; i < 40; i++) {
+                if (i % 5 == 4) {
+                    client.rebind();
+                }
+                client.sendNumber(i);
+                assertEquals(new Heard("number", i), client.hear());
+            }
+        }
+        assertEquals(1, servers.get(0).initials.get());
+        assertEquals(1, servers.get(0).firstAddresses.get());
+    }
+
+    @Test
+    void aDrainMovesTheClientAndNoIdReachesTheServerAfterIt() throws IOException {
+        front(Manner.SERVES, Manner.SERVES);
+        try (Client client = new Client(front.address(), 2)) {
+            assertEquals("served", open(client).what());
+            client.sendNumber(1);
+            assertEquals(new Heard("number", 1), client.hear());
+            int held = servers.get(0).initials.get() == 1 ? 0 : 1;
+            // In the middle of a booking: the client rebinds while its server begins to drain.
+            tell(held, ServerState.DRAINING);
+            client.rebind();
+            client.sendNumber(2);
+            assertEquals("reset", client.hear().what());
+            for (int i = 3; i < 30; i++) {
+                client.rebind();
+                client.sendNumber(i);
+                assertEquals("reset", client.hear().what());
+            }
+            // An id that was never seen, but carries the draining server's: not there either.
+            client.server = StandIns.IDS.id(servers.get(held).id, new byte[] {1, 2, 3, 4});
+            client.sendNumber(99);
+            assertEquals("reset", client.hear().what());
+            assertEquals(List.of(1), servers.get(held).numbers);
+            try (Client again = new Client(front.address(), 3)) {
+                assertEquals("served", open(again).what());
+                assertEquals(1, servers.get(1 - held).initials.get(), "the client comes again elsewhere");
+            }
+        }
+    }
+
+    @Test
+    void anUnansweredWishLeavesADrainingServerAndIsAnsweredOnce() throws IOException {
+        deadlineMs = 3000;
+        front(Manner.SILENT);
+        try (Client client = new Client(front.address(), 4)) {
+            client.send(client.initial());
+            while (servers.get(0).initials.get() == 0) {
+                Thread.onSpinWait();
+            }
+            servers.add(new Server(2, Manner.SERVES));
+            tell(1, ServerState.SERVING);
+            tell(0, ServerState.DRAINING);
+            assertEquals("served", client.hear().what());
+            client.sendNumber(7);
+            assertEquals(new Heard("number", 7), client.hear());
+            assertEquals(1, servers.get(0).initials.get(), "nothing more to the draining server");
+        }
+    }
+
+    @Test
+    void anIdNeverSeenIsRoutedByTheServerIdInIt() throws IOException {
+        front(Manner.SERVES, Manner.SERVES);
+        try (Client client = new Client(front.address(), 5)) {
+            client.server = StandIns.IDS.id(servers.get(1).id, new byte[] {5, 6, 7, 8});
+            for (int i = 0; i < 3; i++) {
+                client.sendNumber(i);
+            }
+            // The stand-in knows no client id yet, so only what arrives can be looked at.
+            while (servers.get(1).numbers.size() < 3) {
+                Thread.onSpinWait();
+            }
+            assertEquals(List.of(0, 1, 2), servers.get(1).numbers);
+            assertEquals(List.of(), servers.get(0).numbers);
+            assertEquals(1, (int) onLoop(front::sessionCount));
+        }
+    }
+
+    @Test
+    void aRefusalOfAllServersIsOneRefusalRepeatedWord() throws IOException {
+        front(Manner.REFUSES, Manner.REFUSES);
+        try (Client client = new Client(front.address(), 6)) {
+            assertEquals(new Heard("closed", InitialFrames.CONNECTION_REFUSED), open(client));
+            int attempts = servers.get(0).initials.get() + servers.get(1).initials.get();
+            // A client that missed its answer sends again: the same answer, and no further attempt.
+            client.send(client.initial());
+            assertEquals(new Heard("closed", InitialFrames.CONNECTION_REFUSED), client.hear());
+            assertEquals(attempts, servers.get(0).initials.get() + servers.get(1).initials.get());
+            assertEquals(1, (int) onLoop(front::sessionCount));
+        }
+    }
+
+    @Test
+    void anErrorIsTriedElsewhere() throws IOException {
+        front(Manner.FAILS, Manner.FAILS);
+        try (Client client = new Client(front.address(), 7)) {
+            client.send(client.initial());
+            while (servers.get(0).initials.get() == 0 || servers.get(1).initials.get() == 0) {
+                Thread.onSpinWait();
+            }
+            assertEquals("closed", client.hear().what());
+        }
+    }
+
+    @Test
+    void silenceIsAnsweredByTheDeadline() throws IOException {
+        deadlineMs = 300;
+        front(Manner.SILENT, Manner.SILENT);
+        try (Client client = new Client(front.address(), 8)) {
+            assertEquals("closed", open(client).what());
+        }
+    }
+
+    @Test
+    void garbageAndShortFirstDatagramsOpenNothing() throws IOException {
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 9)) {
+            byte[] initial = client.initial();
+            byte[] spoilt = initial.clone();
+            spoilt[600] ^= 1;
+            client.send(spoilt);
+            client.send(Arrays.copyOf(initial, 1100));
+            client.send(new byte[] {0});
+            client.send(new byte[1300]);
+            assertEquals(0, (int) onLoop(front::sessionCount));
+            byte[] otherVersion = initial.clone();
+            otherVersion[1] = 0x5a;
+            client.send(otherVersion);
+            assertEquals("VERSION_NEGOTIATION", client.hear().what());
+            assertEquals("served", open(client).what());
+            assertNotEquals(null, client.server);
+            assertTrue(onLoop(front::idCount) >= 2);
+        }
+    }
+}
