Test the core on a set clock: one answer, one flow, drains, time-outs, leaving

A flow that is up now also counts as connected, which the core's test found: a connector that never asks maySend would have lost its standing flow to the connect time-out.

--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -136,6 +136,7 @@
         }
         t.stand();
         standing.add(t);
+        flow.connect();
         flow.up(clock.nowMs());
         if (!t.stoodBefore()) {
             long tookUs = Clock.toMicros(flow.upMs() - flow.startedMs());
--- /dev/null
+++ b/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -0,0 +1,52 @@
+package tulipshed.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tulipshed.testing.Cuts;
+
+class NodeConfigTest {
+    private static final Path FILE = Path.of("src/test/resources/node.json");
+
+    @Test
+    void theFileOfTheDocumentIsRead() {
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString()));
+        assertEquals("n0", config.name());
+        assertEquals(18080, config.listen().getPort());
+        assertEquals(Long.parseUnsignedLong("8c1f30d27a5be964", 16), config.seed());
+        assertEquals(3, config.settings().classes().size());
+        assertEquals(250_000, config.settings().limits().connectTimeoutUs());
+        assertEquals(60_000, config.settings().classes().get(0).messageAimUs());
+        assertEquals(1, config.knownServers().size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"127.0.0.1:18080 | nowhere:80", "8c1f30d27a5be964 | xyz",
+        "\"settings\" | \"setting\"", "\"sockets\": 1024 | \"sockets\": \"1024\"", "\"Classes\" | \"Klasses\""})
+    void whatIsWrongWithAConfigurationIsSaid(String right, String wrong) throws IOException {
+        byte[] bytes = Files.readString(FILE).replace(right, wrong).getBytes(StandardCharsets.UTF_8);
+        MalformedInput e = assertThrows(MalformedInput.class,
+                () -> NodeConfig.parse(JsonValues.object(bytes), Map.of()));
+        assertFalse(e.getMessage().isBlank());
+    }
+
+    @Property(tries = 200, seed = "41")
+    void aSpoiltConfigurationIsReadOrCalledMalformedAndNothingElse(@ForAll long seed) throws IOException {
+        try {
+            NodeConfig.parse(JsonValues.object(Cuts.spoil(Files.readAllBytes(FILE), seed)), Map.of());
+        } catch (MalformedInput expected) {
+            assertFalse(expected.getMessage().isBlank());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tulipshed/transaction/TransactionCoreTest.java
@@ -0,0 +1,170 @@
+package tulipshed.transaction;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.ServerState;
+
+class TransactionCoreTest {
+    private final CoreBench bench = new CoreBench();
+
+    @Test
+    void allThatIsReadyGoesToTheModuleBeforeAnythingIsCarriedOut() {
+        bench.arrive(2000, false);
+        bench.module.send(1, "s-1", 0);
+        bench.arrive(1000, false);
+        assertEquals(List.of("request 2000", "request 1000", "open s-1"), bench.take());
+    }
+
+    @Test
+    void aRejectionIsGivenAtOnceAndOnlyOnce() {
+        bench.arrive(2000, false);
+        bench.run();
+        bench.module.refuse(1, 250_000);
+        bench.module.refuse(1, 250_000);
+        bench.module.fail(1);
+        bench.core.turn();
+        assertEquals(List.of("request 2000", "client: reject 250.0"), bench.take());
+    }
+
+    @Test
+    void onlyOneFlowIsOutAtATime() {
+        bench.sent(2000);
+        bench.module.send(bench.lastRequest, "s-1", 0);
+        bench.core.turn();
+        assertEquals(List.of("finished 1 UNUSED"), bench.take());
+    }
+
+    @Test
+    void aConnectionNotUpInTimeCountsAsNeverRun() {
+        bench.sent(2000);
+        bench.pass(249);
+        assertEquals(List.of(), bench.take());
+        bench.pass(2);
+        assertEquals(List.of("give up", "finished 0 CONNECT_FAILED"), bench.take());
+    }
+
+    @Test
+    void silenceUntilTheClientGivesUpIsATimeOutStillOwedAnAnswer() {
+        ServerSideFlow flow = bench.sent(2000);
+        assertTrue(bench.core.maySend(flow));
+        bench.pass(1988);
+        assertEquals(List.of(), bench.take());
+        // Shortly before the client's own end, so that the answer reaches it in time.
+        bench.pass(4);
+        assertEquals(List.of("give up", "finished 0 TIMEOUT"), bench.take());
+        assertFalse(bench.core.up(flow), "what comes after the time-out is not relayed");
+    }
+
+    @Test
+    void whatTheModuleForgetsIsAnsweredAllTheSame() {
+        bench.arrive(300, false);
+        bench.pass(300);
+        List<String> heard = bench.take();
+        assertEquals(1, heard.stream().filter(l -> l.startsWith("client:")).count(), heard.toString());
+        assertEquals("abandoned", heard.get(heard.size() - 1));
+    }
+
+    /** The news of a drain can come while the connection is being made. */
+    @Test
+    void nothingIsSentToAMemberThatBeganToDrainMeanwhile() {
+        ServerSideFlow flow = bench.sent(2000);
+        bench.tell("s-1", ServerState.DRAINING);
+        assertFalse(bench.core.maySend(flow));
+        bench.core.ended(flow, Outcome.CONNECT_FAILED);
+        bench.module.send(bench.lastRequest, "s-1", 0);
+        assertEquals(List.of("list CHANGES", "finished 0 CONNECT_FAILED", "finished 1 CONNECT_FAILED"), bench.take());
+    }
+
+    @Test
+    void aConnectionThatStoodBeforeGoesToItsMemberEvenWhileThatDrains() {
+        bench.tell("s-1", ServerState.DRAINING);
+        bench.take();
+        bench.arrive(2000, true);
+        assertEquals(List.of("already open s-1", "open s-1"), bench.take());
+        ServerSideFlow flow = bench.flows.get(0);
+        assertTrue(bench.core.maySend(flow));
+        bench.pass(5000);
+        assertTrue(bench.core.up(flow));
+        bench.core.ended(flow, Outcome.OK);
+        assertEquals(List.of("finished 0 OK concluded"), bench.take());
+    }
+
+    @Test
+    void oneThatStoodBeforeAndIsNotFoundFailsAtOnce() {
+        bench.arrive(2000, true);
+        bench.take();
+        bench.core.ended(bench.flows.get(0), Outcome.RESET);
+        assertEquals(List.of("client: fail", "finished 0 RESET concluded"), bench.take());
+    }
+
+    @Test
+    void aClientThatLeavesTakesItsFlowWithIt() {
+        ServerSideFlow flow = bench.sent(2000);
+        bench.core.clientLeft(flow.transaction());
+        assertEquals(List.of("abandoned", "give up", "finished 0 CANCELLED concluded"), bench.take());
+        assertFalse(bench.core.up(flow));
+    }
+
+    @Test
+    void aSilentMemberLosesItsClientInGoodOrder() {
+        ServerSideFlow flow = bench.sent(2000);
+        assertTrue(bench.core.up(flow));
+        bench.core.silent(flow);
+        bench.core.silent(flow);
+        assertEquals(List.of("client: move", "started 0", "finished 0 RESET concluded"), bench.take());
+    }
+
+    @Test
+    void flowsThatMayNotStayLeaveADrainingMemberWithinItsGrace() {
+        bench.leavesDraining = true;
+        ServerSideFlow standing = bench.sent(2000);
+        bench.core.up(standing);
+        bench.sent(2000);
+        bench.take();
+        bench.tell("s-1", ServerState.DRAINING);
+        bench.pass(200);
+        List<String> heard = bench.take();
+        assertTrue(heard.contains("client: move") && heard.contains("finished 0 RESET"), heard.toString());
+        assertFalse(heard.contains("client: fail"), heard.toString());
+    }
+
+    @Test
+    void delaysAreToldOnceASecondWhileHighAndOnceWhenBackWithoutTheWayThere() {
+        ServerSideFlow flow = bench.sent(2000);
+        bench.core.up(flow);
+        bench.take();
+        // 20 ms of way, then 50 ms more: news is what the member itself takes, above a third of 60 ms.
+        for (double tookMs : new double[] {20, 70, 75, 22, 22}) {
+            bench.core.replied(flow, tookMs);
+            bench.clock.advance(400);
+        }
+        assertEquals(List.of("delay 50.0", "delay 2.0"), bench.take());
+    }
+
+    @Test
+    void leavingMovesWhoStandsAndRejectsWhoIsOwed() {
+        bench.core.up(bench.sent(2000));
+        bench.sent(2000);
+        bench.take();
+        assertTrue(bench.core.moveOne());
+        assertFalse(bench.core.moveOne());
+        bench.core.rejectAllOwed();
+        assertEquals(List.of("client: move", "client: reject 0.0", "give up", "finished 0 CANCELLED concluded",
+                "finished 0 CANCELLED concluded"), bench.take());
+    }
+
+    @Test
+    void timersComeBackWhenDue() {
+        bench.module.timer(20_000, 77);
+        bench.run();
+        bench.pass(19);
+        assertEquals(List.of(), bench.take());
+        bench.pass(2);
+        assertEquals(List.of("timer 77"), bench.take());
+    }
+}
