Read LOAD lines as delays where members tell only delays

Checked: a probe that logged every relayed line. Ruled out: that replies to clients' lines show the delay. Of 6681 replies the median took 0.09 ms and the 99th percentile 1.1 ms while members told of delays above a second, so the core's own measuring is gone. Conclusion: the module lacked its only sign of overload, and its counts of load were spoilt as well.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -74,7 +74,7 @@
             core.members(ListKind.REMEMBERED, known.members());
         }
         core.source(new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log));
-        front = new LineFront(clock, limits, config.names(), loop, core, log);
+        front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
         if (quicConfig != null && quicConfig.listen() != null) {
             quic = new QuicFront(clock, limits, quicConfig, loop, core, log);
             log.accept("tulipshed: QUIC on " + quic.address());
--- a/src/main/java/tulipshed/config/NodeConfig.java
+++ b/src/main/java/tulipshed/config/NodeConfig.java
@@ -12,7 +12,8 @@
 
 /** What a node is told at its start, from the file that PROXY_CONFIG names and the variables beside it. */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int memoryMb, int sockets, Map<String, Object> known, Settings settings, SettingsReader.Names names) {
+        int memoryMb, int sockets, Map<String, Object> known, Settings settings, SettingsReader.Names names,
+        boolean loadTellsDelay) {
 
     /** Reads the configuration; a {@link MalformedInput} tells in one line what is wrong with it. */
     public static NodeConfig load(Map<String, String> environment) {
@@ -40,9 +41,11 @@
         if (settings.isEmpty()) {
             throw new MalformedInput("no settings");
         }
+        Map<String, Object> family = child(settings, "FamilyInfo");
         return new NodeConfig(name, listen, discovery, seed(text(json, "seed", "0")),
                 (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
-                child(json, "known"), SettingsReader.read(settings, names), names);
+                child(json, "known"), SettingsReader.read(settings, names), names,
+                Boolean.TRUE.equals(family.get("TellsDelay")) && !Boolean.TRUE.equals(family.get("TellsLoad")));
     }
 
     private static long seed(String hex) {
--- a/src/main/java/tulipshed/line/LineFront.java
+++ b/src/main/java/tulipshed/line/LineFront.java
@@ -27,10 +27,13 @@
     final ByteBuffer scratch;
     private final Set<MemberConnection> relays = new LinkedHashSet<>();
     private final Set<ClientSession> opening = new LinkedHashSet<>();
+    /** Whether the figure of a member's LOAD line is a delay. */
+    final boolean loadTellsDelay;
     private boolean ready = true;
 
-    public LineFront(Clock clock, Limits limits, Names names, XnioLoop loop, TransactionCore core,
-            Consumer<String> log) {
+    public LineFront(Clock clock, Limits limits, Names names, boolean loadTellsDelay, XnioLoop loop,
+            TransactionCore core, Consumer<String> log) {
+        this.loadTellsDelay = loadTellsDelay;
         this.clock = clock;
         this.limits = limits;
         this.names = names;
--- a/src/main/java/tulipshed/line/MemberConnection.java
+++ b/src/main/java/tulipshed/line/MemberConnection.java
@@ -123,7 +123,7 @@
         int space = text.indexOf(' ');
         lastWord = space < 0 ? text : text.substring(0, space);
         if (state == State.STANDING) {
-            answered();
+            askedMs = Double.NaN;
             client.fromMember(line);
             if (lastWord.equals("LOAD")) {
                 load(text.substring(space + 1));
@@ -153,7 +153,14 @@
 
     private void load(String figure) {
         try {
-            front.core.loadChanged(flow, Double.parseDouble(figure));
+            double value = Double.parseDouble(figure);
+            // One word for both notes: where members tell only of delays, its figure is milliseconds. Taken for
+            // a load it would spoil the module's count of what every member bears.
+            if (front.loadTellsDelay) {
+                front.core.delayed(flow, value);
+            } else {
+                front.core.loadChanged(flow, value);
+            }
         } catch (NumberFormatException e) {
             front.log.accept("a load that is not a number: " + figure);
         }
@@ -201,13 +208,6 @@
         link.write(bytes);
     }
 
-    private void answered() {
-        if (!Double.isNaN(askedMs)) {
-            front.core.replied(flow, front.clock.nowMs() - askedMs);
-            askedMs = Double.NaN;
-        }
-    }
-
     /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
     void lookAtSilence(double nowMs) {
         if (nowMs - askedMs > front.limits.silentMs()) {
--- a/src/main/java/tulipshed/transaction/PoolMember.java
+++ b/src/main/java/tulipshed/transaction/PoolMember.java
@@ -9,9 +9,6 @@
     private final String id;
     private InetSocketAddress address;
     private ServerState state = ServerState.GONE;
-    private double fastestReplyMs = Double.MAX_VALUE;
-    private double slowToldAtMs = Double.NEGATIVE_INFINITY;
-    private boolean slowTold;
 
     PoolMember(String id) {
         this.id = id;
@@ -39,24 +36,4 @@
     public boolean serving() {
         return state == ServerState.SERVING;
     }
-
-    /**
-     * Takes one reply's time and returns what of it is the member's own: the way there and back, which the
-     * fastest reply seen stands for, says nothing of its load.
-     */
-    double ownDelayMs(double replyMs) {
-        fastestReplyMs = Math.min(fastestReplyMs, replyMs);
-        return replyMs - fastestReplyMs;
-    }
-
-    /** Whether this delay is news: once a second while above the bound, and once when back under it. */
-    boolean isNews(double nowMs, double delayMs, double boundMs, double everyMs) {
-        boolean slow = delayMs > boundMs;
-        if (slow ? nowMs - slowToldAtMs < everyMs : !slowTold) {
-            return false;
-        }
-        slowToldAtMs = nowMs;
-        slowTold = slow;
-        return true;
-    }
 }
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -13,7 +13,6 @@
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Report;
-import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
 import tulipshed.time.Clock;
@@ -25,9 +24,7 @@
  * transaction, one flow out at a time, nothing sent to a member that is not serving, every wait bounded.
  */
 public final class TransactionCore {
-    private static final double SLOW_SHARE = 1 / 3.0; // of the shortest aim: delays above are news
     private static final double LEAVING_SHARE = 0.6; // of the drain grace: over which flows leave a member
-    private static final double NEWS_EVERY_MS = 1000;
 
     /** Makes the decision module once the core stands. */
     public interface Module {
@@ -40,7 +37,6 @@
     private final Loop loop;
     private final Consumer<String> log;
     private final BalancerApi module;
-    private final double slowMs;
     private final Map<String, PoolMember> members = new HashMap<>();
     private final Map<Long, Transaction> transactions = new HashMap<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
@@ -74,8 +70,6 @@
         this.settings = settings;
         this.loop = loop;
         this.log = log;
-        this.slowMs = SLOW_SHARE * Clock.toMillis(settings.classes().stream()
-                .mapToLong(RequestClass::messageAimUs).filter(a -> a > 0).min().orElse(Long.MAX_VALUE));
         this.module = factory.create(settings, seed, Clock.toMicros(clock.nowMs()), new Decisions());
         // The module may have asked for timers already, before anything was gathered.
         wake();
@@ -181,10 +175,9 @@
         });
     }
 
-    /** A standing flow's member took this long to answer a line of the client's. */
-    public void replied(ServerSideFlow flow, double tookMs) {
-        double delayMs = flow.member().ownDelayMs(tookMs);
-        if (!flow.over() && flow.member().isNews(clock.nowMs(), delayMs, slowMs, NEWS_EVERY_MS)) {
+    /** Messages at a standing flow's member take this long now, as the member tells. */
+    public void delayed(ServerSideFlow flow, double delayMs) {
+        if (!flow.over()) {
             long id = flow.transaction().id();
             gather((module, ms, nowUs) -> module.delayNote(nowUs, id, delayMs));
         }
--- /dev/null
+++ b/src/test/java/tulipshed/line/LineFrontTest.java
@@ -0,0 +1,199 @@
+package tulipshed.line;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.ListedMember;
+import tulipshed.transaction.TransactionCore;
+
+/** The platform's front with the real core and module, between plain sockets on loopback. */
+class LineFrontTest {
+    private static final String OPEN = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
+    private final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
+    private XnioLoop loop;
+    private ServerSocket member;
+    private InetSocketAddress node;
+
+    /** One end of a connection, line by line. */
+    private static final class End implements AutoCloseable {
+        final Socket socket;
+        final BufferedReader in;
+
+        End(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(5000);
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        String hear() throws IOException {
+            return in.readLine();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        Limits limits = Limits.forDescriptors(1024);
+        loop = new XnioLoop(limits);
+        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
+        loop.afterGathering(() -> {
+            TransactionCore core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, l -> { },
+                    (settings, seed, now, actions) -> new Noting(new Balancer(settings, seed, now, actions)));
+            core.members(ListKind.COMPLETE, List.of(new ListedMember(
+                    new ServerEntry("s-1", ServerState.SERVING, "decin", 0, "std-2c", 1, 0),
+                    (InetSocketAddress) member.getLocalSocketAddress())));
+            LineFront front = new LineFront(new SystemClock(), limits, config.names(), config.loadTellsDelay(), loop,
+                    core, l -> { });
+            try {
+                listening.add(loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accepted)
+                        .getLocalAddress(InetSocketAddress.class));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        node = listening.poll(10, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        member.close();
+        loop.stop();
+    }
+
+    /** The module, with an ear on its notes. */
+    private final class Noting extends ModuleDelegate {
+        Noting(BalancerApi to) {
+            super(to);
+        }
+
+        @Override
+        public void delayNote(long now, long request, double delayMs) {
+            delays.add(delayMs);
+        }
+
+        @Override
+        public void loadNote(long now, long request, double loadUsPerS) {
+            loads.add(loadUsPerS);
+        }
+    }
+
+    private End client() throws IOException {
+        return new End(new Socket(node.getAddress(), node.getPort()));
+    }
+
+    private End taken() throws IOException {
+        return new End(member.accept());
+    }
+
+    @Test
+    void aConnectionIsOpenedRelayedAndEndedTheWayItsMemberEndsIt() throws IOException {
+        try (End client = client()) {
+            client.say("PING\r\n");
+            assertEquals("PONG", client.hear());
+            client.say(OPEN.substring(0, 20));
+            client.say(OPEN.substring(20));
+            try (End server = taken()) {
+                String line = server.hear();
+                assertTrue(line.matches("OPEN 9b1f k c=slot-board,t=melnik-terminal,d=[0-9]+"), line);
+                server.say("UP r1\r\n");
+                assertEquals("UP r1", client.hear());
+                client.say("M 1 x\r\n");
+                assertEquals("M 1 x", server.hear());
+                server.say("M 1 x\r\nBYE\r\n");
+                server.socket.shutdownOutput();
+                assertEquals("M 1 x", client.hear());
+                assertEquals("BYE", client.hear());
+                assertNull(client.hear());
+            }
+        }
+    }
+
+    /** Seen on a trouble day: a LOAD line was taken for a load where the settings tell of delays only. */
+    @Test
+    void aLoadLineIsADelayWhereTheSettingsSaySo() throws Exception {
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.say("UP r1\r\nLOAD 61.5\r\n");
+                assertEquals("UP r1", client.hear());
+                assertEquals("LOAD 61.5", client.hear());
+                assertEquals(61.5, delays.poll(5, TimeUnit.SECONDS));
+                assertTrue(loads.isEmpty());
+            }
+        }
+    }
+
+    @Test
+    void aMalformedFirstLineFailsAndIsNotForwarded() throws IOException {
+        try (End client = client()) {
+            client.say("OPEN 9b1f k c=nothing,d=5\r\n");
+            assertEquals("ERR", client.hear());
+            assertNull(client.hear());
+        }
+        member.setSoTimeout(100);
+        assertThrows(IOException.class, () -> member.accept());
+    }
+
+    @Test
+    void aResetOfTheMemberReachesTheClientAsAReset() throws IOException {
+        try (End client = client()) {
+            client.say(OPEN);
+            End server = taken();
+            server.say("UP r1\r\n");
+            assertEquals("UP r1", client.hear());
+            server.socket.setSoLinger(true, 0);
+            server.close();
+            assertThrows(IOException.class, client::hear);
+        }
+    }
+
+    @Test
+    void oneThatIsTurnedAwayEverywhereIsToldWhenToComeBack() throws IOException {
+        try (End client = client()) {
+            client.say(OPEN.replace("d=4000", "d=300"));
+            try (End server = taken()) {
+                server.hear();
+                server.say("BUSY\r\n");
+                assertTrue(client.hear().matches("BUSY [0-9]+"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tulipshed/line/ModuleDelegate.java
@@ -0,0 +1,68 @@
+package tulipshed.line;
+
+import java.util.List;
+import tulipshed.decision.BalancerApi;
+
+/** Passes every event on; tests override what they listen to. */
+class ModuleDelegate implements BalancerApi {
+    private final BalancerApi to;
+
+    ModuleDelegate(BalancerApi to) {
+        this.to = to;
+    }
+
+    @Override
+    public void servers(long now, ListKind kind, List<ServerEntry> entries) {
+        to.servers(now, kind, entries);
+    }
+
+    @Override
+    public void request(long now, NewRequest request) {
+        to.request(now, request);
+    }
+
+    @Override
+    public void alreadyOpen(long now, NewRequest request, String server) {
+        to.alreadyOpen(now, request, server);
+    }
+
+    @Override
+    public void started(long now, long request, int attempt, long tookUs) {
+        to.started(now, request, attempt, tookUs);
+    }
+
+    @Override
+    public void loadNote(long now, long request, double loadUsPerS) {
+        to.loadNote(now, request, loadUsPerS);
+    }
+
+    @Override
+    public void delayNote(long now, long request, double delayMs) {
+        to.delayNote(now, request, delayMs);
+    }
+
+    @Override
+    public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
+        to.finished(now, request, attempt, concluded, outcome, report);
+    }
+
+    @Override
+    public void abandoned(long now, long request) {
+        to.abandoned(now, request);
+    }
+
+    @Override
+    public void probed(long now, String server, Outcome outcome, Report report) {
+        to.probed(now, server, outcome, report);
+    }
+
+    @Override
+    public void timer(long now, long token) {
+        to.timer(now, token);
+    }
+
+    @Override
+    public void peerMessage(long now, int from, byte[] body) {
+        to.peerMessage(now, from, body);
+    }
+}
