--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -1,6 +1,7 @@
 package tulipshed.command;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -36,14 +37,16 @@
     private QuicFront quic;
     private AcceptingChannel<StreamConnection> server;
     private double leavingSinceMs;
+    private volatile boolean leaving;
 
     /** Starts a node; the second front stays off where its configuration is null or says so. */
-    Node(NodeConfig config, QuicConfig quicConfig, Clock clock, Consumer<String> log) throws IOException {
+    Node(NodeConfig config, QuicConfig quicConfig, Limits limits, Clock clock, Consumer<String> log)
+            throws IOException {
         this.config = config;
         this.quicConfig = quicConfig;
         this.clock = clock;
         this.log = log;
-        limits = Limits.forDescriptors(config.sockets());
+        this.limits = limits;
         loop = new XnioLoop(limits);
         // All parts live on the loop; whoever starts the node waits until it takes connections.
         CompletableFuture<Void> started = new CompletableFuture<>();
@@ -83,6 +86,16 @@
         log.accept("tulipshed: " + config.name() + " serves on " + config.listen());
     }
 
+    /** Where clients connect. */
+    InetSocketAddress address() {
+        return server.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /** Whether it has begun to leave. */
+    boolean isLeaving() {
+        return leaving;
+    }
+
     /**
      * Leaves in good order and returns when done: goes on taking what still arrives, then asks the standing
      * clients to move, spread over the time there is, and answers all that is owed.
@@ -92,6 +105,7 @@
         loop.afterGathering(() -> {
             leavingSinceMs = clock.nowMs();
             front.leaving();
+            leaving = true;
             log.accept("tulipshed: leaving, " + core.standingCount() + " connections stand");
             step(gone);
         });
--- a/src/main/java/tulipshed/command/ServeCommand.java
+++ b/src/main/java/tulipshed/command/ServeCommand.java
@@ -6,6 +6,7 @@
 import org.kohsuke.args4j.Option;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
+import tulipshed.limits.Limits;
 import tulipshed.quic.QuicConfig;
 import tulipshed.time.SystemClock;
 
@@ -20,7 +21,7 @@
         NodeConfig config = NodeConfig.load(environment);
         QuicConfig second = quic == null ? null : QuicConfig.load(quic.toPath(), config.names());
         try {
-            Node node = new Node(config, second, new SystemClock(), System.out::println);
+            Node node = new Node(config, second, Limits.forDescriptors(config.sockets()), new SystemClock(), System.out::println);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
         } catch (IOException e) {
