--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -57,7 +57,7 @@
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
-                10_000, 1_500, 10, 4_500, 900, 10_000, 40_000, 500, 3_000,
+                10_000, 2_000, 10, 2_500, 900, 10_000, 40_000, 500, 3_000,
                 2048, 4096, 8, 4, 30_000, 5_000, 3);
     }
 
--- a/src/main/java/tulipshed/line/LineFront.java
+++ b/src/main/java/tulipshed/line/LineFront.java
@@ -87,7 +87,10 @@
             }
             late.add(s);
         }
-        late.forEach(ClientSession::neverOpened);
+        for (ClientSession s : late) {
+            log.accept("no first line came in time");
+            s.neverOpened();
+        }
         loop.after(SWEEP_MS, this::sweep);
     }
 }
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -24,6 +24,7 @@
     private final XnioIoThread thread;
     private final Limits limits;
     private int open;
+    private volatile boolean stopped;
 
     public XnioLoop(Limits limits) throws IOException {
         this.limits = limits;
@@ -39,14 +40,16 @@
 
     @Override
     public void afterGathering(Runnable task) {
-        thread.execute(task);
+        if (!stopped) {
+            thread.execute(task);
+        }
     }
 
     @Override
     public void after(double ms, Runnable task) {
         if (ms <= 0) {
-            thread.execute(task);
-        } else {
+            afterGathering(task);
+        } else if (!stopped) {
             thread.executeAfter(task, (long) Math.ceil(ms), TimeUnit.MILLISECONDS);
         }
     }
@@ -90,6 +93,8 @@
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
     public void stop() {
+        // What was ready when the thread was ended may still want to give it tasks.
+        stopped = true;
         worker.shutdownNow();
     }
 
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -443,6 +443,7 @@
     /** A standing connection's member has gone silent: its client is sent elsewhere. */
     public void silent(ServerSideFlow flow) {
         if (!flow.over() && flow.transaction().standing()) {
+            log.accept("silent: " + flow.member().id());
             moveNow(flow.transaction(), Outcome.RESET);
         }
     }
--- a/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/src/test/java/tulipshed/line/LineFrontTest.java
@@ -185,6 +185,37 @@
         }
     }
 
+    /** Buffers are bounded, so a slow reader stops its peer; nothing may be lost or cut by that. */
+    @Test
+    void muchMoreThanTheBuffersHoldArrivesWholeBothWays() throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; text.length() < 3_000_000; i++) {
+            text.append(i).append("x".repeat(i * 31 % 3000)).append("\r\n");
+        }
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.hear();
+                server.say("UP r1\r\n");
+                client.hear();
+                for (End[] way : new End[][] {{client, server}, {server, client}}) {
+                    Thread sender = new Thread(() -> {
+                        try {
+                            way[0].say(text.toString());
+                        } catch (IOException e) {
+                            throw new java.io.UncheckedIOException(e);
+                        }
+                    });
+                    sender.start();
+                    for (String line : text.toString().split("\r\n")) {
+                        assertEquals(line, way[1].hear());
+                    }
+                    sender.join();
+                }
+            }
+        }
+    }
+
     @Test
     void oneThatIsTurnedAwayEverywhereIsToldWhenToComeBack() throws IOException {
         try (End client = client()) {
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -40,6 +40,8 @@
     private TransactionCore core;
     private QuicFront front;
     private double deadlineMs = 1200;
+    private int mostSessions = 100;
+    private double idleMs = 5000;
 
     private interface Task<T> {
         T run() throws IOException;
@@ -71,12 +73,17 @@
         }
         Map<String, String> environment = Map.of("PROXY_CONFIG", "src/test/resources/node.json");
         NodeConfig config = NodeConfig.load(environment);
-        Limits limits = Limits.forDescriptors(1024);
+        Limits l = Limits.forDescriptors(1024);
+        Limits limits = new Limits(l.lineBytes(), l.relayBytes(), l.readBytes(), l.descriptors(),
+                l.reservedDescriptors(), l.backlog(), l.httpHeadBytes(), l.httpBodyBytes(), l.watchWaitMs(),
+                l.watchSilenceMs(), l.answerMarginMs(), l.silentMs(), l.lingerMs(), l.firstLineMs(), l.standingMs(),
+                l.drainTakeMs(), l.drainEndMs(), l.datagramBytes(), mostSessions, l.quicIds(),
+                l.quicFirstDatagrams(), idleMs, idleMs, l.quicUnanswered());
         front = onLoop(() -> {
-            core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, l -> { }, Balancer::new);
+            core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
             QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2, 0,
                     deadlineMs, StandIns.IDS, members, StandIns.RESET);
-            return new QuicFront(new SystemClock(), limits, quic, loop, core, l -> { });
+            return new QuicFront(new SystemClock(), limits, quic, loop, core, text -> { });
         });
         for (int i = 0; i < servers.size(); i++) {
             tell(i, ServerState.SERVING);
@@ -243,4 +250,24 @@
             assertTrue(onLoop(front::idCount) >= 2);
         }
     }
+
+    @Test
+    void tablesAreBoundedAndIdleIdsAreForgotten() throws IOException {
+        mostSessions = 2;
+        idleMs = 2000;
+        front(Manner.SERVES);
+        for (int i = 0; i < 2; i++) {
+            try (Client client = new Client(front.address(), 20 + i)) {
+                assertEquals("served", open(client).what());
+            }
+        }
+        try (Client client = new Client(front.address(), 30)) {
+            assertEquals(new Heard("closed", InitialFrames.CONNECTION_REFUSED), open(client), "no room for a third");
+            while (onLoop(front::sessionCount) > 0) {
+                Thread.onSpinWait();
+            }
+            assertEquals(0, (int) onLoop(front::idCount));
+            assertEquals("served", open(client).what());
+        }
+    }
 }
--- a/src/test/java/tulipshed/transaction/TransactionCoreTest.java
+++ b/src/test/java/tulipshed/transaction/TransactionCoreTest.java
@@ -116,7 +116,7 @@
         assertTrue(bench.core.up(flow));
         bench.core.silent(flow);
         bench.core.silent(flow);
-        assertEquals(List.of("client: move", "started 0", "finished 0 RESET concluded"), bench.take());
+        assertEquals(List.of("silent: s-1", "client: move", "started 0", "finished 0 RESET concluded"), bench.take());
     }
 
     @Test
