Wait for a member not yet listed, be strict about tenants, answer 40 ms before the end

Checked by reading: a connection that stood at a member which the remembered list does not name failed at once, though discovery names it seconds later (TransactionCore.alreadyOpen). Ten ms before a deadline is less than a stall of a shared core.

--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -35,6 +35,8 @@
         double firstLineMs,
         /** How long connections that stood before the start may take to come up again. */
         double standingMs,
+        /** How often the list is looked at for the member of such a connection. */
+        double unknownMemberMs,
         /** After SIGTERM: how long new connections are taken. */
         double drainTakeMs,
         /** After SIGTERM: when the last client is asked to move and the last answer is given. */
@@ -57,7 +59,7 @@
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
-                10_000, 2_000, 10, 2_500, 900, 10_000, 40_000, 500, 3_000,
+                10_000, 2_000, 40, 2_500, 900, 10_000, 40_000, 100, 500, 3_000,
                 2048, 4096, 8, 4, 30_000, 5_000, 3);
     }
 
--- a/src/main/java/tulipshed/line/OpeningLine.java
+++ b/src/main/java/tulipshed/line/OpeningLine.java
@@ -96,6 +96,9 @@
             if (requestClass < 0 || waitMs < 0) {
                 throw new BadLine("no class or no time to wait");
             }
+            if (tenant < 0 && !names.tenants.isEmpty()) {
+                throw new BadLine("no tenant");
+            }
             Arrival arrival = new Arrival(requestClass, tenant, words[2], group, waitMs, hint, repeat, again);
             return new OpeningLine(text, waitFrom, waitTo, arrival, at);
         }
@@ -109,7 +112,13 @@
                     }
                     requestClass = known;
                 }
-                case "t" -> tenant = names.tenants.getOrDefault(value, -1);
+                case "t" -> {
+                    Integer known = names.tenants.get(value);
+                    if (known == null) {
+                        throw new BadLine("an unknown tenant: " + value);
+                    }
+                    tenant = known;
+                }
                 case "d" -> {
                     waitMs = number(value);
                     waitFrom = from;
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -91,15 +91,26 @@
 
     /** A connection that stood at that member before this node started wants to go on. */
     public void alreadyOpen(Transaction t, String memberId) {
+        carryOn(t, memberId, clock.nowMs() + limits.standingMs());
+    }
+
+    /** The list held at the start may be old: a member that it does not name yet is waited for. */
+    private void carryOn(Transaction t, String memberId, double untilMs) {
         PoolMember member = members.get(memberId);
-        if (member == null || member.address() == null) {
-            t.close();
-            t.client().fail();
+        double nowMs = clock.nowMs();
+        if (!t.owed()) {
+            return;
+        } else if (member == null || member.address() == null) {
+            if (nowMs < untilMs) {
+                due(nowMs + limits.unknownMemberMs(), () -> carryOn(t, memberId, untilMs));
+            } else {
+                t.close();
+                t.client().fail();
+            }
             return;
         }
         take(t);
-        double nowMs = clock.nowMs();
-        ServerSideFlow flow = new ServerSideFlow(t, member, 0, nowMs, nowMs + limits.standingMs());
+        ServerSideFlow flow = new ServerSideFlow(t, member, 0, nowMs, untilMs);
         t.flow(flow);
         due(flow.endsMs(), () -> timeOut(flow));
         gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, t.asRequest(ms), memberId));
@@ -167,6 +178,10 @@
             return;
         }
         t.close();
+        if (t.id() == 0) {
+            // Its member was still waited for, so the module has not heard of it.
+            return;
+        }
         gather((module, ms, nowUs) -> {
             module.abandoned(nowUs, t.id());
             // The module calls its flow off where the site allows that; nobody waits for it either way.
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -77,6 +77,7 @@
         Limits limits = new Limits(l.lineBytes(), l.relayBytes(), l.readBytes(), l.descriptors(),
                 l.reservedDescriptors(), l.backlog(), l.httpHeadBytes(), l.httpBodyBytes(), l.watchWaitMs(),
                 l.watchSilenceMs(), l.answerMarginMs(), l.silentMs(), l.lingerMs(), l.firstLineMs(), l.standingMs(),
+                l.unknownMemberMs(),
                 l.drainTakeMs(), l.drainEndMs(), l.datagramBytes(), mostSessions, l.quicIds(),
                 l.quicFirstDatagrams(), idleMs, idleMs, l.quicUnanswered());
         front = onLoop(() -> {
