--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -136,6 +136,9 @@
             core.rejectAllOwed();
             while (core.moveOne()) { }
             if (loop.open() == 0 || sinceMs > limits.drainEndMs() + limits.lingerMs() / 2) {
+                if (quic != null) {
+                    quic.close();
+                }
                 gone.countDown();
                 return;
             }
--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/src/test/java/tulipshed/command/NodeTest.java
@@ -14,13 +14,16 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
+import tulipshed.quic.QuicConfig;
 import tulipshed.time.SystemClock;
 
 /** A whole node on loopback: how it leaves, and what it does when it has no descriptors left. */
@@ -28,6 +31,7 @@
     private static final String OPEN = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
     @TempDir
     private Path folder;
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private ServerSocket member;
     private Node node;
 
@@ -42,11 +46,15 @@
     }
 
     private void node(int descriptors) throws IOException {
+        node(descriptors, null);
+    }
+
+    private void node(int descriptors, QuicConfig quic) throws IOException {
         Path file = folder.resolve("node.json");
         Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json"))
                 .replace(":18080", ":0").replace(":18081", ":" + member.getLocalPort()));
-        node = new Node(NodeConfig.load(Map.of("PROXY_CONFIG", file.toString())), null,
-                Limits.forDescriptors(descriptors), new SystemClock(), l -> { });
+        node = new Node(NodeConfig.load(Map.of("PROXY_CONFIG", file.toString())), quic,
+                Limits.forDescriptors(descriptors), new SystemClock(), log::add);
     }
 
     private Socket client(String first) throws IOException {
@@ -92,6 +100,19 @@
         }
     }
 
+    @Test
+    void theSecondFrontListensWhereItsFileSaysAndNotOnThePlatform() throws IOException {
+        Path file = folder.resolve("quic.json");
+        Files.writeString(file, Files.readString(Path.of("deploy/quic.example.json")).replace(":4433", ":0"));
+        var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names();
+        node(1024, QuicConfig.load(file, names));
+        assertTrue(log.stream().anyMatch(l -> l.startsWith("tulipshed: QUIC on /127.0.0.1:")), log.toString());
+        node.leave();
+        log.clear();
+        node(1024, QuicConfig.load(Path.of("deploy/quic.json"), names));
+        assertFalse(log.stream().anyMatch(l -> l.contains("QUIC")), log.toString());
+    }
+
     /** Without this a node at its limit would take clients that it cannot connect onwards, or not take any. */
     @Test
     void aNodeWithoutDescriptorsTurnsAwayCleanlyAndGoesOn() throws IOException {
--- /dev/null
+++ b/src/test/java/tulipshed/line/DescriptionTest.java
@@ -0,0 +1,71 @@
+package tulipshed.line;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.yaml.snakeyaml.Yaml;
+import tulipshed.config.NodeConfig;
+
+/** The AsyncAPI description says what the parsers take: its examples are read, and its references lead somewhere. */
+class DescriptionTest {
+    private final Map<String, Object> description;
+
+    DescriptionTest() throws IOException {
+        description = new Yaml().load(Files.readString(Path.of("docs/asyncapi.yaml")));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Object at(Object from, String... path) {
+        Object value = from;
+        for (String key : path) {
+            value = ((Map<String, Object>) value).get(key);
+            assertNotNull(value, "nothing at " + key);
+        }
+        return value;
+    }
+
+    @Test
+    void theExampleOfAFirstLineIsReadAndMatchesItsPattern() {
+        Object payload = at(description, "components", "messages", "open", "payload");
+        List<?> examples = (List<?>) at(payload, "examples");
+        assertFalse(examples.isEmpty());
+        for (Object example : examples) {
+            String line = (String) example;
+            assertTrue(line.matches((String) at(payload, "pattern")), line);
+            NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+            OpeningLine read = OpeningLine.parse(line.getBytes(StandardCharsets.US_ASCII), config.names());
+            assertEquals(line, new String(read.onward(read.arrival().waitMs()), StandardCharsets.US_ASCII));
+        }
+    }
+
+    @Test
+    void everyReferenceLeadsSomewhere() throws IOException {
+        for (String file : List.of("docs/asyncapi.yaml", "docs/openapi-discovery.yaml")) {
+            Object whole = new Yaml().load(Files.readString(Path.of(file)));
+            assertTrue(references(whole, whole) > 0, file);
+        }
+    }
+
+    private static int references(Object whole, Object part) {
+        if (part instanceof List<?> list) {
+            return list.stream().mapToInt(p -> references(whole, p)).sum();
+        }
+        if (part instanceof Map<?, ?> map) {
+            if (map.get("$ref") instanceof String reference) {
+                at(whole, reference.substring(2).split("/"));
+                return 1;
+            }
+            return map.values().stream().mapToInt(p -> references(whole, p)).sum();
+        }
+        return 0;
+    }
+}
