Take the connections that XNIO has queued before a leaving node closes its listener

Checked with a probe and a thread dump: XNIO accepts on a thread of its own and hands connections to the I/O thread through a queue; listeners and tasks all run on the I/O thread.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -116,11 +116,22 @@
         }
     }
 
+    /** XNIO accepts on a thread of its own and queues; what stands in the queue when it closes would be lost. */
+    private void takeLast() {
+        try {
+            for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
+                front.accepted(c);
+            }
+        } catch (IOException e) {
+            log.accept("cannot accept: " + e.getMessage());
+        }
+    }
+
     private void step(CountDownLatch gone) {
         double sinceMs = clock.nowMs() - leavingSinceMs;
         double movingMs = limits.drainEndMs() - limits.drainTakeMs();
         if (sinceMs >= limits.drainTakeMs() && server != null) {
-            server.suspendAccepts();
+            takeLast();
             IoUtils.safeClose(server);
             server = null;
             if (quic != null) {
