--- /dev/null
+++ b/src/test/java/tulipshed/discovery/WatchTest.java
@@ -0,0 +1,130 @@
+package tulipshed.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.testing.ModuleDelegate;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.TransactionCore;
+
+/** The watch against a stand-in discovery that answers as each test says. */
+class WatchTest {
+    private static final String ENTRY = "{\"id\":\"s-5\",\"addr\":\"127.0.0.1:9\",\"state\":\"SERVING\"}";
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private XnioLoop loop;
+    private ServerSocket discovery;
+    private Watch watch;
+
+    @BeforeEach
+    void start() throws IOException {
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        Limits limits = Limits.forDescriptors(1024);
+        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        discovery.setSoTimeout(5000);
+        loop = new XnioLoop(limits);
+        loop.afterGathering(() -> {
+            TransactionCore core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, l -> { },
+                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
+                        @Override
+                        public void servers(long at, ListKind kind, List<ServerEntry> entries) {
+                            told.add(kind + " " + entries.size());
+                        }
+                    });
+            watch = new Watch((InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> { });
+            watch.watch();
+        });
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        loop.stop();
+        discovery.close();
+    }
+
+    private static String call(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        String first = in.readLine();
+        while (!in.readLine().isEmpty()) { }
+        return first;
+    }
+
+    private static void answer(Socket socket, String status, String body) throws IOException {
+        socket.getOutputStream().write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String list(int version, boolean full) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + ENTRY + "]}";
+    }
+
+    private String news() throws InterruptedException {
+        return told.poll(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void eachAnswerIsToldAndTheNextCallFollowsOnTheSameConnection() throws Exception {
+        try (Socket socket = discovery.accept()) {
+            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait="));
+            answer(socket, "200 OK", list(42, true));
+            assertEquals("COMPLETE 1", news());
+            assertTrue(call(socket).contains("index=42&"));
+            answer(socket, "200 OK", list(43, false));
+            assertEquals("CHANGES 1", news());
+            assertTrue(call(socket).contains("index=43&"));
+        }
+        assertEquals("FAILED 0", news());
+    }
+
+    /** A failed call is told once, and nothing is asked again until the module says so. */
+    @Test
+    void failuresAreToldAndWaitForTheModule() throws Exception {
+        for (String wrong : List.of("503 Service Unavailable|", "200 OK|{", "200 OK|{\"version\":1}")) {
+            try (Socket socket = discovery.accept()) {
+                call(socket);
+                answer(socket, wrong.substring(0, wrong.indexOf('|')), wrong.substring(wrong.indexOf('|') + 1));
+                assertEquals("FAILED 0", news(), wrong);
+                assertEquals(-1, socket.getInputStream().read(), "hung up without another call");
+            }
+            loop.afterGathering(watch::watch);
+        }
+        try (Socket socket = discovery.accept()) {
+            call(socket);
+            socket.setSoLinger(true, 0);
+        }
+        assertEquals("FAILED 0", news());
+        assertTrue(told.isEmpty());
+    }
+
+    @Test
+    void aConnectionEndedAfterItsAnswerIsOpenedAnew() throws Exception {
+        try (Socket socket = discovery.accept()) {
+            call(socket);
+            socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list(42, true))
+                    .getBytes(StandardCharsets.US_ASCII));
+        }
+        assertEquals("COMPLETE 1", news());
+        try (Socket socket = discovery.accept()) {
+            assertTrue(call(socket).contains("index=42&"));
+        }
+    }
+}
--- a/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/src/test/java/tulipshed/line/LineFrontTest.java
@@ -29,6 +29,7 @@
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
 import tulipshed.link.XnioLoop;
+import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
 import tulipshed.transaction.ListedMember;
 import tulipshed.transaction.TransactionCore;
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -271,4 +271,52 @@
             assertEquals("served", open(client).what());
         }
     }
+
+    /** A Retry changes the id and with it the keys; the client is still the same and owed the same answer. */
+    @Test
+    void aRetryIsPassedOnAndItsNewIdIsTheSameConnection() throws IOException {
+        front(Manner.RETRIES);
+        try (Client client = new Client(front.address(), 40)) {
+            assertEquals("RETRY", open(client).what());
+            assertEquals("served", open(client).what());
+            client.sendNumber(3);
+            assertEquals(new Heard("number", 3), client.hear());
+            assertEquals(1, (int) onLoop(front::sessionCount));
+            assertEquals(1, servers.get(0).firstAddresses.get());
+        }
+    }
+
+    /** A server that vanishes says nothing; its client is reset rather than left waiting. */
+    @Test
+    void aServerThatFallsSilentLosesItsClientInGoodOrder() throws IOException {
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 41)) {
+            assertEquals("served", open(client).what());
+            servers.get(0).close();
+            Heard heard = new Heard("nothing", 0);
+            for (int i = 0; i < 10 && heard.what().equals("nothing"); i++) {
+                for (int j = 0; j < 3; j++) {
+                    client.sendNumber(j);
+                }
+                heard = client.hear();
+            }
+            assertEquals("reset", heard.what());
+        }
+    }
+
+    @Test
+    void aClientThatTakesItsWishBackIsOwedNothing() throws IOException {
+        front(Manner.SILENT);
+        try (Client client = new Client(front.address(), 42)) {
+            client.send(client.initial());
+            while (servers.get(0).initials.get() == 0) {
+                Thread.onSpinWait();
+            }
+            client.send(InitialKeys.client(client.first).seal(client.first, client.own, 1,
+                    Arrays.copyOf(InitialFrames.close(0, "never mind"), 1160)));
+            client.send(client.initial());
+            assertEquals(1, (int) onLoop(front::sessionCount), "no second transaction from its first packet");
+            assertEquals(1, servers.get(0).initials.get());
+        }
+    }
 }
--- a/src/test/java/tulipshed/quic/StandIns.java
+++ b/src/test/java/tulipshed/quic/StandIns.java
@@ -39,7 +39,7 @@
     /** A server: takes Initials its own way, and answers every later packet with the same number. */
     static final class Server implements AutoCloseable {
         /** How it takes an Initial. */
-        enum Manner { SERVES, REFUSES, FAILS, SILENT }
+        enum Manner { SERVES, REFUSES, FAILS, SILENT, RETRIES }
 
         final byte[] id;
         final DatagramSocket socket = socket(0);
@@ -86,13 +86,18 @@
             InitialFrames.read(InitialKeys.client(p.destination()).open(p));
             initials.incrementAndGet();
             clientId = p.source();
+            ConnectionId own = IDS.id(id, p.destination().bytes());
+            if (manner == Manner.RETRIES && initials.get() == 1) {
+                return ByteBuffer.allocate(1 + 4 + 2 + clientId.length() + own.length() + 5 + 16).put((byte) 0xF0)
+                        .putInt(1).put((byte) clientId.length()).put(clientId.bytes()).put((byte) own.length())
+                        .put(own.bytes()).array();
+            }
             byte[] frames = switch (manner) {
-                case SERVES -> Arrays.copyOf(new byte[] {6, 0, 1, 2}, 100);
+                case SERVES, RETRIES -> Arrays.copyOf(new byte[] {6, 0, 1, 2}, 100);
                 case REFUSES -> InitialFrames.close(InitialFrames.CONNECTION_REFUSED, "full");
                 case FAILS -> InitialFrames.close(0x128, "no");
                 case SILENT -> null;
             };
-            ConnectionId own = IDS.id(id, p.destination().bytes());
             return frames == null ? null : InitialKeys.server(p.destination()).seal(clientId, own, 0, frames);
         }
 
@@ -114,7 +119,7 @@
         record Heard(String what, int figure) { }
 
         final ConnectionId own = new ConnectionId(new byte[] {9, 9, 9, 9});
-        final ConnectionId first;
+        ConnectionId first;
         ConnectionId server;
         private final InetSocketAddress node;
         private DatagramSocket socket = socket(3000);
@@ -156,6 +161,9 @@
             if (p.type() == Packet.Type.SHORT) {
                 return new Heard("number", ByteBuffer.wrap(datagram, p.packetNumberAt(), 4).getInt());
             }
+            if (p.type() == Packet.Type.RETRY) {
+                first = p.source();
+            }
             if (p.type() != Packet.Type.INITIAL) {
                 return new Heard(p.type().name(), 0);
             }
--- a/src/test/java/tulipshed/line/ModuleDelegate.java
+++ b/src/test/java/tulipshed/testing/ModuleDelegate.java
@@ -1,13 +1,13 @@
-package tulipshed.line;
+package tulipshed.testing;
 
 import java.util.List;
 import tulipshed.decision.BalancerApi;
 
 /** Passes every event on; tests override what they listen to. */
-class ModuleDelegate implements BalancerApi {
+public class ModuleDelegate implements BalancerApi {
     private final BalancerApi to;
 
-    ModuleDelegate(BalancerApi to) {
+    public ModuleDelegate(BalancerApi to) {
         this.to = to;
     }
 
