--- a/src/main/java/tulipshed/transaction/MemberConnector.java
+++ b/src/main/java/tulipshed/transaction/MemberConnector.java
@@ -2,7 +2,7 @@
 
 /**
  * Opens server-side flows towards pool members; each front brings its own. What becomes of a flow is told to
- * {@link TransactionCore}, never from within a call of this interface.
+ * {@link TransactionCore}, also where it cannot be opened at all.
  */
 public interface MemberConnector {
     /** Starts the flow. Before its first byte is sent, {@link TransactionCore#maySend} must allow it. */
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -1,6 +1,7 @@
 package tulipshed.transaction;
 
 import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.time.Clock;
 
 /** One request of a client for a connection, from its arrival to its end. */
 public final class Transaction {
@@ -45,7 +46,7 @@
     NewRequest asRequest(double nowMs) {
         double left = Math.max(0, deadlineMs - nowMs);
         return new NewRequest(id, arrival.requestClass(), arrival.tenant(), arrival.key(), arrival.group(),
-                tulipshed.time.Clock.toMicros(left), arrival.hintUsPerS(), arrival.repeat(), false,
+                Clock.toMicros(left), arrival.hintUsPerS(), arrival.repeat(), false,
                 arrival.returning());
     }
 
--- a/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/src/test/java/tulipshed/line/LineFrontTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
@@ -39,6 +41,7 @@
     private static final String OPEN = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
     private final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
     private final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
+    private final BlockingQueue<BalancerApi.Outcome> ends = new LinkedBlockingQueue<>();
     private XnioLoop loop;
     private ServerSocket member;
     private InetSocketAddress node;
@@ -110,6 +113,12 @@
             delays.add(delayMs);
         }
 
+        @Override
+        public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
+            ends.add(outcome);
+            super.finished(now, request, attempt, concluded, outcome, report);
+        }
+
         @Override
         public void loadNote(long now, long request, double loadUsPerS) {
             loads.add(loadUsPerS);
@@ -217,6 +226,46 @@
         }
     }
 
+    /** What comes back from a member, then the end of its connection, and the outcome that stands for it. */
+    @ParameterizedTest
+    @CsvSource({"'', RESET", "BUSY, FULL", "ERR, ERROR", "SYNTAX, ERROR", "MOVE, CANCELLED", "UP r;BYE, OK",
+        "UP r;MOVE, CANCELLED", "UP r, RESET"})
+    void outcomesAreThoseOfTheProtocol(String lines, BalancerApi.Outcome outcome) throws Exception {
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.hear();
+                server.say(lines.isEmpty() ? "" : lines.replace(";", "\r\n") + "\r\n");
+            }
+            assertEquals(outcome, ends.poll(5, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws Exception {
+        member.close();
+        try (End client = client()) {
+            client.say(OPEN);
+            assertEquals(BalancerApi.Outcome.CONNECT_FAILED, ends.poll(5, TimeUnit.SECONDS));
+        }
+    }
+
+    /** A machine that vanishes resets nothing: only the missing replies show it. */
+    @Test
+    void aMemberThatFallsSilentLosesItsClientByAMove() throws Exception {
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.say("UP r1\r\n");
+                assertEquals("UP r1", client.hear());
+                client.say("M 1 x\r\n");
+                assertEquals("MOVE", client.hear());
+                assertNull(client.hear());
+                assertEquals(BalancerApi.Outcome.RESET, ends.poll(5, TimeUnit.SECONDS));
+            }
+        }
+    }
+
     @Test
     void oneThatIsTurnedAwayEverywhereIsToldWhenToComeBack() throws IOException {
         try (End client = client()) {
