Reread the configuration on SIGHUP and move the watch to the new discovery

Ruled out: memory (35 of 144 MB), descriptors (122 of 384) and a fault in the loop (the log ends without one).

At fault: ServeCommand handled SIGTERM only; Watch kept the discovery address of its start for good.

Now Reload reads PROXY_CONFIG again, one signal at a time. Watch.move gives up the old call (its late answer, end or time-out change nothing) and asks the new address for the whole list at once; that call does not wait for news, so silence fails it after 2 s rather than 12 s.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -35,6 +35,7 @@
     private TransactionCore core;
     private LineFront front;
     private QuicFront quic;
+    private Watch watch;
     private AcceptingChannel<StreamConnection> server;
     private double leavingSinceMs;
     private volatile boolean leaving;
@@ -76,7 +77,8 @@
         if (known != null) {
             core.members(ListKind.REMEMBERED, known.members());
         }
-        core.source(new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log));
+        watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
+        core.source(watch);
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
         if (quicConfig != null && quicConfig.listen() != null) {
             quic = new QuicFront(clock, limits, quicConfig, loop, core, log);
@@ -96,6 +98,18 @@
         return leaving;
     }
 
+    /**
+     * Takes over what a running node can of its new configuration: where discovery is. Members and connections stay
+     * as they are.
+     */
+    void reload(NodeConfig changed) {
+        boolean more = !changed.name().equals(config.name()) || !changed.listen().equals(config.listen())
+                || changed.sockets() != config.sockets() || !changed.settings().equals(config.settings());
+        log.accept("tulipshed: reload, discovery at " + changed.discovery()
+                + (more ? "; the other changes wait for the next start" : ""));
+        loop.afterGathering(() -> watch.move(changed.discovery()));
+    }
+
     /**
      * Leaves in good order and returns when done: goes on taking what still arrives, then asks the standing
      * clients to move, spread over the time there is, and answers all that is owed.
--- a/src/main/java/tulipshed/command/ServeCommand.java
+++ b/src/main/java/tulipshed/command/ServeCommand.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.Map;
 import org.kohsuke.args4j.Option;
+import sun.misc.Signal;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
@@ -20,8 +21,13 @@
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
         QuicConfig second = quic == null ? null : QuicConfig.load(quic.toPath(), config.names());
+        Reload reload = new Reload(() -> NodeConfig.load(environment), System.out::println);
+        // Without a handler of its own the virtual machine would exit on SIGHUP.
+        Signal.handle(new Signal("HUP"), s -> reload.reload());
         try {
-            Node node = new Node(config, second, Limits.forDescriptors(config.sockets()), new SystemClock(), System.out::println);
+            Node node = new Node(config, second, Limits.forDescriptors(config.sockets()), new SystemClock(),
+                    System.out::println);
+            reload.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
         } catch (IOException e) {
--- a/src/main/java/tulipshed/discovery/Watch.java
+++ b/src/main/java/tulipshed/discovery/Watch.java
@@ -20,13 +20,15 @@
  * that fails in any way ends the watch and is told to the core; when to ask again is the module's to say.
  */
 public final class Watch implements MemberSource, Link.Owner {
-    private final InetSocketAddress discovery;
     private final Limits limits;
     private final XnioLoop loop;
     private final TransactionCore core;
     private final Consumer<String> log;
     private final ByteBuffer in;
+    private InetSocketAddress discovery;
     private long version;
+    /** Whether the next call asks for the whole list, which discovery answers without waiting for news. */
+    private boolean whole;
     private Link link;
     private XnioLoop.Dialing dialing;
     private HttpAnswer answer;
@@ -51,11 +53,25 @@
         }
     }
 
+    /**
+     * Discovery is elsewhere from now on. What the old address still says or fails to say changes nothing, and as
+     * the new one may count its versions differently, it is asked for the whole list, at once: what it has to tell
+     * counts as told soon after the move.
+     */
+    public void move(InetSocketAddress to) {
+        if (!to.equals(discovery)) {
+            hangUp();
+            discovery = to;
+            whole = true;
+            call();
+        }
+    }
+
     private void call() {
         calling = true;
         answer = new HttpAnswer(limits.httpHeadBytes(), limits.httpBodyBytes());
         long call = ++calls;
-        loop.after(limits.watchWaitMs() + limits.watchSilenceMs(), () -> {
+        loop.after((whole ? 0 : limits.watchWaitMs()) + limits.watchSilenceMs(), () -> {
             if (calling && call == calls) {
                 failed("silence");
             }
@@ -76,9 +92,9 @@
 
     private void ask() {
         String host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
-        link.write(("GET /discovery/hosts?index=" + version + "&wait=" + (long) limits.watchWaitMs()
-                + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
+        String what = whole ? "" : "?index=" + version + "&wait=" + (long) limits.watchWaitMs();
+        link.write(("GET /discovery/hosts" + what + " HTTP/1.1\r\nHost: " + host
+                + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
     @Override
@@ -89,14 +105,14 @@
             if (n == 0) {
                 return;
             }
-            boolean whole;
+            boolean complete;
             try {
-                whole = n < 0 ? calling && answer.end() : calling && answer.take(in.flip());
+                complete = n < 0 ? calling && answer.end() : calling && answer.take(in.flip());
             } catch (HttpAnswer.BadAnswer e) {
                 failed(e.getMessage());
                 return;
             }
-            if (whole) {
+            if (complete) {
                 answered(n < 0);
             } else if (n < 0 || !calling) {
                 broken(from);
@@ -119,6 +135,7 @@
         }
         calling = false;
         version = list.version();
+        whole = false;
         if (ended || answer.closes()) {
             hangUp();
         }
--- a/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/src/test/java/tulipshed/discovery/WatchTest.java
@@ -127,4 +127,47 @@
             assertTrue(call(socket).contains("index=42&"));
         }
     }
+
+    /** Without this a reload would go on with what the old discovery says, or ask the new one for its changes only. */
+    @Test
+    void aMoveAsksTheNewAddressForTheWholeListAndPassesOverTheOldOne() throws Exception {
+        try (ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                Socket old = discovery.accept()) {
+            elsewhere.setSoTimeout(5000);
+            call(old);
+            InetSocketAddress to = (InetSocketAddress) elsewhere.getLocalSocketAddress();
+            loop.afterGathering(() -> watch.move(to));
+            loop.afterGathering(() -> watch.move(to));
+            try (Socket now = elsewhere.accept()) {
+                assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
+                answer(old, "200 OK", list(99, true));
+                assertEquals(-1, old.getInputStream().read(), "the old call is given up");
+                answer(now, "200 OK", list(7, true));
+                assertEquals("COMPLETE 1", news());
+                assertTrue(call(now).contains("index=7&"), "one call, and the new one's versions");
+                assertTrue(told.isEmpty(), "nothing of the old one is told, nor its end as a failure");
+            }
+        }
+    }
+
+    @Test
+    void aMoveFromAnAddressThatDoesNotAnswerNeedsNoWordFromTheModule() throws Exception {
+        try (Socket old = discovery.accept(); ServerSocket elsewhere =
+                new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            call(old);
+            answer(old, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", news());
+            elsewhere.setSoTimeout(5000);
+            loop.afterGathering(() -> watch.move((InetSocketAddress) elsewhere.getLocalSocketAddress()));
+            try (Socket now = elsewhere.accept()) {
+                assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
+                answer(now, "503 Service Unavailable", "");
+                assertEquals("FAILED 0", news());
+            }
+            loop.afterGathering(watch::watch);
+            try (Socket now = elsewhere.accept()) {
+                assertEquals("GET /discovery/hosts HTTP/1.1", call(now), "still the whole list");
+            }
+        }
+    }
 }
