Hold members that die apart from late ones, keep late ones free, and shrink the buckets

Every broken connection was one ejection, doubled to 16 s. Five of five members were "failing", three of them for one reset; that is panic, so the dead were tried six times within 10 ms by each client that came again. All 16 clients of a node got in at once on full buckets, and the survivors went to 100-900 ms late, which panic filled again.

At fault in Balancer: judge() counted each reset, usable() and inTurn() treated dead and slow alike in panic, BUCKET_SIZE 4 for each of seven tenants was nearly all that a node carries here.

--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -24,7 +24,7 @@
     private static final int CURVE_STEPS = 100; // of the depth curve; finer changes nothing
     private static final double CURVE_FREE = 0.25; // depth below which it is free: room for any burst
     private static final double CURVE_START = 4; // equal shares of the quota given where it starts to fall
-    private static final double BUCKET_SIZE = 4; // a few clients that come at once are no burst
+    private static final double BUCKET_SIZE = 2; // a few clients that come at once are no burst
     private static final int FIRST_LIMIT = 4; // pending, of a server not yet known: it soon doubles
     private static final int HIGHEST_LIMIT = 64; // pending; more acceptances in a row teach nothing more
     private static final int DRAWS = 12; // servers drawn for one candidate before the search goes in turn
@@ -33,6 +33,8 @@
     private static final long HOLD_US = 200_000; // until a held request looks for a ready server again
     private static final long EJECT_US = 2_000_000; // first ejection, doubled each time in a row
     private static final int MOST_EJECTIONS = 4; // up to 16 s: lists tell of a dead server by then
+    private static final int FAILURES = 2; // in a row, to call a server failing: one reset is nothing
+    private static final long FAILURE_US = 5_000_000; // after which a failure is no longer in a row
     private static final long LATE_US = 8_000_000; // a slow server is passed over: shorter, and fleets swing
     private static final long FULL_US = 500_000; // a full one is: its queue drains sooner
     private static final double SLOW = 0.34; // of the shortest message aim: slow from here on
@@ -88,6 +90,7 @@
     private int pending;
     private int limits;
     private int known;
+    private int failing;
     private int listVersion;
     private int failedCalls;
     private long nextLogUs = Long.MIN_VALUE;
@@ -188,6 +191,9 @@
         private double credit;
         private long creditAt;
         private int ejections;
+        private boolean failing;
+        private int failures;
+        private long failedAt;
         private double reported;
         private long reportedAt = Long.MIN_VALUE / 2;
         private double delayMs;
@@ -312,7 +318,7 @@
             s.stood = e.startedUs() == 0;
             readmit(s);
             warming.remove(s);
-            s.ejections = 0;
+            s.ejections = s.failures = 0;
             s.delayAt = Long.MIN_VALUE / 2;
         }
         if (ready.has(s)) {
@@ -388,7 +394,8 @@
             if (!bucket.take(now, rate)) {
                 if (now >= nextLogUs) {
                     nextLogUs = now + LOG_US;
-                    actions.log("refusing: " + ejected.size() + " of " + known + " servers known failing");
+                    actions.log("refusing: " + ejected.size() + " of " + known
+                            + " servers known out of favour, " + failing + " of them failing");
                 }
                 refuse(r, bucket.untilTokenUs(rate));
                 return;
@@ -419,10 +426,10 @@
     }
 
     /** A refusal promises that a repeat is harmless, so it needs an effect that allows the promise. */
-    private void refuseOrFail(Request r) {
+    private void refuseOrFail(Request r, long retryAfterUs) {
         if (!r.mayHaveRun || r.kind.effect() == Effect.REPEATABLE
                 || r.kind.effect() == Effect.KEYED && r.kind.repeatGroup() == RepeatGroup.ALL) {
-            refuse(r, HOLD_US);
+            refuse(r, retryAfterUs);
         } else {
             actions.fail(r.in.id());
             conclude(r);
@@ -442,7 +449,7 @@
     private void place(long now, Request r) {
         long left = r.deadlineUs - now;
         if (r.attempts >= settings.limits().maxAttempts() || left <= 0 || !maySendAgain(now, r)) {
-            refuseOrFail(r);
+            refuseOrFail(r, HOLD_US);
             return;
         }
         Server s = r.first == null ? choose(now, r) : lighter(now, r);
@@ -450,12 +457,13 @@
             actions.timer(PROBE_WAIT_US, r.in.id() << 1 | TIMER_HELD);
             return;
         }
-        if (s == null && left > 2 * HOLD_US) {
+        if (s == null && ready.isEmpty() && left > 2 * HOLD_US) {
             // No server known to be ready: hold while there is time for the list to name one.
             actions.timer(HOLD_US, r.in.id() << 1 | TIMER_HELD);
             return;
         } else if (s == null) {
-            refuseOrFail(r);
+            // All fail or are late now: given up at once, to come again when there is news of them.
+            refuseOrFail(r, NEWS_US);
             return;
         }
         // A silent server must leave time for another attempt.
@@ -587,22 +595,30 @@
         return s;
     }
 
-    /** The first server allowed from a random one on, even out of favour: bad luck refuses nobody. */
+    /**
+     * The first server allowed from a random one on, even out of favour: bad luck refuses nobody. One that
+     * fails or is late now only for a first attempt: all would be spent on such within a moment.
+     */
     private Server inTurn(long now, Request r) {
+        Server last = null;
         int start = random.nextInt(ready.size());
         for (int i = 0; i < IN_TURN && i < ready.size(); i++) {
             Server s = ready.get((start + i) % ready.size());
             if (s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s)) {
-                return s;
+                if (!s.failing && !s.late(now, lateMs)) {
+                    return s;
+                }
+                last = s;
             }
         }
-        return null;
+        return r.attempts == 0 ? last : null;
     }
 
     private boolean usable(long now, Request r, Server s) {
         // With most servers out of favour the fault is elsewhere: spreading over all beats crowding the rest.
-        boolean panic = ejected.size() > ready.size() * (1 - PANIC);
-        return ready.has(s) && s != r.avoid && sameRepeatGroup(r, s) && (now >= s.ejectedUntil || panic)
+        boolean panic = ejected.size() - failing > (ready.size() - failing) * (1 - PANIC);
+        return ready.has(s) && s != r.avoid && sameRepeatGroup(r, s)
+                && (now >= s.ejectedUntil || panic && !s.failing && !s.late(now, lateMs))
                 && !cold(now, s);
     }
 
@@ -742,7 +758,7 @@
         }
         r.standing = true;
         r.server.stood = true;
-        r.server.ejections = 0;
+        well(r.server);
         tally(r.server, 0, -1, 0);
         setLimit(r.server, r.server.limit + 1);
         countGroup(now, r);
@@ -814,7 +830,7 @@
         if (concluded || r.answered) {
             requests.remove(request);
         } else if (outcome == Outcome.UNUSED || r.deadlineUs - now < LEAST_ATTEMPT_US) {
-            refuseOrFail(r);
+            refuseOrFail(r, HOLD_US);
         } else {
             place(now, r);
         }
@@ -825,7 +841,7 @@
         switch (outcome) {
             case OK -> {
                 setLimit(s, stood ? s.limit : s.limit + 1);
-                s.ejections = 0;
+                well(s);
             }
             case FULL -> {
                 setLimit(s, s.limit / 2);
@@ -833,13 +849,36 @@
             }
             case CONNECT_FAILED, RESET, TIMEOUT -> {
                 setLimit(s, stood || outcome == Outcome.TIMEOUT ? s.limit : s.limit / 2);
-                eject(now, s, EJECT_US << Math.min(s.ejections, MOST_EJECTIONS - 1));
-                s.ejections++;
+                fail(now, s, outcome != Outcome.RESET);
             }
             default -> { }
         }
     }
 
+    /**
+     * A reset counts once it is not alone; an unreachable or silent server costs each that tries it far more
+     * than a moment, so there one is enough. The many that break when a server dies are one ejection.
+     */
+    private void fail(long now, Server s, boolean enough) {
+        s.failures = now - s.failedAt < FAILURE_US ? s.failures + 1 : 1;
+        s.failedAt = now;
+        if (!ready.has(s) || s.failing && now < s.ejectedUntil || s.failures < FAILURES && !enough) {
+            return;
+        }
+        eject(now, s, EJECT_US << Math.min(s.ejections, MOST_EJECTIONS - 1));
+        s.ejections++;
+        failing += s.failing ? 0 : 1;
+        s.failing = true;
+    }
+
+    /** A server serves: whatever it was held to have is over. */
+    private void well(Server s) {
+        s.ejections = s.failures = 0;
+        if (s.failing) {
+            readmit(s);
+        }
+    }
+
     private void eject(long now, Server s, long forUs) {
         if (!ready.has(s)) {
             return;
@@ -853,6 +892,8 @@
     private void readmit(Server s) {
         s.ejectedUntil = 0;
         ejected.remove(s);
+        failing -= s.failing ? 1 : 0;
+        s.failing = false;
         count(s);
     }
 
