--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -143,7 +143,6 @@
 
     private void step(CountDownLatch gone) {
         double sinceMs = clock.nowMs() - leavingSinceMs;
-        double movingMs = limits.drainEndMs() - limits.drainTakeMs();
         if (sinceMs >= limits.drainTakeMs() && server != null) {
             takeLast();
             IoUtils.safeClose(server);
@@ -152,15 +151,15 @@
                 quic.leaving();
             }
         }
-        if (sinceMs >= limits.drainTakeMs()) {
+        if (sinceMs >= limits.drainMoveMs()) {
             double leftMs = Math.max(LEAVING_STEP_MS, limits.drainEndMs() - sinceMs);
             int now = (int) Math.ceil(core.standingCount() * Math.min(1, LEAVING_STEP_MS / leftMs));
             for (int i = 0; i < now && core.moveOne(); i++) { }
         }
-        if (sinceMs >= limits.drainTakeMs() + movingMs) {
+        if (sinceMs >= limits.drainEndMs()) {
             core.rejectAllOwed();
             while (core.moveOne()) { }
-            if (loop.open() == 0 || sinceMs > limits.drainEndMs() + limits.lingerMs() / 2) {
+            if (loop.open() == 0 || sinceMs > limits.drainEndMs() + limits.lingerMs() / 3) {
                 if (quic != null) {
                     quic.close();
                 }
--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -52,6 +52,8 @@
         double unlistedMemberMs,
         /** After SIGTERM: how long new connections are taken. */
         double drainTakeMs,
+        /** After SIGTERM: from when on clients are asked to move; until then the others may still be coming back. */
+        double drainMoveMs,
         /** After SIGTERM: when the last client is asked to move and the last answer is given. */
         double drainEndMs,
         /** Largest datagram taken. */
@@ -73,7 +75,7 @@
     public static Limits forDescriptors(int descriptors) {
         return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
                 10_000, 2_000, 40, 2_500, 900, 2_000, 250, 16, 120_000, 4, 10_000, 500, 40_000, 100, 1_000,
-                500, 3_000,
+                500, 1_500, 3_200,
                 2048, 4096, 8, 4, 30_000, 5_000, 3);
     }
 
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -20,6 +23,8 @@
 
 /** The one I/O thread: XNIO's, which runs listeners and, after those that were ready, the tasks given to it. */
 public final class XnioLoop implements Loop {
+    /** Kept, as loggers that nobody holds forget their level. */
+    private static final List<Logger> LIBRARIES = List.of(Logger.getLogger("org.xnio"), Logger.getLogger("org.jboss"));
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Limits limits;
@@ -28,6 +33,8 @@
 
     public XnioLoop(Limits limits) throws IOException {
         this.limits = limits;
+        // XNIO and its threads greet with a line each, whose formatting alone costs a tenth of the start.
+        LIBRARIES.forEach(l -> l.setLevel(Level.WARNING));
         Xnio xnio = Xnio.getInstance("nio", XnioLoop.class.getClassLoader());
         worker = xnio.createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "tulipshed")
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -81,7 +81,7 @@
                 l.watchSilenceMs(), l.answerMarginMs(), l.silentMs(), l.lingerMs(), l.firstLineMs(), l.sweepMs(),
                 l.pings(), l.longestWaitMs(), l.readsAtOnce(), l.complaintsMs(), l.noRoomRetryMs(), l.standingMs(),
                 l.unknownMemberMs(), l.unlistedMemberMs(),
-                l.drainTakeMs(), l.drainEndMs(), l.datagramBytes(), mostSessions, l.quicIds(),
+                l.drainTakeMs(), l.drainMoveMs(), l.drainEndMs(), l.datagramBytes(), mostSessions, l.quicIds(),
                 l.quicFirstDatagrams(), idleMs, idleMs, l.quicUnanswered());
         front = onLoop(() -> {
             core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
