Answer status and figures at a second address, counted where they become final

Each final answer now passes through TransactionCore.rejected, failed or up, which count it; MemberConnection and QuicSession tell when an attempt is written whole; Balancer.avoided says what its own choice passes over.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -17,6 +17,7 @@
 import tulipshed.limits.Limits;
 import tulipshed.line.LineFront;
 import tulipshed.link.XnioLoop;
+import tulipshed.management.ManagementFront;
 import tulipshed.quic.QuicConfig;
 import tulipshed.quic.QuicFront;
 import tulipshed.time.Clock;
@@ -35,6 +36,7 @@
     private TransactionCore core;
     private LineFront front;
     private QuicFront quic;
+    private ManagementFront management;
     private Watch watch;
     private AcceptingChannel<StreamConnection> server;
     private double leavingSinceMs;
@@ -73,6 +75,11 @@
 
     private void start() throws IOException {
         core = new TransactionCore(clock, limits, config.settings(), config.seed(), loop, log, Balancer::new);
+        if (config.management() != null) {
+            management = new ManagementFront(config.management(), clock, limits, loop, core,
+                    () -> server != null && !leaving);
+            log.accept("tulipshed: management on " + management.address());
+        }
         MemberList known = config.known().isEmpty() ? null : MemberList.read(config.known());
         if (known != null) {
             core.members(ListKind.REMEMBERED, known.members());
@@ -93,6 +100,11 @@
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
+    /** Where staff call; null where that is off. */
+    InetSocketAddress management() {
+        return management == null ? null : management.address();
+    }
+
     /** Whether it has begun to leave. */
     boolean isLeaving() {
         return leaving;
@@ -163,6 +175,9 @@
                 if (quic != null) {
                     quic.close();
                 }
+                if (management != null) {
+                    management.close();
+                }
                 gone.countDown();
                 return;
             }
--- a/src/main/java/tulipshed/config/NodeConfig.java
+++ b/src/main/java/tulipshed/config/NodeConfig.java
@@ -10,8 +10,12 @@
 import java.util.Map;
 import tulipshed.decision.BalancerApi.Settings;
 
-/** What a node is told at its start, from the file that PROXY_CONFIG names and the variables beside it. */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+/**
+ * What a node is told at its start, from the file that PROXY_CONFIG names and the variables beside it; the second
+ * address, {@code management}, is null where it is off.
+ */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress management,
+        InetSocketAddress discovery, long seed,
         int memoryMb, int sockets, Map<String, Object> known, Settings settings, SettingsReader.Names names,
         boolean loadTellsDelay) {
 
@@ -35,6 +39,7 @@
         InetSocketAddress listen = address("listen", text(json, "listen", environment.get("PROXY_LISTEN")));
         InetSocketAddress discovery =
                 address("discovery", text(json, "discovery", environment.get("PROXY_DISCOVERY")));
+        String management = text(json, "management", environment.get("PROXY_MANAGEMENT"));
         Map<String, Object> limits = child(json, "limits");
         SettingsReader.Names names = new SettingsReader.Names();
         Map<String, Object> settings = child(json, "settings");
@@ -42,8 +47,9 @@
             throw new MalformedInput("no settings");
         }
         Map<String, Object> family = child(settings, "FamilyInfo");
-        return new NodeConfig(name, listen, discovery, seed(text(json, "seed", "0")),
-                (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
+        return new NodeConfig(name, listen,
+                management == null || management.isEmpty() ? null : address("management", management), discovery,
+                seed(text(json, "seed", "0")), (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
                 child(json, "known"), SettingsReader.read(settings, names), names,
                 Boolean.TRUE.equals(family.get("TellsDelay")) && !Boolean.TRUE.equals(family.get("TellsLoad")));
     }
--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -615,11 +615,18 @@
     }
 
     private boolean usable(long now, Request r, Server s) {
+        return inFavour(now, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s);
+    }
+
+    private boolean inFavour(long now, Server s) {
         // With most servers out of favour the fault is elsewhere: spreading over all beats crowding the rest.
         boolean panic = ejected.size() - failing > (ready.size() - failing) * (1 - PANIC);
-        return ready.has(s) && s != r.avoid && sameRepeatGroup(r, s)
-                && (now >= s.ejectedUntil || panic && !s.failing && !s.late(now, lateMs))
-                && !cold(now, s);
+        return ready.has(s) && (now >= s.ejectedUntil || panic && !s.failing && !s.late(now, lateMs));
+    }
+
+    @Override
+    public int avoided(long now) {
+        return (int) servers.values().stream().filter(s -> !s.gone && s.entry != null && !inFavour(now, s)).count();
     }
 
     /**
--- a/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/src/main/java/tulipshed/decision/BalancerApi.java
@@ -44,6 +44,9 @@
     /** A message from another balancer. */
     void peerMessage(long now, int from, byte[] body);
 
+    /** How many listed servers are sent nothing new at this time: they drain, or are out of favour. */
+    int avoided(long now);
+
     /** Everything decided, in the order decided. */
     interface Actions {
         /** Starts the next attempt of a request; time-out 0 means until the client gives up. */
--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -56,6 +56,12 @@
         double drainMoveMs,
         /** After SIGTERM: when the last client is asked to move and the last answer is given. */
         double drainEndMs,
+        /** Connections of the second address at a time, and those accepted at most while the oldest are sent away. */
+        int managementConnections,
+        /** Longest head of a call there. */
+        int managementHeadBytes,
+        /** A call there must be whole within this time, and its answer read within this time. */
+        double managementCallMs,
         /** Largest datagram taken. */
         int datagramBytes,
         /** Connections of QUIC kept at most. */
@@ -75,18 +81,18 @@
     public static Limits forDescriptors(int descriptors) {
         return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
                 10_000, 2_000, 40, 2_500, 900, 2_000, 250, 16, 120_000, 4, 10_000, 500, 40_000, 100, 1_000,
-                500, 1_500, 3_200,
+                500, 1_500, 3_200, 16, 4 * 1024, 2_000,
                 2048, 4096, 8, 4, 30_000, 5_000, 3);
     }
 
     /** How many descriptors connections may take together when a new one is taken. */
     public int connectionDescriptors() {
-        return Math.max(2, descriptors - reservedDescriptors);
+        return Math.max(2, descriptors - reservedDescriptors - managementConnections);
     }
 
     /** How many they may take when a flow is opened: clients taken at the same time must not starve each other. */
     public int flowDescriptors() {
-        return Math.max(2, descriptors - reservedDescriptors / 2);
+        return Math.max(2, descriptors - reservedDescriptors / 2 - managementConnections);
     }
 
     /** Connections without a whole first line at a time; a client that means it sends its line at once. */
--- a/src/main/java/tulipshed/line/MemberConnection.java
+++ b/src/main/java/tulipshed/line/MemberConnection.java
@@ -21,6 +21,7 @@
     private Link link;
     private String lastWord = "";
     private boolean clientFinished;
+    private boolean dispatched;
     private double askedMs = Double.NaN;
 
     MemberConnection(LineFront front, ClientSession client, ServerSideFlow flow) {
@@ -222,6 +223,10 @@
 
     @Override
     public void drained(Link from) {
+        if (state == State.WAITING && !dispatched) {
+            dispatched = true;
+            front.core.dispatched();
+        }
         client.memberDrained();
     }
 
--- /dev/null
+++ b/src/main/java/tulipshed/management/ManagementFront.java
@@ -0,0 +1,98 @@
+package tulipshed.management;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.management.ManagementSession.Answer;
+import tulipshed.time.Clock;
+import tulipshed.transaction.TransactionCore;
+
+/**
+ * The second address, for staff and their tools. Its connections are few, short and apart from the clients': when
+ * there are too many, the oldest give way, those that have their answer first.
+ */
+public final class ManagementFront {
+    final Clock clock;
+    final Limits limits;
+    final ByteBuffer scratch;
+    private final XnioLoop loop;
+    private final TransactionCore core;
+    private final BooleanSupplier serves;
+    private final Set<ManagementSession> calling = new LinkedHashSet<>();
+    private final Set<ManagementSession> answered = new LinkedHashSet<>();
+    private final AcceptingChannel<StreamConnection> server;
+
+    /** Listens at once; {@code serves} says whether this process takes clients now. */
+    public ManagementFront(InetSocketAddress address, Clock clock, Limits limits, XnioLoop loop, TransactionCore core,
+            BooleanSupplier serves) throws IOException {
+        this.clock = clock;
+        this.limits = limits;
+        this.loop = loop;
+        this.core = core;
+        this.serves = serves;
+        scratch = ByteBuffer.allocate(limits.managementHeadBytes());
+        server = loop.listen(address, this::accepted);
+        loop.after(limits.sweepMs(), this::sweep);
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return server.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /** Ends its listening and what is open. */
+    public void close() {
+        IoUtils.safeClose(server);
+        List.copyOf(calling).forEach(ManagementSession::close);
+        List.copyOf(answered).forEach(ManagementSession::close);
+    }
+
+    private void accepted(StreamConnection connection) {
+        if (calling.size() + answered.size() >= limits.managementConnections()) {
+            (answered.isEmpty() ? calling : answered).iterator().next().close();
+        }
+        ManagementSession session = new ManagementSession(this, connection);
+        calling.add(session);
+        session.start();
+    }
+
+    void answered(ManagementSession session) {
+        calling.remove(session);
+        answered.add(session);
+    }
+
+    void closed(ManagementSession session) {
+        calling.remove(session);
+        answered.remove(session);
+    }
+
+    Answer answer(String method, String path) {
+        boolean metrics = path.equals("/status/metrics");
+        if (!metrics && !path.equals("/status")) {
+            return Answer.plain(404, "Not Found", "there are /status and /status/metrics");
+        } else if (!method.equals("GET")) {
+            return Answer.plain(405, "Method Not Allowed", "only GET");
+        } else if (metrics) {
+            return new Answer(200, "OK", "application/json", "", MetricsWriter.json(core));
+        }
+        return serves.getAsBoolean() ? Answer.plain(200, "OK", "serves")
+                : Answer.plain(503, "Service Unavailable", "does not serve");
+    }
+
+    private void sweep() {
+        double longAgoMs = clock.nowMs() - limits.managementCallMs();
+        for (Set<ManagementSession> some : List.of(calling, answered)) {
+            List.copyOf(some).stream().filter(s -> s.sinceMs() < longAgoMs).forEach(ManagementSession::late);
+        }
+        loop.after(limits.sweepMs(), this::sweep);
+    }
+}
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -215,6 +215,7 @@
             return;
         }
         List.copyOf(first).forEach(this::toMember);
+        front.core.dispatched();
     }
 
     @Override
--- a/src/main/java/tulipshed/transaction/PoolMember.java
+++ b/src/main/java/tulipshed/transaction/PoolMember.java
@@ -36,4 +36,9 @@
     public boolean serving() {
         return state == ServerState.SERVING;
     }
+
+    /** Whether the list names it, serving or draining. */
+    boolean listed() {
+        return state != ServerState.GONE;
+    }
 }
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -14,6 +14,7 @@
     private final double deadlineMs;
     private final boolean standingBefore;
     private long id;
+    private String className;
     private State state = State.OWED;
     private ServerSideFlow flow;
     private int attempts;
@@ -39,10 +40,23 @@
         this.id = id;
     }
 
+    /** The class is kept by its name: settings that change later leave an open transaction its own. */
+    void className(String name) {
+        className = name;
+    }
+
+    String className() {
+        return className;
+    }
+
     long id() {
         return id;
     }
 
+    int requestClass() {
+        return arrival.requestClass();
+    }
+
     NewRequest asRequest(double nowMs) {
         double left = Math.max(0, deadlineMs - nowMs);
         return new NewRequest(id, arrival.requestClass(), arrival.tenant(), arrival.key(), arrival.group(),
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -37,6 +37,7 @@
     private final Loop loop;
     private final Consumer<String> log;
     private final BalancerApi module;
+    private final Figures figures = new Figures();
     private final Map<String, PoolMember> members = new HashMap<>();
     private final Map<Long, Transaction> transactions = new HashMap<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
@@ -72,6 +73,7 @@
         this.loop = loop;
         this.log = log;
         this.module = factory.create(settings, seed, Clock.toMicros(clock.nowMs()), new Decisions());
+        figures.classes(settings.classes());
         // The module may have asked for timers already, before anything was gathered.
         wake();
     }
@@ -85,6 +87,7 @@
 
     /** A transaction arrived; it is owed one final answer from here on. */
     public void arrived(Transaction t) {
+        count(t);
         take(t);
         due(t.deadlineMs() - limits.answerMarginMs(), () -> overdue(t));
         gather((module, nowMs, nowUs) -> module.request(nowUs, t.asRequest(nowMs)));
@@ -92,6 +95,7 @@
 
     /** A connection that stood at that member before this node started wants to go on. */
     public void alreadyOpen(Transaction t, String memberId) {
+        count(t);
         carryOn(t, memberId, clock.nowMs());
     }
 
@@ -109,8 +113,7 @@
             if (nowMs < (listTold ? sinceMs + limits.unlistedMemberMs() : untilMs)) {
                 due(nowMs + limits.unknownMemberMs(), () -> carryOn(t, memberId, sinceMs));
             } else {
-                t.close();
-                t.client().fail();
+                failed(t);
             }
             return;
         }
@@ -122,6 +125,28 @@
         decided.add(() -> t.connector().open(flow));
     }
 
+    private void count(Transaction t) {
+        t.className(settings.classes().get(t.requestClass()).name());
+        figures.taken();
+    }
+
+    private void close(Transaction t) {
+        t.close();
+        figures.ended();
+    }
+
+    private void failed(Transaction t) {
+        close(t);
+        figures.failed(t);
+        t.client().fail();
+    }
+
+    private void rejected(Transaction t, double retryAfterMs) {
+        close(t);
+        figures.rejected(t);
+        t.client().reject(retryAfterMs);
+    }
+
     private void take(Transaction t) {
         t.number(++lastId);
         transactions.put(t.id(), t);
@@ -145,6 +170,7 @@
             return false;
         }
         t.stand();
+        figures.up(t);
         standing.add(t);
         flow.connect();
         flow.up(clock.nowMs());
@@ -155,6 +181,11 @@
         return true;
     }
 
+    /** An attempt has been written whole to its member. */
+    public void dispatched() {
+        figures.dispatched();
+    }
+
     /** How a flow ended; told once, later tellings are passed over. */
     public void ended(ServerSideFlow flow, Outcome outcome) {
         if (flow.over()) {
@@ -164,12 +195,11 @@
         Transaction t = flow.transaction();
         t.flow(null);
         if (t.standing()) {
-            t.close();
+            close(t);
             standing.remove(t);
         } else if (t.stoodBefore() && t.owed()) {
             // The module counts it as standing and will not answer; the client is owed a word all the same.
-            t.close();
-            t.client().fail();
+            failed(t);
         }
         gather((module, ms, nowUs) -> {
             module.finished(nowUs, t.id(), flow.number(), !t.owed(), outcome, Report.NONE);
@@ -182,7 +212,7 @@
         if (!t.owed()) {
             return;
         }
-        t.close();
+        close(t);
         if (t.id() == 0) {
             // Its member was still waited for, so the module has not heard of it.
             return;
@@ -330,8 +360,7 @@
     private void overdue(Transaction t) {
         if (t.owed() && t.flow() == null) {
             log.accept("transaction " + t.id() + " was overdue");
-            t.close();
-            t.client().fail();
+            failed(t);
             gather((module, ms, nowUs) -> {
                 module.abandoned(nowUs, t.id());
                 forget(t);
@@ -382,12 +411,12 @@
 
         @Override
         public void refuse(long request, long retryAfterUs) {
-            decided.add(() -> answer(request, t -> t.client().reject(Clock.toMillis(retryAfterUs))));
+            decided.add(() -> answer(request, t -> rejected(t, Clock.toMillis(retryAfterUs))));
         }
 
         @Override
         public void fail(long request) {
-            decided.add(() -> answer(request, t -> t.client().fail()));
+            decided.add(() -> answer(request, t -> failed(t)));
         }
 
         @Override
@@ -425,7 +454,6 @@
     private void answer(long request, Consumer<Transaction> how) {
         Transaction t = transactions.get(request);
         if (t != null && t.owed()) {
-            t.close();
             how.accept(t);
             forget(t);
         }
@@ -484,6 +512,20 @@
         return true;
     }
 
+    public Figures figures() {
+        return figures;
+    }
+
+    /** Pool members that the list names. */
+    public long targets() {
+        return members.values().stream().filter(PoolMember::listed).count();
+    }
+
+    /** Those of them to which the module sends nothing new now. */
+    public int targetsAvoided() {
+        return module.avoided(Clock.toMicros(clock.nowMs()));
+    }
+
     public int standingCount() {
         return standing.size();
     }
@@ -492,7 +534,7 @@
     public void rejectAllOwed() {
         for (Transaction t : List.copyOf(transactions.values())) {
             if (t.owed()) {
-                answer(t.id(), x -> x.client().reject(0));
+                answer(t.id(), x -> rejected(x, 0));
                 callOff(t);
             }
         }
--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/src/test/java/tulipshed/command/NodeTest.java
@@ -55,7 +55,8 @@
         Path file = folder.resolve("node.json");
         Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json"))
                 .replace(":18080", ":0").replace(":18081", ":" + member.getLocalPort()));
-        node = new Node(NodeConfig.load(Map.of("PROXY_CONFIG", file.toString())), quic,
+        Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
+        node = new Node(NodeConfig.load(environment), quic,
                 Limits.forDescriptors(descriptors), new SystemClock(), log::add);
     }
 
@@ -77,6 +78,58 @@
         return server;
     }
 
+    /** What the second address answers, head and body. */
+    private String call(String what) throws IOException {
+        try (Socket staff = new Socket(node.management().getAddress(), node.management().getPort())) {
+            staff.setSoTimeout(1000);
+            staff.getOutputStream().write((what + " HTTP/1.1\r\nHost: n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(staff.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    @Test
+    void theFiguresSayWhatTheNodeDoesAlsoWhileItLeaves() throws Exception {
+        node(1024);
+        assertTrue(call("GET /status").startsWith("HTTP/1.1 200 "));
+        assertTrue(call("GET /status/metrics").endsWith("{\"replies\":{"
+                + "\"slot-board\":{\"success\":0,\"overload\":0,\"error\":0},"
+                + "\"gate-status\":{\"success\":0,\"overload\":0,\"error\":0},"
+                + "\"slot-booking\":{\"success\":0,\"overload\":0,\"error\":0}},"
+                + "\"concurrent\":0,\"dispatches\":0,\"targets\":1,\"targets_disabled\":0,"
+                + "\"reload_success\":0,\"reload_failure\":0}"));
+        try (Socket one = client(OPEN); Socket first = serve()) {
+            assertEquals("UP r", reader(one).readLine());
+            String figures = call("GET /status/metrics");
+            assertTrue(figures.contains("\"slot-board\":{\"success\":1,\"overload\":0,\"error\":0}"), figures);
+            assertTrue(figures.contains("\"concurrent\":1,\"dispatches\":1,"), figures);
+            Thread leaving = new Thread(node::leave);
+            leaving.start();
+            while (!node.isLeaving()) {
+                Thread.onSpinWait();
+            }
+            assertTrue(call("GET /status").startsWith("HTTP/1.1 503 "), "from the signal on");
+            assertTrue(call("GET /status/metrics").contains("\"concurrent\":1,"));
+            assertEquals("MOVE", reader(one).readLine());
+            leaving.join(5000);
+        }
+    }
+
+    /** The clients' descriptors are one thing, those of the second address another. */
+    @Test
+    void aNodeWithoutDescriptorsForClientsStillAnswersItsStaff() throws IOException {
+        node(64 + 16 + 4);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            clients.add(client(OPEN));
+            clients.add(serve());
+        }
+        assertTrue(call("GET /status").startsWith("HTTP/1.1 200 "));
+        assertTrue(call("GET /status/metrics").contains("\"concurrent\":2,"));
+        for (Socket s : clients) {
+            s.close();
+        }
+    }
+
     @Test
     void aNodeThatLeavesTakesWhatStillComesAnswersAllAndMovesItsClients() throws Exception {
         node(1024);
@@ -121,7 +174,7 @@
     /** Without this a node at its limit would take clients that it cannot connect onwards, or not take any. */
     @Test
     void aNodeWithoutDescriptorsTurnsAwayCleanlyAndGoesOn() throws IOException {
-        node(64 + 4);
+        node(64 + 16 + 4);
         try (Socket one = client(OPEN); Socket first = serve()) {
             assertEquals("UP r", reader(one).readLine());
             Socket two = client(OPEN);
@@ -142,7 +195,7 @@
     /** Seen on a rude day: hundreds that say nothing took the descriptors, and 957 others were turned away. */
     @Test
     void clientsThatSayNothingGiveWayToOthers() throws IOException {
-        node(64 + 16);
+        node(64 + 16 + 16);
         List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             silent.add(client(i % 2 == 0 ? "" : "frob\r\n"));
--- a/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -31,6 +32,15 @@
         assertEquals(1, config.knownServers().size());
     }
 
+    @Test
+    void theSecondAddressIsOffUnlessTheFileOrTheEnvironmentNamesIt() {
+        assertNull(NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString())).management());
+        assertEquals(18090, NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString(), "PROXY_MANAGEMENT",
+                "127.0.0.1:18090")).management().getPort());
+        assertThrows(MalformedInput.class, () -> NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString(),
+                "PROXY_MANAGEMENT", "nowhere")));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"127.0.0.1:18080 | nowhere:80", "8c1f30d27a5be964 | xyz",
         "\"settings\" | \"setting\"", "\"sockets\": 1024 | \"sockets\": \"1024\"", "\"Classes\" | \"Klasses\""})
--- a/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/src/test/java/tulipshed/decision/BalancerTest.java
@@ -581,6 +581,23 @@
         assertTrue(last >= 5 * SECOND && last <= 15 * SECOND, "wait after many failures: " + last);
     }
 
+    @Test
+    void avoidedAreThoseThatDrainAndThoseOutOfFavour() {
+        Balancer b = balancer(4);
+        assertEquals(0, b.avoided(0));
+        b.request(0, request(1));
+        String failed = recorder.sentTo();
+        end(b, 0, 1, 0, false, Outcome.CONNECT_FAILED);
+        assertEquals(1, b.avoided(1));
+        assertTrue(!recorder.sentTo().equals(failed));
+        int other = failed.equals(name(0)) ? 1 : 0;
+        b.servers(1, ListKind.CHANGES, List.of(setup.server(other, ServerState.DRAINING, 0)));
+        assertEquals(2, b.avoided(1));
+        b.servers(1, ListKind.CHANGES, List.of(setup.server(other, ServerState.GONE, 0)));
+        assertEquals(1, b.avoided(1), "it is not listed any more");
+        assertEquals(0, b.avoided(60 * SECOND), "an ejection ends by itself");
+    }
+
     // ---- Probes ----
 
     private static BalancerApi.Report report(double load) {
--- a/src/test/java/tulipshed/testing/ModuleDelegate.java
+++ b/src/test/java/tulipshed/testing/ModuleDelegate.java
@@ -65,4 +65,9 @@
     public void peerMessage(long now, int from, byte[] body) {
         to.peerMessage(now, from, body);
     }
+
+    @Override
+    public int avoided(long now) {
+        return to.avoided(now);
+    }
 }
--- a/src/test/java/tulipshed/transaction/CoreBench.java
+++ b/src/test/java/tulipshed/transaction/CoreBench.java
@@ -198,4 +198,9 @@
 
     @Override
     public void peerMessage(long now, int from, byte[] body) { }
+
+    @Override
+    public int avoided(long now) {
+        return 1;
+    }
 }
--- a/src/test/java/tulipshed/transaction/TransactionCoreTest.java
+++ b/src/test/java/tulipshed/transaction/TransactionCoreTest.java
@@ -181,4 +181,34 @@
         bench.pass(2);
         assertEquals(List.of("timer 77"), bench.take());
     }
+
+    private String replies(String requestClass) {
+        Figures.Replies r = bench.core.figures().replies().get(requestClass);
+        return r.up() + " " + r.rejected() + " " + r.failed();
+    }
+
+    @Test
+    void eachFinalAnswerIsCountedOnceForItsClass() {
+        bench.core.up(bench.sent(2000));
+        bench.sent(2000);
+        assertEquals(2, bench.core.figures().concurrent());
+        bench.module.refuse(bench.lastRequest, 0);
+        bench.module.refuse(bench.lastRequest, 0);
+        bench.core.turn();
+        bench.arriveAt("s-1");
+        bench.take();
+        bench.core.ended(bench.flows.get(bench.flows.size() - 1), Outcome.RESET);
+        bench.core.clientLeft(bench.arrive(2000));
+        bench.arrive(300);
+        bench.pass(300);
+        assertEquals("1 1 2", replies("slot-board"));
+        assertEquals("0 0 0", replies("gate-status"));
+        assertEquals(1, bench.core.figures().concurrent(), "the one that stands");
+        bench.core.ended(bench.flows.get(0), Outcome.OK);
+        assertEquals(0, bench.core.figures().concurrent());
+        bench.tell("s-2", ServerState.DRAINING);
+        assertEquals(2, bench.core.targets());
+        bench.tell("s-2", ServerState.GONE);
+        assertEquals(1, bench.core.targets());
+    }
 }
