--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -1,6 +1,7 @@
 package tulipshed.command;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -16,6 +17,7 @@
 import tulipshed.discovery.Watch;
 import tulipshed.limits.Limits;
 import tulipshed.line.LineFront;
+import tulipshed.link.Siblings;
 import tulipshed.link.XnioLoop;
 import tulipshed.management.ManagementFront;
 import tulipshed.quic.QuicConfig;
@@ -25,7 +27,7 @@
 
 /** Puts the parts of one node together, and takes it out of service in good order. */
 final class Node {
-    private static final double LEAVING_STEP_MS = 25;
+    private static final double STEP_MS = 25;
 
     private final NodeConfig config;
     private final QuicConfig quicConfig;
@@ -33,6 +35,7 @@
     private final Consumer<String> log;
     private final Limits limits;
     private final XnioLoop loop;
+    private final Siblings siblings;
     private TransactionCore core;
     private LineFront front;
     private QuicFront quic;
@@ -40,23 +43,31 @@
     private Watch watch;
     private AcceptingChannel<StreamConnection> server;
     private double leavingSinceMs;
+    private double endMs;
+    private boolean handedOver;
     private volatile boolean leaving;
 
-    /** Starts a node; the second front stays off where its configuration is null or says so. */
+    /** Starts a node that has no other process beside it. */
     Node(NodeConfig config, QuicConfig quicConfig, Limits limits, Clock clock, Consumer<String> log)
             throws IOException {
+        this(config, quicConfig, limits, new Siblings(), clock, log);
+    }
+
+    /** Starts a node; the second front stays off where its configuration is null or says so. */
+    Node(NodeConfig config, QuicConfig quicConfig, Limits limits, Siblings siblings, Clock clock, Consumer<String> log)
+            throws IOException {
+        this.siblings = siblings;
         this.config = config;
         this.quicConfig = quicConfig;
         this.clock = clock;
         this.log = log;
         this.limits = limits;
-        loop = new XnioLoop(limits);
+        loop = new XnioLoop(limits, siblings);
         // All parts live on the loop; whoever starts the node waits until it takes connections.
         CompletableFuture<Void> started = new CompletableFuture<>();
         loop.afterGathering(() -> {
             try {
-                start();
-                started.complete(null);
+                start(started);
             } catch (IOException | RuntimeException e) {
                 started.completeExceptionally(e);
             }
@@ -73,7 +84,7 @@
         }
     }
 
-    private void start() throws IOException {
+    private void start(CompletableFuture<Void> started) throws IOException {
         core = new TransactionCore(clock, limits, config.settings(), config.seed(), loop, log, Balancer::new);
         if (config.management() != null) {
             management = new ManagementFront(config.management(), clock, limits, loop, core,
@@ -87,12 +98,51 @@
         watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
         core.source(watch);
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
-        if (quicConfig != null && quicConfig.listen() != null) {
-            quic = new QuicFront(clock, limits, quicConfig, loop, core, log);
-            log.accept("tulipshed: QUIC on " + quic.address());
+        if (siblings.otherServes()) {
+            // What discovery has told the other process binds this one as well, so it asks before it serves.
+            watch.catchUp();
+            takeOver(started, clock.nowMs() + limits.takeOverListMs());
+        } else {
+            serve(started);
+        }
+    }
+
+    private void takeOver(CompletableFuture<Void> started, double latestMs) {
+        if (core.listTold() || clock.nowMs() >= latestMs) {
+            serve(started);
+        } else {
+            loop.after(STEP_MS, () -> takeOver(started, latestMs));
+        }
+    }
+
+    private void serve(CompletableFuture<Void> started) {
+        try {
+            server = loop.listen(config.listen(), front::accepted);
+            siblings.serves();
+            lookAtSiblings();
+            log.accept("tulipshed: " + config.name() + " serves on " + config.listen()
+                    + (siblings.accompanied() ? ", beside another process" : ""));
+            started.complete(null);
+        } catch (UncheckedIOException e) {
+            started.completeExceptionally(e.getCause());
+        } catch (IOException | RuntimeException e) {
+            started.completeExceptionally(e);
+        }
+    }
+
+    /** Keeps up with the other process of this node; its UDP port is free once it has gone. */
+    private void lookAtSiblings() {
+        loop.after(limits.sweepMs(), this::lookAtSiblings);
+        siblings.look();
+        core.share(siblings.share());
+        if (!siblings.accompanied() && quic == null && quicConfig != null && quicConfig.listen() != null && !leaving) {
+            try {
+                quic = new QuicFront(clock, limits, quicConfig, loop, core, log);
+                log.accept("tulipshed: QUIC on " + quic.address());
+            } catch (IOException e) {
+                throw new UncheckedIOException("QUIC: " + e.getMessage(), e);
+            }
         }
-        server = loop.listen(config.listen(), front::accepted);
-        log.accept("tulipshed: " + config.name() + " serves on " + config.listen());
     }
 
     /** Where clients connect. */
@@ -130,9 +180,17 @@
         CountDownLatch gone = new CountDownLatch(1);
         loop.afterGathering(() -> {
             leavingSinceMs = clock.nowMs();
-            front.leaving();
+            siblings.look();
+            handedOver = siblings.otherServes();
+            siblings.leaves();
+            core.share(siblings.share());
+            if (!handedOver) {
+                front.leaving();
+            }
             leaving = true;
-            log.accept("tulipshed: leaving, " + core.standingCount() + " connections stand");
+            endMs = Math.min(limits.drainLongestMs(), core.longestDeadlineMs()) + limits.drainEndMs();
+            log.accept("tulipshed: leaving" + (handedOver ? " to another process, " : ", ") + core.standingCount()
+                    + " connections stand");
             step(gone);
         });
         try {
@@ -155,7 +213,8 @@
 
     private void step(CountDownLatch gone) {
         double sinceMs = clock.nowMs() - leavingSinceMs;
-        if (sinceMs >= limits.drainTakeMs() && server != null) {
+        // Where another process listens already, what comes after this moment is better off there.
+        if ((handedOver || sinceMs >= limits.drainTakeMs()) && server != null) {
             takeLast();
             IoUtils.safeClose(server);
             server = null;
@@ -163,15 +222,16 @@
                 quic.leaving();
             }
         }
-        if (sinceMs >= limits.drainMoveMs()) {
-            double leftMs = Math.max(LEAVING_STEP_MS, limits.drainEndMs() - sinceMs);
-            int now = (int) Math.ceil(core.standingCount() * Math.min(1, LEAVING_STEP_MS / leftMs));
+        if (sinceMs >= (handedOver ? 0 : Math.min(limits.drainMoveMs(), endMs / 2))) {
+            double leftMs = Math.max(STEP_MS, endMs - sinceMs);
+            int now = (int) Math.ceil(core.standingCount() * Math.min(1, STEP_MS / leftMs));
             for (int i = 0; i < now && core.moveOne(); i++) { }
         }
-        if (sinceMs >= limits.drainEndMs()) {
+        boolean done = handedOver && core.figures().concurrent() == 0 && loop.open() == 0;
+        if (sinceMs >= endMs || done) {
             core.rejectAllOwed();
             while (core.moveOne()) { }
-            if (loop.open() == 0 || sinceMs > limits.drainEndMs() + limits.lingerMs() / 3) {
+            if (loop.open() == 0 || sinceMs > endMs + limits.lingerMs() / 3) {
                 if (quic != null) {
                     quic.close();
                 }
@@ -182,6 +242,6 @@
                 return;
             }
         }
-        loop.after(LEAVING_STEP_MS, () -> step(gone));
+        loop.after(STEP_MS, () -> step(gone));
     }
 }
--- a/src/main/java/tulipshed/command/ServeCommand.java
+++ b/src/main/java/tulipshed/command/ServeCommand.java
@@ -2,12 +2,14 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Map;
 import org.kohsuke.args4j.Option;
 import sun.misc.Signal;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
+import tulipshed.link.Siblings;
 import tulipshed.quic.QuicConfig;
 import tulipshed.time.SystemClock;
 
@@ -24,9 +26,10 @@
         Reload reload = new Reload(() -> NodeConfig.load(environment), System.out::println);
         // Without a handler of its own the virtual machine would exit on SIGHUP.
         Signal.handle(new Signal("HUP"), s -> reload.reload());
+        Limits limits = Limits.forDescriptors(config.sockets());
         try {
-            Node node = new Node(config, second, Limits.forDescriptors(config.sockets()), new SystemClock(),
-                    System.out::println);
+            Siblings siblings = siblings(config, environment.get("TMPDIR"), limits);
+            Node node = new Node(config, second, limits, siblings, new SystemClock(), System.out::println);
             reload.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
@@ -34,4 +37,20 @@
             throw new MalformedInput("cannot listen on " + config.listen() + ": " + e.getMessage());
         }
     }
+
+    /** A node may run as two processes while one takes over; they meet in a file that its address names. */
+    private static Siblings siblings(NodeConfig config, String folder, Limits limits) {
+        if (folder == null || folder.isEmpty()) {
+            return new Siblings();
+        }
+        String address = config.listen().getAddress().getHostAddress() + "-" + config.listen().getPort();
+        try {
+            return new Siblings(Path.of(folder, "tulipshed-" + address.replace(':', '.') + ".share"), limits.sharedIds());
+        } catch (IOException e) {
+            System.out.println("tulipshed: no second process can take over, TMPDIR is of no use: " + e);
+            return new Siblings();
+        } catch (IllegalStateException e) {
+            throw new MalformedInput(e.getMessage());
+        }
+    }
 }
--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -55,6 +55,7 @@
     private static final int MOST_GROUPS = 4096; // remembered before those long unseen are forgotten
     private static final double ASK_SPREAD = 0.4; // of the time allowed: first call to discovery, by chance
     private static final long ASK_BACKOFF_US = 1_000_000; // after a failed call, doubled, with chance
+    private static final double NO_PART = 1e-9; // of the allowances: nothing, and yet free stays free
     private static final double REUSE = 1; // of the mean load, up to which a free connection is used
     private static final double PROBE_WORTH = 0.01; // price of a probe a request below which reports pay
     private static final long PROBE_WAIT_US = 150_000; // for the reports of two candidates
@@ -93,6 +94,7 @@
     private int failing;
     private int listVersion;
     private int failedCalls;
+    private double ownPart = 1;
     private long nextLogUs = Long.MIN_VALUE;
     private final double lateMs;
     private final boolean crossingCosts;
@@ -389,7 +391,7 @@
         Request r = new Request(in, settings.classes().get(in.requestClass()), now);
         requests.put(in.id(), r);
         if (!in.midFlow()) {
-            double rate = curve.rateAt(depth(now));
+            double rate = curve.rateAt(depth(now)) * ownPart;
             TokenBucket bucket = buckets[Math.max(0, in.tenant())];
             if (!bucket.take(now, rate)) {
                 if (now >= nextLogUs) {
@@ -404,6 +406,11 @@
         place(now, r);
     }
 
+    @Override
+    public void share(long now, double ofBalancer) {
+        ownPart = Math.max(NO_PART, ofBalancer);
+    }
+
     /**
      * Pending over limits. A fleet whose standing connections overload it has nothing pending: there the
      * share out of favour of the servers it has news of (and two more, lest one be all) is the depth.
@@ -644,7 +651,7 @@
         double share = settings.rules().coldShare();
         double ramp = share + (1 - share) * Math.max(0, Math.min(age, coldUs)) / coldUs;
         double each = Math.max(readyOpen, quotaOpen) * s.weight() / Math.max(1e-9, readyWeight);
-        double perUs = FILL * each / coldUs * ramp;
+        double perUs = FILL * each / coldUs * ramp * ownPart;
         s.credit = Math.min(Math.max(1, perUs * CREDIT_US), s.credit + perUs * (now - s.creditAt));
         s.creditAt = now;
         return s.credit < 1;
--- a/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/src/main/java/tulipshed/decision/BalancerApi.java
@@ -44,6 +44,9 @@
     /** A message from another balancer. */
     void peerMessage(long now, int from, byte[] body);
 
+    /** Of all that one balancer is allowed this instance has that share from now on; another has the rest. */
+    void share(long now, double ofBalancer);
+
     /** How many listed servers are sent nothing new at this time: they drain, or are out of favour. */
     int avoided(long now);
 
--- a/src/main/java/tulipshed/discovery/Watch.java
+++ b/src/main/java/tulipshed/discovery/Watch.java
@@ -29,6 +29,7 @@
     private long version;
     /** Whether the next call asks for the whole list, which discovery answers without waiting for news. */
     private boolean whole;
+    private boolean catchingUp;
     private Link link;
     private XnioLoop.Dialing dialing;
     private HttpAnswer answer;
@@ -53,6 +54,12 @@
         }
     }
 
+    /** Asks now for all that changed, without waiting for news: what another process was told binds this one. */
+    public void catchUp() {
+        catchingUp = true;
+        watch();
+    }
+
     /**
      * Discovery is elsewhere from now on. What the old address still says or fails to say changes nothing, and as
      * the new one may count its versions differently, it is asked for the whole list, at once: what it has to tell
@@ -71,7 +78,7 @@
         calling = true;
         answer = new HttpAnswer(limits.httpHeadBytes(), limits.httpBodyBytes());
         long call = ++calls;
-        loop.after((whole ? 0 : limits.watchWaitMs()) + limits.watchSilenceMs(), () -> {
+        loop.after(waitMs() + limits.watchSilenceMs(), () -> {
             if (calling && call == calls) {
                 failed("silence");
             }
@@ -83,6 +90,10 @@
         }
     }
 
+    private double waitMs() {
+        return whole || catchingUp ? 0 : limits.watchWaitMs();
+    }
+
     private void up(StreamConnection connection) {
         dialing = null;
         link = loop.link(connection, this);
@@ -92,7 +103,7 @@
 
     private void ask() {
         String host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
-        String what = whole ? "" : "?index=" + version + "&wait=" + (long) limits.watchWaitMs();
+        String what = whole ? "" : "?index=" + version + "&wait=" + (long) waitMs();
         link.write(("GET /discovery/hosts" + what + " HTTP/1.1\r\nHost: " + host
                 + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
     }
@@ -136,6 +147,7 @@
         calling = false;
         version = list.version();
         whole = false;
+        catchingUp = false;
         if (ended || answer.closes()) {
             hangUp();
         }
--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -54,8 +54,13 @@
         double drainTakeMs,
         /** After SIGTERM: from when on clients are asked to move; until then the others may still be coming back. */
         double drainMoveMs,
-        /** After SIGTERM: when the last client is asked to move and the last answer is given. */
+        /** After SIGTERM: the longest that a deadline counts, and how long after it all is answered and moved. */
+        double drainLongestMs,
         double drainEndMs,
+        /** How long the process that takes over waits for discovery's list before it serves with the one it has. */
+        double takeOverListMs,
+        /** Open ids that a process shows to the other process of its node. */
+        int sharedIds,
         /** Connections of the second address at a time, and those accepted at most while the oldest are sent away. */
         int managementConnections,
         /** Longest head of a call there. */
@@ -81,7 +86,7 @@
     public static Limits forDescriptors(int descriptors) {
         return new Limits(4096, 16 * 1024, 16 * 1024, descriptors, 64, 1024, 8 * 1024, 4 * 1024 * 1024,
                 10_000, 2_000, 40, 2_500, 900, 2_000, 250, 16, 120_000, 4, 10_000, 500, 40_000, 100, 1_000,
-                500, 1_500, 3_200, 16, 4 * 1024, 2_000,
+                500, 1_500, 3_000, 200, 1_500, 4096, 16, 4 * 1024, 2_000,
                 2048, 4096, 8, 4, 30_000, 5_000, 3);
     }
 
--- a/src/main/java/tulipshed/line/LineFront.java
+++ b/src/main/java/tulipshed/line/LineFront.java
@@ -68,13 +68,21 @@
         return ready;
     }
 
-    /** An id names one open transaction: false where it is another's already. */
+    /** An id names one open transaction of the node, in whichever process: false where it is another's already. */
     boolean takeId(String id) {
-        return openIds.add(id);
+        if (!openIds.add(id)) {
+            return false;
+        }
+        if (!loop.siblings().take(id)) {
+            openIds.remove(id);
+            return false;
+        }
+        return true;
     }
 
     void freeId(String id) {
         openIds.remove(id);
+        loop.siblings().free(id);
     }
 
     /** Whether a flow may take a descriptor; who is not served gives way to it. */
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -28,11 +28,18 @@
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Limits limits;
+    private final Siblings siblings;
     private int open;
     private volatile boolean stopped;
 
     public XnioLoop(Limits limits) throws IOException {
+        this(limits, new Siblings());
+    }
+
+    /** A loop whose process may not be the only one of its node. */
+    public XnioLoop(Limits limits, Siblings siblings) throws IOException {
         this.limits = limits;
+        this.siblings = siblings;
         // XNIO and its threads greet with a line each, whose formatting alone costs a tenth of the start.
         LIBRARIES.forEach(l -> l.setLevel(Level.WARNING));
         Xnio xnio = Xnio.getInstance("nio", XnioLoop.class.getClassLoader());
@@ -63,12 +70,28 @@
 
     /** Whether two more connections, a client's and its member's, stay within the descriptors allowed. */
     public boolean hasRoom() {
-        return open + 2 <= limits.connectionDescriptors();
+        return open + others() + 2 <= limits.connectionDescriptors();
     }
 
     /** Whether one more connection, to a member, stays within the descriptors allowed. */
     public boolean hasRoomForFlow() {
-        return open < limits.flowDescriptors();
+        return open + others() < limits.flowDescriptors();
+    }
+
+    /** What another process of this node holds: its connections, and what a process needs besides. */
+    private int others() {
+        return siblings.accompanied()
+                ? siblings.otherOpen() + limits.reservedDescriptors() + limits.managementConnections() : 0;
+    }
+
+    private void opened(int more) {
+        open += more;
+        siblings.open(open);
+    }
+
+    /** The other process of this node, where there is one. */
+    public Siblings siblings() {
+        return siblings;
     }
 
     /** Connections open now. */
@@ -99,8 +122,8 @@
     public DatagramPort datagrams(InetSocketAddress address, ByteBuffer scratch, DatagramPort.Receiver receiver)
             throws IOException {
         MulticastMessageChannel channel = worker.createUdpServer(address, OptionMap.EMPTY);
-        open++;
-        return new DatagramPort(channel, scratch, receiver, () -> open--);
+        opened(1);
+        return new DatagramPort(channel, scratch, receiver, () -> opened(-1));
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
@@ -112,8 +135,8 @@
 
     /** Makes a connection known to be open; it is counted until it is closed. */
     public Link link(StreamConnection connection, Link.Owner owner) {
-        open++;
-        return new Link(connection, owner, () -> open--);
+        opened(1);
+        return new Link(connection, owner, () -> opened(-1));
     }
 
     /** A connection being made. */
@@ -125,7 +148,7 @@
     /** Opens a connection; one of the two is called, on the loop, unless it is given up before. */
     public Dialing dial(InetSocketAddress to, Consumer<StreamConnection> up, Consumer<String> failed) {
         Dial dial = new Dial(up, failed);
-        open++;
+        opened(1);
         IoFuture<StreamConnection> future = thread.openStreamConnection(to, dial::up,
                 OptionMap.create(Options.TCP_NODELAY, true));
         dial.future = future;
@@ -154,7 +177,7 @@
         void up(StreamConnection c) {
             if (!over) {
                 over = true;
-                open--;
+                opened(-1);
                 if (given) {
                     org.xnio.IoUtils.safeClose(c);
                 } else {
@@ -166,7 +189,7 @@
         void failed(String why) {
             if (!over) {
                 over = true;
-                open--;
+                opened(-1);
                 if (!given) {
                     failed.accept(why);
                 }
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -13,6 +13,7 @@
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
 import tulipshed.time.Clock;
@@ -46,6 +47,7 @@
     private final Set<Transaction> standing = new LinkedHashSet<>();
     private MemberSource source = () -> { };
     private boolean listTold;
+    private double share = 1;
     private boolean turnAhead;
     private double armedMs = Double.MAX_VALUE;
     private long lastId;
@@ -526,6 +528,24 @@
         return module.avoided(Clock.toMicros(clock.nowMs()));
     }
 
+    /** Whether discovery has told its list since the start. */
+    public boolean listTold() {
+        return listTold;
+    }
+
+    /** The share of what this node is allowed that this process may use. */
+    public void share(double ofNode) {
+        if (ofNode != share) {
+            share = ofNode;
+            gather((module, ms, nowUs) -> module.share(nowUs, ofNode));
+        }
+    }
+
+    /** The longest that a client of any class waits. */
+    public double longestDeadlineMs() {
+        return Clock.toMillis(settings.classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0));
+    }
+
     public int standingCount() {
         return standing.size();
     }
--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/src/test/java/tulipshed/command/NodeTest.java
@@ -34,6 +34,7 @@
     private Path folder;
     private final List<String> log = new CopyOnWriteArrayList<>();
     private int ids;
+    private int longest = 4;
     private ServerSocket member;
     private Node node;
 
@@ -54,7 +55,7 @@
     private void node(int descriptors, QuicConfig quic) throws IOException {
         Path file = folder.resolve("node.json");
         Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json"))
-                .replace(":18080", ":0").replace(":18081", ":" + member.getLocalPort()));
+                .replace(":18080", ":0").replace(":18081", ":" + member.getLocalPort()).replaceAll("(\"HardLimitS\": )[34]", "$1" + longest));
         Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
         node = new Node(NodeConfig.load(environment), quic,
                 Limits.forDescriptors(descriptors), new SystemClock(), log::add);
@@ -158,6 +159,21 @@
         }
     }
 
+    /** SIGKILL comes 0.7 s after the longest deadline, which settings may make shorter than usual. */
+    @Test
+    void whereNobodyWaitsLongANodeLeavesSooner() throws IOException {
+        longest = 1;
+        node(1024);
+        try (Socket standing = client(OPEN); Socket server = serve()) {
+            assertEquals("UP r", reader(standing).readLine());
+            long sinceNs = System.nanoTime();
+            node.leave();
+            // The deadlines are 1.0 to 1.8 s here.
+            assertTrue(System.nanoTime() - sinceNs < 2_500_000_000L);
+            assertEquals("MOVE", reader(standing).readLine());
+        }
+    }
+
     @Test
     void theSecondFrontListensWhereItsFileSaysAndNotOnThePlatform() throws IOException {
         Path file = folder.resolve("quic.json");
--- /dev/null
+++ b/src/test/java/tulipshed/command/UpgradeTest.java
@@ -0,0 +1,118 @@
+package tulipshed.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tulipshed.testing.NodeProcess.call;
+import static tulipshed.testing.NodeProcess.connect;
+import static tulipshed.testing.NodeProcess.freePort;
+import static tulipshed.testing.NodeProcess.reader;
+import static tulipshed.testing.NodeProcess.say;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tulipshed.testing.NodeProcess;
+
+/** A second process of one node takes over from the first. */
+@Timeout(60)
+class UpgradeTest {
+    private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
+    @TempDir
+    private Path folder;
+    private final int listen = freePort();
+    private final ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+    UpgradeTest() throws IOException { }
+
+    private NodeProcess start(int management) throws IOException {
+        Path file = Files.writeString(folder.resolve("node.json"),
+                Files.readString(Path.of("src/test/resources/node.json")).replace(":18080", ":" + listen)
+                        .replace(":18081", ":" + member.getLocalPort()));
+        return new NodeProcess(Map.of("PROXY_CONFIG", file.toString(), "TMPDIR", folder.toString(),
+                "PROXY_MANAGEMENT", "127.0.0.1:" + management));
+    }
+
+    private Socket open(String id) throws IOException {
+        Socket client = connect(listen);
+        say(client, OPEN.replace("ID", id));
+        return client;
+    }
+
+    private Socket serve() throws IOException {
+        Socket server = member.accept();
+        assertTrue(reader(server).readLine().startsWith("OPEN"));
+        say(server, "UP r\r\n");
+        return server;
+    }
+
+    private static void untilYes(int management) throws Exception {
+        while (true) {
+            try {
+                if (call(management, "/status").startsWith("HTTP/1.1 200 ")) {
+                    return;
+                }
+            } catch (IOException notYet) {
+                assertTrue(notYet.getMessage() != null);
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    /** Without a shared port the second process cannot start; without shared ids it serves one id twice. */
+    @Test
+    void theSecondProcessTakesTheClientsAndTheFirstMovesItsOwn() throws Exception {
+        int first = freePort();
+        int second = freePort();
+        try (NodeProcess old = start(first)) {
+            untilYes(first);
+            try (Socket standing = open("9b1"); Socket server = serve()) {
+                BufferedReader in = reader(standing);
+                assertEquals("UP r", in.readLine());
+                try (NodeProcess next = start(second)) {
+                    untilYes(second);
+                    List<Socket> pings = new ArrayList<>();
+                    for (int i = 0; i < 20; i++) {
+                        pings.add(connect(listen));
+                        say(pings.get(i), "PING\r\n");
+                        assertEquals("PONG", reader(pings.get(i)).readLine(), "let in by either process");
+                        try (Socket twice = open("9b1")) {
+                            assertEquals("ERR", reader(twice).readLine(), "open in one process, so open");
+                        }
+                    }
+                    old.signal("TERM");
+                    assertTrue(old.log("tulipshed: leaving to another process") != null);
+                    assertTrue(call(first, "/status").startsWith("HTTP/1.1 503 "));
+                    for (int i = 0; i < 20; i++) {
+                        try (Socket late = connect(listen)) {
+                            say(late, "PING\r\n");
+                            assertEquals("PONG", reader(late).readLine(), "none ends at the door");
+                        }
+                    }
+                    assertEquals("MOVE", in.readLine());
+                    assertNull(in.readLine());
+                    try (Socket again = open("9b1"); Socket its = serve()) {
+                        assertEquals("UP r", reader(again).readLine(), "served by the new process");
+                        for (Socket s : pings) {
+                            s.close();
+                        }
+                        assertTrue(old.ended(5));
+                        say(again, "hello\r\n");
+                        assertEquals("hello", reader(its).readLine());
+                        assertTrue(call(second, "/status/metrics").contains("\"concurrent\":1,\"dispatches\":1,"));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/src/test/java/tulipshed/decision/BalancerTest.java
@@ -598,6 +598,26 @@
         assertEquals(0, b.avoided(60 * SECOND), "an ejection ends by itself");
     }
 
+    /** Two processes of one balancer together must not fill a cold server faster than one. */
+    @Test
+    void aShareOfTheAllowancesFillsAColdServerInThatShare() {
+        int[] sent = new int[2];
+        for (int half = 0; half < 2; half++) {
+            Balancer b = balancer(2);
+            b.share(0, half == 0 ? 1 : 0);
+            b.servers(0, ListKind.CHANGES, List.of(setup.server(2, ServerState.SERVING, 0),
+                    setup.server(9, ServerState.SERVING, 1)));
+            for (int i = 1; i < 400; i++) {
+                long now = i * 20_000L;
+                b.request(now, request(i));
+                sent[half] += recorder.sentTo().equals(name(9)) ? 1 : 0;
+                b.started(now, i, 0, 1000);
+            }
+        }
+        assertTrue(sent[0] > 5, "all of it: " + sent[0]);
+        assertTrue(sent[1] <= 1, "none of it: " + sent[1]);
+    }
+
     // ---- Probes ----
 
     private static BalancerApi.Report report(double load) {
--- a/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/src/test/java/tulipshed/discovery/WatchTest.java
@@ -95,6 +95,23 @@
         assertEquals("FAILED 0", news());
     }
 
+    /** Without this a process that takes over would wait for the next news before it knows the last. */
+    @Test
+    void catchingUpDoesNotWaitForNews() throws Exception {
+        try (Socket socket = discovery.accept()) {
+            call(socket);
+            answer(socket, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", news());
+        }
+        loop.afterGathering(watch::catchUp);
+        try (Socket socket = discovery.accept()) {
+            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait=0 "));
+            answer(socket, "200 OK", list(42, false));
+            assertEquals("CHANGES 1", news());
+            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=42&wait=10000 "));
+        }
+    }
+
     /** A failed call is told once, and nothing is asked again until the module says so. */
     @Test
     void failuresAreToldAndWaitForTheModule() throws Exception {
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -81,8 +81,8 @@
                 l.watchSilenceMs(), l.answerMarginMs(), l.silentMs(), l.lingerMs(), l.firstLineMs(), l.sweepMs(),
                 l.pings(), l.longestWaitMs(), l.readsAtOnce(), l.complaintsMs(), l.noRoomRetryMs(), l.standingMs(),
                 l.unknownMemberMs(), l.unlistedMemberMs(),
-                l.drainTakeMs(), l.drainMoveMs(), l.drainEndMs(), l.managementConnections(),
-                l.managementHeadBytes(), l.managementCallMs(), l.datagramBytes(), mostSessions, l.quicIds(),
+                l.drainTakeMs(), l.drainMoveMs(), l.drainLongestMs(), l.drainEndMs(), l.takeOverListMs(),
+                l.sharedIds(), l.managementConnections(), l.managementHeadBytes(), l.managementCallMs(), l.datagramBytes(), mostSessions, l.quicIds(),
                 l.quicFirstDatagrams(), idleMs, idleMs, l.quicUnanswered());
         front = onLoop(() -> {
             core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
--- a/src/test/java/tulipshed/testing/ModuleDelegate.java
+++ b/src/test/java/tulipshed/testing/ModuleDelegate.java
@@ -70,4 +70,9 @@
     public int avoided(long now) {
         return to.avoided(now);
     }
+
+    @Override
+    public void share(long now, double ofBalancer) {
+        to.share(now, ofBalancer);
+    }
 }
--- /dev/null
+++ b/src/test/java/tulipshed/testing/NodeProcess.java
@@ -0,0 +1,81 @@
+package tulipshed.testing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A node in a process of its own, and the line protocol's small talk with it. */
+public final class NodeProcess implements AutoCloseable {
+    public final Process process;
+    private final BufferedReader log;
+
+    /** Starts {@code serve} with these variables beside those of this process. */
+    public NodeProcess(Map<String, String> environment) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"),
+                "tulipshed.command.Main", "serve");
+        builder.environment().putAll(environment);
+        process = builder.redirectErrorStream(true).start();
+        log = process.inputReader();
+    }
+
+    /** The next line of its log that starts like this, or null at the end. */
+    public String log(String start) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.startsWith(start)) {
+            line = log.readLine();
+        }
+        return line;
+    }
+
+    public void signal(String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor());
+    }
+
+    public boolean ended(int seconds) throws InterruptedException {
+        return process.waitFor(seconds, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    /** A port on loopback that nobody listens on. */
+    public static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    public static Socket connect(int port) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(5000);
+        return socket;
+    }
+
+    public static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    }
+
+    public static void say(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** The first line that the second address answers to a call, and the body. */
+    public static String call(int port, String path) throws IOException {
+        try (Socket staff = connect(port)) {
+            say(staff, "GET " + path + " HTTP/1.1\r\nHost: n0\r\n\r\n");
+            return new String(staff.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+}
--- a/src/test/java/tulipshed/transaction/CoreBench.java
+++ b/src/test/java/tulipshed/transaction/CoreBench.java
@@ -203,4 +203,9 @@
     public int avoided(long now) {
         return 1;
     }
+
+    @Override
+    public void share(long now, double ofBalancer) {
+        heard.add("share " + ofBalancer);
+    }
 }
