--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -11,6 +12,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
 import tulipshed.config.NodeConfig;
+import tulipshed.config.SettingsReader.Names;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.discovery.MemberList;
@@ -36,6 +38,7 @@
     private final Limits limits;
     private final XnioLoop loop;
     private final Siblings siblings;
+    private Names names;
     private TransactionCore core;
     private LineFront front;
     private QuicFront quic;
@@ -58,6 +61,7 @@
             throws IOException {
         this.siblings = siblings;
         this.config = config;
+        names = config.names();
         this.quicConfig = quicConfig;
         this.clock = clock;
         this.log = log;
@@ -137,7 +141,7 @@
         core.share(siblings.share());
         if (!siblings.accompanied() && quic == null && quicConfig != null && quicConfig.listen() != null && !leaving) {
             try {
-                quic = new QuicFront(clock, limits, quicConfig, loop, core, log);
+                quic = new QuicFront(clock, limits, quicConfig, names, loop, core, log);
                 log.accept("tulipshed: QUIC on " + quic.address());
             } catch (IOException e) {
                 throw new UncheckedIOException("QUIC: " + e.getMessage(), e);
@@ -160,16 +164,28 @@
         return leaving;
     }
 
-    /**
-     * Takes over what a running node can of its new configuration: where discovery is. Members and connections stay
-     * as they are.
-     */
+    /** Takes over what a running node can of its new configuration, all at once. Members and connections stay. */
     void reload(NodeConfig changed) {
         boolean more = !changed.name().equals(config.name()) || !changed.listen().equals(config.listen())
-                || changed.sockets() != config.sockets() || !changed.settings().equals(config.settings());
+                || !Objects.equals(changed.management(), config.management()) || changed.sockets() != config.sockets();
         log.accept("tulipshed: reload, discovery at " + changed.discovery()
                 + (more ? "; the other changes wait for the next start" : ""));
-        loop.afterGathering(() -> watch.move(changed.discovery()));
+        loop.afterGathering(() -> {
+            core.reconfigure(changed.settings());
+            front.reconfigure(changed.names(), changed.loadTellsDelay());
+            names = changed.names();
+            if (quic != null) {
+                quic.reconfigure(names);
+            }
+            watch.move(changed.discovery());
+            core.figures().reloaded(true);
+        });
+    }
+
+    /** A new configuration that could not be read changes nothing. */
+    void turnedDown(String why) {
+        log.accept("tulipshed: reload, the old settings stay: " + why.replaceAll("\\s+", " "));
+        loop.afterGathering(() -> core.figures().reloaded(false));
     }
 
     /**
--- a/src/main/java/tulipshed/command/Reload.java
+++ b/src/main/java/tulipshed/command/Reload.java
@@ -1,23 +1,20 @@
 package tulipshed.command;
 
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
 
 /**
- * Has a running node read its configuration again, once for each time that it is asked to. What it cannot read is
- * told in one line, and the node goes on as it is.
+ * Has a running node read its configuration again, once for each time that it is asked to. The whole is read and
+ * checked before the node hears of it.
  */
 final class Reload {
     private final Supplier<NodeConfig> source;
-    private final Consumer<String> log;
     private Node node;
     private boolean early;
 
-    Reload(Supplier<NodeConfig> source, Consumer<String> log) {
+    Reload(Supplier<NodeConfig> source) {
         this.source = source;
-        this.log = log;
     }
 
     /** The node serves; a reload that was asked for before is made up for. */
@@ -37,7 +34,7 @@
         try {
             node.reload(source.get());
         } catch (MalformedInput e) {
-            log.accept("tulipshed: reload, the old settings stay: " + e.getMessage().replaceAll("\\s+", " "));
+            node.turnedDown(e.getMessage());
         }
     }
 }
--- a/src/main/java/tulipshed/command/ServeCommand.java
+++ b/src/main/java/tulipshed/command/ServeCommand.java
@@ -23,7 +23,7 @@
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
         QuicConfig second = quic == null ? null : QuicConfig.load(quic.toPath(), config.names());
-        Reload reload = new Reload(() -> NodeConfig.load(environment), System.out::println);
+        Reload reload = new Reload(() -> NodeConfig.load(environment));
         // Without a handler of its own the virtual machine would exit on SIGHUP.
         Signal.handle(new Signal("HUP"), s -> reload.reload());
         Limits limits = Limits.forDescriptors(config.sockets());
--- a/src/main/java/tulipshed/config/NodeConfig.java
+++ b/src/main/java/tulipshed/config/NodeConfig.java
@@ -35,17 +35,15 @@
     }
 
     static NodeConfig parse(Map<String, Object> json, Map<String, String> environment) {
-        String name = text(json, "name", environment.get("PROXY_NAME"));
-        InetSocketAddress listen = address("listen", text(json, "listen", environment.get("PROXY_LISTEN")));
+        Completeness.check(json);
+        String name = text(json, "name", null);
+        InetSocketAddress listen = address("listen", text(json, "listen", null));
         InetSocketAddress discovery =
-                address("discovery", text(json, "discovery", environment.get("PROXY_DISCOVERY")));
+                address("discovery", text(json, "discovery", null));
         String management = text(json, "management", environment.get("PROXY_MANAGEMENT"));
         Map<String, Object> limits = child(json, "limits");
         SettingsReader.Names names = new SettingsReader.Names();
         Map<String, Object> settings = child(json, "settings");
-        if (settings.isEmpty()) {
-            throw new MalformedInput("no settings");
-        }
         Map<String, Object> family = child(settings, "FamilyInfo");
         return new NodeConfig(name, listen,
                 management == null || management.isEmpty() ? null : address("management", management), discovery,
--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -55,6 +55,7 @@
     private static final int MOST_GROUPS = 4096; // remembered before those long unseen are forgotten
     private static final double ASK_SPREAD = 0.4; // of the time allowed: first call to discovery, by chance
     private static final long ASK_BACKOFF_US = 1_000_000; // after a failed call, doubled, with chance
+    private static final String NO_TENANT = ""; // of requests without one
     private static final double NO_PART = 1e-9; // of the allowances: nothing, and yet free stays free
     private static final double REUSE = 1; // of the mean load, up to which a free connection is used
     private static final double PROBE_WORTH = 0.01; // price of a probe a request below which reports pay
@@ -65,7 +66,7 @@
     private static final int TIMER_LIST = 0;
     private static final int TIMER_HELD = 1;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new HashMap<>();
@@ -75,19 +76,19 @@
     private final Pool<Server> warming = new Pool<>(3);
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
-    private final double[] usualSetupUs;
+    private final Map<String, Double> usualSetupUs = new HashMap<>();
     private final List<Request> probing = new ArrayList<>();
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();
     private final Map<String, Group> groups = new HashMap<>();
-    private final DepthCurve curve;
-    private final TokenBucket[] buckets;
+    private final Map<String, TokenBucket> buckets = new HashMap<>();
+    private DepthCurve curve;
     private final FadingCount groupArrivals = new FadingCount(GROUP_MEMORY_US);
     private double readyWeight;
     private double fastest;
     private double largestShare;
     private double readyLoad;
     private int readyOpen;
-    private final double quotaOpen;
+    private double quotaOpen;
     private int pending;
     private int limits;
     private int known;
@@ -96,37 +97,39 @@
     private int failedCalls;
     private double ownPart = 1;
     private long nextLogUs = Long.MIN_VALUE;
-    private final double lateMs;
-    private final boolean crossingCosts;
-    private final boolean reuses;
-    private final boolean probes;
+    private double lateMs;
+    private boolean crossingCosts;
+    private boolean reuses;
+    private boolean probes;
 
     public Balancer(Settings settings, long seed, long now, Actions actions) {
-        this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        this.lateMs = settings.classes().stream().mapToLong(RequestClass::messageAimUs).filter(a -> a > 0)
+        reconfigure(now, settings);
+        if (settings.askedList()) {
+            // Restarted balancers asking at once would overrun discovery's fixed capacity.
+            double latest = settings.rules().askWithinUs() * ASK_SPREAD;
+            actions.timer((long) (latest * random.nextDouble()), TIMER_LIST);
+        }
+    }
+
+    @Override
+    public void reconfigure(long now, Settings changed) {
+        settings = changed;
+        lateMs = settings.classes().stream().mapToLong(RequestClass::messageAimUs).filter(a -> a > 0)
                 .min().orElse(Long.MAX_VALUE) / 1000.0;
-        this.probes = settings.limits().probes() && settings.reports() == Reports.PROBES
+        probes = settings.limits().probes() && settings.reports() == Reports.PROBES
                 && settings.prices().probe() < PROBE_WORTH;
-        this.reuses = settings.prices().handshake() > 0;
-        this.crossingCosts = settings.prices().crossZone() > 0;
-        usualSetupUs = new double[settings.classes().size()];
+        reuses = settings.prices().handshake() > 0;
+        crossingCosts = settings.prices().crossZone() > 0;
         double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerS).sum();
         double connections = settings.tenants().stream().mapToDouble(Tenant::quotaConnections).sum();
         quotaOpen = connections / settings.balancers() * QUOTA_USED;
         int tenants = Math.max(1, settings.tenants().size());
-        double share = quota > 0 ? quota / settings.balancers() / tenants : 1;
-        curve = new DepthCurve(share * CURVE_START);
-        buckets = new TokenBucket[tenants];
-        for (int i = 0; i < tenants; i++) {
-            buckets[i] = new TokenBucket(now);
-        }
-        if (settings.askedList()) {
-            // Restarted balancers asking at once would overrun discovery's fixed capacity.
-            double latest = settings.rules().askWithinUs() * ASK_SPREAD;
-            actions.timer((long) (latest * random.nextDouble()), TIMER_LIST);
-        }
+        curve = new DepthCurve((quota > 0 ? quota / settings.balancers() / tenants : 1) * CURVE_START);
+        // What a tenant has left is kept by its name: its place in the settings may change.
+        settings.tenants().forEach(t -> buckets.putIfAbsent(t.name(), new TokenBucket(now)));
+        buckets.putIfAbsent(NO_TENANT, new TokenBucket(now));
     }
 
     // ---- Depth curve and buckets ----
@@ -392,7 +395,8 @@
         requests.put(in.id(), r);
         if (!in.midFlow()) {
             double rate = curve.rateAt(depth(now)) * ownPart;
-            TokenBucket bucket = buckets[Math.max(0, in.tenant())];
+            boolean has = in.tenant() >= 0 && in.tenant() < settings.tenants().size();
+            TokenBucket bucket = buckets.get(has ? settings.tenants().get(in.tenant()).name() : NO_TENANT);
             if (!bucket.take(now, rate)) {
                 if (now >= nextLogUs) {
                     nextLogUs = now + LOG_US;
@@ -633,7 +637,8 @@
 
     @Override
     public int avoided(long now) {
-        return (int) servers.values().stream().filter(s -> !s.gone && s.entry != null && !inFavour(now, s)).count();
+        return (int) servers.values().stream().filter(s -> !s.gone && s.entry != null)
+                .filter(s -> !inFavour(now, s)).count();
     }
 
     /**
@@ -777,9 +782,10 @@
         setLimit(r.server, r.server.limit + 1);
         countGroup(now, r);
         // Against what is usual for the class, and capped: one stall says nothing of the kind's speed.
-        int c = r.in.requestClass();
-        usualSetupUs[c] += (tookUs - usualSetupUs[c]) * (usualSetupUs[c] == 0 ? 1 : SETUP_GAIN);
-        r.server.kind.setUp(Math.min(3, tookUs / Math.max(1, usualSetupUs[c])));
+        double usual = usualSetupUs.getOrDefault(r.kind.name(), (double) tookUs);
+        usual += (tookUs - usual) * SETUP_GAIN;
+        usualSetupUs.put(r.kind.name(), usual);
+        r.server.kind.setUp(Math.min(3, tookUs / Math.max(1, usual)));
     }
 
     @Override
--- a/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/src/main/java/tulipshed/decision/BalancerApi.java
@@ -44,6 +44,9 @@
     /** A message from another balancer. */
     void peerMessage(long now, int from, byte[] body);
 
+    /** Other settings from now on; requests taken before keep their class. */
+    void reconfigure(long now, Settings settings);
+
     /** Of all that one balancer is allowed this instance has that share from now on; another has the rest. */
     void share(long now, double ofBalancer);
 
--- a/src/main/java/tulipshed/line/ClientSession.java
+++ b/src/main/java/tulipshed/line/ClientSession.java
@@ -122,7 +122,7 @@
             }
             return;
         }
-        line = OpeningLine.parse(first, front.names, front.limits.longestWaitMs());
+        line = OpeningLine.parse(first, front.names(), front.limits.longestWaitMs());
         ownsId = front.takeId(line.id());
         if (!ownsId) {
             // Members would answer ERR, one after the other.
--- a/src/main/java/tulipshed/line/LineFront.java
+++ b/src/main/java/tulipshed/line/LineFront.java
@@ -17,7 +17,7 @@
 public final class LineFront {
     final Clock clock;
     final Limits limits;
-    final Names names;
+    private Names names;
     final XnioLoop loop;
     final TransactionCore core;
     final Consumer<String> log;
@@ -28,7 +28,7 @@
     final Unserved unserved;
     final Complaints complaints;
     /** Whether the figure of a member's LOAD line is a delay. */
-    final boolean loadTellsDelay;
+    private boolean loadTellsDelay;
     private boolean ready = true;
 
     public LineFront(Clock clock, Limits limits, Names names, boolean loadTellsDelay, XnioLoop loop,
@@ -46,6 +46,20 @@
         loop.after(limits.sweepMs(), this::sweep);
     }
 
+    /** Other names, and another meaning of LOAD, from now on; connections that are open keep their class. */
+    public void reconfigure(Names changed, boolean tellsDelay) {
+        names = changed;
+        loadTellsDelay = tellsDelay;
+    }
+
+    Names names() {
+        return names;
+    }
+
+    boolean loadTellsDelay() {
+        return loadTellsDelay;
+    }
+
     /** Takes one accepted connection. */
     public void accepted(StreamConnection connection) {
         while (!loop.hasRoom() && unserved.closeOne()) { }
--- a/src/main/java/tulipshed/line/MemberConnection.java
+++ b/src/main/java/tulipshed/line/MemberConnection.java
@@ -162,7 +162,7 @@
             double value = Double.parseDouble(figure);
             // One word for both notes: where members tell only of delays, its figure is milliseconds. Taken for
             // a load it would spoil the module's count of what every member bears.
-            if (front.loadTellsDelay) {
+            if (front.loadTellsDelay()) {
                 front.core.delayed(flow, value);
             } else {
                 front.core.loadChanged(flow, value);
--- a/src/main/java/tulipshed/quic/QuicConfig.java
+++ b/src/main/java/tulipshed/quic/QuicConfig.java
@@ -16,7 +16,7 @@
  * What the file of the second front says: where it listens (null where it is off), what a connection is taken
  * to ask for, how ids carry their server, which member has which server id, and the key shared for resets.
  */
-public record QuicConfig(InetSocketAddress listen, int requestClass, int tenant, double deadlineMs, ServerIds ids,
+public record QuicConfig(InetSocketAddress listen, String requestClass, String tenant, double deadlineMs, ServerIds ids,
         Map<String, String> membersByServer, StatelessReset reset) {
     private static final String OFF = "off";
     private static final int RESET_KEY_BYTES = 16;
@@ -35,11 +35,11 @@
     static QuicConfig parse(Map<String, Object> json, Names names) {
         String listen = text(json, "listen");
         if (listen.equals(OFF)) {
-            return new QuicConfig(null, 0, -1, 0, null, Map.of(), null);
+            return new QuicConfig(null, null, null, 0, null, Map.of(), null);
         }
-        Integer requestClass = names.classes.get(text(json, "class"));
-        Integer tenant = names.tenants.get(text(json, "tenant"));
-        if (requestClass == null || tenant == null) {
+        String requestClass = text(json, "class");
+        String tenant = text(json, "tenant");
+        if (!names.classes.containsKey(requestClass) || !names.tenants.containsKey(tenant)) {
             throw new MalformedInput("class or tenant is not one of the settings");
         }
         int serverBytes = (int) number(json, "server_id_bytes");
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -11,10 +11,12 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import tulipshed.config.SettingsReader.Names;
 import tulipshed.limits.Limits;
 import tulipshed.link.DatagramPort;
 import tulipshed.link.XnioLoop;
 import tulipshed.time.Clock;
+import tulipshed.transaction.Transaction.Arrival;
 import tulipshed.transaction.TransactionCore;
 
 /**
@@ -38,13 +40,15 @@
     private final Map<ConnectionId, QuicSession> sessions = new HashMap<>();
     private final Set<QuicSession> all = new LinkedHashSet<>();
     private final DatagramPort port;
+    private Names names;
     private boolean leaving;
 
-    public QuicFront(Clock clock, Limits limits, QuicConfig config, XnioLoop loop, TransactionCore core,
-            Consumer<String> log) throws IOException {
+    public QuicFront(Clock clock, Limits limits, QuicConfig config, Names names, XnioLoop loop,
+            TransactionCore core, Consumer<String> log) throws IOException {
         this.clock = clock;
         this.limits = limits;
         this.config = config;
+        this.names = names;
         this.loop = loop;
         this.core = core;
         this.log = log;
@@ -58,6 +62,19 @@
         return port.address();
     }
 
+    /** Other names of classes and tenants from now on; connections that are open keep their class. */
+    public void reconfigure(Names changed) {
+        names = changed;
+    }
+
+    /** What a new connection asks for, or null where the settings do not name that any more. */
+    Arrival arrival(String key) {
+        Integer requestClass = names.classes.get(config.requestClass());
+        Integer tenant = names.tenants.get(config.tenant());
+        return requestClass == null || tenant == null ? null
+                : new Arrival(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
+    }
+
     /** The node is leaving: no new connection is taken any more. */
     public void leaving() {
         leaving = true;
@@ -114,6 +131,11 @@
                     InitialFrames.CONNECTION_REFUSED, QuicSession.busy(core.retryAfterMs(limits.noRoomRetryMs()))));
             return;
         }
+        if (arrival("") == null) {
+            send(from, QuicSession.closing(initial.destination(), initial.source(), InitialFrames.INTERNAL_ERROR,
+                    "an unknown class"));
+            return;
+        }
         QuicSession session = new QuicSession(this, from, initial.destination(), initial.source());
         all.add(session);
         learn(initial.destination(), session);
@@ -129,7 +151,7 @@
         if (member == null) {
             return;
         }
-        if (!core.serving(member) || all.size() >= limits.quicSessions() || !loop.hasRoom() || leaving) {
+        if (!core.serving(member) || arrival("") == null || all.size() >= limits.quicSessions() || !loop.hasRoom() || leaving) {
             reset(from, p.destination(), datagram.length);
             return;
         }
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -53,7 +53,7 @@
     /** A new connection. */
     void open(byte[] datagram) {
         first.add(datagram);
-        transaction = new Transaction(this, this, arrival(), heardMs, false);
+        transaction = new Transaction(this, this, front.arrival(current.toString()), heardMs, false);
         front.core.arrived(transaction);
     }
 
@@ -61,16 +61,10 @@
     void carryOn(String member, byte[] datagram, List<Packet> packets) {
         first.add(datagram);
         pastInitial = true;
-        transaction = new Transaction(this, this, arrival(), heardMs, true);
+        transaction = new Transaction(this, this, front.arrival(current.toString()), heardMs, true);
         front.core.alreadyOpen(transaction, member);
     }
 
-    private Transaction.Arrival arrival() {
-        QuicConfig c = front.config;
-        return new Transaction.Arrival(c.requestClass(), c.tenant(), current.toString(), null, c.deadlineMs(), 0,
-                false, false);
-    }
-
     // ---- What the client sends ----
 
     void fromClient(InetSocketAddress from, byte[] datagram, List<Packet> packets) {
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -57,9 +57,9 @@
         return arrival.requestClass();
     }
 
-    NewRequest asRequest(double nowMs) {
+    NewRequest asRequest(double nowMs, int requestClass) {
         double left = Math.max(0, deadlineMs - nowMs);
-        return new NewRequest(id, arrival.requestClass(), arrival.tenant(), arrival.key(), arrival.group(),
+        return new NewRequest(id, requestClass, arrival.tenant(), arrival.key(), arrival.group(),
                 Clock.toMicros(left), arrival.hintUsPerS(), arrival.repeat(), false,
                 arrival.returning());
     }
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -34,7 +34,7 @@
 
     private final Clock clock;
     private final Limits limits;
-    private final Settings settings;
+    private Settings settings;
     private final Loop loop;
     private final Consumer<String> log;
     private final BalancerApi module;
@@ -80,6 +80,15 @@
         wake();
     }
 
+    /**
+     * Other settings from now on. The module is told in its turn, after all that was gathered under the old ones.
+     */
+    public void reconfigure(Settings changed) {
+        settings = changed;
+        figures.classes(changed.classes());
+        gather((module, ms, nowUs) -> module.reconfigure(nowUs, changed));
+    }
+
     /** Where the module's wish for the list goes. */
     public void source(MemberSource source) {
         this.source = source;
@@ -92,7 +101,7 @@
         count(t);
         take(t);
         due(t.deadlineMs() - limits.answerMarginMs(), () -> overdue(t));
-        gather((module, nowMs, nowUs) -> module.request(nowUs, t.asRequest(nowMs)));
+        gather((module, nowMs, nowUs) -> module.request(nowUs, t.asRequest(nowMs, t.requestClass())));
     }
 
     /** A connection that stood at that member before this node started wants to go on. */
@@ -123,7 +132,9 @@
         ServerSideFlow flow = new ServerSideFlow(t, member, 0, nowMs, untilMs);
         t.flow(flow);
         due(flow.endsMs(), () -> timeOut(flow));
-        gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, t.asRequest(ms), memberId));
+        // Settings may have changed while its member was waited for; it is not sent again, so any class will do.
+        int requestClass = Math.max(0, settings.classes().stream().map(RequestClass::name).toList().indexOf(t.className()));
+        gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, t.asRequest(ms, requestClass), memberId));
         decided.add(() -> t.connector().open(flow));
     }
 
--- a/src/test/java/tulipshed/command/ReloadTest.java
+++ b/src/test/java/tulipshed/command/ReloadTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tulipshed.testing.NodeProcess.call;
 import static tulipshed.testing.NodeProcess.connect;
 import static tulipshed.testing.NodeProcess.freePort;
 import static tulipshed.testing.NodeProcess.reader;
@@ -14,6 +15,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -68,4 +70,60 @@
             }
         }
     }
+
+    private void change(int listen, int member, String... replacements) throws IOException {
+        configure(listen, 9);
+        Path file = folder.resolve("node.json");
+        String text = Files.readString(file).replace(":18081", ":" + member);
+        for (int i = 0; i < replacements.length; i += 2) {
+            assertTrue(text.contains(replacements[i]));
+            text = text.replace(replacements[i], replacements[i + 1]);
+        }
+        Files.writeString(file, text);
+    }
+
+    private static String answer(int listen, String id, String requestClass) throws IOException {
+        try (Socket client = connect(listen)) {
+            say(client, "OPEN " + id + " k c=" + requestClass + ",t=melnik-terminal,d=2000\r\n");
+            return reader(client).readLine();
+        }
+    }
+
+    /** Seen on a retune day: the new class was unknown, and a file without deadlines was taken. */
+    @Test
+    void newSettingsHoldAtOnceAndABrokenFileChangesNothing() throws Exception {
+        int listen = freePort();
+        int management = freePort();
+        try (ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            member.setSoTimeout(10_000);
+            change(listen, member.getLocalPort());
+            try (NodeProcess node = new NodeProcess(Map.of("PROXY_CONFIG", folder.resolve("node.json").toString(),
+                    "PROXY_MANAGEMENT", "127.0.0.1:" + management))) {
+                node.log("tulipshed: n0 serves");
+                assertEquals("ERR", answer(listen, "1", "gate-alarm"));
+                change(listen, member.getLocalPort(), "\"gate-status\"", "\"gate-alarm\"");
+                node.signal("HUP");
+                node.log("tulipshed: reload, discovery");
+                assertEquals("ERR", answer(listen, "2", "gate-status"), "dropped, so unknown");
+                try (Socket client = connect(listen)) {
+                    say(client, "OPEN 3 k c=gate-alarm,t=melnik-terminal,d=2000\r\n");
+                    try (Socket server = member.accept()) {
+                        say(server, "UP r\r\n");
+                        assertEquals("UP r", reader(client).readLine());
+                    }
+                }
+                for (String broken : List.of("", "{\"name\": \"n0\"}")) {
+                    Files.writeString(folder.resolve("node.json"), broken);
+                    node.signal("HUP");
+                    assertTrue(node.log("tulipshed: reload").startsWith("tulipshed: reload, the old settings stay"));
+                }
+                change(listen, member.getLocalPort(), "\"HardLimitS\": 4.8", "\"HardLimitS\": 0");
+                node.signal("HUP");
+                assertTrue(node.log("tulipshed: reload").endsWith("HardLimitS of an entry of Classes is not what it should be"));
+                String figures = call(management, "/status/metrics");
+                assertTrue(figures.contains("\"gate-alarm\":{\"success\":1,"), figures);
+                assertTrue(figures.contains("\"reload_success\":1,\"reload_failure\":3}"), figures);
+            }
+        }
+    }
 }
--- a/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -43,12 +43,18 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"127.0.0.1:18080 | nowhere:80", "8c1f30d27a5be964 | xyz",
-        "\"settings\" | \"setting\"", "\"sockets\": 1024 | \"sockets\": \"1024\"", "\"Classes\" | \"Klasses\""})
+        "\"settings\" | \"setting\"", "\"sockets\": 1024 | \"sockets\": \"1024\"", "\"Classes\" | \"Klasses\"",
+        "\"discovery\" | \"discover\"", "\"known\" | \"unknown\"", "\"HardLimitS\": 1.2 | \"HardLimitS\": -1.2",
+        "\"HardLimitS\": 1.2 | \"HardLimitS\": 0", "\"HardLimitS\": 1.2 | \"HardLimitS\": \"soon\"",
+        "\"HardLimitS\": 1.2 | \"HardLimitS\": null", "\"HardLimitS\": 1.2 | \"HardLimitS\": 1e999",
+        "\"MaxAttempts\": 6 | \"MaxAttempts\": 0.5", "\"MaxAttempts\": 6 | \"MaxAttempts\": 0",
+        "\"MaxAttempts\": 6 | \"MinAttempts\": 6", "\"Effect\": \"repeatable\" | \"Effect\": \"often\"",
+        "\"QuotaPerS\" | \"Quota\"", "\"DrainGraceS\" | \"Grace\"", "\"gate-status\" | \"slot-board\""})
     void whatIsWrongWithAConfigurationIsSaid(String right, String wrong) throws IOException {
         byte[] bytes = Files.readString(FILE).replace(right, wrong).getBytes(StandardCharsets.UTF_8);
         MalformedInput e = assertThrows(MalformedInput.class,
                 () -> NodeConfig.parse(JsonValues.object(bytes), Map.of()));
-        assertFalse(e.getMessage().isBlank());
+        assertFalse(e.getMessage().isBlank() || e.getMessage().contains("\n"));
     }
 
     @Property(tries = 200, seed = "41")
--- a/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/src/test/java/tulipshed/decision/BalancerTest.java
@@ -618,6 +618,35 @@
         assertTrue(sent[1] <= 1, "none of it: " + sent[1]);
     }
 
+    // ---- New settings ----
+
+    /** Kept by index, these would be another class's or tenant's once one before them is dropped. */
+    @Test
+    void newSettingsLeaveOpenRequestsTheirClassAndTenantsTheirBuckets() {
+        setup.effect = BalancerApi.Effect.ONCE;
+        Balancer b = balancer(4);
+        b.request(0, request(1));
+        recorder.sentTo();
+        b.request(0, request(2));
+        recorder.sentTo();
+        Setup changed = new Setup();
+        changed.maxAttempts = 2;
+        changed.tenants = 1;
+        b.reconfigure(1, changed.settings());
+        end(b, 2, 1, 0, false, Outcome.ERROR);
+        assertEquals(List.of("fail 1"), recorder.take(), "open when it could not be repeated");
+        b.started(3, 2, 0, 1000);
+        end(b, 4, 2, 0, true, Outcome.OK);
+        b.request(5, request(3));
+        recorder.sentTo();
+        end(b, 6, 3, 0, false, Outcome.ERROR);
+        recorder.sentTo();
+        end(b, 7, 3, 1, false, Outcome.ERROR);
+        assertTrue(recorder.take().get(0).startsWith("refuse 3"), "two attempts and no more");
+        b.request(8, request(4, 1, null, 2 * SECOND));
+        recorder.sentTo();
+    }
+
     // ---- Probes ----
 
     private static BalancerApi.Report report(double load) {
--- a/src/test/java/tulipshed/quic/QuicConfigTest.java
+++ b/src/test/java/tulipshed/quic/QuicConfigTest.java
@@ -29,7 +29,7 @@
     void theExampleIsReadAndThePlatformsIsOff() {
         QuicConfig example = QuicConfig.load(EXAMPLE, names);
         assertEquals(4433, example.listen().getPort());
-        assertEquals(2, example.requestClass());
+        assertEquals("slot-booking", example.requestClass());
         ConnectionId id = example.ids().id(new byte[] {0, 0, 1}, new byte[4]);
         assertEquals("s-1", example.member(id));
         assertNull(example.member(example.ids().id(new byte[] {0, 0, 2}, new byte[4])));
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -86,9 +86,9 @@
                 l.quicFirstDatagrams(), idleMs, idleMs, l.quicUnanswered());
         front = onLoop(() -> {
             core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
-            QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2, 0,
-                    deadlineMs, StandIns.IDS, members, StandIns.RESET);
-            return new QuicFront(new SystemClock(), limits, quic, loop, core, text -> { });
+            QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking",
+                    "vltava-kontejner",                    deadlineMs, StandIns.IDS, members, StandIns.RESET);
+            return new QuicFront(new SystemClock(), limits, quic, config.names(), loop, core, text -> { });
         });
         for (int i = 0; i < servers.size(); i++) {
             tell(i, ServerState.SERVING);
@@ -225,6 +225,25 @@
         }
     }
 
+    /** Without this the front would go on asking for whatever class has taken the dropped one's place. */
+    @Test
+    void aClassThatNewSettingsDropIsUnknownAndOpenConnectionsGoOn() throws IOException {
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 19); Client late = new Client(front.address(), 20)) {
+            assertEquals("served", open(client).what());
+            onLoop(() -> {
+                var names = new tulipshed.config.SettingsReader.Names();
+                names.classes.put("slot-board", 0);
+                names.tenants.put("vltava-kontejner", 0);
+                front.reconfigure(names);
+                return null;
+            });
+            assertEquals(new Heard("closed", InitialFrames.INTERNAL_ERROR), open(late));
+            assertEquals(1, servers.get(0).initials.get());
+            assertEquals(1, (int) onLoop(front::sessionCount));
+        }
+    }
+
     /** Without this the want of descriptors would look like a member that cannot be reached. */
     @Test
     void aFlowWithoutADescriptorIsTurnedAwayAndNotCountedAgainstTheServer() throws IOException {
--- a/src/test/java/tulipshed/testing/ModuleDelegate.java
+++ b/src/test/java/tulipshed/testing/ModuleDelegate.java
@@ -75,4 +75,9 @@
     public void share(long now, double ofBalancer) {
         to.share(now, ofBalancer);
     }
+
+    @Override
+    public void reconfigure(long now, Settings settings) {
+        to.reconfigure(now, settings);
+    }
 }
--- a/src/test/java/tulipshed/transaction/CoreBench.java
+++ b/src/test/java/tulipshed/transaction/CoreBench.java
@@ -208,4 +208,9 @@
     public void share(long now, double ofBalancer) {
         heard.add("share " + ofBalancer);
     }
+
+    @Override
+    public void reconfigure(long now, Settings settings) {
+        heard.add("settings " + settings.classes().size());
+    }
 }
--- a/src/test/java/tulipshed/transaction/TransactionCoreTest.java
+++ b/src/test/java/tulipshed/transaction/TransactionCoreTest.java
@@ -5,9 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import tulipshed.config.NodeConfig;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.Settings;
 
 class TransactionCoreTest {
     private final CoreBench bench = new CoreBench();
@@ -211,4 +215,27 @@
         bench.tell("s-2", ServerState.GONE);
         assertEquals(1, bench.core.targets());
     }
+
+    /** Without the order the module would judge an arrival by whatever class has taken its place. */
+    @Test
+    void newSettingsComeAfterWhatWasGatheredUnderTheOldOnes() {
+        Settings old = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).settings();
+        List<RequestClass> classes = old.classes();
+        bench.core.up(bench.sent(2000));
+        bench.take();
+        bench.arrive(2000);
+        bench.arriveAt("s-9");
+        bench.core.reconfigure(new Settings(old.self(), old.balancers(), old.zone(), old.passThrough(), old.askedList(),
+                old.groups(), old.weights(), old.reports(), old.limits(), old.rules(), old.prices(),
+                List.of(classes.get(2), new RequestClass("gate-alarm", 1, 2000, 1, classes.get(0).effect(),
+                        classes.get(0).repeatGroup(), 1, 1)), old.tenants()));
+        assertEquals(List.of("request 2000", "settings 2"), bench.take());
+        assertEquals("0 0 0", replies("gate-alarm"));
+        bench.tell("s-9", ServerState.SERVING);
+        bench.pass(150);
+        assertEquals(List.of("list CHANGES", "already open s-9", "open s-9"), bench.take(), "its class is gone");
+        bench.core.up(bench.flows.get(1));
+        assertEquals("2 0 0", replies("slot-board"), "and its answer counts for it all the same");
+        assertEquals(3000, bench.core.longestDeadlineMs());
+    }
 }
