--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -99,6 +99,7 @@
         if (known != null) {
             core.members(ListKind.REMEMBERED, known.members());
         }
+        core.companion(siblings);
         watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
         core.source(watch);
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
@@ -139,6 +140,7 @@
         loop.after(limits.sweepMs(), this::lookAtSiblings);
         siblings.look();
         core.share(siblings.share());
+        core.lookAtCompanion();
         if (!siblings.accompanied() && quic == null && quicConfig != null && quicConfig.listen() != null && !leaving) {
             try {
                 quic = new QuicFront(clock, limits, quicConfig, names, loop, core, log);
--- a/src/main/java/tulipshed/link/Siblings.java
+++ b/src/main/java/tulipshed/link/Siblings.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.lang.invoke.VarHandle;
 import java.nio.MappedByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -11,17 +12,24 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import tulipshed.transaction.Companion;
 
 /**
  * What the two processes of one node know of each other while one takes over from the other. Each has a slot of a small
  * file that both map, writes only its own, and holds a lock on it that ends with the process, however that ends.
  */
-public final class Siblings {
+public final class Siblings implements Companion {
     private static final int SLOTS = 2;
     private static final int STATE = 0;
     private static final int OPEN = 4;
     private static final int HIGHEST_ID = 8;
+    private static final int HIGHEST_PLACE = 12;
     private static final int FIRST_ID = 16;
+    private static final int PLACE_BYTES = 96;
+    private static final int HINT = 8;
+    private static final int MEMBER = 16;
+    private static final int GROUP = 56;
+    private static final int LONGEST_TEXT = 39;
     private static final int TRIES = 20;
     private static final long TRY_MS = 25;
 
@@ -33,6 +41,7 @@
     private final int other;
     private final Map<String, Integer> places = new HashMap<>();
     private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    private final ArrayDeque<Integer> freePlaces = new ArrayDeque<>();
     private boolean accompanied;
 
     /** How far a process has come; none of these where there is no such process. */
@@ -49,7 +58,7 @@
     /** Joins whoever uses that file; it is made where it is missing. */
     public Siblings(Path path, int ids) throws IOException {
         this.ids = ids;
-        int slotBytes = FIRST_ID + ids * Long.BYTES;
+        int slotBytes = FIRST_ID + ids * (Long.BYTES + PLACE_BYTES);
         file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         shared = file.map(FileChannel.MapMode.READ_WRITE, 0, (long) SLOTS * slotBytes);
         lock = takeSlot();
@@ -61,7 +70,7 @@
         own = slot * slotBytes;
         other = (SLOTS - 1 - slot) * slotBytes;
         state(State.NONE);
-        shared.putInt(own + OPEN, 0).putInt(own + HIGHEST_ID, 0);
+        shared.putInt(own + OPEN, 0).putInt(own + HIGHEST_ID, 0).putInt(own + HIGHEST_PLACE, 0);
         state(State.STARTING);
         look();
     }
@@ -198,6 +207,60 @@
         }
     }
 
+    @Override
+    public int stands(Standing standing) {
+        byte[] member = standing.member().getBytes(StandardCharsets.UTF_8);
+        byte[] group = standing.group() == null ? new byte[0] : standing.group().getBytes(StandardCharsets.UTF_8);
+        if (shared == null || member.length > LONGEST_TEXT || group.length > LONGEST_TEXT) {
+            return -1;
+        }
+        int highest = shared.getInt(own + HIGHEST_PLACE);
+        if (freePlaces.isEmpty() && highest == ids) {
+            return -1;
+        }
+        int place = freePlaces.isEmpty() ? highest : freePlaces.poll();
+        int at = at(own, place);
+        shared.putDouble(at + HINT, standing.hint());
+        shared.put(at + MEMBER, (byte) member.length).put(at + MEMBER + 1, member);
+        shared.put(at + GROUP, (byte) group.length).put(at + GROUP + 1, group);
+        VarHandle.fullFence();
+        shared.putLong(at, 1);
+        shared.putInt(own + HIGHEST_PLACE, Math.max(highest, place + 1));
+        return place;
+    }
+
+    @Override
+    public void ended(int place) {
+        shared.putLong(at(own, place), 0);
+        freePlaces.add(place);
+    }
+
+    /** One that is being written at this moment may be read wrongly; the next reading puts it right. */
+    @Override
+    public Map<Integer, Standing> others() {
+        Map<Integer, Standing> standing = new HashMap<>();
+        int highest = accompanied ? Math.min(ids, shared.getInt(other + HIGHEST_PLACE)) : 0;
+        for (int place = 0; place < highest; place++) {
+            int at = at(other, place);
+            if (shared.getLong(at) != 0) {
+                String group = text(at + GROUP);
+                standing.put(place, new Standing(text(at + MEMBER), group.isEmpty() ? null : group,
+                        shared.getDouble(at + HINT)));
+            }
+        }
+        return standing;
+    }
+
+    private int at(int slot, int place) {
+        return slot + FIRST_ID + ids * Long.BYTES + place * PLACE_BYTES;
+    }
+
+    private String text(int at) {
+        byte[] bytes = new byte[Math.max(0, Math.min(LONGEST_TEXT, shared.get(at)))];
+        shared.get(at + 1, bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
     private static long hash(String id) {
         long hash = 0xCBF29CE484222325L;
         for (int i = 0; i < id.length(); i++) {
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -15,6 +15,7 @@
     private final boolean standingBefore;
     private long id;
     private String className;
+    private int place = -1;
     private State state = State.OWED;
     private ServerSideFlow flow;
     private int attempts;
@@ -45,6 +46,19 @@
         className = name;
     }
 
+    /** Where the other process of the node reads of it; below 0 where nowhere. */
+    void place(int noted) {
+        place = noted;
+    }
+
+    int place() {
+        return place;
+    }
+
+    Companion.Standing standingAt(String member) {
+        return new Companion.Standing(member, arrival.group(), arrival.hintUsPerS());
+    }
+
     String className() {
         return className;
     }
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Report;
 import tulipshed.decision.BalancerApi.RequestClass;
@@ -45,7 +46,9 @@
     private final List<Event> gathered = new ArrayList<>();
     private final List<Runnable> decided = new ArrayList<>();
     private final Set<Transaction> standing = new LinkedHashSet<>();
+    private final Map<Integer, Shadow> shadows = new HashMap<>();
     private MemberSource source = () -> { };
+    private Companion companion;
     private boolean listTold;
     private double share = 1;
     private boolean turnAhead;
@@ -53,6 +56,9 @@
     private long lastId;
     private long dueCount;
 
+    /** What stands in the other process, as the module knows it here. */
+    private record Shadow(long id, Companion.Standing standing) { }
+
     /** Something for the module. */
     private interface Event {
         void tell(BalancerApi module, double nowMs, long nowUs);
@@ -185,6 +191,9 @@
         t.stand();
         figures.up(t);
         standing.add(t);
+        if (companion != null) {
+            t.place(companion.stands(t.standingAt(flow.member().id())));
+        }
         flow.connect();
         flow.up(clock.nowMs());
         if (!t.stoodBefore()) {
@@ -210,6 +219,9 @@
         if (t.standing()) {
             close(t);
             standing.remove(t);
+            if (t.place() >= 0) {
+                companion.ended(t.place());
+            }
         } else if (t.stoodBefore() && t.owed()) {
             // The module counts it as standing and will not answer; the client is owed a word all the same.
             failed(t);
@@ -539,6 +551,32 @@
         return module.avoided(Clock.toMicros(clock.nowMs()));
     }
 
+    /** There may be another process of this node. */
+    public void companion(Companion other) {
+        companion = other;
+    }
+
+    /** Tells the module what has begun to stand in the other process, and what has ended there. */
+    public void lookAtCompanion() {
+        Map<Integer, Companion.Standing> others = companion.others();
+        shadows.entrySet().removeIf(e -> {
+            boolean over = !e.getValue().standing().equals(others.get(e.getKey()));
+            if (over) {
+                gather((module, ms, nowUs) -> module.finished(nowUs, e.getValue().id(), 0, true, Outcome.CANCELLED,
+                        Report.NONE));
+            }
+            return over;
+        });
+        others.forEach((place, there) -> {
+            if (!shadows.containsKey(place) && members.containsKey(there.member())) {
+                Shadow shadow = new Shadow(++lastId, there);
+                shadows.put(place, shadow);
+                gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, new NewRequest(shadow.id(), 0, -1, "",
+                        there.group(), 0, there.hint(), false, false, false), there.member()));
+            }
+        });
+    }
+
     /** Whether discovery has told its list since the start. */
     public boolean listTold() {
         return listTold;
--- a/src/test/java/tulipshed/link/SiblingsTest.java
+++ b/src/test/java/tulipshed/link/SiblingsTest.java
@@ -7,10 +7,12 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.limits.Limits;
+import tulipshed.transaction.Companion;
 
 class SiblingsTest {
     @TempDir
@@ -81,6 +83,28 @@
         assertEquals(0, next.otherOpen());
     }
 
+    @Test
+    void whatStandsInOneIsToldToTheOtherUntilItEnds() throws IOException {
+        Companion.Standing one = new Companion.Standing("s-1", "desk", 0.5);
+        Companion.Standing two = new Companion.Standing("s-2", null, 0);
+        int place = old.stands(one);
+        int second = old.stands(two);
+        Siblings next = new Siblings(file, 8);
+        assertEquals(Map.of(place, one, second, two), next.others());
+        assertEquals(Map.of(), old.others(), "and not to itself");
+        old.ended(place);
+        assertEquals(Map.of(second, two), next.others());
+        assertEquals(place, old.stands(two), "its place is free again");
+        assertEquals(-1, old.stands(new Companion.Standing("s".repeat(40), null, 0)), "what has no room is not told");
+        for (int i = 0; i < 6; i++) {
+            assertTrue(old.stands(one) >= 0);
+        }
+        assertEquals(-1, old.stands(one));
+        old.close();
+        next.look();
+        assertEquals(Map.of(), next.others(), "all ends with its process");
+    }
+
     @Test
     void theDescriptorsOfBothAreThoseOfOneNode() throws IOException {
         Limits limits = Limits.forDescriptors(400);
--- a/src/test/java/tulipshed/transaction/TransactionCoreTest.java
+++ b/src/test/java/tulipshed/transaction/TransactionCoreTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -238,4 +240,44 @@
         assertEquals("2 0 0", replies("slot-board"), "and its answer counts for it all the same");
         assertEquals(3000, bench.core.longestDeadlineMs());
     }
+
+    /** Without this the process that takes over places the clients of the other as if nothing stood anywhere. */
+    @Test
+    void whatStandsInTheOtherProcessIsOpenForTheModuleUntilItEndsThere() {
+        Map<Integer, Companion.Standing> there = new HashMap<>();
+        List<Object> noted = new ArrayList<>();
+        bench.core.companion(new Companion() {
+            @Override
+            public int stands(Standing standing) {
+                noted.add(standing);
+                return 7;
+            }
+
+            @Override
+            public void ended(int place) {
+                noted.add(place);
+            }
+
+            @Override
+            public Map<Integer, Standing> others() {
+                return there;
+            }
+        });
+        there.put(3, new Companion.Standing("s-1", "desk", 0));
+        there.put(4, new Companion.Standing("nobody", "desk", 0));
+        bench.core.lookAtCompanion();
+        bench.core.lookAtCompanion();
+        assertEquals(List.of("already open s-1"), bench.take());
+        there.put(3, new Companion.Standing("s-1", "gate", 0));
+        bench.core.lookAtCompanion();
+        assertEquals(List.of("finished 0 CANCELLED concluded", "already open s-1"), bench.take(), "another one there now");
+        there.clear();
+        bench.core.lookAtCompanion();
+        assertEquals(List.of("finished 0 CANCELLED concluded"), bench.take());
+        assertEquals(0, bench.core.standingCount());
+        ServerSideFlow flow = bench.sent(2000);
+        bench.core.up(flow);
+        bench.core.ended(flow, Outcome.OK);
+        assertEquals(List.of(new Companion.Standing("s-1", null, 0), 7), noted, "and it is told what stands here");
+    }
 }
