--- a/src/main/java/tulipshed/discovery/Watch.java
+++ b/src/main/java/tulipshed/discovery/Watch.java
@@ -30,6 +30,7 @@
     /** Whether the next call asks for the whole list, which discovery answers without waiting for news. */
     private boolean whole;
     private boolean catchingUp;
+    private boolean watching;
     private Link link;
     private XnioLoop.Dialing dialing;
     private HttpAnswer answer;
@@ -145,6 +146,10 @@
             return;
         }
         calling = false;
+        if (!watching) {
+            watching = true;
+            log.accept("discovery: watching from version " + list.version() + " on");
+        }
         version = list.version();
         whole = false;
         catchingUp = false;
@@ -160,6 +165,7 @@
             return;
         }
         calling = false;
+        watching = false;
         log.accept("discovery: " + why);
         hangUp();
         core.members(ListKind.FAILED, List.of());
