--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -48,7 +48,6 @@
     private static final double FILL = 6; // of the others' mean gained in one warm-up; the rule breaks at 30
     private static final int WARMING_SEEN = 32; // looked at a request: finds credit on a fleet half new
     private static final double CREDIT_US = 500_000; // of gain kept at most, or one connection
-    private static final double QUOTA_USED = 0.25; // of the quotas in use where a balancer holds nothing yet
     private static final double GROUP_MEMORY_US = 60e6; // for arrivals of a group to fade: a life or two
     private static final double GROUP_SPREAD = 1; // of a group's share of the fleet: places hold their due
     private static final int GROUP_PLACES = 2; // at least, or there would be no lighter one
@@ -124,7 +123,7 @@
         crossingCosts = settings.prices().crossZone() > 0;
         double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerS).sum();
         double connections = settings.tenants().stream().mapToDouble(Tenant::quotaConnections).sum();
-        quotaOpen = connections / settings.balancers() * QUOTA_USED;
+        quotaOpen = connections / settings.balancers(); // about what the fleet can hold, also for one that holds none
         int tenants = Math.max(1, settings.tenants().size());
         curve = new DepthCurve((quota > 0 ? quota / settings.balancers() / tenants : 1) * CURVE_START);
         // What a tenant has left is kept by its name: its place in the settings may change.
--- a/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/src/test/java/tulipshed/decision/BalancerTest.java
@@ -618,6 +618,26 @@
         assertTrue(sent[1] <= 1, "none of it: " + sent[1]);
     }
 
+    /** Seen on a herd day: with a quarter of the quotas the one warm server of five got nearly all and was late. */
+    @Test
+    void aBalancerThatHoldsNothingFillsColdServersByTheQuota() {
+        setup.balancers = 8;
+        setup.quotaConnections = 38;
+        int cold = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            Balancer b = setup.balancer(recorder, seed);
+            b.servers(0, ListKind.COMPLETE, List.of(setup.server(0), setup.server(1, ServerState.SERVING, 1),
+                    setup.server(2, ServerState.SERVING, 1), setup.server(3, ServerState.SERVING, 1)));
+            for (int i = 1; i <= 6; i++) {
+                long now = 2 * SECOND + i * SECOND / 2;
+                b.request(now, request(i));
+                cold += recorder.sentTo().equals(name(0)) ? 0 : 1;
+                b.started(now, i, 0, 1000);
+            }
+        }
+        assertTrue(cold > 180 && cold < 215, "of 240 to the three cold servers: " + cold);
+    }
+
     // ---- New settings ----
 
     /** Kept by index, these would be another class's or tenant's once one before them is dropped. */
