--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/src/test/java/tulipshed/command/NodeTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.yaml.snakeyaml.Yaml;
+import tulipshed.config.JsonValues;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
 import tulipshed.quic.QuicConfig;
@@ -101,6 +103,10 @@
         try (Socket one = client(OPEN); Socket first = serve()) {
             assertEquals("UP r", reader(one).readLine());
             String figures = call("GET /status/metrics");
+            Map<String, Object> described = new Yaml().load(Files.readString(Path.of("docs/openapi-management.yaml")));
+            assertTrue(described.toString().contains("required=[" + String.join(", ",
+                    JsonValues.object(figures.substring(figures.indexOf('{')).getBytes(StandardCharsets.US_ASCII)).keySet())
+                    + "]"), "the description names all figures");
             assertTrue(figures.contains("\"slot-board\":{\"success\":1,\"overload\":0,\"error\":0}"), figures);
             assertTrue(figures.contains("\"concurrent\":1,\"dispatches\":1,"), figures);
             Thread leaving = new Thread(node::leave);
--- a/src/test/java/tulipshed/line/DescriptionTest.java
+++ b/src/test/java/tulipshed/line/DescriptionTest.java
@@ -49,7 +49,8 @@
 
     @Test
     void everyReferenceLeadsSomewhere() throws IOException {
-        for (String file : List.of("docs/asyncapi.yaml", "docs/openapi-discovery.yaml")) {
+        for (String file : List.of("docs/asyncapi.yaml", "docs/openapi-discovery.yaml",
+                "docs/openapi-management.yaml")) {
             Object whole = new Yaml().load(Files.readString(Path.of(file)));
             assertTrue(references(whole, whole) > 0, file);
         }
