Bound what the second address accepts ahead of the loop, and end once all is handed over

A high water mark of twice the connections kept leaves the rest in the kernel. A process that had handed over all waited for its own watch (the done of Node.step wanted no connection at all) until after SIGKILL was due; it stops the watch first.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -245,8 +245,9 @@
             int now = (int) Math.ceil(core.standingCount() * Math.min(1, STEP_MS / leftMs));
             for (int i = 0; i < now && core.moveOne(); i++) { }
         }
-        boolean done = handedOver && core.figures().concurrent() == 0 && loop.open() == 0;
+        boolean done = handedOver && core.figures().concurrent() == 0 && loop.open() <= (watch.open() ? 1 : 0);
         if (sinceMs >= endMs || done) {
+            watch.stop();
             core.rejectAllOwed();
             while (core.moveOne()) { }
             if (loop.open() == 0 || sinceMs > endMs + limits.lingerMs() / 3) {
--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -123,7 +123,8 @@
         crossingCosts = settings.prices().crossZone() > 0;
         double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerS).sum();
         double connections = settings.tenants().stream().mapToDouble(Tenant::quotaConnections).sum();
-        quotaOpen = connections / settings.balancers(); // about what the fleet can hold, also for one that holds none
+        // About what the fleet can hold, also for one that holds nothing yet.
+        quotaOpen = connections / settings.balancers();
         int tenants = Math.max(1, settings.tenants().size());
         curve = new DepthCurve((quota > 0 ? quota / settings.balancers() / tenants : 1) * CURVE_START);
         // What a tenant has left is kept by its name: its place in the settings may change.
--- a/src/main/java/tulipshed/discovery/Watch.java
+++ b/src/main/java/tulipshed/discovery/Watch.java
@@ -61,6 +61,17 @@
         watch();
     }
 
+    /** Whether it holds a connection. */
+    public boolean open() {
+        return link != null || dialing != null;
+    }
+
+    /** Asks nothing more; the node ends. */
+    public void stop() {
+        hangUp();
+        calling = true;
+    }
+
     /**
      * Discovery is elsewhere from now on. What the old address still says or fails to say changes nothing, and as
      * the new one may count its versions differently, it is asked for the whole list, at once: what it has to tell
--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -61,7 +61,7 @@
         double takeOverListMs,
         /** Open ids that a process shows to the other process of its node. */
         int sharedIds,
-        /** Connections of the second address at a time, and those accepted at most while the oldest are sent away. */
+        /** Connections of the second address at a time; as many again may be accepted until the oldest have given way. */
         int managementConnections,
         /** Longest head of a call there. */
         int managementHeadBytes,
@@ -92,12 +92,12 @@
 
     /** How many descriptors connections may take together when a new one is taken. */
     public int connectionDescriptors() {
-        return Math.max(2, descriptors - reservedDescriptors - managementConnections);
+        return Math.max(2, descriptors - reservedDescriptors - 2 * managementConnections);
     }
 
     /** How many they may take when a flow is opened: clients taken at the same time must not starve each other. */
     public int flowDescriptors() {
-        return Math.max(2, descriptors - reservedDescriptors / 2 - managementConnections);
+        return Math.max(2, descriptors - reservedDescriptors / 2 - 2 * managementConnections);
     }
 
     /** Connections without a whole first line at a time; a client that means it sends its line at once. */
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -81,7 +81,7 @@
     /** What another process of this node holds: its connections, and what a process needs besides. */
     private int others() {
         return siblings.accompanied()
-                ? siblings.otherOpen() + limits.reservedDescriptors() + limits.managementConnections() : 0;
+                ? siblings.otherOpen() + limits.reservedDescriptors() + 2 * limits.managementConnections() : 0;
     }
 
     private void opened(int more) {
@@ -102,6 +102,15 @@
     /** Accepts connections at the address, and nowhere else. */
     public AcceptingChannel<StreamConnection> listen(InetSocketAddress address, Consumer<StreamConnection> taker)
             throws IOException {
+        return listen(address, Integer.MAX_VALUE, taker);
+    }
+
+    /**
+     * Accepts connections of which no more than {@code most} take descriptors: those that come while as many are open
+     * wait in the kernel, as accepting runs ahead of the loop.
+     */
+    public AcceptingChannel<StreamConnection> listen(InetSocketAddress address, int most,
+            Consumer<StreamConnection> taker) throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = server -> {
             try {
                 for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
@@ -113,6 +122,7 @@
         };
         AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address, accept,
                 OptionMap.builder().set(Options.BACKLOG, limits.backlog()).set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most)
                         .set(Options.TCP_NODELAY, true).getMap());
         server.resumeAccepts();
         return server;
--- a/src/main/java/tulipshed/management/ManagementFront.java
+++ b/src/main/java/tulipshed/management/ManagementFront.java
@@ -40,7 +40,8 @@
         this.core = core;
         this.serves = serves;
         scratch = ByteBuffer.allocate(limits.managementHeadBytes());
-        server = loop.listen(address, this::accepted);
+        // As many again as are kept, so that there is always one that makes the oldest give way.
+        server = loop.listen(address, 2 * limits.managementConnections(), this::accepted);
         loop.after(limits.sweepMs(), this::sweep);
     }
 
--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/src/test/java/tulipshed/command/NodeTest.java
@@ -124,7 +124,7 @@
     /** The clients' descriptors are one thing, those of the second address another. */
     @Test
     void aNodeWithoutDescriptorsForClientsStillAnswersItsStaff() throws IOException {
-        node(64 + 16 + 4);
+        node(64 + 32 + 4);
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             clients.add(client(OPEN));
@@ -196,7 +196,7 @@
     /** Without this a node at its limit would take clients that it cannot connect onwards, or not take any. */
     @Test
     void aNodeWithoutDescriptorsTurnsAwayCleanlyAndGoesOn() throws IOException {
-        node(64 + 16 + 4);
+        node(64 + 32 + 4);
         try (Socket one = client(OPEN); Socket first = serve()) {
             assertEquals("UP r", reader(one).readLine());
             Socket two = client(OPEN);
@@ -217,7 +217,7 @@
     /** Seen on a rude day: hundreds that say nothing took the descriptors, and 957 others were turned away. */
     @Test
     void clientsThatSayNothingGiveWayToOthers() throws IOException {
-        node(64 + 16 + 16);
+        node(64 + 32 + 16);
         List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             silent.add(client(i % 2 == 0 ? "" : "frob\r\n"));
--- a/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/src/test/java/tulipshed/discovery/WatchTest.java
@@ -112,6 +112,19 @@
         }
     }
 
+    /** Without this a node that has handed over its clients would stay for its watch alone. */
+    @Test
+    void aWatchThatIsStoppedHangsUpAndAsksNothingMore() throws Exception {
+        try (Socket socket = discovery.accept()) {
+            call(socket);
+            loop.afterGathering(watch::stop);
+            loop.afterGathering(watch::watch);
+            assertEquals(-1, socket.getInputStream().read());
+            loop.afterGathering(() -> told.add("open " + watch.open()));
+            assertEquals("open false", news(), "and no failure is told");
+        }
+    }
+
     /** A failed call is told once, and nothing is asked again until the module says so. */
     @Test
     void failuresAreToldAndWaitForTheModule() throws Exception {
--- a/src/test/java/tulipshed/link/SiblingsTest.java
+++ b/src/test/java/tulipshed/link/SiblingsTest.java
@@ -110,9 +110,9 @@
         Limits limits = Limits.forDescriptors(400);
         Siblings next = new Siblings(file, 8);
         XnioLoop loop = new XnioLoop(limits, next);
-        old.open(limits.connectionDescriptors() - 64 - 16 - 2);
+        old.open(limits.connectionDescriptors() - 64 - 32 - 2);
         assertTrue(loop.hasRoom());
-        old.open(limits.connectionDescriptors() - 64 - 16 - 1);
+        old.open(limits.connectionDescriptors() - 64 - 32 - 1);
         assertFalse(loop.hasRoom());
         old.close();
         next.look();
--- a/src/test/java/tulipshed/management/ManagementFrontTest.java
+++ b/src/test/java/tulipshed/management/ManagementFrontTest.java
@@ -92,9 +92,14 @@
         assertTrue(call("GET /status HTTP/1.1\r\nx: " + "y".repeat(5000)).startsWith("HTTP/1.1 400 "));
     }
 
+    private static long descriptors() {
+        return new java.io.File("/proc/self/fd").list().length;
+    }
+
     /** Without a bound of their own these would hold the answer back from whoever calls in earnest. */
     @Test
     void silentAndHalfCallsKeepNoGoodCallWaitingAndEnd() throws IOException {
+        long before = descriptors();
         List<Socket> half = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             half.add(caller(i % 2 == 0 ? "" : "GET /status HT"));
@@ -103,6 +108,7 @@
         assertTrue(call("GET /status HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 200 "));
         assertTrue(System.nanoTime() - sinceNs < 1_000_000_000L);
         assertEquals("", heard(half.get(0)), "the oldest gave way");
+        assertTrue(descriptors() - before < 100 + 2 * 16 + 10, "the callers' own, and those that the node may take");
         assertTrue(heard(half.get(99)).startsWith("HTTP/1.1 408 "), "the youngest had its time");
         assertTrue(System.nanoTime() - sinceNs < 4_000_000_000L);
         for (Socket s : half) {
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -248,7 +248,7 @@
     @Test
     void aFlowWithoutADescriptorIsTurnedAwayAndNotCountedAgainstTheServer() throws IOException {
         loop.stop();
-        Limits few = Limits.forDescriptors(64 + 16 + 4);
+        Limits few = Limits.forDescriptors(64 + 32 + 4);
         loop = new XnioLoop(few);
         front(Manner.SERVES);
         tell(0, ServerState.DRAINING);
