--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -7,7 +7,7 @@
 rm -f target/tulipshed.jsa target/archive.log
 sed 's/"listen": *"[^"]*"/"listen": "127.0.0.1:0"/' example/node.json > target/archive.json
 PROXY_CONFIG=target/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
-    -XX:ArchiveClassesAtExit=target/tulipshed.jsa -jar target/tulipshed.jar serve --quic deploy/quic.json \
+    -XX:ArchiveClassesAtExit=target/tulipshed.jsa -jar target/tulipshed.jar serve --operators deploy/tulipshed.sexp \
     > target/archive.log 2>&1 &
 node=$!
 tries=0
--- a/src/main/java/tulipshed/command/AdapterCommand.java
+++ b/src/main/java/tulipshed/command/AdapterCommand.java
@@ -5,6 +5,11 @@
 
 /** The decision module on the simulator's wire, over standard input and output. */
 public final class AdapterCommand implements Command {
+    @Override
+    public String about() {
+        return "the decision module on the simulator's wire, over standard input and output";
+    }
+
     @Override
     public int run() {
         return Adapter.run(System.in, System.out, System.err, Balancer::new);
--- a/src/main/java/tulipshed/command/Command.java
+++ b/src/main/java/tulipshed/command/Command.java
@@ -5,6 +5,9 @@
     /** The program keeps running by itself. */
     int STAYS = -1;
 
+    /** What it does, in a sentence. */
+    String about();
+
     /** Does its work; the exit code, or {@link #STAYS}. */
     int run();
 }
--- /dev/null
+++ b/src/main/java/tulipshed/command/ExpressionCommand.java
@@ -0,0 +1,76 @@
+package tulipshed.command;
+
+import java.io.File;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import tulipshed.config.NodeConfig;
+import tulipshed.config.SettingsReader.Names;
+import tulipshed.operators.OperatorsFile;
+
+/** Work on the operators' file and on single expressions, without a node. */
+public final class ExpressionCommand implements CommandGroup {
+    @Override
+    public String about() {
+        return "checks, explains and tests the operators' file; tries an expression";
+    }
+
+    @Override
+    public Map<String, Supplier<Command>> commands() {
+        Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
+        commands.put("check", Check::new);
+        commands.put("explain", Explain::new);
+        commands.put("eval", ExpressionEvalCommand::new);
+        commands.put("test", ExpressionTestCommand::new);
+        return commands;
+    }
+
+    /** Classes and tenants that a file may name: those of a node's configuration. */
+    static Names names(File config) {
+        return NodeConfig.load(config == null ? System.getenv() : Map.of("PROXY_CONFIG", config.toString())).names();
+    }
+
+    /** What is wrong with a file, or that nothing is. */
+    public static final class Check implements Command {
+        @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
+        private File file;
+        @Option(name = "--config", metaVar = "CONFIG", usage = "the node's configuration, for the names of classes and "
+                + "tenants; otherwise the one that PROXY_CONFIG names")
+        private File config;
+
+        @Override
+        public String about() {
+            return "says all that is wrong with an operators' file, with its places; exit code 2 where anything is";
+        }
+
+        @Override
+        public int run() {
+            OperatorsFile.load(file.toPath(), names(config));
+            System.out.println(file + " is sound");
+            return 0;
+        }
+    }
+
+    /** What was understood of a file. */
+    public static final class Explain implements Command {
+        @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
+        private File file;
+        @Option(name = "--config", metaVar = "CONFIG", usage = "the node's configuration; otherwise PROXY_CONFIG names it")
+        private File config;
+
+        @Override
+        public String about() {
+            return "prints what was understood of an operators' file: types, the most that each rule costs, and how rules "
+                    + "are found";
+        }
+
+        @Override
+        public int run() {
+            OperatorsFile read = OperatorsFile.load(file.toPath(), names(config));
+            read.explanation().lines().forEach(System.out::println);
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/command/ExpressionTestCommand.java
@@ -0,0 +1,44 @@
+package tulipshed.command;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import tulipshed.config.MalformedInput;
+import tulipshed.config.SettingsReader.Names;
+import tulipshed.operators.CaseTable;
+import tulipshed.operators.OperatorsFile;
+
+/** Holds an operators' file to a table of transactions and what each must get. */
+public final class ExpressionTestCommand implements Command {
+    @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
+    private File file;
+    @Argument(index = 1, required = true, metaVar = "CASES", usage = "transactions, and the class, group, rule, route and "
+            + "pool that each must get")
+    private File cases;
+    @Option(name = "--config", metaVar = "CONFIG", usage = "the node's configuration; otherwise PROXY_CONFIG names it")
+    private File config;
+
+    @Override
+    public String about() {
+        return "holds an operators' file to a table of cases; exit code 1 where one fails, 2 where a file is wrong";
+    }
+
+    @Override
+    public int run() {
+        Names names = ExpressionCommand.names(config);
+        OperatorsFile rules = OperatorsFile.load(file.toPath(), names);
+        CaseTable table;
+        try {
+            table = CaseTable.read(cases.toString(), Files.readAllBytes(cases.toPath()));
+        } catch (IOException e) {
+            throw new MalformedInput("cannot read " + cases + ": " + e.getClass().getSimpleName());
+        }
+        List<String> failures = table.run(rules, names);
+        failures.forEach(System.out::println);
+        System.out.println(table.size() - table.failed() + " cases passed, " + table.failed() + " failed");
+        return failures.isEmpty() ? 0 : 1;
+    }
+}
--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -22,8 +22,10 @@
 import tulipshed.link.Siblings;
 import tulipshed.link.XnioLoop;
 import tulipshed.management.ManagementFront;
+import tulipshed.operators.OperatorsFile;
 import tulipshed.quic.QuicConfig;
 import tulipshed.quic.QuicFront;
+import tulipshed.routing.Router;
 import tulipshed.time.Clock;
 import tulipshed.transaction.TransactionCore;
 
@@ -33,6 +35,7 @@
 
     private final NodeConfig config;
     private final QuicConfig quicConfig;
+    private Router router;
     private final Clock clock;
     private final Consumer<String> log;
     private final Limits limits;
@@ -51,18 +54,19 @@
     private volatile boolean leaving;
 
     /** Starts a node that has no other process beside it. */
-    Node(NodeConfig config, QuicConfig quicConfig, Limits limits, Clock clock, Consumer<String> log)
+    Node(NodeConfig config, OperatorsFile operators, Limits limits, Clock clock, Consumer<String> log)
             throws IOException {
-        this(config, quicConfig, limits, new Siblings(), clock, log);
+        this(config, operators, limits, new Siblings(), clock, log);
     }
 
-    /** Starts a node; the second front stays off where its configuration is null or says so. */
-    Node(NodeConfig config, QuicConfig quicConfig, Limits limits, Siblings siblings, Clock clock, Consumer<String> log)
+    /** Starts a node; the second front stays off where the operators' file does not name it. */
+    Node(NodeConfig config, OperatorsFile operators, Limits limits, Siblings siblings, Clock clock, Consumer<String> log)
             throws IOException {
         this.siblings = siblings;
         this.config = config;
         names = config.names();
-        this.quicConfig = quicConfig;
+        quicConfig = operators.quic() == null ? null : QuicConfig.of(operators.quic());
+        router = operators.router();
         this.clock = clock;
         this.log = log;
         this.limits = limits;
@@ -99,14 +103,18 @@
         if (known != null) {
             core.members(ListKind.REMEMBERED, known.members());
         }
+        if (router != null) {
+            core.route(router);
+        }
         core.companion(siblings);
         watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
         core.source(watch);
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
+        front.declare(router == null ? null : router.declarations());
         if (siblings.otherServes()) {
             // What discovery has told the other process binds this one as well, so it asks before it serves.
             watch.catchUp();
-            takeOver(started, clock.nowMs() + limits.takeOverListMs());
+            takeOver(started, clock.nowMs() + limits.leaving().takeOverListMs());
         } else {
             serve(started);
         }
@@ -137,11 +145,11 @@
 
     /** Keeps up with the other process of this node; its UDP port is free once it has gone. */
     private void lookAtSiblings() {
-        loop.after(limits.sweepMs(), this::lookAtSiblings);
+        loop.after(limits.sockets().sweepMs(), this::lookAtSiblings);
         siblings.look();
         core.share(siblings.share());
         core.lookAtCompanion();
-        if (!siblings.accompanied() && quic == null && quicConfig != null && quicConfig.listen() != null && !leaving) {
+        if (!siblings.accompanied() && quic == null && quicConfig != null && !leaving) {
             try {
                 quic = new QuicFront(clock, limits, quicConfig, names, loop, core, log);
                 log.accept("tulipshed: QUIC on " + quic.address());
@@ -161,13 +169,20 @@
         return management == null ? null : management.address();
     }
 
+    /** How many members the list names as serving, once all gathered before is handed over. */
+    long serving() {
+        CompletableFuture<Long> count = new CompletableFuture<>();
+        loop.afterGathering(() -> count.complete(core.serving()));
+        return count.join();
+    }
+
     /** Whether it has begun to leave. */
     boolean isLeaving() {
         return leaving;
     }
 
     /** Takes over what a running node can of its new configuration, all at once. Members and connections stay. */
-    void reload(NodeConfig changed) {
+    void reload(NodeConfig changed, OperatorsFile operators) {
         boolean more = !changed.name().equals(config.name()) || !changed.listen().equals(config.listen())
                 || !Objects.equals(changed.management(), config.management()) || changed.sockets() != config.sockets();
         log.accept("tulipshed: reload, discovery at " + changed.discovery()
@@ -176,6 +191,11 @@
             core.reconfigure(changed.settings());
             front.reconfigure(changed.names(), changed.loadTellsDelay());
             names = changed.names();
+            if (router != null || operators.router() != null) {
+                router = operators.router();
+                core.route(router);
+                front.declare(router == null ? null : router.declarations());
+            }
             if (quic != null) {
                 quic.reconfigure(names);
             }
@@ -206,7 +226,7 @@
                 front.leaving();
             }
             leaving = true;
-            endMs = Math.min(limits.drainLongestMs(), core.longestDeadlineMs()) + limits.drainEndMs();
+            endMs = Math.min(limits.leaving().longestMs(), core.longestDeadlineMs()) + limits.leaving().endMs();
             log.accept("tulipshed: leaving" + (handedOver ? " to another process, " : ", ") + core.standingCount()
                     + " connections stand");
             step(gone);
@@ -232,7 +252,7 @@
     private void step(CountDownLatch gone) {
         double sinceMs = clock.nowMs() - leavingSinceMs;
         // Where another process listens already, what comes after this moment is better off there.
-        if ((handedOver || sinceMs >= limits.drainTakeMs()) && server != null) {
+        if ((handedOver || sinceMs >= limits.leaving().takeMs()) && server != null) {
             takeLast();
             IoUtils.safeClose(server);
             server = null;
@@ -240,7 +260,7 @@
                 quic.leaving();
             }
         }
-        if (sinceMs >= (handedOver ? 0 : Math.min(limits.drainMoveMs(), endMs / 2))) {
+        if (sinceMs >= (handedOver ? 0 : Math.min(limits.leaving().moveMs(), endMs / 2))) {
             double leftMs = Math.max(STEP_MS, endMs - sinceMs);
             int now = (int) Math.ceil(core.standingCount() * Math.min(1, STEP_MS / leftMs));
             for (int i = 0; i < now && core.moveOne(); i++) { }
@@ -250,7 +270,7 @@
             watch.stop();
             core.rejectAllOwed();
             while (core.moveOne()) { }
-            if (loop.open() == 0 || sinceMs > endMs + limits.lingerMs() / 3) {
+            if (loop.open() == 0 || sinceMs > endMs + limits.sockets().lingerMs() / 3) {
                 if (quic != null) {
                     quic.close();
                 }
--- a/src/main/java/tulipshed/command/Reload.java
+++ b/src/main/java/tulipshed/command/Reload.java
@@ -1,8 +1,10 @@
 package tulipshed.command;
 
+import java.util.function.Function;
 import java.util.function.Supplier;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
+import tulipshed.operators.OperatorsFile;
 
 /**
  * Has a running node read its configuration again, once for each time that it is asked to. The whole is read and
@@ -10,11 +12,14 @@
  */
 final class Reload {
     private final Supplier<NodeConfig> source;
+    private final Function<NodeConfig, OperatorsFile> operators;
     private Node node;
     private boolean early;
 
-    Reload(Supplier<NodeConfig> source) {
+    /** The operators' file is read against the settings that come with it: both are taken, or neither. */
+    Reload(Supplier<NodeConfig> source, Function<NodeConfig, OperatorsFile> operators) {
         this.source = source;
+        this.operators = operators;
     }
 
     /** The node serves; a reload that was asked for before is made up for. */
@@ -32,7 +37,8 @@
             return;
         }
         try {
-            node.reload(source.get());
+            NodeConfig config = source.get();
+            node.reload(config, operators.apply(config));
         } catch (MalformedInput e) {
             node.turnedDown(e.getMessage());
         }
--- a/src/main/java/tulipshed/command/ServeCommand.java
+++ b/src/main/java/tulipshed/command/ServeCommand.java
@@ -10,26 +10,31 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
 import tulipshed.link.Siblings;
-import tulipshed.quic.QuicConfig;
+import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
 
 /** One real node, until it is told to stop. */
 public final class ServeCommand implements Command {
-    @Option(name = "--quic", metaVar = "FILE", usage = "what the second front reads; it is off without")
-    private File quic;
+    @Option(name = "--operators", metaVar = "FILE", usage = "the operators' file: rules, pools, routes, the second front")
+    private File operators;
+
+    @Override
+    public String about() {
+        return "one real node, from the file that PROXY_CONFIG names, until it is told to stop";
+    }
 
     @Override
     public int run() {
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
-        QuicConfig second = quic == null ? null : QuicConfig.load(quic.toPath(), config.names());
-        Reload reload = new Reload(() -> NodeConfig.load(environment));
+        OperatorsFile rules = operators(config);
+        Reload reload = new Reload(() -> NodeConfig.load(environment), this::operators);
         // Without a handler of its own the virtual machine would exit on SIGHUP.
         Signal.handle(new Signal("HUP"), s -> reload.reload());
         Limits limits = Limits.forDescriptors(config.sockets());
         try {
             Siblings siblings = siblings(config, environment.get("TMPDIR"), limits);
-            Node node = new Node(config, second, limits, siblings, new SystemClock(), System.out::println);
+            Node node = new Node(config, rules, limits, siblings, new SystemClock(), System.out::println);
             reload.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
@@ -38,6 +43,10 @@
         }
     }
 
+    private OperatorsFile operators(NodeConfig config) {
+        return operators == null ? OperatorsFile.EMPTY : OperatorsFile.load(operators.toPath(), config.names());
+    }
+
     /** A node may run as two processes while one takes over; they meet in a file that its address names. */
     private static Siblings siblings(NodeConfig config, String folder, Limits limits) {
         if (folder == null || folder.isEmpty()) {
@@ -45,7 +54,7 @@
         }
         String address = config.listen().getAddress().getHostAddress() + "-" + config.listen().getPort();
         try {
-            return new Siblings(Path.of(folder, "tulipshed-" + address.replace(':', '.') + ".share"), limits.sharedIds());
+            return new Siblings(Path.of(folder, "tulipshed-" + address.replace(':', '.') + ".share"), limits.leaving().sharedIds());
         } catch (IOException e) {
             System.out.println("tulipshed: no second process can take over, TMPDIR is of no use: " + e);
             return new Siblings();
--- a/src/main/java/tulipshed/command/VersionCommand.java
+++ b/src/main/java/tulipshed/command/VersionCommand.java
@@ -1,10 +1,15 @@
 package tulipshed.command;
 
-/** Prints the version that the build wrote into the program. */
+/** Says which version this is. */
 public final class VersionCommand implements Command {
+    @Override
+    public String about() {
+        return "prints the version";
+    }
+
     @Override
     public int run() {
-        String version = VersionCommand.class.getPackage().getImplementationVersion();
+        String version = Main.class.getPackage().getImplementationVersion();
         System.out.println("tulipshed " + (version == null ? "of an unpacked build" : version));
         return 0;
     }
--- a/src/main/java/tulipshed/config/MalformedInput.java
+++ b/src/main/java/tulipshed/config/MalformedInput.java
@@ -1,7 +1,7 @@
 package tulipshed.config;
 
 /** A line that is not of the wire; the adapter says so and ends. */
-public final class MalformedInput extends RuntimeException {
+public class MalformedInput extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     public MalformedInput(String message) {
--- a/src/main/java/tulipshed/decision/Balancer.java
+++ b/src/main/java/tulipshed/decision/Balancer.java
@@ -61,7 +61,6 @@
     private static final long PROBE_WAIT_US = 150_000; // for the reports of two candidates
     private static final long REPORT_NEWS_US = 1_000_000; // a report is news
     private static final long LOG_US = 10_000_000; // between lines for the operator
-    private static final int POOLS = 4; // ready, near, ejected, warming
     private static final int TIMER_LIST = 0;
     private static final int TIMER_HELD = 1;
 
@@ -69,30 +68,18 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new HashMap<>();
-    private final Pool<Server> ready = new Pool<>(0);
-    private final Pool<Server> near = new Pool<>(1);
-    private final Pool<Server> ejected = new Pool<>(2);
-    private final Pool<Server> warming = new Pool<>(3);
+    private final Fleet whole = new Fleet(0, GROUP_MEMORY_US);
+    private final Fleet none = new Fleet(1, GROUP_MEMORY_US);
+    private final Map<String, Fleet> pools = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
     private final Map<String, Double> usualSetupUs = new HashMap<>();
     private final List<Request> probing = new ArrayList<>();
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();
-    private final Map<String, Group> groups = new HashMap<>();
-    private final Map<String, TokenBucket> buckets = new HashMap<>();
     private DepthCurve curve;
-    private final FadingCount groupArrivals = new FadingCount(GROUP_MEMORY_US);
-    private double readyWeight;
     private double fastest;
     private double largestShare;
-    private double readyLoad;
-    private int readyOpen;
     private double quotaOpen;
-    private int pending;
-    private int limits;
-    private int known;
-    private int failing;
-    private int listVersion;
     private int failedCalls;
     private double ownPart = 1;
     private long nextLogUs = Long.MIN_VALUE;
@@ -127,9 +114,6 @@
         quotaOpen = connections / settings.balancers();
         int tenants = Math.max(1, settings.tenants().size());
         curve = new DepthCurve((quota > 0 ? quota / settings.balancers() / tenants : 1) * CURVE_START);
-        // What a tenant has left is kept by its name: its place in the settings may change.
-        settings.tenants().forEach(t -> buckets.putIfAbsent(t.name(), new TokenBucket(now)));
-        buckets.putIfAbsent(NO_TENANT, new TokenBucket(now));
     }
 
     // ---- Depth curve and buckets ----
@@ -178,47 +162,6 @@
 
     // ---- What is known of servers, requests and groups ----
 
-    /** One server as this balancer sees it. */
-    private static final class Server extends Pool.Member {
-        private final String name;
-        private final long hash;
-        private Kind kind;
-        private double size;
-        private ServerEntry entry;
-        private int limit = FIRST_LIMIT;
-        private int pending;
-        private int open;
-        private double openLoad;
-        private boolean stood;
-        private boolean gone;
-        private boolean counted;
-        private long ejectedUntil;
-        private double credit;
-        private long creditAt;
-        private int ejections;
-        private boolean failing;
-        private int failures;
-        private long failedAt;
-        private double reported;
-        private long reportedAt = Long.MIN_VALUE / 2;
-        private double delayMs;
-        private long delayAt = Long.MIN_VALUE / 2;
-
-        Server(String name) {
-            super(POOLS);
-            this.name = name;
-            this.hash = Hashing.of(name);
-        }
-
-        double weight() {
-            return size * kind.speed;
-        }
-
-        boolean late(long now, double aimMs) {
-            return now - delayAt < NEWS_US && delayMs > aimMs;
-        }
-    }
-
     /** One request from its arrival until its client is done and its attempt has ended. */
     private static final class Request {
         private final NewRequest in;
@@ -226,6 +169,7 @@
         private final long deadlineUs;
         private double load;
         private int attempts;
+        private Fleet fleet;
         private Server server;
         private Group group;
         private boolean standing;
@@ -240,8 +184,9 @@
         private int awaited;
         private boolean asked;
 
-        Request(NewRequest in, RequestClass kind, long now) {
+        Request(NewRequest in, RequestClass kind, Fleet fleet, long now) {
             this.in = in;
+            this.fleet = fleet;
             this.kind = kind;
             this.deadlineUs = now + in.graceUs();
             this.load = in.hintUsPerS() > 0 ? in.hintUsPerS() : 1;
@@ -252,7 +197,7 @@
     private record Idle(Server server, long untilUs) { }
 
     /** Connections that share work on each server that holds any of them. */
-    private static final class Group {
+    static final class Group {
         private final long hash;
         private final FadingCount arrivals = new FadingCount(GROUP_MEMORY_US);
         private final List<Server> members = new ArrayList<>();
@@ -269,6 +214,13 @@
         return requests.size();
     }
 
+    /** What is not counted right; for tests. */
+    String miscounted() {
+        StringBuilder wrong = new StringBuilder(whole.miscounted(servers.values()));
+        pools.values().forEach(f -> wrong.append(f.miscounted(servers.values())));
+        return wrong.toString();
+    }
+
     // ---- The server list ----
 
     @Override
@@ -288,7 +240,7 @@
         }
         for (ServerEntry e : entries) {
             if (e.state() != ServerState.GONE) {
-                update(now, servers.computeIfAbsent(e.server(), Server::new), e);
+                update(now, server(e.server()), e);
             } else if (servers.containsKey(e.server())) {
                 leave(servers.get(e.server()));
             }
@@ -308,9 +260,7 @@
         ServerEntry before = s.entry;
         boolean restarted = before != null && before.startedUs() != e.startedUs();
         boolean serving = e.state() == ServerState.SERVING;
-        if (ready.has(s)) {
-            s.kind.readySize -= s.size;
-        }
+        sizes(s, -1);
         s.entry = e;
         s.gone = false;
         s.kind = kinds.computeIfAbsent(e.kind(), k -> new Kind());
@@ -322,25 +272,23 @@
             setLimit(s, FIRST_LIMIT);
             s.stood = e.startedUs() == 0;
             readmit(s);
-            warming.remove(s);
+            s.fleets.forEach(f -> f.warming.remove(s));
             s.ejections = s.failures = 0;
             s.delayAt = Long.MIN_VALUE / 2;
         }
-        if (ready.has(s)) {
-            s.kind.readySize += s.size;
-        }
+        sizes(s, 1);
         largestShare = Math.max(largestShare, e.share());
         if (!serving) {
             unready(s);
-        } else if (!ready.has(s)) {
-            ready.add(s);
-            sum(s, 1);
+        } else if (!whole.ready.has(s)) {
+            s.fleets.forEach(f -> f.ready.add(s));
+            s.fleets.forEach(f -> f.sum(s, 1));
         }
         if (serving && e.zone().equals(settings.zone())) {
-            near.add(s);
+            s.fleets.forEach(f -> f.near.add(s));
         }
-        if (serving && age(now, s) < WARMING * settings.rules().coldUs() && !warming.has(s)) {
-            warming.add(s);
+        if (serving && age(now, s) < WARMING * settings.rules().coldUs() && !whole.warming.has(s)) {
+            s.fleets.forEach(f -> f.warming.add(s));
             s.credit = random.nextDouble();
             s.creditAt = now;
         }
@@ -359,30 +307,78 @@
     }
 
     private void unready(Server s) {
-        if (!ready.has(s)) {
-            return;
+        if (whole.ready.has(s)) {
+            readmit(s);
+            s.fleets.forEach(f -> f.unready(s));
+        }
+    }
+
+    /** Its size is about to change, or has. */
+    private void sizes(Server s, int sign) {
+        if (whole.ready.has(s)) {
+            s.fleets.forEach(f -> s.kind.ready(f.id, sign * s.size));
         }
-        readmit(s);
-        ready.remove(s);
-        near.remove(s);
-        warming.remove(s);
-        sum(s, -1);
     }
 
-    private void sum(Server s, int sign) {
-        s.kind.readySize += sign * s.size;
-        readyLoad += sign * s.openLoad;
-        pending += sign * s.pending;
-        limits += sign * s.limit;
-        readyOpen += sign * s.open;
-        listVersion++;
-        count(s);
+    private Server server(String name) {
+        Server known = servers.get(name);
+        if (known == null) {
+            known = new Server(name, FIRST_LIMIT, whole);
+            servers.put(name, known);
+            pooled(known);
+        }
+        return known;
+    }
+
+    @Override
+    public void pools(long now, Map<String, Set<String>> members) {
+        pools.forEach((name, f) -> f.members = members.getOrDefault(name, Set.of()));
+        members.forEach((name, m) ->
+                pools.computeIfAbsent(name, n -> new Fleet(free(), GROUP_MEMORY_US)).members = m);
+        servers.values().forEach(this::pooled);
+        pools.keySet().retainAll(members.keySet());
+    }
+
+    /** The lowest number that no fleet has. */
+    private int free() {
+        int id = 2;
+        while (pools.values().stream().mapToInt(f -> f.id).anyMatch(Integer.valueOf(id)::equals)) {
+            id++;
+        }
+        return id;
+    }
+
+    private void pooled(Server s) {
+        for (Fleet f : pools.values()) {
+            boolean belongs = f.members.contains(s.name);
+            if (belongs != s.fleets.contains(f)) {
+                if (belongs) {
+                    f.enter(s);
+                } else {
+                    f.leave(s);
+                }
+            }
+        }
+    }
+
+    /** A pool that does not exist any more has no servers. */
+    private Fleet fleet(String pool) {
+        return pool == null ? whole : pools.getOrDefault(pool, none);
+    }
+
+    @Override
+    public void route(long now, long request, String pool) {
+        Request r = requests.get(request);
+        if (r != null && !r.standing) {
+            r.fleet = fleet(pool);
+        }
     }
 
     private void setLimit(Server s, int limit) {
         int bounded = Math.max(1, Math.min(HIGHEST_LIMIT, limit));
-        if (ready.has(s)) {
-            limits += bounded - s.limit;
+        int more = bounded - s.limit;
+        if (whole.ready.has(s)) {
+            s.fleets.forEach(f -> f.limits += more);
         }
         s.limit = bounded;
     }
@@ -391,17 +387,19 @@
 
     @Override
     public void request(long now, NewRequest in) {
-        Request r = new Request(in, settings.classes().get(in.requestClass()), now);
+        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now);
         requests.put(in.id(), r);
         if (!in.midFlow()) {
-            double rate = curve.rateAt(depth(now)) * ownPart;
+            double rate = curve.rateAt(depth(now, r.fleet)) * ownPart;
             boolean has = in.tenant() >= 0 && in.tenant() < settings.tenants().size();
-            TokenBucket bucket = buckets.get(has ? settings.tenants().get(in.tenant()).name() : NO_TENANT);
+            // Kept by name, as a tenant's place in the settings may change.
+            TokenBucket bucket = r.fleet.buckets.computeIfAbsent(
+                    has ? settings.tenants().get(in.tenant()).name() : NO_TENANT, t -> new TokenBucket(now));
             if (!bucket.take(now, rate)) {
                 if (now >= nextLogUs) {
                     nextLogUs = now + LOG_US;
-                    actions.log("refusing: " + ejected.size() + " of " + known
-                            + " servers known out of favour, " + failing + " of them failing");
+                    actions.log("refusing: " + r.fleet.ejected.size() + " of " + r.fleet.known.size()
+                            + " servers known out of favour, " + r.fleet.failing + " of them failing");
                 }
                 refuse(r, bucket.untilTokenUs(rate));
                 return;
@@ -419,14 +417,15 @@
      * Pending over limits. A fleet whose standing connections overload it has nothing pending: there the
      * share out of favour of the servers it has news of (and two more, lest one be all) is the depth.
      */
-    private double depth(long now) {
-        for (int i = 0; i < SWEEP && !ejected.isEmpty(); i++) {
-            Server s = ejected.get(random.nextInt(ejected.size()));
+    private double depth(long now, Fleet f) {
+        for (int i = 0; i < SWEEP && !f.ejected.isEmpty(); i++) {
+            Server s = f.ejected.get(random.nextInt(f.ejected.size()));
             if (now >= s.ejectedUntil) {
                 readmit(s);
             }
         }
-        return Math.max(limits == 0 ? 0 : (double) pending / limits, ejected.size() / (known + 2.0));
+        double pending = f.limits == 0 ? 0 : (double) f.pending / f.limits;
+        return Math.max(pending, f.ejected.size() / (f.known.size() + 2.0));
     }
 
     private void refuse(Request r, long retryAfterUs) {
@@ -468,7 +467,7 @@
             actions.timer(PROBE_WAIT_US, r.in.id() << 1 | TIMER_HELD);
             return;
         }
-        if (s == null && ready.isEmpty() && left > 2 * HOLD_US) {
+        if (s == null && r.fleet.ready.isEmpty() && left > 2 * HOLD_US) {
             // No server known to be ready: hold while there is time for the list to name one.
             actions.timer(HOLD_US, r.in.id() << 1 | TIMER_HELD);
             return;
@@ -511,11 +510,12 @@
     }
 
     private Server choose(long now, Request r) {
-        if (ready.isEmpty()) {
+        if (r.fleet.ready.isEmpty()) {
             return null;
         }
         fastest = Kind.estimate(kinds.values(), SPEED_PRIOR);
-        readyWeight = kinds.values().stream().mapToDouble(k -> k.readySize * k.speed).sum();
+        whole.weigh(kinds.values());
+        r.fleet.weigh(kinds.values());
         Group group = group(now, r);
         // Left to the draws alone, machines added in a rush stay empty while the others are crowded.
         Server a = warmingWithCredit(now, r);
@@ -568,11 +568,12 @@
 
     /** Where opening a connection costs: a server to which one of ours has come free, best a near one. */
     private Server idle(long now, Request r) {
-        double mean = REUSE * readyLoad / Math.max(1e-9, readyWeight);
+        double mean = REUSE * r.fleet.load / Math.max(1e-9, r.fleet.weight);
         Idle found = null;
         for (var it = idle.descendingIterator(); it.hasNext();) {
             Idle i = it.next();
-            boolean better = found == null || crossingCosts && near.has(i.server) && !near.has(found.server);
+            boolean better = found == null
+                    || crossingCosts && whole.near.has(i.server) && !whole.near.has(found.server);
             if (better && now < i.untilUs && usable(now, r, i.server)
                     && i.server.openLoad <= mean * i.server.weight()) {
                 found = i;
@@ -583,12 +584,15 @@
     }
 
     private Server draw(long now, Request r, Group group, Server other) {
-        int spread = group == null ? 0 : spread(now, group);
+        Pool<Server> near = r.fleet.near;
+        int spread = group == null ? 0 : spread(now, r.fleet, group);
         for (int i = 0; i < DRAWS; i++) {
             boolean early = i < DRAWS / 2;
             // Away from a zone that fails as a whole: near servers are for first attempts.
-            Pool<Server> from = early && crossingCosts && r.attempts == 0 && !near.isEmpty() ? near : ready;
-            Server s = group != null && early ? place(group, random.nextInt(spread)) : byWeight(from);
+            boolean nearby = early && crossingCosts && r.attempts == 0 && !near.isEmpty();
+            Pool<Server> from = nearby ? near : r.fleet.ready;
+            Server s = group != null && early ? place(r.fleet, group, random.nextInt(spread))
+                    : byWeight(from);
             if (s != other && usable(now, r, s)) {
                 return s;
             }
@@ -611,12 +615,13 @@
      * fails or is late now only for a first attempt: all would be spent on such within a moment.
      */
     private Server inTurn(long now, Request r) {
+        Pool<Server> ready = r.fleet.ready;
         Server last = null;
         int start = random.nextInt(ready.size());
         for (int i = 0; i < IN_TURN && i < ready.size(); i++) {
             Server s = ready.get((start + i) % ready.size());
             if (s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s)) {
-                if (!s.failing && !s.late(now, lateMs)) {
+                if (!s.failing && !late(now, s)) {
                     return s;
                 }
                 last = s;
@@ -626,19 +631,33 @@
     }
 
     private boolean usable(long now, Request r, Server s) {
-        return inFavour(now, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s);
+        return inFavour(now, r.fleet, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s);
     }
 
-    private boolean inFavour(long now, Server s) {
+    private boolean inFavour(long now, Fleet f, Server s) {
         // With most servers out of favour the fault is elsewhere: spreading over all beats crowding the rest.
-        boolean panic = ejected.size() - failing > (ready.size() - failing) * (1 - PANIC);
-        return ready.has(s) && (now >= s.ejectedUntil || panic && !s.failing && !s.late(now, lateMs));
+        boolean panic = f.ejected.size() - f.failing > (f.ready.size() - f.failing) * (1 - PANIC);
+        return f.ready.has(s) && (now >= s.ejectedUntil || panic && !s.failing && !late(now, s));
+    }
+
+    private boolean late(long now, Server s) {
+        return now - s.delayAt < NEWS_US && s.delayMs > lateMs;
     }
 
     @Override
     public int avoided(long now) {
         return (int) servers.values().stream().filter(s -> !s.gone && s.entry != null)
-                .filter(s -> !inFavour(now, s)).count();
+                .filter(s -> !inFavour(now, whole, s)).count();
+    }
+
+    @Override
+    public int inFavour(long now, String pool) {
+        Fleet f = fleet(pool);
+        int count = 0;
+        for (int i = 0; i < f.ready.size(); i++) {
+            count += inFavour(now, f, f.ready.get(i)) ? 1 : 0;
+        }
+        return count;
     }
 
     /**
@@ -650,12 +669,12 @@
     private boolean cold(long now, Server s) {
         long coldUs = settings.rules().coldUs();
         long age = age(now, s);
-        if (!warming.has(s) || age >= WARMING * coldUs) {
+        if (!whole.warming.has(s) || age >= WARMING * coldUs) {
             return false;
         }
         double share = settings.rules().coldShare();
         double ramp = share + (1 - share) * Math.max(0, Math.min(age, coldUs)) / coldUs;
-        double each = Math.max(readyOpen, quotaOpen) * s.weight() / Math.max(1e-9, readyWeight);
+        double each = Math.max(whole.open, quotaOpen) * s.weight() / Math.max(1e-9, whole.weight);
         double perUs = FILL * each / coldUs * ramp * ownPart;
         s.credit = Math.min(Math.max(1, perUs * CREDIT_US), s.credit + perUs * (now - s.creditAt));
         s.creditAt = now;
@@ -663,11 +682,12 @@
     }
 
     private Server warmingWithCredit(long now, Request r) {
+        Pool<Server> warming = r.fleet.warming;
         int start = random.nextInt(Math.max(1, warming.size()));
         for (int i = 0; i < WARMING_SEEN && i < warming.size(); i++) {
             Server s = warming.get((start + i) % warming.size());
             if (age(now, s) >= WARMING * settings.rules().coldUs()) {
-                warming.remove(s);
+                s.fleets.forEach(f -> f.warming.remove(s));
                 return null;
             }
             if (usable(now, r, s)) {
@@ -686,7 +706,7 @@
         if (s.pending >= s.limit) {
             return Double.MAX_VALUE;
         }
-        double mean = readyLoad / Math.max(1e-9, readyWeight);
+        double mean = r.fleet.load / Math.max(1e-9, r.fleet.weight);
         double own = s.openLoad;
         if (!s.stood) {
             // A new server counts as if it bore the others' mean, or every balancer would rush to it.
@@ -703,6 +723,7 @@
         if (!settings.groups() || name == null) {
             return null;
         }
+        Map<String, Group> groups = r.fleet.groups;
         if (groups.size() > MOST_GROUPS) {
             groups.values().removeIf(g -> g.members.isEmpty() && g.arrivals.at(now) < 0.1);
         }
@@ -713,25 +734,25 @@
      * How many places a group chooses from: its share of the arrivals seen, of the whole fleet. Laplace's
      * estimate: counting an unseen group as nothing would crowd its first places from many balancers.
      */
-    private int spread(long now, Group g) {
-        double share = (g.arrivals.at(now) + 1) / (groupArrivals.at(now) + groups.size());
-        int places = (int) Math.round(GROUP_SPREAD * share * ready.size());
-        return Math.max(GROUP_PLACES, Math.min(ready.size(), places));
+    private int spread(long now, Fleet f, Group g) {
+        double share = (g.arrivals.at(now) + 1) / (f.groupArrivals.at(now) + f.groups.size());
+        int places = (int) Math.round(GROUP_SPREAD * share * f.ready.size());
+        return Math.max(GROUP_PLACES, Math.min(f.ready.size(), places));
     }
 
     /** The group's i-th place by weighted rendezvous hashing, on which all balancers agree. */
-    private Server place(Group g, int i) {
-        if (g.listVersion != listVersion) {
+    private Server place(Fleet f, Group g, int i) {
+        if (g.listVersion != f.version) {
             Arrays.fill(g.places, null);
-            g.listVersion = listVersion;
+            g.listVersion = f.version;
         }
         if (i >= g.places.length) {
             g.places = Arrays.copyOf(g.places, Math.max(i + 1, 2 * g.places.length));
         }
         if (g.places[i] == null) {
             double best = Double.MAX_VALUE;
-            for (int k = 0; k < ready.size(); k++) {
-                Server s = ready.get(k);
+            for (int k = 0; k < f.ready.size(); k++) {
+                Server s = f.ready.get(k);
                 double score = -Math.log(Hashing.uniform(g.hash, s.hash, i)) / s.weight();
                 if (score < best) {
                     best = score;
@@ -746,11 +767,11 @@
 
     @Override
     public void alreadyOpen(long now, NewRequest in, String server) {
-        Request r = new Request(in, settings.classes().get(in.requestClass()), now);
+        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now);
         requests.put(in.id(), r);
         r.attempts = 1;
         r.standing = true;
-        r.server = servers.computeIfAbsent(server, Server::new);
+        r.server = server(server);
         r.server.stood = true;
         tally(r.server, 1, 0, r.load);
         if (r.server.kind != null) {
@@ -765,7 +786,7 @@
             g.members.add(r.server);
             r.group = g;
             g.arrivals.add(now);
-            groupArrivals.add(now);
+            r.fleet.groupArrivals.add(now);
         }
     }
 
@@ -804,7 +825,7 @@
             return;
         }
         Server s = r.server;
-        boolean lateBefore = s.late(now, lateMs);
+        boolean lateBefore = late(now, s);
         s.delayMs = delayMs;
         s.delayAt = now;
         if (delayMs > SLOW * lateMs) {
@@ -882,12 +903,13 @@
     private void fail(long now, Server s, boolean enough) {
         s.failures = now - s.failedAt < FAILURE_US ? s.failures + 1 : 1;
         s.failedAt = now;
-        if (!ready.has(s) || s.failing && now < s.ejectedUntil || s.failures < FAILURES && !enough) {
+        if (!whole.ready.has(s) || s.failing && now < s.ejectedUntil || s.failures < FAILURES && !enough) {
             return;
         }
         eject(now, s, EJECT_US << Math.min(s.ejections, MOST_EJECTIONS - 1));
         s.ejections++;
-        failing += s.failing ? 0 : 1;
+        int more = s.failing ? 0 : 1;
+        s.fleets.forEach(f -> f.failing += more);
         s.failing = true;
     }
 
@@ -900,28 +922,24 @@
     }
 
     private void eject(long now, Server s, long forUs) {
-        if (!ready.has(s)) {
+        if (!whole.ready.has(s)) {
             return;
         }
-        ejected.add(s);
-        count(s);
+        s.fleets.forEach(f -> f.ejected.add(s));
+        s.fleets.forEach(f -> f.count(s));
         // Chance keeps the balancers from coming back to it all at once.
         s.ejectedUntil = Math.max(s.ejectedUntil, now + (long) (forUs * (0.75 + 0.5 * random.nextDouble())));
     }
 
     private void readmit(Server s) {
         s.ejectedUntil = 0;
-        ejected.remove(s);
-        failing -= s.failing ? 1 : 0;
+        int less = s.failing ? 1 : 0;
         s.failing = false;
-        count(s);
-    }
-
-    /** Keeps the number of ready servers that this balancer has news of. */
-    private void count(Server s) {
-        boolean counts = ready.has(s) && (s.open > 0 || ejected.has(s));
-        known += counts == s.counted ? 0 : counts ? 1 : -1;
-        s.counted = counts;
+        s.fleets.forEach(f -> {
+            f.ejected.remove(s);
+            f.failing -= less;
+            f.count(s);
+        });
     }
 
     /** Adds to what a server bears, and to the sums over ready servers. */
@@ -929,12 +947,13 @@
         s.open += opened;
         s.pending += sent;
         s.openLoad = s.open == 0 ? 0 : s.openLoad + load;
-        if (ready.has(s)) {
-            readyOpen += opened;
-            pending += sent;
-            readyLoad += load;
-        }
-        count(s);
+        boolean ready = whole.ready.has(s);
+        s.fleets.forEach(f -> {
+            f.open += ready ? opened : 0;
+            f.pending += ready ? sent : 0;
+            f.load += ready ? load : 0;
+            f.count(s);
+        });
     }
 
     @Override
--- a/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/src/main/java/tulipshed/decision/BalancerApi.java
@@ -1,6 +1,8 @@
 package tulipshed.decision;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * What a balancer for long-lived connections is told, and what it decides.
@@ -47,6 +49,18 @@
     /** Other settings from now on; requests taken before keep their class. */
     void reconfigure(long now, Settings settings);
 
+    /**
+     * Pools of servers, by name, that requests may be held to; all that there are from now on. They may share
+     * servers, and a name that the list does not know yet counts once it does.
+     */
+    void pools(long now, Map<String, Set<String>> members);
+
+    /** A request that does not stand yet is held to another pool from now on, or to none where it is null. */
+    void route(long now, long request, String pool);
+
+    /** How many servers of a pool, or of all for null, are ready and in favour: a request could be sent there. */
+    int inFavour(long now, String pool);
+
     /** Of all that one balancer is allowed this instance has that share from now on; another has the rest. */
     void share(long now, double ofBalancer);
 
@@ -129,7 +143,13 @@
 
     /** A request: class and tenant are indices into the settings, tenant -1 where there is none. */
     record NewRequest(long id, int requestClass, int tenant, String key, String group, long graceUs,
-            double hintUsPerS, boolean repeat, boolean midFlow, boolean returning) { }
+            double hintUsPerS, boolean repeat, boolean midFlow, boolean returning, String pool) {
+        /** A request that any server may take. */
+        public NewRequest(long id, int requestClass, int tenant, String key, String group, long graceUs,
+                double hintUsPerS, boolean repeat, boolean midFlow, boolean returning) {
+            this(id, requestClass, tenant, key, group, graceUs, hintUsPerS, repeat, midFlow, returning, null);
+        }
+    }
 
     /** A server's load report; a value that was not reported is NaN. */
     record Report(double inflight, double queue, double cpu, double latencyMs, double rps, double errorRps,
--- a/src/main/java/tulipshed/decision/Kind.java
+++ b/src/main/java/tulipshed/decision/Kind.java
@@ -1,5 +1,6 @@
 package tulipshed.decision;
 
+import java.util.Arrays;
 import java.util.Collection;
 
 /**
@@ -9,8 +10,8 @@
 final class Kind {
     /** Largest share listed. */
     double size;
-    /** Sizes of the ready servers, summed. */
-    double readySize;
+    /** Sizes of the ready servers, summed for each fleet by its number. */
+    private double[] readySizes = new double[1];
     /** Relative speed, 1 where nothing is known. */
     double speed = 1;
     private double opened;
@@ -18,10 +19,23 @@
     private double setups;
     private double setupTime;
 
+    /** Sizes of the ready servers of a fleet, summed. */
+    double readySize(int fleet) {
+        return fleet < readySizes.length ? readySizes[fleet] : 0;
+    }
+
+    /** That sum changes. */
+    void ready(int fleet, double size) {
+        if (fleet >= readySizes.length) {
+            readySizes = Arrays.copyOf(readySizes, fleet + 1);
+        }
+        readySizes[fleet] += size;
+    }
+
     /** A connection was open at the start, over all kinds as they are now: later machines bore none. */
     void foundOpen(Collection<Kind> all) {
         opened++;
-        all.forEach(k -> k.sizeThen = k.readySize);
+        all.forEach(k -> k.sizeThen = k.readySizes[0]);
     }
 
     /** A connection was set up in this multiple of the usual time. */
--- a/src/main/java/tulipshed/decision/Pool.java
+++ b/src/main/java/tulipshed/decision/Pool.java
@@ -11,26 +11,28 @@
 
     /** What can be in pools: it knows its place in each. */
     abstract static class Member {
-        private final int[] index;
-
-        Member(int pools) {
-            index = new int[pools];
-            Arrays.fill(index, -1);
-        }
+        private int[] index = new int[0];
     }
 
-    /** A pool with a number of its own, below the number of pools that its members were made for. */
+    /** A pool with a number of its own, best a small one: each member keeps room for all numbers up to its highest. */
     Pool(int id) {
         this.id = id;
     }
 
     boolean has(T item) {
-        return place(item)[id] >= 0;
+        int[] index = place(item);
+        return id < index.length && index[id] >= 0;
     }
 
     void add(T item) {
         if (!has(item)) {
-            place(item)[id] = list.size();
+            Member m = item;
+            int had = m.index.length;
+            if (id >= had) {
+                m.index = Arrays.copyOf(m.index, id + 1);
+                Arrays.fill(m.index, had, id + 1, -1);
+            }
+            m.index[id] = list.size();
             list.add(item);
         }
     }
--- /dev/null
+++ b/src/main/java/tulipshed/demo/StandInDiscovery.java
@@ -0,0 +1,90 @@
+package tulipshed.demo;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A discovery on loopback that names the members it is told, and answers watches as soon as there is news. */
+public final class StandInDiscovery implements AutoCloseable {
+    private static final Pattern WATCH = Pattern.compile("index=([0-9]{1,9})&wait=([0-9]{1,6})");
+
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newCachedThreadPool(StandInDiscovery::daemon);
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long version;
+
+    private record Entry(long version, String json) { }
+
+    /** Listens on a free port. */
+    public StandInDiscovery() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        server.setExecutor(threads);
+        server.createContext("/discovery/hosts", this::answer);
+        server.start();
+    }
+
+    static Thread daemon(Runnable task) {
+        Thread t = new Thread(task, "stand-in");
+        t.setDaemon(true);
+        return t;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return server.getAddress();
+    }
+
+    /** Names a member, or another state of it: SERVING, DRAINING or DELETED. */
+    public synchronized void tell(String id, InetSocketAddress at, String zone, String kind, String state) {
+        version++;
+        entries.put(id, new Entry(version, "{\"id\":\"" + id + "\",\"addr\":\"" + at.getAddress().getHostAddress() + ":"
+                + at.getPort() + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
+                + "\",\"weight\":1.0,\"started_ms\":0}"));
+        notifyAll();
+    }
+
+    private void answer(HttpExchange call) throws IOException {
+        Matcher watch = WATCH.matcher(String.valueOf(call.getRequestURI().getQuery()));
+        byte[] body = (watch.matches() ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2))) : list(true, -1))
+                .getBytes(StandardCharsets.UTF_8);
+        call.sendResponseHeaders(200, body.length);
+        call.getResponseBody().write(body);
+        call.close();
+    }
+
+    private synchronized String changes(long since, long waitMs) {
+        long untilNs = System.nanoTime() + waitMs * 1_000_000;
+        try {
+            for (long left = waitMs; version <= since && left > 0; left = (untilNs - System.nanoTime()) / 1_000_000) {
+                wait(left);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return list(false, since);
+    }
+
+    private synchronized String list(boolean whole, long since) {
+        List<String> named = new ArrayList<>();
+        entries.values().stream().filter(e -> e.version() > since && !(whole && e.json().contains("\"DELETED\"")))
+                .forEach(e -> named.add(e.json()));
+        return "{\"version\":" + version + ",\"full\":" + whole + ",\"servers\":[" + String.join(",", named) + "]}";
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
--- a/src/main/java/tulipshed/discovery/Watch.java
+++ b/src/main/java/tulipshed/discovery/Watch.java
@@ -45,7 +45,7 @@
         this.core = core;
         this.version = version;
         this.log = log;
-        in = ByteBuffer.allocate(limits.readBytes());
+        in = ByteBuffer.allocate(limits.sockets().readBytes());
     }
 
     @Override
@@ -88,9 +88,9 @@
 
     private void call() {
         calling = true;
-        answer = new HttpAnswer(limits.httpHeadBytes(), limits.httpBodyBytes());
+        answer = new HttpAnswer(limits.discovery().headBytes(), limits.discovery().bodyBytes());
         long call = ++calls;
-        loop.after(waitMs() + limits.watchSilenceMs(), () -> {
+        loop.after(waitMs() + limits.discovery().watchSilenceMs(), () -> {
             if (calling && call == calls) {
                 failed("silence");
             }
@@ -103,7 +103,7 @@
     }
 
     private double waitMs() {
-        return whole || catchingUp ? 0 : limits.watchWaitMs();
+        return whole || catchingUp ? 0 : limits.discovery().watchWaitMs();
     }
 
     private void up(StreamConnection connection) {
--- /dev/null
+++ b/src/main/java/tulipshed/expression/Checker.java
@@ -0,0 +1,311 @@
+package tulipshed.expression;
+
+import com.google.re2j.Pattern;
+import com.google.re2j.PatternSyntaxException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tulipshed.sexpr.Form;
+import tulipshed.sexpr.Place;
+import tulipshed.sexpr.Problems;
+import tulipshed.sexpr.Spelling;
+
+/**
+ * Turns forms into checked expressions. Everything that is wrong is noted with its place, and checking goes on with the
+ * rest, so that a file's faults are told together.
+ */
+public final class Checker {
+    private static final int DEEPEST = 250; // calls of check within each other: what a stack of 512 KB bears many times
+    private static final int MOST_TERMS = 400_000; // different expressions; a file that makes more is refused
+    private static final int MOST_CALLS = 2_000_000; // of defines with parameters, all in all
+
+    private final Schema schema;
+    private final Problems problems;
+    private final Terms terms;
+    private final Map<String, Define> defines = new LinkedHashMap<>();
+    private final Map<Call, Expr> calls = new HashMap<>();
+    private final Set<String> opened = new LinkedHashSet<>();
+    private final ArrayDeque<Map<String, Expr>> scopes = new ArrayDeque<>();
+    private final Functions functions;
+    private int depth;
+    private int work;
+
+    /** A name for an expression, or for one with parameters. */
+    private record Define(String name, List<String> parameters, Form body, Place place) { }
+
+    private record Call(String name, List<Expr> args) { }
+
+    /** A checker of expressions over a schema; {@code terms} is shared by those that are compiled together. */
+    public Checker(Schema schema, Problems problems) {
+        this.schema = schema;
+        this.problems = problems;
+        this.terms = new Terms();
+        this.functions = new Functions(this, terms);
+    }
+
+    /** Shared by all expressions that this made. */
+    public Terms terms() {
+        return terms;
+    }
+
+    /** Takes {@code (define NAME EXPR)} or {@code (define (NAME PARAMETER ...) EXPR)}; defines may stand in any order. */
+    public void define(Form.Sequence form) {
+        if (form.items().size() != 3) {
+            problems.add(form.place(), "expected (define NAME EXPRESSION) or (define (NAME PARAMETER ...) EXPRESSION)");
+            return;
+        }
+        Form what = form.items().get(1);
+        List<String> names = new ArrayList<>();
+        for (Form f : what instanceof Form.Sequence s && !s.square() ? s.items() : List.of(what)) {
+            if (!(f instanceof Form.Word w) || names.contains(w.name())) {
+                problems.add(f.place(), "expected a name of its own, found " + f.describe());
+                return;
+            }
+            names.add(w.name());
+        }
+        if (names.isEmpty()) {
+            problems.add(what.place(), "expected a name, found ()");
+            return;
+        }
+        String name = names.get(0);
+        boolean parameters = what instanceof Form.Sequence;
+        Define d = new Define(name, parameters ? names.subList(1, names.size()) : null, form.items().get(2), what.place());
+        if (Builtins.form(name) != null || schema.get(name) != null || isTruth(name) || name.equals("else")) {
+            problems.add(what.place(), name + " has a meaning already");
+        } else if (defines.putIfAbsent(name, d) != null) {
+            problems.add(what.place(), name + " is defined already at " + defines.get(name).place());
+        }
+    }
+
+    /** Checks one define, used or not; one with parameters is checked where it is used. */
+    public void checkDefine(String name) {
+        Define d = defines.get(name);
+        if (d != null && d.parameters() == null) {
+            call(d, List.of(), d.place());
+        }
+    }
+
+    /** The names defined. */
+    public Collection<String> defined() {
+        return List.copyOf(defines.keySet());
+    }
+
+    /** An expression that must be of that type and never missing; null where something is wrong. */
+    public Expr expect(Form form, Type type) {
+        int before = problems.count();
+        Expr e = convert(present(check(form)), type);
+        if (!e.unknown() && e.type != type) {
+            problems.add(form.place(), "expected " + article(type) + ", found " + article(e.type) + ": " + e);
+        }
+        return problems.count() > before || e.unknown() ? null : e;
+    }
+
+    /** An expression of whatever type; null where something is wrong. */
+    public Expr any(Form form) {
+        int before = problems.count();
+        Expr e = present(check(form));
+        return problems.count() > before || e.unknown() ? null : e;
+    }
+
+    // ---- What Functions asks ----
+
+    Expr check(Form form) {
+        if (depth >= DEEPEST) {
+            return wrong(form.place(), "expressions, with the defines they use, more than " + DEEPEST + " deep");
+        }
+        depth++;
+        try {
+            Expr e = checked(form);
+            if (e.depth > DEEPEST) {
+                return wrong(form.place(), "expressions, with the defines they use, more than " + DEEPEST + " deep");
+            }
+            if (terms.size() > MOST_TERMS || work > MOST_CALLS) {
+                return wrong(form.place(), "too many different expressions");
+            }
+            return e;
+        } finally {
+            depth--;
+        }
+    }
+
+    /** Checks one that may not be missing. */
+    Expr value(Form form) {
+        return present(check(form));
+    }
+
+    Expr wrong(Place place, String why) {
+        problems.add(place, why);
+        return terms.unknown(place);
+    }
+
+    static String article(Type type) {
+        return (type == Type.INTEGER || type == Type.ADDRESS ? "an " : "a ") + type;
+    }
+
+    /** A whole literal stands for a decimal where one is asked for. */
+    Expr convert(Expr e, Type wanted) {
+        return wanted == Type.DECIMAL && e.type == Type.INTEGER && e.isLiteral()
+                ? terms.literal((double) (Long) e.literal, e.place) : e;
+    }
+
+    Expr within(Map<String, Expr> names, Form body) {
+        scopes.push(names);
+        try {
+            return check(body);
+        } finally {
+            scopes.pop();
+        }
+    }
+
+    Attribute attribute(Form form) {
+        return form instanceof Form.Word w && lookUp(w.name()) == null ? schema.get(w.name()) : null;
+    }
+
+    private Expr present(Expr e) {
+        if (e.optional && !e.unknown()) {
+            return wrong(e.place, e + " may be missing: say what holds then, (default " + e + " "
+                    + (e.type == Type.STRING ? "\"\"" : e.type == Type.BOOLEAN ? "false" : "0") + ")");
+        }
+        return e;
+    }
+
+    // ---- Forms ----
+
+    private Expr checked(Form form) {
+        if (form instanceof Form.Whole w) {
+            return terms.literal(w.value(), w.place());
+        } else if (form instanceof Form.Fraction f) {
+            return terms.literal(f.value(), f.place());
+        } else if (form instanceof Form.Text t) {
+            return t.value().length() > Cost.LONGEST_TEXT
+                    ? wrong(t.place(), "a text of " + t.value().length() + " characters; at most " + Cost.LONGEST_TEXT)
+                    : terms.literal(t.value(), t.place());
+        } else if (form instanceof Form.Word w) {
+            return word(w);
+        }
+        Form.Sequence s = (Form.Sequence) form;
+        if (s.square()) {
+            return wrong(s.place(), "a list stands only as the second part of in or in-network");
+        }
+        if (s.head() == null) {
+            return wrong(s.place(), "expected a function, found " + (s.items().isEmpty() ? "()" : s.items().get(0).describe()));
+        }
+        Define d = defines.get(s.head());
+        if (d != null && d.parameters() != null) {
+            return called(d, s);
+        }
+        if (Builtins.form(s.head()) == null) {
+            Set<String> known = new LinkedHashSet<>(Builtins.names());
+            known.addAll(defines.keySet());
+            return wrong(s.place(), d != null || schema.get(s.head()) != null || lookUp(s.head()) != null
+                    ? s.head() + " is a value, not a function; write it without brackets"
+                    : "unknown function " + s.head() + Spelling.hint(s.head(), known));
+        }
+        return functions.check(s);
+    }
+
+    private Expr word(Form.Word w) {
+        if (isTruth(w.name())) {
+            return terms.literal(w.name().equals("true"), w.place());
+        }
+        Expr local = lookUp(w.name());
+        if (local != null) {
+            return local;
+        }
+        Attribute a = schema.get(w.name());
+        if (a != null) {
+            return terms.attribute(a, w.place());
+        }
+        Define d = defines.get(w.name());
+        if (d != null && d.parameters() == null) {
+            return call(d, List.of(), w.place());
+        }
+        if (d != null || Builtins.form(w.name()) != null) {
+            return wrong(w.place(), w.name() + " is a function; write "
+                    + (d == null ? Builtins.form(w.name()) : "(" + w.name() + " ...)"));
+        }
+        Set<String> known = new LinkedHashSet<>(schema.names());
+        known.add("true");
+        known.add("false");
+        known.addAll(defines.keySet());
+        for (Map<String, Expr> scope : scopes) {
+            known.addAll(scope.keySet());
+            if (known.remove(null)) {
+                break;
+            }
+        }
+        return wrong(w.place(), "unknown name " + w.name() + Spelling.hint(w.name(), known));
+    }
+
+    private static boolean isTruth(String name) {
+        return name.equals("true") || name.equals("false");
+    }
+
+    private Expr lookUp(String name) {
+        for (Map<String, Expr> scope : scopes) {
+            Expr e = scope.get(name);
+            if (e != null) {
+                return e;
+            }
+            if (scope.containsKey(null)) {
+                // The body of a define sees its parameters and nothing of where it is used.
+                return null;
+            }
+        }
+        return null;
+    }
+
+    private Expr called(Define d, Form.Sequence s) {
+        if (s.items().size() - 1 != d.parameters().size()) {
+            return wrong(s.place(), "expected " + d.parameters().size() + " arguments of " + d.name() + ", found "
+                    + (s.items().size() - 1));
+        }
+        List<Expr> args = new ArrayList<>();
+        for (Form f : s.items().subList(1, s.items().size())) {
+            args.add(check(f));
+        }
+        return args.stream().anyMatch(Expr::unknown) ? terms.unknown(s.place()) : call(d, args, s.place());
+    }
+
+    /** The body with its parameters in place; the same call gives the same expression, so calls of calls cost no more. */
+    private Expr call(Define d, List<Expr> args, Place from) {
+        Call call = new Call(d.name(), args);
+        Expr known = calls.get(call);
+        if (known != null) {
+            return known;
+        }
+        if (!opened.add(d.name())) {
+            return wrong(from, d.name() + " is defined by itself: " + String.join(" -> ", opened) + " -> " + d.name());
+        }
+        work++;
+        Map<String, Expr> names = new HashMap<>();
+        names.put(null, null);
+        for (int i = 0; i < args.size(); i++) {
+            names.put(d.parameters().get(i), args.get(i));
+        }
+        Expr made;
+        try {
+            made = within(names, d.body());
+        } finally {
+            opened.remove(d.name());
+        }
+        calls.put(call, made);
+        return made;
+    }
+
+    /** A regular expression, or null where it is none. */
+    Matching matching(Form.Text text) {
+        try {
+            return new Matching(text.value(), Pattern.compile(text.value()));
+        } catch (PatternSyntaxException e) {
+            problems.add(text.place(), "not a regular expression of RE2: " + e.getDescription());
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tulipshed/expression/Functions.java
@@ -0,0 +1,414 @@
+package tulipshed.expression;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tulipshed.sexpr.Form;
+import tulipshed.sexpr.Place;
+
+/** Checks the use of each function and makes its expression. */
+final class Functions {
+    private static final int MOST_LITERALS = 20_000; // in one list
+    private static final int LONGEST_PATTERN = 512; // characters
+    private static final int LARGEST_PATTERN = 2_000; // instructions
+    private static final int MOST_SHARES = 1_000_000;
+    private static final int LONGEST_NUMBER = 20; // characters, with its sign
+
+    private final Checker checker;
+    private final Terms terms;
+
+    Functions(Checker checker, Terms terms) {
+        this.checker = checker;
+        this.terms = terms;
+    }
+
+    Expr check(Form.Sequence s) {
+        List<Form> args = s.items().subList(1, s.items().size());
+        return switch (s.head()) {
+            case "and", "or" -> logic(s, s.head().equals("and") ? Op.AND : Op.OR, args, 1, Integer.MAX_VALUE);
+            case "not" -> logic(s, Op.NOT, args, 1, 1);
+            case "if" -> choice(s, args);
+            case "cond" -> cond(s, args);
+            case "let" -> let(s, args);
+            case "default" -> otherwise(s, args);
+            case "present" -> present(s, args);
+            case "=", "!=" -> equal(s, args);
+            case "<", "<=", ">", ">=" -> order(s, args);
+            case "+" -> arithmetic(s, Op.ADD, args);
+            case "-" -> args.size() == 2 ? arithmetic(s, Op.SUBTRACT, args) : shape(s);
+            case "*" -> arithmetic(s, Op.MULTIPLY, args);
+            case "min" -> arithmetic(s, Op.LEAST, args);
+            case "max" -> arithmetic(s, Op.MOST, args);
+            case "/", "mod" -> divide(s, args);
+            case "decimal" -> convert(s, args, Type.INTEGER, Op.TO_DECIMAL, Type.DECIMAL);
+            case "integer" -> convert(s, args, Type.DECIMAL, Op.TO_INTEGER, Type.INTEGER);
+            case "string" -> convert(s, args, Type.INTEGER, Op.TO_STRING, Type.STRING);
+            case "length" -> convert(s, args, Type.STRING, Op.LENGTH, Type.INTEGER);
+            case "hash" -> convert(s, args, Type.STRING, Op.HASH, Type.INTEGER);
+            case "lower" -> convert(s, args, Type.STRING, Op.LOWER, Type.STRING);
+            case "in" -> in(s, args);
+            case "prefix" -> part(s, Op.PREFIX, args);
+            case "suffix" -> part(s, Op.SUFFIX, args);
+            case "contains" -> part(s, Op.CONTAINS, args);
+            case "substring" -> substring(s, args);
+            case "concat" -> concat(s, args);
+            case "matches" -> matches(s, args);
+            case "in-network" -> inNetwork(s, args);
+            case "bucket" -> bucket(s, args);
+            default -> throw new IllegalStateException(s.head());
+        };
+    }
+
+    /** Wrong number or kind of parts: says how it is written. */
+    private Expr shape(Form.Sequence s) {
+        return checker.wrong(s.place(), "expected " + Builtins.form(s.head()) + ", found " + (s.items().size() - 1)
+                + " arguments");
+    }
+
+    /** A part that must be of one type. */
+    private Expr typed(Form f, Type type) {
+        Expr e = checker.convert(checker.value(f), type);
+        return e.unknown() || e.type == type ? e
+                : checker.wrong(f.place(), "expected " + Checker.article(type) + ", found " + Checker.article(e.type) + ": " + e);
+    }
+
+    private static boolean unknown(Expr... parts) {
+        for (Expr e : parts) {
+            if (e.unknown()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Expr logic(Form.Sequence s, Op op, List<Form> args, int least, int most) {
+        if (args.size() < least || args.size() > most) {
+            return shape(s);
+        }
+        Expr[] parts = args.stream().map(f -> typed(f, Type.BOOLEAN)).toArray(Expr[]::new);
+        return unknown(parts) ? terms.unknown(s.place()) : terms.make(op, Type.BOOLEAN, s.place(), parts);
+    }
+
+    private Expr choice(Form.Sequence s, List<Form> args) {
+        if (args.size() != 3) {
+            return shape(s);
+        }
+        return choose(s.place(), typed(args.get(0), Type.BOOLEAN), checker.value(args.get(1)), checker.value(args.get(2)));
+    }
+
+    private Expr choose(Place place, Expr test, Expr then, Expr otherwise) {
+        Expr a = checker.convert(then, otherwise.type);
+        Expr b = checker.convert(otherwise, then.type);
+        if (unknown(test, a, b)) {
+            return terms.unknown(place);
+        }
+        if (a.type != b.type || a.type == Type.ADDRESS) {
+            return checker.wrong(place, a.type == Type.ADDRESS ? "an address can only be compared or looked for in networks"
+                    : "the two values are of different types: " + Checker.article(a.type) + ", " + Checker.article(b.type));
+        }
+        return terms.make(Op.IF, a.type, null, Math.max(a.longest, b.longest), place, test, a, b);
+    }
+
+    private Expr cond(Form.Sequence s, List<Form> args) {
+        List<Form.Sequence> clauses = new ArrayList<>();
+        for (Form f : args) {
+            if (!(f instanceof Form.Sequence c) || c.square() || c.items().size() != 2) {
+                return checker.wrong(f.place(), "expected (BOOLEAN VALUE) or (else VALUE), found " + f.describe());
+            }
+            clauses.add(c);
+        }
+        if (clauses.isEmpty() || !"else".equals(clauses.get(clauses.size() - 1).head())) {
+            return checker.wrong(s.place(), "expected (else VALUE) as the last clause");
+        }
+        if (clauses.size() > 200) {
+            return checker.wrong(s.place(), "more than 200 clauses: write them as rules");
+        }
+        Expr value = checker.value(clauses.get(clauses.size() - 1).items().get(1));
+        for (int i = clauses.size() - 2; i >= 0; i--) {
+            Form.Sequence c = clauses.get(i);
+            Expr test = typed(c.items().get(0), Type.BOOLEAN);
+            value = choose(c.place(), test, checker.value(c.items().get(1)), value);
+        }
+        return value;
+    }
+
+    private Expr let(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2 || !(args.get(0) instanceof Form.Sequence names) || names.square()) {
+            return shape(s);
+        }
+        Map<String, Expr> scope = new HashMap<>();
+        for (Form f : names.items()) {
+            if (!(f instanceof Form.Sequence one) || one.items().size() != 2 || one.head() == null) {
+                return checker.wrong(f.place(), "expected (NAME VALUE), found " + f.describe());
+            }
+            if (scope.put(one.head(), checker.value(one.items().get(1))) != null) {
+                return checker.wrong(f.place(), one.head() + " stands twice");
+            }
+        }
+        return checker.within(scope, args.get(1));
+    }
+
+    private Expr otherwise(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr a = checker.check(args.get(0));
+        Expr b = checker.convert(checker.value(args.get(1)), a.type);
+        if (unknown(a, b)) {
+            return terms.unknown(s.place());
+        }
+        if (!a.optional) {
+            return checker.wrong(s.place(), a + " is never missing and needs no default");
+        }
+        if (a.type != b.type || a.type == Type.ADDRESS) {
+            return checker.wrong(args.get(1).place(), "expected " + Checker.article(a.type) + ", found " + Checker.article(b.type));
+        }
+        return terms.make(Op.DEFAULT, a.type, null, Math.max(a.longest, b.longest), s.place(), a, b);
+    }
+
+    private Expr present(Form.Sequence s, List<Form> args) {
+        if (args.size() != 1) {
+            return shape(s);
+        }
+        Expr e = checker.check(args.get(0));
+        if (e.unknown()) {
+            return e;
+        }
+        return e.op == Op.ATTRIBUTE && e.optional ? terms.present((Attribute) e.literal, s.place())
+                : checker.wrong(args.get(0).place(), "expected an attribute that may be missing, found " + e);
+    }
+
+    private Expr equal(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr first = checker.value(args.get(0));
+        Expr second = checker.value(args.get(1));
+        Expr a = checker.convert(first, second.type);
+        Expr b = checker.convert(second, first.type);
+        if (unknown(a, b)) {
+            return terms.unknown(s.place());
+        }
+        if (a.type != b.type) {
+            return checker.wrong(s.place(), "only values of one type can be equal: " + Checker.article(a.type) + ", "
+                    + Checker.article(b.type));
+        }
+        Expr same = terms.make(Op.EQUAL, Type.BOOLEAN, s.place(), a, b);
+        return s.head().equals("=") ? same : terms.make(Op.NOT, Type.BOOLEAN, s.place(), same);
+    }
+
+    /** Two numbers of one type, or null where they are not; what is wrong has been said. */
+    private Expr[] numbers(Form.Sequence s, Form left, Form right) {
+        return numbers(s, checker.value(left), checker.value(right));
+    }
+
+    private Expr[] numbers(Form.Sequence s, Expr left, Expr right) {
+        Expr a = checker.convert(left, right.type);
+        Expr b = checker.convert(right, left.type);
+        if (unknown(a, b)) {
+            return null;
+        }
+        if (a.type != b.type || !a.type.number()) {
+            checker.wrong(s.place(), "expected two integers or two decimals, found " + Checker.article(a.type) + " and "
+                    + Checker.article(b.type) + (a.type.number() && b.type.number() ? "; (decimal X) makes an integer one" : ""));
+            return null;
+        }
+        return new Expr[] {a, b};
+    }
+
+    private Expr order(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr[] n = numbers(s, args.get(0), args.get(1));
+        if (n == null) {
+            return terms.unknown(s.place());
+        }
+        boolean swapped = s.head().startsWith(">");
+        Op op = s.head().endsWith("=") ? Op.AT_MOST : Op.LESS;
+        return swapped ? terms.make(op, Type.BOOLEAN, s.place(), n[1], n[0])
+                : terms.make(op, Type.BOOLEAN, s.place(), n[0], n[1]);
+    }
+
+    private Expr arithmetic(Form.Sequence s, Op op, List<Form> args) {
+        if (args.size() < 2) {
+            return shape(s);
+        }
+        if (args.size() > 100) {
+            return checker.wrong(s.place(), "more than 100 arguments");
+        }
+        Expr sum = checker.value(args.get(0));
+        for (Form f : args.subList(1, args.size())) {
+            Expr[] n = numbers(s, sum, checker.value(f));
+            if (n == null) {
+                return terms.unknown(s.place());
+            }
+            sum = terms.make(op, n[0].type, s.place(), n);
+        }
+        return sum;
+    }
+
+    private Expr divide(Form.Sequence s, List<Form> args) {
+        boolean modulo = s.head().equals("mod");
+        if (args.size() != 2 && args.size() != 3) {
+            return shape(s);
+        }
+        Expr[] n = numbers(s, args.get(0), args.get(1));
+        if (n == null) {
+            return terms.unknown(s.place());
+        }
+        if (modulo && n[0].type != Type.INTEGER) {
+            return checker.wrong(s.place(), "expected two integers, found decimals");
+        }
+        Expr zero = terms.literal(n[0].type == Type.INTEGER ? (Object) 0L : (Object) 0.0, s.place());
+        Expr otherwise = args.size() == 3 ? typed(args.get(2), n[0].type) : zero;
+        if (otherwise.unknown()) {
+            return otherwise;
+        }
+        if (args.size() == 2 && (!n[1].isLiteral() || n[1] == zero)) {
+            return checker.wrong(args.get(1).place(), "the divisor may be 0: say what holds then, (" + s.head() + " A B ELSE)");
+        }
+        return terms.make(modulo ? Op.MODULO : Op.DIVIDE, n[0].type, s.place(), n[0], n[1], otherwise);
+    }
+
+    private Expr convert(Form.Sequence s, List<Form> args, Type from, Op op, Type to) {
+        if (args.size() != 1) {
+            return shape(s);
+        }
+        // A literal of the other type is no mistake here: (decimal 2) and (integer 2.5) are what they say.
+        Expr a = typed(args.get(0), from);
+        return a.unknown() ? a : terms.make(op, to, null, op == Op.LOWER ? a.longest : op == Op.TO_STRING ? LONGEST_NUMBER : 0,
+                s.place(), a);
+    }
+
+    private Expr in(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2 || !(args.get(1) instanceof Form.Sequence list) || !list.square()) {
+            return shape(s);
+        }
+        Expr a = checker.value(args.get(0));
+        if (list.items().size() > MOST_LITERALS) {
+            return checker.wrong(list.place(), "more than " + MOST_LITERALS + " literals");
+        }
+        Set<Object> values = new LinkedHashSet<>();
+        boolean sound = !a.unknown();
+        for (Form f : list.items()) {
+            Expr e = checker.convert(checker.value(f), a.type);
+            if (e.unknown() || a.unknown()) {
+                sound = false;
+            } else if (!e.isLiteral() || e.type != a.type) {
+                checker.wrong(f.place(), "expected " + Checker.article(a.type) + " as it is, found " + f.describe());
+                sound = false;
+            } else {
+                values.add(e.literal);
+            }
+        }
+        if (!sound) {
+            return terms.unknown(s.place());
+        }
+        if (a.type == Type.ADDRESS) {
+            return checker.wrong(args.get(0).place(), "an address is looked for with in-network");
+        }
+        return values.isEmpty() ? terms.literal(false, s.place())
+                : terms.make(Op.IN, Type.BOOLEAN, new LiteralSet(a.type, List.copyOf(values)), 0, s.place(), a);
+    }
+
+    private Expr part(Form.Sequence s, Op op, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr a = typed(args.get(0), Type.STRING);
+        Expr b = typed(args.get(1), Type.STRING);
+        return unknown(a, b) ? terms.unknown(s.place()) : terms.make(op, Type.BOOLEAN, s.place(), a, b);
+    }
+
+    private Expr substring(Form.Sequence s, List<Form> args) {
+        if (args.size() != 3) {
+            return shape(s);
+        }
+        Expr a = typed(args.get(0), Type.STRING);
+        Expr from = typed(args.get(1), Type.INTEGER);
+        Expr to = typed(args.get(2), Type.INTEGER);
+        if (unknown(a, from, to)) {
+            return terms.unknown(s.place());
+        }
+        long first = from.isLiteral() ? Math.max(0, Math.min(a.longest, (Long) from.literal)) : 0;
+        long last = to.isLiteral() ? Math.max(first, Math.min(a.longest, (Long) to.literal)) : a.longest;
+        return terms.make(Op.SUBSTRING, Type.STRING, null, (int) (last - first), s.place(), a, from, to);
+    }
+
+    private Expr concat(Form.Sequence s, List<Form> args) {
+        if (args.size() < 2) {
+            return shape(s);
+        }
+        Expr[] parts = args.stream().map(f -> typed(f, Type.STRING)).toArray(Expr[]::new);
+        if (unknown(parts)) {
+            return terms.unknown(s.place());
+        }
+        long longest = 0;
+        for (Expr p : parts) {
+            longest += p.longest;
+        }
+        return longest > Cost.LONGEST_TEXT ? checker.wrong(s.place(), "this may grow to " + longest + " characters; at most "
+                + Cost.LONGEST_TEXT + " are allowed: shorten a part with substring, or declare shorter attributes")
+                : terms.make(Op.CONCAT, Type.STRING, null, (int) longest, s.place(), parts);
+    }
+
+    private Expr matches(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr a = typed(args.get(0), Type.STRING);
+        if (!(args.get(1) instanceof Form.Text text)) {
+            return checker.wrong(args.get(1).place(), "expected a regular expression as it is, found " + args.get(1).describe());
+        }
+        if (text.value().length() > LONGEST_PATTERN) {
+            return checker.wrong(text.place(), "a regular expression of more than " + LONGEST_PATTERN + " characters");
+        }
+        Matching m = checker.matching(text);
+        if (m == null || a.unknown()) {
+            return terms.unknown(s.place());
+        }
+        if (m.size() > LARGEST_PATTERN) {
+            return checker.wrong(text.place(), "this regular expression has " + m.size() + " instructions; at most "
+                    + LARGEST_PATTERN + " are allowed");
+        }
+        return terms.make(Op.MATCHES, Type.BOOLEAN, m, 0, s.place(), a);
+    }
+
+    private Expr inNetwork(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr a = typed(args.get(0), Type.ADDRESS);
+        List<Network> list = new ArrayList<>();
+        boolean sound = !a.unknown();
+        for (Form f : args.get(1) instanceof Form.Sequence l && l.square() ? l.items() : List.of(args.get(1))) {
+            Network n = f instanceof Form.Text t ? Network.parse(t.value()) : null;
+            if (n == null) {
+                checker.wrong(f.place(), "expected a network such as \"10.0.0.0/8\" or \"fd00::/8\", found " + f.describe());
+                sound = false;
+            }
+            list.add(n);
+        }
+        return sound ? terms.make(Op.IN_NETWORK, Type.BOOLEAN, new Networks(list), 0, s.place(), a)
+                : terms.unknown(s.place());
+    }
+
+    private Expr bucket(Form.Sequence s, List<Form> args) {
+        if (args.size() != 2) {
+            return shape(s);
+        }
+        Expr a = typed(args.get(0), Type.STRING);
+        Expr shares = typed(args.get(1), Type.INTEGER);
+        if (unknown(a, shares)) {
+            return terms.unknown(s.place());
+        }
+        if (!shares.isLiteral() || (Long) shares.literal < 1 || (Long) shares.literal > MOST_SHARES) {
+            return checker.wrong(args.get(1).place(), "expected a number of shares from 1 to " + MOST_SHARES);
+        }
+        return terms.make(Op.BUCKET, Type.INTEGER, (int) (long) (Long) shares.literal, 0, s.place(), a);
+    }
+}
--- a/src/main/java/tulipshed/line/ClientSession.java
+++ b/src/main/java/tulipshed/line/ClientSession.java
@@ -36,7 +36,7 @@
     ClientSession(LineFront front, StreamConnection connection) {
         this.front = front;
         this.link = front.loop.link(connection, this);
-        this.splitter = new LineSplitter(front.limits.lineBytes());
+        this.splitter = new LineSplitter(front.limits.lines().lineBytes());
         this.sinceMs = front.clock.nowMs();
     }
 
@@ -63,7 +63,7 @@
         }
         ByteBuffer in = front.scratch;
         // One that sends without end must not keep the loop to itself; what it has left is told again.
-        for (int i = 0; i < front.limits.readsAtOnce() && !link.ended(); i++) {
+        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.ended(); i++) {
             in.clear();
             int n = link.read(in);
             if (n <= 0) {
@@ -95,7 +95,7 @@
         if (state == State.OWED && in.hasRemaining()) {
             // Clients wait for their answer. What one sends early goes on later if it is as much as one line; one
             // that sends hundreds of commands at once is none of ours.
-            if (early.size() + in.remaining() > front.limits.lineBytes()) {
+            if (early.size() + in.remaining() > front.limits.lines().lineBytes()) {
                 front.core.clientLeft(transaction);
                 bad("more lines before an answer");
                 return;
@@ -114,7 +114,7 @@
 
     private void opening(byte[] first) {
         if (Arrays.equals(first, PING)) {
-            if (++pings > front.limits.pings()) {
+            if (++pings > front.limits.lines().pings()) {
                 throw new BadLine("too many pings");
             }
             if (front.ready()) {
@@ -122,7 +122,7 @@
             }
             return;
         }
-        line = OpeningLine.parse(first, front.names(), front.limits.longestWaitMs());
+        line = OpeningLine.parse(first, front.names(), front.declarations(), front.limits.lines().longestWaitMs());
         ownsId = front.takeId(line.id());
         if (!ownsId) {
             // Members would answer ERR, one after the other.
@@ -130,7 +130,8 @@
         }
         state = State.OWED;
         front.unserved.opened(this);
-        transaction = new Transaction(this, this, line.arrival(), front.clock.nowMs(), line.at() != null);
+        transaction = new Transaction(this, this, line.arrival(), front.origin(link, line), front.clock.nowMs(),
+                line.at() != null);
         if (line.at() != null) {
             front.core.alreadyOpen(transaction, line.at());
         } else {
@@ -171,7 +172,7 @@
     /** Its descriptor is wanted for a client that can be served. */
     void giveWay() {
         if (state == State.OPENING) {
-            reject(front.core.retryAfterMs(front.limits.noRoomRetryMs()));
+            reject(front.core.retryAfterMs(front.limits.sockets().noRoomRetryMs()));
         }
         close();
     }
@@ -227,7 +228,7 @@
         front.unserved.answered(this);
         link.finish();
         link.listen(!ended);
-        front.loop.after(front.limits.lingerMs(), this::close);
+        front.loop.after(front.limits.sockets().lingerMs(), this::close);
         if (ended && link.queued() == 0) {
             close();
         }
@@ -238,7 +239,7 @@
     private void relay() {
         ByteBuffer in = front.scratch;
         while (!link.ended() && state == State.RELAYING) {
-            int room = front.limits.relayBytes() - member.queued();
+            int room = front.limits.sockets().relayBytes() - member.queued();
             if (room <= 0) {
                 link.listen(false);
                 return;
--- a/src/main/java/tulipshed/line/Complaints.java
+++ b/src/main/java/tulipshed/line/Complaints.java
@@ -23,7 +23,7 @@
 
     /** One line at most for all that came since the line before, and not too often. */
     void tell(double nowMs) {
-        if (count > 0 && nowMs - toldMs >= limits.complaintsMs()) {
+        if (count > 0 && nowMs - toldMs >= limits.lines().complaintsMs()) {
             log.accept("clients turned away for what they sent: " + count + ", the last for " + last);
             toldMs = nowMs;
             count = 0;
--- a/src/main/java/tulipshed/line/LineFront.java
+++ b/src/main/java/tulipshed/line/LineFront.java
@@ -9,12 +9,17 @@
 import org.xnio.StreamConnection;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.limits.Limits;
+import tulipshed.link.Link;
 import tulipshed.link.XnioLoop;
+import tulipshed.routing.Declarations;
+import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
 import tulipshed.transaction.TransactionCore;
 
 /** The platform's front: takes client connections, and keeps what its sessions share. */
 public final class LineFront {
+    private static final String NAME = "line";
+
     final Clock clock;
     final Limits limits;
     private Names names;
@@ -29,6 +34,7 @@
     final Complaints complaints;
     /** Whether the figure of a member's LOAD line is a delay. */
     private boolean loadTellsDelay;
+    private Declarations declarations;
     private boolean ready = true;
 
     public LineFront(Clock clock, Limits limits, Names names, boolean loadTellsDelay, XnioLoop loop,
@@ -42,8 +48,8 @@
         this.log = log;
         unserved = new Unserved(limits);
         complaints = new Complaints(limits, log);
-        scratch = ByteBuffer.allocateDirect(limits.readBytes());
-        loop.after(limits.sweepMs(), this::sweep);
+        scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
+        loop.after(limits.sockets().sweepMs(), this::sweep);
     }
 
     /** Other names, and another meaning of LOAD, from now on; connections that are open keep their class. */
@@ -52,6 +58,20 @@
         loadTellsDelay = tellsDelay;
     }
 
+    /** What the operators' rules ask of first lines from now on; null where there are no rules. */
+    public void declare(Declarations declared) {
+        declarations = declared;
+    }
+
+    Declarations declarations() {
+        return declarations == null ? Declarations.NONE : declarations;
+    }
+
+    /** Where a transaction came from, as far as anybody asks. */
+    Origin origin(Link client, OpeningLine line) {
+        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), line.figures());
+    }
+
     Names names() {
         return names;
     }
@@ -69,7 +89,7 @@
             unserved.opens(session);
             session.start();
         } else {
-            session.reject(core.retryAfterMs(limits.noRoomRetryMs()));
+            session.reject(core.retryAfterMs(limits.sockets().noRoomRetryMs()));
         }
     }
 
@@ -120,6 +140,6 @@
             s.neverOpened();
         }
         complaints.tell(nowMs);
-        loop.after(limits.sweepMs(), this::sweep);
+        loop.after(limits.sockets().sweepMs(), this::sweep);
     }
 }
--- a/src/main/java/tulipshed/line/MemberConnection.java
+++ b/src/main/java/tulipshed/line/MemberConnection.java
@@ -28,7 +28,7 @@
         this.front = front;
         this.client = client;
         this.flow = flow;
-        this.splitter = new LineSplitter(front.limits.lineBytes());
+        this.splitter = new LineSplitter(front.limits.lines().lineBytes());
     }
 
     ServerSideFlow flow() {
@@ -88,7 +88,7 @@
     public void readable(Link from) {
         ByteBuffer in = front.scratch;
         while (state != State.OVER) {
-            int room = front.limits.relayBytes() - client.queued();
+            int room = front.limits.sockets().relayBytes() - client.queued();
             if (state == State.STANDING && room <= 0) {
                 link.listen(false);
                 return;
@@ -216,7 +216,7 @@
 
     /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
     void lookAtSilence(double nowMs) {
-        if (nowMs - askedMs > front.limits.silentMs()) {
+        if (nowMs - askedMs > front.limits.transactions().silentMs()) {
             front.core.silent(flow);
         }
     }
@@ -240,7 +240,7 @@
     void clientFinished() {
         clientFinished = true;
         link.finish();
-        front.loop.after(front.limits.lingerMs(), () -> {
+        front.loop.after(front.limits.sockets().lingerMs(), () -> {
             if (state == State.STANDING) {
                 client.memberFinished();
                 over(Outcome.CANCELLED);
--- a/src/main/java/tulipshed/line/OpeningLine.java
+++ b/src/main/java/tulipshed/line/OpeningLine.java
@@ -1,9 +1,12 @@
 package tulipshed.line;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import tulipshed.config.SettingsReader.Names;
+import tulipshed.routing.Declarations;
 import tulipshed.transaction.Transaction.Arrival;
 
 /**
@@ -18,8 +21,11 @@
     private final int waitTo;
     private final Arrival arrival;
     private final String at;
+    private final Map<String, Object> figures;
 
-    private OpeningLine(String text, String id, int waitFrom, int waitTo, Arrival arrival, String at) {
+    private OpeningLine(String text, String id, int waitFrom, int waitTo, Arrival arrival, String at,
+            Map<String, Object> figures) {
+        this.figures = figures;
         this.text = text;
         this.id = id;
         this.waitFrom = waitFrom;
@@ -29,7 +35,7 @@
     }
 
     /** Reads one whole line; anything that a client would not send in this form is a {@link BadLine}. */
-    static OpeningLine parse(byte[] line, Names names, double longestWaitMs) {
+    static OpeningLine parse(byte[] line, Names names, Declarations declared, double longestWaitMs) {
         String text = new String(line, StandardCharsets.ISO_8859_1);
         if (!text.endsWith(END)) {
             throw new BadLine("a line that does not end with CRLF");
@@ -43,7 +49,7 @@
         if (words.length != 4 || !words[0].equals("OPEN") || words[1].isEmpty() || words[2].isEmpty()) {
             throw new BadLine("not of the form OPEN ID KEY NAMES");
         }
-        return new Reader(text, words, names, longestWaitMs).read();
+        return new Reader(text, words, names, declared, longestWaitMs).read();
     }
 
     /** What the client calls this connection, and no other that is open. */
@@ -56,6 +62,11 @@
         return arrival;
     }
 
+    /** The declared further figures that it carries. */
+    Map<String, Object> figures() {
+        return figures;
+    }
+
     /** The member at which this connection stood before, or null. */
     String at() {
         return at;
@@ -72,6 +83,7 @@
         private final String text;
         private final String[] words;
         private final Names names;
+        private final Declarations declared;
         private final double longestWaitMs;
         private final Set<String> seen = new HashSet<>();
         private int requestClass = -1;
@@ -84,8 +96,10 @@
         private boolean repeat;
         private boolean again;
         private String at;
+        private Map<String, Object> figures = Map.of();
 
-        Reader(String text, String[] words, Names names, double longestWaitMs) {
+        Reader(String text, String[] words, Names names, Declarations declared, double longestWaitMs) {
+            this.declared = declared;
             this.text = text;
             this.words = words;
             this.names = names;
@@ -112,8 +126,11 @@
             if (tenant < 0 && !names.tenants.isEmpty()) {
                 throw new BadLine("no tenant");
             }
+            if (words[2].length() > declared.longestKey() || group != null && group.length() > declared.longestGroup()) {
+                throw new BadLine("a key or a group that is longer than declared");
+            }
             Arrival arrival = new Arrival(requestClass, tenant, words[2], group, waitMs, hint, repeat, again);
-            return new OpeningLine(text, words[1], waitFrom, waitTo, arrival, at);
+            return new OpeningLine(text, words[1], waitFrom, waitTo, arrival, at, figures);
         }
 
         private void take(String name, String value, int from) {
@@ -142,7 +159,19 @@
                 case "r" -> repeat = value.equals("1");
                 case "again" -> again = value.equals("1");
                 case "at" -> at = value;
-                default -> { }
+                default -> figure(name, value);
+            }
+        }
+
+        /** A figure that the operators have declared is read; all others only go on. */
+        private void figure(String name, String value) {
+            if (declared.figures().containsKey(name)) {
+                Object read = declared.read(name, value);
+                if (read == null) {
+                    throw new BadLine("a figure that is not what was declared");
+                }
+                figures = figures.isEmpty() ? new HashMap<>() : figures;
+                figures.put(name, read);
             }
         }
 
--- a/src/main/java/tulipshed/line/Unserved.java
+++ b/src/main/java/tulipshed/line/Unserved.java
@@ -58,7 +58,7 @@
     List<ClientSession> late(double nowMs) {
         List<ClientSession> late = new ArrayList<>();
         for (ClientSession s : opening) {
-            if (nowMs - s.sinceMs() < limits.firstLineMs()) {
+            if (nowMs - s.sinceMs() < limits.lines().firstLineMs()) {
                 break;
             }
             late.add(s);
--- a/src/main/java/tulipshed/link/Link.java
+++ b/src/main/java/tulipshed/link/Link.java
@@ -1,6 +1,8 @@
 package tulipshed.link;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import org.xnio.ChannelListener;
@@ -49,6 +51,12 @@
         connection.setCloseListener(closed);
     }
 
+    /** The other end's address; the wildcard address where it is not known any more. */
+    public InetAddress peer() {
+        InetSocketAddress address = connection.getPeerAddress(InetSocketAddress.class);
+        return address == null || address.getAddress() == null ? new InetSocketAddress(0).getAddress() : address.getAddress();
+    }
+
     /** Reads what is there; -1 at the end, 0 when there is nothing now. A break is told to the owner as well. */
     public int read(ByteBuffer into) {
         try {
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -81,7 +81,7 @@
     /** What another process of this node holds: its connections, and what a process needs besides. */
     private int others() {
         return siblings.accompanied()
-                ? siblings.otherOpen() + limits.reservedDescriptors() + 2 * limits.managementConnections() : 0;
+                ? siblings.otherOpen() + limits.sockets().reservedDescriptors() + 2 * limits.management().connections() : 0;
     }
 
     private void opened(int more) {
@@ -121,7 +121,7 @@
             }
         };
         AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address, accept,
-                OptionMap.builder().set(Options.BACKLOG, limits.backlog()).set(Options.REUSE_ADDRESSES, true)
+                OptionMap.builder().set(Options.BACKLOG, limits.sockets().backlog()).set(Options.REUSE_ADDRESSES, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most)
                         .set(Options.TCP_NODELAY, true).getMap());
         server.resumeAccepts();
--- a/src/main/java/tulipshed/management/ManagementFront.java
+++ b/src/main/java/tulipshed/management/ManagementFront.java
@@ -39,10 +39,10 @@
         this.loop = loop;
         this.core = core;
         this.serves = serves;
-        scratch = ByteBuffer.allocate(limits.managementHeadBytes());
+        scratch = ByteBuffer.allocate(limits.management().headBytes());
         // As many again as are kept, so that there is always one that makes the oldest give way.
-        server = loop.listen(address, 2 * limits.managementConnections(), this::accepted);
-        loop.after(limits.sweepMs(), this::sweep);
+        server = loop.listen(address, 2 * limits.management().connections(), this::accepted);
+        loop.after(limits.sockets().sweepMs(), this::sweep);
     }
 
     /** Where it listens. */
@@ -58,7 +58,7 @@
     }
 
     private void accepted(StreamConnection connection) {
-        if (calling.size() + answered.size() >= limits.managementConnections()) {
+        if (calling.size() + answered.size() >= limits.management().connections()) {
             (answered.isEmpty() ? calling : answered).iterator().next().close();
         }
         ManagementSession session = new ManagementSession(this, connection);
@@ -90,10 +90,10 @@
     }
 
     private void sweep() {
-        double longAgoMs = clock.nowMs() - limits.managementCallMs();
+        double longAgoMs = clock.nowMs() - limits.management().callMs();
         for (Set<ManagementSession> some : List.of(calling, answered)) {
             List.copyOf(some).stream().filter(s -> s.sinceMs() < longAgoMs).forEach(ManagementSession::late);
         }
-        loop.after(limits.sweepMs(), this::sweep);
+        loop.after(limits.sockets().sweepMs(), this::sweep);
     }
 }
--- a/src/main/java/tulipshed/management/ManagementSession.java
+++ b/src/main/java/tulipshed/management/ManagementSession.java
@@ -17,7 +17,7 @@
         this.front = front;
         // Not counted by the loop: these descriptors are set aside, and clients have none of them.
         this.link = new Link(connection, this, () -> { });
-        this.parser = new CallParser(front.limits.managementHeadBytes());
+        this.parser = new CallParser(front.limits.management().headBytes());
         this.sinceMs = front.clock.nowMs();
     }
 
@@ -33,7 +33,7 @@
     @Override
     public void readable(Link from) {
         ByteBuffer in = front.scratch;
-        for (int i = 0; i < front.limits.readsAtOnce() && !link.ended(); i++) {
+        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.ended(); i++) {
             in.clear();
             int n = link.read(in);
             if (n < 0) {
--- a/src/main/java/tulipshed/management/MetricsWriter.java
+++ b/src/main/java/tulipshed/management/MetricsWriter.java
@@ -35,6 +35,9 @@
             json.writeNumberField("targets_disabled", core.targetsAvoided());
             json.writeNumberField("reload_success", figures.reloadsTaken());
             json.writeNumberField("reload_failure", figures.reloadsTurnedDown());
+            if (core.routes()) {
+                json.writeNumberField("routes_spilled", core.routesSpilled());
+            }
             json.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- /dev/null
+++ b/src/main/java/tulipshed/operators/CaseTable.java
@@ -0,0 +1,222 @@
+package tulipshed.operators;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import tulipshed.config.SettingsReader.Names;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.expression.Network;
+import tulipshed.routing.Classified;
+import tulipshed.routing.Origin;
+import tulipshed.routing.Router;
+import tulipshed.routing.Subject;
+import tulipshed.sexpr.Form;
+import tulipshed.sexpr.Problems;
+import tulipshed.sexpr.SexprReader;
+import tulipshed.sexpr.Spelling;
+
+/**
+ * Transactions and what each must get:
+ * {@code (members ("ID" (zone "Z") (kind "K") (cell 1) (weight 1.0)) ...)} and
+ * {@code (case "NAME" (given (class "C") (key "K") ...) (expect (class "C") (group "G") (rule R) (route R) (pool P)))}.
+ * What is not expected is not looked at; {@code none} expects that there is none. All members count as ready.
+ */
+public final class CaseTable {
+    private static final Set<String> EXPECTED = new LinkedHashSet<>(List.of("class", "tenant", "group", "rule", "route", "pool"));
+    private static final Set<String> MEMBER_FIELDS = new LinkedHashSet<>(List.of("zone", "kind", "cell", "weight"));
+    private static final String NONE = "none";
+
+    private final String file;
+    private final List<ServerEntry> members = new ArrayList<>();
+    private final List<Case> cases = new ArrayList<>();
+    private int failed;
+
+    private record Case(Form.Sequence form, String name, Map<String, Object> given, Map<String, String> expected) { }
+
+    private CaseTable(String file) {
+        this.file = file;
+    }
+
+    /** Reads a table; {@link BadOperatorsFile} tells all that is wrong with it. */
+    public static CaseTable read(String file, byte[] bytes) {
+        Problems problems = new Problems(file);
+        CaseTable table = new CaseTable(file);
+        for (Form f : SexprReader.read(bytes, OperatorsFile.BOUNDS, problems)) {
+            String head = f instanceof Form.Sequence s ? s.head() : null;
+            if ("case".equals(head)) {
+                table.readCase((Form.Sequence) f, problems);
+            } else if ("members".equals(head)) {
+                List<Form> items = ((Form.Sequence) f).items();
+                items.subList(1, items.size()).forEach(m -> table.readMember(m, problems));
+            } else {
+                problems.add(f.place(), "expected (case ...) or (members ...), found " + f.describe());
+            }
+        }
+        if (!problems.none()) {
+            throw new BadOperatorsFile(problems);
+        }
+        return table;
+    }
+
+    private void readMember(Form form, Problems problems) {
+        if (!(form instanceof Form.Sequence s) || s.square() || s.items().isEmpty()
+                || !(s.items().get(0) instanceof Form.Text id)) {
+            problems.add(form.place(), "expected (\"ID\" (zone \"Z\") ...), found " + form.describe());
+            return;
+        }
+        Fields f = new Fields(s, 1, MEMBER_FIELDS, problems);
+        double weight = 1;
+        if (f.has("weight")) {
+            Form w = f.value("weight");
+            weight = w instanceof Form.Fraction x ? x.value() : w instanceof Form.Whole x ? x.value() : Double.NaN;
+            if (!(weight > 0)) {
+                problems.add(f.place("weight"), "expected a weight above 0");
+            }
+        }
+        String zone = f.has("zone") ? f.text("zone") : "";
+        String kind = f.has("kind") ? f.text("kind") : "";
+        members.add(new ServerEntry(id.value(), ServerState.SERVING, zone, f.has("cell")
+                ? (int) f.whole("cell", 0, Integer.MAX_VALUE, 0) : 0, kind, weight, 0));
+    }
+
+    private void readCase(Form.Sequence s, Problems problems) {
+        String name = s.items().size() < 2 ? null : Fields.name(s.items().get(1), problems);
+        Fields f = new Fields(s, 2, new LinkedHashSet<>(List.of("given", "expect")), problems);
+        if (name == null || !f.has("given") || !f.has("expect")) {
+            problems.add(s.place(), "expected (case NAME (given ...) (expect ...))");
+            return;
+        }
+        Map<String, Object> given = new LinkedHashMap<>();
+        Map<String, String> expected = new LinkedHashMap<>();
+        for (Form g : f.items("given")) {
+            Object value = pair(g, problems);
+            if (value != null && given.put(((Form.Sequence) g).head(), value) != null) {
+                problems.add(g.place(), ((Form.Sequence) g).head() + " stands twice");
+            }
+        }
+        for (Form e : f.items("expect")) {
+            Object value = pair(e, problems);
+            String what = value == null ? null : ((Form.Sequence) e).head();
+            if (what != null && !EXPECTED.contains(what)) {
+                problems.add(e.place(), "expected one of " + String.join(", ", EXPECTED) + ", found " + what
+                        + Spelling.hint(what, EXPECTED));
+            } else if (what != null) {
+                expected.put(what, String.valueOf(value));
+            }
+        }
+        cases.add(new Case(s, name, given, expected));
+    }
+
+    private static Object pair(Form form, Problems problems) {
+        if (form instanceof Form.Sequence s && s.head() != null && s.items().size() == 2) {
+            Form v = s.items().get(1);
+            if (v instanceof Form.Text t) {
+                return t.value();
+            } else if (v instanceof Form.Whole w) {
+                return w.value();
+            } else if (v instanceof Form.Fraction x) {
+                return x.value();
+            } else if (v instanceof Form.Word w) {
+                return w.name().equals("true") ? Boolean.TRUE : w.name().equals("false") ? Boolean.FALSE : w.name();
+            }
+        }
+        problems.add(form.place(), "expected (NAME VALUE), found " + form.describe());
+        return null;
+    }
+
+    /** How many cases there are. */
+    public int size() {
+        return cases.size();
+    }
+
+    /** How many of them failed when they were last run. */
+    public int failed() {
+        return failed;
+    }
+
+    /** What came out other than expected, a line each. */
+    public List<String> run(OperatorsFile rules, Names names) {
+        List<String> lines = new ArrayList<>();
+        failed = 0;
+        Router router = rules.router();
+        if (router != null) {
+            router.members(members, 0);
+            Map<String, Set<String>> pools = router.pools();
+            router.look(pool -> pools.get(pool).size());
+        }
+        for (Case c : cases) {
+            int before = lines.size();
+            String place = file + ":" + c.form().place() + ": case " + c.name() + ": ";
+            String wrong = unknown(c, names, router);
+            if (wrong != null) {
+                lines.add(place + wrong);
+            } else {
+                Map<String, String> got = got(subject(c), router);
+                c.expected().forEach((what, want) -> {
+                    String found = Objects.requireNonNullElse(got.get(what), NONE);
+                    if (!found.equals(want)) {
+                        lines.add(place + "expected " + what + " " + want + ", got " + found);
+                    }
+                });
+            }
+            failed += lines.size() > before ? 1 : 0;
+        }
+        return lines;
+    }
+
+    private static String unknown(Case c, Names names, Router router) {
+        Object requestClass = c.given().get("class");
+        Object tenant = c.given().get("tenant");
+        if (!names.classes.containsKey(String.valueOf(requestClass))) {
+            return "the settings have no class " + requestClass;
+        }
+        if (tenant == null ? !names.tenants.isEmpty() : !names.tenants.containsKey(String.valueOf(tenant))) {
+            return "the settings have no tenant " + tenant;
+        }
+        Set<String> known = new LinkedHashSet<>(List.of("class", "tenant", "key", "group", "deadline-ms", "hint", "retry", "again",
+                "front", "source-address"));
+        if (router != null) {
+            known.addAll(router.declarations().figures().keySet());
+        }
+        for (String name : c.given().keySet()) {
+            if (!known.contains(name)) {
+                return "a transaction has no " + name + Spelling.hint(name, known);
+            }
+        }
+        return null;
+    }
+
+    private static Subject subject(Case c) {
+        Map<String, Object> g = c.given();
+        Network source = Network.parse(String.valueOf(g.getOrDefault("source-address", "127.0.0.1")));
+        Map<String, Object> figures = new HashMap<>(g);
+        Origin origin = new Origin(String.valueOf(g.getOrDefault("front", "line")), source == null ? 0 : source.high(),
+                source == null ? 0 : source.low(), figures);
+        return new Subject(String.valueOf(g.get("class")), (String) g.get("tenant"), String.valueOf(g.getOrDefault("key", "")),
+                g.get("group") == null ? null : String.valueOf(g.get("group")),
+                g.get("deadline-ms") instanceof Number n ? n.doubleValue() : 1000,
+                g.get("hint") instanceof Number n ? n.doubleValue() : 0, Boolean.TRUE.equals(g.get("retry")),
+                Boolean.TRUE.equals(g.get("again")), origin);
+    }
+
+    private static Map<String, String> got(Subject s, Router router) {
+        Map<String, String> got = new HashMap<>();
+        Classified c = router == null ? new Classified(s.className(), s.tenant(), s.group()) : router.classify(s);
+        got.put("class", c.className());
+        got.put("tenant", c.tenant());
+        got.put("group", c.group());
+        if (router != null) {
+            String[] found = router.names(s);
+            got.put("rule", found[0]);
+            got.put("route", found[1]);
+            got.put("pool", router.pool(s.as(c)));
+        }
+        return got;
+    }
+}
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -15,6 +15,7 @@
 import tulipshed.limits.Limits;
 import tulipshed.link.DatagramPort;
 import tulipshed.link.XnioLoop;
+import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
 import tulipshed.transaction.Transaction.Arrival;
 import tulipshed.transaction.TransactionCore;
@@ -25,6 +26,7 @@
  * Initial packets, which follow from what is on the wire.
  */
 public final class QuicFront {
+    private static final String NAME = "quic";
     private static final double SWEEP_MS = 250;
     private static final int LEAST_FIRST_DATAGRAM = 1200; // RFC 9000 section 14.1
     private static final int LEAST_FIRST_ID = 8; // RFC 9000 section 7.2
@@ -52,7 +54,7 @@
         this.loop = loop;
         this.core = core;
         this.log = log;
-        scratch = ByteBuffer.allocate(limits.datagramBytes());
+        scratch = ByteBuffer.allocate(limits.quic().datagramBytes());
         port = loop.datagrams(config.listen(), scratch, this::received);
         loop.after(SWEEP_MS, this::sweep);
     }
@@ -70,11 +72,16 @@
     /** What a new connection asks for, or null where the settings do not name that any more. */
     Arrival arrival(String key) {
         Integer requestClass = names.classes.get(config.requestClass());
-        Integer tenant = names.tenants.get(config.tenant());
+        Integer tenant = config.tenant() == null ? Integer.valueOf(-1) : names.tenants.get(config.tenant());
         return requestClass == null || tenant == null ? null
                 : new Arrival(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
     }
 
+    /** Where a transaction came from. */
+    static Origin origin(InetSocketAddress from) {
+        return Origin.of(NAME, from.getAddress(), Map.of());
+    }
+
     /** The node is leaving: no new connection is taken any more. */
     public void leaving() {
         leaving = true;
@@ -125,10 +132,10 @@
         if (!frames.handshake() || frames.closes()) {
             return;
         }
-        if (all.size() >= limits.quicSessions() || !loop.hasRoom() || leaving) {
+        if (all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving) {
             // Turned away without keeping anything of it.
             send(from, QuicSession.closing(initial.destination(), initial.source(),
-                    InitialFrames.CONNECTION_REFUSED, QuicSession.busy(core.retryAfterMs(limits.noRoomRetryMs()))));
+                    InitialFrames.CONNECTION_REFUSED, QuicSession.busy(core.retryAfterMs(limits.sockets().noRoomRetryMs()))));
             return;
         }
         if (arrival("") == null) {
@@ -151,7 +158,7 @@
         if (member == null) {
             return;
         }
-        if (!core.serving(member) || arrival("") == null || all.size() >= limits.quicSessions() || !loop.hasRoom() || leaving) {
+        if (!core.serving(member) || arrival("") == null || all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving) {
             reset(from, p.destination(), datagram.length);
             return;
         }
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -53,7 +53,8 @@
     /** A new connection. */
     void open(byte[] datagram) {
         first.add(datagram);
-        transaction = new Transaction(this, this, front.arrival(current.toString()), heardMs, false);
+        transaction = new Transaction(this, this, front.arrival(current.toString()), QuicFront.origin(client), heardMs,
+                false);
         front.core.arrived(transaction);
     }
 
@@ -61,7 +62,8 @@
     void carryOn(String member, byte[] datagram, List<Packet> packets) {
         first.add(datagram);
         pastInitial = true;
-        transaction = new Transaction(this, this, front.arrival(current.toString()), heardMs, true);
+        transaction = new Transaction(this, this, front.arrival(current.toString()), QuicFront.origin(client), heardMs,
+                true);
         front.core.alreadyOpen(transaction, member);
     }
 
@@ -83,7 +85,7 @@
         Packet.Type type = packets.get(packets.size() - 1).type();
         pastInitial |= type == Packet.Type.HANDSHAKE || type == Packet.Type.SHORT;
         current = packets.get(0).destination();
-        if (state == State.OWED && first.size() < front.limits.quicFirstDatagrams()) {
+        if (state == State.OWED && first.size() < front.limits.quic().firstDatagrams()) {
             first.add(datagram);
         }
         toMember(datagram);
@@ -303,7 +305,7 @@
             return;
         }
         ids.add(id);
-        if (ids.size() > front.limits.quicIds()) {
+        if (ids.size() > front.limits.quic().ids()) {
             front.forget(ids.poll(), this);
         }
     }
@@ -313,13 +315,13 @@
     void lookAtAge(double nowMs) {
         double idleMs = nowMs - heardMs;
         if (state == State.ANSWERED) {
-            if (nowMs - answeredMs > front.limits.quicAnsweredMs()) {
+            if (nowMs - answeredMs > front.limits.quic().answeredMs()) {
                 forget();
             }
-        } else if (state == State.STANDING && unanswered >= front.limits.quicUnanswered()
-                && nowMs - unansweredSinceMs > front.limits.silentMs()) {
+        } else if (state == State.STANDING && unanswered >= front.limits.quic().unanswered()
+                && nowMs - unansweredSinceMs > front.limits.transactions().silentMs()) {
             front.core.silent(flow);
-        } else if (state == State.STANDING && idleMs > front.limits.quicIdleMs()) {
+        } else if (state == State.STANDING && idleMs > front.limits.quic().idleMs()) {
             // How it ended cannot be seen: its last packets could not be read.
             front.core.ended(flow, Outcome.OK);
             end();
--- a/src/main/java/tulipshed/transaction/PoolMember.java
+++ b/src/main/java/tulipshed/transaction/PoolMember.java
@@ -9,12 +9,14 @@
     private final String id;
     private InetSocketAddress address;
     private ServerState state = ServerState.GONE;
+    private ServerEntry entry;
 
     PoolMember(String id) {
         this.id = id;
     }
 
     void update(ServerEntry entry, InetSocketAddress address) {
+        this.entry = entry;
         state = entry.state();
         this.address = address;
     }
@@ -37,6 +39,11 @@
         return state == ServerState.SERVING;
     }
 
+    /** What the list last told of it; null where it never did. */
+    ServerEntry entry() {
+        return entry;
+    }
+
     /** Whether the list names it, serving or draining. */
     boolean listed() {
         return state != ServerState.GONE;
--- /dev/null
+++ b/src/main/java/tulipshed/transaction/Routing.java
@@ -0,0 +1,127 @@
+package tulipshed.transaction;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.routing.Classified;
+import tulipshed.routing.Router;
+import tulipshed.routing.Subject;
+import tulipshed.transaction.Transaction.Arrival;
+
+/** Holds transactions to what the operators' rules make of them, and tells the module of pools and routes. */
+final class Routing {
+    private final Consumer<String> log;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+    private Settings settings;
+    private Router router;
+    private Map<String, String> spilled = Map.of();
+
+    Routing(Settings settings, Consumer<String> log) {
+        this.log = log;
+        reconfigure(settings);
+    }
+
+    void reconfigure(Settings changed) {
+        settings = changed;
+        classes.clear();
+        tenants.clear();
+        changed.classes().forEach(c -> classes.put(c.name(), classes.size()));
+        changed.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
+    }
+
+    /** Other rules, or none; the list is what they work on from now on. */
+    void router(Router changed, Collection<ServerEntry> listed, double nowMs) {
+        router = changed;
+        spilled = Map.of();
+        if (router != null) {
+            router.members(listed, nowMs);
+        }
+    }
+
+    /** Whether there is anything to look at now and then. */
+    boolean watches() {
+        return router != null && (router.routes() || router.agesMatter());
+    }
+
+    /** Gives a transaction the class, tenant and group that the rules say. */
+    void classify(Transaction t) {
+        if (router == null) {
+            return;
+        }
+        Arrival a = t.arrival();
+        Classified c = router.classify(subject(t));
+        // Names that the settings have dropped meanwhile change nothing.
+        t.arrival(new Arrival(classes.getOrDefault(c.className(), a.requestClass()),
+                c.tenant() == null ? a.tenant() : tenants.getOrDefault(c.tenant(), a.tenant()), a.key(), c.group(),
+                a.waitMs(), a.hintUsPerS(), a.repeat(), a.returning()));
+    }
+
+    /** The pool to which it is held now, or null. */
+    String pool(Transaction t) {
+        return router == null || !router.routes() ? null : router.pool(subject(t));
+    }
+
+    private Subject subject(Transaction t) {
+        Arrival a = t.arrival();
+        String className = settings.classes().get(Math.min(a.requestClass(), settings.classes().size() - 1)).name();
+        String tenant = a.tenant() < 0 || a.tenant() >= settings.tenants().size() ? null
+                : settings.tenants().get(a.tenant()).name();
+        return new Subject(className, tenant, a.key(), a.group(), a.waitMs(), a.hintUsPerS(), a.repeat(), a.returning(),
+                t.origin());
+    }
+
+    /** The list changed, or time has passed; whether the pools are others now. */
+    boolean members(Collection<ServerEntry> listed, double nowMs) {
+        return router != null && router.members(listed, nowMs);
+    }
+
+    /** Tells the module which pools there are. */
+    void tellPools(BalancerApi module, long nowUs) {
+        module.pools(nowUs, router == null ? Map.of() : router.pools());
+    }
+
+    /** Looks at which pools the routes use; where that changes, those that wait are told to the module anew. */
+    void look(BalancerApi module, long nowUs, Collection<Transaction> transactions) {
+        if (router == null || !router.look(pool -> module.inFavour(nowUs, pool))) {
+            return;
+        }
+        Map<String, String> now = router.spilled();
+        now.forEach((route, pool) -> {
+            if (!pool.equals(spilled.get(route))) {
+                log.accept("route " + route + ": uses pool " + pool + " instead of its first");
+            }
+        });
+        spilled.keySet().stream().filter(r -> !now.containsKey(r)).forEach(r -> log.accept("route " + r
+                + ": uses its first pool again"));
+        spilled = now;
+        reroute(module, nowUs, transactions);
+    }
+
+    /** Those that do not stand yet are held to what the routes say now; what stands stays. */
+    void reroute(BalancerApi module, long nowUs, Collection<Transaction> transactions) {
+        for (Transaction t : transactions) {
+            if (t.owed()) {
+                String pool = pool(t);
+                if (!Objects.equals(pool, t.pool())) {
+                    t.pool(pool);
+                    module.route(nowUs, t.id(), pool);
+                }
+            }
+        }
+    }
+
+    boolean routes() {
+        return router != null && router.routes();
+    }
+
+    /** How many routes use another pool than their first. */
+    int spilled() {
+        return spilled.size();
+    }
+}
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -1,6 +1,7 @@
 package tulipshed.transaction;
 
 import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
 
 /** One request of a client for a connection, from its arrival to its end. */
@@ -10,7 +11,9 @@
 
     private final VirtualServer client;
     private final MemberConnector connector;
-    private final Arrival arrival;
+    private final Origin origin;
+    private Arrival arrival;
+    private String pool;
     private final double deadlineMs;
     private final boolean standingBefore;
     private long id;
@@ -30,6 +33,13 @@
      */
     public Transaction(VirtualServer client, MemberConnector connector, Arrival arrival, double nowMs,
             boolean standingBefore) {
+        this(client, connector, arrival, Origin.UNKNOWN, nowMs, standingBefore);
+    }
+
+    /** One of which it is known where it came from. */
+    public Transaction(VirtualServer client, MemberConnector connector, Arrival arrival, Origin origin, double nowMs,
+            boolean standingBefore) {
+        this.origin = origin;
         this.client = client;
         this.connector = connector;
         this.arrival = arrival;
@@ -41,6 +51,28 @@
         this.id = id;
     }
 
+    Origin origin() {
+        return origin;
+    }
+
+    Arrival arrival() {
+        return arrival;
+    }
+
+    /** What the rules made of it; its deadline stays. */
+    void arrival(Arrival classified) {
+        arrival = classified;
+    }
+
+    /** The pool that it is held to, or null. */
+    String pool() {
+        return pool;
+    }
+
+    void pool(String held) {
+        pool = held;
+    }
+
     /** The class is kept by its name: settings that change later leave an open transaction its own. */
     void className(String name) {
         className = name;
@@ -75,7 +107,7 @@
         double left = Math.max(0, deadlineMs - nowMs);
         return new NewRequest(id, requestClass, arrival.tenant(), arrival.key(), arrival.group(),
                 Clock.toMicros(left), arrival.hintUsPerS(), arrival.repeat(), false,
-                arrival.returning());
+                arrival.returning(), pool);
     }
 
     MemberConnector connector() {
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi;
@@ -17,6 +15,7 @@
 import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
+import tulipshed.routing.Router;
 import tulipshed.time.Clock;
 
 /**
@@ -40,39 +39,26 @@
     private final Consumer<String> log;
     private final BalancerApi module;
     private final Figures figures = new Figures();
-    private final Map<String, PoolMember> members = new HashMap<>();
+    private final PoolMembers members = new PoolMembers();
+    private final Routing routing;
     private final Map<Long, Transaction> transactions = new HashMap<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>();
+    private final Dues dues = new Dues();
     private final List<Event> gathered = new ArrayList<>();
     private final List<Runnable> decided = new ArrayList<>();
     private final Set<Transaction> standing = new LinkedHashSet<>();
-    private final Map<Integer, Shadow> shadows = new HashMap<>();
+    private final Shadows shadows = new Shadows();
     private MemberSource source = () -> { };
     private Companion companion;
-    private boolean listTold;
     private double share = 1;
     private boolean turnAhead;
-    private double armedMs = Double.MAX_VALUE;
+    private boolean watchesRoutes;
     private long lastId;
-    private long dueCount;
-
-    /** What stands in the other process, as the module knows it here. */
-    private record Shadow(long id, Companion.Standing standing) { }
 
     /** Something for the module. */
     private interface Event {
         void tell(BalancerApi module, double nowMs, long nowUs);
     }
 
-    /** Something to look at when its time has come. */
-    private record Due(double atMs, long order, Runnable what) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due other) {
-            int byTime = Double.compare(atMs, other.atMs);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     public TransactionCore(Clock clock, Limits limits, Settings settings, long seed, Loop loop,
             Consumer<String> log, Module factory) {
         this.clock = clock;
@@ -80,6 +66,7 @@
         this.settings = settings;
         this.loop = loop;
         this.log = log;
+        routing = new Routing(settings, log);
         this.module = factory.create(settings, seed, Clock.toMicros(clock.nowMs()), new Decisions());
         figures.classes(settings.classes());
         // The module may have asked for timers already, before anything was gathered.
@@ -91,10 +78,46 @@
      */
     public void reconfigure(Settings changed) {
         settings = changed;
+        routing.reconfigure(changed);
         figures.classes(changed.classes());
         gather((module, ms, nowUs) -> module.reconfigure(nowUs, changed));
     }
 
+    /**
+     * Other rules of the operators from now on, or none. What stands stays where it is; what waits is held to the new
+     * routes.
+     */
+    public void route(Router router) {
+        routing.router(router, members.entries(), clock.nowMs());
+        gather((module, ms, nowUs) -> {
+            routing.tellPools(module, nowUs);
+            routing.look(module, nowUs, transactions.values());
+            routing.reroute(module, nowUs, transactions.values());
+        });
+        watchRoutes();
+    }
+
+    /** Members may fall out of favour, and grow older, without any news of the list. */
+    private void watchRoutes() {
+        if (!watchesRoutes && routing.watches()) {
+            watchesRoutes = true;
+            due(clock.nowMs() + limits.transactions().routesMs(), () -> {
+                watchesRoutes = false;
+                lookAtRoutes(routing.members(members.entries(), clock.nowMs()));
+                watchRoutes();
+            });
+        }
+    }
+
+    private void lookAtRoutes(boolean poolsChanged) {
+        gather((module, ms, nowUs) -> {
+            if (poolsChanged) {
+                routing.tellPools(module, nowUs);
+            }
+            routing.look(module, nowUs, transactions.values());
+        });
+    }
+
     /** Where the module's wish for the list goes. */
     public void source(MemberSource source) {
         this.source = source;
@@ -104,14 +127,19 @@
 
     /** A transaction arrived; it is owed one final answer from here on. */
     public void arrived(Transaction t) {
+        routing.classify(t);
         count(t);
         take(t);
-        due(t.deadlineMs() - limits.answerMarginMs(), () -> overdue(t));
-        gather((module, nowMs, nowUs) -> module.request(nowUs, t.asRequest(nowMs, t.requestClass())));
+        due(t.deadlineMs() - limits.transactions().answerMarginMs(), () -> overdue(t));
+        gather((module, nowMs, nowUs) -> {
+            t.pool(routing.pool(t));
+            module.request(nowUs, t.asRequest(nowMs, t.requestClass()));
+        });
     }
 
     /** A connection that stood at that member before this node started wants to go on. */
     public void alreadyOpen(Transaction t, String memberId) {
+        routing.classify(t);
         count(t);
         carryOn(t, memberId, clock.nowMs());
     }
@@ -121,14 +149,14 @@
      * once discovery has told its own.
      */
     private void carryOn(Transaction t, String memberId, double sinceMs) {
-        double untilMs = sinceMs + limits.standingMs();
+        double untilMs = sinceMs + limits.transactions().standingMs();
         PoolMember member = members.get(memberId);
         double nowMs = clock.nowMs();
         if (!t.owed()) {
             return;
         } else if (member == null || member.address() == null) {
-            if (nowMs < (listTold ? sinceMs + limits.unlistedMemberMs() : untilMs)) {
-                due(nowMs + limits.unknownMemberMs(), () -> carryOn(t, memberId, sinceMs));
+            if (nowMs < (members.told() ? sinceMs + limits.transactions().unlistedMemberMs() : untilMs)) {
+                due(nowMs + limits.transactions().unknownMemberMs(), () -> carryOn(t, memberId, sinceMs));
             } else {
                 failed(t);
             }
@@ -140,7 +168,10 @@
         due(flow.endsMs(), () -> timeOut(flow));
         // Settings may have changed while its member was waited for; it is not sent again, so any class will do.
         int requestClass = Math.max(0, settings.classes().stream().map(RequestClass::name).toList().indexOf(t.className()));
-        gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, t.asRequest(ms, requestClass), memberId));
+        gather((module, ms, nowUs) -> {
+            t.pool(routing.pool(t));
+            module.alreadyOpen(nowUs, t.asRequest(ms, requestClass), memberId);
+        });
         decided.add(() -> t.connector().open(flow));
     }
 
@@ -268,19 +299,13 @@
 
     /** What discovery told; takes effect for {@link #maySend} at once. */
     public void members(ListKind kind, List<ListedMember> listed) {
-        listTold |= kind == ListKind.COMPLETE || kind == ListKind.CHANGES;
-        if (kind == ListKind.COMPLETE || kind == ListKind.REMEMBERED) {
-            Set<String> named = new HashSet<>();
-            listed.forEach(m -> named.add(m.entry().server()));
-            members.values().stream().filter(m -> !named.contains(m.id())).forEach(PoolMember::gone);
-        }
-        for (ListedMember m : listed) {
-            PoolMember member = members.computeIfAbsent(m.entry().server(), PoolMember::new);
-            member.update(m.entry(), m.address() == null ? member.address() : m.address());
-        }
+        members.update(kind, listed);
         leaveDraining();
         List<BalancerApi.ServerEntry> entries = listed.stream().map(ListedMember::entry).toList();
         gather((module, ms, nowUs) -> module.servers(nowUs, kind, entries));
+        if (kind != ListKind.FAILED && routing.watches()) {
+            lookAtRoutes(routing.members(members.entries(), clock.nowMs()));
+        }
     }
 
     /** After how long a client that is turned away may be told to come again; 0 where the settings allow no word. */
@@ -334,7 +359,7 @@
     }
 
     private void due(double atMs, Runnable what) {
-        dues.add(new Due(atMs, dueCount++, what));
+        dues.add(atMs, what);
         wake();
     }
 
@@ -342,9 +367,7 @@
     void turn() {
         turnAhead = false;
         double nowMs = clock.nowMs();
-        while (!dues.isEmpty() && dues.peek().atMs() <= nowMs) {
-            guarded(dues.poll().what());
-        }
+        dues.run(nowMs, this::guarded);
         List<Event> events = List.copyOf(gathered);
         gathered.clear();
         for (Event e : events) {
@@ -353,7 +376,7 @@
         List<Runnable> actions = List.copyOf(decided);
         decided.clear();
         actions.forEach(this::guarded);
-        arm(nowMs);
+        dues.arm(nowMs, loop, this::wake);
     }
 
     /** One event that cannot be dealt with must not cost the others their answers. */
@@ -365,14 +388,6 @@
         }
     }
 
-    private void arm(double nowMs) {
-        if (dues.isEmpty() || armedMs > nowMs && armedMs <= dues.peek().atMs()) {
-            return;
-        }
-        armedMs = dues.peek().atMs();
-        loop.after(Math.max(0, armedMs - nowMs), this::wake);
-    }
-
     private void forget(Transaction t) {
         if (!t.owed() && t.flow() == null) {
             transactions.remove(t.id());
@@ -489,8 +504,8 @@
             return;
         }
         double nowMs = clock.nowMs();
-        PoolMember member = members.computeIfAbsent(server, PoolMember::new);
-        double deadlineMs = t.deadlineMs() - limits.answerMarginMs();
+        PoolMember member = members.orNew(server);
+        double deadlineMs = t.deadlineMs() - limits.transactions().answerMarginMs();
         double endsMs = timeoutMs > 0 ? Math.min(deadlineMs, nowMs + timeoutMs) : deadlineMs;
         if (!t.owed() || t.flow() != null || endsMs <= nowMs || t.attempts() >= settings.limits().maxAttempts()) {
             int number = t.attempts();
@@ -543,7 +558,12 @@
 
     /** Pool members that the list names. */
     public long targets() {
-        return members.values().stream().filter(PoolMember::listed).count();
+        return members.listed();
+    }
+
+    /** Those of them that serve. */
+    public long serving() {
+        return members.entries().stream().filter(e -> e.state() == BalancerApi.ServerState.SERVING).count();
     }
 
     /** Those of them to which the module sends nothing new now. */
@@ -558,28 +578,26 @@
 
     /** Tells the module what has begun to stand in the other process, and what has ended there. */
     public void lookAtCompanion() {
-        Map<Integer, Companion.Standing> others = companion.others();
-        shadows.entrySet().removeIf(e -> {
-            boolean over = !e.getValue().standing().equals(others.get(e.getKey()));
-            if (over) {
-                gather((module, ms, nowUs) -> module.finished(nowUs, e.getValue().id(), 0, true, Outcome.CANCELLED,
-                        Report.NONE));
-            }
-            return over;
-        });
-        others.forEach((place, there) -> {
-            if (!shadows.containsKey(place) && members.containsKey(there.member())) {
-                Shadow shadow = new Shadow(++lastId, there);
-                shadows.put(place, shadow);
-                gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, new NewRequest(shadow.id(), 0, -1, "",
-                        there.group(), 0, there.hint(), false, false, false), there.member()));
-            }
-        });
+        shadows.look(companion.others(), id -> members.get(id) != null, () -> ++lastId,
+                id -> gather((module, ms, nowUs) ->
+                        module.finished(nowUs, id, 0, true, Outcome.CANCELLED, Report.NONE)),
+                (id, there) -> gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, new NewRequest(id, 0, -1, "",
+                        there.group(), 0, there.hint(), false, false, false), there.member())));
     }
 
     /** Whether discovery has told its list since the start. */
     public boolean listTold() {
-        return listTold;
+        return members.told();
+    }
+
+    /** Whether the operators' rules have routes. */
+    public boolean routes() {
+        return routing.routes();
+    }
+
+    /** How many routes use another pool than their first. */
+    public int routesSpilled() {
+        return routing.spilled();
     }
 
     /** The share of what this node is allowed that this process may use. */
--- a/src/test/java/tulipshed/PackagesTest.java
+++ b/src/test/java/tulipshed/PackagesTest.java
@@ -25,6 +25,14 @@
                         "tulipshed.discovery..").check(classes);
     }
 
+    /** Addresses are bytes there: nothing is looked up or opened. */
+    @Test
+    void rulesDoNoInputOrOutput() {
+        noClasses().that().resideInAnyPackage("tulipshed.routing..", "tulipshed.expression..")
+                .should().dependOnClassesThat().resideInAnyPackage("org.xnio..", "java.nio..", "java.io..",
+                        "tulipshed.transaction..", "tulipshed.operators..", "tulipshed.config..").check(classes);
+    }
+
     @Test
     void theModuleKnowsNothingElse() {
         noClasses().that().resideInAPackage("tulipshed.decision..").should().dependOnClassesThat()
--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/src/test/java/tulipshed/command/NodeTest.java
@@ -26,7 +26,7 @@
 import tulipshed.config.JsonValues;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
-import tulipshed.quic.QuicConfig;
+import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
 
 /** A whole node on loopback: how it leaves, and what it does when it has no descriptors left. */
@@ -51,15 +51,15 @@
     }
 
     private void node(int descriptors) throws IOException {
-        node(descriptors, null);
+        node(descriptors, OperatorsFile.EMPTY);
     }
 
-    private void node(int descriptors, QuicConfig quic) throws IOException {
+    private void node(int descriptors, OperatorsFile operators) throws IOException {
         Path file = folder.resolve("node.json");
         Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json"))
                 .replace(":18080", ":0").replace(":18081", ":" + member.getLocalPort()).replaceAll("(\"HardLimitS\": )[34]", "$1" + longest));
         Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
-        node = new Node(NodeConfig.load(environment), quic,
+        node = new Node(NodeConfig.load(environment), operators,
                 Limits.forDescriptors(descriptors), new SystemClock(), log::add);
     }
 
@@ -182,14 +182,14 @@
 
     @Test
     void theSecondFrontListensWhereItsFileSaysAndNotOnThePlatform() throws IOException {
-        Path file = folder.resolve("quic.json");
-        Files.writeString(file, Files.readString(Path.of("deploy/quic.example.json")).replace(":4433", ":0"));
+        Path file = folder.resolve("tulipshed.sexp");
+        Files.writeString(file, Files.readString(Path.of("example/tulipshed.sexp")).replace(":4433", ":0"));
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names();
-        node(1024, QuicConfig.load(file, names));
+        node(1024, OperatorsFile.load(file, names));
         assertTrue(log.stream().anyMatch(l -> l.startsWith("tulipshed: QUIC on /127.0.0.1:")), log.toString());
         node.leave();
         log.clear();
-        node(1024, QuicConfig.load(Path.of("deploy/quic.json"), names));
+        node(1024, OperatorsFile.load(Path.of("deploy/tulipshed.sexp"), names));
         assertFalse(log.stream().anyMatch(l -> l.contains("QUIC")), log.toString());
     }
 
--- a/src/test/java/tulipshed/command/ReloadTest.java
+++ b/src/test/java/tulipshed/command/ReloadTest.java
@@ -126,4 +126,55 @@
             }
         }
     }
+
+    /** The rules change with the settings that they name, and a file with any fault changes neither. */
+    @Test
+    void theOperatorsFileIsReadAgainWholeOrNotAtAll() throws Exception {
+        int listen = freePort();
+        int management = freePort();
+        Path rules = folder.resolve("tulipshed.sexp");
+        try (ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            member.setSoTimeout(10_000);
+            change(listen, member.getLocalPort());
+            String sound = "(attributes (berth string 4))\n(pool s (where (= member.id \"s-1\")))\n"
+                    + "(pool none (where (= member.id \"s-9\")))\n(route here (when (= (default berth \"\") \"b1\")) (to s))\n";
+            Files.writeString(rules, sound);
+            try (NodeProcess node = new NodeProcess(Map.of("PROXY_CONFIG", folder.resolve("node.json").toString(),
+                    "PROXY_MANAGEMENT", "127.0.0.1:" + management), "--operators", rules.toString())) {
+                node.log("tulipshed: n0 serves");
+                assertEquals("ERR", answer(listen, "1", "gate-status,berth=b1234"), "longer than declared");
+                try (Socket standing = connect(listen)) {
+                    say(standing, "OPEN 2 k c=gate-status,t=melnik-terminal,d=2000,berth=b1\r\n");
+                    Socket server = member.accept();
+                    say(server, "UP r\r\n");
+                    BufferedReader in = reader(standing);
+                    assertEquals("UP r", in.readLine());
+                    Files.writeString(rules, sound.replace("(to s)", "(to noone)") + "(route");
+                    node.signal("HUP");
+                    String down = node.log("tulipshed: reload");
+                    assertTrue(down.startsWith("tulipshed: reload, the old settings stay: " + rules + ":5:1: this ( is never closed"),
+                            down);
+                    Files.writeString(rules, sound.replace("(to s)", "(to none)"));
+                    node.signal("HUP");
+                    node.log("tulipshed: reload, discovery");
+                    assertTrue(answer(listen, "3", "gate-status,berth=b1").startsWith("BUSY"), "its pool has no member");
+                    say(standing, "still here\r\n");
+                    BufferedReader there = reader(server);
+                    assertTrue(there.readLine().startsWith("OPEN"));
+                    assertEquals("still here", there.readLine(), "what stands goes on");
+                    String figures = call(management, "/status/metrics");
+                    assertTrue(figures.contains("\"reload_success\":1,\"reload_failure\":1,\"routes_spilled\":0}"), figures);
+                    server.close();
+                }
+            }
+            Files.writeString(rules, "(pool a (where tru))");
+            try (NodeProcess node = new NodeProcess(Map.of("PROXY_CONFIG", folder.resolve("node.json").toString()), "--operators",
+                    rules.toString())) {
+                assertEquals("tulipshed: bad configuration: " + rules + ":1:16: unknown name tru; did you mean true?",
+                        node.log("tulipshed"));
+                assertTrue(node.ended(10));
+                assertEquals(2, node.process.exitValue());
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/tulipshed/expression/ExpressionTest.java
@@ -0,0 +1,226 @@
+package tulipshed.expression;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tulipshed.sexpr.Form;
+import tulipshed.sexpr.Problems;
+import tulipshed.sexpr.SexprReader;
+
+class ExpressionTest {
+    private static final SexprReader.Bounds BOUNDS = new SexprReader.Bounds(8 << 20, 200, 900_000);
+    private final Schema schema = new Schema();
+    private final Attribute requestClass = schema.add("class", Type.STRING, false, 64);
+    private final Attribute key = schema.add("key", Type.STRING, false, 4000);
+    private final Attribute tenant = schema.add("tenant", Type.STRING, true, 64);
+    private final Attribute size = schema.add("size", Type.INTEGER, true, 0);
+    private final Attribute source = schema.add("source", Type.ADDRESS, false, 0);
+    private final Problems problems = new Problems("f");
+    private final Checker checker = new Checker(schema, problems);
+
+    private List<Form> forms(String text) {
+        List<Form> forms = SexprReader.read(text.getBytes(StandardCharsets.UTF_8), BOUNDS, problems);
+        forms.stream().filter(f -> f instanceof Form.Sequence s && "define".equals(s.head()))
+                .forEach(f -> checker.define((Form.Sequence) f));
+        return forms;
+    }
+
+    private Expr any(String text) {
+        List<Form> forms = forms(text);
+        return checker.any(forms.get(forms.size() - 1));
+    }
+
+    private Frame fill(Program program, String cls, String k, String ten, Long sz, String from) {
+        Frame f = program.frame();
+        f.begin();
+        f.set(requestClass, cls);
+        f.set(key, k);
+        if (ten != null) {
+            f.set(tenant, ten);
+        }
+        if (sz != null) {
+            f.set(size, (long) sz);
+        }
+        Network n = Network.parse(from);
+        f.set(source, n.high(), n.low());
+        return f;
+    }
+
+    private Object value(String text) {
+        Expr e = any(text);
+        assertNotNull(e, problems::toString);
+        Program.Builder b = new Program.Builder(schema);
+        Program.Value v = b.value(e);
+        return v.boxed(fill(b.build(), "gate", "k-17", "melnik", 7L, "10.1.2.3"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "(+ 9223372036854775807 (length class)) | 9223372036854775807",
+        "(- -9223372036854775808 (default size 0)) | -9223372036854775808",
+        "(* 4611686018427387904 (- 0 (default size 0))) | -9223372036854775808",
+        "(/ -9223372036854775808 (- (length class) 5)  0) | 9223372036854775807",
+        "(/ (default size 0) (- (length class) 4) -1) | -1",
+        "(mod -7 (length class) 0) | 1",
+        "(integer 2.9) | 2", "(+ 1 0.5) | 1.5", "(in (decimal (default size 0)) [7 8.5]) | true",
+        "(in-network source [\"10.0.0.0/8\" \"fd00::/8\"]) | true", "(in-network source \"10.1.2.4/32\") | false",
+        "(in-network source \"::ffff:10.1.0.0/112\") | true",
+        "(let ((x class) (y \"-\")) (concat x y x)) | gate-gate",
+        "(substring key 2 99) | 17", "(substring key 3 1) | ``", "(matches key \"^k-[0-9]+$\") | true",
+        "(cond ((= class \"board\") 1) ((present size) 2) (else 3)) | 2",
+        "(define large (> (default size 0) 5)) (define (both a b) (and a b)) (both large (= class \"gate\")) | true",
+        "(hash \"\") | 3244421341483603138", "(string (- 0 9223372036854775807)) | -9223372036854775807"})
+    void valuesAreTheDocumentedOnes(String text, String want) {
+        assertEquals(want, String.valueOf(value(text)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "(= tenant \"a\") | f:1:4: tenant may be missing: say what holds then, (default tenant \"\")",
+        "(= class 3) | f:1:1: only values of one type can be equal: a string, an integer",
+        "(and (= clas \"x\") (prefix class 3)) | f:1:9: unknown name clas; did you mean class?\\nf:1:33: expected a string, found an integer: 3",
+        "(prefixx class \"a\") | f:1:1: unknown function prefixx; did you mean prefix?",
+        "(/ 3 (length class)) | f:1:6: the divisor may be 0: say what holds then, (/ A B ELSE)",
+        "(+ (length class) (decimal 2) ) | f:1:1: expected two integers or two decimals, found an integer and a decimal; (decimal X) makes an integer one",
+        "(matches class key) | f:1:16: expected a regular expression as it is, found the word key",
+        "(matches class \"(a\") | f:1:16: not a regular expression of RE2: missing closing )",
+        "(matches class \"(a)\\\\1\") | f:1:16: not a regular expression of RE2: invalid escape sequence",
+        "(in class [key]) | f:1:12: expected a string as it is, found the word key",
+        "(if (present size) 1 \"a\") | f:1:1: the two values are of different types: an integer, a string",
+        "(default class \"\") | f:1:1: class is never missing and needs no default",
+        "(bucket key 0) | f:1:13: expected a number of shares from 1 to 1000000",
+        "(in-network source \"10.0.0.0/33\") | f:1:20: expected a network such as \"10.0.0.0/8\" or \"fd00::/8\", found the text \"10.0.0.0/33\"",
+        "class2 | f:1:1: unknown name class2; did you mean class?",
+        "(and) | f:1:1: expected (and BOOLEAN ...), found 0 arguments",
+        "(concat key key) | f:1:1: this may grow to 8000 characters; at most 4096 are allowed: shorten a part with substring, or declare shorter attributes",
+        "(define a b) (define b a) a | f:1:24: a is defined by itself: a -> b -> a",
+        "(define (f x) (g x)) (define (g x) (f x)) (f 1) | f:1:36: f is defined by itself: f -> g -> f",
+        "(define class 1) 1 | f:1:9: class has a meaning already",
+        "(define (f x) (+ x y)) (let ((y 1)) (f y)) | f:1:20: unknown name y",
+        "(= source source2) | f:1:11: unknown name source2; did you mean source?"})
+    void whatIsWrongIsSaidBeforeAnyTransaction(String text, String want) {
+        any(text);
+        assertEquals(want.replace("\\n", "\n"), problems.toString());
+    }
+
+    /** What grows with its input has a bound that says so, found without any input. */
+    @Test
+    void theBoundFollowsTheDeclaredLengths() {
+        assertEquals(1 + 1 + 1 + 4, new Cost().bound(any("(= class \"" + "x".repeat(64) + "\")")));
+        long regex = new Cost().bound(any("(matches key \"(a|b)*c\")"));
+        assertTrue(regex > 4000 / 16 * 5, "linear in the longest key: " + regex);
+        assertTrue(new Cost().bound(any("(contains key (substring key 0 1000))")) > 4000 * 1000 / 16);
+    }
+
+    /** Each define uses the one before it twice: as a tree this has 2^200 parts. */
+    @Test
+    void definesThatDoubleCostNoMoreThanTheyAreLong() {
+        StringBuilder text = new StringBuilder("(define d0 (+ (default size 0) 1)) ");
+        for (int i = 1; i <= 60; i++) {
+            text.append("(define d" + i + " (+ d" + (i - 1) + " d" + (i - 1) + ")) ");
+        }
+        assertEquals(Long.MAX_VALUE, value(text + "(+ d60 d60)"), "2^61 times 8, bounded");
+        Expr e = any("(+ d60 d60)");
+        assertTrue(new Cost().bound(e) < 500, "each is worked out once: " + new Cost().bound(e));
+        assertFalse(e.asks("class"));
+        assertTrue(e.toString().length() < 1000);
+    }
+
+    @Test
+    void definesWithParametersThatDoubleAreNoBombEither() {
+        StringBuilder text = new StringBuilder("(define (d0 x) (+ x 1)) ");
+        for (int i = 1; i <= 60; i++) {
+            text.append("(define (d" + i + " x) (+ (d" + (i - 1) + " x) (d" + (i - 1) + " x))) ");
+        }
+        assertEquals(Long.MAX_VALUE, value(text + "(d60 (default size 0))"));
+    }
+
+    @Test
+    void aChainOfDefinesThatIsTooDeepIsAnErrorAndNoOverflow() {
+        StringBuilder text = new StringBuilder("(define d0 (default size 0)) ");
+        for (int i = 1; i <= 5000; i++) {
+            text.append("(define d" + i + " (+ d" + (i - 1) + " 1)) ");
+        }
+        assertNull(any(text + "d5000"));
+        assertTrue(problems.toString().contains("more than 250 deep"), problems::toString);
+    }
+
+    @Test
+    void sharesStayWhereTheyAreWhenThereAreMore() {
+        Program.Builder b = new Program.Builder(schema);
+        List<Program.Value> shares = new ArrayList<>();
+        for (int n = 1; n <= 40; n++) {
+            shares.add(b.value(any("(bucket key " + n + ")")));
+        }
+        Program p = b.build();
+        int[] counts = new int[40];
+        for (int i = 0; i < 4000; i++) {
+            Frame f = fill(p, "gate", "key-" + i, null, null, "10.0.0.1");
+            long before = 0;
+            for (int n = 1; n <= 40; n++) {
+                long now = shares.get(n - 1).whole(f);
+                assertTrue(now == before || now == n - 1, "moved to " + now + ", which is not the new share " + (n - 1));
+                before = now;
+            }
+            counts[(int) before]++;
+        }
+        for (int c : counts) {
+            assertTrue(c > 50 && c < 160, "about 100 of 4000 in each of 40: " + c);
+        }
+    }
+
+    @Test
+    void tenThousandRulesAreFoundByOneLookupAndNothingIsAllocated() {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 10_000; i++) {
+            text.append("(and (= (lower tenant-name) \"t" + i + "\") (prefix key \"k-\"))\n");
+        }
+        List<Form> rules = forms("(define tenant-name (default tenant \"\"))\n" + text);
+        List<Expr> conditions = new ArrayList<>();
+        rules.subList(1, rules.size()).forEach(f -> conditions.add(checker.expect(f, Type.BOOLEAN)));
+        assertTrue(problems.none(), problems::toString);
+        Program.Builder b = new Program.Builder(schema);
+        RuleTable table = b.table(conditions, checker.terms());
+        Program p = b.build();
+        assertEquals(List.of("one lookup of (lower (default tenant \"\")) among 10000 literals finds 10000 rules, at most 1 at a "
+                + "time"), table.plan());
+        long bound = table.bound(new Cost());
+        assertTrue(bound < 60, "whatever the number of rules: " + bound);
+        Frame f = fill(p, "gate", "k-1", "T9999", 1L, "10.0.0.1");
+        assertEquals(9999, table.first(f));
+        assertTrue(f.spent() <= bound);
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        int sum = 0;
+        for (int round = 0; round < 2; round++) {
+            long before = threads.getCurrentThreadAllocatedBytes();
+            for (int i = 0; i < 50_000; i++) {
+                f.begin();
+                f.set(requestClass, "gate");
+                f.set(key, "k-1");
+                f.set(tenant, "T9999");
+                sum += table.first(f);
+            }
+            long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+            assertTrue(round == 0 || allocated < 50_000, "allocated " + allocated + " bytes in 50000 evaluations");
+        }
+        assertEquals(2 * 50_000 * 9999, sum);
+    }
+
+    @Test
+    void aFrameHoldsNoLongerTextThanExpressionsWerePromised() {
+        Frame f = new Program.Builder(schema).build().frame();
+        assertThrows(IllegalArgumentException.class, () -> f.set(requestClass, "x".repeat(65)));
+    }
+}
--- a/src/test/java/tulipshed/line/DescriptionTest.java
+++ b/src/test/java/tulipshed/line/DescriptionTest.java
@@ -15,6 +15,8 @@
 import org.yaml.snakeyaml.Yaml;
 import tulipshed.config.NodeConfig;
 
+import tulipshed.routing.Declarations;
+
 /** The AsyncAPI description says what the parsers take: its examples are read, and its references lead somewhere. */
 class DescriptionTest {
     private final Map<String, Object> description;
@@ -42,7 +44,7 @@
             String line = (String) example;
             assertTrue(line.matches((String) at(payload, "pattern")), line);
             NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-            OpeningLine read = OpeningLine.parse(line.getBytes(StandardCharsets.US_ASCII), config.names(), 60_000);
+            OpeningLine read = OpeningLine.parse(line.getBytes(StandardCharsets.US_ASCII), config.names(), Declarations.NONE, 60_000);
             assertEquals(line, new String(read.onward(read.arrival().waitMs()), StandardCharsets.US_ASCII));
         }
     }
--- a/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/src/test/java/tulipshed/line/LineFrontTest.java
@@ -332,7 +332,7 @@
     void pingsAreAnsweredUpToABound() throws IOException {
         try (End client = client()) {
             client.say("PING\r\n".repeat(100_000));
-            for (int i = 0; i < Limits.forDescriptors(1024).pings(); i++) {
+            for (int i = 0; i < Limits.forDescriptors(1024).lines().pings(); i++) {
                 assertEquals("PONG", client.hear());
             }
             assertEquals("ERR", client.hear());
@@ -386,7 +386,7 @@
                 assertEquals("ERR", client.hear());
             }
         }
-        Thread.sleep(2 * (long) Limits.forDescriptors(1024).sweepMs());
+        Thread.sleep(2 * (long) Limits.forDescriptors(1024).sockets().sweepMs());
         assertTrue(log.size() >= 1 && log.size() <= 2, log.toString());
         assertTrue(log.get(0).startsWith("clients turned away for what they sent: "), log.toString());
         assertTrue(log.stream().noneMatch(l -> l.contains("forged")), log.toString());
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -76,14 +76,9 @@
         Map<String, String> environment = Map.of("PROXY_CONFIG", "src/test/resources/node.json");
         NodeConfig config = NodeConfig.load(environment);
         Limits l = Limits.forDescriptors(1024);
-        Limits limits = new Limits(l.lineBytes(), l.relayBytes(), l.readBytes(), l.descriptors(),
-                l.reservedDescriptors(), l.backlog(), l.httpHeadBytes(), l.httpBodyBytes(), l.watchWaitMs(),
-                l.watchSilenceMs(), l.answerMarginMs(), l.silentMs(), l.lingerMs(), l.firstLineMs(), l.sweepMs(),
-                l.pings(), l.longestWaitMs(), l.readsAtOnce(), l.complaintsMs(), l.noRoomRetryMs(), l.standingMs(),
-                l.unknownMemberMs(), l.unlistedMemberMs(),
-                l.drainTakeMs(), l.drainMoveMs(), l.drainLongestMs(), l.drainEndMs(), l.takeOverListMs(),
-                l.sharedIds(), l.managementConnections(), l.managementHeadBytes(), l.managementCallMs(), l.datagramBytes(), mostSessions, l.quicIds(),
-                l.quicFirstDatagrams(), idleMs, idleMs, l.quicUnanswered());
+        Limits.Quic q = l.quic();
+        Limits limits = l.with(new Limits.Quic(q.datagramBytes(), mostSessions, q.ids(), q.firstDatagrams(), idleMs, idleMs,
+                q.unanswered()));
         front = onLoop(() -> {
             core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
             QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking",
--- a/src/test/java/tulipshed/testing/ModuleDelegate.java
+++ b/src/test/java/tulipshed/testing/ModuleDelegate.java
@@ -1,6 +1,8 @@
 package tulipshed.testing;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import tulipshed.decision.BalancerApi;
 
 /** Passes every event on; tests override what they listen to. */
@@ -80,4 +82,19 @@
     public void reconfigure(long now, Settings settings) {
         to.reconfigure(now, settings);
     }
+
+    @Override
+    public void pools(long now, Map<String, Set<String>> members) {
+        to.pools(now, members);
+    }
+
+    @Override
+    public void route(long now, long request, String pool) {
+        to.route(now, request, pool);
+    }
+
+    @Override
+    public int inFavour(long now, String pool) {
+        return to.inFavour(now, pool);
+    }
 }
--- a/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/src/test/java/tulipshed/testing/NodeProcess.java
@@ -10,6 +10,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -19,10 +21,12 @@
     private final BufferedReader log;
 
     /** Starts {@code serve} with these variables beside those of this process. */
-    public NodeProcess(Map<String, String> environment) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+    public NodeProcess(Map<String, String> environment, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"),
-                "tulipshed.command.Main", "serve");
+                "tulipshed.command.Main", "serve"));
+        command.addAll(List.of(arguments));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
         process = builder.redirectErrorStream(true).start();
         log = process.inputReader();
--- a/src/test/java/tulipshed/transaction/CoreBench.java
+++ b/src/test/java/tulipshed/transaction/CoreBench.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.ListKind;
@@ -77,6 +78,7 @@
         return flows.get(flows.size() - 1);
     }
 
+    final Map<String, Integer> inFavour = new java.util.HashMap<>();
     long lastRequest;
 
     /** Runs what is ready, and moves the clock on step by step, running what falls due. */
@@ -154,7 +156,8 @@
     @Override
     public void request(long now, NewRequest request) {
         lastRequest = request.id();
-        heard.add("request " + request.graceUs() / 1000);
+        heard.add("request " + request.graceUs() / 1000 + (request.pool() == null ? "" : " in " + request.pool())
+                + (request.requestClass() == 0 ? "" : " as " + request.requestClass()));
     }
 
     @Override
@@ -213,4 +216,19 @@
     public void reconfigure(long now, Settings settings) {
         heard.add("settings " + settings.classes().size());
     }
+
+    @Override
+    public void pools(long now, Map<String, Set<String>> members) {
+        heard.add("pools " + new java.util.TreeMap<>(members));
+    }
+
+    @Override
+    public void route(long now, long request, String pool) {
+        heard.add("route " + request + " " + pool);
+    }
+
+    @Override
+    public int inFavour(long now, String pool) {
+        return inFavour.getOrDefault(pool, 0);
+    }
 }
--- /dev/null
+++ b/src/test/java/tulipshed/transaction/RoutingTest.java
@@ -0,0 +1,85 @@
+package tulipshed.transaction;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.operators.OperatorsFile;
+import tulipshed.routing.Router;
+
+/** What the core makes of the operators' rules. */
+class RoutingTest {
+    private static final String POOLS = "(pool a (where (in member.id [\"s-1\" \"s-2\"]))) (pool b (where (= member.id \"s-3\")))";
+    private final CoreBench bench = new CoreBench();
+
+    private static Router router(String text) {
+        return OperatorsFile.read("f", text.getBytes(StandardCharsets.UTF_8),
+                NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names()).router();
+    }
+
+    private void ready(int a, int b) {
+        bench.inFavour.put("a", a);
+        bench.inFavour.put("b", b);
+    }
+
+    @Test
+    void anArrivalIsClassifiedAndHeldToItsPool() {
+        ready(1, 1);
+        bench.core.route(router(POOLS + "(classify (rule r (when (= key \"k\")) (class \"slot-booking\")))"
+                + "(route r (when (= class \"slot-booking\")) (to b))"));
+        assertEquals(List.of("pools {a=[s-1], b=[]}"), bench.take());
+        bench.arrive(2000);
+        assertEquals(List.of("request 2000 in b as 2"), bench.take());
+    }
+
+    @Test
+    void thoseThatWaitAreHeldToTheNextPoolWhenTheirsEmpties() {
+        bench.tell("s-3", ServerState.SERVING);
+        ready(1, 1);
+        bench.core.route(router(POOLS + "(route r (to a b))"));
+        bench.arrive(2000);
+        bench.take();
+        bench.inFavour.put("a", 0);
+        bench.pass(99);
+        assertEquals(List.of(), bench.take());
+        bench.pass(2);
+        assertEquals(List.of("route r: uses pool b instead of its first", "route 1 b"), bench.take());
+        bench.inFavour.put("a", 1);
+        bench.tell("s-2", ServerState.SERVING);
+        assertEquals(List.of("list CHANGES", "pools {a=[s-1, s-2], b=[s-3]}", "route r: uses its first pool again", "route 1 a"),
+                bench.take().stream().map(l -> l.replace("s-2, s-1", "s-1, s-2")).toList());
+    }
+
+    @Test
+    void whatStandsStaysWhereItIsWhenItsPoolIsDropped() {
+        ready(1, 1);
+        bench.core.route(router(POOLS + "(route r (to a))"));
+        ServerSideFlow flow = bench.sent(2000);
+        assertTrue(bench.core.up(flow));
+        bench.arrive(1500);
+        bench.take();
+        bench.core.route(null);
+        assertEquals(List.of("pools {}", "route 2 null"), bench.take());
+        assertTrue(flow.transaction().standing());
+        bench.pass(300);
+        assertEquals(List.of(), bench.take(), "nobody looks at routes any more");
+    }
+
+    /** Settings may drop a class that a rule gave, before the rules are read anew. */
+    @Test
+    void aClassThatTheSettingsHaveDroppedChangesNothing() {
+        bench.core.route(router("(classify (rule r (when true) (class \"slot-booking\")))"));
+        var s = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).settings();
+        bench.core.reconfigure(new tulipshed.decision.BalancerApi.Settings(s.self(), s.balancers(), s.zone(), s.passThrough(),
+                s.askedList(), s.groups(), s.weights(), s.reports(), s.limits(), s.rules(), s.prices(), s.classes().subList(0, 2),
+                s.tenants()));
+        bench.take();
+        bench.arrive(1000);
+        assertEquals(List.of("request 1000"), bench.take());
+    }
+}
