Bound the operators' file by what a 64 MB heap bears, and check every define

Cause: files made to hurt, read with the node's heap: an and of 60,000 parts and ((a{100}){100}){100} ended in OutOfMemoryError (RE2/J writes counted repeats out before it tells their number); 20,000 misspelt defines took over ten minutes, as the nearest of 20,000 names was looked for each time; only the first wrong define was told. Change: 200,000 forms, 120,000 expressions, 1,000 parts of and and or; the size of a pattern is found before it is compiled; hints end with the problems told; a test that classes, groups and pools hold over QUIC.

--- a/src/main/java/tulipshed/command/Reload.java
+++ b/src/main/java/tulipshed/command/Reload.java
@@ -39,6 +39,9 @@
         try {
             NodeConfig config = source.get();
             node.reload(config, operators.apply(config));
+        } catch (OutOfMemoryError e) {
+            // Bounds keep it from coming so far; the node's own state has not been touched.
+            node.turnedDown("no memory left to read it");
         } catch (MalformedInput e) {
             node.turnedDown(e.getMessage());
         }
--- a/src/main/java/tulipshed/expression/Checker.java
+++ b/src/main/java/tulipshed/expression/Checker.java
@@ -22,11 +22,11 @@
  */
 public final class Checker {
     private static final int DEEPEST = 250; // calls of check within each other: what a stack of 512 KB bears many times
-    private static final int MOST_TERMS = 400_000; // different expressions; a file that makes more is refused
+    private static final int MOST_TERMS = 120_000; // different expressions; a file that makes more is refused
     private static final int MOST_CALLS = 2_000_000; // of defines with parameters, all in all
 
     private final Schema schema;
-    private final Problems problems;
+    private Problems problems;
     private final Terms terms;
     private final Map<String, Define> defines = new LinkedHashMap<>();
     private final Map<Call, Expr> calls = new HashMap<>();
@@ -83,12 +83,20 @@
         }
     }
 
-    /** Checks one define, used or not; one with parameters is checked where it is used. */
-    public void checkDefine(String name) {
+    /** What is wrong with one define, used or not; one with parameters is checked where it is used. */
+    public Problems faultsOf(String name) {
+        Problems outer = problems;
+        Problems own = new Problems("");
         Define d = defines.get(name);
-        if (d != null && d.parameters() == null) {
-            call(d, List.of(), d.place());
+        problems = own;
+        try {
+            if (d != null && d.parameters() == null) {
+                call(d, List.of(), d.place());
+            }
+        } finally {
+            problems = outer;
         }
+        return own;
     }
 
     /** The names defined. */
@@ -201,11 +209,9 @@
             return called(d, s);
         }
         if (Builtins.form(s.head()) == null) {
-            Set<String> known = new LinkedHashSet<>(Builtins.names());
-            known.addAll(defines.keySet());
             return wrong(s.place(), d != null || schema.get(s.head()) != null || lookUp(s.head()) != null
                     ? s.head() + " is a value, not a function; write it without brackets"
-                    : "unknown function " + s.head() + Spelling.hint(s.head(), known));
+                    : "unknown function " + s.head() + hint(s.head(), Builtins.names()));
         }
         return functions.check(s);
     }
@@ -230,9 +236,16 @@
             return wrong(w.place(), w.name() + " is a function; write "
                     + (d == null ? Builtins.form(w.name()) : "(" + w.name() + " ...)"));
         }
-        Set<String> known = new LinkedHashSet<>(schema.names());
-        known.add("true");
-        known.add("false");
+        return wrong(w.place(), "unknown name " + w.name() + hint(w.name(), schema.names()));
+    }
+
+    /** The nearest of the names that may stand there; not looked for once no more problems are told, as it takes long. */
+    private String hint(String name, Collection<String> names) {
+        if (problems.count() >= Problems.MOST) {
+            return "";
+        }
+        Set<String> known = new LinkedHashSet<>(names);
+        known.addAll(List.of("true", "false"));
         known.addAll(defines.keySet());
         for (Map<String, Expr> scope : scopes) {
             known.addAll(scope.keySet());
@@ -240,7 +253,7 @@
                 break;
             }
         }
-        return wrong(w.place(), "unknown name " + w.name() + Spelling.hint(w.name(), known));
+        return Spelling.hint(name, known);
     }
 
     private static boolean isTruth(String name) {
--- a/src/main/java/tulipshed/expression/Functions.java
+++ b/src/main/java/tulipshed/expression/Functions.java
@@ -12,6 +12,7 @@
 /** Checks the use of each function and makes its expression. */
 final class Functions {
     private static final int MOST_LITERALS = 20_000; // in one list
+    private static final int MOST_PARTS = 1000; // of and, or
     private static final int LONGEST_PATTERN = 512; // characters
     private static final int LARGEST_PATTERN = 2_000; // instructions
     private static final int MOST_SHARES = 1_000_000;
@@ -88,6 +89,9 @@
         if (args.size() < least || args.size() > most) {
             return shape(s);
         }
+        if (args.size() > MOST_PARTS) {
+            return checker.wrong(s.place(), "more than " + MOST_PARTS + " parts: literals belong in (in X [...]), the rest in rules");
+        }
         Expr[] parts = args.stream().map(f -> typed(f, Type.BOOLEAN)).toArray(Expr[]::new);
         return unknown(parts) ? terms.unknown(s.place()) : terms.make(op, Type.BOOLEAN, s.place(), parts);
     }
@@ -367,6 +371,10 @@
         if (text.value().length() > LONGEST_PATTERN) {
             return checker.wrong(text.place(), "a regular expression of more than " + LONGEST_PATTERN + " characters");
         }
+        if (text.value().contains("\\Q") || PatternSize.of(text.value()) > 4 * LARGEST_PATTERN) {
+            return checker.wrong(text.place(), "this regular expression is too large once its repeats are written out, or "
+                    + "holds \\Q");
+        }
         Matching m = checker.matching(text);
         if (m == null || a.unknown()) {
             return terms.unknown(s.place());
--- a/src/main/java/tulipshed/operators/OperatorsFile.java
+++ b/src/main/java/tulipshed/operators/OperatorsFile.java
@@ -20,7 +20,7 @@
  */
 public record OperatorsFile(Router router, QuicSection quic, Explanation explanation) {
     /** What a file may be at most: bytes, brackets inside each other, forms. */
-    public static final SexprReader.Bounds BOUNDS = new SexprReader.Bounds(2 * 1024 * 1024, 200, 400_000);
+    public static final SexprReader.Bounds BOUNDS = new SexprReader.Bounds(2 * 1024 * 1024, 200, 200_000);
 
     /** What no file says. */
     public static final OperatorsFile EMPTY = new OperatorsFile(null, null, new Explanation());
--- a/src/main/java/tulipshed/operators/SectionReader.java
+++ b/src/main/java/tulipshed/operators/SectionReader.java
@@ -128,22 +128,18 @@
         Problems twice = new Problems("");
         List<String> all = new ArrayList<>(checker(transactions, twice).defined());
         problems.addAll(twice);
-        Problems ofTransactions = new Problems("");
-        Checker first = checker(transactions, ofTransactions);
-        Problems ofMembers = new Problems("");
-        Checker second = checker(members, ofMembers);
+        Checker ofTransactions = checker(transactions, twice);
+        Checker ofMembers = checker(members, twice);
         for (String name : all) {
-            int before = ofTransactions.count();
-            first.checkDefine(name);
-            int beforeMembers = ofMembers.count();
-            if (ofTransactions.count() > before) {
-                second.checkDefine(name);
-                if (ofMembers.count() > beforeMembers) {
-                    // It speaks of members where the fault is not that it does.
-                    boolean speaksOfMembers = ofTransactions.toString().contains("unknown name member.");
-                    problems.addAll(speaksOfMembers ? ofMembers : ofTransactions);
-                    return;
-                }
+            if (problems.count() > Problems.MOST) {
+                // Enough to tell; what is nearest to a misspelt name is dear to find.
+                return;
+            }
+            Problems first = ofTransactions.faultsOf(name);
+            Problems second = first.none() ? first : ofMembers.faultsOf(name);
+            if (!second.none()) {
+                // It speaks of members where the fault is not that it does.
+                problems.addAll(first.toString().contains("unknown name member.") ? second : first);
             }
         }
     }
--- a/src/test/java/tulipshed/expression/ExpressionTest.java
+++ b/src/test/java/tulipshed/expression/ExpressionTest.java
@@ -115,6 +115,20 @@
         assertEquals(want.replace("\\n", "\n"), problems.toString());
     }
 
+    /** RE2/J writes counted repeats out before it says how large they are: without a guard this takes all memory. */
+    @ParameterizedTest
+    @CsvSource({"((a{100}){100}){100}", "(a{1000}){1000}", "(((a|b){50}[^]x]{50}){50}){50}", "((\\){999}){999}", "\\Q(\\E"})
+    void aRegularExpressionThatGrowsIsRefusedBeforeItIsCompiled(String pattern) {
+        assertNull(any("(matches class \"" + pattern.replace("\\", "\\\\") + "\")"));
+        assertTrue(problems.toString().contains("too large once its repeats are written out"), problems::toString);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'^[0-9]{1,3}([.][0-9]{1,3}){3}$'", "'[]{3}]{2}'", "'x{,3}'", "'(a|b)*c{20}'"})
+    void ordinaryOnesAreNot(String pattern) {
+        assertNotNull(any("(matches class \"" + pattern + "\")"), problems::toString);
+    }
+
     /** What grows with its input has a bound that says so, found without any input. */
     @Test
     void theBoundFollowsTheDeclaredLengths() {
--- a/src/test/java/tulipshed/operators/OperatorsFileTest.java
+++ b/src/test/java/tulipshed/operators/OperatorsFileTest.java
@@ -114,6 +114,23 @@
         assertEquals(1, start.lines().count(), "at a start it is one line");
     }
 
+    @Test
+    void everyDefineIsCheckedUsedOrNot() {
+        assertEquals("f:1:13: only values of one type can be equal: a string, an integer\n"
+                + "f:1:71: only values of one type can be equal: a string, an integer",
+                wrong("(define one (= \"a\" 1)) (define two (= member.zone \"z\")) (define three (= member.zone 2))"));
+    }
+
+    /** Looking for the nearest name for each of these faults, told or not, took over ten minutes. */
+    @Test
+    void aMegabyteOfFaultsIsToldInBoundedTime() {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 20_000; i++) {
+            text.append("(define name-" + i + " (= nothing-" + i + " \"" + i + "\"))\n");
+        }
+        assertEquals(21, wrong(text.toString()).lines().count());
+    }
+
     @Property(tries = 400, seed = "31")
     void aSpoiltFileIsReadOrRefusedWithPlaces(@ForAll long seed) throws IOException {
         try {
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -157,6 +157,30 @@
         }
     }
 
+    /** Over QUIC a connection has one class and no group; rules give it both, and the pool that follows from them. */
+    @Test
+    void rulesGiveAConnectionItsClassAndItsPool() throws IOException {
+        front(Manner.SERVES, Manner.SERVES, Manner.SERVES);
+        var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names();
+        var rules = tulipshed.operators.OperatorsFile.read("f", ("(pool third (where (= member.id \"s-3\")))"
+                + "(classify (rule r (when (and (= front \"quic\") (in-network source-address \"127.0.0.0/8\")))"
+                + "(class \"gate-status\") (group (substring key 0 2))))"
+                + "(route r (when (and (= class \"gate-status\") (= (length (default group \"\")) 2))) (to third))")
+                .getBytes(java.nio.charset.StandardCharsets.UTF_8), names);
+        onLoop(() -> {
+            core.route(rules.router());
+            return null;
+        });
+        for (int i = 0; i < 6; i++) {
+            try (Client client = new Client(front.address(), 20 + i)) {
+                assertEquals("served", open(client).what());
+            }
+        }
+        assertEquals(6, servers.get(2).initials.get());
+        long asGate = onLoop(() -> core.figures().replies().get("gate-status").up());
+        assertEquals(6, asGate);
+    }
+
     @Test
     void anUnansweredWishLeavesADrainingServerAndIsAnsweredOnce() throws IOException {
         deadlineMs = 3000;
