QUIC: hellos over several Initials, version 2, and their names for the operators' rules

Need: a client with a post-quantum key share spreads its hello over datagrams, some shuffle it; version 2 ended in version negotiation; rules could not ask for the server's name. Change: CryptoStream and Opening put a hello together in any order, bounded; ClientHello reads server name and ALPN; Version holds what differs between 1 and 2. A hello that is never whole is closed at a bound. server-name, alpn and quic-version are attributes of expressions.

--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -106,7 +106,13 @@
             /** How long a final answer is repeated to a client that sends its first packet again. */
             double answeredMs,
             /** A member counts as silent only after this many datagrams without one in return. */
-            int unanswered) { }
+            int unanswered,
+            /** Longest client hello. */
+            int helloBytes,
+            /** How long one that is not whole is waited for. */
+            double openingMs,
+            /** Connections whose hello is waited for at most; each holds its first datagrams and what it has of the hello. */
+            int openings) { }
 
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
@@ -117,7 +123,7 @@
                 new Transactions(40, 2_500, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
-                new Quic(2048, 4096, 8, 4, 30_000, 5_000, 3));
+                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256));
     }
 
     /** The same but for these. */
--- a/src/main/java/tulipshed/operators/CaseTable.java
+++ b/src/main/java/tulipshed/operators/CaseTable.java
@@ -180,7 +180,7 @@
             return "the settings have no tenant " + tenant;
         }
         Set<String> known = new LinkedHashSet<>(List.of("class", "tenant", "key", "group", "deadline-ms", "hint", "retry", "again",
-                "front", "source-address"));
+                "front", "source-address", "server-name", "alpn", "quic-version"));
         if (router != null) {
             known.addAll(router.declarations().figures().keySet());
         }
--- a/src/main/java/tulipshed/quic/InitialFrames.java
+++ b/src/main/java/tulipshed/quic/InitialFrames.java
@@ -9,6 +9,7 @@
     /** Error codes of the transport (RFC 9000 section 20.1). */
     static final int INTERNAL_ERROR = 0x01;
     static final int CONNECTION_REFUSED = 0x02;
+    static final int PROTOCOL_VIOLATION = 0x0a;
     private static final int PADDING = 0x00;
     private static final int PING = 0x01;
     private static final int ACK = 0x02;
@@ -19,6 +20,11 @@
 
     /** Reads frames; those that an Initial may not carry make it a {@link BadPacket}. */
     static InitialFrames read(byte[] frames) {
+        return read(frames, null);
+    }
+
+    /** The same, and what CRYPTO frames carry goes into a stream. */
+    static InitialFrames read(byte[] frames, CryptoStream stream) {
         ByteBuffer in = ByteBuffer.wrap(frames);
         boolean handshake = false;
         try {
@@ -28,8 +34,7 @@
                     case PADDING, PING -> { }
                     case ACK, ACK_ECN -> ack(in, type == ACK_ECN);
                     case CRYPTO -> {
-                        Packet.number(in);
-                        skip(in);
+                        crypto(in, stream);
                         handshake = true;
                     }
                     case CLOSE, CLOSE_APPLICATION -> {
@@ -54,6 +59,19 @@
         }
     }
 
+    private static void crypto(ByteBuffer in, CryptoStream stream) {
+        long offset = Packet.number(in);
+        if (stream == null) {
+            skip(in);
+            return;
+        }
+        long length = Packet.number(in);
+        if (length > in.remaining()) {
+            throw new BadPacket("a frame past the end of its packet");
+        }
+        stream.add(offset, in, (int) length);
+    }
+
     private static void skip(ByteBuffer in) {
         long length = Packet.number(in);
         if (length > in.remaining()) {
--- a/src/main/java/tulipshed/quic/InitialKeys.java
+++ b/src/main/java/tulipshed/quic/InitialKeys.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.util.Arrays;
-import java.util.HexFormat;
 import javax.crypto.Cipher;
 import javax.crypto.Mac;
 import javax.crypto.spec.GCMParameterSpec;
@@ -15,32 +14,33 @@
  * chose first, so anyone on the path can read and make such packets; they prove nothing but a sound form.
  */
 final class InitialKeys {
-    private static final byte[] SALT = HexFormat.of().parseHex("38762cf7f55934b34d179ae6a4c80cadccbb7f0a");
     private static final int TAG = 16;
     private static final int SAMPLE = 16;
+    private final Version version;
     private final byte[] key;
     private final byte[] iv;
     private final byte[] mask;
 
-    private InitialKeys(byte[] secret) throws GeneralSecurityException {
-        key = expand(secret, "quic key", 16);
-        iv = expand(secret, "quic iv", 12);
-        mask = expand(secret, "quic hp", 16);
+    private InitialKeys(Version version, byte[] secret) throws GeneralSecurityException {
+        this.version = version;
+        key = expand(secret, version.label + "key", 16);
+        iv = expand(secret, version.label + "iv", 12);
+        mask = expand(secret, version.label + "hp", 16);
     }
 
     /** Of what the client sends. */
-    static InitialKeys client(ConnectionId firstDestination) {
-        return of(firstDestination, "client in");
+    static InitialKeys client(Version version, ConnectionId firstDestination) {
+        return of(version, firstDestination, "client in");
     }
 
     /** Of what the server sends. */
-    static InitialKeys server(ConnectionId firstDestination) {
-        return of(firstDestination, "server in");
+    static InitialKeys server(Version version, ConnectionId firstDestination) {
+        return of(version, firstDestination, "server in");
     }
 
-    private static InitialKeys of(ConnectionId destination, String label) {
+    private static InitialKeys of(Version version, ConnectionId destination, String label) {
         try {
-            return new InitialKeys(expand(hmac(SALT, destination.bytes()), label, 32));
+            return new InitialKeys(version, expand(hmac(version.salt(), destination.bytes()), label, 32));
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("this virtual machine lacks what QUIC needs", e);
         }
@@ -82,11 +82,11 @@
         }
     }
 
-    /** An Initial packet of version 1 with these frames. */
+    /** An Initial packet with these frames. */
     byte[] seal(ConnectionId destination, ConnectionId source, int number, byte[] frames) {
         int length = 4 + frames.length + TAG;
         ByteBuffer out = ByteBuffer.allocate(1 + 4 + 2 + destination.length() + source.length() + 1 + 2 + length);
-        out.put((byte) 0xC3).putInt((int) Packet.VERSION_1);
+        out.put((byte) (0xC3 | version.bits(Packet.Type.INITIAL) << 4)).putInt((int) version.number);
         out.put((byte) destination.length()).put(destination.bytes());
         out.put((byte) source.length()).put(source.bytes()).put((byte) 0);
         Packet.number(out, length);
--- a/src/main/java/tulipshed/quic/Packet.java
+++ b/src/main/java/tulipshed/quic/Packet.java
@@ -6,12 +6,11 @@
 import java.util.List;
 
 /**
- * What can be read of a packet without keys (RFC 8999, and RFC 9000 section 17 for version 1). A datagram may
+ * What can be read of a packet without keys (RFC 8999; RFC 9000 section 17 and RFC 9369 for the versions known here). A datagram may
  * hold several with long headers, one after the other.
  */
 record Packet(Type type, long version, ConnectionId destination, ConnectionId source, byte[] datagram, int from,
         int packetNumberAt, int to) {
-    static final long VERSION_1 = 1;
     private static final int LONG_FORM = 0x80;
     private static final int FIXED_BIT = 0x40;
 
@@ -48,28 +47,18 @@
         in.position(from);
         int first = in.get() & 0xFF;
         if ((first & LONG_FORM) == 0) {
-            if ((first & FIXED_BIT) == 0) {
-                throw new BadPacket("a short header without its fixed bit");
-            }
             ConnectionId id = id(in, shortIdLength);
-            return new Packet(Type.SHORT, VERSION_1, id, null, datagram, from, in.position(), datagram.length);
+            return new Packet(Type.SHORT, 0, id, null, datagram, from, in.position(), datagram.length);
         }
         long version = in.getInt() & 0xFFFFFFFFL;
         ConnectionId destination = id(in, in.get() & 0xFF);
         ConnectionId source = id(in, in.get() & 0xFF);
-        if (version != VERSION_1) {
+        Version known = Version.of(version);
+        if (known == null) {
             Type type = version == 0 ? Type.VERSION_NEGOTIATION : Type.OTHER_VERSION;
             return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length);
         }
-        if ((first & FIXED_BIT) == 0) {
-            throw new BadPacket("a long header without its fixed bit");
-        }
-        Type type = switch (first >> 4 & 3) {
-            case 0 -> Type.INITIAL;
-            case 1 -> Type.ZERO_RTT;
-            case 2 -> Type.HANDSHAKE;
-            default -> Type.RETRY;
-        };
+        Type type = known.type(first >> 4 & 3);
         if (type == Type.RETRY) {
             return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length);
         }
@@ -82,6 +71,11 @@
         return new Packet(type, version, destination, source, datagram, from, at, in.position());
     }
 
+    /** Whether the bit is set that both ends may agree to leave to chance (RFC 9287); a first packet has it. */
+    boolean fixedBit() {
+        return (datagram[from] & FIXED_BIT) != 0;
+    }
+
     private static ConnectionId id(ByteBuffer in, int length) {
         if (length > ConnectionId.LONGEST) {
             throw new BadPacket("a connection id of " + length + " bytes");
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -16,6 +16,7 @@
 import tulipshed.link.DatagramPort;
 import tulipshed.link.XnioLoop;
 import tulipshed.routing.Origin;
+import tulipshed.routing.TransactionSchema;
 import tulipshed.time.Clock;
 import tulipshed.transaction.Transaction.Arrival;
 import tulipshed.transaction.TransactionCore;
@@ -43,6 +44,7 @@
     private final Set<QuicSession> all = new LinkedHashSet<>();
     private final DatagramPort port;
     private Names names;
+    private int openings;
     private boolean leaving;
 
     public QuicFront(Clock clock, Limits limits, QuicConfig config, Names names, XnioLoop loop,
@@ -77,9 +79,29 @@
                 : new Arrival(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
     }
 
-    /** Where a transaction came from. */
-    static Origin origin(InetSocketAddress from) {
-        return Origin.of(NAME, from.getAddress(), Map.of());
+    /** Where a transaction came from, and what its client said in the clear; null where it is not known. */
+    static Origin origin(InetSocketAddress from, Opening opening) {
+        Map<String, Object> figures = new HashMap<>();
+        if (opening != null) {
+            figures.put(TransactionSchema.QUIC_VERSION, opening.version().number);
+            if (opening.hello().serverName() != null) {
+                figures.put(TransactionSchema.SERVER_NAME, opening.hello().serverName());
+            }
+            if (opening.hello().alpn() != null) {
+                figures.put(TransactionSchema.ALPN, opening.hello().alpn());
+            }
+        }
+        return Origin.of(NAME, from.getAddress(), figures);
+    }
+
+    /** A client's hello is waited for, or no more. */
+    void waits(int more) {
+        openings += more;
+    }
+
+    /** Hellos waited for; for tests. */
+    int openings() {
+        return openings;
     }
 
     /** The node is leaving: no new connection is taken any more. */
@@ -110,11 +132,11 @@
             QuicSession session = sessions.get(first.destination());
             if (session != null) {
                 session.fromClient(from, datagram, packets);
-            } else if (first.type() == Packet.Type.INITIAL) {
-                open(from, datagram, first);
+            } else if (first.type() == Packet.Type.INITIAL && first.fixedBit()) {
+                open(from, datagram, first, packets);
             } else if (first.type() == Packet.Type.OTHER_VERSION) {
                 negotiate(from, datagram, first);
-            } else if (first.type() == Packet.Type.SHORT) {
+            } else if (first.type() == Packet.Type.SHORT && first.fixedBit()) {
                 carryOn(from, datagram, first, packets);
             }
         } catch (BadPacket e) {
@@ -124,29 +146,38 @@
     }
 
     /** An Initial that no connection knows opens a transaction, if it is one that a client would send. */
-    private void open(InetSocketAddress from, byte[] datagram, Packet initial) {
+    private void open(InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
         if (datagram.length < LEAST_FIRST_DATAGRAM || initial.destination().length() < LEAST_FIRST_ID) {
             return;
         }
-        InitialFrames frames = InitialFrames.read(InitialKeys.client(initial.destination()).open(initial));
-        if (!frames.handshake() || frames.closes()) {
+        Opening opening = new Opening(initial.destination(), limits.quic().helloBytes());
+        try {
+            if (!opening.take(packets) || opening.closes()) {
+                return;
+            }
+        } catch (BadPacket e) {
+            // Sound keys and no hello: whoever sent it hears so at once, in fewer bytes than it sent.
+            send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(),
+                    InitialFrames.PROTOCOL_VIOLATION, "not a client hello"));
             return;
         }
-        if (all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving) {
+        boolean waits = opening.hello() == null;
+        if (all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving
+                || waits && openings >= limits.quic().openings()) {
             // Turned away without keeping anything of it.
-            send(from, QuicSession.closing(initial.destination(), initial.source(),
+            send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(),
                     InitialFrames.CONNECTION_REFUSED, QuicSession.busy(core.retryAfterMs(limits.sockets().noRoomRetryMs()))));
             return;
         }
         if (arrival("") == null) {
-            send(from, QuicSession.closing(initial.destination(), initial.source(), InitialFrames.INTERNAL_ERROR,
+            send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(), InitialFrames.INTERNAL_ERROR,
                     "an unknown class"));
             return;
         }
         QuicSession session = new QuicSession(this, from, initial.destination(), initial.source());
         all.add(session);
         learn(initial.destination(), session);
-        session.open(datagram);
+        session.open(datagram, opening);
     }
 
     /**
@@ -168,16 +199,19 @@
         session.carryOn(member, datagram, packets);
     }
 
-    /** A version that is not spoken here is answered with the one that is (RFC 8999 section 6). */
+    /**
+     * A version that is not spoken here is answered with those that are (RFC 8999 section 6), and with one that nobody
+     * speaks, so that clients do not come to rely on the list (RFC 9000 section 6.3).
+     */
     private void negotiate(InetSocketAddress from, byte[] datagram, Packet p) {
         if (datagram.length < LEAST_FIRST_DATAGRAM) {
             return;
         }
-        ByteBuffer out = ByteBuffer.allocate(11 + p.source().length() + p.destination().length());
+        ByteBuffer out = ByteBuffer.allocate(19 + p.source().length() + p.destination().length());
         out.put((byte) (0x80 | random.nextInt(0x80))).putInt(0);
         out.put((byte) p.source().length()).put(p.source().bytes());
         out.put((byte) p.destination().length()).put(p.destination().bytes());
-        out.putInt((int) Packet.VERSION_1);
+        out.putInt((int) Version.V1.number).putInt((int) Version.V2.number).putInt((int) Version.GREASE);
         send(from, out.array());
     }
 
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -20,7 +20,7 @@
 final class QuicSession implements VirtualServer, MemberConnector {
     private static final int LONGEST_REPLY = 43;
 
-    private enum State { OWED, STANDING, ANSWERED }
+    private enum State { OPENING, OWED, STANDING, ANSWERED }
 
     private final QuicFront front;
     private final ArrayDeque<ConnectionId> ids = new ArrayDeque<>();
@@ -30,6 +30,9 @@
     private ConnectionId current;
     private InetSocketAddress client;
     private State state = State.OWED;
+    private Opening opening;
+    private Version version = Version.V1;
+    private double openedMs;
     private Transaction transaction;
     private ServerSideFlow flow;
     private DatagramPort port;
@@ -51,18 +54,69 @@
     }
 
     /** A new connection. */
-    void open(byte[] datagram) {
+    void open(byte[] datagram, Opening begun) {
         first.add(datagram);
-        transaction = new Transaction(this, this, front.arrival(current.toString()), QuicFront.origin(client), heardMs,
+        opening = begun;
+        version = begun.version();
+        if (begun.hello() != null) {
+            arrive();
+        } else {
+            state = State.OPENING;
+            openedMs = heardMs;
+            front.waits(1);
+        }
+    }
+
+    /** The hello is whole, so all is known that rules may ask for. */
+    private void arrive() {
+        state = State.OWED;
+        transaction = new Transaction(this, this, front.arrival(keyedBy.toString()), QuicFront.origin(client, opening), heardMs,
                 false);
+        opening = null;
         front.core.arrived(transaction);
     }
 
+    /** More of a client whose hello is not whole yet. */
+    private void more(byte[] datagram, List<Packet> packets) {
+        try {
+            boolean sound = opening.take(packets);
+            if (opening.closes()) {
+                opened();
+                end();
+                return;
+            }
+            if (!sound && packets.get(0).type() == Packet.Type.INITIAL) {
+                return;
+            }
+        } catch (BadPacket e) {
+            opened();
+            answer(InitialFrames.PROTOCOL_VIOLATION, "not a client hello");
+            return;
+        }
+        if (first.size() < front.limits.quic().firstDatagrams()) {
+            first.add(datagram);
+        }
+        if (opening.hello() != null && front.arrival("") != null) {
+            front.waits(-1);
+            arrive();
+        } else if (opening.hello() != null || first.size() >= front.limits.quic().firstDatagrams()) {
+            opened();
+            answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
+        }
+    }
+
+    /** Nothing more is waited for. */
+    private void opened() {
+        state = State.OWED;
+        opening = null;
+        front.waits(-1);
+    }
+
     /** A connection that stands at that member already, though this node knows nothing else of it. */
     void carryOn(String member, byte[] datagram, List<Packet> packets) {
         first.add(datagram);
         pastInitial = true;
-        transaction = new Transaction(this, this, front.arrival(current.toString()), QuicFront.origin(client), heardMs,
+        transaction = new Transaction(this, this, front.arrival(current.toString()), QuicFront.origin(client, null), heardMs,
                 true);
         front.core.alreadyOpen(transaction, member);
     }
@@ -77,11 +131,19 @@
             repeatAnswer(datagram.length);
             return;
         }
+        if (state == State.OPENING) {
+            more(datagram, packets);
+            return;
+        }
         if (state == State.OWED && leaves(packets.get(0))) {
             front.core.clientLeft(transaction);
             end();
             return;
         }
+        if (packets.get(0).type() == Packet.Type.INITIAL) {
+            // With compatible negotiation the client goes over to the version that its server chose (RFC 9368).
+            version = Version.of(packets.get(0).version());
+        }
         Packet.Type type = packets.get(packets.size() - 1).type();
         pastInitial |= type == Packet.Type.HANDSHAKE || type == Packet.Type.SHORT;
         current = packets.get(0).destination();
@@ -104,7 +166,7 @@
     private boolean leaves(Packet p) {
         try {
             return p.type() == Packet.Type.INITIAL
-                    && InitialFrames.read(InitialKeys.client(keyedBy).open(p)).closes();
+                    && InitialFrames.read(InitialKeys.client(Version.of(p.version()), keyedBy).open(p)).closes();
         } catch (BadPacket e) {
             return false;
         }
@@ -124,8 +186,8 @@
     // ---- Answers ----
 
     /** An Initial with CONNECTION_CLOSE, as a server sends it that has not begun the handshake. */
-    static byte[] closing(ConnectionId destination, ConnectionId clientId, int code, String reason) {
-        return InitialKeys.server(destination).seal(clientId, destination, 0, InitialFrames.close(code, reason));
+    static byte[] closing(Version version, ConnectionId destination, ConnectionId clientId, int code, String reason) {
+        return InitialKeys.server(version, destination).seal(clientId, destination, 0, InitialFrames.close(code, reason));
     }
 
     @Override
@@ -158,7 +220,7 @@
         }
         end();
         if (!pastInitial && clientId != null) {
-            answer = closing(keyedBy, clientId, code, reason);
+            answer = closing(version, keyedBy, clientId, code, reason);
             front.send(client, answer);
         } else {
             front.reset(client, current, LONGEST_REPLY + 1);
@@ -268,7 +330,7 @@
             case INITIAL -> {
                 InitialFrames frames;
                 try {
-                    frames = InitialFrames.read(InitialKeys.server(keyedBy).open(p));
+                    frames = InitialFrames.read(InitialKeys.server(Version.of(p.version()), keyedBy).open(p));
                 } catch (BadPacket e) {
                     return false;
                 }
@@ -318,6 +380,9 @@
             if (nowMs - answeredMs > front.limits.quic().answeredMs()) {
                 forget();
             }
+        } else if (state == State.OPENING && nowMs - openedMs > front.limits.quic().openingMs()) {
+            opened();
+            answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
         } else if (state == State.STANDING && unanswered >= front.limits.quic().unanswered()
                 && nowMs - unansweredSinceMs > front.limits.transactions().silentMs()) {
             front.core.silent(flow);
--- a/src/main/java/tulipshed/routing/TransactionSchema.java
+++ b/src/main/java/tulipshed/routing/TransactionSchema.java
@@ -9,7 +9,12 @@
 
 /** What expressions may ask of a transaction. */
 public final class TransactionSchema {
+    /** What a client of QUIC says in the clear, in the names of expressions. */
+    public static final String SERVER_NAME = "server-name";
+    public static final String ALPN = "alpn";
+    public static final String QUIC_VERSION = "quic-version";
     private static final int LONGEST_FRONT = 16;
+    private static final int LONGEST_SAID = 255;
 
     private final Schema schema = new Schema();
     private final Attribute requestClass;
@@ -36,6 +41,9 @@
         again = schema.add("again", Type.BOOLEAN, false, 0);
         front = schema.add("front", Type.STRING, false, LONGEST_FRONT);
         source = schema.add("source-address", Type.ADDRESS, false, 0);
+        figures.put(SERVER_NAME, schema.add(SERVER_NAME, Type.STRING, true, LONGEST_SAID));
+        figures.put(ALPN, schema.add(ALPN, Type.STRING, true, LONGEST_SAID));
+        figures.put(QUIC_VERSION, schema.add(QUIC_VERSION, Type.INTEGER, true, 0));
         declared.figures().forEach((name, f) -> figures.put(name, schema.add(name, f.type(), true, f.longest())));
     }
 
@@ -63,7 +71,7 @@
         f.set(again, s.returning());
         f.set(front, s.origin().front());
         f.set(source, s.origin().sourceHigh(), s.origin().sourceLow());
-        if (!figures.isEmpty()) {
+        if (!s.origin().figures().isEmpty()) {
             s.origin().figures().forEach((name, value) -> set(f, figures.get(name), value));
         }
     }
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -78,7 +78,7 @@
         Limits l = Limits.forDescriptors(1024);
         Limits.Quic q = l.quic();
         Limits limits = l.with(new Limits.Quic(q.datagramBytes(), mostSessions, q.ids(), q.firstDatagrams(), idleMs, idleMs,
-                q.unanswered()));
+                q.unanswered(), q.helloBytes(), 300, 4));
         front = onLoop(() -> {
             core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
             QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking",
@@ -157,6 +157,95 @@
         }
     }
 
+    /** The parts of a hello as clients with a post-quantum key share send it, last one first. */
+    private static List<byte[]> spread(Client client, byte[] hello, int parts) {
+        List<byte[]> datagrams = new ArrayList<>();
+        int each = (hello.length + parts - 1) / parts;
+        for (int i = parts - 1; i >= 0; i--) {
+            byte[] part = Arrays.copyOfRange(hello, i * each, Math.min(hello.length, (i + 1) * each));
+            datagrams.add(InitialKeys.client(client.version, client.first).seal(client.first, client.own, i,
+                    Arrays.copyOf(StandIns.crypto(i * each, part), 1160)));
+        }
+        return datagrams;
+    }
+
+    /** Without reassembly the first of these datagrams would be taken for all that the client says. */
+    @Test
+    void aHelloOverThreeDatagramsIsWaitedForAndItsNamesAreKnownToRules() throws IOException {
+        front(Manner.SERVES, Manner.SERVES);
+        var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names();
+        var rules = tulipshed.operators.OperatorsFile.read("f", ("(pool second (where (= member.id \"s-2\")))"
+                + "(classify (rule r (when (and (suffix (default server-name \"\") \".booking.example\")"
+                + "(= (default alpn \"\") \"slots\") (= (default quic-version 0) 1798521807))) (class \"gate-status\")))"
+                + "(route r (when (= class \"gate-status\")) (to second))").getBytes(java.nio.charset.StandardCharsets.UTF_8), names);
+        onLoop(() -> {
+            core.route(rules.router());
+            return null;
+        });
+        for (int i = 0; i < 4; i++) {
+            try (Client client = new Client(front.address(), 40 + i)) {
+                client.version = Version.V2;
+                List<byte[]> parts = spread(client, StandIns.hello("Decin.Booking.Example", "slots", 2400), 3);
+                client.send(parts.get(0));
+                client.send(parts.get(1));
+                client.send(parts.get(1));
+                assertEquals(1, (int) onLoop(front::openings));
+                client.send(parts.get(2));
+                assertEquals("served", client.hear().what());
+                assertEquals(0, (int) onLoop(front::openings));
+            }
+        }
+        assertEquals(0, servers.get(0).initials.get());
+        long asGate = onLoop(() -> core.figures().replies().get("gate-status").up());
+        assertEquals(4, asGate);
+    }
+
+    @Test
+    void aHelloThatIsNeverWholeIsAnsweredAtItsBoundAndNothingIsKept() throws IOException {
+        idleMs = 300;
+        front(Manner.SERVES);
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            Client client = new Client(front.address(), 60 + i);
+            clients.add(client);
+            client.send(spread(client, StandIns.hello("a.example", "slots", 2000), 2).get(0));
+            if (i >= 4) {
+                assertEquals(new Heard("closed", InitialFrames.CONNECTION_REFUSED), client.hear(), "there is room for four");
+            }
+        }
+        assertEquals(4, (int) onLoop(front::openings));
+        for (Client client : clients.subList(0, 4)) {
+            assertEquals(new Heard("closed", InitialFrames.CONNECTION_REFUSED), client.hear(), "after its time");
+        }
+        assertEquals(0, (int) onLoop(front::openings));
+        try (Client client = new Client(front.address(), 70)) {
+            client.send(spread(client, StandIns.hello("a.example", "slots", 2000), 2).get(0));
+            byte[] other = StandIns.crypto(1100, new byte[] {1, 2, 3});
+            client.send(InitialKeys.client(client.version, client.first).seal(client.first, client.own, 5,
+                    Arrays.copyOf(other, 1160)));
+            assertEquals(new Heard("closed", InitialFrames.PROTOCOL_VIOLATION), client.hear(), "it says two things");
+        }
+        while (onLoop(front::sessionCount) > 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(0, servers.get(0).initials.get());
+        for (Client client : clients) {
+            client.close();
+        }
+    }
+
+    /** RFC 9368: the server answers in another version than the client began with, under keys of that version. */
+    @Test
+    void aServerMayGoOverToVersionTwo() throws IOException {
+        front(Manner.SERVES);
+        servers.get(0).answers = Version.V2;
+        try (Client client = new Client(front.address(), 80)) {
+            assertEquals("served", open(client).what());
+            client.sendNumber(5);
+            assertEquals(new Heard("number", 5), client.hear());
+        }
+    }
+
     /** Over QUIC a connection has one class and no group; rules give it both, and the pool that follows from them. */
     @Test
     void rulesGiveAConnectionItsClassAndItsPool() throws IOException {
@@ -388,7 +477,7 @@
             while (servers.get(0).initials.get() == 0) {
                 Thread.onSpinWait();
             }
-            client.send(InitialKeys.client(client.first).seal(client.first, client.own, 1,
+            client.send(InitialKeys.client(Version.V1, client.first).seal(client.first, client.own, 1,
                     Arrays.copyOf(InitialFrames.close(0, "never mind"), 1160)));
             client.send(client.initial());
             assertEquals(1, (int) onLoop(front::sessionCount), "no second transaction from its first packet");
--- a/src/test/java/tulipshed/quic/QuicParserTest.java
+++ b/src/test/java/tulipshed/quic/QuicParserTest.java
@@ -26,11 +26,11 @@
     /** The first values of RFC 9001, appendix A.1. */
     @Test
     void keysAreThoseOfTheSpecification() {
-        InitialKeys client = InitialKeys.client(DESTINATION);
+        InitialKeys client = InitialKeys.client(Version.V1, DESTINATION);
         assertEquals("1f369613dd76d5467730efcbe3b1a22d", HEX.formatHex(client.key()));
         assertEquals("fa044b2f42a3fd3b46fb255c", HEX.formatHex(client.iv()));
         assertEquals("9f50449e04a0e810283a1e9933adedd2", HEX.formatHex(client.headerKey()));
-        InitialKeys server = InitialKeys.server(DESTINATION);
+        InitialKeys server = InitialKeys.server(Version.V1, DESTINATION);
         assertEquals("cf3a5331653c364c88f0f379b6067e37", HEX.formatHex(server.key()));
         assertEquals("c206b8d9b9f0f37644430b490eeaa314", HEX.formatHex(server.headerKey()));
     }
@@ -51,7 +51,7 @@
     }
 
     private static byte[] initial(byte[] frames) {
-        return InitialKeys.client(DESTINATION).seal(DESTINATION, SOURCE, 7, Arrays.copyOf(frames, 200));
+        return InitialKeys.client(Version.V1, DESTINATION).seal(DESTINATION, SOURCE, 7, Arrays.copyOf(frames, 200));
     }
 
     @Test
@@ -64,7 +64,7 @@
         for (Packet p : packets) {
             assertEquals(DESTINATION, p.destination());
             assertEquals(SOURCE, p.source());
-            InitialFrames frames = InitialFrames.read(InitialKeys.client(DESTINATION).open(p));
+            InitialFrames frames = InitialFrames.read(InitialKeys.client(Version.V1, DESTINATION).open(p));
             assertEquals(new InitialFrames(false, true, InitialFrames.CONNECTION_REFUSED), frames);
         }
     }
@@ -79,7 +79,7 @@
             if (p.type() != Packet.Type.INITIAL) {
                 throw new BadPacket("another kind now");
             }
-            InitialKeys.client(DESTINATION).open(p);
+            InitialKeys.client(Version.V1, DESTINATION).open(p);
         });
     }
 
--- a/src/test/java/tulipshed/quic/StandIns.java
+++ b/src/test/java/tulipshed/quic/StandIns.java
@@ -17,8 +17,33 @@
     static final ServerIds IDS = new ServerIds(0, 3, 4, HexFormat.of().parseHex("8f95f09245765f80256934e50c66207f"));
     static final StatelessReset RESET = new StatelessReset("a key shared by all".getBytes());
 
+    /** A small hello that names a server and a protocol. */
+    static final byte[] HELLO = hello("slots.example", "slots", 40);
+
     private StandIns() { }
 
+    /** A client hello with these words, padded by an extension of that many bytes. */
+    static byte[] hello(String name, String alpn, int padding) {
+        ByteBuffer ext = ByteBuffer.allocate(600 + padding);
+        ext.putShort((short) 0x3a3a).putShort((short) padding).put(new byte[padding]);
+        ext.putShort((short) 0).putShort((short) (name.length() + 5)).putShort((short) (name.length() + 3)).put((byte) 0)
+                .putShort((short) name.length()).put(name.getBytes());
+        ext.putShort((short) 16).putShort((short) (alpn.length() + 6)).putShort((short) (alpn.length() + 4))
+                .put((byte) 2).put((byte) 0xFA).put((byte) 0xFA).put((byte) alpn.length()).put(alpn.getBytes());
+        int body = 2 + 32 + 1 + 2 + 2 + 1 + 1 + 2 + ext.position();
+        return ByteBuffer.allocate(4 + body).putInt(1 << 24 | body).putShort((short) 0x303).put(new byte[32]).put((byte) 0)
+                .putShort((short) 2).putShort((short) 0x1301).put((byte) 1).put((byte) 0).putShort((short) ext.position())
+                .put(ext.array(), 0, ext.position()).array();
+    }
+
+    /** A CRYPTO frame. */
+    static byte[] crypto(int offset, byte[] bytes) {
+        ByteBuffer out = ByteBuffer.allocate(5 + bytes.length).put((byte) 6);
+        Packet.number(out, offset);
+        Packet.number(out, bytes.length);
+        return out.put(bytes).array();
+    }
+
     private static byte[] receive(DatagramSocket socket, DatagramPacket into) throws IOException {
         socket.receive(into);
         return Arrays.copyOf(into.getData(), into.getLength());
@@ -47,6 +72,8 @@
         final AtomicInteger initials = new AtomicInteger();
         final AtomicInteger firstAddresses = new AtomicInteger();
         volatile Manner manner;
+        /** The version that it chooses whatever the client began with, or null. */
+        volatile Version answers;
         private InetSocketAddress lastFrom;
         private ConnectionId clientId;
 
@@ -83,7 +110,7 @@
         }
 
         private byte[] initial(Packet p) {
-            InitialFrames.read(InitialKeys.client(p.destination()).open(p));
+            InitialFrames.read(InitialKeys.client(Version.of(p.version()), p.destination()).open(p));
             initials.incrementAndGet();
             clientId = p.source();
             ConnectionId own = IDS.id(id, p.destination().bytes());
@@ -98,7 +125,7 @@
                 case FAILS -> InitialFrames.close(0x128, "no");
                 case SILENT -> null;
             };
-            return frames == null ? null : InitialKeys.server(p.destination()).seal(clientId, own, 0, frames);
+            return frames == null ? null : InitialKeys.server(answers == null ? Version.of(p.version()) : answers, p.destination()).seal(clientId, own, 0, frames);
         }
 
         private byte[] later(Packet p, byte[] datagram) {
@@ -120,6 +147,7 @@
 
         final ConnectionId own = new ConnectionId(new byte[] {9, 9, 9, 9});
         ConnectionId first;
+        Version version = Version.V1;
         ConnectionId server;
         private final InetSocketAddress node;
         private DatagramSocket socket = socket(3000);
@@ -135,7 +163,7 @@
         }
 
         byte[] initial() {
-            return InitialKeys.client(first).seal(first, own, 0, Arrays.copyOf(new byte[] {6, 0, 1, 1}, 1160));
+            return InitialKeys.client(version, first).seal(first, own, 0, Arrays.copyOf(crypto(0, HELLO), 1160));
         }
 
         void send(byte[] datagram) throws IOException {
@@ -167,7 +195,7 @@
             if (p.type() != Packet.Type.INITIAL) {
                 return new Heard(p.type().name(), 0);
             }
-            InitialFrames frames = InitialFrames.read(InitialKeys.server(first).open(p));
+            InitialFrames frames = InitialFrames.read(InitialKeys.server(Version.of(p.version()), first).open(p));
             if (frames.closes()) {
                 return new Heard("closed", (int) frames.closeCode());
             }
