QUIC: Retry under pressure, several id configurations at once, changed ids joined

Need: a flood of Initials from changing addresses made a transaction each; ids could not be rotated without a restart; a client that changed its id was counted twice. Change: RetryTokens (AES-GCM, bound to address, port, id and time, rolling keys), RetryPacket, RetryPolicy without I/O; IdConfigurations; connections known by address as well; quic_ figures at the second address. The quic section is taken over on SIGHUP but for its address.

--- a/src/main/java/tulipshed/command/Node.java
+++ b/src/main/java/tulipshed/command/Node.java
@@ -198,6 +198,9 @@
             }
             if (quic != null) {
                 quic.reconfigure(names);
+                if (operators.quic() != null) {
+                    quic.reconfigure(QuicConfig.of(operators.quic()));
+                }
             }
             watch.move(changed.discovery());
             core.figures().reloaded(true);
--- a/src/main/java/tulipshed/management/MetricsWriter.java
+++ b/src/main/java/tulipshed/management/MetricsWriter.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import tulipshed.transaction.Figures;
 import tulipshed.transaction.TransactionCore;
 
@@ -35,6 +36,9 @@
             json.writeNumberField("targets_disabled", core.targetsAvoided());
             json.writeNumberField("reload_success", figures.reloadsTaken());
             json.writeNumberField("reload_failure", figures.reloadsTurnedDown());
+            for (Map.Entry<String, LongSupplier> entry : figures.more().entrySet()) {
+                json.writeNumberField(entry.getKey(), entry.getValue().getAsLong());
+            }
             if (core.routes()) {
                 json.writeNumberField("routes_spilled", core.routesSpilled());
             }
--- a/src/main/java/tulipshed/operators/QuicSection.java
+++ b/src/main/java/tulipshed/operators/QuicSection.java
@@ -1,39 +1,92 @@
 package tulipshed.operators;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
 
 /**
  * What the operators' file says of the second front: where it listens, what a connection asks for unless rules say
- * otherwise, how ids carry their server, which member has which server id, and the keys shared with the servers.
+ * otherwise, the configurations of ids, and the keys shared with the servers.
  *
  * @param deadlineMs how long a client waits, in milliseconds
- * @param key of QUIC-LB, or null where server ids stand in the open
- * @param servers the ids of members by their server ids in hexadecimal
+ * @param retry null where no client is asked to prove its address
  */
-public record QuicSection(InetSocketAddress listen, String requestClass, String tenant, double deadlineMs, int configuration,
-        int serverIdBytes, int nonceBytes, byte[] key, byte[] resetKey, Map<String, String> servers) {
-    private static final Set<String> FIELDS = new LinkedHashSet<>(List.of("listen", "class", "tenant", "deadline-ms",
-            "configuration", "server-id-bytes", "nonce-bytes", "key", "reset-key", "servers"));
+public record QuicSection(InetSocketAddress listen, String requestClass, String tenant, double deadlineMs, List<Ids> ids,
+        byte[] resetKey, Retry retry) {
+    private static final Set<String> FIELDS = new LinkedHashSet<>(List.of("listen", "class", "tenant", "deadline-ms", "reset-key",
+            "retry", "ids"));
+    private static final Set<String> IDS_FIELDS = new LinkedHashSet<>(List.of("configuration", "server-id-bytes", "nonce-bytes",
+            "key", "servers"));
+    private static final Set<String> RETRY_FIELDS = new LinkedHashSet<>(List.of("use", "expires-ms", "on", "off", "stay-ms", "key"));
     private static final int KEY_BYTES = 16;
     private static final int LONGEST_DEADLINE_MS = 120_000;
+    private static final int MOST_WAITING = 100_000;
+
+    /**
+     * One configuration of ids (QUIC-LB section 3).
+     *
+     * @param key null where server ids stand in the open
+     * @param servers the ids of members by their server ids in hexadecimal
+     */
+    public record Ids(int configuration, int serverIdBytes, int nonceBytes, byte[] key, Map<String, String> servers) { }
+
+    /**
+     * When clients must prove their address, and with which keys.
+     *
+     * @param keys by their numbers
+     * @param use the number of the key that seals
+     * @param expiresMs how long a token holds, in milliseconds
+     * @param on connections without proof from which on it is asked for
+     * @param off until there are no more than these
+     * @param stayMs and so long at least, in milliseconds
+     */
+    public record Retry(Map<Integer, byte[]> keys, int use, double expiresMs, int on, int off, double stayMs) { }
 
     /** Reads {@code (quic ...)}; null where something is wrong, which is noted. */
     static QuicSection read(Form.Sequence section, Names names, Problems problems) {
         int before = problems.count();
-        Fields f = new Fields(section, 1, FIELDS, problems);
+        List<Form> others = new ArrayList<>();
+        List<Ids> ids = new ArrayList<>();
+        Set<Integer> numbers = new LinkedHashSet<>();
+        for (Form f : section.items()) {
+            if (f instanceof Form.Sequence s && "ids".equals(s.head())) {
+                Ids one = ids(s, problems);
+                if (!numbers.add(one.configuration())) {
+                    problems.add(s.place(), "configuration " + one.configuration() + " stands twice");
+                }
+                ids.add(one);
+            } else {
+                others.add(f);
+            }
+        }
+        if (ids.isEmpty()) {
+            problems.add(section.place(), "expected (ids ...) in (quic ...)");
+        }
+        Fields f = new Fields(new Form.Sequence(others, false, section.place()), 1, FIELDS, problems);
         InetSocketAddress listen = f.address("listen");
         String requestClass = f.oneOf("class", names.classes.keySet());
         String tenant = names.tenants.isEmpty() && !f.has("tenant") ? null : f.oneOf("tenant", names.tenants.keySet());
         double deadlineMs = f.whole("deadline-ms", 1, LONGEST_DEADLINE_MS, 1);
+        byte[] resetKey = f.hex("reset-key");
+        if (resetKey != null && resetKey.length < KEY_BYTES) {
+            problems.add(f.place("reset-key"), "expected a reset-key of " + KEY_BYTES + " bytes at least, found " + resetKey.length);
+        }
+        Retry retry = f.has("retry") ? retry(f.get("retry"), problems) : null;
+        return problems.count() > before ? null
+                : new QuicSection(listen, requestClass, tenant, deadlineMs, List.copyOf(ids), resetKey, retry);
+    }
+
+    private static Ids ids(Form.Sequence s, Problems problems) {
+        Fields f = new Fields(s, 1, IDS_FIELDS, problems);
         int configuration = (int) f.whole("configuration", 0, 6, 0);
         // QUIC-LB section 5: a server id of 1 to 15 bytes, a nonce of 4 to 18, 19 together at most.
         int serverBytes = (int) f.whole("server-id-bytes", 1, 15, 1);
@@ -42,18 +95,11 @@
             problems.add(f.place("nonce-bytes"), "expected server-id-bytes and nonce-bytes of 19 together at most, found "
                     + (serverBytes + nonceBytes));
         }
-        byte[] key = f.has("key") ? f.hex("key") : null;
-        if (key != null && key.length != KEY_BYTES) {
-            problems.add(f.place("key"), "expected a key of " + KEY_BYTES + " bytes, found " + key.length);
-        }
-        byte[] resetKey = f.hex("reset-key");
-        if (resetKey != null && resetKey.length < KEY_BYTES) {
-            problems.add(f.place("reset-key"), "expected a reset-key of " + KEY_BYTES + " bytes at least, found " + resetKey.length);
-        }
+        byte[] key = f.has("key") ? key(f.hex("key"), f.value("key"), problems) : null;
         Map<String, String> servers = new HashMap<>();
         for (Form item : f.items("servers")) {
-            if (!(item instanceof Form.Sequence s) || s.square() || s.items().size() != 2
-                    || !(s.items().get(0) instanceof Form.Text member) || !(s.items().get(1) instanceof Form.Text id)) {
+            if (!(item instanceof Form.Sequence one) || one.square() || one.items().size() != 2
+                    || !(one.items().get(0) instanceof Form.Text member) || !(one.items().get(1) instanceof Form.Text id)) {
                 problems.add(item.place(), "expected (\"MEMBER\" \"SERVER ID\"), found " + item.describe());
                 continue;
             }
@@ -64,7 +110,41 @@
                 problems.add(id.place(), "this server id stands twice");
             }
         }
-        return problems.count() > before ? null : new QuicSection(listen, requestClass, tenant, deadlineMs, configuration,
-                serverBytes, nonceBytes, key, resetKey, servers);
+        return new Ids(configuration, serverBytes, nonceBytes, key, servers);
+    }
+
+    private static byte[] key(byte[] key, Form at, Problems problems) {
+        if (key != null && key.length != KEY_BYTES) {
+            problems.add(at.place(), "expected a key of " + KEY_BYTES + " bytes, found " + key.length);
+        }
+        return key;
+    }
+
+    /** {@code (retry (key NUMBER "HEX") ... (use NUMBER) (expires-ms N) (on N) (off N) (stay-ms N))}. */
+    private static Retry retry(Form.Sequence section, Problems problems) {
+        Map<Integer, byte[]> keys = new TreeMap<>();
+        List<Form> others = new ArrayList<>();
+        for (Form f : section.items()) {
+            if (!(f instanceof Form.Sequence s) || !"key".equals(s.head())) {
+                others.add(f);
+            } else if (s.items().size() != 3 || !(s.items().get(1) instanceof Form.Whole n) || n.value() < 0 || n.value() > 255
+                    || !(s.items().get(2) instanceof Form.Text text)) {
+                problems.add(s.place(), "expected (key NUMBER \"HEX\") with a number from 0 to 255");
+            } else if (keys.put((int) n.value(), key(Fields.hex(text.value(), text.place(), problems), text, problems)) != null) {
+                problems.add(s.place(), "key " + n.value() + " stands twice");
+            }
+        }
+        Fields f = new Fields(new Form.Sequence(others, false, section.place()), 1, RETRY_FIELDS, problems);
+        int use = (int) f.whole("use", 0, 255, 0);
+        if (!keys.containsKey(use)) {
+            problems.add(f.place("use"), "there is no (key " + use + " ...)");
+        }
+        double expiresMs = f.whole("expires-ms", 100, 600_000, 100);
+        int on = (int) f.whole("on", 1, MOST_WAITING, 1);
+        int off = (int) f.whole("off", 0, MOST_WAITING, 0);
+        if (off >= on) {
+            problems.add(f.place("off"), "expected off below on, which is " + on);
+        }
+        return new Retry(keys, use, expiresMs, on, off, f.has("stay-ms") ? f.whole("stay-ms", 0, 600_000, 0) : 1000);
     }
 }
--- a/src/main/java/tulipshed/operators/SectionReader.java
+++ b/src/main/java/tulipshed/operators/SectionReader.java
@@ -77,7 +77,8 @@
         }
         if (quic != null) {
             explanation.add("quic: listens on " + quic.listen() + " for class " + quic.requestClass() + ", "
-                    + quic.servers().size() + " servers");
+                    + quic.ids().size() + " configurations of ids, " + (quic.retry() == null ? "no retry" : "retry from "
+                    + quic.retry().on() + " connections without proof on"));
         }
         boolean rules = classification != null || memberPools != null || declarations != Declarations.NONE;
         return new OperatorsFile(rules ? new Router(declarations, transactions, classification, memberPools, read) : null,
--- /dev/null
+++ b/src/main/java/tulipshed/quic/IdConfigurations.java
@@ -0,0 +1,52 @@
+package tulipshed.quic;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+
+/**
+ * The configurations of ids that are live: up to seven at once, told apart by the upper three bits of an id's first byte
+ * (QUIC-LB section 3.1), so that servers can go over to a new one while connections of the old one stand.
+ */
+final class IdConfigurations {
+    /** Of ids that carry no server (QUIC-LB section 3.2). */
+    static final int UNROUTABLE = 7;
+
+    private final ServerIds[] ids = new ServerIds[UNROUTABLE];
+    private final Map<Integer, Map<String, String>> members = new HashMap<>();
+
+    /** Adds one, and which member has which server id, in hexadecimal, under it. */
+    IdConfigurations with(ServerIds one, Map<String, String> membersByServer) {
+        IdConfigurations more = new IdConfigurations();
+        System.arraycopy(ids, 0, more.ids, 0, ids.length);
+        more.members.putAll(members);
+        more.ids[one.configuration()] = one;
+        more.members.put(one.configuration(), Map.copyOf(membersByServer));
+        return more;
+    }
+
+    /**
+     * How long an id is of which only the first byte is known, as in a short header: as its configuration says, else as
+     * its lower five bits say, which servers may fill that way (QUIC-LB section 3.3).
+     */
+    int length(int first) {
+        int configuration = first >> 5 & 7;
+        return configuration != UNROUTABLE && ids[configuration] != null ? ids[configuration].idLength() : 1 + (first & 0x1F);
+    }
+
+    /** The member to which an id belongs by the server id in it, or null. */
+    String member(ConnectionId id) {
+        if (id.length() == 0) {
+            return null;
+        }
+        int configuration = (id.bytes()[0] & 0xFF) >> 5;
+        byte[] server = configuration == UNROUTABLE || ids[configuration] == null ? null : ids[configuration].server(id);
+        return server == null ? null : members.get(configuration).get(HexFormat.of().formatHex(server));
+    }
+
+    @Override
+    public String toString() {
+        return Arrays.stream(ids).filter(java.util.Objects::nonNull).map(i -> String.valueOf(i.configuration())).toList().toString();
+    }
+}
--- a/src/main/java/tulipshed/quic/InitialKeys.java
+++ b/src/main/java/tulipshed/quic/InitialKeys.java
@@ -84,11 +84,19 @@
 
     /** An Initial packet with these frames. */
     byte[] seal(ConnectionId destination, ConnectionId source, int number, byte[] frames) {
+        return seal(destination, source, new byte[0], number, frames);
+    }
+
+    /** The same with a token, of fewer than 2^14 bytes. */
+    byte[] seal(ConnectionId destination, ConnectionId source, byte[] token, int number, byte[] frames) {
         int length = 4 + frames.length + TAG;
-        ByteBuffer out = ByteBuffer.allocate(1 + 4 + 2 + destination.length() + source.length() + 1 + 2 + length);
+        ByteBuffer out = ByteBuffer.allocate(1 + 4 + 2 + destination.length() + source.length() + 2 + token.length
+                + 2 + length);
         out.put((byte) (0xC3 | version.bits(Packet.Type.INITIAL) << 4)).putInt((int) version.number);
         out.put((byte) destination.length()).put(destination.bytes());
-        out.put((byte) source.length()).put(source.bytes()).put((byte) 0);
+        out.put((byte) source.length()).put(source.bytes());
+        Packet.number(out, token.length);
+        out.put(token);
         Packet.number(out, length);
         int at = out.position();
         out.putInt(number);
--- a/src/main/java/tulipshed/quic/Packet.java
+++ b/src/main/java/tulipshed/quic/Packet.java
@@ -3,14 +3,17 @@
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.function.IntUnaryOperator;
 
 /**
  * What can be read of a packet without keys (RFC 8999; RFC 9000 section 17 and RFC 9369 for the versions known here). A datagram may
  * hold several with long headers, one after the other.
  */
 record Packet(Type type, long version, ConnectionId destination, ConnectionId source, byte[] datagram, int from,
-        int packetNumberAt, int to) {
+        int packetNumberAt, int to, byte[] token) {
+    private static final byte[] NO_TOKEN = {};
     private static final int LONG_FORM = 0x80;
     private static final int FIXED_BIT = 0x40;
 
@@ -22,6 +25,11 @@
      * as such a header does not tell it. A later packet that cannot be read ends the list.
      */
     static List<Packet> read(byte[] datagram, int shortIdLength) {
+        return read(datagram, first -> shortIdLength);
+    }
+
+    /** The same where the first byte of a short header's id tells how long it is. */
+    static List<Packet> read(byte[] datagram, IntUnaryOperator shortIdLength) {
         List<Packet> packets = new ArrayList<>();
         int from = 0;
         while (from < datagram.length) {
@@ -42,13 +50,13 @@
         return packets;
     }
 
-    private static Packet one(byte[] datagram, int from, int shortIdLength) {
+    private static Packet one(byte[] datagram, int from, IntUnaryOperator shortIdLength) {
         ByteBuffer in = ByteBuffer.wrap(datagram);
         in.position(from);
         int first = in.get() & 0xFF;
         if ((first & LONG_FORM) == 0) {
-            ConnectionId id = id(in, shortIdLength);
-            return new Packet(Type.SHORT, 0, id, null, datagram, from, in.position(), datagram.length);
+            ConnectionId id = id(in, shortIdLength.applyAsInt(in.hasRemaining() ? in.get(in.position()) & 0xFF : 0));
+            return new Packet(Type.SHORT, 0, id, null, datagram, from, in.position(), datagram.length, NO_TOKEN);
         }
         long version = in.getInt() & 0xFFFFFFFFL;
         ConnectionId destination = id(in, in.get() & 0xFF);
@@ -56,19 +64,23 @@
         Version known = Version.of(version);
         if (known == null) {
             Type type = version == 0 ? Type.VERSION_NEGOTIATION : Type.OTHER_VERSION;
-            return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length);
+            return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length, NO_TOKEN);
         }
         Type type = known.type(first >> 4 & 3);
         if (type == Type.RETRY) {
-            return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length);
+            return new Packet(type, version, destination, source, datagram, from, in.position(), datagram.length, NO_TOKEN);
         }
+        byte[] token = NO_TOKEN;
         if (type == Type.INITIAL) {
-            skip(in, number(in));
+            long length = number(in);
+            int at = in.position();
+            skip(in, length);
+            token = Arrays.copyOfRange(datagram, at, in.position());
         }
         long length = number(in);
         int at = in.position();
         skip(in, length);
-        return new Packet(type, version, destination, source, datagram, from, at, in.position());
+        return new Packet(type, version, destination, source, datagram, from, at, in.position(), token);
     }
 
     /** Whether the bit is set that both ends may agree to leave to chance (RFC 9287); a first packet has it. */
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -15,6 +15,7 @@
 import tulipshed.limits.Limits;
 import tulipshed.link.DatagramPort;
 import tulipshed.link.XnioLoop;
+import tulipshed.quic.QuicFigures.Figure;
 import tulipshed.routing.Origin;
 import tulipshed.routing.TransactionSchema;
 import tulipshed.time.Clock;
@@ -31,10 +32,14 @@
     private static final double SWEEP_MS = 250;
     private static final int LEAST_FIRST_DATAGRAM = 1200; // RFC 9000 section 14.1
     private static final int LEAST_FIRST_ID = 8; // RFC 9000 section 7.2
+    private static final int RETRY_ID = 16; // bytes of the id that a Retry gives
 
     final Clock clock;
     final Limits limits;
-    final QuicConfig config;
+    private QuicConfig config;
+    final QuicFigures counted = new QuicFigures();
+    private final Map<InetSocketAddress, QuicSession> byAddress = new HashMap<>();
+    private int unproven;
     final XnioLoop loop;
     final TransactionCore core;
     final Consumer<String> log;
@@ -57,6 +62,9 @@
         this.core = core;
         this.log = log;
         scratch = ByteBuffer.allocate(limits.quic().datagramBytes());
+        for (Figure f : Figure.values()) {
+            core.figures().more(f.written(), () -> counted.get(f));
+        }
         port = loop.datagrams(config.listen(), scratch, this::received);
         loop.after(SWEEP_MS, this::sweep);
     }
@@ -71,6 +79,14 @@
         names = changed;
     }
 
+    /**
+     * Other configurations of ids, other keys and thresholds from now on; it listens where it did. Connections that are
+     * open go on, also those of a configuration that is gone.
+     */
+    public void reconfigure(QuicConfig changed) {
+        config = changed;
+    }
+
     /** What a new connection asks for, or null where the settings do not name that any more. */
     Arrival arrival(String key) {
         Integer requestClass = names.classes.get(config.requestClass());
@@ -126,10 +142,13 @@
 
     private void received(InetSocketAddress from, byte[] datagram) {
         try {
-            List<Packet> packets = Packet.read(datagram, config.ids().idLength());
+            List<Packet> packets = Packet.read(datagram, config.ids()::length);
             // All packets of a datagram belong to one connection (RFC 9000 section 12.2).
             Packet first = packets.get(0);
             QuicSession session = sessions.get(first.destination());
+            if (session == null && first.type() == Packet.Type.SHORT) {
+                session = joined(from, first.destination());
+            }
             if (session != null) {
                 session.fromClient(from, datagram, packets);
             } else if (first.type() == Packet.Type.INITIAL && first.fixedBit()) {
@@ -141,6 +160,7 @@
             }
         } catch (BadPacket e) {
             // Anyone can send anything to a UDP port; what is not QUIC gets no answer.
+            counted.count(Figure.DROPPED_MALFORMED);
             return;
         }
     }
@@ -148,11 +168,13 @@
     /** An Initial that no connection knows opens a transaction, if it is one that a client would send. */
     private void open(InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
         if (datagram.length < LEAST_FIRST_DATAGRAM || initial.destination().length() < LEAST_FIRST_ID) {
+            counted.count(Figure.DROPPED_SMALL);
             return;
         }
         Opening opening = new Opening(initial.destination(), limits.quic().helloBytes());
         try {
             if (!opening.take(packets) || opening.closes()) {
+                counted.count(Figure.DROPPED_MALFORMED);
                 return;
             }
         } catch (BadPacket e) {
@@ -161,6 +183,11 @@
                     InitialFrames.PROTOCOL_VIOLATION, "not a client hello"));
             return;
         }
+        boolean proven = proven(from, initial);
+        if (!proven && config.policy() != null && config.policy().asks(unproven, clock.nowMs())) {
+            retry(from, initial, opening.version());
+            return;
+        }
         boolean waits = opening.hello() == null;
         if (all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving
                 || waits && openings >= limits.quic().openings()) {
@@ -177,7 +204,60 @@
         QuicSession session = new QuicSession(this, from, initial.destination(), initial.source());
         all.add(session);
         learn(initial.destination(), session);
-        session.open(datagram, opening);
+        counted.count(opening.version() == Version.V2 ? Figure.OPENED_V2 : Figure.OPENED_V1);
+        session.open(datagram, opening, proven);
+    }
+
+    /**
+     * The connection of that address, for an id not seen before: where the id leads to the member at which that one stands
+     * it is one more of its ids, and counts as no second connection; where it leads nowhere, the address is all that is
+     * left to go by (QUIC-LB section 4.2). Null where neither holds.
+     */
+    private QuicSession joined(InetSocketAddress from, ConnectionId id) {
+        QuicSession known = byAddress.get(from);
+        String member = config.ids().member(id);
+        if (known == null || member != null && !known.standsAt(member)) {
+            return null;
+        }
+        if (member != null) {
+            known.learn(id);
+            counted.count(Figure.IDS_JOINED);
+        }
+        return known;
+    }
+
+    /** Whether an Initial carries a token of ours that proves its address; any other token is as none. */
+    private boolean proven(InetSocketAddress from, Packet initial) {
+        boolean proven = config.tokens() != null
+                && config.tokens().open(initial.token(), from, initial.destination(), clock.nowMs()) != null;
+        if (proven) {
+            counted.count(Figure.RETRY_ACCEPTED);
+        }
+        return proven;
+    }
+
+    /** Nothing is kept of a client that has to prove its address: what it must repeat is in its token. */
+    private void retry(InetSocketAddress to, Packet initial, Version version) {
+        byte[] id = new byte[RETRY_ID];
+        random.nextBytes(id);
+        ConnectionId given = new ConnectionId(id);
+        byte[] token = config.tokens().seal(to, initial.destination(), given, clock.nowMs(), random);
+        counted.count(Figure.RETRY_SENT);
+        send(to, RetryPacket.make(version, initial.source(), given, initial.destination(), token, random));
+    }
+
+    /** Connections whose address nothing has proved yet: one more, or one less. */
+    void unproven(int more) {
+        unproven += more;
+    }
+
+    /** A client is at that address now; {@code before} is where it was. */
+    void moved(InetSocketAddress before, InetSocketAddress now, QuicSession session) {
+        if (before != null && !before.equals(now)) {
+            counted.count(Figure.REBINDS);
+            byAddress.remove(before, session);
+        }
+        byAddress.put(now, session);
     }
 
     /**
@@ -185,8 +265,9 @@
      * they change networks, and a restarted node knows none. A member that is not serving gets nothing.
      */
     private void carryOn(InetSocketAddress from, byte[] datagram, Packet p, List<Packet> packets) {
-        String member = config.member(p.destination());
+        String member = config.ids().member(p.destination());
         if (member == null) {
+            counted.count(Figure.DROPPED_UNKNOWN_ID);
             return;
         }
         if (!core.serving(member) || arrival("") == null || all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving) {
@@ -196,6 +277,7 @@
         QuicSession session = new QuicSession(this, from, p.destination(), null);
         all.add(session);
         learn(p.destination(), session);
+        counted.count(Figure.CARRIED_ON);
         session.carryOn(member, datagram, packets);
     }
 
@@ -207,6 +289,7 @@
         if (datagram.length < LEAST_FIRST_DATAGRAM) {
             return;
         }
+        counted.count(Figure.NEGOTIATED);
         ByteBuffer out = ByteBuffer.allocate(19 + p.source().length() + p.destination().length());
         out.put((byte) (0x80 | random.nextInt(0x80))).putInt(0);
         out.put((byte) p.source().length()).put(p.source().bytes());
@@ -216,6 +299,7 @@
     }
 
     void reset(InetSocketAddress to, ConnectionId id, int answered) {
+        counted.count(Figure.RESETS_SENT);
         send(to, config.reset().datagram(id, answered, random));
     }
 
@@ -232,8 +316,9 @@
         sessions.remove(id, session);
     }
 
-    void closed(QuicSession session) {
+    void closed(QuicSession session, InetSocketAddress at) {
         all.remove(session);
+        byAddress.remove(at, session);
     }
 
     private void sweep() {
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -38,6 +38,7 @@
     private DatagramPort port;
     private byte[] answer;
     private boolean pastInitial;
+    private boolean unproven;
     private double heardMs;
     private double answeredMs;
     private double unansweredSinceMs = Double.NaN;
@@ -51,10 +52,13 @@
         this.clientId = clientId;
         this.heardMs = front.clock.nowMs();
         ids.add(destination);
+        front.moved(null, client, this);
     }
 
     /** A new connection. */
-    void open(byte[] datagram, Opening begun) {
+    void open(byte[] datagram, Opening begun, boolean proven) {
+        unproven = !proven;
+        front.unproven(proven ? 0 : 1);
         first.add(datagram);
         opening = begun;
         version = begun.version();
@@ -101,6 +105,7 @@
             arrive();
         } else if (opening.hello() != null || first.size() >= front.limits.quic().firstDatagrams()) {
             opened();
+            front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
             answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
         }
     }
@@ -126,6 +131,7 @@
     void fromClient(InetSocketAddress from, byte[] datagram, List<Packet> packets) {
         heardMs = front.clock.nowMs();
         // A client that came to another port or network is the same client: only its return address changes.
+        front.moved(client, from, this);
         client = from;
         if (state == State.ANSWERED) {
             repeatAnswer(datagram.length);
@@ -147,6 +153,10 @@
         Packet.Type type = packets.get(packets.size() - 1).type();
         pastInitial |= type == Packet.Type.HANDSHAKE || type == Packet.Type.SHORT;
         current = packets.get(0).destination();
+        if (pastInitial && !current.equals(keyedBy)) {
+            // It has what was sent to its address: an id that its server chose.
+            proven();
+        }
         if (state == State.OWED && first.size() < front.limits.quic().firstDatagrams()) {
             first.add(datagram);
         }
@@ -227,7 +237,13 @@
         }
     }
 
+    private void proven() {
+        front.unproven(unproven ? -1 : 0);
+        unproven = false;
+    }
+
     private void end() {
+        proven();
         state = State.ANSWERED;
         answeredMs = front.clock.nowMs();
         first.clear();
@@ -362,7 +378,13 @@
         return true;
     }
 
-    private void learn(ConnectionId id) {
+    /** Whether it stands at that member. */
+    boolean standsAt(String member) {
+        return state == State.STANDING && flow.member().id().equals(member);
+    }
+
+    /** One more id that leads here. */
+    void learn(ConnectionId id) {
         if (id.length() == 0 || !front.learn(id, this)) {
             return;
         }
@@ -382,6 +404,7 @@
             }
         } else if (state == State.OPENING && nowMs - openedMs > front.limits.quic().openingMs()) {
             opened();
+            front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
             answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
         } else if (state == State.STANDING && unanswered >= front.limits.quic().unanswered()
                 && nowMs - unansweredSinceMs > front.limits.transactions().silentMs()) {
@@ -397,6 +420,6 @@
     private void forget() {
         ids.forEach(id -> front.forget(id, this));
         ids.clear();
-        front.closed(this);
+        front.closed(this, client);
     }
 }
--- a/src/main/java/tulipshed/quic/ServerIds.java
+++ b/src/main/java/tulipshed/quic/ServerIds.java
@@ -36,6 +36,10 @@
         return 1 + serverBytes + nonceBytes;
     }
 
+    int configuration() {
+        return configuration;
+    }
+
     int serverBytes() {
         return serverBytes;
     }
--- a/src/main/java/tulipshed/transaction/Figures.java
+++ b/src/main/java/tulipshed/transaction/Figures.java
@@ -3,11 +3,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import tulipshed.decision.BalancerApi.RequestClass;
 
 /** What a node has done since its start, counted where it became final. Read and written on the loop only. */
 public final class Figures {
     private final Map<String, Replies> replies = new LinkedHashMap<>();
+    private final Map<String, LongSupplier> more = new LinkedHashMap<>();
     private int concurrent;
     private long dispatches;
     private long reloadsTaken;
@@ -70,6 +72,16 @@
         }
     }
 
+    /** A figure that a front counts by itself; another of the same name takes its place. */
+    public void more(String name, LongSupplier figure) {
+        more.put(name, figure);
+    }
+
+    /** Figures that fronts count by themselves. */
+    public Map<String, LongSupplier> more() {
+        return more;
+    }
+
     /** By the name of the class. */
     public Map<String, Replies> replies() {
         return replies;
--- a/src/test/java/tulipshed/operators/OperatorsFileTest.java
+++ b/src/test/java/tulipshed/operators/OperatorsFileTest.java
@@ -37,7 +37,7 @@
     void theExampleIsReadWholeAndThePlatformsChangesNothing() {
         OperatorsFile example = OperatorsFile.load(EXAMPLE, names);
         assertEquals(4433, example.quic().listen().getPort());
-        assertEquals("s-2", example.quic().servers().get("000002"));
+        assertEquals("s-2", example.quic().ids().get(0).servers().get("000002"));
         assertEquals(List.of("old-halls", "new-halls", "near"), List.copyOf(example.router().pools().keySet()));
         OperatorsFile platform = OperatorsFile.load(Path.of("deploy/tulipshed.sexp"), names);
         assertNull(platform.router());
@@ -94,7 +94,8 @@
             {"(server-id-bytes 3)", "(server-id-bytes 15)", "expected a server id of 15 bytes, found 3"},
             {"000102030405060708090a0b0c0d0e0f", "0001", "expected a reset-key of 16 bytes at least, found 2"},
             {"00112233445566778899aabbccddeeff", "00zz", "expected hexadecimal digits"},
-            {"\"000002\"", "\"000001\"", "this server id stands twice"}, {"(deadline-ms 3000)", "", "expected (deadline-ms ...)"}}) {
+            {"\"000002\"", "\"000001\"", "this server id stands twice"}, {"(deadline-ms 3000)", "", "expected (deadline-ms ...)"},
+            {"(off 16)", "(off 64)", "expected off below on, which is 64"}, {"(use 1)", "(use 2)", "there is no (key 2 ...)"}}) {
             assertTrue(example.contains(change[0]), change[0]);
             assertTrue(wrong(example.replace(change[0], change[1])).contains(change[2]), change[2]);
         }
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -61,6 +61,9 @@
         return result.join();
     }
 
+    private RetryTokens tokens;
+    private RetryPolicy policy;
+
     @BeforeEach
     void start() throws IOException {
         loop = new XnioLoop(Limits.forDescriptors(1024));
@@ -82,7 +85,8 @@
         front = onLoop(() -> {
             core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
             QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking",
-                    "vltava-kontejner",                    deadlineMs, StandIns.IDS, members, StandIns.RESET);
+                    "vltava-kontejner",                    deadlineMs,
+                    new IdConfigurations().with(StandIns.IDS, members), StandIns.RESET, tokens, policy);
             return new QuicFront(new SystemClock(), limits, quic, config.names(), loop, core, text -> { });
         });
         for (int i = 0; i < servers.size(); i++) {
@@ -234,6 +238,81 @@
         }
     }
 
+    /** Pressed, the node asks for proof of addresses and keeps nothing of who gives none. */
+    @Test
+    void aFloodFromChangingAddressesIsAskedForProofAndHoldsNothing() throws IOException {
+        tokens = new RetryTokens(Map.of(7, new byte[16]), 7, 10_000);
+        policy = new RetryPolicy(3, 0, 0);
+        mostSessions = 50;
+        front(Manner.SERVES);
+        try (Client standing = new Client(front.address(), 100)) {
+            assertEquals("served", open(standing).what());
+            standing.sendNumber(1);
+            assertEquals(new Heard("number", 1), standing.hear());
+            List<Client> flood = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Client c = new Client(front.address(), 1000 + i);
+                flood.add(c);
+                c.send(c.initial());
+                assertEquals(i < 3 ? "served" : "RETRY", c.hear().what(), "number " + i);
+            }
+            assertEquals(4, (int) onLoop(front::sessionCount), "57 that gave no proof are not kept");
+            Client honest = flood.get(30);
+            honest.send(honest.initial());
+            assertEquals("served", honest.hear().what(), "with its token it is taken");
+            honest.sendNumber(9);
+            assertEquals(new Heard("number", 9), honest.hear());
+            Client thief = flood.get(31);
+            thief.token = flood.get(32).token;
+            thief.send(thief.initial());
+            assertEquals("RETRY", thief.hear().what(), "another's token is as none");
+            standing.sendNumber(2);
+            assertEquals(new Heard("number", 2), standing.hear(), "who stood before goes on");
+            assertEquals(58L, (long) onLoop(() -> front.counted.get(QuicFigures.Figure.RETRY_SENT)));
+            assertEquals(1L, (long) onLoop(() -> front.counted.get(QuicFigures.Figure.RETRY_ACCEPTED)));
+            for (Client c : flood) {
+                c.close();
+            }
+        }
+    }
+
+    /** Servers go over to another configuration while connections of the old one stand. */
+    @Test
+    void configurationsRotateUnderStandingConnections() throws IOException {
+        front(Manner.SERVES);
+        ServerIds next = new ServerIds(1, 5, 6, null);
+        Map<String, String> old = Map.of("000001", "s-1");
+        Map<String, String> members = Map.of("0000000001", "s-1");
+        try (Client client = new Client(front.address(), 200); Client later = new Client(front.address(), 201)) {
+            assertEquals("served", open(client).what());
+            servers.get(0).ids = new IdConfigurations().with(StandIns.IDS, old).with(next, members);
+            configure(servers.get(0).ids);
+            ConnectionId before = client.server;
+            client.server = next.id(new byte[] {0, 0, 0, 0, 1}, new byte[] {1, 2, 3, 4, 5, 6});
+            client.sendNumber(1);
+            assertEquals(new Heard("number", 1), client.hear(), "an id of the new configuration, never seen");
+            assertEquals(1, (int) onLoop(front::sessionCount), "the same connection, so the module counts one");
+            assertEquals(1, (int) onLoop(() -> core.figures().concurrent()));
+            configure(new IdConfigurations().with(next, members));
+            client.server = before;
+            client.sendNumber(2);
+            assertEquals(new Heard("number", 2), client.hear(), "one that stands goes on under an id of the old");
+            later.server = StandIns.IDS.id(servers.get(0).id, new byte[] {4, 4, 4, 4});
+            later.sendNumber(3);
+            long unknown = onLoop(() -> front.counted.get(QuicFigures.Figure.DROPPED_UNKNOWN_ID));
+            assertEquals(1, unknown, "the old configuration leads nowhere any more");
+            assertEquals(List.of(1, 2), servers.get(0).numbers);
+        }
+    }
+
+    private void configure(IdConfigurations ids) {
+        onLoop(() -> {
+            front.reconfigure(new QuicConfig(front.address(), "slot-booking", "vltava-kontejner", deadlineMs, ids, StandIns.RESET,
+                    tokens, policy));
+            return null;
+        });
+    }
+
     /** RFC 9368: the server answers in another version than the client began with, under keys of that version. */
     @Test
     void aServerMayGoOverToVersionTwo() throws IOException {
--- a/src/test/java/tulipshed/quic/StandIns.java
+++ b/src/test/java/tulipshed/quic/StandIns.java
@@ -71,6 +71,7 @@
         final List<Integer> numbers = new CopyOnWriteArrayList<>();
         final AtomicInteger initials = new AtomicInteger();
         final AtomicInteger firstAddresses = new AtomicInteger();
+        volatile IdConfigurations ids = new IdConfigurations().with(IDS, java.util.Map.of());
         volatile Manner manner;
         /** The version that it chooses whatever the client began with, or null. */
         volatile Version answers;
@@ -94,7 +95,7 @@
             try {
                 while (true) {
                     byte[] datagram = receive(socket, in);
-                    Packet p = Packet.read(datagram, IDS.idLength()).get(0);
+                    Packet p = Packet.read(datagram, ids::length).get(0);
                     if (!in.getSocketAddress().equals(lastFrom)) {
                         lastFrom = (InetSocketAddress) in.getSocketAddress();
                         firstAddresses.incrementAndGet();
@@ -148,6 +149,7 @@
         final ConnectionId own = new ConnectionId(new byte[] {9, 9, 9, 9});
         ConnectionId first;
         Version version = Version.V1;
+        byte[] token = {};
         ConnectionId server;
         private final InetSocketAddress node;
         private DatagramSocket socket = socket(3000);
@@ -163,7 +165,7 @@
         }
 
         byte[] initial() {
-            return InitialKeys.client(version, first).seal(first, own, 0, Arrays.copyOf(crypto(0, HELLO), 1160));
+            return InitialKeys.client(version, first).seal(first, own, token, 0, Arrays.copyOf(crypto(0, HELLO), 1160));
         }
 
         void send(byte[] datagram) throws IOException {
@@ -191,6 +193,7 @@
             }
             if (p.type() == Packet.Type.RETRY) {
                 first = p.source();
+                token = Arrays.copyOfRange(datagram, p.packetNumberAt(), datagram.length - 16);
             }
             if (p.type() != Packet.Type.INITIAL) {
                 return new Heard(p.type().name(), 0);
