Split the core's turns and decisions, and a QUIC flow's socket, into classes of their own

Need: TransactionCore had 664 lines and QuicSession 425; both are about to grow. Change: Turns gathers and hands over, Decisions keeps what the module decides, FlowSide is a flow's socket. No behaviour changes.

--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -1,12 +1,10 @@
 package tulipshed.quic;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.link.DatagramPort;
 import tulipshed.transaction.MemberConnector;
 import tulipshed.transaction.ServerSideFlow;
 import tulipshed.transaction.Transaction;
@@ -35,14 +33,12 @@
     private double openedMs;
     private Transaction transaction;
     private ServerSideFlow flow;
-    private DatagramPort port;
+    private FlowSide side;
     private byte[] answer;
     private boolean pastInitial;
     private boolean unproven;
     private double heardMs;
     private double answeredMs;
-    private double unansweredSinceMs = Double.NaN;
-    private int unanswered;
 
     QuicSession(QuicFront front, InetSocketAddress client, ConnectionId destination, ConnectionId clientId) {
         this.front = front;
@@ -183,13 +179,8 @@
     }
 
     private void toMember(byte[] datagram) {
-        // Every datagram is a sending of its own: from the news of a drain on, none goes there any more.
-        if (port != null && flow.member().serving()) {
-            if (Double.isNaN(unansweredSinceMs)) {
-                unansweredSinceMs = heardMs;
-            }
-            unanswered++;
-            port.send(flow.member().address(), datagram);
+        if (side != null) {
+            side.send(datagram, heardMs);
         }
     }
 
@@ -251,9 +242,9 @@
     }
 
     private void closePort() {
-        if (port != null) {
-            port.close();
-            port = null;
+        if (side != null) {
+            side.close();
+            side = null;
         }
     }
 
@@ -262,30 +253,8 @@
     @Override
     public void open(ServerSideFlow flow) {
         this.flow = flow;
-        unanswered = 0;
-        unansweredSinceMs = Double.NaN;
-        if (!front.core.maySend(flow)) {
-            front.core.ended(flow, Outcome.CONNECT_FAILED);
-            return;
-        }
-        if (!front.loop.hasRoomForFlow()) {
-            // Our own want of descriptors; it says nothing of the member.
-            front.core.ended(flow, Outcome.UNUSED);
-            return;
-        }
-        try {
-            InetSocketAddress local = new InetSocketAddress(front.address().getAddress(), 0);
-            DatagramPort[] own = new DatagramPort[1];
-            own[0] = front.loop.datagrams(local, front.scratch, (from, datagram) -> {
-                // Only from its member, and only while it is the flow's own socket.
-                if (port == own[0] && from.equals(flow.member().address())) {
-                    fromMember(datagram);
-                }
-            });
-            port = own[0];
-        } catch (IOException e) {
-            front.log.accept("no socket for a flow: " + e.getMessage());
-            front.core.ended(flow, Outcome.UNUSED);
+        side = FlowSide.open(front, flow, this::fromMember);
+        if (side == null) {
             return;
         }
         List.copyOf(first).forEach(this::toMember);
@@ -314,8 +283,7 @@
             return;
         }
         heardMs = front.clock.nowMs();
-        unanswered = 0;
-        unansweredSinceMs = Double.NaN;
+        side.answered();
         if (state == State.OWED && !begins(packets)) {
             return;
         }
@@ -406,8 +374,7 @@
             opened();
             front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
             answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
-        } else if (state == State.STANDING && unanswered >= front.limits.quic().unanswered()
-                && nowMs - unansweredSinceMs > front.limits.transactions().silentMs()) {
+        } else if (state == State.STANDING && side != null && side.silent(nowMs)) {
             front.core.silent(flow);
         } else if (state == State.STANDING && idleMs > front.limits.quic().idleMs()) {
             // How it ended cannot be seen: its last packets could not be read.
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -1,6 +1,5 @@
 package tulipshed.transaction;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -35,42 +34,32 @@
     private final Clock clock;
     private final Limits limits;
     private Settings settings;
-    private final Loop loop;
     private final Consumer<String> log;
     private final BalancerApi module;
     private final Figures figures = new Figures();
     private final PoolMembers members = new PoolMembers();
     private final Routing routing;
     private final Map<Long, Transaction> transactions = new HashMap<>();
-    private final Dues dues = new Dues();
-    private final List<Event> gathered = new ArrayList<>();
-    private final List<Runnable> decided = new ArrayList<>();
+    private final Turns turns;
     private final Set<Transaction> standing = new LinkedHashSet<>();
     private final Shadows shadows = new Shadows();
     private MemberSource source = () -> { };
     private Companion companion;
     private double share = 1;
-    private boolean turnAhead;
     private boolean watchesRoutes;
     private long lastId;
 
-    /** Something for the module. */
-    private interface Event {
-        void tell(BalancerApi module, double nowMs, long nowUs);
-    }
-
     public TransactionCore(Clock clock, Limits limits, Settings settings, long seed, Loop loop,
             Consumer<String> log, Module factory) {
         this.clock = clock;
         this.limits = limits;
         this.settings = settings;
-        this.loop = loop;
+        turns = new Turns(clock, loop, log);
         this.log = log;
         routing = new Routing(settings, log);
-        this.module = factory.create(settings, seed, Clock.toMicros(clock.nowMs()), new Decisions());
+        this.module = factory.create(settings, seed, Clock.toMicros(clock.nowMs()), new Decisions(this, turns, clock, log));
         figures.classes(settings.classes());
-        // The module may have asked for timers already, before anything was gathered.
-        wake();
+        turns.begin(module);
     }
 
     /**
@@ -80,7 +69,7 @@
         settings = changed;
         routing.reconfigure(changed);
         figures.classes(changed.classes());
-        gather((module, ms, nowUs) -> module.reconfigure(nowUs, changed));
+        turns.gather((module, ms, nowUs) -> module.reconfigure(nowUs, changed));
     }
 
     /**
@@ -89,7 +78,7 @@
      */
     public void route(Router router) {
         routing.router(router, members.entries(), clock.nowMs());
-        gather((module, ms, nowUs) -> {
+        turns.gather((module, ms, nowUs) -> {
             routing.tellPools(module, nowUs);
             routing.look(module, nowUs, transactions.values());
             routing.reroute(module, nowUs, transactions.values());
@@ -101,7 +90,7 @@
     private void watchRoutes() {
         if (!watchesRoutes && routing.watches()) {
             watchesRoutes = true;
-            due(clock.nowMs() + limits.transactions().routesMs(), () -> {
+            turns.due(clock.nowMs() + limits.transactions().routesMs(), () -> {
                 watchesRoutes = false;
                 lookAtRoutes(routing.members(members.entries(), clock.nowMs()));
                 watchRoutes();
@@ -110,7 +99,7 @@
     }
 
     private void lookAtRoutes(boolean poolsChanged) {
-        gather((module, ms, nowUs) -> {
+        turns.gather((module, ms, nowUs) -> {
             if (poolsChanged) {
                 routing.tellPools(module, nowUs);
             }
@@ -130,8 +119,8 @@
         routing.classify(t);
         count(t);
         take(t);
-        due(t.deadlineMs() - limits.transactions().answerMarginMs(), () -> overdue(t));
-        gather((module, nowMs, nowUs) -> {
+        turns.due(t.deadlineMs() - limits.transactions().answerMarginMs(), () -> overdue(t));
+        turns.gather((module, nowMs, nowUs) -> {
             t.pool(routing.pool(t));
             module.request(nowUs, t.asRequest(nowMs, t.requestClass()));
         });
@@ -156,7 +145,7 @@
             return;
         } else if (member == null || member.address() == null) {
             if (nowMs < (members.told() ? sinceMs + limits.transactions().unlistedMemberMs() : untilMs)) {
-                due(nowMs + limits.transactions().unknownMemberMs(), () -> carryOn(t, memberId, sinceMs));
+                turns.due(nowMs + limits.transactions().unknownMemberMs(), () -> carryOn(t, memberId, sinceMs));
             } else {
                 failed(t);
             }
@@ -165,14 +154,14 @@
         take(t);
         ServerSideFlow flow = new ServerSideFlow(t, member, 0, nowMs, untilMs);
         t.flow(flow);
-        due(flow.endsMs(), () -> timeOut(flow));
+        turns.due(flow.endsMs(), () -> timeOut(flow));
         // Settings may have changed while its member was waited for; it is not sent again, so any class will do.
         int requestClass = Math.max(0, settings.classes().stream().map(RequestClass::name).toList().indexOf(t.className()));
-        gather((module, ms, nowUs) -> {
+        turns.gather((module, ms, nowUs) -> {
             t.pool(routing.pool(t));
             module.alreadyOpen(nowUs, t.asRequest(ms, requestClass), memberId);
         });
-        decided.add(() -> t.connector().open(flow));
+        turns.decide(() -> t.connector().open(flow));
     }
 
     private void count(Transaction t) {
@@ -229,7 +218,7 @@
         flow.up(clock.nowMs());
         if (!t.stoodBefore()) {
             long tookUs = Clock.toMicros(flow.upMs() - flow.startedMs());
-            gather((module, ms, nowUs) -> module.started(nowUs, t.id(), flow.number(), tookUs));
+            turns.gather((module, ms, nowUs) -> module.started(nowUs, t.id(), flow.number(), tookUs));
         }
         return true;
     }
@@ -257,7 +246,7 @@
             // The module counts it as standing and will not answer; the client is owed a word all the same.
             failed(t);
         }
-        gather((module, ms, nowUs) -> {
+        turns.gather((module, ms, nowUs) -> {
             module.finished(nowUs, t.id(), flow.number(), !t.owed(), outcome, Report.NONE);
             forget(t);
         });
@@ -273,10 +262,10 @@
             // Its member was still waited for, so the module has not heard of it.
             return;
         }
-        gather((module, ms, nowUs) -> {
+        turns.gather((module, ms, nowUs) -> {
             module.abandoned(nowUs, t.id());
             // The module calls its flow off where the site allows that; nobody waits for it either way.
-            decided.add(() -> callOff(t));
+            turns.decide(() -> callOff(t));
             forget(t);
         });
     }
@@ -285,7 +274,7 @@
     public void delayed(ServerSideFlow flow, double delayMs) {
         if (!flow.over()) {
             long id = flow.transaction().id();
-            gather((module, ms, nowUs) -> module.delayNote(nowUs, id, delayMs));
+            turns.gather((module, ms, nowUs) -> module.delayNote(nowUs, id, delayMs));
         }
     }
 
@@ -293,7 +282,7 @@
     public void loadChanged(ServerSideFlow flow, double loadUsPerS) {
         if (!flow.over()) {
             long id = flow.transaction().id();
-            gather((module, ms, nowUs) -> module.loadNote(nowUs, id, loadUsPerS));
+            turns.gather((module, ms, nowUs) -> module.loadNote(nowUs, id, loadUsPerS));
         }
     }
 
@@ -302,7 +291,7 @@
         members.update(kind, listed);
         leaveDraining();
         List<BalancerApi.ServerEntry> entries = listed.stream().map(ListedMember::entry).toList();
-        gather((module, ms, nowUs) -> module.servers(nowUs, kind, entries));
+        turns.gather((module, ms, nowUs) -> module.servers(nowUs, kind, entries));
         if (kind != ListKind.FAILED && routing.watches()) {
             lookAtRoutes(routing.members(members.entries(), clock.nowMs()));
         }
@@ -330,7 +319,7 @@
         for (int i = 0; i < leaving.size(); i++) {
             ServerSideFlow flow = leaving.get(i);
             flow.leave();
-            due(nowMs + spreadMs * i / leaving.size(), () -> leaveMember(flow));
+            turns.due(nowMs + spreadMs * i / leaving.size(), () -> leaveMember(flow));
         }
     }
 
@@ -344,48 +333,9 @@
         }
     }
 
-    // ---- Gathering and turns ----
-
-    private void gather(Event event) {
-        gathered.add(event);
-        wake();
-    }
-
-    private void wake() {
-        if (!turnAhead) {
-            turnAhead = true;
-            loop.afterGathering(this::turn);
-        }
-    }
-
-    private void due(double atMs, Runnable what) {
-        dues.add(atMs, what);
-        wake();
-    }
-
-    /** Hands all that was gathered to the module, then carries out what it decided. */
+    /** For tests: what was gathered is handed over now. */
     void turn() {
-        turnAhead = false;
-        double nowMs = clock.nowMs();
-        dues.run(nowMs, this::guarded);
-        List<Event> events = List.copyOf(gathered);
-        gathered.clear();
-        for (Event e : events) {
-            guarded(() -> e.tell(module, nowMs, Clock.toMicros(nowMs)));
-        }
-        List<Runnable> actions = List.copyOf(decided);
-        decided.clear();
-        actions.forEach(this::guarded);
-        dues.arm(nowMs, loop, this::wake);
-    }
-
-    /** One event that cannot be dealt with must not cost the others their answers. */
-    private void guarded(Runnable what) {
-        try {
-            what.run();
-        } catch (RuntimeException e) {
-            log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
-        }
+        turns.turn();
     }
 
     private void forget(Transaction t) {
@@ -401,7 +351,7 @@
         if (t.owed() && t.flow() == null) {
             log.accept("transaction " + t.id() + " was overdue");
             failed(t);
-            gather((module, ms, nowUs) -> {
+            turns.gather((module, ms, nowUs) -> {
                 module.abandoned(nowUs, t.id());
                 forget(t);
             });
@@ -430,65 +380,32 @@
         }
     }
 
-    // ---- What the module decides ----
-
-    /** Keeps what the module decides until the whole batch has been handed over. */
-    private final class Decisions implements BalancerApi.Actions {
-        @Override
-        public void send(long request, String server, long timeoutUs) {
-            decided.add(() -> open(transactions.get(request), server, Clock.toMillis(timeoutUs)));
-        }
-
-        @Override
-        public void cancel(long request, int attempt) {
-            decided.add(() -> {
-                Transaction t = transactions.get(request);
-                if (t != null && t.flow() != null && t.flow().number() == attempt) {
-                    callOff(t);
-                }
-            });
-        }
-
-        @Override
-        public void refuse(long request, long retryAfterUs) {
-            decided.add(() -> answer(request, t -> rejected(t, Clock.toMillis(retryAfterUs))));
-        }
-
-        @Override
-        public void fail(long request) {
-            decided.add(() -> answer(request, t -> failed(t)));
-        }
+    // ---- What the module decides; Decisions calls these once the whole batch has been handed over ----
 
-        @Override
-        public void move(long request) {
-            decided.add(() -> {
-                Transaction t = transactions.get(request);
-                if (t != null && t.standing()) {
-                    moveNow(t, Outcome.CANCELLED);
-                }
-            });
-        }
+    void refuse(long request, double retryAfterMs) {
+        answer(request, t -> rejected(t, retryAfterMs));
+    }
 
-        @Override
-        public void timer(long afterUs, long token) {
-            due(clock.nowMs() + Clock.toMillis(afterUs),
-                    () -> gather((module, ms, nowUs) -> module.timer(nowUs, token)));
-        }
+    void fail(long request) {
+        answer(request, this::failed);
+    }
 
-        @Override
-        public void probe(String server) {
-            log.accept("probes are not allowed here: " + server);
+    void move(long request) {
+        Transaction t = transactions.get(request);
+        if (t != null && t.standing()) {
+            moveNow(t, Outcome.CANCELLED);
         }
+    }
 
-        @Override
-        public void watchList() {
-            decided.add(() -> source.watch());
+    void cancel(long request, int attempt) {
+        Transaction t = transactions.get(request);
+        if (t != null && t.flow() != null && t.flow().number() == attempt) {
+            callOff(t);
         }
+    }
 
-        @Override
-        public void log(String message) {
-            log.accept(message);
-        }
+    void watchList() {
+        source.watch();
     }
 
     private void answer(long request, Consumer<Transaction> how) {
@@ -499,7 +416,8 @@
         }
     }
 
-    private void open(Transaction t, String server, double timeoutMs) {
+    void send(long request, String server, double timeoutMs) {
+        Transaction t = transactions.get(request);
         if (t == null) {
             return;
         }
@@ -509,7 +427,7 @@
         double endsMs = timeoutMs > 0 ? Math.min(deadlineMs, nowMs + timeoutMs) : deadlineMs;
         if (!t.owed() || t.flow() != null || endsMs <= nowMs || t.attempts() >= settings.limits().maxAttempts()) {
             int number = t.attempts();
-            gather((module, ms, nowUs) ->
+            turns.gather((module, ms, nowUs) ->
                     module.finished(nowUs, t.id(), number, !t.owed(), Outcome.UNUSED, Report.NONE));
             return;
         }
@@ -519,8 +437,8 @@
             ended(flow, Outcome.CONNECT_FAILED);
             return;
         }
-        due(endsMs, () -> timeOut(flow));
-        due(nowMs + Clock.toMillis(settings.limits().connectTimeoutUs()), () -> connectTimeOut(flow));
+        turns.due(endsMs, () -> timeOut(flow));
+        turns.due(nowMs + Clock.toMillis(settings.limits().connectTimeoutUs()), () -> connectTimeOut(flow));
         t.connector().open(flow);
     }
 
@@ -579,9 +497,9 @@
     /** Tells the module what has begun to stand in the other process, and what has ended there. */
     public void lookAtCompanion() {
         shadows.look(companion.others(), id -> members.get(id) != null, () -> ++lastId,
-                id -> gather((module, ms, nowUs) ->
+                id -> turns.gather((module, ms, nowUs) ->
                         module.finished(nowUs, id, 0, true, Outcome.CANCELLED, Report.NONE)),
-                (id, there) -> gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, new NewRequest(id, 0, -1, "",
+                (id, there) -> turns.gather((module, ms, nowUs) -> module.alreadyOpen(nowUs, new NewRequest(id, 0, -1, "",
                         there.group(), 0, there.hint(), false, false, false), there.member())));
     }
 
@@ -604,7 +522,7 @@
     public void share(double ofNode) {
         if (ofNode != share) {
             share = ofNode;
-            gather((module, ms, nowUs) -> module.share(nowUs, ofNode));
+            turns.gather((module, ms, nowUs) -> module.share(nowUs, ofNode));
         }
     }
 
--- /dev/null
+++ b/src/main/java/tulipshed/transaction/Turns.java
@@ -0,0 +1,83 @@
+package tulipshed.transaction;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.time.Clock;
+
+/** Gathers what happens, hands all of it to the module in one turn, and then carries out what the module decided. */
+final class Turns {
+    private final Clock clock;
+    private final Loop loop;
+    private final Consumer<String> log;
+    private final Dues dues = new Dues();
+    private final List<Event> gathered = new ArrayList<>();
+    private final List<Runnable> decided = new ArrayList<>();
+    private BalancerApi module;
+    private boolean ahead;
+
+    /** Something for the module. */
+    interface Event {
+        void tell(BalancerApi module, double nowMs, long nowUs);
+    }
+
+    Turns(Clock clock, Loop loop, Consumer<String> log) {
+        this.clock = clock;
+        this.loop = loop;
+        this.log = log;
+    }
+
+    /** The module may have asked for timers already, before anything was gathered. */
+    void begin(BalancerApi made) {
+        module = made;
+        wake();
+    }
+
+    void gather(Event event) {
+        gathered.add(event);
+        wake();
+    }
+
+    /** To be carried out once all that was gathered has been handed over. */
+    void decide(Runnable action) {
+        decided.add(action);
+    }
+
+    void due(double atMs, Runnable what) {
+        dues.add(atMs, what);
+        wake();
+    }
+
+    private void wake() {
+        if (!ahead) {
+            ahead = true;
+            loop.afterGathering(this::turn);
+        }
+    }
+
+    /** Hands all that was gathered to the module, then carries out what it decided. */
+    void turn() {
+        ahead = false;
+        double nowMs = clock.nowMs();
+        dues.run(nowMs, this::guarded);
+        List<Event> events = List.copyOf(gathered);
+        gathered.clear();
+        for (Event e : events) {
+            guarded(() -> e.tell(module, nowMs, Clock.toMicros(nowMs)));
+        }
+        List<Runnable> actions = List.copyOf(decided);
+        decided.clear();
+        actions.forEach(this::guarded);
+        dues.arm(nowMs, loop, this::wake);
+    }
+
+    /** One event that cannot be dealt with must not cost the others their answers. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+        }
+    }
+}
