QUIC: run kwik's client and server through the front; ids of any length are known

Need: nothing of the front had met an implementation that others wrote since several configurations of ids came; an id of no configuration was cut at a length that its first byte does not mean. Change: ids learnt in a handshake are found whatever their length; KwikTest with TLS, versions 1 and 2, a long hello, rebinds. Measured: 100 of 100 echoes of 3,000 bytes over six rebinds.

--- a/src/main/java/tulipshed/quic/IdConfigurations.java
+++ b/src/main/java/tulipshed/quic/IdConfigurations.java
@@ -32,7 +32,8 @@
      */
     int length(int first) {
         int configuration = first >> 5 & 7;
-        return configuration != UNROUTABLE && ids[configuration] != null ? ids[configuration].idLength() : 1 + (first & 0x1F);
+        return configuration != UNROUTABLE && ids[configuration] != null ? ids[configuration].idLength()
+                : Math.min(ConnectionId.LONGEST, 1 + (first & 0x1F));
     }
 
     /** The member to which an id belongs by the server id in it, or null. */
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,6 +40,8 @@
     private QuicConfig config;
     final QuicFigures counted = new QuicFigures();
     private final Map<InetSocketAddress, QuicSession> byAddress = new HashMap<>();
+    /** How many ids of each length are known. */
+    private final int[] lengths = new int[ConnectionId.LONGEST + 1];
     private int unproven;
     final XnioLoop loop;
     final TransactionCore core;
@@ -146,6 +149,12 @@
             // All packets of a datagram belong to one connection (RFC 9000 section 12.2).
             Packet first = packets.get(0);
             QuicSession session = sessions.get(first.destination());
+            if (session == null && first.type() == Packet.Type.SHORT) {
+                int length = learnt(datagram);
+                packets = length == 0 ? packets : Packet.read(datagram, length);
+                first = packets.get(0);
+                session = sessions.get(first.destination());
+            }
             if (session == null && first.type() == Packet.Type.SHORT) {
                 session = joined(from, first.destination());
             }
@@ -208,6 +217,19 @@
         session.open(datagram, opening, proven);
     }
 
+    /**
+     * How long the known id is that a short header begins with, or 0: servers may choose ids of no configuration, which
+     * are known from their handshake.
+     */
+    private int learnt(byte[] datagram) {
+        for (int n = Math.min(ConnectionId.LONGEST, datagram.length - 1); n > 0; n--) {
+            if (lengths[n] > 0 && sessions.containsKey(new ConnectionId(Arrays.copyOfRange(datagram, 1, 1 + n)))) {
+                return n;
+            }
+        }
+        return 0;
+    }
+
     /**
      * The connection of that address, for an id not seen before: where the id leads to the member at which that one stands
      * it is one more of its ids, and counts as no second connection; where it leads nowhere, the address is all that is
@@ -309,11 +331,13 @@
 
     /** From now on the id leads to this session, unless it leads to another already. */
     boolean learn(ConnectionId id, QuicSession session) {
-        return sessions.putIfAbsent(id, session) == null;
+        boolean added = sessions.putIfAbsent(id, session) == null;
+        lengths[id.length()] += added ? 1 : 0;
+        return added;
     }
 
     void forget(ConnectionId id, QuicSession session) {
-        sessions.remove(id, session);
+        lengths[id.length()] -= sessions.remove(id, session) ? 1 : 0;
     }
 
     void closed(QuicSession session, InetSocketAddress at) {
--- a/src/test/java/tulipshed/expression/ExpressionFuzzTest.java
+++ b/src/test/java/tulipshed/expression/ExpressionFuzzTest.java
@@ -30,7 +30,7 @@
         return forms.get(0);
     }
 
-    @Property(tries = 16_000, seed = "4711", shrinking = ShrinkingMode.OFF)
+    @Property(tries = 20_000, seed = "4711", shrinking = ShrinkingMode.OFF)
     void theCompiledFormGivesWhatTheReferenceGivesAndKeepsToItsBound(@ForAll long seed) {
         RandomExpressions random = new RandomExpressions(seed);
         Schema schema = RandomExpressions.schema();
--- /dev/null
+++ b/src/test/java/tulipshed/quic/KwikTest.java
@@ -0,0 +1,245 @@
+package tulipshed.quic;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.SocketException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.KeyStore;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tech.kwik.core.QuicClientConnection;
+import tech.kwik.core.QuicConnection.QuicVersion;
+import tech.kwik.core.QuicStream;
+import tech.kwik.core.log.NullLogger;
+import tech.kwik.core.server.ApplicationProtocolConnection;
+import tech.kwik.core.server.ServerConnectionConfig;
+import tech.kwik.core.server.ServerConnector;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.operators.OperatorsFile;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.ListedMember;
+import tulipshed.transaction.TransactionCore;
+
+/**
+ * Whole handshakes with TLS and echoes on streams through the front, with a client and a server that others wrote. What
+ * that library cannot do: choose its server ids by QUIC-LB, share reset tokens, or read our Retry tokens; the stand-ins do.
+ */
+class KwikTest {
+    private static final int ECHO = 3000;
+    @TempDir
+    private Path folder;
+    private XnioLoop loop;
+    private TransactionCore core;
+    private QuicFront front;
+    private ServerConnector server;
+
+    /** A socket that can be changed for another beneath its owner, as a NAT does. */
+    private static final class Rebinding extends DatagramSocket {
+        private volatile DatagramSocket inner;
+
+        Rebinding() throws SocketException {
+            super((SocketAddress) null);
+            rebind();
+        }
+
+        void rebind() throws SocketException {
+            DatagramSocket old = inner;
+            inner = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            if (old != null) {
+                old.close();
+            }
+        }
+
+        @Override
+        public void send(DatagramPacket p) throws IOException {
+            inner.send(p);
+        }
+
+        @Override
+        public void receive(DatagramPacket p) throws IOException {
+            while (true) {
+                DatagramSocket now = inner;
+                try {
+                    now.receive(p);
+                    return;
+                } catch (SocketException e) {
+                    if (now == inner) {
+                        throw e;
+                    }
+                }
+            }
+        }
+
+        @Override
+        public synchronized void setSoTimeout(int timeout) { }
+
+        @Override
+        public int getLocalPort() {
+            return inner.getLocalPort();
+        }
+
+        @Override
+        public void close() {
+            inner.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        Path store = folder.resolve("keys.p12");
+        Process made = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "keytool").toString(), "-genkeypair",
+                "-alias", "slots", "-keyalg", "EC", "-groupname", "secp256r1", "-dname", "CN=slots.example", "-validity", "36500",
+                "-storetype", "PKCS12", "-keystore", store.toString(), "-storepass", "secret").redirectErrorStream(true).start();
+        made.getInputStream().readAllBytes();
+        assertEquals(0, made.waitFor());
+        KeyStore keys = KeyStore.getInstance("PKCS12");
+        try (InputStream in = Files.newInputStream(store)) {
+            keys.load(in, "secret".toCharArray());
+        }
+        DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        server = ServerConnector.builder().withPort(socket.getLocalPort()).withSocket(socket).withKeyStore(keys, "slots", "secret".toCharArray())
+                .withSupportedVersions(List.of(QuicVersion.V1, QuicVersion.V2)).withLogger(new NullLogger())
+                .withConfiguration(ServerConnectionConfig.builder().maxIdleTimeoutInSeconds(30)
+                        .maxOpenPeerInitiatedBidirectionalStreams(100).retryRequired(false).build()).build();
+        server.registerApplicationProtocol("slots", (protocol, connection) -> new ApplicationProtocolConnection() {
+            @Override
+            public void acceptPeerInitiatedStream(QuicStream stream) {
+                new Thread(() -> echo(stream)).start();
+            }
+        });
+        server.start();
+        loop = new XnioLoop(Limits.forDescriptors(1024));
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        onLoop(() -> {
+            core = new TransactionCore(new SystemClock(), Limits.forDescriptors(1024), config.settings(), 1, loop, l -> { },
+                    Balancer::new);
+            core.route(OperatorsFile.read("f", ("(pool one (where true)) (route r (when (= (default server-name \"\") \"localhost\"))"
+                    + "(to one)) (classify (rule r (when (= (default alpn \"\") \"slots\")) (class \"gate-status\")))").getBytes(),
+                    config.names()).router());
+            core.members(ListKind.COMPLETE, List.of(new ListedMember(new ServerEntry("s-1", ServerState.SERVING, "decin", 0,
+                    "std-2c", 1, 0), (InetSocketAddress) socket.getLocalSocketAddress())));
+            try {
+                front = new QuicFront(new SystemClock(), Limits.forDescriptors(1024), new QuicConfig(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking", "vltava-kontejner", 4000,
+                        new IdConfigurations().with(StandIns.IDS, Map.of()), StandIns.RESET, null, null), config.names(), loop,
+                        core, l -> { });
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            return null;
+        });
+    }
+
+    private <T> T onLoop(Supplier<T> what) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.afterGathering(() -> {
+            try {
+                result.complete(what.get());
+            } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.join();
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+        loop.stop();
+    }
+
+    private static void echo(QuicStream stream) {
+        try {
+            stream.getOutputStream().write(stream.getInputStream().readAllBytes());
+            stream.getOutputStream().close();
+        } catch (IOException e) {
+            // The client has gone.
+            return;
+        }
+    }
+
+    private QuicClientConnection.Builder client(Rebinding socket) {
+        return QuicClientConnection.newBuilder().uri(URI.create("slots://localhost:" + front.address().getPort()))
+                .applicationProtocol("slots").noServerCertificateCheck().preferIPv4().connectTimeout(Duration.ofSeconds(5))
+                .logger(new NullLogger()).socketFactory(to -> socket);
+    }
+
+    private static void echoes(QuicClientConnection connection, int count, long seed) throws IOException {
+        Random random = new Random(seed);
+        for (int i = 0; i < count; i++) {
+            byte[] out = new byte[ECHO];
+            random.nextBytes(out);
+            QuicStream stream = connection.createStream(true);
+            stream.getOutputStream().write(out);
+            stream.getOutputStream().close();
+            assertArrayEquals(out, stream.getInputStream().readAllBytes(), "echo " + i);
+        }
+    }
+
+    @Test
+    void bothVersionsAndALongHelloAreServedByTheirNames() throws Exception {
+        for (QuicVersion version : List.of(QuicVersion.V1, QuicVersion.V2)) {
+            QuicClientConnection connection = client(new Rebinding()).version(version).build();
+            connection.connect();
+            echoes(connection, 5, 1);
+            connection.close();
+        }
+        QuicClientConnection large = client(new Rebinding()).quantumReadinessTest(1800).build();
+        large.connect();
+        echoes(large, 5, 2);
+        large.close();
+        assertEquals(2, (long) onLoop(() -> front.counted.get(QuicFigures.Figure.OPENED_V1)));
+        assertEquals(1, (long) onLoop(() -> front.counted.get(QuicFigures.Figure.OPENED_V2)));
+        assertEquals(3, (long) onLoop(() -> core.figures().replies().get("gate-status").up()));
+    }
+
+    @Test
+    void nothingIsLostOverRebinds() throws Exception {
+        Rebinding socket = new Rebinding();
+        QuicClientConnection connection = client(socket).build();
+        connection.connect();
+        // By hand for a minute: -Dkwik.rebinds=30 -Dkwik.between=2000 (milliseconds of echoes before each rebind).
+        int rebinds = Integer.getInteger("kwik.rebinds", 6);
+        long betweenNs = Integer.getInteger("kwik.between", 0) * 1_000_000L;
+        int echoed = 0;
+        for (int i = 0; i < rebinds; i++) {
+            long untilNs = System.nanoTime() + betweenNs;
+            do {
+                echoes(connection, 15, i);
+                echoed += 15;
+            } while (System.nanoTime() < untilNs);
+            socket.rebind();
+        }
+        echoes(connection, 10, 7);
+        System.out.println(echoed + 10 + " of " + (echoed + 10) + " echoes over " + rebinds + " rebinds");
+        assertTrue(onLoop(() -> front.counted.get(QuicFigures.Figure.REBINDS)) >= rebinds);
+        assertEquals(1, (int) onLoop(front::sessionCount));
+        assertEquals(1, (int) onLoop(() -> core.figures().concurrent()));
+        connection.close();
+    }
+}
