--- a/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/src/main/java/tulipshed/decision/BalancerApi.java
@@ -58,7 +58,7 @@
     /** A request that does not stand yet is held to another pool from now on, or to none where it is null. */
     void route(long now, long request, String pool);
 
-    /** How many servers of a pool, or of all for null, are ready and in favour: a request could be sent there. */
+    /** How many servers of a pool, or of all for null, are ready and in favour. */
     int inFavour(long now, String pool);
 
     /** Of all that one balancer is allowed this instance has that share from now on; another has the rest. */
