Say once what Default and If share, and take out what nobody calls

Cause: a reading of the whole change. BasicNodes had the same four methods twice; CaseTable kept a list of a transaction's attributes by hand beside the schema that has them; a hello that is never whole ended in the same three calls at two places; six withers of Limits, IdConfigurations.toString, ServerIds.serverBytes, Value.expr, two size methods and two imports had no caller. Change: Choice, TransactionSchema.names, neverWhole; the rest is gone. Behaviour as before.

--- a/src/main/java/tulipshed/discovery/HttpAnswer.java
+++ b/src/main/java/tulipshed/discovery/HttpAnswer.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
 /** Reads one answer of HTTP/1.1 as it comes in, with bounds on its head and body. */
--- a/src/main/java/tulipshed/expression/BasicNodes.java
+++ b/src/main/java/tulipshed/expression/BasicNodes.java
@@ -98,19 +98,10 @@
         }
     }
 
-    static final class Default extends Node {
-        private final Node value;
-        private final Node otherwise;
-
-        Default(Node value, Node otherwise) {
-            this.value = value;
-            this.otherwise = otherwise;
-        }
-
-        private Node chosen(Frame f) {
-            f.spent++;
-            return value.present(f) ? value : otherwise;
-        }
+    /** Gives what one of its parts gives. */
+    private abstract static class Choice extends Node {
+        /** The part that counts for this transaction. */
+        abstract Node chosen(Frame f);
 
         @Override
         boolean truth(Frame f) {
@@ -133,40 +124,37 @@
         }
     }
 
-    static final class If extends Node {
-        private final Node test;
-        private final Node then;
+    static final class Default extends Choice {
+        private final Node value;
         private final Node otherwise;
 
-        If(Node test, Node then, Node otherwise) {
-            this.test = test;
-            this.then = then;
+        Default(Node value, Node otherwise) {
+            this.value = value;
             this.otherwise = otherwise;
         }
 
-        private Node chosen(Frame f) {
-            f.spent++;
-            return test.truth(f) ? then : otherwise;
-        }
-
         @Override
-        boolean truth(Frame f) {
-            return chosen(f).truth(f);
+        Node chosen(Frame f) {
+            f.spent++;
+            return value.present(f) ? value : otherwise;
         }
+    }
 
-        @Override
-        long whole(Frame f) {
-            return chosen(f).whole(f);
-        }
+    static final class If extends Choice {
+        private final Node test;
+        private final Node then;
+        private final Node otherwise;
 
-        @Override
-        double fraction(Frame f) {
-            return chosen(f).fraction(f);
+        If(Node test, Node then, Node otherwise) {
+            this.test = test;
+            this.then = then;
+            this.otherwise = otherwise;
         }
 
         @Override
-        CharSequence text(Frame f) {
-            return chosen(f).text(f);
+        Node chosen(Frame f) {
+            f.spent++;
+            return test.truth(f) ? then : otherwise;
         }
     }
 
--- a/src/main/java/tulipshed/expression/Program.java
+++ b/src/main/java/tulipshed/expression/Program.java
@@ -150,11 +150,6 @@
             this.expr = expr;
         }
 
-        /** The expression that this gives the value of. */
-        public Expr expr() {
-            return expr;
-        }
-
         /** Its value as a boolean. */
         public boolean truth(Frame f) {
             return node.truth(f);
--- a/src/main/java/tulipshed/expression/TextMap.java
+++ b/src/main/java/tulipshed/expression/TextMap.java
@@ -50,10 +50,6 @@
         values[i] = value;
     }
 
-    int size() {
-        return size;
-    }
-
     private static int spread(int h) {
         int x = h * 0x9E3779B9;
         return x ^ x >>> 15;
--- a/src/main/java/tulipshed/expression/WholeMap.java
+++ b/src/main/java/tulipshed/expression/WholeMap.java
@@ -48,10 +48,6 @@
         values[i] = value;
     }
 
-    int size() {
-        return size;
-    }
-
     private static int spread(long key) {
         long h = key * 0x9E3779B97F4A7C15L;
         return (int) (h ^ h >>> 32);
--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -126,36 +126,6 @@
                 new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256));
     }
 
-    /** The same but for these. */
-    public Limits with(Sockets changed) {
-        return new Limits(changed, lines, discovery, transactions, leaving, management, quic);
-    }
-
-    /** The same but for these. */
-    public Limits with(Lines changed) {
-        return new Limits(sockets, changed, discovery, transactions, leaving, management, quic);
-    }
-
-    /** The same but for these. */
-    public Limits with(Discovery changed) {
-        return new Limits(sockets, lines, changed, transactions, leaving, management, quic);
-    }
-
-    /** The same but for these. */
-    public Limits with(Transactions changed) {
-        return new Limits(sockets, lines, discovery, changed, leaving, management, quic);
-    }
-
-    /** The same but for these. */
-    public Limits with(Leaving changed) {
-        return new Limits(sockets, lines, discovery, transactions, changed, management, quic);
-    }
-
-    /** The same but for these. */
-    public Limits with(Management changed) {
-        return new Limits(sockets, lines, discovery, transactions, leaving, changed, quic);
-    }
-
     /** The same but for these. */
     public Limits with(Quic changed) {
         return new Limits(sockets, lines, discovery, transactions, leaving, management, changed);
--- a/src/main/java/tulipshed/operators/CaseTable.java
+++ b/src/main/java/tulipshed/operators/CaseTable.java
@@ -1,6 +1,7 @@
 package tulipshed.operators;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -13,9 +14,11 @@
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.expression.Network;
 import tulipshed.routing.Classified;
+import tulipshed.routing.Declarations;
 import tulipshed.routing.Origin;
 import tulipshed.routing.Router;
 import tulipshed.routing.Subject;
+import tulipshed.routing.TransactionSchema;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
 import tulipshed.sexpr.SexprReader;
@@ -179,11 +182,7 @@
         if (tenant == null ? !names.tenants.isEmpty() : !names.tenants.containsKey(String.valueOf(tenant))) {
             return "the settings have no tenant " + tenant;
         }
-        Set<String> known = new LinkedHashSet<>(List.of("class", "tenant", "key", "group", "deadline-ms", "hint", "retry", "again",
-                "front", "source-address", "server-name", "alpn", "quic-version"));
-        if (router != null) {
-            known.addAll(router.declarations().figures().keySet());
-        }
+        Collection<String> known = TransactionSchema.names(router == null ? Declarations.NONE : router.declarations());
         for (String name : c.given().keySet()) {
             if (!known.contains(name)) {
                 return "a transaction has no " + name + Spelling.hint(name, known);
--- a/src/main/java/tulipshed/operators/SectionReader.java
+++ b/src/main/java/tulipshed/operators/SectionReader.java
@@ -191,7 +191,7 @@
             longest = (int) w.value();
         }
         if (TAKEN.contains(s.head()) || Builtins.form(s.head()) != null
-                || new TransactionSchema(1, 1, Declarations.NONE, 1).schema().get(s.head()) != null) {
+                || TransactionSchema.names(Declarations.NONE).contains(s.head())) {
             problems.add(s.place(), s.head() + " has a meaning already");
         } else if (figures.putIfAbsent(s.head(), new Declarations.Figure(t, t == Type.STRING ? longest : 0)) != null) {
             problems.add(s.place(), s.head() + " stands twice");
--- a/src/main/java/tulipshed/quic/IdConfigurations.java
+++ b/src/main/java/tulipshed/quic/IdConfigurations.java
@@ -1,6 +1,5 @@
 package tulipshed.quic;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
@@ -45,9 +44,4 @@
         byte[] server = configuration == UNROUTABLE || ids[configuration] == null ? null : ids[configuration].server(id);
         return server == null ? null : members.get(configuration).get(HexFormat.of().formatHex(server));
     }
-
-    @Override
-    public String toString() {
-        return Arrays.stream(ids).filter(java.util.Objects::nonNull).map(i -> String.valueOf(i.configuration())).toList().toString();
-    }
 }
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -100,12 +100,17 @@
             front.waits(-1);
             arrive();
         } else if (opening.hello() != null || first.size() >= front.limits.quic().firstDatagrams()) {
-            opened();
-            front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
-            answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
+            neverWhole();
         }
     }
 
+    /** A hello that passed a bound, in time or in datagrams. */
+    private void neverWhole() {
+        opened();
+        front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
+        answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
+    }
+
     /** Nothing more is waited for. */
     private void opened() {
         state = State.OWED;
@@ -371,9 +376,7 @@
                 forget();
             }
         } else if (state == State.OPENING && nowMs - openedMs > front.limits.quic().openingMs()) {
-            opened();
-            front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
-            answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
+            neverWhole();
         } else if (state == State.STANDING && side != null && side.silent(nowMs)) {
             front.core.silent(flow);
         } else if (state == State.STANDING && idleMs > front.limits.quic().idleMs()) {
--- a/src/main/java/tulipshed/quic/ServerIds.java
+++ b/src/main/java/tulipshed/quic/ServerIds.java
@@ -40,10 +40,6 @@
         return configuration;
     }
 
-    int serverBytes() {
-        return serverBytes;
-    }
-
     /** The server's id in a connection id, or null where it is not of this configuration. */
     byte[] server(ConnectionId id) {
         byte[] bytes = id.bytes();
--- a/src/main/java/tulipshed/routing/TransactionSchema.java
+++ b/src/main/java/tulipshed/routing/TransactionSchema.java
@@ -1,5 +1,6 @@
 package tulipshed.routing;
 
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import tulipshed.expression.Attribute;
@@ -47,6 +48,11 @@
         declared.figures().forEach((name, f) -> figures.put(name, schema.add(name, f.type(), true, f.longest())));
     }
 
+    /** The names that expressions may use where these figures are declared. */
+    public static Collection<String> names(Declarations declared) {
+        return new TransactionSchema(1, 1, declared, 1).schema.names();
+    }
+
     /** The attributes. */
     public Schema schema() {
         return schema;
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -19,7 +19,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.JsonValues;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.ServerEntry;
