--- a/src/main/java/tulipshed/expression/Functions.java
+++ b/src/main/java/tulipshed/expression/Functions.java
@@ -13,17 +13,16 @@
 final class Functions {
     private static final int MOST_LITERALS = 20_000; // in one list
     private static final int MOST_PARTS = 1000; // of and, or
-    private static final int LONGEST_PATTERN = 512; // characters
-    private static final int LARGEST_PATTERN = 2_000; // instructions
-    private static final int MOST_SHARES = 1_000_000;
     private static final int LONGEST_NUMBER = 20; // characters, with its sign
 
     private final Checker checker;
     private final Terms terms;
+    private final TextFunctions texts;
 
     Functions(Checker checker, Terms terms) {
         this.checker = checker;
         this.terms = terms;
+        texts = new TextFunctions(this, checker, terms);
     }
 
     Expr check(Form.Sequence s) {
@@ -51,32 +50,32 @@
             case "hash" -> convert(s, args, Type.STRING, Op.HASH, Type.INTEGER);
             case "lower" -> convert(s, args, Type.STRING, Op.LOWER, Type.STRING);
             case "in" -> in(s, args);
-            case "prefix" -> part(s, Op.PREFIX, args);
-            case "suffix" -> part(s, Op.SUFFIX, args);
-            case "contains" -> part(s, Op.CONTAINS, args);
-            case "substring" -> substring(s, args);
-            case "concat" -> concat(s, args);
-            case "matches" -> matches(s, args);
+            case "prefix" -> texts.part(s, Op.PREFIX, args);
+            case "suffix" -> texts.part(s, Op.SUFFIX, args);
+            case "contains" -> texts.part(s, Op.CONTAINS, args);
+            case "substring" -> texts.substring(s, args);
+            case "concat" -> texts.concat(s, args);
+            case "matches" -> texts.matches(s, args);
             case "in-network" -> inNetwork(s, args);
-            case "bucket" -> bucket(s, args);
+            case "bucket" -> texts.bucket(s, args);
             default -> throw new IllegalStateException(s.head());
         };
     }
 
     /** Wrong number or kind of parts: says how it is written. */
-    private Expr shape(Form.Sequence s) {
+    Expr shape(Form.Sequence s) {
         return checker.wrong(s.place(), "expected " + Builtins.form(s.head()) + ", found " + (s.items().size() - 1)
                 + " arguments");
     }
 
     /** A part that must be of one type. */
-    private Expr typed(Form f, Type type) {
+    Expr typed(Form f, Type type) {
         Expr e = checker.convert(checker.value(f), type);
         return e.unknown() || e.type == type ? e
                 : checker.wrong(f.place(), "expected " + Checker.article(type) + ", found " + Checker.article(e.type) + ": " + e);
     }
 
-    private static boolean unknown(Expr... parts) {
+    static boolean unknown(Expr... parts) {
         for (Expr e : parts) {
             if (e.unknown()) {
                 return true;
@@ -319,73 +318,6 @@
                 : terms.make(Op.IN, Type.BOOLEAN, new LiteralSet(a.type, List.copyOf(values)), 0, s.place(), a);
     }
 
-    private Expr part(Form.Sequence s, Op op, List<Form> args) {
-        if (args.size() != 2) {
-            return shape(s);
-        }
-        Expr a = typed(args.get(0), Type.STRING);
-        Expr b = typed(args.get(1), Type.STRING);
-        return unknown(a, b) ? terms.unknown(s.place()) : terms.make(op, Type.BOOLEAN, s.place(), a, b);
-    }
-
-    private Expr substring(Form.Sequence s, List<Form> args) {
-        if (args.size() != 3) {
-            return shape(s);
-        }
-        Expr a = typed(args.get(0), Type.STRING);
-        Expr from = typed(args.get(1), Type.INTEGER);
-        Expr to = typed(args.get(2), Type.INTEGER);
-        if (unknown(a, from, to)) {
-            return terms.unknown(s.place());
-        }
-        long first = from.isLiteral() ? Math.max(0, Math.min(a.longest, (Long) from.literal)) : 0;
-        long last = to.isLiteral() ? Math.max(first, Math.min(a.longest, (Long) to.literal)) : a.longest;
-        return terms.make(Op.SUBSTRING, Type.STRING, null, (int) (last - first), s.place(), a, from, to);
-    }
-
-    private Expr concat(Form.Sequence s, List<Form> args) {
-        if (args.size() < 2) {
-            return shape(s);
-        }
-        Expr[] parts = args.stream().map(f -> typed(f, Type.STRING)).toArray(Expr[]::new);
-        if (unknown(parts)) {
-            return terms.unknown(s.place());
-        }
-        long longest = 0;
-        for (Expr p : parts) {
-            longest += p.longest;
-        }
-        return longest > Cost.LONGEST_TEXT ? checker.wrong(s.place(), "this may grow to " + longest + " characters; at most "
-                + Cost.LONGEST_TEXT + " are allowed: shorten a part with substring, or declare shorter attributes")
-                : terms.make(Op.CONCAT, Type.STRING, null, (int) longest, s.place(), parts);
-    }
-
-    private Expr matches(Form.Sequence s, List<Form> args) {
-        if (args.size() != 2) {
-            return shape(s);
-        }
-        Expr a = typed(args.get(0), Type.STRING);
-        if (!(args.get(1) instanceof Form.Text text)) {
-            return checker.wrong(args.get(1).place(), "expected a regular expression as it is, found " + args.get(1).describe());
-        }
-        if (text.value().length() > LONGEST_PATTERN) {
-            return checker.wrong(text.place(), "a regular expression of more than " + LONGEST_PATTERN + " characters");
-        }
-        if (text.value().contains("\\Q") || PatternSize.of(text.value()) > 4 * LARGEST_PATTERN) {
-            return checker.wrong(text.place(), "this regular expression is too large once its repeats are written out, or "
-                    + "holds \\Q");
-        }
-        Matching m = checker.matching(text);
-        if (m == null || a.unknown()) {
-            return terms.unknown(s.place());
-        }
-        if (m.size() > LARGEST_PATTERN) {
-            return checker.wrong(text.place(), "this regular expression has " + m.size() + " instructions; at most "
-                    + LARGEST_PATTERN + " are allowed");
-        }
-        return terms.make(Op.MATCHES, Type.BOOLEAN, m, 0, s.place(), a);
-    }
-
     private Expr inNetwork(Form.Sequence s, List<Form> args) {
         if (args.size() != 2) {
             return shape(s);
@@ -404,19 +336,4 @@
         return sound ? terms.make(Op.IN_NETWORK, Type.BOOLEAN, new Networks(list), 0, s.place(), a)
                 : terms.unknown(s.place());
     }
-
-    private Expr bucket(Form.Sequence s, List<Form> args) {
-        if (args.size() != 2) {
-            return shape(s);
-        }
-        Expr a = typed(args.get(0), Type.STRING);
-        Expr shares = typed(args.get(1), Type.INTEGER);
-        if (unknown(a, shares)) {
-            return terms.unknown(s.place());
-        }
-        if (!shares.isLiteral() || (Long) shares.literal < 1 || (Long) shares.literal > MOST_SHARES) {
-            return checker.wrong(args.get(1).place(), "expected a number of shares from 1 to " + MOST_SHARES);
-        }
-        return terms.make(Op.BUCKET, Type.INTEGER, (int) (long) (Long) shares.literal, 0, s.place(), a);
-    }
 }
