--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -112,7 +112,17 @@
             /** How long one that is not whole is waited for. */
             double openingMs,
             /** Connections whose hello is waited for at most; each holds its first datagrams and what it has of the hello. */
-            int openings) { }
+            int openings,
+            /** Networks in which one client is at a time. */
+            int paths,
+            /** After so long without a word a path that is not the client's last gives back its place at the member. */
+            double pathIdleMs,
+            /** A place on a socket towards a member is not given to another flow before so long. */
+            double seatQuietMs,
+            /** Datagrams read of one socket before the others have their turn. */
+            int readsAtOnce,
+            /** What the kernel may hold of datagrams that wait to be read, where it allows that much. */
+            int receiveBytes) { }
 
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
@@ -123,7 +133,7 @@
                 new Transactions(40, 2_500, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
-                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256));
+                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 4 * 1024 * 1024));
     }
 
     /** The same but for these. */
--- a/src/main/java/tulipshed/link/DatagramPort.java
+++ b/src/main/java/tulipshed/link/DatagramPort.java
@@ -18,16 +18,18 @@
         void received(InetSocketAddress from, byte[] datagram);
     }
 
-    DatagramPort(MulticastMessageChannel channel, ByteBuffer scratch, Receiver receiver, Runnable whenClosed) {
+    DatagramPort(MulticastMessageChannel channel, ByteBuffer scratch, int readsAtOnce, Receiver receiver,
+            Runnable whenClosed) {
         this.channel = channel;
         this.whenClosed = whenClosed;
         SocketAddressBuffer addresses = new SocketAddressBuffer();
-        channel.getReadSetter().set(c -> receive(scratch, addresses, receiver));
+        channel.getReadSetter().set(c -> receive(scratch, readsAtOnce, addresses, receiver));
         channel.resumeReads();
     }
 
-    private void receive(ByteBuffer scratch, SocketAddressBuffer addresses, Receiver receiver) {
-        while (!closed) {
+    /** Reads a batch. One socket that is flooded must not keep the others waiting, so what is left comes at the next turn. */
+    private void receive(ByteBuffer scratch, int readsAtOnce, SocketAddressBuffer addresses, Receiver receiver) {
+        for (int i = 0; i < readsAtOnce && !closed; i++) {
             scratch.clear();
             try {
                 // XNIO says 0 both for nothing there and for an empty datagram; neither is of use here.
--- a/src/main/java/tulipshed/link/XnioLoop.java
+++ b/src/main/java/tulipshed/link/XnioLoop.java
@@ -131,9 +131,12 @@
     /** Opens a UDP socket at the address; it counts among the descriptors until it is closed. */
     public DatagramPort datagrams(InetSocketAddress address, ByteBuffer scratch, DatagramPort.Receiver receiver)
             throws IOException {
-        MulticastMessageChannel channel = worker.createUdpServer(address, OptionMap.EMPTY);
+        // XNIO would let addresses be used again, and the kernel then gives one free port to two such sockets: the first hears
+        // nothing any more.
+        MulticastMessageChannel channel = worker.createUdpServer(address, OptionMap.create(Options.REUSE_ADDRESSES, false,
+                Options.RECEIVE_BUFFER, limits.quic().receiveBytes()));
         opened(1);
-        return new DatagramPort(channel, scratch, receiver, () -> opened(-1));
+        return new DatagramPort(channel, scratch, limits.quic().readsAtOnce(), receiver, () -> opened(-1));
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
--- a/src/main/java/tulipshed/operators/QuicSection.java
+++ b/src/main/java/tulipshed/operators/QuicSection.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import tulipshed.config.SettingsReader.Names;
+import tulipshed.connectionid.ServerIds;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
 
@@ -17,15 +18,16 @@
  * What the operators' file says of the second front: where it listens, what a connection asks for unless rules say
  * otherwise, the configurations of ids, and the keys shared with the servers.
  *
+ * @param preferred a second address to which servers may tell their clients to go, or null
  * @param deadlineMs how long a client waits, in milliseconds
  * @param retry null where no client is asked to prove its address
  */
-public record QuicSection(InetSocketAddress listen, String requestClass, String tenant, double deadlineMs, List<Ids> ids,
-        byte[] resetKey, Retry retry) {
-    private static final Set<String> FIELDS = new LinkedHashSet<>(List.of("listen", "class", "tenant", "deadline-ms", "reset-key",
+public record QuicSection(InetSocketAddress listen, InetSocketAddress preferred, String requestClass, String tenant,
+        double deadlineMs, List<Ids> ids, byte[] resetKey, Retry retry) {
+    private static final Set<String> FIELDS = new LinkedHashSet<>(List.of("listen", "preferred-address", "class", "tenant", "deadline-ms", "reset-key",
             "retry", "ids"));
     private static final Set<String> IDS_FIELDS = new LinkedHashSet<>(List.of("configuration", "server-id-bytes", "nonce-bytes",
-            "key", "servers"));
+            "connection-bytes", "key", "servers"));
     private static final Set<String> RETRY_FIELDS = new LinkedHashSet<>(List.of("use", "expires-ms", "on", "off", "stay-ms", "key"));
     private static final int KEY_BYTES = 16;
     private static final int LONGEST_DEADLINE_MS = 120_000;
@@ -34,10 +36,11 @@
     /**
      * One configuration of ids (QUIC-LB section 3).
      *
+     * @param connectionBytes of the nonce that hold the server's number of the connection; 0 where none do
      * @param key null where server ids stand in the open
      * @param servers the ids of members by their server ids in hexadecimal
      */
-    public record Ids(int configuration, int serverIdBytes, int nonceBytes, byte[] key, Map<String, String> servers) { }
+    public record Ids(int configuration, int serverIdBytes, int nonceBytes, int connectionBytes, byte[] key, Map<String, String> servers) { }
 
     /**
      * When clients must prove their address, and with which keys.
@@ -73,6 +76,7 @@
         }
         Fields f = new Fields(new Form.Sequence(others, false, section.place()), 1, FIELDS, problems);
         InetSocketAddress listen = f.address("listen");
+        InetSocketAddress preferred = f.has("preferred-address") ? f.address("preferred-address") : null;
         String requestClass = f.oneOf("class", names.classes.keySet());
         String tenant = names.tenants.isEmpty() && !f.has("tenant") ? null : f.oneOf("tenant", names.tenants.keySet());
         double deadlineMs = f.whole("deadline-ms", 1, LONGEST_DEADLINE_MS, 1);
@@ -82,7 +86,7 @@
         }
         Retry retry = f.has("retry") ? retry(f.get("retry"), problems) : null;
         return problems.count() > before ? null
-                : new QuicSection(listen, requestClass, tenant, deadlineMs, List.copyOf(ids), resetKey, retry);
+                : new QuicSection(listen, preferred, requestClass, tenant, deadlineMs, List.copyOf(ids), resetKey, retry);
     }
 
     private static Ids ids(Form.Sequence s, Problems problems) {
@@ -95,6 +99,11 @@
             problems.add(f.place("nonce-bytes"), "expected server-id-bytes and nonce-bytes of 19 together at most, found "
                     + (serverBytes + nonceBytes));
         }
+        int connectionBytes = f.has("connection-bytes") ? (int) f.whole("connection-bytes", 2, ServerIds.LONGEST_NUMBER, 2) : 0;
+        if (connectionBytes > 0 && (connectionBytes >= nonceBytes || !f.has("key"))) {
+            problems.add(f.place("connection-bytes"), "expected fewer connection-bytes than nonce-bytes, and a key: "
+                    + "in the clear observers could follow a client from network to network");
+        }
         byte[] key = f.has("key") ? key(f.hex("key"), f.value("key"), problems) : null;
         Map<String, String> servers = new HashMap<>();
         for (Form item : f.items("servers")) {
@@ -110,7 +119,7 @@
                 problems.add(id.place(), "this server id stands twice");
             }
         }
-        return new Ids(configuration, serverBytes, nonceBytes, key, servers);
+        return new Ids(configuration, serverBytes, nonceBytes, connectionBytes, key, servers);
     }
 
     private static byte[] key(byte[] key, Form at, Problems problems) {
--- /dev/null
+++ b/src/main/java/tulipshed/quic/ClientPath.java
@@ -0,0 +1,73 @@
+package tulipshed.quic;
+
+import java.net.InetSocketAddress;
+import tulipshed.link.DatagramPort;
+
+/**
+ * One way by which a client is heard: its address, the listener that hears it, and, once something goes to its member, a place
+ * on a socket towards it. A client that merely gets another address from its network keeps its path, and its member sees
+ * nothing; one that goes to another network by itself takes a new id for it and gets a second path, which its member sees and
+ * proves as one (RFC 9000 section 9).
+ */
+final class ClientPath {
+    private final QuicSession session;
+    private DatagramPort listener;
+    private InetSocketAddress client;
+    private FlowSide side;
+    private double heardMs;
+
+    ClientPath(QuicSession session, DatagramPort listener, InetSocketAddress client, double nowMs) {
+        this.session = session;
+        this.listener = listener;
+        this.client = client;
+        this.heardMs = nowMs;
+    }
+
+    QuicSession session() {
+        return session;
+    }
+
+    boolean isAt(DatagramPort otherListener, InetSocketAddress other) {
+        return listener == otherListener && client.equals(other);
+    }
+
+    IdTable.Way way() {
+        return new IdTable.Way(listener, client);
+    }
+
+    InetSocketAddress client() {
+        return client;
+    }
+
+    /** The client is heard elsewhere now. */
+    void move(DatagramPort changedListener, InetSocketAddress changed) {
+        listener = changedListener;
+        client = changed;
+    }
+
+    void heard(double nowMs) {
+        heardMs = nowMs;
+    }
+
+    double heardMs() {
+        return heardMs;
+    }
+
+    /** Its place towards the member; null where it has none. */
+    FlowSide side() {
+        return side;
+    }
+
+    /** Takes a place, in place of the one it had. */
+    void side(FlowSide changed) {
+        if (side != null) {
+            side.close();
+        }
+        side = changed;
+    }
+
+    /** To the client. */
+    void send(byte[] datagram) {
+        listener.send(client, datagram);
+    }
+}
--- a/src/main/java/tulipshed/quic/FlowSide.java
+++ b/src/main/java/tulipshed/quic/FlowSide.java
@@ -1,17 +1,14 @@
 package tulipshed.quic;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.link.DatagramPort;
 import tulipshed.transaction.ServerSideFlow;
 
-/** One flow's own UDP socket towards its member, and whether anything comes back on it. */
+/** One path's place on a socket towards its member, and whether anything comes back there. */
 final class FlowSide {
     private final QuicFront front;
     private final ServerSideFlow flow;
-    private DatagramPort port;
+    private FlowSockets.Seat seat;
     private double unansweredSinceMs = Double.NaN;
     private int unanswered;
 
@@ -20,34 +17,25 @@
         this.flow = flow;
     }
 
-    /** Opens it; null, and the core told why, where it may not be sent to or there is no descriptor for it. */
+    /** Opens a flow's first; null, and the core told why, where it may not be sent to or there is no descriptor for it. */
     static FlowSide open(QuicFront front, ServerSideFlow flow, Consumer<byte[]> heard) {
         if (!front.core.maySend(flow)) {
             front.core.ended(flow, Outcome.CONNECT_FAILED);
             return null;
         }
-        if (!front.loop.hasRoomForFlow()) {
+        FlowSide side = further(front, flow, heard);
+        if (side == null) {
             // Our own want of descriptors; it says nothing of the member.
             front.core.ended(flow, Outcome.UNUSED);
-            return null;
-        }
-        FlowSide side = new FlowSide(front, flow);
-        try {
-            side.port = front.loop.datagrams(new InetSocketAddress(front.address().getAddress(), 0), front.scratch,
-                    (from, datagram) -> side.heard(from, datagram, heard));
-            return side;
-        } catch (IOException e) {
-            front.log.accept("no socket for a flow: " + e.getMessage());
-            front.core.ended(flow, Outcome.UNUSED);
-            return null;
         }
+        return side;
     }
 
-    /** Only from its member, and only while the socket is the flow's. */
-    private void heard(InetSocketAddress from, byte[] datagram, Consumer<byte[]> to) {
-        if (port != null && from.equals(flow.member().address())) {
-            to.accept(datagram);
-        }
+    /** Opens one more of a flow that stands, for another path of its client; null where there is no descriptor for it. */
+    static FlowSide further(QuicFront front, ServerSideFlow flow, Consumer<byte[]> heard) {
+        FlowSide side = new FlowSide(front, flow);
+        side.seat = front.sockets.seat(flow.member().address(), front.clock.nowMs(), heard);
+        return side.seat == null ? null : side;
     }
 
     /** The member has sent what is a packet of QUIC. */
@@ -58,12 +46,12 @@
 
     /** Every datagram is a sending of its own: from the news of a drain on, none goes there any more. */
     void send(byte[] datagram, double nowMs) {
-        if (port != null && flow.member().serving()) {
-            if (Double.isNaN(unansweredSinceMs)) {
+        if (flow.member().serving()) {
+            if (unanswered == 0) {
                 unansweredSinceMs = nowMs;
             }
             unanswered++;
-            port.send(flow.member().address(), datagram);
+            seat.send(datagram);
         }
     }
 
@@ -74,9 +62,6 @@
     }
 
     void close() {
-        if (port != null) {
-            port.close();
-            port = null;
-        }
+        seat.leave(front.clock.nowMs());
     }
 }
--- a/src/main/java/tulipshed/quic/IdConfigurations.java
+++ b/src/main/java/tulipshed/quic/IdConfigurations.java
@@ -1,8 +1,9 @@
 package tulipshed.quic;
 
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.Map;
+import tulipshed.connectionid.ConnectionId;
+import tulipshed.connectionid.ServerIds;
 
 /**
  * The configurations of ids that are live: up to seven at once, told apart by the upper three bits of an id's first byte
@@ -10,7 +11,7 @@
  */
 final class IdConfigurations {
     /** Of ids that carry no server (QUIC-LB section 3.2). */
-    static final int UNROUTABLE = 7;
+    static final int UNROUTABLE = ServerIds.CONFIGURATIONS;
 
     private final ServerIds[] ids = new ServerIds[UNROUTABLE];
     private final Map<Integer, Map<String, String>> members = new HashMap<>();
@@ -35,13 +36,14 @@
                 : Math.min(ConnectionId.LONGEST, 1 + (first & 0x1F));
     }
 
-    /** The member to which an id belongs by the server id in it, or null. */
-    String member(ConnectionId id) {
-        if (id.length() == 0) {
-            return null;
-        }
-        int configuration = (id.bytes()[0] & 0xFF) >> 5;
-        byte[] server = configuration == UNROUTABLE || ids[configuration] == null ? null : ids[configuration].server(id);
-        return server == null ? null : members.get(configuration).get(HexFormat.of().formatHex(server));
+    /** Where an id leads: a member, and the number of the connection there, -1 where its ids tell none. */
+    record Place(String member, long connection) { }
+
+    /** Where an id leads by the server id in it, or null. */
+    Place place(ConnectionId id) {
+        int configuration = id.length() == 0 ? UNROUTABLE : id.first() >> 5;
+        ServerIds.Lead lead = configuration == UNROUTABLE || ids[configuration] == null ? null : ids[configuration].read(id);
+        String member = lead == null ? null : members.get(configuration).get(lead.server());
+        return member == null ? null : new Place(member, lead.connection());
     }
 }
--- a/src/main/java/tulipshed/quic/InitialKeys.java
+++ b/src/main/java/tulipshed/quic/InitialKeys.java
@@ -8,6 +8,7 @@
 import javax.crypto.Mac;
 import javax.crypto.spec.GCMParameterSpec;
 import javax.crypto.spec.SecretKeySpec;
+import tulipshed.connectionid.ConnectionId;
 
 /**
  * The keys of Initial packets in one direction (RFC 9001 section 5). They follow from the id that the client
--- a/src/main/java/tulipshed/quic/Opening.java
+++ b/src/main/java/tulipshed/quic/Opening.java
@@ -1,6 +1,7 @@
 package tulipshed.quic;
 
 import java.util.List;
+import tulipshed.connectionid.ConnectionId;
 
 /** What a client has sent before its hello is whole. Without I/O. */
 final class Opening {
--- a/src/main/java/tulipshed/quic/Packet.java
+++ b/src/main/java/tulipshed/quic/Packet.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.IntUnaryOperator;
+import tulipshed.connectionid.ConnectionId;
 
 /**
  * What can be read of a packet without keys (RFC 8999; RFC 9000 section 17 and RFC 9369 for the versions known here). A datagram may
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -4,7 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.security.SecureRandom;
-import java.util.Arrays;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -12,6 +12,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import tulipshed.connectionid.ConnectionId;
+import tulipshed.connectionid.StatelessReset;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.limits.Limits;
 import tulipshed.link.DatagramPort;
@@ -39,18 +41,16 @@
     final Limits limits;
     private QuicConfig config;
     final QuicFigures counted = new QuicFigures();
-    private final Map<InetSocketAddress, QuicSession> byAddress = new HashMap<>();
-    /** How many ids of each length are known. */
-    private final int[] lengths = new int[ConnectionId.LONGEST + 1];
+    final IdTable table = new IdTable();
+    final FlowSockets sockets;
     private int unproven;
     final XnioLoop loop;
     final TransactionCore core;
     final Consumer<String> log;
     final RandomGenerator random = new SecureRandom();
     final ByteBuffer scratch;
-    private final Map<ConnectionId, QuicSession> sessions = new HashMap<>();
     private final Set<QuicSession> all = new LinkedHashSet<>();
-    private final DatagramPort port;
+    private final List<DatagramPort> listeners = new ArrayList<>();
     private Names names;
     private int openings;
     private boolean leaving;
@@ -64,17 +64,45 @@
         this.loop = loop;
         this.core = core;
         this.log = log;
-        scratch = ByteBuffer.allocate(limits.quic().datagramBytes());
+        scratch = ByteBuffer.allocateDirect(limits.quic().datagramBytes());
+        sockets = new FlowSockets(loop, config.listen().getAddress(), scratch, counted, limits.quic().seatQuietMs(), log);
         for (Figure f : Figure.values()) {
             core.figures().more(f.written(), () -> counted.get(f));
         }
-        port = loop.datagrams(config.listen(), scratch, this::received);
+        core.figures().more("quic_connections", all::size);
+        core.figures().more("quic_ids", table::ids);
+        core.figures().more("quic_flow_sockets", sockets::count);
+        listen(config.listen());
+        if (config.preferred() != null) {
+            listen(config.preferred());
+        }
         loop.after(SWEEP_MS, this::sweep);
     }
 
+    private void listen(InetSocketAddress at) throws IOException {
+        DatagramPort[] own = new DatagramPort[1];
+        own[0] = loop.datagrams(at, scratch, (from, datagram) -> received(own[0], from, datagram));
+        listeners.add(own[0]);
+    }
+
     /** Where this front listens. */
     public InetSocketAddress address() {
-        return port.address();
+        return listeners.get(0).address();
+    }
+
+    /** Where it listens besides, for clients that their server has told to go there; null where it does not. */
+    InetSocketAddress preferred() {
+        return listeners.size() < 2 ? null : listeners.get(1).address();
+    }
+
+    /** The tokens of resets, shared with the servers. */
+    StatelessReset resets() {
+        return config.reset();
+    }
+
+    /** Where an id leads by what its server wrote into it, or null. */
+    IdConfigurations.Place place(ConnectionId id) {
+        return config.ids().place(id);
     }
 
     /** Other names of classes and tenants from now on; connections that are open keep their class. */
@@ -130,7 +158,7 @@
 
     /** Closes the port; what comes later is not taken. */
     public void close() {
-        port.close();
+        listeners.forEach(DatagramPort::close);
     }
 
     /** Connections kept; for tests. */
@@ -140,33 +168,39 @@
 
     /** Ids kept; for tests. */
     int idCount() {
-        return sessions.size();
+        return table.ids();
     }
 
-    private void received(InetSocketAddress from, byte[] datagram) {
+    private void received(DatagramPort listener, InetSocketAddress from, byte[] datagram) {
         counted.count(Figure.DATAGRAMS);
         try {
             List<Packet> packets = Packet.read(datagram, config.ids()::length);
             // All packets of a datagram belong to one connection (RFC 9000 section 12.2).
             Packet first = packets.get(0);
-            QuicSession session = sessions.get(first.destination());
-            if (session == null && first.type() == Packet.Type.SHORT) {
-                int length = learnt(datagram);
+            ClientPath path = table.path(first.destination());
+            if (path == null && first.type() == Packet.Type.SHORT) {
+                int length = table.learnt(datagram);
                 packets = length == 0 ? packets : Packet.read(datagram, length);
                 first = packets.get(0);
-                session = sessions.get(first.destination());
+                path = length == 0 ? joined(listener, from, first.destination()) : table.path(first.destination());
             }
-            if (session == null && first.type() == Packet.Type.SHORT) {
-                session = joined(from, first.destination());
-            }
-            if (session != null) {
-                session.fromClient(from, datagram, packets);
+            if (path != null) {
+                if (!path.isAt(listener, from)) {
+                    if (first.type() == Packet.Type.INITIAL && path.session().isPastInitial()) {
+                        // Its client has thrown these keys away (RFC 9001 section 4.9.1): somebody repeats what it sent, to
+                        // have what is meant for it sent elsewhere.
+                        counted.count(Figure.DROPPED_REPLAYED);
+                        return;
+                    }
+                    path = path.session().rebind(path, listener, from, first.destination());
+                }
+                path.session().fromClient(path, datagram, packets);
             } else if (first.type() == Packet.Type.INITIAL && first.fixedBit()) {
-                open(from, datagram, first, packets);
+                open(listener, from, datagram, first, packets);
             } else if (first.type() == Packet.Type.OTHER_VERSION) {
-                negotiate(from, datagram, first);
+                negotiate(listener, from, datagram, first);
             } else if (first.type() == Packet.Type.SHORT && first.fixedBit()) {
-                carryOn(from, datagram, first, packets);
+                carryOn(listener, from, datagram, first, packets);
             }
         } catch (BadPacket e) {
             // Anyone can send anything to a UDP port; what is not QUIC gets no answer.
@@ -176,7 +210,7 @@
     }
 
     /** An Initial that no connection knows opens a transaction, if it is one that a client would send. */
-    private void open(InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
+    private void open(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
         if (datagram.length < LEAST_FIRST_DATAGRAM || initial.destination().length() < LEAST_FIRST_ID) {
             counted.count(Figure.DROPPED_SMALL);
             return;
@@ -189,63 +223,63 @@
             }
         } catch (BadPacket e) {
             // Sound keys and no hello: whoever sent it hears so at once, in fewer bytes than it sent.
-            send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(),
+            listener.send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(),
                     InitialFrames.PROTOCOL_VIOLATION, "not a client hello"));
             return;
         }
         boolean proven = proven(from, initial);
         if (!proven && config.policy() != null && config.policy().asks(unproven, clock.nowMs())) {
-            retry(from, initial, opening.version());
+            retry(listener, from, initial, opening.version());
             return;
         }
         boolean waits = opening.hello() == null;
-        if (all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving
+        if (full() || leaving
                 || waits && openings >= limits.quic().openings()) {
             // Turned away without keeping anything of it.
-            send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(),
+            listener.send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(),
                     InitialFrames.CONNECTION_REFUSED, QuicSession.busy(core.retryAfterMs(limits.sockets().noRoomRetryMs()))));
             return;
         }
         if (arrival("") == null) {
-            send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(), InitialFrames.INTERNAL_ERROR,
+            listener.send(from, QuicSession.closing(opening.version(), initial.destination(), initial.source(), InitialFrames.INTERNAL_ERROR,
                     "an unknown class"));
             return;
         }
-        QuicSession session = new QuicSession(this, from, initial.destination(), initial.source());
+        QuicSession session = new QuicSession(this, ConnectionMachine.opens(limits.quic(), initial.destination(),
+                initial.source(), datagram, opening, proven, clock.nowMs()), listener, from);
         all.add(session);
-        learn(initial.destination(), session);
         counted.count(opening.version() == Version.V2 ? Figure.OPENED_V2 : Figure.OPENED_V1);
-        session.open(datagram, opening, proven);
+        session.open();
     }
 
-    /**
-     * How long the known id is that a short header begins with, or 0: servers may choose ids of no configuration, which
-     * are known from their handshake.
-     */
-    private int learnt(byte[] datagram) {
-        for (int n = Math.min(ConnectionId.LONGEST, datagram.length - 1); n > 0; n--) {
-            if (lengths[n] > 0 && sessions.containsKey(new ConnectionId(Arrays.copyOfRange(datagram, 1, 1 + n)))) {
-                return n;
-            }
-        }
-        return 0;
+    /** Whether there is no room for one more connection; one more at a member may find a place on a socket that is open. */
+    private boolean full() {
+        return all.size() >= limits.quic().sessions() || sockets.count() == 0 && !loop.hasRoom();
     }
 
     /**
-     * The connection of that address, for an id not seen before: where the id leads to the member at which that one stands
-     * it is one more of its ids, and counts as no second connection; where it leads nowhere, the address is all that is
-     * left to go by (QUIC-LB section 4.2). Null where neither holds.
+     * The path of a connection that is known here, for an id not seen before. Where servers number their connections, the id
+     * says which it is, wherever it comes from. Where they do not, it is one more id of the connection at that address if that
+     * one stands at the member to which the id leads; and where the id leads nowhere, the address is all that is left to go by
+     * (QUIC-LB section 4.2). Null where none of this holds.
      */
-    private QuicSession joined(InetSocketAddress from, ConnectionId id) {
-        QuicSession known = byAddress.get(from);
-        String member = config.ids().member(id);
-        if (known == null || member != null && !known.standsAt(member)) {
-            return null;
-        }
-        if (member != null) {
-            known.learn(id);
+    private ClientPath joined(DatagramPort listener, InetSocketAddress from, ConnectionId id) {
+        IdConfigurations.Place place = place(id);
+        QuicSession numbered = place == null ? null : table.numbered(place.member(), place.connection());
+        if (numbered != null && numbered.standsAt(place.member())) {
             counted.count(Figure.IDS_JOINED);
+            return numbered.path(listener, from, id);
         }
+        ClientPath known = table.path(new IdTable.Way(listener, from));
+        if (known == null || place == null) {
+            return known;
+        }
+        // Another number is another connection, though both come from one socket of their client.
+        if (!known.session().standsAt(place.member()) || place.connection() >= 0 && known.session().number() >= 0) {
+            return null;
+        }
+        counted.count(Figure.IDS_JOINED);
+        known.session().learn(id, known);
         return known;
     }
 
@@ -260,13 +294,13 @@
     }
 
     /** Nothing is kept of a client that has to prove its address: what it must repeat is in its token. */
-    private void retry(InetSocketAddress to, Packet initial, Version version) {
+    private void retry(DatagramPort listener, InetSocketAddress to, Packet initial, Version version) {
         byte[] id = new byte[RETRY_ID];
         random.nextBytes(id);
         ConnectionId given = new ConnectionId(id);
         byte[] token = config.tokens().seal(to, initial.destination(), given, clock.nowMs(), random);
         counted.count(Figure.RETRY_SENT);
-        send(to, RetryPacket.make(version, initial.source(), given, initial.destination(), token, random));
+        listener.send(to, RetryPacket.make(version, initial.source(), given, initial.destination(), token, random));
     }
 
     /** Connections whose address nothing has proved yet: one more, or one less. */
@@ -274,41 +308,33 @@
         unproven += more;
     }
 
-    /** A client is at that address now; {@code before} is where it was. */
-    void moved(InetSocketAddress before, InetSocketAddress now, QuicSession session) {
-        if (before != null && !before.equals(now)) {
-            counted.count(Figure.REBINDS);
-            byAddress.remove(before, session);
-        }
-        byAddress.put(now, session);
-    }
-
     /**
      * A later id that was not seen before: the server id in it tells where it belongs. Clients change ids when
      * they change networks, and a restarted node knows none. A member that is not serving gets nothing.
      */
-    private void carryOn(InetSocketAddress from, byte[] datagram, Packet p, List<Packet> packets) {
-        String member = config.ids().member(p.destination());
-        if (member == null) {
+    private void carryOn(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet p, List<Packet> packets) {
+        IdConfigurations.Place place = place(p.destination());
+        if (place == null) {
             counted.count(Figure.DROPPED_UNKNOWN_ID);
             return;
         }
-        if (!core.serving(member) || arrival("") == null || all.size() >= limits.quic().sessions() || !loop.hasRoom() || leaving) {
-            reset(from, p.destination(), datagram.length);
+        if (!core.serving(place.member()) || arrival("") == null || full() || leaving) {
+            counted.count(Figure.RESETS_SENT);
+            listener.send(from, config.reset().datagram(p.destination(), datagram.length, random));
             return;
         }
-        QuicSession session = new QuicSession(this, from, p.destination(), null);
+        QuicSession session = new QuicSession(this, ConnectionMachine.carriesOn(limits.quic(), p.destination(), datagram,
+                clock.nowMs()), listener, from);
         all.add(session);
-        learn(p.destination(), session);
         counted.count(Figure.CARRIED_ON);
-        session.carryOn(member, datagram, packets);
+        session.carryOn(place.member());
     }
 
     /**
      * A version that is not spoken here is answered with those that are (RFC 8999 section 6), and with one that nobody
      * speaks, so that clients do not come to rely on the list (RFC 9000 section 6.3).
      */
-    private void negotiate(InetSocketAddress from, byte[] datagram, Packet p) {
+    private void negotiate(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet p) {
         if (datagram.length < LEAST_FIRST_DATAGRAM) {
             return;
         }
@@ -318,37 +344,23 @@
         out.put((byte) p.source().length()).put(p.source().bytes());
         out.put((byte) p.destination().length()).put(p.destination().bytes());
         out.putInt((int) Version.V1.number).putInt((int) Version.V2.number).putInt((int) Version.GREASE);
-        send(from, out.array());
+        listener.send(from, out.array());
     }
 
-    void reset(InetSocketAddress to, ConnectionId id, int answered) {
+    /** A stateless reset by that path, shorter than what it answers. */
+    void reset(ClientPath to, ConnectionId id, int answered) {
         counted.count(Figure.RESETS_SENT);
-        send(to, config.reset().datagram(id, answered, random));
-    }
-
-    void send(InetSocketAddress to, byte[] datagram) {
-        port.send(to, datagram);
-    }
-
-    /** From now on the id leads to this session, unless it leads to another already. */
-    boolean learn(ConnectionId id, QuicSession session) {
-        boolean added = sessions.putIfAbsent(id, session) == null;
-        lengths[id.length()] += added ? 1 : 0;
-        return added;
-    }
-
-    void forget(ConnectionId id, QuicSession session) {
-        lengths[id.length()] -= sessions.remove(id, session) ? 1 : 0;
+        to.send(config.reset().datagram(id, answered, random));
     }
 
-    void closed(QuicSession session, InetSocketAddress at) {
+    void closed(QuicSession session) {
         all.remove(session);
-        byAddress.remove(at, session);
     }
 
     private void sweep() {
         double nowMs = clock.nowMs();
         List.copyOf(all).forEach(s -> s.lookAtAge(nowMs));
+        sockets.sweep(nowMs);
         loop.after(SWEEP_MS, this::sweep);
     }
 }
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -1,191 +1,188 @@
 package tulipshed.quic;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import tulipshed.connectionid.ConnectionId;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.link.DatagramPort;
+import tulipshed.quic.QuicFigures.Figure;
 import tulipshed.transaction.MemberConnector;
 import tulipshed.transaction.ServerSideFlow;
 import tulipshed.transaction.Transaction;
 import tulipshed.transaction.VirtualServer;
 
 /**
- * One connection of QUIC: the client's side, and the connector of its flows to members. Every flow has a UDP
- * socket of its own, so that what a member sends needs no id to find its client, and a client that changes its
- * address looks to its member as if it had not.
+ * One connection of QUIC: carries out what its {@link ConnectionMachine} says, between the client's paths and the core, and is
+ * the connector of its flows to members.
  */
 final class QuicSession implements VirtualServer, MemberConnector {
     private static final int LONGEST_REPLY = 43;
 
-    private enum State { OPENING, OWED, STANDING, ANSWERED }
-
     private final QuicFront front;
-    private final ArrayDeque<ConnectionId> ids = new ArrayDeque<>();
-    private final List<byte[]> first = new ArrayList<>();
-    private final ConnectionId clientId;
-    private ConnectionId keyedBy;
-    private ConnectionId current;
-    private InetSocketAddress client;
-    private State state = State.OWED;
-    private Opening opening;
-    private Version version = Version.V1;
-    private double openedMs;
+    private final ConnectionMachine machine;
+    private final SessionIds ids = new SessionIds();
+    private final List<ClientPath> paths = new ArrayList<>(1);
+    /** By which the client was last heard. */
+    private ClientPath current;
     private Transaction transaction;
     private ServerSideFlow flow;
-    private FlowSide side;
     private byte[] answer;
-    private boolean pastInitial;
-    private boolean unproven;
-    private double heardMs;
-    private double answeredMs;
+    private boolean countedUnproven;
+    private String numberedAt;
+    private long number = -1;
 
-    QuicSession(QuicFront front, InetSocketAddress client, ConnectionId destination, ConnectionId clientId) {
+    QuicSession(QuicFront front, ConnectionMachine machine, DatagramPort listener, InetSocketAddress client) {
         this.front = front;
-        this.client = client;
-        this.keyedBy = destination;
-        this.current = destination;
-        this.clientId = clientId;
-        this.heardMs = front.clock.nowMs();
-        ids.add(destination);
-        front.moved(null, client, this);
+        this.machine = machine;
+        current = new ClientPath(this, listener, client, front.clock.nowMs());
+        paths.add(current);
+        front.table.at(current.way(), current);
+        learn(machine.current(), current);
     }
 
     /** A new connection. */
-    void open(byte[] datagram, Opening begun, boolean proven) {
-        unproven = !proven;
-        front.unproven(proven ? 0 : 1);
-        first.add(datagram);
-        opening = begun;
-        version = begun.version();
-        if (begun.hello() != null) {
-            arrive();
-        } else {
-            state = State.OPENING;
-            openedMs = heardMs;
+    void open() {
+        countedUnproven = !machine.proven();
+        front.unproven(countedUnproven ? 1 : 0);
+        if (machine.stage() == ConnectionMachine.Stage.OPENING) {
             front.waits(1);
+        } else {
+            arrive();
         }
     }
 
     /** The hello is whole, so all is known that rules may ask for. */
     private void arrive() {
-        state = State.OWED;
-        transaction = new Transaction(this, this, front.arrival(keyedBy.toString()), QuicFront.origin(client, opening), heardMs,
-                false);
-        opening = null;
+        transaction = new Transaction(this, this, front.arrival(machine.keyedBy().toString()),
+                QuicFront.origin(current.client(), machine.takeOpening()), front.clock.nowMs(), false);
         front.core.arrived(transaction);
     }
 
-    /** More of a client whose hello is not whole yet. */
-    private void more(byte[] datagram, List<Packet> packets) {
-        try {
-            boolean sound = opening.take(packets);
-            if (opening.closes()) {
-                opened();
-                end();
-                return;
-            }
-            if (!sound && packets.get(0).type() == Packet.Type.INITIAL) {
-                return;
-            }
-        } catch (BadPacket e) {
-            opened();
-            answer(InitialFrames.PROTOCOL_VIOLATION, "not a client hello");
-            return;
+    /** A connection that stands at that member already, though this node knows nothing else of it. */
+    void carryOn(String member) {
+        number(machine.current(), member);
+        transaction = new Transaction(this, this, front.arrival(machine.current().toString()),
+                QuicFront.origin(current.client(), null), front.clock.nowMs(), true);
+        front.core.alreadyOpen(transaction, member);
+    }
+
+    // ---- What the client sends ----
+
+    void fromClient(ClientPath path, byte[] datagram, List<Packet> packets) {
+        double nowMs = front.clock.nowMs();
+        current = path;
+        path.heard(nowMs);
+        boolean waited = machine.stage() == ConnectionMachine.Stage.OPENING;
+        ConnectionMachine.Step step = machine.fromClient(datagram, packets, nowMs);
+        if (waited && step != ConnectionMachine.Step.HOLD && step != ConnectionMachine.Step.DROP) {
+            front.waits(-1);
         }
-        if (first.size() < front.limits.quic().firstDatagrams()) {
-            first.add(datagram);
+        if (machine.proven()) {
+            proven();
         }
-        if (opening.hello() != null && front.arrival("") != null) {
-            front.waits(-1);
-            arrive();
-        } else if (opening.hello() != null || first.size() >= front.limits.quic().firstDatagrams()) {
-            neverWhole();
+        switch (step) {
+            case PASS -> toMember(path, datagram, nowMs);
+            case REPEAT -> repeatAnswer(datagram.length);
+            case ARRIVE -> {
+                if (front.arrival("") == null) {
+                    answer(InitialFrames.INTERNAL_ERROR, "an unknown class");
+                } else {
+                    arrive();
+                }
+            }
+            case BAD_HELLO -> answer(InitialFrames.PROTOCOL_VIOLATION, "not a client hello");
+            case NEVER_WHOLE -> neverWhole();
+            case TAKEN_BACK -> {
+                if (transaction != null) {
+                    front.core.clientLeft(transaction);
+                }
+                end();
+            }
+            default -> { }
         }
     }
 
     /** A hello that passed a bound, in time or in datagrams. */
     private void neverWhole() {
-        opened();
-        front.counted.count(QuicFigures.Figure.HELLO_NEVER_WHOLE);
+        front.counted.count(Figure.HELLO_NEVER_WHOLE);
         answer(InitialFrames.CONNECTION_REFUSED, "no whole hello");
     }
 
-    /** Nothing more is waited for. */
-    private void opened() {
-        state = State.OWED;
-        opening = null;
-        front.waits(-1);
+    /** A client that missed its one answer and sends again is given the same; nothing is begun anew. */
+    private void repeatAnswer(int length) {
+        if (answer != null) {
+            toClient(current, answer);
+        } else if (machine.maySend(LONGEST_REPLY)) {
+            front.reset(current, machine.current(), length);
+        }
     }
 
-    /** A connection that stands at that member already, though this node knows nothing else of it. */
-    void carryOn(String member, byte[] datagram, List<Packet> packets) {
-        first.add(datagram);
-        pastInitial = true;
-        transaction = new Transaction(this, this, front.arrival(current.toString()), QuicFront.origin(client, null), heardMs,
-                true);
-        front.core.alreadyOpen(transaction, member);
+    private void toMember(ClientPath path, byte[] datagram, double nowMs) {
+        if (path.side() == null && machine.stage() == ConnectionMachine.Stage.STANDING) {
+            path.side(FlowSide.further(front, flow, d -> fromMember(path, d)));
+        }
+        if (path.side() != null) {
+            path.side().send(datagram, nowMs);
+        }
     }
 
-    // ---- What the client sends ----
+    // ---- Paths ----
 
-    void fromClient(InetSocketAddress from, byte[] datagram, List<Packet> packets) {
-        heardMs = front.clock.nowMs();
-        // A client that came to another port or network is the same client: only its return address changes.
-        front.moved(client, from, this);
-        client = from;
-        if (state == State.ANSWERED) {
-            repeatAnswer(datagram.length);
-            return;
-        }
-        if (state == State.OPENING) {
-            more(datagram, packets);
-            return;
-        }
-        if (state == State.OWED && leaves(packets.get(0))) {
-            front.core.clientLeft(transaction);
-            end();
-            return;
-        }
-        if (packets.get(0).type() == Packet.Type.INITIAL) {
-            // With compatible negotiation the client goes over to the version that its server chose (RFC 9368).
-            version = Version.of(packets.get(0).version());
-        }
-        Packet.Type type = packets.get(packets.size() - 1).type();
-        pastInitial |= type == Packet.Type.HANDSHAKE || type == Packet.Type.SHORT;
-        current = packets.get(0).destination();
-        if (pastInitial && !current.equals(keyedBy)) {
-            // It has what was sent to its address: an id that its server chose.
-            proven();
-        }
-        if (state == State.OWED && first.size() < front.limits.quic().firstDatagrams()) {
-            first.add(datagram);
-        }
-        toMember(datagram);
+    /** Whether its client has sent what only follows on Initial packets. */
+    boolean isPastInitial() {
+        return !machine.readsInitials();
     }
 
-    /** A client that missed its one answer and sends again is given the same; nothing is begun anew. */
-    private void repeatAnswer(int length) {
-        if (answer != null) {
-            front.send(client, answer);
-        } else {
-            front.reset(client, current, length);
+    /**
+     * The path of this connection at that address: for an id that came there first, a path of its own, so that the member sees
+     * two and answers each where it belongs.
+     */
+    ClientPath path(DatagramPort listener, InetSocketAddress client, ConnectionId id) {
+        ClientPath path = paths.stream().filter(p -> p.isAt(listener, client)).findFirst().orElse(null);
+        if (path == null) {
+            if (paths.size() >= front.limits.quic().paths()) {
+                close(paths.stream().filter(p -> p != current)
+                        .min((a, b) -> Double.compare(a.heardMs(), b.heardMs())).orElseThrow());
+            }
+            path = new ClientPath(this, listener, client, front.clock.nowMs());
+            paths.add(path);
+            front.table.at(path.way(), path);
+            front.counted.count(Figure.PATHS_OPENED);
         }
+        learn(id, path);
+        return path;
     }
 
-    /** Whether this is the Initial of a client that takes its wish back. */
-    private boolean leaves(Packet p) {
-        try {
-            return p.type() == Packet.Type.INITIAL
-                    && InitialFrames.read(InitialKeys.client(Version.of(p.version()), keyedBy).open(p)).closes();
-        } catch (BadPacket e) {
-            return false;
+    /** What led to a path that is gone leads to the one where the client is. */
+    private void close(ClientPath path) {
+        paths.remove(path);
+        path.side(null);
+        front.table.leaves(path.way(), path);
+        ids.all().stream().filter(id -> front.table.path(id) == path).forEach(id -> front.table.lead(id, current));
+    }
+
+    /** The client of that path is heard elsewhere, under an id that it used before: its network has given it another address. */
+    ClientPath rebind(ClientPath path, DatagramPort listener, InetSocketAddress client, ConnectionId id) {
+        for (ClientPath p : paths) {
+            if (p.isAt(listener, client)) {
+                front.table.lead(id, p);
+                return p;
+            }
         }
+        front.counted.count(Figure.REBINDS);
+        front.table.leaves(path.way(), path);
+        path.move(listener, client);
+        front.table.at(path.way(), path);
+        return path;
     }
 
-    private void toMember(byte[] datagram) {
-        if (side != null) {
-            side.send(datagram, heardMs);
+    /** To the client; an address that nothing has proved is sent no more than three times what came from it. */
+    private void toClient(ClientPath path, byte[] datagram) {
+        if (machine.maySend(datagram.length)) {
+            path.send(datagram);
+        } else {
+            front.counted.count(Figure.DROPPED_AMPLIFICATION);
         }
     }
 
@@ -221,55 +218,53 @@
      * is left, which it accepts once it has learnt its tokens in the handshake.
      */
     private void answer(int code, String reason) {
-        if (state == State.ANSWERED) {
+        if (machine.stage() == ConnectionMachine.Stage.ANSWERED) {
             return;
         }
-        end();
-        if (!pastInitial && clientId != null) {
-            answer = closing(version, keyedBy, clientId, code, reason);
-            front.send(client, answer);
-        } else {
-            front.reset(client, current, LONGEST_REPLY + 1);
+        if (machine.readsInitials()) {
+            answer = machine.closing(code, reason);
+            toClient(current, answer);
+        } else if (machine.maySend(LONGEST_REPLY)) {
+            front.reset(current, machine.current(), LONGEST_REPLY + 1);
         }
+        end();
     }
 
     private void proven() {
-        front.unproven(unproven ? -1 : 0);
-        unproven = false;
+        front.unproven(countedUnproven ? -1 : 0);
+        countedUnproven = false;
     }
 
     private void end() {
         proven();
-        state = State.ANSWERED;
-        answeredMs = front.clock.nowMs();
-        first.clear();
-        closePort();
+        machine.answered(front.clock.nowMs());
+        closeSides();
     }
 
-    private void closePort() {
-        if (side != null) {
-            side.close();
-            side = null;
-        }
+    private void closeSides() {
+        paths.forEach(p -> p.side(null));
     }
 
     // ---- Flows ----
 
     @Override
-    public void open(ServerSideFlow flow) {
-        this.flow = flow;
-        side = FlowSide.open(front, flow, this::fromMember);
+    public void open(ServerSideFlow opened) {
+        flow = opened;
+        ClientPath path = current;
+        FlowSide side = FlowSide.open(front, opened, d -> fromMember(path, d));
+        path.side(side);
         if (side == null) {
             return;
         }
-        List.copyOf(first).forEach(this::toMember);
+        double nowMs = front.clock.nowMs();
+        machine.first().forEach(d -> side.send(d, nowMs));
         front.core.dispatched();
     }
 
     @Override
     public void giveUp(ServerSideFlow given) {
         if (flow == given) {
-            closePort();
+            closeSides();
         }
     }
 
@@ -280,116 +275,124 @@
 
     // ---- What the member sends ----
 
-    private void fromMember(byte[] datagram) {
+    private void fromMember(ClientPath path, byte[] datagram) {
         List<Packet> packets;
         try {
-            packets = Packet.read(datagram, clientId == null ? 0 : clientId.length());
+            packets = Packet.read(datagram, machine.clientIdLength());
         } catch (BadPacket e) {
             return;
         }
-        heardMs = front.clock.nowMs();
-        side.answered();
-        if (state == State.OWED && !begins(packets)) {
+        ConnectionMachine.Step step = machine.fromMember(packets, front.clock.nowMs());
+        if (step == ConnectionMachine.Step.DROP || path.side() == null) {
             return;
         }
-        for (Packet p : packets) {
-            boolean fromServer = p.type() == Packet.Type.INITIAL || p.type() == Packet.Type.HANDSHAKE;
-            if (fromServer && !ids.contains(p.source())) {
-                learn(p.source());
+        path.side().answered();
+        switch (step) {
+            case REFUSED, FAILED -> {
+                closeSides();
+                front.core.ended(flow, step == ConnectionMachine.Step.REFUSED ? Outcome.FULL : Outcome.ERROR);
+                return;
             }
-        }
-        front.send(client, datagram);
-    }
-
-    /** Before the connection stands: whether what the member sent makes it stand, and goes to the client. */
-    private boolean begins(List<Packet> packets) {
-        Packet p = packets.get(0);
-        if (transaction.stoodBefore()) {
-            return stands();
-        }
-        switch (p.type()) {
-            case RETRY -> {
-                // The client begins again under the id that the server chose, and its keys follow from that.
-                keyedBy = p.source();
-                learn(p.source());
-                first.clear();
-                front.send(client, p.datagram());
-                return false;
+            case RETRIED -> {
+                learn(packets.get(0).source(), path);
+                toClient(path, packets.get(0).datagram());
+                return;
             }
-            case INITIAL -> {
-                InitialFrames frames;
-                try {
-                    frames = InitialFrames.read(InitialKeys.server(Version.of(p.version()), keyedBy).open(p));
-                } catch (BadPacket e) {
-                    return false;
-                }
-                if (!frames.closes()) {
-                    return stands();
+            case BEGIN -> {
+                if (!front.core.up(flow)) {
+                    return;
                 }
-                closePort();
-                front.core.ended(flow, frames.closeCode() == InitialFrames.CONNECTION_REFUSED
-                        ? Outcome.FULL : Outcome.ERROR);
-                return false;
-            }
-            case HANDSHAKE, SHORT -> {
-                return stands();
+                machine.stands();
             }
-            default -> {
-                closePort();
-                front.core.ended(flow, Outcome.ERROR);
-                return false;
+            default -> { }
+        }
+        for (Packet p : packets) {
+            boolean fromServer = p.type() == Packet.Type.INITIAL || p.type() == Packet.Type.HANDSHAKE;
+            if (fromServer && !ids.has(p.source())) {
+                learn(p.source(), path);
+                number(p.source(), flow.member().id());
             }
         }
-    }
-
-    private boolean stands() {
-        if (!front.core.up(flow)) {
-            return false;
+        toClient(path, datagram);
+        if (packets.get(0).type() == Packet.Type.SHORT && ids.resets(datagram, front.resets())) {
+            // The server has lost its state. The client has the reset; what it still sends is answered here.
+            front.counted.count(Figure.RESETS_PASSED);
+            end();
+            front.core.ended(flow, Outcome.RESET);
         }
-        state = State.STANDING;
-        first.clear();
-        return true;
     }
 
     /** Whether it stands at that member. */
     boolean standsAt(String member) {
-        return state == State.STANDING && flow.member().id().equals(member);
+        return machine.stage() == ConnectionMachine.Stage.STANDING && flow.member().id().equals(member);
+    }
+
+    /** Its flow; for tests. */
+    ServerSideFlow flow() {
+        return flow;
     }
 
-    /** One more id that leads here. */
-    void learn(ConnectionId id) {
-        if (id.length() == 0 || !front.learn(id, this)) {
+    /** Places that its paths have at the member; for tests. */
+    int places() {
+        return (int) paths.stream().filter(p -> p.side() != null).count();
+    }
+
+    /** The server's number of it, or -1 where its ids tell none. */
+    long number() {
+        return number;
+    }
+
+    /** One more id that leads here, by that path. */
+    void learn(ConnectionId id, ClientPath path) {
+        if (id.length() == 0 || !front.table.learn(id, path)) {
             return;
         }
         ids.add(id);
-        if (ids.size() > front.limits.quic().ids()) {
-            front.forget(ids.poll(), this);
+        if (ids.count() > front.limits.quic().ids()) {
+            front.table.forget(ids.poll(), this);
+        }
+    }
+
+    /** An id that the server at that member chose may tell how it numbers the connection. */
+    private void number(ConnectionId id, String member) {
+        IdConfigurations.Place place = number < 0 ? front.place(id) : null;
+        if (place != null && place.connection() >= 0 && place.member().equals(member)) {
+            number = place.connection();
+            numberedAt = member;
+            front.table.number(member, number, this);
         }
     }
 
     // ---- Age ----
 
     void lookAtAge(double nowMs) {
-        double idleMs = nowMs - heardMs;
-        if (state == State.ANSWERED) {
-            if (nowMs - answeredMs > front.limits.quic().answeredMs()) {
+        for (ClientPath p : paths) {
+            if (p != current && p.side() != null && nowMs - p.heardMs() > front.limits.quic().pathIdleMs()) {
+                p.side(null);
+            }
+        }
+        FlowSide side = current.side();
+        switch (machine.tick(nowMs, side != null && side.silent(nowMs))) {
+            case FORGET -> forget();
+            case NEVER_WHOLE -> {
+                front.waits(-1);
+                neverWhole();
+            }
+            case SILENT -> front.core.silent(flow);
+            case IDLE -> {
+                // How it ended cannot be seen: its last packets could not be read.
+                front.core.ended(flow, Outcome.OK);
+                end();
                 forget();
             }
-        } else if (state == State.OPENING && nowMs - openedMs > front.limits.quic().openingMs()) {
-            neverWhole();
-        } else if (state == State.STANDING && side != null && side.silent(nowMs)) {
-            front.core.silent(flow);
-        } else if (state == State.STANDING && idleMs > front.limits.quic().idleMs()) {
-            // How it ended cannot be seen: its last packets could not be read.
-            front.core.ended(flow, Outcome.OK);
-            end();
-            forget();
+            default -> { }
         }
     }
 
     private void forget() {
-        ids.forEach(id -> front.forget(id, this));
-        ids.clear();
-        front.closed(this, client);
+        ids.all().forEach(id -> front.table.forget(id, this));
+        paths.forEach(p -> front.table.leaves(p.way(), p));
+        front.table.forgetNumber(numberedAt, number, this);
+        front.closed(this);
     }
 }
--- a/src/main/java/tulipshed/quic/RetryPacket.java
+++ b/src/main/java/tulipshed/quic/RetryPacket.java
@@ -8,6 +8,7 @@
 import javax.crypto.Cipher;
 import javax.crypto.spec.GCMParameterSpec;
 import javax.crypto.spec.SecretKeySpec;
+import tulipshed.connectionid.ConnectionId;
 
 /** Retry packets with their integrity tag (RFC 9000 section 17.2.5, RFC 9001 section 5.8, RFC 9369 section 3.3.3). */
 final class RetryPacket {
--- a/src/main/java/tulipshed/quic/RetryTokens.java
+++ b/src/main/java/tulipshed/quic/RetryTokens.java
@@ -10,6 +10,7 @@
 import javax.crypto.Cipher;
 import javax.crypto.spec.GCMParameterSpec;
 import javax.crypto.spec.SecretKeySpec;
+import tulipshed.connectionid.ConnectionId;
 import tulipshed.expression.Network;
 
 /**
--- a/src/test/java/tulipshed/quic/AddressTest.java
+++ b/src/test/java/tulipshed/quic/AddressTest.java
@@ -13,6 +13,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import tulipshed.connectionid.ConnectionId;
+import tulipshed.connectionid.ServerIds;
 import tulipshed.testing.Cuts;
 
 /** Proof of addresses: tokens, Retry packets, and when they are asked for. */
@@ -83,14 +85,14 @@
         IdConfigurations ids = new IdConfigurations().with(zero, Map.of("000001", "a")).with(six, Map.of("0000000000000001", "b"));
         ConnectionId a = zero.id(new byte[] {0, 0, 1}, new byte[4]);
         ConnectionId b = six.id(new byte[] {0, 0, 0, 0, 0, 0, 0, 1}, new byte[8]);
-        assertEquals("a", ids.member(a));
-        assertEquals("b", ids.member(b));
+        assertEquals("a", ids.place(a).member());
+        assertEquals("b", ids.place(b).member());
         assertEquals(8, ids.length(a.bytes()[0] & 0xFF));
         assertEquals(17, ids.length(b.bytes()[0] & 0xFF));
         assertEquals(10, ids.length(0xE0 | 9));
         assertEquals(5, ids.length(0x20 | 4), "a configuration that is not known");
-        assertNull(ids.member(new ConnectionId(HEX.parseHex("e9000001000000000000"))));
-        assertNull(ids.member(new ConnectionId(new byte[0])));
+        assertNull(ids.place(new ConnectionId(HEX.parseHex("e9000001000000000000"))));
+        assertNull(ids.place(new ConnectionId(new byte[0])));
         byte[] shortPacket = StandIns.shortPacket(b, 1);
         assertArrayEquals(b.bytes(), Packet.read(shortPacket, ids::length).get(0).destination().bytes());
     }
--- /dev/null
+++ b/src/test/java/tulipshed/quic/FrontSetup.java
@@ -0,0 +1,177 @@
+package tulipshed.quic;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import tulipshed.config.NodeConfig;
+import tulipshed.connectionid.ServerIdGenerator;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.quic.StandIns.Client;
+import tulipshed.quic.StandIns.Client.Heard;
+import tulipshed.quic.StandIns.Server;
+import tulipshed.quic.StandIns.Server.Manner;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.ListedMember;
+import tulipshed.transaction.TransactionCore;
+
+/** A front, or several, with the real core and module between stand-in servers on loopback. */
+abstract class FrontSetup {
+    final List<Server> servers = new ArrayList<>();
+    private final List<Node> nodes = new ArrayList<>();
+    XnioLoop loop;
+    TransactionCore core;
+    QuicFront front;
+    double deadlineMs = 1200;
+    int mostSessions = 100;
+    double idleMs = 5000;
+    double pathIdleMs = 400;
+    double seatQuietMs = 5000;
+    int descriptors = 1024;
+    RetryTokens tokens;
+    RetryPolicy policy;
+
+    interface Task<T> {
+        T run() throws IOException;
+    }
+
+    /** One node's parts. */
+    record Node(XnioLoop loop, TransactionCore core, QuicFront front) { }
+
+    static <T> T onLoop(XnioLoop loop, Task<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.afterGathering(() -> {
+            try {
+                result.complete(task.run());
+            } catch (IOException | RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.join();
+    }
+
+    <T> T onLoop(Task<T> task) {
+        return onLoop(loop, task);
+    }
+
+    long counted(QuicFigures.Figure figure) {
+        return onLoop(() -> front.counted.get(figure));
+    }
+
+    private Limits limits() {
+        Limits l = Limits.forDescriptors(descriptors);
+        Limits.Quic q = l.quic();
+        return l.with(new Limits.Quic(q.datagramBytes(), mostSessions, q.ids(), q.firstDatagrams(), idleMs, Math.min(idleMs, 5000),
+                q.unanswered(), q.helloBytes(), 300, 4, q.paths(), pathIdleMs, seatQuietMs, q.readsAtOnce(), q.receiveBytes()));
+    }
+
+    IdConfigurations ids() {
+        Map<String, String> members = new HashMap<>();
+        for (int i = 0; i < servers.size(); i++) {
+            members.put(HexFormat.of().formatHex(servers.get(i).id), "s-" + (i + 1));
+        }
+        return new IdConfigurations().with(StandIns.IDS, members).with(StandIns.NUMBERED, members);
+    }
+
+    private QuicConfig config(InetSocketAddress listen, IdConfigurations ids) {
+        return new QuicConfig(listen, listen, "slot-booking", "vltava-kontejner", deadlineMs, ids, StandIns.RESET, tokens, policy);
+    }
+
+    /** Starts servers and the node that the test is about. */
+    void front(Manner... manners) throws IOException {
+        for (Manner manner : manners) {
+            servers.add(new Server(servers.size() + 1, manner));
+        }
+        Node node = node();
+        loop = node.loop;
+        core = node.core;
+        front = node.front;
+    }
+
+    /** The same with servers that number their connections. */
+    void numberedFront(int count) throws IOException {
+        Manner[] manners = new Manner[count];
+        java.util.Arrays.fill(manners, Manner.SERVES);
+        front(manners);
+        for (Server s : servers) {
+            s.generator = new ServerIdGenerator(StandIns.NUMBERED, s.id);
+        }
+    }
+
+    /** One more node before the same servers. */
+    Node node() throws IOException {
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        XnioLoop started = new XnioLoop(limits());
+        Node node = onLoop(started, () -> {
+            TransactionCore c = new TransactionCore(new SystemClock(), limits(), config.settings(), 1, started, text -> { },
+                    Balancer::new);
+            return new Node(started, c, new QuicFront(new SystemClock(), limits(),
+                    config(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ids()), config.names(), started, c,
+                    text -> { }));
+        });
+        nodes.add(node);
+        for (int i = 0; i < servers.size(); i++) {
+            tell(node, i, ServerState.SERVING);
+        }
+        return node;
+    }
+
+    void configure(IdConfigurations changed) {
+        onLoop(() -> {
+            front.reconfigure(config(front.address(), changed));
+            return null;
+        });
+    }
+
+    /** Discovery's news of one server, to every node. */
+    void tell(int i, ServerState state) {
+        nodes.forEach(n -> tell(n, i, state));
+    }
+
+    private void tell(Node node, int i, ServerState state) {
+        ServerEntry entry = new ServerEntry("s-" + (i + 1), state, "decin", 0, "std-2c", 1, 0);
+        onLoop(node.loop, () -> {
+            node.core.members(ListKind.CHANGES, List.of(new ListedMember(entry, servers.get(i).address())));
+            return null;
+        });
+    }
+
+    /** Waits until the loop has read so many datagrams of clients: what was sent may still be in the kernel. */
+    void taken(long datagrams) {
+        while (counted(QuicFigures.Figure.DATAGRAMS) < datagrams) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Which server serves the client. */
+    int holder(Client client) {
+        for (int i = 0; i < servers.size(); i++) {
+            if (servers.get(i).conns.containsKey(client.server)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    static Heard open(Client client) throws IOException {
+        client.send(client.initial());
+        return client.hear();
+    }
+
+    @AfterEach
+    void stop() {
+        servers.forEach(Server::close);
+        nodes.forEach(n -> n.loop.stop());
+    }
+}
--- a/src/test/java/tulipshed/quic/HelloTest.java
+++ b/src/test/java/tulipshed/quic/HelloTest.java
@@ -17,6 +17,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import tulipshed.connectionid.ConnectionId;
 import tulipshed.testing.Cuts;
 
 /** Client hellos in pieces, and the versions that carry them. */
--- a/src/test/java/tulipshed/quic/KwikTest.java
+++ b/src/test/java/tulipshed/quic/KwikTest.java
@@ -156,7 +156,7 @@
                     "std-2c", 1, 0), (InetSocketAddress) socket.getLocalSocketAddress())));
             try {
                 front = new QuicFront(new SystemClock(), Limits.forDescriptors(1024), new QuicConfig(
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking", "vltava-kontejner", 4000,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null, "slot-booking", "vltava-kontejner", 4000,
                         new IdConfigurations().with(StandIns.IDS, Map.of()), StandIns.RESET, null, null), config.names(), loop,
                         core, l -> { });
             } catch (IOException e) {
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -10,116 +10,21 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tulipshed.config.NodeConfig;
-import tulipshed.decision.Balancer;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.connectionid.ConnectionId;
+import tulipshed.connectionid.ServerIds;
 import tulipshed.decision.BalancerApi.ServerState;
-import tulipshed.limits.Limits;
 import tulipshed.link.DatagramPort;
-import tulipshed.link.XnioLoop;
 import tulipshed.quic.StandIns.Client;
 import tulipshed.quic.StandIns.Client.Heard;
 import tulipshed.quic.StandIns.Server;
 import tulipshed.quic.StandIns.Server.Manner;
-import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
 
 /** The second front with the real core and module between stand-in clients and servers on loopback. */
-class QuicFrontTest {
-    private final List<Server> servers = new ArrayList<>();
-    private XnioLoop loop;
-    private TransactionCore core;
-    private QuicFront front;
-    private double deadlineMs = 1200;
-    private int mostSessions = 100;
-    private double idleMs = 5000;
-
-    private interface Task<T> {
-        T run() throws IOException;
-    }
-
-    private <T> T onLoop(Task<T> task) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        loop.afterGathering(() -> {
-            try {
-                result.complete(task.run());
-            } catch (IOException | RuntimeException e) {
-                result.completeExceptionally(e);
-            }
-        });
-        return result.join();
-    }
-
-    private RetryTokens tokens;
-    private RetryPolicy policy;
-
-    @BeforeEach
-    void start() throws IOException {
-        loop = new XnioLoop(Limits.forDescriptors(1024));
-    }
-
-    private void front(Manner... manners) throws IOException {
-        Map<String, String> members = new HashMap<>();
-        for (Manner manner : manners) {
-            Server server = new Server(servers.size() + 1, manner);
-            servers.add(server);
-            members.put(HexFormat.of().formatHex(server.id), "s-" + servers.size());
-        }
-        Map<String, String> environment = Map.of("PROXY_CONFIG", "src/test/resources/node.json");
-        NodeConfig config = NodeConfig.load(environment);
-        Limits l = Limits.forDescriptors(1024);
-        Limits.Quic q = l.quic();
-        Limits limits = l.with(new Limits.Quic(q.datagramBytes(), mostSessions, q.ids(), q.firstDatagrams(), idleMs, idleMs,
-                q.unanswered(), q.helloBytes(), 300, 4));
-        front = onLoop(() -> {
-            core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, text -> { }, Balancer::new);
-            QuicConfig quic = new QuicConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), "slot-booking",
-                    "vltava-kontejner",                    deadlineMs,
-                    new IdConfigurations().with(StandIns.IDS, members), StandIns.RESET, tokens, policy);
-            return new QuicFront(new SystemClock(), limits, quic, config.names(), loop, core, text -> { });
-        });
-        for (int i = 0; i < servers.size(); i++) {
-            tell(i, ServerState.SERVING);
-        }
-    }
-
-    /** Discovery's news of one server. */
-    private void tell(int i, ServerState state) {
-        ServerEntry entry = new ServerEntry("s-" + (i + 1), state, "decin", 0, "std-2c", 1, 0);
-        onLoop(() -> {
-            core.members(ListKind.CHANGES, List.of(new ListedMember(entry, servers.get(i).address())));
-            return null;
-        });
-    }
-
-    @AfterEach
-    void stop() {
-        servers.forEach(Server::close);
-        loop.stop();
-    }
-
-    /** Waits until the loop has read so many datagrams of clients: what was sent may still be in the kernel. */
-    private void taken(long datagrams) {
-        while (onLoop(() -> front.counted.get(QuicFigures.Figure.DATAGRAMS)) < datagrams) {
-            Thread.onSpinWait();
-        }
-    }
-
-    private Heard open(Client client) throws IOException {
-        client.send(client.initial());
-        return client.hear();
-    }
-
+class QuicFrontTest extends FrontSetup {
     @Test
     void aClientThatRebindsKeepsItsConnectionAndItsServerSeesOneAddress() throws IOException {
         front(Manner.SERVES);
@@ -134,7 +39,7 @@
             }
         }
         assertEquals(1, servers.get(0).initials.get());
-        assertEquals(1, servers.get(0).firstAddresses.get());
+        assertEquals(1, servers.get(0).addresses.size());
     }
 
     @Test
@@ -313,14 +218,6 @@
         }
     }
 
-    private void configure(IdConfigurations ids) {
-        onLoop(() -> {
-            front.reconfigure(new QuicConfig(front.address(), "slot-booking", "vltava-kontejner", deadlineMs, ids, StandIns.RESET,
-                    tokens, policy));
-            return null;
-        });
-    }
-
     /** RFC 9368: the server answers in another version than the client began with, under keys of that version. */
     @Test
     void aServerMayGoOverToVersionTwo() throws IOException {
@@ -442,9 +339,7 @@
     /** Without this the want of descriptors would look like a member that cannot be reached. */
     @Test
     void aFlowWithoutADescriptorIsTurnedAwayAndNotCountedAgainstTheServer() throws IOException {
-        loop.stop();
-        Limits few = Limits.forDescriptors(64 + 32 + 4);
-        loop = new XnioLoop(few);
+        descriptors = 64 + 32 + 4 + 2;
         front(Manner.SERVES);
         tell(0, ServerState.DRAINING);
         try (Client client = new Client(front.address(), 17)) {
@@ -535,7 +430,7 @@
             client.sendNumber(3);
             assertEquals(new Heard("number", 3), client.hear());
             assertEquals(1, (int) onLoop(front::sessionCount));
-            assertEquals(1, servers.get(0).firstAddresses.get());
+            assertEquals(1, servers.get(0).addresses.size());
         }
     }
 
--- a/src/test/java/tulipshed/quic/QuicParserTest.java
+++ b/src/test/java/tulipshed/quic/QuicParserTest.java
@@ -16,6 +16,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import tulipshed.connectionid.ConnectionId;
+import tulipshed.connectionid.ServerIds;
+import tulipshed.connectionid.StatelessReset;
 import tulipshed.testing.Cuts;
 
 class QuicParserTest {
@@ -45,9 +48,9 @@
         byte[] key = HEX.parseHex("8f95f09245765f80256934e50c66207f");
         ServerIds ids = new ServerIds(configuration, server.length() / 2, nonce.length() / 2, key);
         assertEquals(id, ids.id(HEX.parseHex(server), HEX.parseHex(nonce)).toString());
-        assertEquals(server, HEX.formatHex(ids.server(new ConnectionId(HEX.parseHex(id)))));
+        assertEquals(server, ids.read(new ConnectionId(HEX.parseHex(id))).server());
         assertNull(new ServerIds(configuration + 1, server.length() / 2, nonce.length() / 2, key)
-                .server(new ConnectionId(HEX.parseHex(id))), "an id of another configuration");
+                .read(new ConnectionId(HEX.parseHex(id))), "an id of another configuration");
     }
 
     private static byte[] initial(byte[] frames) {
--- a/src/test/java/tulipshed/quic/StandIns.java
+++ b/src/test/java/tulipshed/quic/StandIns.java
@@ -6,15 +6,28 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.net.SocketAddress;
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import tulipshed.connectionid.ConnectionId;
+import tulipshed.connectionid.ServerIdGenerator;
+import tulipshed.connectionid.ServerIds;
+import tulipshed.connectionid.StatelessReset;
 
 /** Stand-in ends of QUIC on loopback: as much of the specification as a path without keys can see. */
 final class StandIns {
     static final ServerIds IDS = new ServerIds(0, 3, 4, HexFormat.of().parseHex("8f95f09245765f80256934e50c66207f"));
+    /** The same servers, numbering their connections. */
+    static final ServerIds NUMBERED = new ServerIds(2, 3, 8, 4, HexFormat.of().parseHex("00112233445566778899aabbccddeeff"));
+    /** Numbers from here on are probes of a path. */
+    static final int PROBE = 1_000_000;
     static final StatelessReset RESET = new StatelessReset("a key shared by all".getBytes());
 
     /** A small hello that names a server and a protocol. */
@@ -66,21 +79,45 @@
         /** How it takes an Initial. */
         enum Manner { SERVES, REFUSES, FAILS, SILENT, RETRIES }
 
+        /** One connection: its client's id, where it was last heard, and how the server makes its ids. */
+        static final class Conn {
+            final ConnectionId clientId;
+            final ServerIdGenerator.Connection ids;
+            volatile SocketAddress active;
+
+            Conn(ConnectionId clientId, ServerIdGenerator.Connection ids) {
+                this.clientId = clientId;
+                this.ids = ids;
+            }
+        }
+
         final byte[] id;
-        final DatagramSocket socket = socket(0);
+        final DatagramSocket socket;
         final List<Integer> numbers = new CopyOnWriteArrayList<>();
         final AtomicInteger initials = new AtomicInteger();
-        final AtomicInteger firstAddresses = new AtomicInteger();
-        volatile IdConfigurations ids = new IdConfigurations().with(IDS, java.util.Map.of());
+        /** All addresses from which it was ever sent something. */
+        final Set<SocketAddress> addresses = ConcurrentHashMap.newKeySet();
+        final Map<ConnectionId, Conn> conns = new ConcurrentHashMap<>();
+        volatile IdConfigurations ids = new IdConfigurations().with(IDS, Map.of()).with(NUMBERED, Map.of());
         volatile Manner manner;
         /** The version that it chooses whatever the client began with, or null. */
         volatile Version answers;
-        private InetSocketAddress lastFrom;
-        private ConnectionId clientId;
+        /** Numbers its connections where this is set. */
+        volatile ServerIdGenerator generator;
+        /** How long it was after a drain was told that something still came; kept by whoever tells of the drain. */
+        volatile long drainedNs;
+        volatile long latestNs;
+        private volatile Conn last;
 
         Server(int id, Manner manner) throws IOException {
+            this(id, manner, socket(0));
+        }
+
+        /** One that comes back at the address of another, and knows nothing of what was there. */
+        Server(int id, Manner manner, DatagramSocket socket) {
             this.id = new byte[] {0, 0, (byte) id};
             this.manner = manner;
+            this.socket = socket;
             Thread thread = new Thread(this::run);
             thread.setDaemon(true);
             thread.start();
@@ -95,14 +132,13 @@
             try {
                 while (true) {
                     byte[] datagram = receive(socket, in);
+                    latestNs = drainedNs == 0 ? 0 : System.nanoTime() - drainedNs;
+                    SocketAddress from = in.getSocketAddress();
                     Packet p = Packet.read(datagram, ids::length).get(0);
-                    if (!in.getSocketAddress().equals(lastFrom)) {
-                        lastFrom = (InetSocketAddress) in.getSocketAddress();
-                        firstAddresses.incrementAndGet();
-                    }
-                    byte[] answer = p.type() == Packet.Type.INITIAL ? initial(p) : later(p, datagram);
+                    addresses.add(from);
+                    byte[] answer = p.type() == Packet.Type.INITIAL ? initial(p, from) : later(p, datagram, from);
                     if (answer != null) {
-                        socket.send(new DatagramPacket(answer, answer.length, lastFrom));
+                        socket.send(new DatagramPacket(answer, answer.length, from));
                     }
                 }
             } catch (IOException closed) {
@@ -110,29 +146,53 @@
             }
         }
 
-        private byte[] initial(Packet p) {
+        private byte[] initial(Packet p, SocketAddress from) {
             InitialFrames.read(InitialKeys.client(Version.of(p.version()), p.destination()).open(p));
             initials.incrementAndGet();
-            clientId = p.source();
-            ConnectionId own = IDS.id(id, p.destination().bytes());
+            ServerIdGenerator.Connection numbered = generator == null ? null : generator.connection();
+            ConnectionId own = numbered != null ? numbered.next() : IDS.id(id, Arrays.copyOf(p.destination().bytes(), 4));
             if (manner == Manner.RETRIES && initials.get() == 1) {
-                return ByteBuffer.allocate(1 + 4 + 2 + clientId.length() + own.length() + 5 + 16).put((byte) 0xF0)
-                        .putInt(1).put((byte) clientId.length()).put(clientId.bytes()).put((byte) own.length())
+                return ByteBuffer.allocate(1 + 4 + 2 + p.source().length() + own.length() + 5 + 16).put((byte) 0xF0)
+                        .putInt(1).put((byte) p.source().length()).put(p.source().bytes()).put((byte) own.length())
                         .put(own.bytes()).array();
             }
+            last = new Conn(p.source(), numbered);
+            last.active = from;
+            conns.put(own, last);
             byte[] frames = switch (manner) {
                 case SERVES, RETRIES -> Arrays.copyOf(new byte[] {6, 0, 1, 2}, 100);
                 case REFUSES -> InitialFrames.close(InitialFrames.CONNECTION_REFUSED, "full");
                 case FAILS -> InitialFrames.close(0x128, "no");
                 case SILENT -> null;
             };
-            return frames == null ? null : InitialKeys.server(answers == null ? Version.of(p.version()) : answers, p.destination()).seal(clientId, own, 0, frames);
+            return frames == null ? null : InitialKeys.server(answers == null ? Version.of(p.version()) : answers, p.destination())
+                    .seal(p.source(), own, 0, frames);
+        }
+
+        private Conn conn(ConnectionId of) {
+            ServerIds.Lead lead = NUMBERED.read(of);
+            return lead == null ? conns.getOrDefault(of, last) : conns.values().stream()
+                    .filter(c -> c.ids != null && c.ids.number() == lead.connection()).findFirst().orElse(null);
         }
 
-        private byte[] later(Packet p, byte[] datagram) {
+        /** Answers on the path by which it was asked; only what is no probe moves the connection to another. */
+        private byte[] later(Packet p, byte[] datagram, SocketAddress from) {
             int number = ByteBuffer.wrap(datagram, p.packetNumberAt(), 4).getInt();
             numbers.add(number);
-            return clientId == null ? null : shortPacket(clientId, number);
+            Conn conn = conn(p.destination());
+            if (conn == null) {
+                return manner == Manner.SERVES ? RESET.datagram(p.destination(), datagram.length, new Random(number)) : null;
+            }
+            if (number < PROBE) {
+                conn.active = from;
+            }
+            return shortPacket(conn.clientId, number);
+        }
+
+        /** Sends by itself, where the client last was by what was no probe. */
+        void push(Conn conn, int number) throws IOException {
+            byte[] datagram = shortPacket(conn.clientId, number);
+            socket.send(new DatagramPacket(datagram, datagram.length, conn.active));
         }
 
         @Override
@@ -146,16 +206,25 @@
         /** What it hears: served, a number in return, a close with its code, a reset, or nothing. */
         record Heard(String what, int figure) { }
 
-        final ConnectionId own = new ConnectionId(new byte[] {9, 9, 9, 9});
+        final ConnectionId own;
         ConnectionId first;
         Version version = Version.V1;
         byte[] token = {};
         ConnectionId server;
-        private final InetSocketAddress node;
-        private DatagramSocket socket = socket(3000);
+        InetSocketAddress node;
+        /** Where the last datagram came from. */
+        SocketAddress from;
+        int heardBytes;
+        DatagramSocket socket = socket(3000);
 
         Client(InetSocketAddress node, int seed) throws IOException {
+            this(node, seed, ByteBuffer.allocate(4).putInt(seed).array());
+        }
+
+        /** One whose own id has these bytes; many clients have an empty one. */
+        Client(InetSocketAddress node, int seed, byte[] own) throws IOException {
             this.node = node;
+            this.own = new ConnectionId(own);
             first = new ConnectionId(ByteBuffer.allocate(8).putInt(seed).putInt(77).array());
         }
 
@@ -165,7 +234,7 @@
         }
 
         byte[] initial() {
-            return InitialKeys.client(version, first).seal(first, own, token, 0, Arrays.copyOf(crypto(0, HELLO), 1160));
+            return InitialKeys.client(version, first).seal(first, own, token, 0, Arrays.copyOf(crypto(0, HELLO), 1180));
         }
 
         void send(byte[] datagram) throws IOException {
@@ -176,10 +245,22 @@
             send(shortPacket(server, number));
         }
 
+        /** Leaves out what has come. */
+        void drain() throws IOException {
+            socket.setSoTimeout(20);
+            while (!hear().what().equals("nothing")) {
+                continue;
+            }
+            socket.setSoTimeout(3000);
+        }
+
         Heard hear() throws IOException {
             byte[] datagram;
             try {
-                datagram = receive(socket, new DatagramPacket(new byte[2048], 2048));
+                DatagramPacket in = new DatagramPacket(new byte[2048], 2048);
+                datagram = receive(socket, in);
+                from = in.getSocketAddress();
+                heardBytes = datagram.length;
             } catch (java.net.SocketTimeoutException e) {
                 return new Heard("nothing", 0);
             }
