--- a/src/test/java/tulipshed/quic/KwikTest.java
+++ b/src/test/java/tulipshed/quic/KwikTest.java
@@ -17,10 +17,12 @@
 import java.nio.file.Path;
 import java.security.KeyStore;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -56,7 +58,9 @@
     private XnioLoop loop;
     private TransactionCore core;
     private QuicFront front;
-    private ServerConnector server;
+    private final List<ServerConnector> servers = new ArrayList<>();
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final AtomicIntegerArray streams = new AtomicIntegerArray(2);
 
     /** A socket that can be changed for another beneath its owner, as a NAT does. */
     private static final class Rebinding extends DatagramSocket {
@@ -132,18 +136,9 @@
         try (InputStream in = Files.newInputStream(store)) {
             keys.load(in, "secret".toCharArray());
         }
-        DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        server = ServerConnector.builder().withPort(socket.getLocalPort()).withSocket(socket).withKeyStore(keys, "slots", "secret".toCharArray())
-                .withSupportedVersions(List.of(QuicVersion.V1, QuicVersion.V2)).withLogger(new NullLogger())
-                .withConfiguration(ServerConnectionConfig.builder().maxIdleTimeoutInSeconds(30)
-                        .maxOpenPeerInitiatedBidirectionalStreams(100).retryRequired(false).build()).build();
-        server.registerApplicationProtocol("slots", (protocol, connection) -> new ApplicationProtocolConnection() {
-            @Override
-            public void acceptPeerInitiatedStream(QuicStream stream) {
-                new Thread(() -> echo(stream)).start();
-            }
-        });
-        server.start();
+        for (int i = 0; i < 2; i++) {
+            serve(keys);
+        }
         loop = new XnioLoop(Limits.forDescriptors(1024));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         onLoop(() -> {
@@ -152,8 +147,7 @@
             core.route(OperatorsFile.read("f", ("(pool one (where true)) (route r (when (= (default server-name \"\") \"localhost\"))"
                     + "(to one)) (classify (rule r (when (= (default alpn \"\") \"slots\")) (class \"gate-status\")))").getBytes(),
                     config.names()).router());
-            core.members(ListKind.COMPLETE, List.of(new ListedMember(new ServerEntry("s-1", ServerState.SERVING, "decin", 0,
-                    "std-2c", 1, 0), (InetSocketAddress) socket.getLocalSocketAddress())));
+            tell(ServerState.SERVING, ServerState.SERVING);
             try {
                 front = new QuicFront(new SystemClock(), Limits.forDescriptors(1024), new QuicConfig(
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null, "slot-booking", "vltava-kontejner", 4000,
@@ -166,6 +160,36 @@
         });
     }
 
+    private void serve(KeyStore keys) throws Exception {
+        int number = servers.size();
+        DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        ServerConnector server = ServerConnector.builder().withPort(socket.getLocalPort()).withSocket(socket)
+                .withKeyStore(keys, "slots", "secret".toCharArray())
+                .withSupportedVersions(List.of(QuicVersion.V1, QuicVersion.V2)).withLogger(new NullLogger())
+                .withConfiguration(ServerConnectionConfig.builder().maxIdleTimeoutInSeconds(30)
+                        .maxOpenPeerInitiatedBidirectionalStreams(100).retryRequired(false).build()).build();
+        server.registerApplicationProtocol("slots", (protocol, connection) -> new ApplicationProtocolConnection() {
+            @Override
+            public void acceptPeerInitiatedStream(QuicStream stream) {
+                streams.incrementAndGet(number);
+                new Thread(() -> echo(stream)).start();
+            }
+        });
+        server.start();
+        servers.add(server);
+        addresses.add((InetSocketAddress) socket.getLocalSocketAddress());
+    }
+
+    /** Discovery's news of both servers. */
+    private void tell(ServerState first, ServerState second) {
+        List<ListedMember> listed = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            listed.add(new ListedMember(new ServerEntry("s-" + (i + 1), i == 0 ? first : second, "decin", 0, "std-2c", 1, 0),
+                    addresses.get(i)));
+        }
+        core.members(ListKind.COMPLETE, listed);
+    }
+
     private <T> T onLoop(Supplier<T> what) {
         CompletableFuture<T> result = new CompletableFuture<>();
         loop.afterGathering(() -> {
@@ -180,7 +204,7 @@
 
     @AfterEach
     void stop() {
-        server.close();
+        servers.forEach(ServerConnector::close);
         loop.stop();
     }
 
@@ -253,4 +277,43 @@
         assertEquals(1, (int) onLoop(() -> core.figures().concurrent()));
         connection.close();
     }
+
+    /** One of two servers drains while its clients rebind: it hears nothing any more, and who stands at the other loses nothing. */
+    @Test
+    void aServerDrainsWhileClientsRebind() throws Exception {
+        List<QuicClientConnection> staying = new ArrayList<>();
+        List<Rebinding> sockets = new ArrayList<>();
+        int leaving = 0;
+        while (staying.size() < 3 || leaving < 2) {
+            Rebinding socket = new Rebinding();
+            QuicClientConnection connection = client(socket).build();
+            connection.connect();
+            int before = streams.get(1);
+            echoes(connection, 1, 1);
+            if (streams.get(1) > before) {
+                staying.add(connection);
+                sockets.add(socket);
+            } else {
+                leaving++;
+            }
+        }
+        onLoop(() -> {
+            tell(ServerState.DRAINING, ServerState.SERVING);
+            return null;
+        });
+        int atDrained = streams.get(0);
+        for (int round = 0; round < 5; round++) {
+            for (int i = 0; i < staying.size(); i++) {
+                echoes(staying.get(i), 10, round);
+                sockets.get(i).rebind();
+            }
+            QuicClientConnection again = client(new Rebinding()).build();
+            again.connect();
+            echoes(again, 3, round);
+            again.close();
+        }
+        assertEquals(atDrained, streams.get(0), "nothing more at the server that drains");
+        assertEquals(staying.size(), (int) onLoop(() -> core.figures().concurrent()) - 5);
+        staying.forEach(QuicClientConnection::close);
+    }
 }
--- a/src/test/java/tulipshed/quic/MigrationTest.java
+++ b/src/test/java/tulipshed/quic/MigrationTest.java
@@ -156,6 +156,26 @@
         }
     }
 
+    /** An id that no configuration makes, or that is marked to carry no server, is known by its address (QUIC-LB section 4.2). */
+    @Test
+    void anIdThatLeadsNowhereIsKnownByItsAddress() throws IOException {
+        numberedFront(1);
+        try (Client client = new Client(front.address(), 8); Client stranger = new Client(front.address(), 9)) {
+            assertEquals("served", open(client).what());
+            Server.Conn conn = conn(client);
+            ConnectionId unroutable = new ConnectionId(new byte[] {(byte) 0xE7, 1, 2, 3, 4, 5, 6, 7});
+            servers.get(0).conns.put(unroutable, conn);
+            client.server = unroutable;
+            stranger.server = unroutable;
+            assertEquals(new Heard("number", 4), number(client, 4));
+            stranger.sendNumber(5);
+            taken(3);
+            assertEquals(1, counted(Figure.DROPPED_UNKNOWN_ID), "from elsewhere it leads nowhere");
+            assertEquals(List.of(4), servers.get(0).numbers);
+            assertEquals(0, counted(Figure.IDS_JOINED), "and it is not learnt, so it holds nothing");
+        }
+    }
+
     /** The front layer hands a client to another node in mid-connection, and back: ids alone lead it on. */
     @Test
     void anotherNodeCarriesOnById() throws IOException {
--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -400,6 +401,46 @@
         }
     }
 
+    /** RFC 9000 sections 6.1 and 6.3: the client's ids the other way round, all versions, and one that nobody speaks. */
+    @Test
+    void theListOfVersionsIsWholeAndGreased() throws IOException {
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 9)) {
+            byte[] other = client.initial();
+            other[1] = 0x5a;
+            client.send(other);
+            assertEquals("VERSION_NEGOTIATION", client.hear().what());
+            ByteBuffer list = ByteBuffer.wrap(client.heard);
+            assertEquals(0, list.getInt(1));
+            byte[] ids = new byte[2 + 4 + 8];
+            list.get(5, ids);
+            assertEquals("04" + client.own + "08" + client.first, HexFormat.of().formatHex(ids));
+            List<Long> versions = new ArrayList<>();
+            for (int at = 5 + ids.length; at < client.heardBytes; at += 4) {
+                versions.add(list.getInt(at) & 0xFFFFFFFFL);
+            }
+            assertEquals(List.of(Version.V1.number, Version.V2.number), versions.subList(0, 2));
+            assertEquals(0x0A0A0A0AL, versions.get(2) & 0x0F0F0F0FL, "reserved by section 15");
+            client.send(Arrays.copyOf(other, 1199));
+            client.send(client.initial());
+            assertEquals("served", client.hear().what(), "a small one of that kind is not answered");
+        }
+    }
+
+    @Test
+    void aFirstIdOfSevenBytesOpensNothing() throws IOException {
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 9)) {
+            client.first = new ConnectionId(new byte[7]);
+            client.send(client.initial());
+            taken(1);
+            assertEquals(0, (int) onLoop(front::sessionCount));
+            assertEquals(1, counted(QuicFigures.Figure.DROPPED_SMALL));
+            client.first = new ConnectionId(new byte[8]);
+            assertEquals("served", open(client).what());
+        }
+    }
+
     @Test
     void tablesAreBoundedAndIdleIdsAreForgotten() throws IOException {
         mostSessions = 2;
--- a/src/test/java/tulipshed/quic/StandIns.java
+++ b/src/test/java/tulipshed/quic/StandIns.java
@@ -214,6 +214,7 @@
         InetSocketAddress node;
         /** Where the last datagram came from. */
         SocketAddress from;
+        byte[] heard;
         int heardBytes;
         DatagramSocket socket = socket(3000);
 
@@ -260,6 +261,7 @@
                 DatagramPacket in = new DatagramPacket(new byte[2048], 2048);
                 datagram = receive(socket, in);
                 from = in.getSocketAddress();
+                heard = datagram;
                 heardBytes = datagram.length;
             } catch (java.net.SocketTimeoutException e) {
                 return new Heard("nothing", 0);
