QUIC: known connections go before strangers; ended waits hold no memory; forged ids give way

Change: Strangers (a bounded queue, heard once known ones have been passed on), Dues that can be dropped, 512 connections carried on without an answer at most, no more than 64 places left over for a member, a transaction lets go of where it came from once it stands.

--- a/src/main/java/tulipshed/limits/Limits.java
+++ b/src/main/java/tulipshed/limits/Limits.java
@@ -121,6 +121,12 @@
             double seatQuietMs,
             /** Datagrams read of one socket before the others have their turn. */
             int readsAtOnce,
+            /** Datagrams of which nothing is known that wait until those of known connections have been passed on. */
+            int strangers,
+            /** How long such datagrams are looked at before the sockets have their turn again. */
+            double strangersMs,
+            /** Connections carried on by their id alone that no member has answered yet; the oldest gives way. */
+            int carriedOn,
             /** What the kernel may hold of datagrams that wait to be read, where it allows that much. */
             int receiveBytes) { }
 
@@ -133,7 +139,7 @@
                 new Transactions(40, 2_500, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
-                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 4 * 1024 * 1024));
+                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 256, 1, 512, 4 * 1024 * 1024));
     }
 
     /** The same but for these. */
--- a/src/main/java/tulipshed/quic/ConnectionMachine.java
+++ b/src/main/java/tulipshed/quic/ConnectionMachine.java
@@ -60,7 +60,7 @@
     private static final int AMPLIFICATION = 3;
 
     private final Limits.Quic limits;
-    private final List<byte[]> first = new ArrayList<>();
+    private List<byte[]> first = new ArrayList<>(2);
     private final ConnectionId clientId;
     private ConnectionId keyedBy;
     private ConnectionId current;
@@ -117,7 +117,7 @@
         switch (stage) {
             case ANSWERED -> {
                 // A reset counts for the id that the client uses now.
-                current = packets.get(0).destination();
+                use(packets.get(0).destination());
                 return Step.REPEAT;
             }
             case OPENING -> {
@@ -140,7 +140,7 @@
         }
         Packet.Type type = packets.get(packets.size() - 1).type();
         pastInitial |= type == Packet.Type.HANDSHAKE || type == Packet.Type.SHORT;
-        current = p.destination();
+        use(p.destination());
         // It has what was sent to its address: an id that its server chose.
         proven |= pastInitial && !current.equals(keyedBy);
         if (stage == Stage.OWED && first.size() < limits.firstDatagrams()) {
@@ -149,6 +149,10 @@
         return Step.PASS;
     }
 
+    private void use(ConnectionId id) {
+        current = current.equals(id) ? current : id;
+    }
+
     /** More of a client whose hello is not whole yet. */
     private Step more(byte[] datagram, List<Packet> packets) {
         try {
@@ -232,7 +236,7 @@
     /** The core says that the member serves it. */
     void stands() {
         stage = Stage.STANDING;
-        first.clear();
+        first = List.of();
     }
 
     /** The client has had its answer, or wants none. */
@@ -240,7 +244,7 @@
         stage = Stage.ANSWERED;
         answeredMs = nowMs;
         opening = null;
-        first.clear();
+        first = List.of();
     }
 
     /** What was read of the hello, given once; null where there was none. */
--- a/src/main/java/tulipshed/quic/FlowSlots.java
+++ b/src/main/java/tulipshed/quic/FlowSlots.java
@@ -14,6 +14,9 @@
  * member. So many sockets are needed as flows stand at the fullest member. Without I/O; times in milliseconds.
  */
 final class FlowSlots {
+    /** What is left of a member besides what is used there: flows that come and go quickly must not take ever more sockets. */
+    private static final int MOST_LEFT = 64;
+
     /** A slot that a flow has left. */
     private record Left(int slot, double atMs) { }
 
@@ -59,7 +62,7 @@
     }
 
     private int slot(Member m, double nowMs, BooleanSupplier room) {
-        if (!m.left.isEmpty() && nowMs - m.left.peek().atMs >= quietMs) {
+        if (!m.left.isEmpty() && (nowMs - m.left.peek().atMs >= quietMs || m.left.size() > m.used + MOST_LEFT)) {
             return m.left.poll().slot;
         }
         for (int slot = open.nextSetBit(0); slot >= 0; slot = open.nextSetBit(slot + 1)) {
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -35,6 +35,7 @@
     private static final double SWEEP_MS = 250;
     private static final int LEAST_FIRST_DATAGRAM = 1200; // RFC 9000 section 14.1
     private static final int LEAST_FIRST_ID = 8; // RFC 9000 section 7.2
+    private static final double STRANGERS_PAUSE_MS = 1;
     private static final int RETRY_ID = 16; // bytes of the id that a Retry gives
 
     final Clock clock;
@@ -49,6 +50,10 @@
     final Consumer<String> log;
     final RandomGenerator random = new SecureRandom();
     final ByteBuffer scratch;
+    private final Strangers strangers;
+    private boolean hearing;
+    /** Carried on by their id alone, and not answered by their member yet; oldest first. */
+    private final Set<QuicSession> unanswered = new LinkedHashSet<>();
     private final Set<QuicSession> all = new LinkedHashSet<>();
     private final List<DatagramPort> listeners = new ArrayList<>();
     private Names names;
@@ -65,6 +70,7 @@
         this.core = core;
         this.log = log;
         scratch = ByteBuffer.allocateDirect(limits.quic().datagramBytes());
+        strangers = new Strangers(limits.quic().strangers());
         sockets = new FlowSockets(loop, config.listen().getAddress(), scratch, counted, limits.quic().seatQuietMs(), log);
         for (Figure f : Figure.values()) {
             core.figures().more(f.written(), () -> counted.get(f));
@@ -81,7 +87,10 @@
 
     private void listen(InetSocketAddress at) throws IOException {
         DatagramPort[] own = new DatagramPort[1];
-        own[0] = loop.datagrams(at, scratch, (from, datagram) -> received(own[0], from, datagram));
+        own[0] = loop.datagrams(at, scratch, (from, datagram) -> {
+            counted.count(Figure.DATAGRAMS);
+            received(own[0], from, datagram, false);
+        });
         listeners.add(own[0]);
     }
 
@@ -171,8 +180,7 @@
         return table.ids();
     }
 
-    private void received(DatagramPort listener, InetSocketAddress from, byte[] datagram) {
-        counted.count(Figure.DATAGRAMS);
+    private void received(DatagramPort listener, InetSocketAddress from, byte[] datagram, boolean waited) {
         try {
             List<Packet> packets = Packet.read(datagram, config.ids()::length);
             // All packets of a datagram belong to one connection (RFC 9000 section 12.2).
@@ -195,12 +203,13 @@
                     path = path.session().rebind(path, listener, from, first.destination());
                 }
                 path.session().fromClient(path, datagram, packets);
-            } else if (first.type() == Packet.Type.INITIAL && first.fixedBit()) {
-                open(listener, from, datagram, first, packets);
-            } else if (first.type() == Packet.Type.OTHER_VERSION) {
-                negotiate(listener, from, datagram, first);
-            } else if (first.type() == Packet.Type.SHORT && first.fixedBit()) {
-                carryOn(listener, from, datagram, first, packets);
+            } else if (waited) {
+                stranger(listener, from, datagram, packets);
+            } else if (!strangers.offer(new Strangers.Datagram(listener, from, datagram))) {
+                counted.count(Figure.DROPPED_PRESSED);
+            } else if (!hearing) {
+                hearing = true;
+                loop.afterGathering(this::hearStrangers);
             }
         } catch (BadPacket e) {
             // Anyone can send anything to a UDP port; what is not QUIC gets no answer.
@@ -209,6 +218,33 @@
         }
     }
 
+    /** Whoever is known has been heard; now strangers, for a while, and then the others again. */
+    private void hearStrangers() {
+        double untilMs = clock.nowMs() + limits.quic().strangersMs();
+        Strangers.Datagram d = null;
+        while (clock.nowMs() < untilMs && (d = strangers.poll()) != null) {
+            // One of those before it may have opened its connection.
+            received(d.listener(), d.from(), d.bytes(), true);
+        }
+        hearing = !strangers.isEmpty();
+        if (hearing) {
+            // Not at once: the loop runs what it is given at once before it looks at sockets again.
+            loop.after(STRANGERS_PAUSE_MS, this::hearStrangers);
+        }
+    }
+
+    /** Somebody of whom nothing is known. */
+    private void stranger(DatagramPort listener, InetSocketAddress from, byte[] datagram, List<Packet> packets) {
+        Packet first = packets.get(0);
+        if (first.type() == Packet.Type.INITIAL && first.fixedBit()) {
+            open(listener, from, datagram, first, packets);
+        } else if (first.type() == Packet.Type.OTHER_VERSION) {
+            negotiate(listener, from, datagram, first);
+        } else if (first.type() == Packet.Type.SHORT && first.fixedBit()) {
+            carryOn(listener, from, datagram, first);
+        }
+    }
+
     /** An Initial that no connection knows opens a transaction, if it is one that a client would send. */
     private void open(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
         if (datagram.length < LEAST_FIRST_DATAGRAM || initial.destination().length() < LEAST_FIRST_ID) {
@@ -312,7 +348,7 @@
      * A later id that was not seen before: the server id in it tells where it belongs. Clients change ids when
      * they change networks, and a restarted node knows none. A member that is not serving gets nothing.
      */
-    private void carryOn(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet p, List<Packet> packets) {
+    private void carryOn(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet p) {
         IdConfigurations.Place place = place(p.destination());
         if (place == null) {
             counted.count(Figure.DROPPED_UNKNOWN_ID);
@@ -327,9 +363,22 @@
                 clock.nowMs()), listener, from);
         all.add(session);
         counted.count(Figure.CARRIED_ON);
+        // Ids in the clear can be forged, so those that no member has answered may not fill the table.
+        unanswered.add(session);
+        if (unanswered.size() > limits.quic().carriedOn()) {
+            QuicSession oldest = unanswered.iterator().next();
+            unanswered.remove(oldest);
+            counted.count(Figure.GAVE_WAY);
+            oldest.giveWay();
+        }
         session.carryOn(place.member());
     }
 
+    /** Its member has answered it, or it has ended. */
+    void settled(QuicSession session) {
+        unanswered.remove(session);
+    }
+
     /**
      * A version that is not spoken here is answered with those that are (RFC 8999 section 6), and with one that nobody
      * speaks, so that clients do not come to rely on the list (RFC 9000 section 6.3).
--- a/src/main/java/tulipshed/quic/QuicSession.java
+++ b/src/main/java/tulipshed/quic/QuicSession.java
@@ -29,6 +29,7 @@
     private ServerSideFlow flow;
     private byte[] answer;
     private boolean countedUnproven;
+    private boolean carriedOn;
     private String numberedAt;
     private long number = -1;
 
@@ -61,12 +62,27 @@
 
     /** A connection that stands at that member already, though this node knows nothing else of it. */
     void carryOn(String member) {
+        carriedOn = true;
         number(machine.current(), member);
         transaction = new Transaction(this, this, front.arrival(machine.current().toString()),
                 QuicFront.origin(current.client(), null), front.clock.nowMs(), true);
         front.core.alreadyOpen(transaction, member);
     }
 
+    /** Others need its place more: it ends, and its client hears that it must come again. */
+    void giveWay() {
+        if (flow != null) {
+            front.core.ended(flow, Outcome.CANCELLED);
+            forget();
+        }
+    }
+
+    private void settled() {
+        if (carriedOn) {
+            front.settled(this);
+        }
+    }
+
     // ---- What the client sends ----
 
     void fromClient(ClientPath path, byte[] datagram, List<Packet> packets) {
@@ -237,6 +253,7 @@
 
     private void end() {
         proven();
+        settled();
         machine.answered(front.clock.nowMs());
         closeSides();
     }
@@ -303,6 +320,7 @@
                     return;
                 }
                 machine.stands();
+                settled();
             }
             default -> { }
         }
--- /dev/null
+++ b/src/main/java/tulipshed/quic/Strangers.java
@@ -0,0 +1,37 @@
+package tulipshed.quic;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import tulipshed.link.DatagramPort;
+
+/**
+ * Datagrams of those that nothing is known of, waiting for a moment in which nobody else does. Opening a stranger's packet takes
+ * ten times as long as passing one of a known connection on, so taken in turn a flood of strangers would take nearly all of the
+ * time. A bounded number wait, for a few milliseconds at most; over it the next are dropped before they cost anything, as the
+ * kernel would drop them, and what is known with them. Without I/O.
+ */
+final class Strangers {
+    private final int most;
+    private final ArrayDeque<Datagram> waiting = new ArrayDeque<>();
+
+    /** One datagram and where it was heard. */
+    record Datagram(DatagramPort listener, InetSocketAddress from, byte[] bytes) { }
+
+    Strangers(int most) {
+        this.most = most;
+    }
+
+    /** Takes one, unless too many wait. */
+    boolean offer(Datagram d) {
+        return waiting.size() < most && waiting.add(d);
+    }
+
+    /** The one that has waited for longest, or null. */
+    Datagram poll() {
+        return waiting.poll();
+    }
+
+    boolean isEmpty() {
+        return waiting.isEmpty();
+    }
+}
--- a/src/main/java/tulipshed/transaction/ServerSideFlow.java
+++ b/src/main/java/tulipshed/transaction/ServerSideFlow.java
@@ -11,6 +11,8 @@
     private boolean over;
     private boolean leaving;
     private double upMs;
+    private Dues.Due untilUp;
+    private Dues.Due untilConnected;
 
     ServerSideFlow(Transaction transaction, PoolMember member, int number, double startedMs, double endsMs) {
         this.transaction = transaction;
@@ -28,6 +30,23 @@
         return member;
     }
 
+    /** What looks whether it has come up, and whether it is connected; of no use once it is up or over. */
+    void waits(Dues.Due up, Dues.Due connected) {
+        untilUp = up;
+        untilConnected = connected;
+    }
+
+    private void dropWaits() {
+        if (untilUp != null) {
+            untilUp.drop();
+            untilUp = null;
+        }
+        if (untilConnected != null) {
+            untilConnected.drop();
+            untilConnected = null;
+        }
+    }
+
     int number() {
         return number;
     }
@@ -59,6 +78,7 @@
 
     void end() {
         over = true;
+        dropWaits();
     }
 
     /** Whether it is about to leave a member that drains. */
@@ -75,6 +95,7 @@
     }
 
     void up(double nowMs) {
+        dropWaits();
         upMs = nowMs;
     }
 }
--- a/src/main/java/tulipshed/transaction/Transaction.java
+++ b/src/main/java/tulipshed/transaction/Transaction.java
@@ -11,7 +11,7 @@
 
     private final VirtualServer client;
     private final MemberConnector connector;
-    private final Origin origin;
+    private Origin origin;
     private Arrival arrival;
     private String pool;
     private final double deadlineMs;
@@ -22,6 +22,7 @@
     private State state = State.OWED;
     private ServerSideFlow flow;
     private int attempts;
+    private Dues.Due deadline;
 
     /** What the client asks for, in the terms of the settings; tenant -1 where there is none. */
     public record Arrival(int requestClass, int tenant, String key, String group, double waitMs, double hintUsPerS,
@@ -134,15 +135,31 @@
         return state == State.STANDING;
     }
 
+    /** Where it came from matters to rules until it stands; there are many that stand. */
     void stand() {
+        dropDeadline();
+        origin = Origin.UNKNOWN;
         state = State.STANDING;
     }
 
     /** Nothing more is owed from here on. */
     void close() {
+        dropDeadline();
         state = State.ANSWERED;
     }
 
+    /** What looks at its deadline; of no use once it is answered. */
+    void deadline(Dues.Due due) {
+        deadline = due;
+    }
+
+    private void dropDeadline() {
+        if (deadline != null) {
+            deadline.drop();
+            deadline = null;
+        }
+    }
+
     /** The flow that is out, or null; never more than one. */
     ServerSideFlow flow() {
         return flow;
--- a/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -119,7 +119,7 @@
         routing.classify(t);
         count(t);
         take(t);
-        turns.due(t.deadlineMs() - limits.transactions().answerMarginMs(), () -> overdue(t));
+        t.deadline(turns.due(t.deadlineMs() - limits.transactions().answerMarginMs(), () -> overdue(t)));
         turns.gather((module, nowMs, nowUs) -> {
             t.pool(routing.pool(t));
             module.request(nowUs, t.asRequest(nowMs, t.requestClass()));
@@ -154,7 +154,7 @@
         take(t);
         ServerSideFlow flow = new ServerSideFlow(t, member, 0, nowMs, untilMs);
         t.flow(flow);
-        turns.due(flow.endsMs(), () -> timeOut(flow));
+        flow.waits(turns.due(flow.endsMs(), () -> timeOut(flow)), null);
         // Settings may have changed while its member was waited for; it is not sent again, so any class will do.
         int requestClass = Math.max(0, settings.classes().stream().map(RequestClass::name).toList().indexOf(t.className()));
         turns.gather((module, ms, nowUs) -> {
@@ -437,8 +437,8 @@
             ended(flow, Outcome.CONNECT_FAILED);
             return;
         }
-        turns.due(endsMs, () -> timeOut(flow));
-        turns.due(nowMs + Clock.toMillis(settings.limits().connectTimeoutUs()), () -> connectTimeOut(flow));
+        flow.waits(turns.due(endsMs, () -> timeOut(flow)),
+                turns.due(nowMs + Clock.toMillis(settings.limits().connectTimeoutUs()), () -> connectTimeOut(flow)));
         t.connector().open(flow);
     }
 
--- a/src/main/java/tulipshed/transaction/Turns.java
+++ b/src/main/java/tulipshed/transaction/Turns.java
@@ -44,9 +44,11 @@
         decided.add(action);
     }
 
-    void due(double atMs, Runnable what) {
-        dues.add(atMs, what);
+    /** To be looked at then, unless it is dropped before. */
+    Dues.Due due(double atMs, Runnable what) {
+        Dues.Due due = dues.add(atMs, what);
         wake();
+        return due;
     }
 
     private void wake() {
--- a/src/test/java/tulipshed/link/DatagramPortTest.java
+++ b/src/test/java/tulipshed/link/DatagramPortTest.java
@@ -47,10 +47,12 @@
         XnioLoop loop = new XnioLoop(limits);
         AtomicInteger before = new AtomicInteger(-1);
         AtomicInteger read = new AtomicInteger();
+        CountDownLatch begun = new CountDownLatch(1);
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch all = new CountDownLatch(2 * batch + 1);
         try (DatagramSocket sender = new DatagramSocket()) {
             loop.afterGathering(() -> {
+                begun.countDown();
                 try {
                     held.await();
                 } catch (InterruptedException e) {
@@ -65,6 +67,7 @@
                 before.set(read.get());
                 all.countDown();
             });
+            begun.await();
             for (int i = 0; i < 2 * batch; i++) {
                 sender.send(new DatagramPacket(new byte[] {1}, 1, flooded.address()));
             }
--- a/src/test/java/tulipshed/quic/EndsTest.java
+++ b/src/test/java/tulipshed/quic/EndsTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.quic.QuicFigures.Figure;
@@ -157,6 +158,72 @@
         }
     }
 
+    /** Strangers wait while somebody known has something to say, though they came first; and only so many of them wait. */
+    @Test
+    void whoIsKnownGoesBeforeStrangers() throws Exception {
+        mostSessions = 1000;
+        numberedFront(1);
+        try (Client known = new Client(front.address(), 1); Client stranger = new Client(front.address(), 2)) {
+            assertEquals("served", open(known).what());
+            CountDownLatch begun = new CountDownLatch(1);
+            CountDownLatch held = new CountDownLatch(1);
+            loop.afterGathering(() -> {
+                begun.countDown();
+                try {
+                    held.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            begun.await();
+            for (int i = 0; i < 40; i++) {
+                stranger.first = new ConnectionId(ByteBuffer.allocate(8).putInt(i).putInt(5).array());
+                stranger.send(stranger.initial());
+            }
+            known.sendNumber(7);
+            held.countDown();
+            assertEquals(new Heard("number", 7), known.hear());
+            assertEquals(1, servers.get(0).initialsBefore, "its own");
+            taken(42);
+            while (counted(Figure.OPENED_V1) < 41) {
+                Thread.onSpinWait();
+            }
+        }
+        Strangers few = new Strangers(2);
+        Strangers.Datagram[] d = {new Strangers.Datagram(null, null, null), new Strangers.Datagram(null, null, new byte[1])};
+        assertTrue(few.offer(d[0]) && few.offer(d[1]) && !few.offer(d[0]));
+        assertEquals(d[0], few.poll());
+        assertTrue(few.offer(d[0]) && few.poll() == d[1] && few.poll() == d[0] && few.isEmpty());
+    }
+
+    /** Ids in the clear can be forged: what no member answers gives way, and nobody who stands does. */
+    @Test
+    void forgedIdsDoNotFillTheTable() throws IOException {
+        carriedOn = 10;
+        mostSessions = 40;
+        front(Manner.SERVES);
+        try (Client client = new Client(front.address(), 1); Client forger = new Client(front.address(), 2)) {
+            assertEquals("served", open(client).what());
+            assertEquals(new Heard("number", 1), number(client, 1));
+            servers.get(0).manner = Manner.SILENT;
+            servers.get(0).conns.clear();
+            servers.get(0).forgets = true;
+            for (int i = 0; i < 200; i++) {
+                forger.rebind();
+                forger.server = StandIns.IDS.id(servers.get(0).id, ByteBuffer.allocate(4).putInt(i).array());
+                forger.sendNumber(i);
+                taken(3 + i);
+            }
+            assertEquals(1 + 10, (int) onLoop(front::sessionCount));
+            assertTrue(counted(Figure.GAVE_WAY) >= 180, "a port may come twice");
+            assertEquals(11, (int) onLoop(() -> core.figures().concurrent()));
+            servers.get(0).manner = Manner.SERVES;
+            try (Client late = new Client(front.address(), 3)) {
+                assertEquals("served", open(late).what(), "there is room for honest ones");
+            }
+        }
+    }
+
     /**
      * Ten times the table, in every shape that needs no keys, replayed hellos among them: what is held stays at its bounds, and
      * who stood before is answered all the while.
--- a/src/test/java/tulipshed/quic/QuicLab.java
+++ b/src/test/java/tulipshed/quic/QuicLab.java
@@ -33,7 +33,8 @@
         Measured(String kind, List<QuicLabServer> servers) throws IOException {
             List<String> command = new ArrayList<>(List.of("taskset", "-c", "0", Path.of(System.getProperty("java.home"), "bin",
                     "java").toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms16m", "-Xmx64m", "-Xss512k",
-                    "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m", "-XX:MaxDirectMemorySize=8m", "-cp",
+                    "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m", "-XX:MaxDirectMemorySize=8m",
+                    "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-cp",
                     System.getProperty("java.class.path"), QuicLabProcess.class.getName(), kind));
             servers.forEach(s -> command.add(Integer.toString(s.address().getPort())));
             process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
@@ -80,7 +81,13 @@
         switch (args[0]) {
             case "throughput" -> throughput(servers, seconds);
             case "latency" -> latency(servers, seconds);
-            case "memory" -> memory(servers);
+            case "memory" -> {
+                memory(servers);
+                for (int i = SERVERS; i < 20; i++) {
+                    servers.add(new QuicLabServer(i + 1));
+                }
+                memory(servers);
+            }
             case "flood" -> flood(servers, seconds);
             default -> throw new IllegalArgumentException(args[0]);
         }
@@ -141,6 +148,9 @@
             System.out.printf("%d connections more, %d ids, %d sockets towards members (%d before): %.0f bytes of heap each, "
                     + "%.0f bytes resident each%n", more, after[2], after[3], before[3], (double) (after[0] - before[0]) / more,
                     1024 * (m.residentKiB() - resident) / more);
+            if (Boolean.getBoolean("histogram")) {
+                new ProcessBuilder("jcmd", Long.toString(m.process.pid()), "GC.class_histogram").inheritIO().start().waitFor();
+            }
         }
     }
 
--- a/src/test/java/tulipshed/quic/QuicLabLoad.java
+++ b/src/test/java/tulipshed/quic/QuicLabLoad.java
@@ -37,6 +37,7 @@
         private byte[] token = {};
         private byte[] server;
         private int outstanding;
+        private int again = 99;
         private long heardNs;
 
         Connection(InetSocketAddress to, int seed) throws IOException {
@@ -61,9 +62,14 @@
                 first = p.source();
                 token = Arrays.copyOfRange(datagram, p.packetNumberAt(), datagram.length - 16);
                 sendInitial();
-            } else if (p.type() == Packet.Type.INITIAL
-                    && !InitialFrames.read(InitialKeys.server(Version.V1, first).open(p)).closes()) {
-                server = p.source().bytes();
+            } else if (p.type() == Packet.Type.INITIAL && server == null) {
+                if (InitialFrames.read(InitialKeys.server(Version.V1, first).open(p)).closes()) {
+                    // Turned away for now: it comes again as a new connection.
+                    first = new ConnectionId(ByteBuffer.allocate(8).putInt(ByteBuffer.wrap(own.bytes()).getInt()).putInt(++again).array());
+                    token = new byte[0];
+                } else {
+                    server = p.source().bytes();
+                }
             }
             return server != null;
         }
--- a/src/test/java/tulipshed/quic/QuicLabProcess.java
+++ b/src/test/java/tulipshed/quic/QuicLabProcess.java
@@ -87,7 +87,7 @@
         Limits.Quic q = l.quic();
         Limits limits = l.with(new Limits.Quic(q.datagramBytes(), 20_000, q.ids(), q.firstDatagrams(), q.idleMs(), q.answeredMs(),
                 q.unanswered(), q.helloBytes(), q.openingMs(), q.openings(), q.paths(), q.pathIdleMs(), q.seatQuietMs(),
-                q.readsAtOnce(), q.receiveBytes()));
+                q.readsAtOnce(), q.strangers(), q.strangersMs(), q.carriedOn(), q.receiveBytes()));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         XnioLoop loop = new XnioLoop(limits);
         Map<String, String> ids = new HashMap<>();
@@ -114,6 +114,8 @@
             long heap = r.totalMemory() - r.freeMemory();
             System.out.println(heap + " " + FrontSetup.onLoop(loop, front::sessionCount) + " "
                     + FrontSetup.onLoop(loop, front::idCount) + " " + FrontSetup.onLoop(loop, front.sockets::count));
+            System.err.println(FrontSetup.onLoop(loop, () -> java.util.Arrays.stream(QuicFigures.Figure.values())
+                    .filter(f -> front.counted.get(f) > 0).map(f -> f + "=" + front.counted.get(f)).toList()));
         }
     }
 }
--- a/src/test/java/tulipshed/quic/StandIns.java
+++ b/src/test/java/tulipshed/quic/StandIns.java
@@ -107,6 +107,10 @@
         /** How long it was after a drain was told that something still came; kept by whoever tells of the drain. */
         volatile long drainedNs;
         volatile long latestNs;
+        /** Whether what it does not know stays without an answer. */
+        volatile boolean forgets;
+        /** How many Initials had come before the last number. */
+        volatile int initialsBefore;
         private volatile Conn last;
 
         Server(int id, Manner manner) throws IOException {
@@ -171,7 +175,7 @@
 
         private Conn conn(ConnectionId of) {
             ServerIds.Lead lead = NUMBERED.read(of);
-            return lead == null ? conns.getOrDefault(of, last) : conns.values().stream()
+            return lead == null ? conns.getOrDefault(of, forgets ? null : last) : conns.values().stream()
                     .filter(c -> c.ids != null && c.ids.number() == lead.connection()).findFirst().orElse(null);
         }
 
@@ -179,6 +183,7 @@
         private byte[] later(Packet p, byte[] datagram, SocketAddress from) {
             int number = ByteBuffer.wrap(datagram, p.packetNumberAt(), 4).getInt();
             numbers.add(number);
+            initialsBefore = initials.get();
             Conn conn = conn(p.destination());
             if (conn == null) {
                 return manner == Manner.SERVES ? RESET.datagram(p.destination(), datagram.length, new Random(number)) : null;
