Let the servers of the unseen-id test be silent: a reset could end the connection first

Cause: since the stand-in server resets what it does not know, its reset could reach the node before the test's third datagram, which the node then answers itself; the test waited for it for ever (seen once). Change: silent servers, as the test was written for; its assertions are as they were.

--- a/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -276,7 +276,8 @@
 
     @Test
     void anIdNeverSeenIsRoutedByTheServerIdInIt() throws IOException {
-        front(Manner.SERVES, Manner.SERVES);
+        // One that serves would reset what it does not know, and what comes after that is answered by the node.
+        front(Manner.SILENT, Manner.SILENT);
         try (Client client = new Client(front.address(), 5)) {
             client.server = StandIns.IDS.id(servers.get(1).id, new byte[] {5, 6, 7, 8});
             for (int i = 0; i < 3; i++) {
