Read a stranger's datagram once: its packets and where its id leads wait with it

A datagram that waited was parsed again, and the server id in its id decrypted three times, the dearest under a flood of forged ids. Change: Strangers.Datagram keeps both; known() and stranger() say which is which without a flag. A fault with one stranger can no longer leave all later ones unheard. Tests share number() and onLoop, which stood twice; the generator's Javadoc says what of its ids can repeat. Behaviour as before.

--- a/src/main/java/tulipshed/connectionid/ServerIdGenerator.java
+++ b/src/main/java/tulipshed/connectionid/ServerIdGenerator.java
@@ -6,9 +6,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Makes the connection ids of one server. Ids of one generator never repeat while their connection is open. Where the
- * configuration numbers connections, nonces are that number and a count, which the cipher hides; otherwise they are drawn at
- * random, as counted ones in the clear would tell observers which ids belong together (RFC 9000 section 9.5).
+ * Makes the connection ids of one server. Ids of one connection never repeat, and where the configuration numbers connections,
+ * those of all open ones do not either: a nonce is then the number and a count, which the cipher hides. Otherwise nonces are
+ * drawn at random, as counted ones in the clear would tell observers which ids belong together (RFC 9000 section 9.5).
  *
  * <p>Safe for use by several threads.
  */
--- a/src/main/java/tulipshed/quic/QuicFront.java
+++ b/src/main/java/tulipshed/quic/QuicFront.java
@@ -89,7 +89,7 @@
         DatagramPort[] own = new DatagramPort[1];
         own[0] = loop.datagrams(at, scratch, (from, datagram) -> {
             counted.count(Figure.DATAGRAMS);
-            received(own[0], from, datagram, false);
+            received(own[0], from, datagram);
         });
         listeners.add(own[0]);
     }
@@ -180,68 +180,87 @@
         return table.ids();
     }
 
-    private void received(DatagramPort listener, InetSocketAddress from, byte[] datagram, boolean waited) {
+    private void received(DatagramPort listener, InetSocketAddress from, byte[] datagram) {
+        List<Packet> packets;
         try {
-            List<Packet> packets = Packet.read(datagram, config.ids()::length);
+            packets = Packet.read(datagram, config.ids()::length);
             // All packets of a datagram belong to one connection (RFC 9000 section 12.2).
-            Packet first = packets.get(0);
-            ClientPath path = table.path(first.destination());
-            if (path == null && first.type() == Packet.Type.SHORT) {
-                int length = table.learnt(datagram);
-                packets = length == 0 ? packets : Packet.read(datagram, length);
-                first = packets.get(0);
-                path = length == 0 ? joined(listener, from, first.destination()) : table.path(first.destination());
-            }
-            if (path != null) {
-                if (!path.isAt(listener, from)) {
-                    if (first.type() == Packet.Type.INITIAL && path.session().isPastInitial()) {
-                        // Its client has thrown these keys away (RFC 9001 section 4.9.1): somebody repeats what it sent, to
-                        // have what is meant for it sent elsewhere.
-                        counted.count(Figure.DROPPED_REPLAYED);
-                        return;
-                    }
-                    path = path.session().rebind(path, listener, from, first.destination());
-                }
-                path.session().fromClient(path, datagram, packets);
-            } else if (waited) {
-                stranger(listener, from, datagram, packets);
-            } else if (!strangers.offer(new Strangers.Datagram(listener, from, datagram))) {
-                counted.count(Figure.DROPPED_PRESSED);
-            } else if (!hearing) {
-                hearing = true;
-                loop.afterGathering(this::hearStrangers);
-            }
+            int length = packets.get(0).type() == Packet.Type.SHORT && table.path(packets.get(0).destination()) == null
+                    ? table.learnt(datagram) : 0;
+            packets = length == 0 ? packets : Packet.read(datagram, length);
         } catch (BadPacket e) {
             // Anyone can send anything to a UDP port; what is not QUIC gets no answer.
             counted.count(Figure.DROPPED_MALFORMED);
             return;
         }
+        Packet first = packets.get(0);
+        ClientPath path = table.path(first.destination());
+        if (path != null) {
+            known(path, listener, from, datagram, packets);
+            return;
+        }
+        Strangers.Datagram d = new Strangers.Datagram(listener, from, datagram, packets,
+                first.type() == Packet.Type.SHORT ? place(first.destination()) : null);
+        path = joined(d);
+        if (path != null) {
+            known(path, listener, from, datagram, packets);
+        } else if (!strangers.offer(d)) {
+            counted.count(Figure.DROPPED_PRESSED);
+        } else if (!hearing) {
+            hearing = true;
+            loop.afterGathering(this::hearStrangers);
+        }
+    }
+
+    private void known(ClientPath path, DatagramPort listener, InetSocketAddress from, byte[] datagram, List<Packet> packets) {
+        Packet first = packets.get(0);
+        ClientPath heard = path;
+        if (!path.isAt(listener, from)) {
+            if (first.type() == Packet.Type.INITIAL && path.session().isPastInitial()) {
+                // Its client has thrown these keys away (RFC 9001 section 4.9.1): somebody repeats what it sent, to
+                // have what is meant for it sent elsewhere.
+                counted.count(Figure.DROPPED_REPLAYED);
+                return;
+            }
+            heard = path.session().rebind(path, listener, from, first.destination());
+        }
+        heard.session().fromClient(heard, datagram, packets);
     }
 
     /** Whoever is known has been heard; now strangers, for a while, and then the others again. */
     private void hearStrangers() {
-        double untilMs = clock.nowMs() + limits.quic().strangersMs();
-        Strangers.Datagram d = null;
-        while (clock.nowMs() < untilMs && (d = strangers.poll()) != null) {
-            // One of those before it may have opened its connection.
-            received(d.listener(), d.from(), d.bytes(), true);
-        }
-        hearing = !strangers.isEmpty();
-        if (hearing) {
-            // Not at once: the loop runs what it is given at once before it looks at sockets again.
-            loop.after(STRANGERS_PAUSE_MS, this::hearStrangers);
+        try {
+            double untilMs = clock.nowMs() + limits.quic().strangersMs();
+            Strangers.Datagram d;
+            while (clock.nowMs() < untilMs && (d = strangers.poll()) != null) {
+                // One of those before it may have opened its connection.
+                ClientPath path = table.path(d.first().destination());
+                path = path == null ? joined(d) : path;
+                if (path != null) {
+                    known(path, d.listener(), d.from(), d.bytes(), d.packets());
+                } else {
+                    stranger(d);
+                }
+            }
+        } finally {
+            // Also where one of them failed: or no stranger would be heard any more.
+            hearing = !strangers.isEmpty();
+            if (hearing) {
+                // Not at once: the loop runs what it is given at once before it looks at sockets again.
+                loop.after(STRANGERS_PAUSE_MS, this::hearStrangers);
+            }
         }
     }
 
     /** Somebody of whom nothing is known. */
-    private void stranger(DatagramPort listener, InetSocketAddress from, byte[] datagram, List<Packet> packets) {
-        Packet first = packets.get(0);
+    private void stranger(Strangers.Datagram d) {
+        Packet first = d.first();
         if (first.type() == Packet.Type.INITIAL && first.fixedBit()) {
-            open(listener, from, datagram, first, packets);
+            open(d.listener(), d.from(), d.bytes(), first, d.packets());
         } else if (first.type() == Packet.Type.OTHER_VERSION) {
-            negotiate(listener, from, datagram, first);
+            negotiate(d.listener(), d.from(), d.bytes(), first);
         } else if (first.type() == Packet.Type.SHORT && first.fixedBit()) {
-            carryOn(listener, from, datagram, first);
+            carryOn(d);
         }
     }
 
@@ -299,14 +318,18 @@
      * one stands at the member to which the id leads; and where the id leads nowhere, the address is all that is left to go by
      * (QUIC-LB section 4.2). Null where none of this holds.
      */
-    private ClientPath joined(DatagramPort listener, InetSocketAddress from, ConnectionId id) {
-        IdConfigurations.Place place = place(id);
+    private ClientPath joined(Strangers.Datagram d) {
+        if (d.first().type() != Packet.Type.SHORT) {
+            return null;
+        }
+        IdConfigurations.Place place = d.place();
+        ConnectionId id = d.first().destination();
         QuicSession numbered = place == null ? null : table.numbered(place.member(), place.connection());
         if (numbered != null && numbered.standsAt(place.member())) {
             counted.count(Figure.IDS_JOINED);
-            return numbered.path(listener, from, id);
+            return numbered.path(d.listener(), d.from(), id);
         }
-        ClientPath known = table.path(new IdTable.Way(listener, from));
+        ClientPath known = table.path(new IdTable.Way(d.listener(), d.from()));
         if (known == null || place == null) {
             return known;
         }
@@ -348,19 +371,20 @@
      * A later id that was not seen before: the server id in it tells where it belongs. Clients change ids when
      * they change networks, and a restarted node knows none. A member that is not serving gets nothing.
      */
-    private void carryOn(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet p) {
-        IdConfigurations.Place place = place(p.destination());
+    private void carryOn(Strangers.Datagram d) {
+        IdConfigurations.Place place = d.place();
+        ConnectionId id = d.first().destination();
         if (place == null) {
             counted.count(Figure.DROPPED_UNKNOWN_ID);
             return;
         }
         if (!core.serving(place.member()) || arrival("") == null || full() || leaving) {
             counted.count(Figure.RESETS_SENT);
-            listener.send(from, config.reset().datagram(p.destination(), datagram.length, random));
+            d.listener().send(d.from(), config.reset().datagram(id, d.bytes().length, random));
             return;
         }
-        QuicSession session = new QuicSession(this, ConnectionMachine.carriesOn(limits.quic(), p.destination(), datagram,
-                clock.nowMs()), listener, from);
+        QuicSession session = new QuicSession(this, ConnectionMachine.carriesOn(limits.quic(), id, d.bytes(),
+                clock.nowMs()), d.listener(), d.from());
         all.add(session);
         counted.count(Figure.CARRIED_ON);
         // Ids in the clear can be forged, so those that no member has answered may not fill the table.
--- a/src/main/java/tulipshed/quic/Strangers.java
+++ b/src/main/java/tulipshed/quic/Strangers.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.List;
 import tulipshed.link.DatagramPort;
 
 /**
@@ -14,8 +15,14 @@
     private final int most;
     private final ArrayDeque<Datagram> waiting = new ArrayDeque<>();
 
-    /** One datagram and where it was heard. */
-    record Datagram(DatagramPort listener, InetSocketAddress from, byte[] bytes) { }
+    /** One datagram, where it was heard, what was read of it, and where the id of a short header leads, null for nowhere. */
+    record Datagram(DatagramPort listener, InetSocketAddress from, byte[] bytes, List<Packet> packets,
+            IdConfigurations.Place place) {
+
+        Packet first() {
+            return packets.get(0);
+        }
+    }
 
     Strangers(int most) {
         this.most = most;
--- a/src/test/java/tulipshed/quic/EndsTest.java
+++ b/src/test/java/tulipshed/quic/EndsTest.java
@@ -22,11 +22,6 @@
 
 /** How connections end: servers that lose their state, places that are used again, floods, and what the kernel drops. */
 class EndsTest extends FrontSetup {
-    private static Heard number(Client client, int number) throws IOException {
-        client.sendNumber(number);
-        return client.hear();
-    }
-
     /** Without telling the server's resets from packets the module would count its connections until they are idle. */
     @Test
     void aServerThatHasLostItsStateEndsItsConnectionsAtOnce() throws IOException {
@@ -190,7 +185,8 @@
             }
         }
         Strangers few = new Strangers(2);
-        Strangers.Datagram[] d = {new Strangers.Datagram(null, null, null), new Strangers.Datagram(null, null, new byte[1])};
+        Strangers.Datagram[] d = {new Strangers.Datagram(null, null, null, null, null),
+            new Strangers.Datagram(null, null, new byte[1], null, null)};
         assertTrue(few.offer(d[0]) && few.offer(d[1]) && !few.offer(d[0]));
         assertEquals(d[0], few.poll());
         assertTrue(few.offer(d[0]) && few.poll() == d[1] && few.poll() == d[0] && few.isEmpty());
--- a/src/test/java/tulipshed/quic/FrontSetup.java
+++ b/src/test/java/tulipshed/quic/FrontSetup.java
@@ -170,6 +170,11 @@
         return client.hear();
     }
 
+    static Heard number(Client client, int number) throws IOException {
+        client.sendNumber(number);
+        return client.hear();
+    }
+
     @AfterEach
     void stop() {
         servers.forEach(Server::close);
--- a/src/test/java/tulipshed/quic/KwikTest.java
+++ b/src/test/java/tulipshed/quic/KwikTest.java
@@ -21,9 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicIntegerArray;
-import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -148,14 +146,10 @@
                     + "(to one)) (classify (rule r (when (= (default alpn \"\") \"slots\")) (class \"gate-status\")))").getBytes(),
                     config.names()).router());
             tell(ServerState.SERVING, ServerState.SERVING);
-            try {
-                front = new QuicFront(new SystemClock(), Limits.forDescriptors(1024), new QuicConfig(
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null, "slot-booking", "vltava-kontejner", 4000,
-                        new IdConfigurations().with(StandIns.IDS, Map.of()), StandIns.RESET, null, null), config.names(), loop,
-                        core, l -> { });
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
+            front = new QuicFront(new SystemClock(), Limits.forDescriptors(1024), new QuicConfig(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null, "slot-booking", "vltava-kontejner", 4000,
+                    new IdConfigurations().with(StandIns.IDS, Map.of()), StandIns.RESET, null, null), config.names(), loop, core,
+                    l -> { });
             return null;
         });
     }
@@ -190,16 +184,8 @@
         core.members(ListKind.COMPLETE, listed);
     }
 
-    private <T> T onLoop(Supplier<T> what) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        loop.afterGathering(() -> {
-            try {
-                result.complete(what.get());
-            } catch (RuntimeException e) {
-                result.completeExceptionally(e);
-            }
-        });
-        return result.join();
+    private <T> T onLoop(FrontSetup.Task<T> what) {
+        return FrontSetup.onLoop(loop, what);
     }
 
     @AfterEach
--- a/src/test/java/tulipshed/quic/MigrationTest.java
+++ b/src/test/java/tulipshed/quic/MigrationTest.java
@@ -21,11 +21,6 @@
         return servers.get(holder(client)).conns.get(client.server);
     }
 
-    private static Heard number(Client client, int number) throws IOException {
-        client.sendNumber(number);
-        return client.hear();
-    }
-
     /** Without the server's number in its ids the node would take it for a second connection, and the module count two. */
     @Test
     void anIdAndAnAddressThatChangeTogetherAreTheSameConnection() throws IOException {
