--- a/src/main/java/tulipshed/command/Node.java
+++ b/node/src/main/java/tulipshed/command/Node.java
@@ -185,8 +185,6 @@
     void reload(NodeConfig changed, OperatorsFile operators) {
         boolean more = !changed.name().equals(config.name()) || !changed.listen().equals(config.listen())
                 || !Objects.equals(changed.management(), config.management()) || changed.sockets() != config.sockets();
-        log.accept("tulipshed: reload, discovery at " + changed.discovery()
-                + (more ? "; the other changes wait for the next start" : ""));
         loop.afterGathering(() -> {
             core.reconfigure(changed.settings());
             front.reconfigure(changed.names(), changed.loadTellsDelay());
@@ -204,13 +202,18 @@
             }
             watch.move(changed.discovery());
             core.figures().reloaded(true);
+            // Said once it holds: whoever waits for the line may count on the new settings at once.
+            log.accept("tulipshed: reload, discovery at " + changed.discovery()
+                    + (more ? "; the other changes wait for the next start" : ""));
         });
     }
 
     /** A new configuration that could not be read changes nothing. */
     void turnedDown(String why) {
-        log.accept("tulipshed: reload, the old settings stay: " + why.replaceAll("\\s+", " "));
-        loop.afterGathering(() -> core.figures().reloaded(false));
+        loop.afterGathering(() -> {
+            core.figures().reloaded(false);
+            log.accept("tulipshed: reload, the old settings stay: " + why.replaceAll("\\s+", " "));
+        });
     }
 
     /**
--- a/src/test/java/tulipshed/command/CommandLineTest.java
+++ b/node/src/test/java/tulipshed/command/CommandLineTest.java
@@ -77,17 +77,17 @@
 
     @Test
     void checkAndTestTellAllThatIsWrongWithTheirFiles() throws IOException {
-        String example = "example/tulipshed.sexp";
+        String example = "../example/tulipshed.sexp";
         assertEquals(0, run("expression", "check", example, "--config", CONFIG));
         assertEquals(0, run("expression", "explain", example, "--config", CONFIG));
         assertTrue(out.contains("route large-bookings: when (and (= class \"slot-booking\")"), out);
-        assertEquals(0, run("expression", "test", example, "example/cases.sexp", "--config", CONFIG));
+        assertEquals(0, run("expression", "test", example, "../example/cases.sexp", "--config", CONFIG));
         assertEquals("6 cases passed, 0 failed\n", out);
         Path broken = Files.writeString(folder.resolve("broken.sexp"), "(pool a (where (= member.kin 1)))\n(rout b)\n");
         assertEquals(2, run("expression", "check", broken.toString(), "--config", CONFIG));
         assertEquals(2, err.lines().count(), err);
         Path other = Files.writeString(folder.resolve("other.sexp"), Files.readString(Path.of(example)).replace("40", "99"));
-        assertEquals(1, run("expression", "test", other.toString(), "example/cases.sexp", "--config", CONFIG));
+        assertEquals(1, run("expression", "test", other.toString(), "../example/cases.sexp", "--config", CONFIG));
         assertTrue(out.endsWith("5 cases passed, 1 failed\n"), out);
         assertEquals(2, run("expression", "check", folder.resolve("none").toString(), "--config", CONFIG));
     }
--- a/src/test/java/tulipshed/command/NodeTest.java
+++ b/node/src/test/java/tulipshed/command/NodeTest.java
@@ -103,7 +103,7 @@
         try (Socket one = client(OPEN); Socket first = serve()) {
             assertEquals("UP r", reader(one).readLine());
             String figures = call("GET /status/metrics");
-            Map<String, Object> described = new Yaml().load(Files.readString(Path.of("docs/openapi-management.yaml")));
+            Map<String, Object> described = new Yaml().load(Files.readString(Path.of("../docs/openapi-management.yaml")));
             assertTrue(described.toString().contains("required=[" + String.join(", ",
                     JsonValues.object(figures.substring(figures.indexOf('{')).getBytes(StandardCharsets.US_ASCII)).keySet())
                     + "]"), "the description names all figures");
@@ -183,13 +183,13 @@
     @Test
     void theSecondFrontListensWhereItsFileSaysAndNotOnThePlatform() throws IOException {
         Path file = folder.resolve("tulipshed.sexp");
-        Files.writeString(file, Files.readString(Path.of("example/tulipshed.sexp")).replace(":4433", ":0"));
+        Files.writeString(file, Files.readString(Path.of("../example/tulipshed.sexp")).replace(":4433", ":0"));
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names();
         node(1024, OperatorsFile.load(file, names));
         assertTrue(log.stream().anyMatch(l -> l.startsWith("tulipshed: QUIC on /127.0.0.1:")), log.toString());
         node.leave();
         log.clear();
-        node(1024, OperatorsFile.load(Path.of("deploy/tulipshed.sexp"), names));
+        node(1024, OperatorsFile.load(Path.of("../deploy/tulipshed.sexp"), names));
         assertFalse(log.stream().anyMatch(l -> l.contains("QUIC")), log.toString());
     }
 
--- a/src/test/java/tulipshed/line/DescriptionTest.java
+++ b/node/src/test/java/tulipshed/line/DescriptionTest.java
@@ -22,7 +22,7 @@
     private final Map<String, Object> description;
 
     DescriptionTest() throws IOException {
-        description = new Yaml().load(Files.readString(Path.of("docs/asyncapi.yaml")));
+        description = new Yaml().load(Files.readString(Path.of("../docs/asyncapi.yaml")));
     }
 
     @SuppressWarnings("unchecked")
@@ -51,8 +51,8 @@
 
     @Test
     void everyReferenceLeadsSomewhere() throws IOException {
-        for (String file : List.of("docs/asyncapi.yaml", "docs/openapi-discovery.yaml",
-                "docs/openapi-management.yaml")) {
+        for (String file : List.of("../docs/asyncapi.yaml", "../docs/openapi-discovery.yaml",
+                "../docs/openapi-management.yaml")) {
             Object whole = new Yaml().load(Files.readString(Path.of(file)));
             assertTrue(references(whole, whole) > 0, file);
         }
--- a/src/test/java/tulipshed/operators/OperatorsFileTest.java
+++ b/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
@@ -22,7 +22,7 @@
 import tulipshed.testing.Cuts;
 
 class OperatorsFileTest {
-    private static final Path EXAMPLE = Path.of("example/tulipshed.sexp");
+    private static final Path EXAMPLE = Path.of("../example/tulipshed.sexp");
     private final Names names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json")).names();
 
     private OperatorsFile read(String text) {
@@ -39,7 +39,7 @@
         assertEquals(4433, example.quic().listen().getPort());
         assertEquals("s-2", example.quic().ids().get(0).servers().get("000002"));
         assertEquals(List.of("old-halls", "new-halls", "near"), List.copyOf(example.router().pools().keySet()));
-        OperatorsFile platform = OperatorsFile.load(Path.of("deploy/tulipshed.sexp"), names);
+        OperatorsFile platform = OperatorsFile.load(Path.of("../deploy/tulipshed.sexp"), names);
         assertNull(platform.router());
         assertNull(platform.quic());
         assertEquals(List.of(), platform.explanation().lines());
@@ -47,7 +47,7 @@
 
     @Test
     void theCasesOfTheExampleHoldAndWouldFailOtherwise() throws IOException {
-        CaseTable table = CaseTable.read("cases", Files.readAllBytes(Path.of("example/cases.sexp")));
+        CaseTable table = CaseTable.read("cases", Files.readAllBytes(Path.of("../example/cases.sexp")));
         assertEquals(List.of(), table.run(OperatorsFile.load(EXAMPLE, names), names));
         assertTrue(table.size() >= 6);
         OperatorsFile other = read(Files.readString(EXAMPLE).replace(">= (default containers 0) 40", "> (default containers 0) 60")
