--- /dev/null
+++ b/lab/scenarios/huge.sexp
@@ -0,0 +1,10 @@
+; What the lab is made to reach: a thousand nodes, ten thousand members, a million connections that stand.
+(seconds 60)
+(network (within-ms 1) (jitter-ms 0.3))
+(nodes (count 1000))
+(members std (count 10000) (cores 4))
+(class slot-board (share 5) (aim-ms 800) (deadline-ms 4800) (message-aim-ms 60) (life-s 50) (load 0.02))
+(class slot-booking (share 2) (aim-ms 500) (deadline-ms 3000) (worth 3) (message-aim-ms 100) (life-s 50) (load 0.02))
+(clients (per-second 20000) (standing 1000000) (groups 4000) (grouped 0.1))
+(member-model (group-load 0.01))
+(discovery (calls-per-s 2000))
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/Clients.java
@@ -0,0 +1,146 @@
+package tulipshed.lab.model;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.lab.policy.Try;
+import tulipshed.lab.policy.Wish;
+import tulipshed.lab.scenario.Scenario;
+
+/** What clients at one node do: come, wait, try again here or at another node, and come back when they are cut off. */
+final class Clients {
+    private static final double LEAST_LEFT_MS = 30; // of a wait, to try once more
+    private static final double NO_NODE_MS = 20; // until a client whose node is not there tries another
+
+    private final NodePart node;
+    private final World world;
+    private final Scenario.Clients ways;
+    private final UniformRandomProvider random;
+    private double factor = 1;
+    private double impatientUntilMs;
+
+    Clients(NodePart node, World world, UniformRandomProvider random) {
+        this.node = node;
+        this.world = world;
+        this.random = random;
+        ways = world.scenario.clients();
+    }
+
+    void rate(double times) {
+        factor = times;
+    }
+
+    void impatientUntil(double ms) {
+        impatientUntilMs = ms;
+    }
+
+    /** The front layer's next client, after a time by chance. */
+    void next(double nowMs) {
+        double perSecond = ways.perSecond() * world.shareOf(node.number) * factor;
+        if (perSecond > 0) {
+            node.remindSelf(nowMs + Seeds.exponential(random, 1000 / perSecond), Kinds.ARRIVAL, null);
+        } else if (ways.perSecond() > 0) {
+            node.remindSelf(nowMs + 1000, Kinds.ARRIVAL, this);
+        }
+    }
+
+    void arrives(double nowMs) {
+        if (factor > 0) {
+            Wish w = world.wish(random, nowMs);
+            world.wants(node.tally(), w, nowMs);
+            w.firstAskedMs = nowMs;
+            asks(nowMs, w);
+            comes(nowMs, w);
+        }
+        next(nowMs);
+    }
+
+    private boolean counted(Wish w) {
+        return w.firstAskedMs >= world.scenario.settleMs();
+    }
+
+    private void asks(double nowMs, Wish w) {
+        node.tally().at(node.tally().came, nowMs);
+        if (counted(w)) {
+            node.tally().asked[w.requestClass]++;
+        }
+    }
+
+    void comes(double nowMs, Wish w) {
+        double deadline = world.scenario.classes().get(w.requestClass).deadlineMs();
+        double left = w.firstAskedMs + deadline - nowMs;
+        if (left < LEAST_LEFT_MS || w.tries >= ways.tries()) {
+            rests(nowMs, w);
+        } else if (!node.takes()) {
+            node.elsewhere(w, nowMs + NO_NODE_MS);
+        } else {
+            w.tries++;
+            node.asked(w, Math.min(left, deadline * ways.tryShare()));
+        }
+    }
+
+    /** After many failures a client waits longer before it begins anew. */
+    private void rests(double nowMs, Wish w) {
+        if (counted(w)) {
+            node.tally().lost[w.requestClass]++;
+        }
+        begins(nowMs + ways.restMs() * (0.5 + random.nextDouble()), w);
+    }
+
+    /** A client leaves and does not come back; what it wanted stays wanted. */
+    void leavesForGood() {
+        node.tally().left++;
+    }
+
+    private void begins(double atMs, Wish w) {
+        if (atMs < w.untilMs) {
+            w.tries = 0;
+            w.firstAskedMs = atMs;
+            asks(atMs, w);
+            node.elsewhere(w, atMs);
+        }
+    }
+
+    void waited(double nowMs, Try t) {
+        if (node.unanswered(t)) {
+            again(nowMs, t.wish, backoffMs(t.wish));
+        }
+    }
+
+    private double backoffMs(Wish w) {
+        double most = Math.min(ways.longestBackoffMs(), ways.backoffMs() * Math.pow(2, Math.max(0, w.tries - 1)));
+        return most * (0.5 + 0.5 * random.nextDouble());
+    }
+
+    /** Turned away: most wait as they are told, the others as they see fit. */
+    void refused(double nowMs, Try t, double retryAfterMs) {
+        boolean heeds = retryAfterMs > 0 && random.nextDouble() < ways.heed();
+        double wait = nowMs < impatientUntilMs ? ways.backoffMs() * random.nextDouble()
+                : heeds ? retryAfterMs * (1 + 0.1 * random.nextDouble()) : backoffMs(t.wish);
+        again(nowMs, t.wish, wait);
+    }
+
+    void again(double nowMs, Wish w, double waitMs) {
+        double deadline = world.scenario.classes().get(w.requestClass).deadlineMs();
+        if (nowMs + waitMs + LEAST_LEFT_MS > w.firstAskedMs + deadline || w.tries >= ways.tries()) {
+            rests(nowMs, w);
+        } else {
+            node.elsewhere(w, nowMs + waitMs);
+        }
+    }
+
+    /** A client has its connection; the way back to it counts. */
+    void served(double nowMs, Try t) {
+        Wish w = t.wish;
+        double took = nowMs + world.scenario.network().withinMs() - w.firstAskedMs;
+        Scenario.ClassOf c = world.scenario.classes().get(w.requestClass);
+        node.tally().setupUs.recordValue(Math.min(3_600_000_000L, Math.round(took * 1000)));
+        if (counted(w)) {
+            (took <= c.aimMs() ? node.tally().inAim : node.tally().late)[w.requestClass]++;
+        }
+    }
+
+    /** A connection broke, or was moved: its client comes back for the rest of what it wanted. */
+    void returns(double nowMs, Try t) {
+        t.wish.returning = true;
+        begins(nowMs + ways.returnMs() * (0.5 + random.nextDouble()), t.wish);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
@@ -0,0 +1,129 @@
+package tulipshed.lab.model;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.lab.engine.Message;
+import tulipshed.lab.engine.Part;
+import tulipshed.lab.policy.MemberNews;
+import tulipshed.transaction.ListedMember;
+
+/**
+ * Discovery: knows the members after a time, tells those that watch, answers calls one after the other at a fixed rate, and
+ * fails those that would wait too long. Dark, it fails all and forgets who watches.
+ */
+final class DiscoveryPart extends Part {
+    private static final InetSocketAddress NOWHERE = InetSocketAddress.createUnresolved("lab", 1);
+
+    private final World world;
+    private final MemberNews[] now;
+    private final List<MemberNews> changes = new ArrayList<>();
+    private final BitSet watching = new BitSet();
+    /** How many of the changes have had their time to become known. */
+    private int told;
+    private double busyUntilMs;
+    private double darkUntilMs;
+    long calls;
+    long failedCalls;
+
+    DiscoveryPart(int id, World world) {
+        super(id);
+        this.world = world;
+        now = new MemberNews[world.members.length];
+        for (int m = 0; m < world.listedAtStart; m++) {
+            now[m] = news(m, ServerState.SERVING, 0);
+        }
+    }
+
+    String site() {
+        return "s0";
+    }
+
+    /** What every node is told at its start of the day. */
+    MemberNews.Batch atStart() {
+        List<MemberNews> all = new ArrayList<>();
+        for (MemberNews n : now) {
+            if (n != null) {
+                all.add(n);
+            }
+        }
+        return new MemberNews.Batch(ListKind.REMEMBERED, List.copyOf(all));
+    }
+
+    private MemberNews news(int member, ServerState state, double startedMs) {
+        MemberPart m = world.members[member];
+        return new MemberNews(member, new ListedMember(new ServerEntry(m.name, state, m.site, 0, m.kind.name(), m.kind.share(),
+                Math.round(startedMs * 1000)), NOWHERE));
+    }
+
+    @Override
+    protected void take(double nowMs, Message message) {
+        switch (message.kind) {
+            case Kinds.STATE -> {
+                int[] what = (int[]) message.what;
+                change(nowMs, what[0], ServerState.values()[what[1]], message.value);
+            }
+            case Kinds.FELL -> remind(nowMs + world.scenario.discovery().detectMs(), Kinds.STATE, message.what, 0);
+            case Kinds.TELL -> tell(nowMs, (Integer) message.what);
+            case Kinds.ANSWER -> answer(nowMs, (NodePart) message.what, (int) message.value);
+            case Kinds.WATCH -> call(nowMs, (NodePart) message.what, (int) message.value);
+            case Kinds.DARK -> {
+                darkUntilMs = nowMs + message.value;
+                for (int n = watching.nextSetBit(0); n >= 0; n = watching.nextSetBit(n + 1)) {
+                    fail(nowMs, world.nodes[n]);
+                }
+                watching.clear();
+            }
+            default -> throw new IllegalStateException("discovery is sent " + message.kind);
+        }
+    }
+
+    private void change(double nowMs, int member, ServerState state, double startedMs) {
+        MemberNews n = news(member, state, startedMs);
+        if (state == ServerState.GONE && now[member] == null) {
+            return;
+        }
+        now[member] = state == ServerState.GONE ? null : n;
+        changes.add(n);
+        remind(nowMs + world.scenario.discovery().lagMs(), Kinds.TELL, changes.size() - 1, 0);
+    }
+
+    private void tell(double nowMs, int change) {
+        told = change + 1;
+        MemberNews.Batch batch = new MemberNews.Batch(ListKind.CHANGES, List.of(changes.get(change)));
+        for (int n = watching.nextSetBit(0); n >= 0; n = watching.nextSetBit(n + 1)) {
+            send(nowMs + world.wayToDiscovery(world.nodes[n]), world.nodes[n], Kinds.LIST, batch, change + 1);
+        }
+    }
+
+    private void call(double nowMs, NodePart from, int version) {
+        calls++;
+        if (nowMs < darkUntilMs || busyUntilMs - nowMs > world.scenario.discovery().waiting()
+                / world.scenario.discovery().callsPerS() * 1000) {
+            fail(nowMs, from);
+            return;
+        }
+        busyUntilMs = Math.max(nowMs, busyUntilMs) + 1000 / world.scenario.discovery().callsPerS();
+        remind(busyUntilMs, Kinds.ANSWER, from, version);
+    }
+
+    /** From here on the node hears of what becomes known; what it is told of before is in this answer. */
+    private void answer(double nowMs, NodePart to, int version) {
+        if (nowMs < darkUntilMs) {
+            fail(nowMs, to);
+            return;
+        }
+        watching.set(to.number);
+        List<MemberNews> since = version < told ? List.copyOf(changes.subList(version, told)) : List.of();
+        send(nowMs + world.wayToDiscovery(to), to, Kinds.LIST, new MemberNews.Batch(ListKind.CHANGES, since), told);
+    }
+
+    private void fail(double nowMs, NodePart node) {
+        failedCalls++;
+        send(nowMs + world.wayToDiscovery(node), node, Kinds.LIST, new MemberNews.Batch(ListKind.FAILED, List.of()), -1);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/MemberPart.java
@@ -0,0 +1,437 @@
+package tulipshed.lab.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.lab.engine.Message;
+import tulipshed.lab.engine.Part;
+import tulipshed.lab.policy.Flow;
+import tulipshed.lab.policy.Host;
+import tulipshed.lab.rules.ColdRule;
+import tulipshed.lab.scenario.Scenario;
+
+/**
+ * A pool member: set-ups wait for its cores in order of arrival; standing connections ask for work that goes on, and where
+ * that is more than it can do, work piles up and messages take long (docs/lab-design.md gives the model).
+ */
+final class MemberPart extends Part implements Host.Truth {
+    private static final double TICK_MS = 150;
+    private static final double NOTE_MS = 1000;
+    private static final double SILENT_MS = 2000; // until a client gives up a member that says nothing
+    private static final double LEAST_FREE = 0.05; // of a member, left for what is new however full it is
+    private static final double SLACK = 3; // usual connections that the cold rule leaves to chance
+
+    final int number;
+    final String name;
+    final String site;
+    final Scenario.MemberKind kind;
+    final float[] loadBySecond;
+    private final World world;
+    private final Scenario.MemberModel model;
+    private final UniformRandomProvider random;
+    private final ColdRule cold;
+    private final double noteFromMs;
+    private final List<Flow> standing = new ArrayList<>();
+    private final Map<Integer, Integer> groups = new HashMap<>();
+    private final double[] freeAtMs;
+    private final int[][] counts;
+    private final double[] inTime;
+    private final double cap;
+    private final double[] promised = new double[1];
+    private int pending;
+    private int generation;
+    private boolean alive;
+    private boolean resets;
+    private double startedMs;
+    private double slower = 1;
+    private double pausedUntilMs;
+    private double loadCores;
+    private double backlogMs;
+    private double messageMs;
+    private double tickedMs;
+    private double setupWorkMs;
+    private double countedMs;
+    private double notedMs;
+    private boolean noted;
+    private final Set<Integer> noticed = new HashSet<>();
+
+    MemberPart(int id, int number, Scenario.MemberKind kind, World world) {
+        super(id);
+        this.number = number;
+        this.kind = kind;
+        this.world = world;
+        model = world.scenario.members();
+        name = "m-" + number;
+        site = "s" + number % world.scenario.network().sites();
+        random = Seeds.random(world.seed, id, 0);
+        int classes = world.scenario.classes().size();
+        double shares = world.scenario.classes().stream().mapToDouble(Scenario.ClassOf::share).sum();
+        double usual = world.scenario.classes().stream().mapToDouble(c -> c.share() / shares * c.load()).sum();
+        cold = new ColdRule(number, model.fallFactor(), model.fallMs(), SLACK * usual);
+        cap = usual > 0 ? model.cap() * kind.cores() * kind.speed() / usual : Double.MAX_VALUE;
+        freeAtMs = new double[kind.cores()];
+        counts = new int[classes][world.scenario.tenants().size()];
+        inTime = new double[classes];
+        loadBySecond = new float[(int) Math.ceil(world.scenario.lengthMs() / 1000) + 1];
+        noteFromMs = world.scenario.classes().stream().mapToDouble(Scenario.ClassOf::messageAimMs).min().orElse(60) / 3;
+        messageMs = model.messageMs() / kind.speed();
+        inTime(0);
+    }
+
+    /** The day begins with it running, warm where it has long run. */
+    void begin(boolean running) {
+        alive = running;
+        remind(TICK_MS * random.nextDouble(), Kinds.TICK, null, 0);
+    }
+
+    /** A connection that stands when the day begins. */
+    void holds(Flow f) {
+        add(f);
+    }
+
+    private Tally tally() {
+        return world.tallies[shardNumber()];
+    }
+
+    private void say(double nowMs, String what) {
+        if (world.tells(nowMs)) {
+            world.tell(nowMs, name + ": " + what);
+        }
+    }
+
+    // ---- How it is ----
+
+    private double warm(double nowMs) {
+        return startedMs == 0 || model.warmMs() <= 0 ? 1
+                : Math.min(1, model.coldShare() + (1 - model.coldShare()) * (nowMs - startedMs) / model.warmMs());
+    }
+
+    private boolean cold(double nowMs) {
+        return startedMs > 0 && nowMs - startedMs < model.warmMs();
+    }
+
+    private double able(double nowMs) {
+        double able = kind.cores() * kind.speed() * warm(nowMs) / slower;
+        double over = loadCores / able - 1;
+        return over > 0 ? able / (1 + model.crowding() * over) : able;
+    }
+
+    @Override
+    public boolean alive() {
+        return alive;
+    }
+
+    @Override
+    public double capacity() {
+        return kind.cores() * kind.speed() * warm(tickedMs) / slower;
+    }
+
+    @Override
+    public double load() {
+        return loadCores;
+    }
+
+    @Override
+    public double backlogMs() {
+        return backlogMs;
+    }
+
+    @Override
+    public double strain() {
+        return cold(tickedMs) ? cold.strain() : 0;
+    }
+
+    @Override
+    public double[] promised() {
+        return promised;
+    }
+
+    @Override
+    protected void take(double nowMs, Message m) {
+        switch (m.kind) {
+            case Kinds.DIAL -> dial(nowMs, (Flow) m.what);
+            case Kinds.TAKEN -> taken(nowMs, (Flow) m.what, (int) m.value);
+            case Kinds.DROP -> drop(nowMs, (Flow) m.what);
+            case Kinds.LOAD -> load((Flow) m.what, m.value);
+            case Kinds.TICK -> tick(nowMs);
+            case Kinds.DRAINED -> sendAway(nowMs);
+            case Kinds.DIES -> die(nowMs, m.value > 0);
+            case Kinds.RISES -> rise(nowMs);
+            case Kinds.SLOW -> slower = m.value;
+            case Kinds.PAUSE -> {
+                account(nowMs);
+                pausedUntilMs = Math.max(pausedUntilMs, nowMs + m.value);
+            }
+            case Kinds.NOTICED -> end(nowMs, (Flow) m.what, Outcome.RESET);
+            default -> throw new IllegalStateException("a member is sent " + m.kind);
+        }
+    }
+
+    // ---- Connections ----
+
+    private void tell(double nowMs, Flow f, int kind, double value) {
+        NodePart node = (NodePart) f.from;
+        send(nowMs + world.wayMs(site, node.site, random), node, kind, f, value);
+    }
+
+    private void end(double nowMs, Flow f, Outcome outcome) {
+        tell(nowMs, f, Kinds.ENDED, outcome.ordinal());
+    }
+
+    private void dial(double nowMs, Flow f) {
+        if (!alive) {
+            if (resets) {
+                end(nowMs, f, Outcome.CONNECT_FAILED);
+            }
+            return;
+        }
+        double work = model.exponential() ? Seeds.exponential(random, model.setupMs()) : model.setupMs();
+        push(nowMs, f);
+        if (!alive) {
+            end(nowMs, f, Outcome.RESET);
+            return;
+        }
+        if (pending >= model.queue() * kind.cores() || standing.size() >= cap) {
+            end(nowMs, f, Outcome.FULL);
+            return;
+        }
+        pending++;
+        setupWorkMs += work;
+        int core = 0;
+        for (int i = 1; i < freeAtMs.length; i++) {
+            core = freeAtMs[i] < freeAtMs[core] ? i : core;
+        }
+        double able = able(nowMs);
+        double each = able / kind.cores() * Math.max(LEAST_FREE, 1 - loadCores / able);
+        double start = Math.max(Math.max(nowMs + backlogMs, pausedUntilMs), freeAtMs[core]);
+        freeAtMs[core] = start + work / each;
+        tally().waitUs.recordValue(Math.round((start - nowMs) * 1000));
+        remind(freeAtMs[core], Kinds.TAKEN, f, generation);
+    }
+
+    private void taken(double nowMs, Flow f, int of) {
+        if (of != generation) {
+            if (resets) {
+                end(nowMs, f, Outcome.RESET);
+            }
+            return;
+        }
+        if (nowMs < pausedUntilMs) {
+            remind(pausedUntilMs, Kinds.TAKEN, f, of);
+            return;
+        }
+        pending--;
+        promised[0] = Math.max(0, promised[0] - f.load);
+        if (f.dropped) {
+            return;
+        }
+        account(nowMs);
+        add(f);
+        tell(nowMs, f, Kinds.UP, 0);
+    }
+
+    private void add(Flow f) {
+        f.place = standing.size();
+        standing.add(f);
+        counts[f.requestClass][f.tenant]++;
+        loadCores += f.load;
+        if (f.group >= 0 && groups.merge(f.group, 1, Integer::sum) == 1) {
+            loadCores += model.groupLoad();
+        }
+    }
+
+    private void remove(Flow f) {
+        Flow last = standing.remove(standing.size() - 1);
+        if (last != f) {
+            standing.set(f.place, last);
+            last.place = f.place;
+        }
+        f.place = -1;
+        counts[f.requestClass][f.tenant]--;
+        loadCores = standing.isEmpty() ? 0 : loadCores - f.load;
+        if (f.group >= 0 && groups.merge(f.group, -1, Integer::sum) == 0) {
+            groups.remove(f.group);
+            loadCores = standing.isEmpty() ? 0 : loadCores - model.groupLoad();
+        }
+    }
+
+    private void drop(double nowMs, Flow f) {
+        f.dropped = true;
+        if (f.place >= 0) {
+            account(nowMs);
+            remove(f);
+        }
+    }
+
+    private void load(Flow f, double cores) {
+        if (f.place >= 0) {
+            loadCores += cores - f.load;
+        }
+        f.load = cores;
+    }
+
+    // ---- Time passes ----
+
+    /** What has stood since it was last counted was served as well as messages were. */
+    private void account(double nowMs) {
+        double passed = nowMs - countedMs;
+        countedMs = nowMs;
+        if (standing.isEmpty() || passed <= 0) {
+            return;
+        }
+        Tally t = tally();
+        boolean serves = alive && nowMs >= pausedUntilMs;
+        for (int c = 0; c < counts.length; c++) {
+            for (int tenant = 0; tenant < counts[c].length; tenant++) {
+                if (counts[c][tenant] > 0) {
+                    t.stood(nowMs, counts[c][tenant] * passed);
+                    if (serves) {
+                        t.good(c, tenant, nowMs, counts[c][tenant] * passed * inTime[c]);
+                    }
+                }
+            }
+        }
+    }
+
+    /** The part of messages in time, by class: none while more work is piled up than the aim, else as in M/M/1. */
+    private void inTime(double backlog) {
+        for (int c = 0; c < inTime.length; c++) {
+            double left = world.scenario.classes().get(c).messageAimMs() - backlog;
+            inTime[c] = left <= 0 ? 0 : 1 - Math.exp(-left / messageMs);
+        }
+    }
+
+    private double delayMs(double nowMs) {
+        return messageMs + backlogMs + Math.max(0, pausedUntilMs - nowMs);
+    }
+
+    private void push(double nowMs, Flow from) {
+        if (!cold(nowMs)) {
+            return;
+        }
+        double able = kind.cores() * kind.speed() * warm(nowMs) / slower * model.fills() / model.warmMs();
+        cold.pushed(nowMs, from.load, able, from.believedStartMs >= startedMs - 1);
+        tally().coldStrain = Math.max(tally().coldStrain, Math.round(cold.strain() * 1000));
+        if (cold.falls()) {
+            say(nowMs, "pushed over " + Math.round(nowMs - startedMs) + " ms after its start");
+            tally().felt++;
+            cold.fell(nowMs, tally().rules, nowMs - startedMs);
+            die(nowMs, true);
+            send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.FELL, new int[] {number, 2}, 0);
+        }
+    }
+
+    private void tick(double nowMs) {
+        remind(nowMs + TICK_MS, Kinds.TICK, null, 0);
+        account(nowMs);
+        double passed = nowMs - tickedMs;
+        Tally t = tally();
+        t.queue[Math.min(t.queue.length - 1, pending)]++;
+        double able = able(nowMs);
+        double busy = (loadCores + (passed > 0 ? setupWorkMs / passed : 0)) / able;
+        setupWorkMs = 0;
+        backlogMs = Math.max(0, backlogMs + (loadCores / able - 1) * passed);
+        // Sakasegawa's approximation of the mean time in M/M/c; a member without room is as slow as one nearly without.
+        int c = kind.cores();
+        double full = Math.min(1 - LEAST_FREE, busy);
+        messageMs = model.messageMs() / kind.speed() / warm(nowMs) * slower
+                * (1 + Math.pow(full, Math.sqrt(2.0 * (c + 1)) - 1) / (c * (1 - full)));
+        inTime(backlogMs);
+        tickedMs = nowMs;
+        int second = Math.min(loadBySecond.length - 1, (int) (nowMs / 1000));
+        loadBySecond[second] = alive ? (float) (loadCores / capacity()) : Float.NaN;
+        if (alive && nowMs - notedMs >= NOTE_MS && nowMs >= pausedUntilMs) {
+            note(nowMs);
+        }
+    }
+
+    /** Once a second: its clients see how long messages take, and a member far behind cuts some of them off. */
+    private void note(double nowMs) {
+        notedMs = nowMs;
+        say(nowMs, standing.size() + " connections, load " + Math.round(loadCores * 100) / 100.0 + " of "
+                + Math.round(capacity() * 100) / 100.0 + " cores, " + Math.round(backlogMs) + " ms of work piled up");
+        double delay = delayMs(nowMs);
+        if (delay > noteFromMs || noted) {
+            // On one connection of each node, once more when it is back under.
+            noted = delay > noteFromMs;
+            noticed.clear();
+            for (Flow f : standing) {
+                if (noticed.add(((NodePart) f.from).number)) {
+                    tell(nowMs, f, Kinds.DELAY, delay);
+                }
+            }
+        }
+        if (backlogMs > model.resetBacklogMs()) {
+            List<Flow> heaviest = new ArrayList<>(standing);
+            heaviest.sort((a, b) -> a.load != b.load ? Double.compare(b.load, a.load) : Integer.compare(a.place, b.place));
+            int many = (int) Math.ceil(standing.size() * model.resetShare());
+            heaviest.subList(0, Math.min(many, heaviest.size())).forEach(f -> reset(nowMs, f, Outcome.RESET));
+            backlogMs *= 1 - model.resetShare();
+        }
+    }
+
+    private void reset(double nowMs, Flow f, Outcome outcome) {
+        account(nowMs);
+        remove(f);
+        tally().at(outcome == Outcome.RESET ? tally().resets : tally().moves, nowMs);
+        end(nowMs, f, outcome);
+    }
+
+    // ---- Processes ----
+
+    /** A drain is over: its clients are sent away in good order, and the process ends. */
+    private void sendAway(double nowMs) {
+        if (!alive) {
+            return;
+        }
+        while (!standing.isEmpty()) {
+            reset(nowMs, standing.get(standing.size() - 1), Outcome.OK);
+        }
+        die(nowMs, true);
+    }
+
+    private void die(double nowMs, boolean withReset) {
+        if (!alive) {
+            return;
+        }
+        say(nowMs, "ends with " + standing.size() + " connections" + (withReset ? "" : ", in silence"));
+        resets = withReset;
+        for (int i = standing.size() - 1; i >= 0; i--) {
+            Flow f = standing.get(i);
+            if (withReset) {
+                reset(nowMs, f, Outcome.RESET);
+            } else {
+                // Nothing says that it is gone; each client finds out by itself.
+                account(nowMs);
+                remove(f);
+                tally().at(tally().resets, nowMs);
+                remind(nowMs + SILENT_MS * (0.5 + 0.5 * random.nextDouble()), Kinds.NOTICED, f, 0);
+            }
+        }
+        alive = false;
+        generation++;
+        pending = 0;
+        backlogMs = 0;
+        promised[0] = 0;
+        java.util.Arrays.fill(freeAtMs, 0);
+    }
+
+    private void rise(double nowMs) {
+        say(nowMs, "a new process");
+        alive = true;
+        resets = true;
+        startedMs = nowMs;
+        slower = 1;
+        cold.restart();
+    }
+
+    /** The day is over: what stands is counted as far as it went. */
+    void end(double nowMs) {
+        account(nowMs);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/NodePart.java
@@ -0,0 +1,519 @@
+package tulipshed.lab.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.lab.engine.Message;
+import tulipshed.lab.engine.Part;
+import tulipshed.lab.policy.Flow;
+import tulipshed.lab.policy.Host;
+import tulipshed.lab.policy.MemberNews;
+import tulipshed.lab.policy.Policy;
+import tulipshed.lab.policy.Try;
+import tulipshed.lab.policy.Wish;
+import tulipshed.lab.rules.NodeRules;
+import tulipshed.lab.scenario.Scenario;
+
+/** A node: the policy that decides, what the node does about it, and the checkers that watch. Its clients are in {@link Clients}. */
+final class NodePart extends Part implements Host {
+    private static final double SLACK_MS = 20;
+    private static final double DRAIN_MS = 300;
+    private static final double SILENT_MS = 2000; // until a client gives up a way that says nothing
+
+    final int number;
+    final String site;
+    private final World world;
+    private final UniformRandomProvider random;
+    private final Clients clients;
+    private final List<Try> tries = new ArrayList<>();
+    private final Map<Integer, Double> started = new HashMap<>();
+    private final List<MemberNews.Batch> heard = new ArrayList<>();
+    private Policy policy;
+    private NodeRules rules;
+    private int generation;
+    private boolean up = true;
+    private boolean taking = true;
+    private int listVersion;
+    private double nowMs;
+    private double cutUntilMs;
+    private long lastTry;
+
+    private record Later(int generation, Runnable what) { }
+
+    NodePart(int id, int number, World world) {
+        super(id);
+        this.number = number;
+        this.world = world;
+        site = "s" + number % world.scenario.network().sites();
+        random = Seeds.random(world.seed, id, 0);
+        clients = new Clients(this, world, Seeds.random(world.seed, id, 1));
+    }
+
+    void begin(MemberNews.Batch list) {
+        start(list);
+        clients.next(0);
+    }
+
+    private void start(MemberNews.Batch list) {
+        Scenario.Discovery d = world.scenario.discovery();
+        rules = new NodeRules(number, tally().rules, SLACK_MS, DRAIN_MS, d.askWithinMs());
+        policy = world.policies.apply(this);
+        policy.settle();
+        hears(new MemberNews.Batch(ListKind.REMEMBERED, list.news()));
+    }
+
+    Tally tally() {
+        return world.tallies[shardNumber()];
+    }
+
+    UniformRandomProvider random() {
+        return random;
+    }
+
+    @Override
+    protected void take(double atMs, Message m) {
+        nowMs = atMs;
+        switch (m.kind) {
+            case Kinds.ARRIVAL -> clients.arrives(nowMs);
+            case Kinds.COMES -> clients.comes(nowMs, (Wish) m.what);
+            case Kinds.WAITED -> clients.waited(nowMs, (Try) m.what);
+            case Kinds.TIMER -> {
+                Later later = (Later) m.what;
+                if (later.generation == generation) {
+                    later.what.run();
+                }
+            }
+            case Kinds.UP -> up((Flow) m.what);
+            case Kinds.ENDED -> {
+                if (m.from() == id()) {
+                    // It is this side that gives the way up.
+                    closes((Flow) m.what);
+                }
+                ended((Flow) m.what, Outcome.values()[(int) m.value]);
+            }
+            case Kinds.DELAY -> delayed((Flow) m.what, m.value);
+            case Kinds.LIST -> list((MemberNews.Batch) m.what, (int) m.value);
+            case Kinds.LIFE_OVER -> lifeOver((Flow) m.what);
+            case Kinds.LOAD_CHANGES -> loadChanges((Flow) m.what);
+            case Kinds.LEAVES -> leaves((Try) m.what);
+            case Kinds.STOP -> stop(m.value > 0);
+            case Kinds.START -> starts();
+            case Kinds.SEND_AWAY -> sendAway((Try) m.what);
+            case Kinds.RATE -> clients.rate(m.value);
+            case Kinds.IMPATIENT -> clients.impatientUntil(nowMs + m.value);
+            case Kinds.CUT -> cut(m.value);
+            default -> throw new IllegalStateException("a node is sent " + m.kind);
+        }
+        if (up) {
+            policy.settle();
+        }
+    }
+
+    private void tell(Try t, String what) {
+        if (world.tells(nowMs)) {
+            world.tell(nowMs, "n-" + number + (t == null ? "" : ", n-" + number + "/" + t.id) + ": " + what);
+        }
+    }
+
+    private String at(Flow f) {
+        return world.members[f.member].name;
+    }
+
+    // ---- Clients ----
+
+    boolean takes() {
+        return up && taking;
+    }
+
+    void remindSelf(double atMs, int kind, Object what) {
+        remind(atMs, kind, what, 0);
+    }
+
+    /** A client goes on at some node, from a time on. */
+    void elsewhere(Wish w, double atMs) {
+        int to = random.nextInt(world.nodes.length);
+        if (to == number) {
+            remind(atMs, Kinds.COMES, w, 0);
+        } else {
+            send(Math.max(atMs, nowMs + world.scenario.network().leastMs()), world.nodes[to], Kinds.COMES, w, 0);
+        }
+    }
+
+    /** A client asks here; the policy owes it an answer. */
+    void asked(Wish w, double graceMs) {
+        Try t = new Try(++lastTry, w, nowMs, nowMs + graceMs, rules.asked(nowMs, lastTry, nowMs + graceMs));
+        keep(t);
+        tell(t, "a client asks, try " + w.tries + (w.returning ? ", back after a break or a move" : "") + ", waits "
+                + Math.round(graceMs) + " ms");
+        remind(t.deadlineMs + SLACK_MS + 1, Kinds.WAITED, t, 0);
+        if (random.nextDouble() < world.scenario.clients().giveUpShare()) {
+            remind(nowMs + graceMs * random.nextDouble(), Kinds.LEAVES, t, 0);
+        }
+        policy.arrived(t);
+    }
+
+    private void keep(Try t) {
+        t.place = tries.size();
+        tries.add(t);
+    }
+
+    private void forget(Try t) {
+        if (t.place >= 0) {
+            Try last = tries.remove(tries.size() - 1);
+            if (last != t) {
+                tries.set(t.place, last);
+                last.place = t.place;
+            }
+            t.place = -1;
+        }
+    }
+
+    /** A connection that stands when the day begins. */
+    Flow alreadyOpen(Wish w, int member) {
+        Try t = new Try(++lastTry, w, 0, 0, rules.asked(0, lastTry, 0));
+        keep(t);
+        Flow f = new Flow(t, member, 0, Double.NaN, this);
+        t.flow = f;
+        t.attempts = 1;
+        rules.sent(0, t.watched, member);
+        rules.answered(0, t.watched, "served");
+        policy.alreadyOpen(t, f);
+        stands(f);
+        return f;
+    }
+
+    private void stands(Flow f) {
+        remind(Math.max(nowMs, f.of.wish.untilMs), Kinds.LIFE_OVER, f, 0);
+        double changes = world.scenario.clients().loadChangesPerS();
+        if (changes > 0) {
+            remind(nowMs + Seeds.exponential(random, 1000 / changes), Kinds.LOAD_CHANGES, f, 0);
+        }
+    }
+
+    private void leaves(Try t) {
+        if (t.owed && t.place >= 0) {
+            tell(t, "the client leaves before it is answered");
+            rules.left(t.watched);
+            policy.left(t);
+            policy.settle();
+            over(t);
+            clients.leavesForGood();
+        }
+    }
+
+    /** The client's wait and the slack are over; where nothing was heard, it is a breach, and the client goes on. */
+    boolean unanswered(Try t) {
+        rules.waited(nowMs, t.watched);
+        if (t.owed && t.place >= 0) {
+            policy.left(t);
+            policy.settle();
+            over(t);
+            return true;
+        }
+        return false;
+    }
+
+    private void over(Try t) {
+        forget(t);
+        if (t.flow != null) {
+            giveUp(t.flow);
+        }
+    }
+
+    // ---- Flows ----
+
+    private void closes(Flow f) {
+        MemberPart m = world.members[f.member];
+        send(nowMs + world.wayMs(site, m.site, random), m, Kinds.DROP, f, 0);
+    }
+
+    private void up(Flow f) {
+        Try t = f.of;
+        if (t.place < 0 || f.over || !policy.up(f)) {
+            closes(f);
+            return;
+        }
+        tell(t, "served by " + at(f) + " after " + Math.round(nowMs - f.sentMs) + " ms");
+        rules.answered(nowMs, t.watched, "served");
+        clients.served(nowMs, t);
+        stands(f);
+    }
+
+    private void ended(Flow f, Outcome outcome) {
+        boolean known = f.of.place >= 0 && !f.over;
+        boolean stood = known && f.of.standing;
+        if (!known) {
+            return;
+        }
+        Try t = f.of;
+        tell(t, (t.standing ? "the connection at " : "the flow to ") + at(f) + " ends: " + outcome);
+        f.over = true;
+        t.flow = null;
+        rules.over(nowMs, t.watched, outcome.name());
+        if (stood) {
+            forget(t);
+        }
+        policy.ended(f, outcome);
+        policy.settle();
+        if (stood) {
+            clients.returns(nowMs, t);
+        }
+    }
+
+    private void delayed(Flow f, double ms) {
+        if (f.of.place >= 0 && f.of.standing && !f.over) {
+            tell(f.of, "messages at " + at(f) + " take " + Math.round(ms) + " ms");
+            policy.delayed(f, ms);
+        }
+    }
+
+    private void lifeOver(Flow f) {
+        Try t = f.of;
+        if (t.place >= 0 && t.standing && !f.over) {
+            f.over = true;
+            t.flow = null;
+            forget(t);
+            closes(f);
+            policy.ended(f, Outcome.OK);
+        }
+    }
+
+    private void loadChanges(Flow f) {
+        Try t = f.of;
+        if (t.place < 0 || !t.standing || f.over) {
+            return;
+        }
+        t.wish.load = t.wish.usualLoad * Seeds.lognormal(random, world.scenario.clients().loadSwing());
+        tally().loadNotes++;
+        MemberPart m = world.members[f.member];
+        send(nowMs + world.wayMs(site, m.site, random), m, Kinds.LOAD, f, t.wish.load);
+        if (world.scenario.clients().tellsLoad()) {
+            policy.loadChanged(f);
+        }
+        remind(nowMs + Seeds.exponential(random, 1000 / world.scenario.clients().loadChangesPerS()), Kinds.LOAD_CHANGES, f, 0);
+    }
+
+    // ---- The list ----
+
+    private void list(MemberNews.Batch batch, int version) {
+        if (!up) {
+            return;
+        }
+        if (version >= 0) {
+            listVersion = Math.max(listVersion, version);
+            if (!batch.news().isEmpty()) {
+                heard.add(batch);
+            }
+        }
+        hears(batch);
+    }
+
+    private void hears(MemberNews.Batch batch) {
+        if (world.tells(nowMs)) {
+            tell(null, "list, " + batch.kind() + ": " + batch.news().stream().limit(20)
+                    .map(n -> n.listed().entry().server() + " " + n.listed().entry().state()).toList());
+        }
+        for (MemberNews n : batch.news()) {
+            rules.told(nowMs, n.member(), n.serving());
+            long us = n.listed().entry().startedUs();
+            if (us > 0) {
+                started.put(n.member(), us / 1000.0);
+            }
+        }
+        policy.list(batch);
+        policy.settle();
+    }
+
+    /** The list as this node last had it. */
+    private MemberNews.Batch remembered() {
+        Map<Integer, MemberNews> last = new TreeMap<>();
+        world.atStart.news().forEach(n -> last.put(n.member(), n));
+        heard.forEach(b -> b.news().forEach(n -> last.put(n.member(), n)));
+        last.values().removeIf(n -> n.listed().entry().state() == ServerState.GONE);
+        return new MemberNews.Batch(ListKind.REMEMBERED, List.copyOf(last.values()));
+    }
+
+    // ---- Processes and the network ----
+
+    private void stop(boolean politely) {
+        if (!up) {
+            return;
+        }
+        if (politely) {
+            // The front layer sends it nothing more, and what stands is asked to come again over a time.
+            taking = false;
+            for (Try t : tries) {
+                remind(nowMs + world.scenario.nodes().leaveMs() * random.nextDouble(), Kinds.SEND_AWAY, t, 0);
+            }
+            remind(nowMs + world.scenario.nodes().leaveMs() + 1, Kinds.STOP, null, 0);
+            return;
+        }
+        tell(null, "the process ends with " + tries.size() + " transactions");
+        up = taking = false;
+        generation++;
+        for (Try t : List.copyOf(tries)) {
+            forget(t);
+            Flow f = t.flow;
+            if (f != null) {
+                f.over = true;
+                t.flow = null;
+                closes(f);
+            }
+            if (t.standing && f != null) {
+                tally().at(tally().resets, nowMs);
+                clients.returns(nowMs, t);
+            } else if (t.owed) {
+                // A process that is gone owes nothing.
+                rules.left(t.watched);
+                clients.again(nowMs, t.wish, world.scenario.clients().returnMs() * (0.5 + random.nextDouble()));
+            }
+        }
+        remind(nowMs + world.scenario.nodes().restartMs(), Kinds.START, null, 0);
+    }
+
+    private void starts() {
+        up = taking = true;
+        tell(null, "the next process starts");
+        start(remembered());
+    }
+
+    private void sendAway(Try t) {
+        if (up && t.place >= 0 && t.standing) {
+            move(t);
+        }
+    }
+
+    private boolean reaches(String other) {
+        return nowMs >= cutUntilMs || other.equals(site);
+    }
+
+    private void cut(double forMs) {
+        cutUntilMs = nowMs + forMs;
+        for (Try t : tries) {
+            if (t.flow != null && !reaches(world.members[t.flow.member].site)) {
+                remind(nowMs + SILENT_MS * (0.5 + 0.5 * random.nextDouble()), Kinds.ENDED, t.flow, Outcome.RESET.ordinal());
+            }
+        }
+    }
+
+    // ---- What the policy does ----
+
+    @Override
+    public double nowMs() {
+        return nowMs;
+    }
+
+    @Override
+    public Scenario scenario() {
+        return world.scenario;
+    }
+
+    @Override
+    public int node() {
+        return number;
+    }
+
+    @Override
+    public long seed() {
+        return Seeds.of(world.seed, id(), 100 + generation);
+    }
+
+    @Override
+    public int members() {
+        return world.members.length;
+    }
+
+    @Override
+    public String nameOf(int member) {
+        return world.members[member].name;
+    }
+
+    @Override
+    public Flow dial(Try t, int member) {
+        Flow f = new Flow(t, member, nowMs, started.getOrDefault(member, Double.NaN), this);
+        t.attempts++;
+        t.flow = f;
+        tell(t, "attempt " + t.attempts + " to " + at(f));
+        rules.sent(nowMs, t.watched, member);
+        tally().at(tally().attempts, nowMs);
+        MemberPart m = world.members[member];
+        if (reaches(m.site)) {
+            send(nowMs + world.wayMs(site, m.site, random), m, Kinds.DIAL, f, 0);
+        }
+        return f;
+    }
+
+    @Override
+    public void giveUp(Flow f) {
+        if (f.over) {
+            return;
+        }
+        f.over = true;
+        if (f.of.flow == f) {
+            f.of.flow = null;
+        }
+        rules.over(nowMs, f.of.watched, "given up");
+        closes(f);
+    }
+
+    @Override
+    public void refuse(Try t, double retryAfterMs) {
+        tell(t, "refused, to come again in " + Math.round(retryAfterMs) + " ms");
+        rules.answered(nowMs, t.watched, "refused");
+        tally().at(tally().refused, nowMs);
+        forget(t);
+        clients.refused(nowMs, t, retryAfterMs);
+    }
+
+    @Override
+    public void fail(Try t) {
+        tell(t, "failed");
+        rules.answered(nowMs, t.watched, "failed");
+        tally().at(tally().failed, nowMs);
+        forget(t);
+        clients.refused(nowMs, t, 0);
+    }
+
+    @Override
+    public void move(Try t) {
+        Flow f = t.flow;
+        if (t.place < 0 || !t.standing || f == null) {
+            return;
+        }
+        f.over = true;
+        t.flow = null;
+        forget(t);
+        tell(t, "moved off " + at(f));
+        tally().at(tally().moves, nowMs);
+        closes(f);
+        clients.returns(nowMs, t);
+        // Told after the action, as of anything else that has ended.
+        after(0, () -> policy.ended(f, Outcome.OK));
+    }
+
+    @Override
+    public void after(double ms, Runnable what) {
+        remind(nowMs + ms, Kinds.TIMER, new Later(generation, what), 0);
+    }
+
+    @Override
+    public void watch() {
+        rules.asksForList(nowMs);
+        if (reaches(world.discovery.site())) {
+            send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.WATCH, this, listVersion);
+        } else {
+            remind(nowMs + SILENT_MS, Kinds.LIST, new MemberNews.Batch(ListKind.FAILED, List.of()), -1);
+        }
+    }
+
+    @Override
+    public Truth truth(int member) {
+        return world.members[member];
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/Tally.java
@@ -0,0 +1,133 @@
+package tulipshed.lab.model;
+
+import org.HdrHistogram.Histogram;
+import tulipshed.lab.rules.RuleReport;
+import tulipshed.lab.scenario.Scenario;
+
+/**
+ * What one thread counts. All of it are whole numbers, so that the sum over threads does not depend on how many there
+ * were.
+ */
+public final class Tally {
+    private static final long LONGEST_US = 3_600_000_000L;
+
+    final int seconds;
+    private final int settled;
+    private final double[] worth;
+    /** By class: connections wanted, had within the aim, had late, and given up for a while. */
+    final long[] asked;
+    final long[] inAim;
+    final long[] late;
+    final long[] lost;
+    /** Time in microseconds that clients wanted a connection, and that one stood with its messages in time: by class. */
+    final long[] wantedUs;
+    final long[] goodUs;
+    /** By tenant. */
+    final long[] tenantWantedUs;
+    final long[] tenantGoodUs;
+    /** By second and worth, in thousandths of a connection of worth 1. */
+    final long[] secondWanted;
+    final long[] secondGood;
+    /** By second in which it happened. */
+    final long[] attempts;
+    final long[] refused;
+    final long[] failed;
+    final long[] resets;
+    final long[] moves;
+    final long[] came;
+    /** Time of standing connections. */
+    long standingUs;
+    long left;
+    long felt;
+    long loadNotes;
+    /** Highest strain on a cold member, in thousandths of the bound. */
+    long coldStrain;
+    final Histogram setupUs = new Histogram(1, LONGEST_US, 3);
+    final Histogram waitUs = new Histogram(1, LONGEST_US, 3);
+    /** How many set-ups a member held, by number, looked at at every tick. */
+    final long[] queue = new long[64];
+    final RuleReport rules = new RuleReport();
+
+    Tally(Scenario s) {
+        int classes = s.classes().size();
+        settled = (int) Math.ceil(s.settleMs() / 1000);
+        worth = s.classes().stream().mapToDouble(Scenario.ClassOf::worth).toArray();
+        seconds = (int) Math.ceil(s.lengthMs() / 1000) + 1;
+        asked = new long[classes];
+        inAim = new long[classes];
+        late = new long[classes];
+        lost = new long[classes];
+        wantedUs = new long[classes];
+        goodUs = new long[classes];
+        tenantWantedUs = new long[s.tenants().size()];
+        tenantGoodUs = new long[s.tenants().size()];
+        secondWanted = new long[seconds];
+        secondGood = new long[seconds];
+        attempts = new long[seconds];
+        refused = new long[seconds];
+        failed = new long[seconds];
+        resets = new long[seconds];
+        moves = new long[seconds];
+        came = new long[seconds];
+    }
+
+    void at(long[] bySecond, double nowMs) {
+        bySecond[Math.min(seconds - 1, (int) (nowMs / 1000))]++;
+    }
+
+    /** A client wanted its connection for so long, within a second. */
+    void wanted(int requestClass, int tenant, int second, double ms) {
+        if (second >= settled) {
+            long us = Math.round(ms * 1000);
+            wantedUs[requestClass] += us;
+            tenantWantedUs[tenant] += us;
+            secondWanted[Math.min(seconds - 1, second)] += Math.round(us * worth[requestClass]);
+        }
+    }
+
+    /** Connections stood with their messages in time, for so many milliseconds together. */
+    void good(int requestClass, int tenant, double nowMs, double ms) {
+        int second = (int) (nowMs / 1000);
+        if (second >= settled) {
+            long us = Math.round(ms * 1000);
+            goodUs[requestClass] += us;
+            tenantGoodUs[tenant] += us;
+            secondGood[Math.min(seconds - 1, second)] += Math.round(us * worth[requestClass]);
+        }
+    }
+
+    /** Connections stood, well served or not. */
+    void stood(double nowMs, double ms) {
+        if ((int) (nowMs / 1000) >= settled) {
+            standingUs += Math.round(ms * 1000);
+        }
+    }
+
+    private static void add(long[] to, long[] from) {
+        for (int i = 0; i < to.length; i++) {
+            to[i] += from[i];
+        }
+    }
+
+    void add(Tally o) {
+        long[][] mine = arrays();
+        long[][] others = o.arrays();
+        for (int i = 0; i < mine.length; i++) {
+            add(mine[i], others[i]);
+        }
+        standingUs += o.standingUs;
+        left += o.left;
+        felt += o.felt;
+        loadNotes += o.loadNotes;
+        coldStrain = Math.max(coldStrain, o.coldStrain);
+        setupUs.add(o.setupUs);
+        waitUs.add(o.waitUs);
+        rules.add(o.rules);
+    }
+
+    private long[][] arrays() {
+        return new long[][] {asked, inAim, late, lost, wantedUs, goodUs, tenantWantedUs, tenantGoodUs, secondWanted,
+            secondGood, attempts,
+            refused, failed, resets, moves, came, queue};
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/World.java
@@ -0,0 +1,233 @@
+package tulipshed.lab.model;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.lab.engine.Engine;
+import tulipshed.lab.engine.Part;
+import tulipshed.lab.policy.Flow;
+import tulipshed.lab.policy.Host;
+import tulipshed.lab.policy.MemberNews;
+import tulipshed.lab.policy.Policy;
+import tulipshed.lab.policy.PolicyFactory;
+import tulipshed.lab.policy.Wish;
+import tulipshed.lab.scenario.Scenario;
+
+/** A world built from a scenario and a seed, run through its day once. */
+public final class World {
+    private static final int DISCOVERY = 1;
+    private static final int FIRST_NODE = 1_000;
+    private static final int FIRST_MEMBER = 1_000_000;
+
+    final Scenario scenario;
+    final long seed;
+    final Tally[] tallies;
+    final NodePart[] nodes;
+    final MemberPart[] members;
+    final DiscoveryPart discovery;
+    final Function<Host, Policy> policies;
+    final MemberNews.Batch atStart;
+    /** Members that run when the day begins; those after them come by a trouble. */
+    final int listedAtStart;
+    private final Engine engine;
+    private Consumer<String> teller;
+    private double tellFromMs;
+    private double tellToMs;
+    private final double[] classUpTo;
+    private final double[] tenantUpTo;
+    private final double[] groupUpTo;
+
+    /**
+     * Builds a world.
+     *
+     * @param threads that run it; the result is the same for any number
+     */
+    public World(Scenario scenario, long seed, int threads) {
+        this.scenario = scenario;
+        this.seed = seed;
+        int usable = PolicyFactory.alone(scenario.policy()) ? 1 : threads;
+        engine = new Engine(usable, scenario.network().leastMs());
+        tallies = new Tally[usable];
+        for (int i = 0; i < usable; i++) {
+            tallies[i] = new Tally(scenario);
+        }
+        classUpTo = upTo(scenario.classes().stream().mapToDouble(Scenario.ClassOf::share).toArray());
+        tenantUpTo = upTo(scenario.tenants().stream().mapToDouble(Scenario.TenantOf::asks).toArray());
+        int atFirst = scenario.kinds().stream().mapToInt(Scenario.MemberKind::count).sum();
+        double[] popularity = new double[scenario.clients().groups()];
+        for (int g = 0; g < popularity.length; g++) {
+            popularity[g] = Math.pow(g + 1, -scenario.clients().groupSkew());
+        }
+        groupUpTo = upTo(popularity);
+        listedAtStart = atFirst;
+        int more = scenario.troubles().stream().filter(t -> t.kind().equals("add-members"))
+                .mapToInt(t -> Troubles.count(t, atFirst)).sum();
+        members = new MemberPart[atFirst + more];
+        Map<String, Integer> numbers = new HashMap<>();
+        for (int m = 0; m < members.length; m++) {
+            members[m] = new MemberPart(FIRST_MEMBER + m, m, kindOf(m % atFirst), this);
+            numbers.put(members[m].name, m);
+            engine.add(members[m]);
+        }
+        policies = PolicyFactory.of(scenario.policy(), numbers);
+        discovery = new DiscoveryPart(DISCOVERY, this);
+        engine.add(discovery);
+        atStart = discovery.atStart();
+        nodes = new NodePart[scenario.nodes().count()];
+        for (int n = 0; n < nodes.length; n++) {
+            nodes[n] = new NodePart(FIRST_NODE + n, n, this);
+            engine.add(nodes[n]);
+        }
+        begin();
+    }
+
+    /** Kinds take turns, so that a fleet's first members are no single kind. */
+    private Scenario.MemberKind kindOf(int member) {
+        int[] left = scenario.kinds().stream().mapToInt(Scenario.MemberKind::count).toArray();
+        int at = 0;
+        for (int m = 0;; m++) {
+            while (left[at % left.length] == 0) {
+                at++;
+            }
+            left[at % left.length]--;
+            if (m == member) {
+                return scenario.kinds().get(at % left.length);
+            }
+            at++;
+        }
+    }
+
+    private void begin() {
+        for (int m = 0; m < members.length; m++) {
+            members[m].begin(m < listedAtStart);
+        }
+        for (NodePart n : nodes) {
+            n.begin(atStart);
+        }
+        UniformRandomProvider random = Seeds.random(seed, 0, 0);
+        double[] load = new double[listedAtStart];
+        for (int i = 0; i < scenario.clients().standing(); i++) {
+            // Where an earlier day left them: about even, as by the lighter of two.
+            int a = random.nextInt(listedAtStart);
+            int b = random.nextInt(listedAtStart);
+            double sizeA = members[a].kind.cores() * members[a].kind.speed();
+            double sizeB = members[b].kind.cores() * members[b].kind.speed();
+            int m = load[b] / sizeB < load[a] / sizeA ? b : a;
+            Wish w = wish(random, 0);
+            wants(tallies[0], w, 0);
+            load[m] += w.load;
+            members[m].holds(nodes[random.nextInt(nodes.length)].alreadyOpen(w, m));
+        }
+        new Troubles(this, Seeds.random(seed, 0, 1)).plan();
+    }
+
+    private static double[] upTo(double[] shares) {
+        double sum = 0;
+        double[] out = new double[shares.length];
+        for (int i = 0; i < shares.length; i++) {
+            sum += shares[i];
+            out[i] = sum;
+        }
+        for (int i = 0; i < shares.length; i++) {
+            out[i] = sum > 0 ? out[i] / sum : (i + 1.0) / shares.length;
+        }
+        return out;
+    }
+
+    private static int pick(double[] upTo, double x) {
+        int i = 0;
+        while (i < upTo.length - 1 && x >= upTo[i]) {
+            i++;
+        }
+        return i;
+    }
+
+    /** A new client's wish. */
+    Wish wish(UniformRandomProvider random, double nowMs) {
+        int c = pick(classUpTo, random.nextDouble());
+        int t = pick(tenantUpTo, random.nextDouble());
+        Scenario.Clients clients = scenario.clients();
+        int group = clients.groups() > 0 && random.nextDouble() < clients.grouped() ? search(groupUpTo, random.nextDouble()) : -1;
+        Scenario.ClassOf kind = scenario.classes().get(c);
+        return new Wish(c, t, group, kind.load() * Seeds.lognormal(random, clients.loadSpread()),
+                nowMs + Seeds.exponential(random, kind.lifeMs()));
+    }
+
+    private static int search(double[] upTo, double x) {
+        int at = java.util.Arrays.binarySearch(upTo, x);
+        return Math.min(upTo.length - 1, at < 0 ? -at - 1 : at);
+    }
+
+    /** Counts what a client wants from now on, second by second. */
+    void wants(Tally t, Wish w, double nowMs) {
+        double until = Math.min(w.untilMs, scenario.lengthMs());
+        for (double at = nowMs; at < until;) {
+            int second = (int) (at / 1000);
+            double next = Math.min(until, (second + 1) * 1000.0);
+            t.wanted(w.requestClass, w.tenant, second, next - at);
+            at = next;
+        }
+    }
+
+    /** A node's share of the clients of the front layer. */
+    double shareOf(int node) {
+        int n = scenario.nodes().count();
+        double skew = scenario.nodes().skew();
+        double mine = 1 + skew * (n - 1 - node) / Math.max(1, n - 1);
+        return mine / (n * (1 + skew / 2));
+    }
+
+    double wayMs(String from, String to, UniformRandomProvider random) {
+        Scenario.Network n = scenario.network();
+        double jitter = n.jitterMs() > 0 ? Seeds.exponential(random, n.jitterMs()) : 0;
+        return (from.equals(to) ? n.withinMs() : n.betweenMs()) + jitter;
+    }
+
+    /** Without jitter: what discovery tells comes in order. */
+    double wayToDiscovery(Part of) {
+        String site = of instanceof NodePart n ? n.site : ((MemberPart) of).site;
+        return site.equals(discovery.site()) ? scenario.network().withinMs() : scenario.network().betweenMs();
+    }
+
+    /** Has all that happens in a span of time told in words; the world must run on one thread. */
+    public void tellBetween(double from, double to, Consumer<String> listener) {
+        if (engine.threads() > 1) {
+            throw new IllegalArgumentException("what happens is told on one thread only");
+        }
+        tellFromMs = from;
+        tellToMs = to;
+        teller = listener;
+    }
+
+    /** Whether anybody wants to know. */
+    boolean tells(double nowMs) {
+        return teller != null && nowMs >= tellFromMs && nowMs <= tellToMs;
+    }
+
+    void tell(double nowMs, String what) {
+        teller.accept(String.format(Locale.ROOT, "%10.3f ms  %s", nowMs, what));
+    }
+
+    /** Runs no further than that, and counts nothing. */
+    public void runUntil(double ms) {
+        engine.run(Math.min(ms, scenario.lengthMs()));
+    }
+
+    Engine engine() {
+        return engine;
+    }
+
+    /** Runs the day and tells what came of it. */
+    public Outcome run() {
+        long began = System.nanoTime();
+        engine.run(scenario.lengthMs());
+        long took = System.nanoTime() - began;
+        for (MemberPart m : members) {
+            m.end(scenario.lengthMs());
+        }
+        return Outcome.of(this, took / 1e9);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/policy/AttemptingPolicy.java
@@ -0,0 +1,93 @@
+package tulipshed.lab.policy;
+
+import tulipshed.decision.BalancerApi.Outcome;
+
+/**
+ * Keeps the waits of attempts and transactions for policies that only decide: an attempt that is not up in time ends, and
+ * so does one that is out when its client's wait is nearly over.
+ */
+abstract class AttemptingPolicy implements Policy {
+    /** Final answers are due this much before the client gives up, so that they arrive in time. */
+    static final double MARGIN_MS = 5;
+
+    final Host host;
+
+    AttemptingPolicy(Host host) {
+        this.host = host;
+    }
+
+    /** A client asks. */
+    abstract void ask(Try t);
+
+    abstract void started(Flow f, double tookMs);
+
+    /** A flow ended; {@code concluded} when nothing more is owed to the client. */
+    abstract void finished(Flow f, boolean concluded, Outcome outcome);
+
+    abstract void abandoned(Try t);
+
+    @Override
+    public final void arrived(Try t) {
+        host.after(Math.max(0, t.leftMs(host.nowMs()) - MARGIN_MS), () -> overdue(t));
+        ask(t);
+    }
+
+    private void overdue(Try t) {
+        if (!t.owed) {
+            return;
+        }
+        Flow f = t.flow;
+        if (f != null) {
+            host.giveUp(f);
+            finished(f, false, Outcome.TIMEOUT);
+        }
+    }
+
+    /** Sends an attempt, bounded by a time-out where that is above 0. */
+    final Flow attempt(Try t, int member, double timeoutMs) {
+        Flow f = host.dial(t, member);
+        double left = t.leftMs(host.nowMs()) - MARGIN_MS;
+        if (timeoutMs > 0 && timeoutMs < left) {
+            host.after(timeoutMs, () -> {
+                if (!f.over && t.owed && t.flow == f) {
+                    host.giveUp(f);
+                    finished(f, false, Outcome.TIMEOUT);
+                }
+            });
+        }
+        return f;
+    }
+
+    /** Stops waiting for an attempt. */
+    final void cancel(Try t) {
+        Flow f = t.flow;
+        if (f != null && !t.standing) {
+            host.giveUp(f);
+            finished(f, true, Outcome.CANCELLED);
+        }
+    }
+
+    @Override
+    public final boolean up(Flow f) {
+        if (f.over || !f.of.owed) {
+            return false;
+        }
+        f.of.owed = false;
+        f.of.standing = true;
+        started(f, host.nowMs() - f.sentMs);
+        return true;
+    }
+
+    @Override
+    public final void ended(Flow f, Outcome outcome) {
+        finished(f, !f.of.owed, outcome);
+    }
+
+    @Override
+    public final void left(Try t) {
+        t.owed = false;
+        abandoned(t);
+        // Nobody waits for it either way.
+        cancel(t);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/policy/BaselinePolicy.java
@@ -0,0 +1,145 @@
+package tulipshed.lab.policy;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.Outcome;
+
+/** What is common to the policies that the module is compared with: they choose, try again elsewhere, then turn away. */
+abstract class BaselinePolicy extends AttemptingPolicy {
+    private static final double RETRY_MS = 1000;
+    private static final double ASK_MS = 1000;
+
+    final UniformRandomProvider random;
+    private int[] serving = new int[0];
+    private int count;
+    private final int[] placeOf;
+    final double[] weight;
+    /** Connections of this node at each member, coming up and standing. */
+    final int[] open;
+
+    BaselinePolicy(Host host) {
+        super(host);
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {host.seed(), 0x7A11D});
+        int n = host.members();
+        placeOf = new int[n];
+        java.util.Arrays.fill(placeOf, -1);
+        weight = new double[n];
+        open = new int[n];
+        host.after(random.nextDouble() * ASK_MS, host::watch);
+    }
+
+    /** A member to try, other than one just tried where there is a choice; below 0 where there is none. */
+    abstract int choose(Try t, int not);
+
+    void came(int member) { }
+
+    void went(int member) { }
+
+    void took(int member, double ms) { }
+
+    final int servingCount() {
+        return count;
+    }
+
+    final int serving(int i) {
+        return serving[i];
+    }
+
+    final boolean isServing(int member) {
+        return placeOf[member] >= 0;
+    }
+
+    final int any(int not) {
+        if (count == 0) {
+            return -1;
+        }
+        int m = serving[random.nextInt(count)];
+        return m == not && count > 1 ? serving[(placeOf[m] + 1 + random.nextInt(count - 1)) % count] : m;
+    }
+
+    @Override
+    public void list(MemberNews.Batch batch) {
+        if (batch.kind() == ListKind.FAILED) {
+            host.after(ASK_MS * (0.5 + random.nextDouble()), host::watch);
+            return;
+        }
+        if (batch.kind() != ListKind.CHANGES) {
+            while (count > 0) {
+                remove(serving[count - 1]);
+            }
+        }
+        for (MemberNews n : batch.news()) {
+            weight[n.member()] = n.listed().entry().share();
+            if (n.serving() && placeOf[n.member()] < 0) {
+                if (count == serving.length) {
+                    serving = java.util.Arrays.copyOf(serving, Math.max(16, 2 * count));
+                }
+                placeOf[n.member()] = count;
+                serving[count++] = n.member();
+                came(n.member());
+            } else if (!n.serving() && placeOf[n.member()] >= 0) {
+                remove(n.member());
+            }
+        }
+    }
+
+    private void remove(int member) {
+        int at = placeOf[member];
+        int last = serving[--count];
+        serving[at] = last;
+        placeOf[last] = at;
+        placeOf[member] = -1;
+        went(member);
+    }
+
+    @Override
+    final void ask(Try t) {
+        place(t, -1);
+    }
+
+    private void place(Try t, int not) {
+        double left = t.leftMs(host.nowMs());
+        int m = t.attempts < host.scenario().nodes().maxAttempts() && left > 60 ? choose(t, not) : -1;
+        if (m < 0) {
+            t.owed = false;
+            host.refuse(t, Math.min(RETRY_MS, host.scenario().nodes().maxRetryAfterMs()) * (0.75 + 0.25 * random.nextDouble()));
+            return;
+        }
+        open[m]++;
+        boolean last = t.attempts + 1 >= host.scenario().nodes().maxAttempts();
+        attempt(t, m, last ? 0 : left / 2);
+    }
+
+    @Override
+    public final void alreadyOpen(Try t, Flow f) {
+        t.owed = false;
+        t.standing = true;
+        open[f.member]++;
+    }
+
+    @Override
+    void started(Flow f, double tookMs) {
+        took(f.member, tookMs);
+    }
+
+    @Override
+    void finished(Flow f, boolean concluded, Outcome outcome) {
+        open[f.member]--;
+        if (!f.of.standing && outcome != Outcome.CANCELLED) {
+            took(f.member, Math.max(1000, host.nowMs() - f.sentMs));
+        }
+        if (!concluded) {
+            place(f.of, f.member);
+        }
+    }
+
+    @Override
+    void abandoned(Try t) { }
+
+    @Override
+    public void delayed(Flow f, double delayMs) { }
+
+    @Override
+    public void loadChanged(Flow f) { }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/policy/Host.java
@@ -0,0 +1,62 @@
+package tulipshed.lab.policy;
+
+import tulipshed.lab.scenario.Scenario;
+
+/** The node around a policy: what it can do. */
+public interface Host {
+    double nowMs();
+
+    Scenario scenario();
+
+    int node();
+
+    /** A seed of the node's own for this start. */
+    long seed();
+
+    /** How many members there may ever be, and the name of one. */
+    int members();
+
+    String nameOf(int member);
+
+    /** Sends a flow towards a member. */
+    Flow dial(Try t, int member);
+
+    /** Ends a flow of which nothing more is wanted; nothing is told of it from here on. */
+    void giveUp(Flow f);
+
+    /** Final answer: turned away, to come again after so long where above 0. */
+    void refuse(Try t, double retryAfterMs);
+
+    /** Final answer: failed. */
+    void fail(Try t);
+
+    /** Ends a standing connection politely; its client comes again. */
+    void move(Try t);
+
+    /** Runs something later, unless the node has ended before. */
+    void after(double ms, Runnable what);
+
+    /** Asks discovery for changes from now on. */
+    void watch();
+
+    /** The true state of a member, which only the clairvoyant may look at. */
+    Truth truth(int member);
+
+    /** How a member really is. */
+    interface Truth {
+        boolean alive();
+
+        /** What it can bear now, in cores, and what it bears. */
+        double capacity();
+
+        double load();
+
+        double backlogMs();
+
+        /** How far it is from being pushed over; 1 is the bound. */
+        double strain();
+
+        /** Work that is on its way to it, in cores; the clairvoyant's own note. */
+        double[] promised();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/policy/ModulePolicy.java
@@ -0,0 +1,145 @@
+package tulipshed.lab.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.ServerEntry;
+
+/** The real decision module, told by the emulator what the node's core would tell it. */
+final class ModulePolicy extends AttemptingPolicy implements BalancerApi.Actions {
+    private final Map<Long, Try> tries = new HashMap<>();
+    private final Map<String, Integer> numbers;
+    private final BalancerApi module;
+
+    /**
+     * A module of its own.
+     *
+     * @param numbers members by name, the same for all nodes
+     */
+    ModulePolicy(Host host, Map<String, Integer> numbers) {
+        super(host);
+        this.numbers = numbers;
+        module = new Balancer(SettingsOf.of(host.scenario(), host.node()), host.seed(), now(), this);
+    }
+
+    private long now() {
+        return SettingsOf.us(host.nowMs());
+    }
+
+    private NewRequest request(Try t, double nowMs) {
+        Wish w = t.wish;
+        double hint = host.scenario().clients().hints() ? w.usualLoad * 1e6 : 0;
+        return new NewRequest(t.id, w.requestClass, w.tenant, "k" + t.id, SettingsOf.group(w),
+                SettingsOf.us(t.leftMs(nowMs)), hint, w.tries > 1, false, w.returning);
+    }
+
+    @Override
+    public void list(MemberNews.Batch batch) {
+        List<ServerEntry> entries = new ArrayList<>(batch.news().size());
+        batch.news().forEach(n -> entries.add(n.listed().entry()));
+        module.servers(now(), batch.kind(), entries);
+    }
+
+    @Override
+    void ask(Try t) {
+        tries.put(t.id, t);
+        module.request(now(), request(t, host.nowMs()));
+    }
+
+    @Override
+    public void alreadyOpen(Try t, Flow f) {
+        tries.put(t.id, t);
+        t.owed = false;
+        t.standing = true;
+        module.alreadyOpen(now(), request(t, host.nowMs()), host.nameOf(f.member));
+    }
+
+    @Override
+    void started(Flow f, double tookMs) {
+        module.started(now(), f.of.id, f.number, SettingsOf.us(tookMs));
+    }
+
+    @Override
+    void finished(Flow f, boolean concluded, Outcome outcome) {
+        if (concluded) {
+            tries.remove(f.of.id);
+        }
+        module.finished(now(), f.of.id, f.number, concluded, outcome, Report.NONE);
+    }
+
+    @Override
+    void abandoned(Try t) {
+        module.abandoned(now(), t.id);
+        if (t.flow == null) {
+            tries.remove(t.id);
+        }
+    }
+
+    @Override
+    public void delayed(Flow f, double delayMs) {
+        module.delayNote(now(), f.of.id, delayMs);
+    }
+
+    @Override
+    public void loadChanged(Flow f) {
+        module.loadNote(now(), f.of.id, f.of.wish.load * 1e6);
+    }
+
+    // ---- What the module decides ----
+
+    @Override
+    public void send(long request, String server, long timeoutUs) {
+        attempt(tries.get(request), numbers.get(server), timeoutUs / 1000.0);
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        // Called while the client leaves, which ends the attempt in any case.
+    }
+
+    @Override
+    public void refuse(long request, long retryAfterUs) {
+        Try t = tries.remove(request);
+        t.owed = false;
+        host.refuse(t, retryAfterUs / 1000.0);
+    }
+
+    @Override
+    public void fail(long request) {
+        Try t = tries.remove(request);
+        t.owed = false;
+        host.fail(t);
+    }
+
+    @Override
+    public void move(long request) {
+        Try t = tries.get(request);
+        if (t != null) {
+            host.move(t);
+        }
+    }
+
+    @Override
+    public void timer(long afterUs, long token) {
+        host.after(afterUs / 1000.0, () -> module.timer(now(), token));
+    }
+
+    @Override
+    public void probe(String server) {
+        throw new UnsupportedOperationException("members are not probed");
+    }
+
+    @Override
+    public void watchList() {
+        host.watch();
+    }
+
+    @Override
+    public void log(String message) { }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/policy/Policy.java
@@ -0,0 +1,38 @@
+package tulipshed.lab.policy;
+
+import tulipshed.decision.BalancerApi.Outcome;
+
+/** What decides in an emulated node, from what a node of the real world would be told. */
+public interface Policy {
+    /** News of the list. */
+    void list(MemberNews.Batch news);
+
+    /** A client asks; one final answer is owed. */
+    void arrived(Try t);
+
+    /** A connection that stood at a member before the day began; its flow is up. */
+    void alreadyOpen(Try t, Flow f);
+
+    /** A member serves; false where the client must not hear of it any more. */
+    boolean up(Flow f);
+
+    /** A flow ended by itself or by its member's doing. */
+    void ended(Flow f, Outcome outcome);
+
+    /** The client left before it was answered. */
+    void left(Try t);
+
+    /** Messages at a standing flow's member take this long now. */
+    void delayed(Flow f, double delayMs);
+
+    /** A standing connection's load changed. */
+    void loadChanged(Flow f);
+
+    /** A line for the page of a run that says what the policy was set to. */
+    default String describe() {
+        return getClass().getSimpleName();
+    }
+
+    /** Runs what became ready with the last event; called after each. */
+    default void settle() { }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/policy/Try.java
@@ -0,0 +1,34 @@
+package tulipshed.lab.policy;
+
+import tulipshed.lab.rules.NodeRules;
+
+/** One coming of a client to a node, from its asking to the end of what came of it. */
+public final class Try {
+    public final long id;
+    public final Wish wish;
+    public final double askedMs;
+    public final double deadlineMs;
+    public final NodeRules.Watched watched;
+    /** Whether its final answer is still owed. */
+    public boolean owed = true;
+    public boolean standing;
+    /** The flow that is out or stands, or null. */
+    public Flow flow;
+    public int attempts;
+    /** Its place among what the node holds. */
+    public int place = -1;
+    /** What the policy keeps with it. */
+    public Object kept;
+
+    public Try(long id, Wish wish, double askedMs, double deadlineMs, NodeRules.Watched watched) {
+        this.id = id;
+        this.wish = wish;
+        this.askedMs = askedMs;
+        this.deadlineMs = deadlineMs;
+        this.watched = watched;
+    }
+
+    public double leftMs(double nowMs) {
+        return deadlineMs - nowMs;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/tool/RunCommand.java
@@ -0,0 +1,64 @@
+package tulipshed.lab.tool;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import tulipshed.lab.model.Outcome;
+import tulipshed.lab.model.World;
+import tulipshed.lab.results.Results;
+import tulipshed.lab.scenario.Overrides;
+import tulipshed.lab.scenario.Scenario;
+import tulipshed.lab.scenario.ScenarioReader;
+
+/** Runs a scenario once. */
+@Command(name = "run", mixinStandardHelpOptions = true, description = "Runs a scenario once and tells what came of it.")
+final class RunCommand implements Callable<Integer> {
+    @Spec
+    CommandSpec spec;
+
+    @Mixin
+    ScenarioOptions options;
+
+    @Parameters(paramLabel = "SCENARIO", description = "A scenario file.")
+    Path file;
+
+    @Option(names = "--seed", defaultValue = "1", description = "All chance comes from it (default ${DEFAULT-VALUE}).")
+    long seed;
+
+    @Option(names = "--threads", defaultValue = "1", description = "Threads; the result is the same for any number.")
+    int threads;
+
+    @Option(names = "--out", description = "A folder of results to add this run to.")
+    Path out;
+
+    @Override
+    public Integer call() {
+        Overrides overrides = options.overrides();
+        Scenario scenario = ScenarioReader.load(file, overrides);
+        Outcome o = new World(scenario, seed, threads).run();
+        PrintWriter w = spec.commandLine().getOut();
+        w.printf(Locale.ROOT, "%s, seed %d, %s: %.0f s in %.2f s (%.0f times as fast), %d messages, %.0f a second%n",
+                scenario.name(), seed, scenario.policy(), scenario.lengthMs() / 1000, o.tookS(),
+                scenario.lengthMs() / 1000 / o.tookS(), o.messages(), o.messages() / o.tookS());
+        o.figures().forEach((name, value) -> w.printf(Locale.ROOT, "  %-24s %s%n", name, plain(value)));
+        w.print(o.rules());
+        w.flush();
+        if (out != null) {
+            try (Results results = new Results(out)) {
+                results.write(Runs.key(scenario, overrides, seed), overrides.values(), o);
+            }
+        }
+        return 0;
+    }
+
+    static String plain(double value) {
+        return value == Math.rint(value) ? Long.toString((long) value) : String.format(Locale.ROOT, "%.4f", value);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/tool/package-info.java
@@ -0,0 +1,2 @@
+/** The lab's command line. */
+package tulipshed.lab.tool;
--- /dev/null
+++ b/lab/src/test/java/tulipshed/lab/RulesTest.java
@@ -0,0 +1,105 @@
+package tulipshed.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tulipshed.lab.model.Outcome;
+import tulipshed.lab.rules.ColdRule;
+import tulipshed.lab.rules.NodeRules;
+import tulipshed.lab.rules.Rule;
+import tulipshed.lab.rules.RuleReport;
+
+/** The checkers see every breach that is made on purpose, and none where none is. */
+class RulesTest {
+    private final RuleReport report = new RuleReport();
+    private final NodeRules rules = new NodeRules(1, report, 20, 300, 10_000);
+
+    @Test
+    void aNodeThatKeepsTheRulesIsNotAccused() {
+        var w = rules.asked(0, 1, 1000);
+        rules.sent(1, w, 7);
+        rules.over(50, w, "RESET");
+        rules.told(60, 7, false);
+        rules.sent(300, w, 7);
+        rules.over(310, w, "RESET");
+        rules.sent(900, w, 8);
+        rules.answered(1015, w, "served");
+        rules.waited(1021, w);
+        assertEquals(0, report.broken());
+        assertEquals(4, report.checked());
+    }
+
+    @Test
+    void everyBreachIsSeenWithWhatLedToIt() {
+        var twice = rules.asked(0, 1, 1000);
+        rules.sent(1, twice, 7);
+        rules.sent(2, twice, 8);
+        assertEquals(1, report.broken(Rule.ONE_FLOW));
+        assertTrue(report.first(Rule.ONE_FLOW).what().endsWith("a second flow out; 0.0 asked until 1000, 1.0 sent to 7, 2.0 sent to 8"));
+        rules.answered(3, twice, "refused");
+        rules.answered(4, twice, "failed");
+        assertEquals(1, report.broken(Rule.ONE_ANSWER));
+        var late = rules.asked(0, 2, 1000);
+        rules.answered(1021, late, "refused");
+        assertEquals(1, report.broken(Rule.IN_TIME));
+        var never = rules.asked(0, 3, 1000);
+        rules.waited(1021, never);
+        assertEquals(2, report.broken(Rule.ONE_ANSWER));
+        rules.told(2000, 9, false);
+        rules.told(2200, 9, false);
+        var drained = rules.asked(2100, 4, 5000);
+        rules.sent(2301, drained, 9);
+        assertEquals(1, report.broken(Rule.DRAIN), "the first news counts");
+        var left = rules.asked(0, 5, 1000);
+        rules.left(left);
+        rules.sent(10, left, 7);
+        assertEquals(2, report.broken(Rule.ONE_FLOW), "nobody waits for it");
+    }
+
+    @Test
+    void aColdMemberFallsBeyondItsBoundAndAsABreachOnlyFromNodesThatKnew() {
+        ColdRule known = new ColdRule(3, 4, 1500, 0);
+        double able = 0.001; // a millisecond
+        for (int ms = 0; ms < 1500; ms += 10) {
+            known.pushed(10_000 + ms, 0.039, able, true);
+            assertFalse(known.falls() && ms > 1000, "just under four times at " + ms);
+        }
+        for (int ms = 1500; ms < 3000; ms += 10) {
+            known.pushed(10_000 + ms, 0.043, able, true);
+        }
+        assertTrue(known.falls());
+        known.fell(13_000, report, 3000);
+        assertEquals(1, report.broken(Rule.COLD));
+        ColdRule unknown = new ColdRule(3, 4, 1500, 0);
+        unknown.pushed(10_000, 100, able, false);
+        unknown.pushed(10_001, 49, able, true);
+        unknown.fell(10_002, report, 2);
+        assertEquals(1, report.broken(Rule.COLD), "most came from nodes that could not know");
+        unknown.restart();
+        unknown.pushed(10_003, 0, able, true);
+        assertFalse(unknown.falls());
+    }
+
+    /** The module and the whole core keep answers, flows and drains through every kind of trouble. */
+    @ParameterizedTest
+    @CsvSource({"calm, module", "herd, module", "herd, core", "deploy, module", "deploy, core", "dark-list, module",
+        "dark-list, core", "burst, module", "burst, core", "trouble, module", "trouble, core"})
+    void nodesKeepTheRules(String scenario, String policy) {
+        for (long seed = 1; seed <= 3; seed++) {
+            Outcome o = Worlds.run(Worlds.file(scenario, "policy=" + policy), seed);
+            assertTrue(o.rules().checked() > 200);
+            for (Rule r : new Rule[] {Rule.ONE_ANSWER, Rule.IN_TIME, Rule.ONE_FLOW, Rule.DRAIN}) {
+                assertEquals(0, o.rules().broken(r), () -> "" + o.rules());
+            }
+        }
+    }
+
+    @Test
+    void whatIgnoresColdMembersPushesThemOverHere() {
+        assertTrue(Worlds.run(Worlds.file("herd", "policy=least-of-two"), 1).rules().broken(Rule.COLD) > 3);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/tulipshed/lab/Worlds.java
@@ -0,0 +1,36 @@
+package tulipshed.lab;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import tulipshed.lab.model.Outcome;
+import tulipshed.lab.model.World;
+import tulipshed.lab.scenario.Overrides;
+import tulipshed.lab.scenario.Scenario;
+import tulipshed.lab.scenario.ScenarioReader;
+
+/** Short ways to worlds. */
+final class Worlds {
+    private Worlds() { }
+
+    static Overrides overrides(String... pairs) {
+        Map<String, String> all = new LinkedHashMap<>();
+        for (String p : pairs) {
+            all.put(p.substring(0, p.indexOf('=')), p.substring(p.indexOf('=') + 1));
+        }
+        return new Overrides(all);
+    }
+
+    static Scenario file(String name, String... pairs) {
+        return ScenarioReader.load(Path.of("scenarios", name + ".sexp"), overrides(pairs));
+    }
+
+    static Scenario text(String text, String... pairs) {
+        return ScenarioReader.read("text", text.getBytes(StandardCharsets.UTF_8), overrides(pairs));
+    }
+
+    static Outcome run(Scenario s, long seed) {
+        return new World(s, seed, 1).run();
+    }
+}
