Lab: play a scenario with real nodes on loopback, under the same checkers and figures

The emulator had nothing to be laid beside. lab load runs the same world in real time: each node is a process, members and clients are the lab's on sockets (non-blocking, one thread, bounded), discovery is the demo's stand-in, which can now go dark and tell sizes and starts. Clients come when the scenario says, however slow answers are. The world's side of a node is now a seam (NodeSide) with an emulated and a process-backed end.

--- a/lab/src/main/java/tulipshed/lab/engine/Shard.java
+++ b/lab/src/main/java/tulipshed/lab/engine/Shard.java
@@ -115,6 +115,10 @@
 
     /** The next window in which something is due, or the largest number where nothing is. */
     long next() {
+        if (!now.isEmpty()) {
+            // From outside of the run: sockets, between two windows.
+            return window;
+        }
         long first = later.isEmpty() ? Long.MAX_VALUE : windowOf(later.peek().atMs);
         if (takenWords != 0) {
             int start = (int) ((window + 1) % WHEEL);
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
@@ -0,0 +1,77 @@
+package tulipshed.lab.load;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import tulipshed.lab.policy.MemberNews;
+import tulipshed.lab.scenario.Scenario;
+import tulipshed.lab.scenario.Scenario.ClassOf;
+import tulipshed.lab.scenario.Scenario.TenantOf;
+
+/** Writes a node's configuration from a scenario, in the platform's own words, on the pattern of the demo's. */
+final class NodeConfigWriter {
+    private final ObjectMapper json = new ObjectMapper();
+
+    /** Writes the file of one node; its members listen at these addresses, by number. */
+    void write(Path file, Scenario s, int node, long seed, InetSocketAddress listen, InetSocketAddress discovery, MemberNews.Batch known,
+            List<InetSocketAddress> members) throws IOException {
+        ObjectNode all;
+        try (InputStream pattern = NodeConfigWriter.class.getResourceAsStream("/tulipshed/demo/node.json")) {
+            all = (ObjectNode) json.readTree(pattern);
+        }
+        all.put("name", "n" + node).put("listen", text(listen)).put("discovery", text(discovery))
+                .put("seed", String.format("%016x", seed));
+        ((ObjectNode) all.get("limits")).put("sockets", 8192);
+        ArrayNode servers = ((ObjectNode) all.get("known")).putArray("servers");
+        for (MemberNews n : known.news()) {
+            servers.addObject().put("id", n.listed().entry().server()).put("addr", text(members.get(n.member())))
+                    .put("zone", n.listed().entry().zone()).put("kind", n.listed().entry().kind()).put("cell", 0)
+                    .put("state", "SERVING").put("weight", n.listed().entry().share()).put("started_ms", 0);
+        }
+        settings((ObjectNode) all.get("settings"), s, node);
+        Files.write(file, json.writerWithDefaultPrettyPrinter().writeValueAsBytes(all));
+    }
+
+    private static String text(InetSocketAddress a) {
+        return "127.0.0.1:" + a.getPort();
+    }
+
+    private static void settings(ObjectNode to, Scenario s, int node) {
+        ((ObjectNode) to.get("Bounds")).put("MaxAttempts", s.nodes().maxAttempts())
+                .put("MaxRetryAfterS", s.nodes().maxRetryAfterMs() / 1000).put("Cancel", s.nodes().cancel());
+        ArrayNode classes = to.putArray("Classes");
+        ArrayNode aims = ((ObjectNode) to.get("FamilyInfo")).putArray("MessageAimS");
+        for (ClassOf c : s.classes()) {
+            classes.addObject().put("AimS", c.aimMs() / 1000).put("Effect", "repeatable").put("Group", "all")
+                    .put("HardLimitS", c.deadlineMs() / 1000).put("LateWorth", 0.0).put("Name", c.name())
+                    .put("RepeatWindowS", 5.0).put("Streaming", true).put("Worth", c.worth());
+            aims.add(c.messageAimMs() / 1000);
+        }
+        ((ObjectNode) to.get("FamilyInfo")).put("Groups", s.nodes().groups());
+        ArrayNode tenants = to.putArray("Tenants");
+        ArrayNode quotas = ((ObjectNode) to.get("FamilyInfo")).putArray("TenantQuotaConnections");
+        // As the emulator's nodes are told: what stands, or what comes in ten seconds.
+        double connections = s.clients().standing() > 0 ? s.clients().standing() : s.clients().perSecond() * 10;
+        for (TenantOf t : s.tenants()) {
+            tenants.addObject().put("Fraction", t.share()).put("Name", t.name())
+                    .put("QuotaPerS", t.quotaPerS() > 0 ? t.quotaPerS() : s.clients().perSecond() * t.share());
+            quotas.add(connections * t.share());
+        }
+        ArrayNode kinds = to.putArray("Kinds");
+        s.kinds().forEach(k -> kinds.add(k.name()));
+        ArrayNode zones = to.putArray("Dcs");
+        for (int i = 0; i < s.network().sites(); i++) {
+            zones.add("s" + i);
+        }
+        to.put("Zone", "s" + node % s.network().sites()).put("Me", node).put("PeersTotal", s.nodes().count());
+        ((ObjectNode) to.get("Rules")).put("AskWithinS", s.discovery().askWithinMs() / 1000)
+                .put("ColdS", s.members().warmMs() / 1000).put("ColdShare", s.members().coldShare())
+                .put("FallS", s.members().fallMs() / 1000).put("OverloadFactor", s.members().fallFactor());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/load/SocketMember.java
@@ -0,0 +1,85 @@
+package tulipshed.lab.load;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.lab.policy.Flow;
+import tulipshed.lab.policy.Try;
+
+/** The sockets of one member: what nodes send it goes to the emulated member, and back. */
+final class SocketMember {
+    private final int number;
+    private final LoadRun run;
+    private final Selector selector;
+    private final ServerSocketChannel listener;
+
+    SocketMember(int number, LoadRun run, Selector selector) throws IOException {
+        this.number = number;
+        this.run = run;
+        this.selector = selector;
+        listener = ServerSocketChannel.open();
+        listener.configureBlocking(false);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
+        listener.register(selector, SelectionKey.OP_ACCEPT, this);
+    }
+
+    InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) listener.getLocalAddress();
+    }
+
+    void accept() throws IOException {
+        for (SocketChannel c = listener.accept(); c != null; c = listener.accept()) {
+            run.keep(new Wire(c, selector, new Arriving(), true));
+        }
+    }
+
+    void close() throws IOException {
+        listener.close();
+    }
+
+    /** A connection whose first line has not come, and then that of its flow. */
+    private final class Arriving implements Wire.Listener {
+        private Flow flow;
+
+        @Override
+        public void line(Wire wire, String line) {
+            if (flow != null) {
+                return;
+            }
+            String[] words = line.split(" ");
+            Try t = words.length > 1 && words[0].equals("OPEN") ? run.find(words[1]) : null;
+            if (t == null) {
+                run.syntax(line);
+                wire.sayAndClose("SYNTAX");
+                return;
+            }
+            flow = run.nodeOf(t).dialled(t, number, wire);
+        }
+
+        @Override
+        public void ended(Wire wire, boolean reset) {
+            if (flow != null) {
+                run.nodeOf(flow.of).closedByNode(flow);
+            }
+        }
+    }
+
+    /** What the emulated member made of a flow, in the member's own words. */
+    static void end(Flow f, Outcome outcome) {
+        Wire w = (Wire) f.kept;
+        if (w == null || w.over()) {
+            return;
+        }
+        switch (outcome) {
+            case FULL -> w.sayAndClose("BUSY");
+            case OK -> w.sayAndClose("MOVE");
+            case ERROR -> w.sayAndClose("ERR");
+            default -> w.reset();
+        }
+    }
+}
--- a/lab/src/main/java/tulipshed/lab/model/Clients.java
+++ b/lab/src/main/java/tulipshed/lab/model/Clients.java
@@ -6,34 +6,34 @@
 import tulipshed.lab.scenario.Scenario;
 
 /** What clients at one node do: come, wait, try again here or at another node, and come back when they are cut off. */
-final class Clients {
+public final class Clients {
     private static final double LEAST_LEFT_MS = 30; // of a wait, to try once more
     private static final double NO_NODE_MS = 20; // until a client whose node is not there tries another
 
-    private final NodePart node;
+    private final NodeSide node;
     private final World world;
     private final Scenario.Clients ways;
     private final UniformRandomProvider random;
     private double factor = 1;
     private double impatientUntilMs;
 
-    Clients(NodePart node, World world, UniformRandomProvider random) {
+    Clients(NodeSide node, World world, UniformRandomProvider random) {
         this.node = node;
         this.world = world;
         this.random = random;
         ways = world.scenario.clients();
     }
 
-    void rate(double times) {
+    public void rate(double times) {
         factor = times;
     }
 
-    void impatientUntil(double ms) {
+    public void impatientUntil(double ms) {
         impatientUntilMs = ms;
     }
 
     /** The front layer's next client, after a time by chance. */
-    void next(double nowMs) {
+    public void next(double nowMs) {
         double perSecond = ways.perSecond() * world.shareOf(node.number) * factor;
         if (perSecond > 0) {
             node.remindSelf(nowMs + Seeds.exponential(random, 1000 / perSecond), Kinds.ARRIVAL, null);
@@ -42,7 +42,7 @@
         }
     }
 
-    void arrives(double nowMs) {
+    public void arrives(double nowMs) {
         if (factor > 0) {
             Wish w = world.wish(random, nowMs);
             world.wants(node.tally(), w, nowMs);
@@ -64,7 +64,7 @@
         }
     }
 
-    void comes(double nowMs, Wish w) {
+    public void comes(double nowMs, Wish w) {
         double deadline = world.scenario.classes().get(w.requestClass).deadlineMs();
         double left = w.firstAskedMs + deadline - nowMs;
         if (left < LEAST_LEFT_MS || w.tries >= ways.tries()) {
@@ -86,7 +86,7 @@
     }
 
     /** A client leaves and does not come back; what it wanted stays wanted. */
-    void leavesForGood() {
+    public void leavesForGood() {
         node.tally().left++;
     }
 
@@ -99,7 +99,7 @@
         }
     }
 
-    void waited(double nowMs, Try t) {
+    public void waited(double nowMs, Try t) {
         if (node.unanswered(t)) {
             again(nowMs, t.wish, backoffMs(t.wish));
         }
@@ -111,14 +111,14 @@
     }
 
     /** Turned away: most wait as they are told, the others as they see fit. */
-    void refused(double nowMs, Try t, double retryAfterMs) {
+    public void refused(double nowMs, Try t, double retryAfterMs) {
         boolean heeds = retryAfterMs > 0 && random.nextDouble() < ways.heed();
         double wait = nowMs < impatientUntilMs ? ways.backoffMs() * random.nextDouble()
                 : heeds ? retryAfterMs * (1 + 0.1 * random.nextDouble()) : backoffMs(t.wish);
         again(nowMs, t.wish, wait);
     }
 
-    void again(double nowMs, Wish w, double waitMs) {
+    public void again(double nowMs, Wish w, double waitMs) {
         double deadline = world.scenario.classes().get(w.requestClass).deadlineMs();
         if (nowMs + waitMs + LEAST_LEFT_MS > w.firstAskedMs + deadline || w.tries >= ways.tries()) {
             rests(nowMs, w);
@@ -128,7 +128,7 @@
     }
 
     /** A client has its connection; the way back to it counts. */
-    void served(double nowMs, Try t) {
+    public void served(double nowMs, Try t) {
         Wish w = t.wish;
         double took = nowMs + world.scenario.network().withinMs() - w.firstAskedMs;
         Scenario.ClassOf c = world.scenario.classes().get(w.requestClass);
@@ -139,7 +139,7 @@
     }
 
     /** A connection broke, or was moved: its client comes back for the rest of what it wanted. */
-    void returns(double nowMs, Try t) {
+    public void returns(double nowMs, Try t) {
         t.wish.returning = true;
         begins(nowMs + ways.returnMs() * (0.5 + random.nextDouble()), t.wish);
     }
--- a/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
@@ -27,6 +28,8 @@
     private int told;
     private double busyUntilMs;
     private double darkUntilMs;
+    Consumer<MemberNews> onNews = n -> { };
+    Consumer<Double> onDark = ms -> { };
     long calls;
     long failedCalls;
 
@@ -69,10 +72,11 @@
             }
             case Kinds.FELL -> remind(nowMs + world.scenario.discovery().detectMs(), Kinds.STATE, message.what, 0);
             case Kinds.TELL -> tell(nowMs, (Integer) message.what);
-            case Kinds.ANSWER -> answer(nowMs, (NodePart) message.what, (int) message.value);
-            case Kinds.WATCH -> call(nowMs, (NodePart) message.what, (int) message.value);
+            case Kinds.ANSWER -> answer(nowMs, (NodeSide) message.what, (int) message.value);
+            case Kinds.WATCH -> call(nowMs, (NodeSide) message.what, (int) message.value);
             case Kinds.DARK -> {
                 darkUntilMs = nowMs + message.value;
+                onDark.accept(message.value);
                 for (int n = watching.nextSetBit(0); n >= 0; n = watching.nextSetBit(n + 1)) {
                     fail(nowMs, world.nodes[n]);
                 }
@@ -94,13 +98,14 @@
 
     private void tell(double nowMs, int change) {
         told = change + 1;
+        onNews.accept(changes.get(change));
         MemberNews.Batch batch = new MemberNews.Batch(ListKind.CHANGES, List.of(changes.get(change)));
         for (int n = watching.nextSetBit(0); n >= 0; n = watching.nextSetBit(n + 1)) {
             send(nowMs + world.wayToDiscovery(world.nodes[n]), world.nodes[n], Kinds.LIST, batch, change + 1);
         }
     }
 
-    private void call(double nowMs, NodePart from, int version) {
+    private void call(double nowMs, NodeSide from, int version) {
         calls++;
         if (nowMs < darkUntilMs || busyUntilMs - nowMs > world.scenario.discovery().waiting()
                 / world.scenario.discovery().callsPerS() * 1000) {
@@ -112,7 +117,7 @@
     }
 
     /** From here on the node hears of what becomes known; what it is told of before is in this answer. */
-    private void answer(double nowMs, NodePart to, int version) {
+    private void answer(double nowMs, NodeSide to, int version) {
         if (nowMs < darkUntilMs) {
             fail(nowMs, to);
             return;
@@ -122,7 +127,7 @@
         send(nowMs + world.wayToDiscovery(to), to, Kinds.LIST, new MemberNews.Batch(ListKind.CHANGES, since), told);
     }
 
-    private void fail(double nowMs, NodePart node) {
+    private void fail(double nowMs, NodeSide node) {
         failedCalls++;
         send(nowMs + world.wayToDiscovery(node), node, Kinds.LIST, new MemberNews.Batch(ListKind.FAILED, List.of()), -1);
     }
--- a/lab/src/main/java/tulipshed/lab/model/MemberPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/MemberPart.java
@@ -175,7 +175,7 @@
     // ---- Connections ----
 
     private void tell(double nowMs, Flow f, int kind, double value) {
-        NodePart node = (NodePart) f.from;
+        NodeSide node = (NodeSide) f.from;
         send(nowMs + world.wayMs(site, node.site, random), node, kind, f, value);
     }
 
@@ -361,7 +361,7 @@
             noted = delay > noteFromMs;
             noticed.clear();
             for (Flow f : standing) {
-                if (noticed.add(((NodePart) f.from).number)) {
+                if (noticed.add(((NodeSide) f.from).number)) {
                     tell(nowMs, f, Kinds.DELAY, delay);
                 }
             }
--- a/lab/src/main/java/tulipshed/lab/model/NodePart.java
+++ b/lab/src/main/java/tulipshed/lab/model/NodePart.java
@@ -5,12 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.apache.commons.rng.UniformRandomProvider;
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.lab.engine.Message;
-import tulipshed.lab.engine.Part;
 import tulipshed.lab.policy.Flow;
 import tulipshed.lab.policy.Host;
 import tulipshed.lab.policy.MemberNews;
@@ -21,16 +19,11 @@
 import tulipshed.lab.scenario.Scenario;
 
 /** A node: the policy that decides, what the node does about it, and the checkers that watch. Its clients are in {@link Clients}. */
-final class NodePart extends Part implements Host {
+final class NodePart extends NodeSide implements Host {
     private static final double SLACK_MS = 20;
     private static final double DRAIN_MS = 300;
     private static final double SILENT_MS = 2000; // until a client gives up a way that says nothing
 
-    final int number;
-    final String site;
-    private final World world;
-    private final UniformRandomProvider random;
-    private final Clients clients;
     private final List<Try> tries = new ArrayList<>();
     private final Map<Integer, Double> started = new HashMap<>();
     private final List<MemberNews.Batch> heard = new ArrayList<>();
@@ -40,22 +33,17 @@
     private boolean up = true;
     private boolean taking = true;
     private int listVersion;
-    private double nowMs;
     private double cutUntilMs;
     private long lastTry;
 
     private record Later(int generation, Runnable what) { }
 
     NodePart(int id, int number, World world) {
-        super(id);
-        this.number = number;
-        this.world = world;
-        site = "s" + number % world.scenario.network().sites();
-        random = Seeds.random(world.seed, id, 0);
-        clients = new Clients(this, world, Seeds.random(world.seed, id, 1));
+        super(id, number, world);
     }
 
-    void begin(MemberNews.Batch list) {
+    @Override
+    protected void begin(MemberNews.Batch list) {
         start(list);
         clients.next(0);
     }
@@ -68,14 +56,6 @@
         hears(new MemberNews.Batch(ListKind.REMEMBERED, list.news()));
     }
 
-    Tally tally() {
-        return world.tallies[shardNumber()];
-    }
-
-    UniformRandomProvider random() {
-        return random;
-    }
-
     @Override
     protected void take(double atMs, Message m) {
         nowMs = atMs;
@@ -127,26 +107,14 @@
 
     // ---- Clients ----
 
-    boolean takes() {
+    @Override
+    protected boolean takes() {
         return up && taking;
     }
 
-    void remindSelf(double atMs, int kind, Object what) {
-        remind(atMs, kind, what, 0);
-    }
-
-    /** A client goes on at some node, from a time on. */
-    void elsewhere(Wish w, double atMs) {
-        int to = random.nextInt(world.nodes.length);
-        if (to == number) {
-            remind(atMs, Kinds.COMES, w, 0);
-        } else {
-            send(Math.max(atMs, nowMs + world.scenario.network().leastMs()), world.nodes[to], Kinds.COMES, w, 0);
-        }
-    }
-
     /** A client asks here; the policy owes it an answer. */
-    void asked(Wish w, double graceMs) {
+    @Override
+    protected void asked(Wish w, double graceMs) {
         Try t = new Try(++lastTry, w, nowMs, nowMs + graceMs, rules.asked(nowMs, lastTry, nowMs + graceMs));
         keep(t);
         tell(t, "a client asks, try " + w.tries + (w.returning ? ", back after a break or a move" : "") + ", waits "
@@ -175,7 +143,8 @@
     }
 
     /** A connection that stands when the day begins. */
-    Flow alreadyOpen(Wish w, int member) {
+    @Override
+    protected Flow alreadyOpen(Wish w, int member) {
         Try t = new Try(++lastTry, w, 0, 0, rules.asked(0, lastTry, 0));
         keep(t);
         Flow f = new Flow(t, member, 0, Double.NaN, this);
@@ -208,7 +177,8 @@
     }
 
     /** The client's wait and the slack are over; where nothing was heard, it is a breach, and the client goes on. */
-    boolean unanswered(Try t) {
+    @Override
+    protected boolean unanswered(Try t) {
         rules.waited(nowMs, t.watched);
         if (t.owed && t.place >= 0) {
             policy.left(t);
@@ -229,8 +199,7 @@
     // ---- Flows ----
 
     private void closes(Flow f) {
-        MemberPart m = world.members[f.member];
-        send(nowMs + world.wayMs(site, m.site, random), m, Kinds.DROP, f, 0);
+        sendToMember(f.member, Kinds.DROP, f, 0);
     }
 
     private void up(Flow f) {
@@ -291,8 +260,7 @@
         }
         t.wish.load = t.wish.usualLoad * Seeds.lognormal(random, world.scenario.clients().loadSwing());
         tally().loadNotes++;
-        MemberPart m = world.members[f.member];
-        send(nowMs + world.wayMs(site, m.site, random), m, Kinds.LOAD, f, t.wish.load);
+        sendToMember(f.member, Kinds.LOAD, f, t.wish.load);
         if (world.scenario.clients().tellsLoad()) {
             policy.loadChanged(f);
         }
@@ -442,9 +410,8 @@
         tell(t, "attempt " + t.attempts + " to " + at(f));
         rules.sent(nowMs, t.watched, member);
         tally().at(tally().attempts, nowMs);
-        MemberPart m = world.members[member];
-        if (reaches(m.site)) {
-            send(nowMs + world.wayMs(site, m.site, random), m, Kinds.DIAL, f, 0);
+        if (reaches(world.members[member].site)) {
+            sendToMember(member, Kinds.DIAL, f, 0);
         }
         return f;
     }
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/model/NodeSide.java
@@ -0,0 +1,65 @@
+package tulipshed.lab.model;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.lab.engine.Part;
+import tulipshed.lab.policy.MemberNews;
+import tulipshed.lab.policy.Try;
+import tulipshed.lab.policy.Wish;
+
+/** The world's side of a node, emulated or a process of its own: where its clients come, and what its members see of it. */
+public abstract class NodeSide extends Part {
+    protected final int number;
+    protected final String site;
+    protected final World world;
+    protected final UniformRandomProvider random;
+    protected final Clients clients;
+    protected double nowMs;
+
+    /** A side of its own, from the world's seed. */
+    protected NodeSide(int id, int number, World world) {
+        super(id);
+        this.number = number;
+        this.world = world;
+        site = "s" + number % world.scenario().network().sites();
+        random = Seeds.random(world.seed, id, 0);
+        clients = new Clients(this, world, Seeds.random(world.seed, id, 1));
+    }
+
+    /** The day begins; that is what discovery has told before. */
+    protected abstract void begin(MemberNews.Batch list);
+
+    /** Whether the front layer sends it anybody. */
+    protected abstract boolean takes();
+
+    /** A client asks here; an answer is owed. */
+    protected abstract void asked(Wish w, double graceMs);
+
+    /** The client's wait and the slack are over; whether it goes on unanswered. */
+    protected abstract boolean unanswered(Try t);
+
+    /** A connection that stands when the day begins. */
+    protected abstract tulipshed.lab.policy.Flow alreadyOpen(Wish w, int member);
+
+    protected final Tally tally() {
+        return world.tallies[shardNumber()];
+    }
+
+    protected final void sendToMember(int member, int kind, Object what, double value) {
+        MemberPart m = world.members[member];
+        send(nowMs + world.wayMs(site, m.site, random), m, kind, what, value);
+    }
+
+    final void remindSelf(double atMs, int kind, Object what) {
+        remind(atMs, kind, what, 0);
+    }
+
+    /** A client goes on at some node, from a time on. */
+    final void elsewhere(Wish w, double atMs) {
+        int to = random.nextInt(world.nodes.length);
+        if (to == number) {
+            remind(Math.max(nowMs, atMs), Kinds.COMES, w, 0);
+        } else {
+            send(Math.max(atMs, nowMs + world.scenario().network().leastMs()), world.nodes[to], Kinds.COMES, w, 0);
+        }
+    }
+}
--- a/lab/src/main/java/tulipshed/lab/model/Outcome.java
+++ b/lab/src/main/java/tulipshed/lab/model/Outcome.java
@@ -131,6 +131,14 @@
         return counted == 0 ? 0 : sum / counted;
     }
 
+    /** The same under another name of who decided. */
+    public Outcome as(String policy) {
+        Scenario s = scenario;
+        return new Outcome(new Scenario(s.name(), s.lengthMs(), s.settleMs(), policy, s.network(), s.nodes(), s.kinds(), s.members(),
+                s.discovery(), s.classes(), s.tenants(), s.clients(), s.troubles()), seed, figures, seconds, loads, setupUs, waitUs,
+                queue, rules, messages, trace, tookS);
+    }
+
     public double figure(String name) {
         return figures.get(name);
     }
--- a/lab/src/main/java/tulipshed/lab/model/Tally.java
+++ b/lab/src/main/java/tulipshed/lab/model/Tally.java
@@ -29,11 +29,11 @@
     final long[] secondWanted;
     final long[] secondGood;
     /** By second in which it happened. */
-    final long[] attempts;
-    final long[] refused;
-    final long[] failed;
-    final long[] resets;
-    final long[] moves;
+    public final long[] attempts;
+    public final long[] refused;
+    public final long[] failed;
+    public final long[] resets;
+    public final long[] moves;
     final long[] came;
     /** Time of standing connections. */
     long standingUs;
@@ -71,7 +71,7 @@
         came = new long[seconds];
     }
 
-    void at(long[] bySecond, double nowMs) {
+    public void at(long[] bySecond, double nowMs) {
         bySecond[Math.min(seconds - 1, (int) (nowMs / 1000))]++;
     }
 
--- a/lab/src/main/java/tulipshed/lab/model/Troubles.java
+++ b/lab/src/main/java/tulipshed/lab/model/Troubles.java
@@ -119,19 +119,19 @@
             }
             case "dark-list" -> planner.plan(t.atMs(), world.discovery, Kinds.DARK, null, t.overMs());
             case "burst" -> {
-                for (NodePart n : world.nodes) {
+                for (NodeSide n : world.nodes) {
                     planner.plan(t.atMs(), n, Kinds.RATE, null, t.factor());
                     planner.plan(t.atMs() + t.overMs(), n, Kinds.RATE, null, 1);
                 }
             }
             case "impatient" -> {
-                for (NodePart n : world.nodes) {
+                for (NodeSide n : world.nodes) {
                     planner.plan(t.atMs(), n, Kinds.IMPATIENT, null, t.overMs());
                 }
             }
             case "partition" -> {
                 String site = "s" + (t.count() % world.scenario.network().sites());
-                for (NodePart n : world.nodes) {
+                for (NodeSide n : world.nodes) {
                     if (n.site.equals(site)) {
                         planner.plan(t.atMs(), n, Kinds.CUT, null, t.overMs());
                     }
--- a/lab/src/main/java/tulipshed/lab/model/World.java
+++ b/lab/src/main/java/tulipshed/lab/model/World.java
@@ -14,6 +14,7 @@
 import tulipshed.lab.policy.Policy;
 import tulipshed.lab.policy.PolicyFactory;
 import tulipshed.lab.policy.Wish;
+import tulipshed.lab.rules.RuleReport;
 import tulipshed.lab.scenario.Scenario;
 
 /** A world built from a scenario and a seed, run through its day once. */
@@ -25,7 +26,7 @@
     final Scenario scenario;
     final long seed;
     final Tally[] tallies;
-    final NodePart[] nodes;
+    final NodeSide[] nodes;
     final MemberPart[] members;
     final DiscoveryPart discovery;
     final Function<Host, Policy> policies;
@@ -46,6 +47,16 @@
      * @param threads that run it; the result is the same for any number
      */
     public World(Scenario scenario, long seed, int threads) {
+        this(scenario, seed, threads, NodePart::new);
+    }
+
+    /** Makes the world's side of a node. */
+    public interface NodeMaker {
+        NodeSide make(int id, int number, World world);
+    }
+
+    /** Builds a world with nodes of another making. */
+    public World(Scenario scenario, long seed, int threads, NodeMaker maker) {
         this.scenario = scenario;
         this.seed = seed;
         int usable = PolicyFactory.alone(scenario.policy()) ? 1 : threads;
@@ -76,9 +87,9 @@
         discovery = new DiscoveryPart(DISCOVERY, this);
         engine.add(discovery);
         atStart = discovery.atStart();
-        nodes = new NodePart[scenario.nodes().count()];
+        nodes = new NodeSide[scenario.nodes().count()];
         for (int n = 0; n < nodes.length; n++) {
-            nodes[n] = new NodePart(FIRST_NODE + n, n, this);
+            nodes[n] = maker.make(FIRST_NODE + n, n, this);
             engine.add(nodes[n]);
         }
         begin();
@@ -104,26 +115,85 @@
         for (int m = 0; m < members.length; m++) {
             members[m].begin(m < listedAtStart);
         }
-        for (NodePart n : nodes) {
+        for (NodeSide n : nodes) {
             n.begin(atStart);
         }
         UniformRandomProvider random = Seeds.random(seed, 0, 0);
         double[] load = new double[listedAtStart];
-        for (int i = 0; i < scenario.clients().standing(); i++) {
+        for (int i = 0; i < scenario.clients().standing() && scenario.clients().comeAtFirst(); i++) {
+            double at = scenario.settleMs() * random.nextDouble();
+            Wish w = wish(random, at);
+            wants(tallies[0], w, at);
+            w.firstAskedMs = at;
+            nodes[random.nextInt(nodes.length)].remindSelf(at, Kinds.COMES, w);
+        }
+        for (int i = 0; i < scenario.clients().standing() && !scenario.clients().comeAtFirst(); i++) {
             // Where an earlier day left them: about even, as by the lighter of two.
-            int a = random.nextInt(listedAtStart);
-            int b = random.nextInt(listedAtStart);
+            Wish w = wish(random, 0);
+            wants(tallies[0], w, 0);
+            int a = place(w, random);
+            int b = place(w, random);
             double sizeA = members[a].kind.cores() * members[a].kind.speed();
             double sizeB = members[b].kind.cores() * members[b].kind.speed();
             int m = load[b] / sizeB < load[a] / sizeA ? b : a;
-            Wish w = wish(random, 0);
-            wants(tallies[0], w, 0);
             load[m] += w.load;
             members[m].holds(nodes[random.nextInt(nodes.length)].alreadyOpen(w, m));
         }
         new Troubles(this, Seeds.random(seed, 0, 1)).plan();
     }
 
+    /** Where a connection may stand that came before: a group stands at its share of the members, two at least. */
+    private int place(Wish w, UniformRandomProvider random) {
+        if (w.group < 0) {
+            return random.nextInt(listedAtStart);
+        }
+        double share = groupUpTo[w.group] - (w.group == 0 ? 0 : groupUpTo[w.group - 1]);
+        int places = (int) Math.max(2, Math.min(listedAtStart, Math.round(share * listedAtStart)));
+        return (int) Long.remainderUnsigned(Seeds.of(seed, w.group, 7 + random.nextInt(places)), listedAtStart);
+    }
+
+    public Scenario scenario() {
+        return scenario;
+    }
+
+    /** The name of a member. */
+    public String nameOf(int member) {
+        return members[member].name;
+    }
+
+    /** How many members there may ever be. */
+    public int memberCount() {
+        return members.length;
+    }
+
+    /** The rules' report of the one thread that runs a world with sockets. */
+    public RuleReport rules() {
+        return tallies[0].rules;
+    }
+
+    /** Has all that discovery comes to know told to somebody else as well, from now on. */
+    public void onNews(Consumer<MemberNews> listener) {
+        discovery.onNews = listener;
+    }
+
+    /** Discovery has nothing to say to anybody, for so long. */
+    public void onDark(Consumer<Double> listener) {
+        discovery.onDark = listener;
+    }
+
+    /** What discovery tells at the beginning. */
+    public MemberNews.Batch atStart() {
+        return atStart;
+    }
+
+    /** What came of a day that was run by {@link #runUntil}. */
+    public Outcome finish(double tookS) {
+        for (MemberPart m : members) {
+            m.end(scenario.lengthMs());
+        }
+        return Outcome.of(this, tookS);
+    }
+
     private static double[] upTo(double[] shares) {
         double sum = 0;
         double[] out = new double[shares.length];
@@ -188,7 +258,7 @@
 
     /** Without jitter: what discovery tells comes in order. */
     double wayToDiscovery(Part of) {
-        String site = of instanceof NodePart n ? n.site : ((MemberPart) of).site;
+        String site = of instanceof NodeSide n ? n.site : ((MemberPart) of).site;
         return site.equals(discovery.site()) ? scenario.network().withinMs() : scenario.network().betweenMs();
     }
 
@@ -224,10 +294,6 @@
     public Outcome run() {
         long began = System.nanoTime();
         engine.run(scenario.lengthMs());
-        long took = System.nanoTime() - began;
-        for (MemberPart m : members) {
-            m.end(scenario.lengthMs());
-        }
-        return Outcome.of(this, took / 1e9);
+        return finish((System.nanoTime() - began) / 1e9);
     }
 }
--- a/lab/src/main/java/tulipshed/lab/scenario/Scenario.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/Scenario.java
@@ -62,7 +62,7 @@
     /** Clients: new ones a second at all nodes, those that stand at the start, and how they try again. */
     public record Clients(double perSecond, int standing, int groups, double grouped, double tryShare, double backoffMs,
             double longestBackoffMs, double heed, int tries, double loadChangesPerS, double loadSpread, double loadSwing, double groupSkew,
-            double returnMs, double restMs, double giveUpShare, boolean hints, boolean tellsLoad) { }
+            double returnMs, double restMs, double giveUpShare, boolean hints, boolean tellsLoad, boolean comeAtFirst) { }
 
     /** Something that goes wrong, or is done, at a time, for a time. */
     public record Trouble(double atMs, String kind, double share, double overMs, double factor, int count) { }
--- a/lab/src/main/java/tulipshed/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/ScenarioReader.java
@@ -174,7 +174,7 @@
                 s.number("heed", 0, 1, 0.85), s.whole("tries", 1, 1000, 4), s.number("load-changes-per-s", 0, 1000, 0.1),
                 s.number("load-spread", 0, 3, 1), s.number("load-swing", 0, 3, 0.5), s.number("group-skew", 0, 3, 0.75),
                 s.number("return-ms", 1, DAY, 400), s.number("rest-ms", 1, DAY, 3000), s.number("give-up-share", 0, 1, 0.01),
-                s.whole("hints", 0, 1, 0) == 1, s.whole("tells-load", 0, 1, 0) == 1);
+                s.whole("hints", 0, 1, 0) == 1, s.whole("tells-load", 0, 1, 0) == 1, s.whole("come-at-first", 0, 1, 0) == 1);
         s.done();
         return c;
     }
--- a/node/src/main/java/tulipshed/demo/StandInDiscovery.java
+++ b/node/src/main/java/tulipshed/demo/StandInDiscovery.java
@@ -23,6 +23,7 @@
     private final ExecutorService threads = Executors.newCachedThreadPool(StandInDiscovery::daemon);
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long version;
+    private volatile boolean dark;
 
     private record Entry(long version, String json) { }
 
@@ -45,12 +46,29 @@
         return server.getAddress();
     }
 
-    /** Names a member, or another state of it: SERVING, DRAINING or DELETED. */
-    public synchronized void tell(String id, InetSocketAddress at, String zone, String kind, String state) {
+    /** Names a member that has long run, or another state of it: SERVING, DRAINING or DELETED. */
+    public void tell(String id, InetSocketAddress at, String zone, String kind, String state) {
+        tell(id, at, zone, kind, state, 1, 0);
+    }
+
+    /**
+     * Names a member, or another state of it.
+     *
+     * @param weight its size among the others
+     * @param startedMs when it started, as Unix time in milliseconds, or 0 for long ago
+     */
+    public synchronized void tell(String id, InetSocketAddress at, String zone, String kind, String state, double weight,
+            long startedMs) {
         version++;
         entries.put(id, new Entry(version, "{\"id\":\"" + id + "\",\"addr\":\"" + at.getAddress().getHostAddress() + ":"
                 + at.getPort() + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
-                + "\",\"weight\":1.0,\"started_ms\":0}"));
+                + "\",\"weight\":" + weight + ",\"started_ms\":" + startedMs + "}"));
+        notifyAll();
+    }
+
+    /** From now on, or no more, every call fails and every watch is broken off. */
+    public synchronized void dark(boolean now) {
+        dark = now;
         notifyAll();
     }
 
@@ -58,6 +76,11 @@
         Matcher watch = WATCH.matcher(String.valueOf(call.getRequestURI().getQuery()));
         byte[] body = (watch.matches() ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2))) : list(true, -1))
                 .getBytes(StandardCharsets.UTF_8);
+        if (dark) {
+            call.sendResponseHeaders(503, -1);
+            call.close();
+            return;
+        }
         call.sendResponseHeaders(200, body.length);
         call.getResponseBody().write(body);
         call.close();
@@ -66,7 +89,7 @@
     private synchronized String changes(long since, long waitMs) {
         long untilNs = System.nanoTime() + waitMs * 1_000_000;
         try {
-            for (long left = waitMs; version <= since && left > 0; left = (untilNs - System.nanoTime()) / 1_000_000) {
+            for (long left = waitMs; version <= since && left > 0 && !dark; left = (untilNs - System.nanoTime()) / 1_000_000) {
                 wait(left);
             }
         } catch (InterruptedException e) {
