--- a/lab/src/main/java/tulipshed/lab/load/NodeProcess.java
+++ b/lab/src/main/java/tulipshed/lab/load/NodeProcess.java
@@ -17,6 +17,7 @@
     private Process process;
     private final InetSocketAddress address;
     private volatile boolean serves;
+    private boolean killed;
 
     /** A node that its configuration has listen on a port of its own. */
     NodeProcess(Path jar, Path config, Path temporary) throws IOException {
@@ -31,6 +32,7 @@
     /** Starts it; it serves some time later. */
     void start() {
         serves = false;
+        killed = false;
         ProcessBuilder b = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Djava.io.tmpdir=" + temporary, "-jar",
                 jar.toString(), "serve"));
@@ -65,6 +67,11 @@
         return serves && process.isAlive();
     }
 
+    /** Whether it was killed, and no other has been started since: it owes nothing. */
+    boolean killed() {
+        return killed;
+    }
+
     boolean alive() {
         return process.isAlive();
     }
@@ -78,6 +85,7 @@
         if (politely) {
             process.destroy();
         } else {
+            killed = true;
             process.destroyForcibly();
         }
     }
--- a/lab/src/main/java/tulipshed/lab/load/SocketNode.java
+++ b/lab/src/main/java/tulipshed/lab/load/SocketNode.java
@@ -69,7 +69,10 @@
             if (t.standing) {
                 if (word.equals("MOVE")) {
                     gone();
-                    tally().at(tally().moves, nowMs);
+                    if (t.flow == null || !t.flow.over) {
+                        // Its member counts those that it sends away itself.
+                        tally().at(tally().moves, nowMs);
+                    }
                     clients.returns(nowMs, t);
                 }
                 return;
@@ -97,10 +100,14 @@
             now();
             drop();
             if (t.standing) {
+                if (process.killed()) {
+                    // Its members count all other resets.
+                    tally().at(tally().resets, nowMs);
+                }
                 clients.returns(nowMs, t);
             } else if (t.owed) {
                 t.owed = false;
-                if (process.alive()) {
+                if (!process.killed()) {
                     rules.waited(nowMs, t.watched);
                 } else {
                     rules.left(t.watched);
@@ -170,6 +177,7 @@
         now();
         Flow f = new Flow(t, member, nowMs, run.toldStartMs(member), this);
         t.attempts++;
+        t.flow = f;
         f.kept = wire;
         rules.sent(nowMs, t.watched, member);
         tally().at(tally().attempts, nowMs);
@@ -223,6 +231,8 @@
                 if (process.alive()) {
                     remind(nowMs + 50, Kinds.START, null, 0);
                 } else {
+                    // Another process, which knows what its file says until it is told.
+                    rules.starts();
                     process.start();
                 }
             }
--- a/lab/src/main/java/tulipshed/lab/rules/NodeRules.java
+++ b/lab/src/main/java/tulipshed/lab/rules/NodeRules.java
@@ -125,6 +125,11 @@
         }
     }
 
+    /** Another process begins in its place, which has been told nothing yet. */
+    public void starts() {
+        notServingSince.clear();
+    }
+
     /** The node was told of a member. */
     public void told(double atMs, int member, boolean serving) {
         if (serving) {
--- a/lab/src/main/java/tulipshed/lab/tool/ReportCommand.java
+++ b/lab/src/main/java/tulipshed/lab/tool/ReportCommand.java
@@ -117,7 +117,8 @@
     }
 
     private boolean spans(Map<String, TreeMap<Double, List<Map<String, Object>>>> byPolicy) {
-        return byPolicy.values().stream().allMatch(m -> m.firstKey() > 0 && m.lastKey() / m.firstKey() >= 20);
+        double least = byPolicy.values().stream().mapToDouble(TreeMap::firstKey).min().orElse(0);
+        return least > 0 && byPolicy.values().stream().mapToDouble(TreeMap::lastKey).max().orElse(0) / least >= 20;
     }
 
     private Plots.Line line(String name, TreeMap<Double, List<Map<String, Object>>> points, String figure) {
@@ -162,8 +163,8 @@
             attempts.add(timeline(e.getKey(), rows, "a"));
             if (byPolicy.size() <= 2) {
                 loads.add(timeline(e.getKey() + ", 5th of 100", rows, "l5"));
-                loads.add(timeline(e.getKey() + ", median", rows, "l50"));
             }
+            loads.add(timeline(e.getKey() + ", median", rows, "l50"));
             loads.add(timeline(e.getKey() + ", 95th of 100", rows, "l95"));
         }
         draw(name, "service-by-second", "Service by second, at the largest " + x, "second", service, false);
--- /dev/null
+++ b/lab/src/test/java/tulipshed/lab/LoadTest.java
@@ -0,0 +1,51 @@
+package tulipshed.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.Test;
+import tulipshed.lab.load.LoadRun;
+import tulipshed.lab.model.Outcome;
+import tulipshed.lab.rules.Rule;
+import tulipshed.lab.scenario.Scenario;
+
+/** Real nodes in an emulated world. */
+class LoadTest {
+    private static final Path JAR = Path.of("../node/target/tulipshed.jar");
+    private static final String DAY = "(seconds 8)(settle-s 1)(nodes (count 2)(restart-ms 300))"
+            + "(members std (count 4)(cores 2))(class c (deadline-ms 30000)(life-s 4)(load 0.02)(message-aim-ms 1000))"
+            + "(clients (per-second 12)(standing 40)(come-at-first 1)(groups 4))(discovery (lag-ms 100)(calls-per-s 1000))"
+            + "(member-model (drain-ms 500)(restart-ms 300)(warm-ms 500)(message-ms 1))"
+            + "(trouble deploy-members (at-s 2)(share 0.5)(over-s 1))(trouble crash-members (at-s 4)(share 0.75))"
+            + "(trouble kill-nodes (at-s 5)(count 1))";
+
+    /** What the checkers see is what was on the wire: of drains, crashes and a killed node. */
+    @Test
+    void aRealNodeKeepsTheRulesThroughDrainsCrashesAndAKill() throws Exception {
+        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
+        Scenario s = Worlds.text(DAY);
+        try (LoadRun run = new LoadRun(s, 4, JAR)) {
+            Outcome o = run.run();
+            assertTrue(o.rules().checked() > 150, "" + o.rules().checked());
+            for (Rule r : new Rule[] {Rule.ONE_ANSWER, Rule.ONE_FLOW, Rule.DRAIN}) {
+                assertEquals(0, o.rules().broken(r), () -> "" + o.rules());
+            }
+            assertEquals(0, run.strangers(), "nothing came that no client had sent");
+            assertTrue(o.figure("resets") > 0 && o.figure("moves") > 0, () -> "" + o.figures());
+            assertTrue(o.figure("service") > 0.5, () -> "" + o.figures());
+        }
+    }
+
+    @Test
+    void whatSocketsCannotDoIsSaidAtOnce() {
+        for (String[] too : new String[][] {{"nodes.count=17"}, {"clients.standing=6000"}, {"seconds=601"},
+            {"clients.come-at-first=0"}}) {
+            Scenario s = Worlds.text(DAY, too);
+            assertThrows(IllegalArgumentException.class, () -> new LoadRun(s, 1, JAR).close(), too[0]);
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/demo/StandInDiscovery.java
+++ b/node/src/main/java/tulipshed/demo/StandInDiscovery.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -25,7 +26,9 @@
     private long version;
     private volatile boolean dark;
 
-    private record Entry(long version, String json) { }
+    private Consumer<Map<String, String>> told = entries -> { };
+
+    private record Entry(long version, String state, String json) { }
 
     /** Listens on a free port. */
     public StandInDiscovery() throws IOException {
@@ -60,12 +63,17 @@
     public synchronized void tell(String id, InetSocketAddress at, String zone, String kind, String state, double weight,
             long startedMs) {
         version++;
-        entries.put(id, new Entry(version, "{\"id\":\"" + id + "\",\"addr\":\"" + at.getAddress().getHostAddress() + ":"
+        entries.put(id, new Entry(version, state, "{\"id\":\"" + id + "\",\"addr\":\"" + at.getAddress().getHostAddress() + ":"
                 + at.getPort() + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
                 + "\",\"weight\":" + weight + ",\"started_ms\":" + startedMs + "}"));
         notifyAll();
     }
 
+    /** Has somebody hear what each answer told, the state of each member by its name; called on a thread of its own. */
+    public synchronized void onTold(Consumer<Map<String, String>> listener) {
+        told = listener;
+    }
+
     /** From now on, or no more, every call fails and every watch is broken off. */
     public synchronized void dark(boolean now) {
         dark = now;
@@ -74,8 +82,9 @@
 
     private void answer(HttpExchange call) throws IOException {
         Matcher watch = WATCH.matcher(String.valueOf(call.getRequestURI().getQuery()));
-        byte[] body = (watch.matches() ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2))) : list(true, -1))
-                .getBytes(StandardCharsets.UTF_8);
+        Map<String, String> states = new LinkedHashMap<>();
+        byte[] body = (watch.matches() ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), states)
+                : list(true, -1, states)).getBytes(StandardCharsets.UTF_8);
         if (dark) {
             call.sendResponseHeaders(503, -1);
             call.close();
@@ -84,9 +93,14 @@
         call.sendResponseHeaders(200, body.length);
         call.getResponseBody().write(body);
         call.close();
+        listener().accept(states);
     }
 
-    private synchronized String changes(long since, long waitMs) {
+    private synchronized Consumer<Map<String, String>> listener() {
+        return told;
+    }
+
+    private synchronized String changes(long since, long waitMs, Map<String, String> states) {
         long untilNs = System.nanoTime() + waitMs * 1_000_000;
         try {
             for (long left = waitMs; version <= since && left > 0 && !dark; left = (untilNs - System.nanoTime()) / 1_000_000) {
@@ -95,13 +109,17 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return list(false, since);
+        return list(false, since, states);
     }
 
-    private synchronized String list(boolean whole, long since) {
+    private synchronized String list(boolean whole, long since, Map<String, String> states) {
         List<String> named = new ArrayList<>();
-        entries.values().stream().filter(e -> e.version() > since && !(whole && e.json().contains("\"DELETED\"")))
-                .forEach(e -> named.add(e.json()));
+        entries.forEach((id, e) -> {
+            if (e.version() > since && !(whole && e.state().equals("DELETED"))) {
+                named.add(e.json());
+                states.put(id, e.state());
+            }
+        });
         return "{\"version\":" + version + ",\"full\":" + whole + ",\"servers\":[" + String.join(",", named) + "]}";
     }
 
