Lab: let both kinds of node share what is the same, and drop what nothing reads

Read again as a whole: the emulated node and the one over sockets each had the clients' messages, the slack, the drain grace and the making of their rules; these are NodeSide's now. The options of run, load and replay stand once. A member's capacity was written out three times; a member's kind was found by counting from the first for every member. Gone, as nothing read it: the checker's note of when a node last asked for the list, the socket node's list of clients and its map from tries to nodes (the try's number tells), four unused methods and a counter.

The node is untouched.

--- a/lab/src/main/java/tulipshed/lab/engine/Engine.java
+++ b/lab/src/main/java/tulipshed/lab/engine/Engine.java
@@ -13,7 +13,6 @@
     private final Shard[] shards;
     private final double windowMs;
     private final List<Part> parts = new ArrayList<>();
-    private double ranMs;
 
     /**
      * An engine on that many threads.
@@ -55,7 +54,6 @@
         } else {
             together(end);
         }
-        ranMs = untilMs;
     }
 
     private void together(long end) {
@@ -128,9 +126,4 @@
         }
         return sum;
     }
-
-    /** Until when it has run. */
-    public double ranMs() {
-        return ranMs;
-    }
 }
--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -31,6 +31,8 @@
  * the moment at which they wanted to ask, so that a stalled node cannot hide its stall.
  */
 public final class LoadRun implements AutoCloseable {
+    /** Where in a try's number its node's stands. */
+    static final int TRIES = 40;
     private static final int MOST_NODES = 16;
     private static final int MOST_MEMBERS = 500;
     private static final int MOST_CLIENTS = 5000;
@@ -47,7 +49,6 @@
     private final List<NodeProcess> processes = new ArrayList<>();
     private final List<SocketNode> nodes = new ArrayList<>();
     private final Map<String, Try> tries = new HashMap<>();
-    private final Map<Try, SocketNode> owners = new HashMap<>();
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, Double> started = new HashMap<>();
     private final World world;
@@ -88,6 +89,7 @@
         for (int m = 0; m < world.memberCount(); m++) {
             members.add(new SocketMember(m, this, selector));
             addresses.add(members.get(m).address());
+            numbers.put(world.nameOf(m), m);
         }
         for (int n = 0; n < processes.size(); n++) {
             int number = n;
@@ -95,17 +97,13 @@
             d.onTold(states -> told.add(new Told(number, sinceMs(), states)));
             discoveries.add(d);
         }
-        for (int m = 0; m < world.memberCount(); m++) {
-            numbers.put(world.nameOf(m), m);
-        }
         world.atStart().news().forEach(this::news);
         world.onNews(this::news);
         NodeConfigWriter writer = new NodeConfigWriter();
         for (int n = 0; n < processes.size(); n++) {
             Files.createDirectories(folder.resolve("tmp-" + n));
             writer.write(folder.resolve("node-" + n + ".json"), s, n, seed * 1000 + n, processes.get(n).address(),
-                    discoveries.get(n).address(), world.atStart(),
-                    addresses);
+                    discoveries.get(n).address(), world.atStart(), addresses);
         }
     }
 
@@ -205,15 +203,19 @@
         return Wire.connect(selector, to, listener);
     }
 
-    String remember(Try t, SocketNode owner) {
-        String id = String.format("%016x", t.id);
+    /** What a client's connection is called on the wire; it is found by it until it is forgotten. */
+    String remember(Try t) {
+        String id = id(t);
         tries.put(id, t);
-        owners.put(t, owner);
         return id;
     }
 
     void forget(Try t) {
-        tries.remove(String.format("%016x", t.id));
+        tries.remove(id(t));
+    }
+
+    private static String id(Try t) {
+        return String.format("%016x", t.id);
     }
 
     Try find(String id) {
@@ -221,23 +223,17 @@
     }
 
     SocketNode nodeOf(Try t) {
-        return owners.get(t);
+        return nodes.get((int) (t.id >>> TRIES));
     }
 
     double toldStartMs(int member) {
         return started.getOrDefault(member, Double.NaN);
     }
 
-    void syntax(String line) {
+    void stranger() {
         strangers++;
     }
 
-    void keep(Wire accepted) {
-        if (accepted.over()) {
-            strangers++;
-        }
-    }
-
     @Override
     public void close() throws IOException {
         processes.forEach(p -> p.stop(false));
--- a/lab/src/main/java/tulipshed/lab/load/SocketMember.java
+++ b/lab/src/main/java/tulipshed/lab/load/SocketMember.java
@@ -34,7 +34,8 @@
 
     void accept() throws IOException {
         for (SocketChannel c = listener.accept(); c != null; c = listener.accept()) {
-            run.keep(new Wire(c, selector, new Arriving(), true));
+            // Its key in the selector keeps it.
+            new Wire(c, selector, new Arriving(), true);
         }
     }
 
@@ -54,7 +55,7 @@
             String[] words = line.split(" ");
             Try t = words.length > 1 && words[0].equals("OPEN") ? run.find(words[1]) : null;
             if (t == null) {
-                run.syntax(line);
+                run.stranger();
                 wire.sayAndClose("SYNTAX");
                 return;
             }
--- a/lab/src/main/java/tulipshed/lab/load/SocketNode.java
+++ b/lab/src/main/java/tulipshed/lab/load/SocketNode.java
@@ -1,8 +1,6 @@
 package tulipshed.lab.load;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.lab.engine.Message;
@@ -17,20 +15,15 @@
 
 /** A node that is a process: its clients connect to it over loopback, its flows arrive at the members' sockets. */
 final class SocketNode extends NodeSide {
-    private static final double SLACK_MS = 20;
-    private static final double DRAIN_MS = 300;
-
     private final LoadRun run;
     private final NodeProcess process;
-    private final NodeRules rules;
-    private final List<Client> clientsHere = new ArrayList<>();
+    private NodeRules rules;
     private long lastTry;
 
     SocketNode(int id, int number, World world, LoadRun run, NodeProcess process) {
         super(id, number, world);
         this.run = run;
         this.process = process;
-        rules = new NodeRules(number, world.rules(), SLACK_MS, DRAIN_MS, world.scenario().discovery().askWithinMs());
     }
 
     NodeRules rules() {
@@ -39,6 +32,7 @@
 
     @Override
     protected void begin(MemberNews.Batch list) {
+        rules = newRules();
         clients.next(0);
     }
 
@@ -56,7 +50,7 @@
     private final class Client implements Wire.Listener {
         private final Try t;
         private Wire wire;
-        private int place;
+        private boolean here = true;
 
         Client(Try t) {
             this.t = t;
@@ -123,15 +117,8 @@
         }
 
         private void drop() {
-            if (place >= 0) {
-                Client last = clientsHere.remove(clientsHere.size() - 1);
-                if (last != this) {
-                    clientsHere.set(place, last);
-                    last.place = place;
-                }
-                place = -1;
-                run.forget(t);
-            }
+            here = false;
+            run.forget(t);
         }
     }
 
@@ -141,7 +128,7 @@
 
     @Override
     protected void asked(Wish w, double graceMs) {
-        Try t = new Try((long) number << 40 | ++lastTry, w, nowMs, nowMs + graceMs,
+        Try t = new Try((long) number << LoadRun.TRIES | ++lastTry, w, nowMs, nowMs + graceMs,
                 rules.asked(nowMs, lastTry, nowMs + graceMs));
         Client c = new Client(t);
         t.kept = c;
@@ -151,9 +138,7 @@
             clients.again(nowMs, w, world.scenario().clients().returnMs());
             return;
         }
-        c.place = clientsHere.size();
-        clientsHere.add(c);
-        String id = run.remember(t, this);
+        String id = run.remember(t);
         var s = world.scenario();
         c.wire.say(String.format(Locale.ROOT, "OPEN %s k%s c=%s,t=%s,d=%d%s%s", id, id, s.classes().get(w.requestClass).name(),
                 s.tenants().get(w.tenant).name(), Math.round(graceMs), w.group < 0 ? "" : ",g=g" + w.group,
@@ -196,12 +181,8 @@
     }
 
     @Override
-    protected void take(double atMs, Message m) {
-        nowMs = atMs;
+    protected void hear(Message m) {
         switch (m.kind) {
-            case Kinds.ARRIVAL -> clients.arrives(nowMs);
-            case Kinds.COMES -> clients.comes(nowMs, (Wish) m.what);
-            case Kinds.WAITED -> clients.waited(nowMs, (Try) m.what);
             case Kinds.UP -> up((Flow) m.what);
             case Kinds.ENDED -> {
                 Flow f = (Flow) m.what;
@@ -219,7 +200,7 @@
             }
             case Kinds.LIFE_OVER -> {
                 Client c = (Client) m.what;
-                if (c.place >= 0) {
+                if (c.here) {
                     c.gone();
                 }
             }
@@ -236,8 +217,6 @@
                     process.start();
                 }
             }
-            case Kinds.RATE -> clients.rate(m.value);
-            case Kinds.IMPATIENT -> clients.impatientUntil(nowMs + m.value);
             default -> throw new IllegalArgumentException("a trouble that sockets cannot have: " + m.kind);
         }
     }
--- a/lab/src/main/java/tulipshed/lab/model/MemberPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/MemberPart.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.lab.engine.Message;
 import tulipshed.lab.engine.Part;
 import tulipshed.lab.policy.Flow;
@@ -115,8 +116,12 @@
         return startedMs > 0 && nowMs - startedMs < model.warmMs();
     }
 
+    private double capacity(double nowMs) {
+        return kind.cores() * kind.speed() * warm(nowMs) / slower;
+    }
+
     private double able(double nowMs) {
-        double able = kind.cores() * kind.speed() * warm(nowMs) / slower;
+        double able = capacity(nowMs);
         double over = loadCores / able - 1;
         return over > 0 ? able / (1 + model.crowding() * over) : able;
     }
@@ -128,7 +133,7 @@
 
     @Override
     public double capacity() {
-        return kind.cores() * kind.speed() * warm(tickedMs) / slower;
+        return capacity(tickedMs);
     }
 
     @Override
@@ -314,7 +319,7 @@
         if (!cold(nowMs)) {
             return;
         }
-        double able = kind.cores() * kind.speed() * warm(nowMs) / slower * model.fills() / model.warmMs();
+        double able = capacity(nowMs) * model.fills() / model.warmMs();
         cold.pushed(nowMs, from.load, able, from.believedStartMs >= startedMs - 1);
         tally().coldStrain = Math.max(tally().coldStrain, Math.round(cold.strain() * 1000));
         if (cold.falls()) {
@@ -322,7 +327,7 @@
             tally().felt++;
             cold.fell(nowMs, tally().rules, nowMs - startedMs);
             die(nowMs, true);
-            send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.FELL, new int[] {number, 2}, 0);
+            send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.FELL, new int[] {number, ServerState.GONE.ordinal()}, 0);
         }
     }
 
--- a/lab/src/main/java/tulipshed/lab/model/NodePart.java
+++ b/lab/src/main/java/tulipshed/lab/model/NodePart.java
@@ -20,8 +20,6 @@
 
 /** A node: the policy that decides, what the node does about it, and the checkers that watch. Its clients are in {@link Clients}. */
 final class NodePart extends NodeSide implements Host {
-    private static final double SLACK_MS = 20;
-    private static final double DRAIN_MS = 300;
     private static final double SILENT_MS = 2000; // until a client gives up a way that says nothing
 
     private final List<Try> tries = new ArrayList<>();
@@ -49,20 +47,15 @@
     }
 
     private void start(MemberNews.Batch list) {
-        Scenario.Discovery d = world.scenario.discovery();
-        rules = new NodeRules(number, tally().rules, SLACK_MS, DRAIN_MS, d.askWithinMs());
+        rules = newRules();
         policy = world.policies.apply(this);
         policy.settle();
         hears(new MemberNews.Batch(ListKind.REMEMBERED, list.news()));
     }
 
     @Override
-    protected void take(double atMs, Message m) {
-        nowMs = atMs;
+    protected void hear(Message m) {
         switch (m.kind) {
-            case Kinds.ARRIVAL -> clients.arrives(nowMs);
-            case Kinds.COMES -> clients.comes(nowMs, (Wish) m.what);
-            case Kinds.WAITED -> clients.waited(nowMs, (Try) m.what);
             case Kinds.TIMER -> {
                 Later later = (Later) m.what;
                 if (later.generation == generation) {
@@ -85,11 +78,13 @@
             case Kinds.STOP -> stop(m.value > 0);
             case Kinds.START -> starts();
             case Kinds.SEND_AWAY -> sendAway((Try) m.what);
-            case Kinds.RATE -> clients.rate(m.value);
-            case Kinds.IMPATIENT -> clients.impatientUntil(nowMs + m.value);
             case Kinds.CUT -> cut(m.value);
             default -> throw new IllegalStateException("a node is sent " + m.kind);
         }
+    }
+
+    @Override
+    protected void settled() {
         if (up) {
             policy.settle();
         }
@@ -215,12 +210,11 @@
     }
 
     private void ended(Flow f, Outcome outcome) {
-        boolean known = f.of.place >= 0 && !f.over;
-        boolean stood = known && f.of.standing;
-        if (!known) {
+        Try t = f.of;
+        if (t.place < 0 || f.over) {
             return;
         }
-        Try t = f.of;
+        boolean stood = t.standing;
         tell(t, (t.standing ? "the connection at " : "the flow to ") + at(f) + " ends: " + outcome);
         f.over = true;
         t.flow = null;
@@ -259,7 +253,6 @@
             return;
         }
         t.wish.load = t.wish.usualLoad * Seeds.lognormal(random, world.scenario.clients().loadSwing());
-        tally().loadNotes++;
         sendToMember(f.member, Kinds.LOAD, f, t.wish.load);
         if (world.scenario.clients().tellsLoad()) {
             policy.loadChanged(f);
@@ -471,7 +464,6 @@
 
     @Override
     public void watch() {
-        rules.asksForList(nowMs);
         if (reaches(world.discovery.site())) {
             send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.WATCH, this, listVersion);
         } else {
--- a/lab/src/main/java/tulipshed/lab/model/NodeSide.java
+++ b/lab/src/main/java/tulipshed/lab/model/NodeSide.java
@@ -1,13 +1,20 @@
 package tulipshed.lab.model;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.lab.engine.Message;
 import tulipshed.lab.engine.Part;
 import tulipshed.lab.policy.MemberNews;
 import tulipshed.lab.policy.Try;
 import tulipshed.lab.policy.Wish;
+import tulipshed.lab.rules.NodeRules;
 
 /** The world's side of a node, emulated or a process of its own: where its clients come, and what its members see of it. */
 public abstract class NodeSide extends Part {
+    /** How long after a client's wait an answer still counts. */
+    protected static final double SLACK_MS = 20;
+    /** How long after the news of a drain something may still be sent. */
+    private static final double DRAIN_MS = 300;
+
     protected final int number;
     protected final String site;
     protected final World world;
@@ -40,6 +47,31 @@
     /** A connection that stands when the day begins. */
     protected abstract tulipshed.lab.policy.Flow alreadyOpen(Wish w, int member);
 
+    /** What holds a process of this node to the rules. */
+    protected final NodeRules newRules() {
+        return new NodeRules(number, tally().rules, SLACK_MS, DRAIN_MS);
+    }
+
+    @Override
+    protected final void take(double atMs, Message m) {
+        nowMs = atMs;
+        switch (m.kind) {
+            case Kinds.ARRIVAL -> clients.arrives(nowMs);
+            case Kinds.COMES -> clients.comes(nowMs, (Wish) m.what);
+            case Kinds.WAITED -> clients.waited(nowMs, (Try) m.what);
+            case Kinds.RATE -> clients.rate(m.value);
+            case Kinds.IMPATIENT -> clients.impatientUntil(nowMs + m.value);
+            default -> hear(m);
+        }
+        settled();
+    }
+
+    /** What is not its clients' own affair. */
+    protected abstract void hear(Message m);
+
+    /** All that a message led to has been done. */
+    protected void settled() { }
+
     protected final Tally tally() {
         return world.tallies[shardNumber()];
     }
--- a/lab/src/main/java/tulipshed/lab/model/Tally.java
+++ b/lab/src/main/java/tulipshed/lab/model/Tally.java
@@ -39,7 +39,6 @@
     long standingUs;
     long left;
     long felt;
-    long loadNotes;
     /** Highest strain on a cold member, in thousandths of the bound. */
     long coldStrain;
     final Histogram setupUs = new Histogram(1, LONGEST_US, 3);
@@ -118,7 +117,6 @@
         standingUs += o.standingUs;
         left += o.left;
         felt += o.felt;
-        loadNotes += o.loadNotes;
         coldStrain = Math.max(coldStrain, o.coldStrain);
         setupUs.add(o.setupUs);
         waitUs.add(o.waitUs);
--- a/lab/src/main/java/tulipshed/lab/model/World.java
+++ b/lab/src/main/java/tulipshed/lab/model/World.java
@@ -1,6 +1,8 @@
 package tulipshed.lab.model;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -14,7 +16,6 @@
 import tulipshed.lab.policy.Policy;
 import tulipshed.lab.policy.PolicyFactory;
 import tulipshed.lab.policy.Wish;
-import tulipshed.lab.rules.RuleReport;
 import tulipshed.lab.scenario.Scenario;
 
 /** A world built from a scenario and a seed, run through its day once. */
@@ -67,7 +68,8 @@
         }
         classUpTo = upTo(scenario.classes().stream().mapToDouble(Scenario.ClassOf::share).toArray());
         tenantUpTo = upTo(scenario.tenants().stream().mapToDouble(Scenario.TenantOf::asks).toArray());
-        int atFirst = scenario.kinds().stream().mapToInt(Scenario.MemberKind::count).sum();
+        List<Scenario.MemberKind> kinds = kindsInTurn();
+        int atFirst = kinds.size();
         double[] popularity = new double[scenario.clients().groups()];
         for (int g = 0; g < popularity.length; g++) {
             popularity[g] = Math.pow(g + 1, -scenario.clients().groupSkew());
@@ -79,7 +81,7 @@
         members = new MemberPart[atFirst + more];
         Map<String, Integer> numbers = new HashMap<>();
         for (int m = 0; m < members.length; m++) {
-            members[m] = new MemberPart(FIRST_MEMBER + m, m, kindOf(m % atFirst), this);
+            members[m] = new MemberPart(FIRST_MEMBER + m, m, kinds.get(m % atFirst), this);
             numbers.put(members[m].name, m);
             engine.add(members[m]);
         }
@@ -96,19 +98,17 @@
     }
 
     /** Kinds take turns, so that a fleet's first members are no single kind. */
-    private Scenario.MemberKind kindOf(int member) {
-        int[] left = scenario.kinds().stream().mapToInt(Scenario.MemberKind::count).toArray();
-        int at = 0;
-        for (int m = 0;; m++) {
-            while (left[at % left.length] == 0) {
-                at++;
+    private List<Scenario.MemberKind> kindsInTurn() {
+        List<Scenario.MemberKind> out = new ArrayList<>();
+        int most = scenario.kinds().stream().mapToInt(Scenario.MemberKind::count).max().orElse(0);
+        for (int round = 0; round < most; round++) {
+            for (Scenario.MemberKind k : scenario.kinds()) {
+                if (round < k.count()) {
+                    out.add(k);
+                }
             }
-            left[at % left.length]--;
-            if (m == member) {
-                return scenario.kinds().get(at % left.length);
-            }
-            at++;
         }
+        return out;
     }
 
     private void begin() {
@@ -166,11 +166,6 @@
         return members.length;
     }
 
-    /** The rules' report of the one thread that runs a world with sockets. */
-    public RuleReport rules() {
-        return tallies[0].rules;
-    }
-
     /** Has all that discovery comes to know told to somebody else as well, from now on. */
     public void onNews(Consumer<MemberNews> listener) {
         discovery.onNews = listener;
--- a/lab/src/main/java/tulipshed/lab/policy/BaselinePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/BaselinePolicy.java
@@ -46,10 +46,6 @@
         return serving[i];
     }
 
-    final boolean isServing(int member) {
-        return placeOf[member] >= 0;
-    }
-
     final int any(int not) {
         if (count == 0) {
             return -1;
--- a/lab/src/main/java/tulipshed/lab/policy/Policy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/Policy.java
@@ -28,11 +28,6 @@
     /** A standing connection's load changed. */
     void loadChanged(Flow f);
 
-    /** A line for the page of a run that says what the policy was set to. */
-    default String describe() {
-        return getClass().getSimpleName();
-    }
-
     /** Runs what became ready with the last event; called after each. */
     default void settle() { }
 }
--- a/lab/src/main/java/tulipshed/lab/rules/NodeRules.java
+++ b/lab/src/main/java/tulipshed/lab/rules/NodeRules.java
@@ -11,9 +11,7 @@
     private final RuleReport report;
     private final double slackMs;
     private final double drainMs;
-    private final double askWithinMs;
     private final Map<Integer, Double> notServingSince = new HashMap<>();
-    private double lastAskedMs;
 
     /** One transaction that is being watched. */
     public static final class Watched {
@@ -50,14 +48,12 @@
      *
      * @param slackMs how long after the client's wait an answer still counts
      * @param drainMs how long after the news of a drain something may still be sent
-     * @param askWithinMs a node that has not asked for the list for so long counts as told
      */
-    public NodeRules(int node, RuleReport report, double slackMs, double drainMs, double askWithinMs) {
+    public NodeRules(int node, RuleReport report, double slackMs, double drainMs) {
         this.node = node;
         this.report = report;
         this.slackMs = slackMs;
         this.drainMs = drainMs;
-        this.askWithinMs = askWithinMs;
     }
 
     private void broken(Rule rule, double atMs, Watched w, String what) {
@@ -137,16 +133,5 @@
         } else {
             notServingSince.putIfAbsent(member, atMs);
         }
-        lastAskedMs = atMs;
-    }
-
-    /** The node asked for the list; where it does not for long, it counts as told of all that is. */
-    public void asksForList(double atMs) {
-        lastAskedMs = atMs;
-    }
-
-    /** Whether the node, without a subscription, has let too much time go by without asking. */
-    public boolean slept(double atMs) {
-        return atMs - lastAskedMs > askWithinMs;
     }
 }
--- a/lab/src/main/java/tulipshed/lab/scenario/Overrides.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/Overrides.java
@@ -46,13 +46,6 @@
         return Collections.unmodifiableSortedMap(values);
     }
 
-    /** These with another on top. */
-    public Overrides with(String path, String value) {
-        TreeMap<String, String> more = new TreeMap<>(values);
-        more.put(path, value);
-        return new Overrides(more);
-    }
-
     @Override
     public String toString() {
         return values.toString();
--- a/lab/src/main/java/tulipshed/lab/scenario/Section.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/Section.java
@@ -142,10 +142,6 @@
         return place;
     }
 
-    void problem(Place at, String what) {
-        problems.add(at, what);
-    }
-
     private Form.Sequence one(String name) {
         known.add(name);
         List<Form.Sequence> all = entries.getOrDefault(name, List.of());
--- a/lab/src/main/java/tulipshed/lab/tool/LoadCommand.java
+++ b/lab/src/main/java/tulipshed/lab/tool/LoadCommand.java
@@ -10,14 +10,12 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tulipshed.lab.load.LoadRun;
 import tulipshed.lab.model.Outcome;
 import tulipshed.lab.results.Results;
 import tulipshed.lab.scenario.Overrides;
 import tulipshed.lab.scenario.Scenario;
-import tulipshed.lab.scenario.ScenarioReader;
 
 /** Plays a scenario with real nodes, in real time. */
 @Command(name = "load", mixinStandardHelpOptions = true, description = "Plays a scenario in real time with real nodes on "
@@ -29,12 +27,6 @@
     @Mixin
     ScenarioOptions options;
 
-    @Parameters(paramLabel = "SCENARIO")
-    Path file;
-
-    @Option(names = "--seed", defaultValue = "1")
-    long seed;
-
     @Option(names = "--node", defaultValue = "node/target/tulipshed.jar", description = "The node's jar (default ${DEFAULT-VALUE}).")
     Path jar;
 
@@ -47,18 +39,18 @@
             throw new IllegalArgumentException("no jar of the node at " + jar);
         }
         Overrides overrides = options.overrides();
-        Scenario scenario = ScenarioReader.load(file, overrides);
-        try (LoadRun run = new LoadRun(scenario, seed, jar)) {
+        Scenario scenario = options.scenario(overrides);
+        try (LoadRun run = new LoadRun(scenario, options.seed, jar)) {
             Outcome o = run.run().as("sockets");
             PrintWriter w = spec.commandLine().getOut();
             w.printf(Locale.ROOT, "%s, seed %d, real nodes: %.0f s; the tool was busy for %.1f ms at most, %d strange lines%n",
-                    scenario.name(), seed, scenario.lengthMs() / 1000, run.behindMs(), run.strangers());
+                    scenario.name(), options.seed, scenario.lengthMs() / 1000, run.behindMs(), run.strangers());
             o.figures().forEach((name, value) -> w.printf(Locale.ROOT, "  %-24s %s%n", name, RunCommand.plain(value)));
             w.print(o.rules());
             w.flush();
             if (out != null) {
                 try (Results results = new Results(out)) {
-                    results.write(Runs.key(o.scenario(), overrides, seed), overrides.values(), o);
+                    results.write(Runs.key(o.scenario(), overrides, options.seed), overrides.values(), o);
                 }
             }
             return 0;
--- a/lab/src/main/java/tulipshed/lab/tool/ReplayCommand.java
+++ b/lab/src/main/java/tulipshed/lab/tool/ReplayCommand.java
@@ -1,18 +1,15 @@
 package tulipshed.lab.tool;
 
 import java.io.PrintWriter;
-import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tulipshed.lab.model.World;
-import tulipshed.lab.scenario.ScenarioReader;
 
-/** Plays a run again, as all of it follows from its seed, and tells what happened around a moment. */
+/** Plays a run again, as all of it follows from its options.seed, and tells what happened around a moment. */
 @Command(name = "replay", mixinStandardHelpOptions = true,
         description = "Tells in words what happened around a moment of a run, which it plays again from its seed.")
 final class ReplayCommand implements Callable<Integer> {
@@ -22,12 +19,6 @@
     @Mixin
     ScenarioOptions options;
 
-    @Parameters(paramLabel = "SCENARIO")
-    Path file;
-
-    @Option(names = "--seed", defaultValue = "1")
-    long seed;
-
     @Option(names = "--at-ms", required = true, description = "The moment, in milliseconds from the day's beginning.")
     double atMs;
 
@@ -44,7 +35,7 @@
     public Integer call() {
         PrintWriter w = spec.commandLine().getOut();
         int[] lines = new int[1];
-        World world = new World(ScenarioReader.load(file, options.overrides()), seed, 1);
+        World world = new World(options.scenario(options.overrides()), options.seed, 1);
         world.tellBetween(atMs - aroundMs, atMs + aroundMs, line -> {
             if ((about == null || (line + " ").replaceAll("[,:;]", " ").contains(" " + about + " ")) && lines[0]++ < most) {
                 w.println(line);
--- a/lab/src/main/java/tulipshed/lab/tool/RunCommand.java
+++ b/lab/src/main/java/tulipshed/lab/tool/RunCommand.java
@@ -8,14 +8,12 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tulipshed.lab.model.Outcome;
 import tulipshed.lab.model.World;
 import tulipshed.lab.results.Results;
 import tulipshed.lab.scenario.Overrides;
 import tulipshed.lab.scenario.Scenario;
-import tulipshed.lab.scenario.ScenarioReader;
 
 /** Runs a scenario once. */
 @Command(name = "run", mixinStandardHelpOptions = true, description = "Runs a scenario once and tells what came of it.")
@@ -26,12 +24,6 @@
     @Mixin
     ScenarioOptions options;
 
-    @Parameters(paramLabel = "SCENARIO", description = "A scenario file.")
-    Path file;
-
-    @Option(names = "--seed", defaultValue = "1", description = "All chance comes from it (default ${DEFAULT-VALUE}).")
-    long seed;
-
     @Option(names = "--threads", defaultValue = "1", description = "Threads; the result is the same for any number.")
     int threads;
 
@@ -41,18 +33,18 @@
     @Override
     public Integer call() {
         Overrides overrides = options.overrides();
-        Scenario scenario = ScenarioReader.load(file, overrides);
-        Outcome o = new World(scenario, seed, threads).run();
+        Scenario scenario = options.scenario(overrides);
+        Outcome o = new World(scenario, options.seed, threads).run();
         PrintWriter w = spec.commandLine().getOut();
         w.printf(Locale.ROOT, "%s, seed %d, %s: %.0f s in %.2f s (%.0f times as fast), %d messages, %.0f a second%n",
-                scenario.name(), seed, scenario.policy(), scenario.lengthMs() / 1000, o.tookS(),
+                scenario.name(), options.seed, scenario.policy(), scenario.lengthMs() / 1000, o.tookS(),
                 scenario.lengthMs() / 1000 / o.tookS(), o.messages(), o.messages() / o.tookS());
         o.figures().forEach((name, value) -> w.printf(Locale.ROOT, "  %-24s %s%n", name, plain(value)));
         w.print(o.rules());
         w.flush();
         if (out != null) {
             try (Results results = new Results(out)) {
-                results.write(Runs.key(scenario, overrides, seed), overrides.values(), o);
+                results.write(Runs.key(scenario, overrides, options.seed), overrides.values(), o);
             }
         }
         return 0;
--- a/lab/src/test/java/tulipshed/lab/RulesTest.java
+++ b/lab/src/test/java/tulipshed/lab/RulesTest.java
@@ -16,7 +16,7 @@
 /** The checkers see every breach that is made on purpose, and none where none is. */
 class RulesTest {
     private final RuleReport report = new RuleReport();
-    private final NodeRules rules = new NodeRules(1, report, 20, 300, 10_000);
+    private final NodeRules rules = new NodeRules(1, report, 20, 300);
 
     @Test
     void aNodeThatKeepsTheRulesIsNotAccused() {
