Fill cold members by chance and faster; a group's own member goes before warming ones

At fault: Balancer.choose asked warmingWithCredit before the group's own member; Balancer.cold kept up to one connection of credit at every node and drew it anew at each restart; FILL was so low that a member was empty when the trouble was over. Change: credit below one is the chance with which a connection is sent, bounded by what comes in within the time in which a member is pushed over, so it does not add up with nodes; FILL 24; held members go first.

--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -45,9 +45,8 @@
     private static final double SPEED_PRIOR = 4; // observations that the belief in equal kinds is worth
     private static final double SETUP_GAIN = 0.1; // weight of one setup time in the usual one of its class
     private static final long WARMING = 2; // warm-ups a server counts as warming: emptier until then
-    private static final double FILL = 6; // of the others' mean gained in one warm-up; the rule breaks at 30
+    private static final double FILL = 24; // of the others' mean gained in one warm-up; herd days gain up to there
     private static final int WARMING_SEEN = 32; // looked at a request: finds credit on a fleet half new
-    private static final double CREDIT_US = 500_000; // of gain kept at most, or one connection
     private static final double GROUP_MEMORY_US = 60e6; // for arrivals of a group to fade: a life or two
     private static final double GROUP_SPREAD = 1; // of a group's share of the fleet: places hold their due
     private static final int GROUP_PLACES = 2; // at least, or there would be no lighter one
@@ -67,6 +66,7 @@
     private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
+    private final long luck;
     private final Map<String, Server> servers = new HashMap<>();
     private final Fleet whole = new Fleet(0, GROUP_MEMORY_US);
     private final Fleet none = new Fleet(1, GROUP_MEMORY_US);
@@ -91,6 +91,7 @@
     public Balancer(Settings settings, long seed, long now, Actions actions) {
         this.actions = actions;
         this.random = new SplittableRandom(seed);
+        this.luck = Hashing.mix(seed);
         reconfigure(now, settings);
         if (settings.askedList()) {
             // Restarted balancers asking at once would overrun discovery's fixed capacity.
@@ -167,6 +168,7 @@
         private final NewRequest in;
         private final RequestClass kind;
         private final long deadlineUs;
+        private final long dice; // one chance for each server, however often it is looked at
         private double load;
         private int attempts;
         private Fleet fleet;
@@ -184,8 +186,9 @@
         private int awaited;
         private boolean asked;
 
-        Request(NewRequest in, RequestClass kind, Fleet fleet, long now) {
+        Request(NewRequest in, RequestClass kind, Fleet fleet, long now, long luck) {
             this.in = in;
+            this.dice = Hashing.mix(in.id() ^ luck);
             this.fleet = fleet;
             this.kind = kind;
             this.deadlineUs = now + in.graceUs();
@@ -289,7 +292,7 @@
         }
         if (serving && age(now, s) < WARMING * settings.rules().coldUs() && !whole.warming.has(s)) {
             s.fleets.forEach(f -> f.warming.add(s));
-            s.credit = random.nextDouble();
+            s.credit = 0;
             s.creditAt = now;
         }
     }
@@ -387,7 +390,7 @@
 
     @Override
     public void request(long now, NewRequest in) {
-        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now);
+        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now, luck);
         requests.put(in.id(), r);
         if (!in.midFlow()) {
             double rate = curve.rateAt(depth(now, r.fleet)) * ownPart;
@@ -519,8 +522,9 @@
         Group group = group(now, r);
         // Left to the draws alone, machines added in a rush stay empty while the others are crowded.
         Server a = warmingWithCredit(now, r);
-        if (a == null && group != null && !group.members.isEmpty()) {
-            // A server that holds some of the group has paid for it already.
+        if (group != null && !group.members.isEmpty()) {
+            // A server that holds some of the group has paid for it already. Before those that are warming: each
+            // more that holds some of a group pays for the group again, and they can bear that least.
             Server m = group.members.get(random.nextInt(group.members.size()));
             if (usable(now, r, m) && now >= m.ejectedUntil && m.pending < m.limit) {
                 return m;
@@ -620,7 +624,7 @@
         int start = random.nextInt(ready.size());
         for (int i = 0; i < IN_TURN && i < ready.size(); i++) {
             Server s = ready.get((start + i) % ready.size());
-            if (s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s)) {
+            if (s != r.avoid && sameRepeatGroup(r, s) && !cold(now, r, s)) {
                 if (!s.failing && !late(now, s)) {
                     return s;
                 }
@@ -631,7 +635,7 @@
     }
 
     private boolean usable(long now, Request r, Server s) {
-        return inFavour(now, r.fleet, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, s);
+        return inFavour(now, r.fleet, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, r, s);
     }
 
     private boolean inFavour(long now, Fleet f, Server s) {
@@ -661,12 +665,13 @@
     }
 
     /**
-     * Slow start: whether a server still warming may be sent one connection more by this balancer. Its
-     * share of what the others bear, spread over the warm-up and ramped by age, is all that it gets, so a
-     * wave of arrivals cannot push it over; the first credit is by chance, or all balancers would pay
-     * theirs out at the same time.
+     * Slow start: whether a server still warming may not be sent this request by this balancer. Its share of
+     * what the others bear, spread over the warm-up and ramped by age, is all that it gets, so a wave of
+     * arrivals cannot push it over. What is kept for later is what comes in within the time in which a server
+     * is pushed over, so all balancers together keep no more, however many they are: a part of a connection
+     * is not saved until it is one, but is the chance with which one is sent.
      */
-    private boolean cold(long now, Server s) {
+    private boolean cold(long now, Request r, Server s) {
         long coldUs = settings.rules().coldUs();
         long age = age(now, s);
         if (!whole.warming.has(s) || age >= WARMING * coldUs) {
@@ -676,9 +681,9 @@
         double ramp = share + (1 - share) * Math.max(0, Math.min(age, coldUs)) / coldUs;
         double each = Math.max(whole.open, quotaOpen) * s.weight() / Math.max(1e-9, whole.weight);
         double perUs = FILL * each / coldUs * ramp * ownPart;
-        s.credit = Math.min(Math.max(1, perUs * CREDIT_US), s.credit + perUs * (now - s.creditAt));
+        s.credit = Math.min(perUs * settings.rules().overloadUs(), s.credit + perUs * (now - s.creditAt));
         s.creditAt = now;
-        return s.credit < 1;
+        return s.credit < 1 && s.credit <= Hashing.uniform(r.dice, s.hash, r.attempts);
     }
 
     private Server warmingWithCredit(long now, Request r) {
@@ -767,7 +772,7 @@
 
     @Override
     public void alreadyOpen(long now, NewRequest in, String server) {
-        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now);
+        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now, luck);
         requests.put(in.id(), r);
         r.attempts = 1;
         r.standing = true;
