Give up a silent member after 0.8 s, in two looks, in place of 2.5 s

At fault: Limits (silentMs 2,500), MemberConnection.lookAtSilence, which went by one look, and so could not go lower: a node that stood still itself looks before it has read what came meanwhile. Change: Silence, without I/O, wants two looks with a turn of reading between; 0.8 s is above the longest pause of members (0.6 s). The QUIC front keeps 2.5 s, as its datagrams may be lost.

--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -56,7 +56,7 @@
     public record Transactions(
             /** Final answers are due this much before the client gives up, so that they arrive in time. */
             double answerMarginMs,
-            /** A member that returned nothing for this long after a client's line counts as silent. */
+            /** A member that returned nothing for this long after a client's line counts as silent; pauses are shorter. */
             double silentMs,
             /** How long connections that stood before the start may take to come up again. */
             double standingMs,
@@ -107,6 +107,8 @@
             double answeredMs,
             /** A member counts as silent only after this many datagrams without one in return. */
             int unanswered,
+            /** And after this long without one: datagrams may be lost on the way. */
+            double silentMs,
             /** Longest client hello. */
             int helloBytes,
             /** How long one that is not whole is waited for. */
@@ -136,10 +138,10 @@
                 new Sockets(16 * 1024, 16 * 1024, descriptors, 64, 1024, 4, 900, 250, 500),
                 new Lines(4096, 2_000, 16, 120_000, 10_000),
                 new Discovery(8 * 1024, 4 * 1024 * 1024, 10_000, 2_000),
-                new Transactions(40, 2_500, 40_000, 100, 1_000, 100),
+                new Transactions(40, 800, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
-                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 256, 1, 512, 4 * 1024 * 1024));
+                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 2_500, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 256, 1, 512, 4 * 1024 * 1024));
     }
 
     /** The same but for these. */
--- a/node/src/main/java/tulipshed/line/MemberConnection.java
+++ b/node/src/main/java/tulipshed/line/MemberConnection.java
@@ -22,13 +22,14 @@
     private String lastWord = "";
     private boolean clientFinished;
     private boolean dispatched;
-    private double askedMs = Double.NaN;
+    private final Silence silence;
 
     MemberConnection(LineFront front, ClientSession client, ServerSideFlow flow) {
         this.front = front;
         this.client = client;
         this.flow = flow;
         this.splitter = new LineSplitter(front.limits.lines().lineBytes());
+        this.silence = new Silence(front.limits.transactions().silentMs());
     }
 
     ServerSideFlow flow() {
@@ -107,6 +108,7 @@
     }
 
     private void take(ByteBuffer in) {
+        silence.heard();
         while (state != State.OVER && in.hasRemaining()) {
             try {
                 byte[] line = splitter.next(in);
@@ -129,7 +131,6 @@
         int space = text.indexOf(' ');
         lastWord = space < 0 ? text : text.substring(0, space);
         if (state == State.STANDING) {
-            askedMs = Double.NaN;
             client.fromMember(line);
             if (lastWord.equals("LOAD")) {
                 load(text.substring(space + 1));
@@ -208,15 +209,13 @@
     }
 
     void fromClient(byte[] bytes) {
-        if (Double.isNaN(askedMs)) {
-            askedMs = front.clock.nowMs();
-        }
+        silence.asked(front.clock.nowMs());
         link.write(bytes);
     }
 
     /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
     void lookAtSilence(double nowMs) {
-        if (nowMs - askedMs > front.limits.transactions().silentMs()) {
+        if (silence.gone(nowMs)) {
             front.core.silent(flow);
         }
     }
--- a/node/src/main/java/tulipshed/quic/FlowSide.java
+++ b/node/src/main/java/tulipshed/quic/FlowSide.java
@@ -58,7 +58,7 @@
     /** Whether that many datagrams have gone out for longer than a member may be silent, and nothing came back. */
     boolean silent(double nowMs) {
         return unanswered >= front.limits.quic().unanswered()
-                && nowMs - unansweredSinceMs > front.limits.transactions().silentMs();
+                && nowMs - unansweredSinceMs > front.limits.quic().silentMs();
     }
 
     void close() {
--- a/node/src/test/java/tulipshed/quic/FrontSetup.java
+++ b/node/src/test/java/tulipshed/quic/FrontSetup.java
@@ -74,7 +74,7 @@
         Limits l = Limits.forDescriptors(descriptors);
         Limits.Quic q = l.quic();
         return l.with(new Limits.Quic(q.datagramBytes(), mostSessions, q.ids(), q.firstDatagrams(), idleMs, Math.min(idleMs, 5000),
-                q.unanswered(), q.helloBytes(), 300, 4, q.paths(), pathIdleMs, seatQuietMs, q.readsAtOnce(), q.strangers(), q.strangersMs(), carriedOn, q.receiveBytes()));
+                q.unanswered(), q.silentMs(), q.helloBytes(), 300, 4, q.paths(), pathIdleMs, seatQuietMs, q.readsAtOnce(), q.strangers(), q.strangersMs(), carriedOn, q.receiveBytes()));
     }
 
     IdConfigurations ids() {
--- a/node/src/test/java/tulipshed/quic/QuicLabProcess.java
+++ b/node/src/test/java/tulipshed/quic/QuicLabProcess.java
@@ -86,7 +86,7 @@
         Limits l = Limits.forDescriptors(20_000);
         Limits.Quic q = l.quic();
         Limits limits = l.with(new Limits.Quic(q.datagramBytes(), 20_000, q.ids(), q.firstDatagrams(), q.idleMs(), q.answeredMs(),
-                q.unanswered(), q.helloBytes(), q.openingMs(), q.openings(), q.paths(), q.pathIdleMs(), q.seatQuietMs(),
+                q.unanswered(), q.silentMs(), q.helloBytes(), q.openingMs(), q.openings(), q.paths(), q.pathIdleMs(), q.seatQuietMs(),
                 q.readsAtOnce(), q.strangers(), q.strangersMs(), q.carriedOn(), q.receiveBytes()));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         XnioLoop loop = new XnioLoop(limits);
