--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -45,7 +45,7 @@
     private static final double SPEED_PRIOR = 4; // observations that the belief in equal kinds is worth
     private static final double SETUP_GAIN = 0.1; // weight of one setup time in the usual one of its class
     private static final long WARMING = 2; // warm-ups a server counts as warming: emptier until then
-    private static final double FILL = 24; // of the others' mean gained in one warm-up; herd days gain up to there
+    private static final double FILL = 24; // of the others' mean gained in one warm-up; herds gain so far
     private static final int WARMING_SEEN = 32; // looked at a request: finds credit on a fleet half new
     private static final double GROUP_MEMORY_US = 60e6; // for arrivals of a group to fade: a life or two
     private static final double GROUP_SPREAD = 1; // of a group's share of the fleet: places hold their due
@@ -523,7 +523,7 @@
         // Left to the draws alone, machines added in a rush stay empty while the others are crowded.
         Server a = warmingWithCredit(now, r);
         if (group != null && !group.members.isEmpty()) {
-            // A server that holds some of the group has paid for it already. Before those that are warming: each
+            // A server that holds some of the group has paid for it. Before those that are warming: each
             // more that holds some of a group pays for the group again, and they can bear that least.
             Server m = group.members.get(random.nextInt(group.members.size()));
             if (usable(now, r, m) && now >= m.ejectedUntil && m.pending < m.limit) {
