--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -388,10 +388,15 @@
 
     // ---- Admission ----
 
-    @Override
-    public void request(long now, NewRequest in) {
+    private Request enter(long now, NewRequest in) {
         Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now, luck);
         requests.put(in.id(), r);
+        return r;
+    }
+
+    @Override
+    public void request(long now, NewRequest in) {
+        Request r = enter(now, in);
         if (!in.midFlow()) {
             double rate = curve.rateAt(depth(now, r.fleet)) * ownPart;
             boolean has = in.tenant() >= 0 && in.tenant() < settings.tenants().size();
@@ -772,8 +777,7 @@
 
     @Override
     public void alreadyOpen(long now, NewRequest in, String server) {
-        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now, luck);
-        requests.put(in.id(), r);
+        Request r = enter(now, in);
         r.attempts = 1;
         r.standing = true;
         r.server = server(server);
--- a/node/src/test/java/tulipshed/decision/PoolsTest.java
+++ b/node/src/test/java/tulipshed/decision/PoolsTest.java
@@ -54,12 +54,7 @@
         b.pools(0, pools);
         for (long id = 1; id <= 400; id++) {
             long now = id * 5000;
-            b.request(now, Setup.request(id, (int) id % 2, "g" + id % 7, 2 * SECOND));
-            if (id % 5 == 0) {
-                Setup.end(b, now, id, 0, false, Outcome.RESET);
-            } else {
-                b.started(now, id, 0, id % 13 * 1000);
-            }
+            Setup.round(b, now, id);
             if (id % 50 == 0) {
                 b.servers(now, ListKind.CHANGES, List.of(setup.server((int) (id / 50), ServerState.DRAINING, 0)));
                 b.pools(now, pools);
--- a/node/src/test/java/tulipshed/decision/RandomEventsTest.java
+++ b/node/src/test/java/tulipshed/decision/RandomEventsTest.java
@@ -234,12 +234,7 @@
         setup.list(b, 0, 15);
         for (long id = 1; id <= 400; id++) {
             long now = id * 5000;
-            b.request(now, Setup.request(id, (int) id % 2, "g" + id % 7, 2 * SECOND));
-            if (id % 5 == 0) {
-                Setup.end(b, now, id, 0, false, Outcome.RESET);
-            } else {
-                b.started(now, id, 0, id % 13 * 1000);
-            }
+            Setup.round(b, now, id);
             if (id % 11 == 0) {
                 b.delayNote(now, id - 1, 180);
             }
--- a/node/src/test/java/tulipshed/decision/Setup.java
+++ b/node/src/test/java/tulipshed/decision/Setup.java
@@ -83,6 +83,16 @@
         return new NewRequest(id, 0, tenant, "key" + id, group, graceUs, 0, false, false, false);
     }
 
+    /** One request, of one of seven groups and two tenants, and what becomes of it: each fifth is reset. */
+    static void round(Balancer b, long now, long id) {
+        b.request(now, request(id, (int) id % 2, "g" + id % 7, 2 * SECOND));
+        if (id % 5 == 0) {
+            end(b, now, id, 0, false, Outcome.RESET);
+        } else {
+            b.started(now, id, 0, id % 13 * 1000);
+        }
+    }
+
     static void end(Balancer b, long now, long id, int attempt, boolean concluded, Outcome outcome) {
         b.finished(now, id, attempt, concluded, outcome, Report.NONE);
     }
