--- a/lab/src/test/java/tulipshed/lab/RulesTest.java
+++ b/lab/src/test/java/tulipshed/lab/RulesTest.java
@@ -108,10 +108,10 @@
     @Test
     void aColdMemberCountsConnectionsAndNotWhatEachWillAskFor() {
         String text = "(seconds 30) (nodes (count 3)) (members m (count 6)) (class c (life-s 40) (load 0.05))"
-                + "(clients (per-second 4) (standing 60) (load-spread %s)) (trouble crash-members (at-s 8) (share 0.5))"
+                + "(clients (per-second 4) (standing 60) (load-spread 2)) (trouble crash-members (at-s 8) (share 0.5))"
                 + "(trouble add-members (at-s 9) (share 0.5))";
-        for (String spread : new String[] {"0", "2.5"}) {
-            assertTrue(Worlds.run(Worlds.text(String.format(text, spread)), 4).figure("cold_strain") < 0.8, spread);
+        for (long seed = 1; seed <= 4; seed++) {
+            assertTrue(Worlds.run(Worlds.text(text), seed).figure("cold_strain") < 0.8, "seed " + seed);
         }
     }
 }
