--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -595,8 +595,8 @@
     private Server draw(long now, Request r, Group group, Server other) {
         Pool<Server> near = r.fleet.near;
         int spread = group == null ? 0 : spread(now, r.fleet, group);
-        // With under a connection a server its own counts tell it nothing. Then all balancers go the same way on
-        // from a group's places, or a crowded group would stand everywhere.
+        // With under a connection a server its own counts tell it nothing. Then all balancers go the same way
+        // on from a group's places, or a crowded group would stand everywhere.
         boolean blind = r.fleet.open < r.fleet.ready.size();
         for (int i = 0; i < DRAWS; i++) {
             boolean early = i < DRAWS / 2;
