--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -595,16 +595,13 @@
     private Server draw(long now, Request r, Group group, Server other) {
         Pool<Server> near = r.fleet.near;
         int spread = group == null ? 0 : spread(now, r.fleet, group);
-        // With under a connection a server its own counts tell it nothing. Then all balancers go the same way
-        // on from a group's places, or a crowded group would stand everywhere.
-        boolean blind = r.fleet.open < r.fleet.ready.size();
         for (int i = 0; i < DRAWS; i++) {
             boolean early = i < DRAWS / 2;
             // Away from a zone that fails as a whole: near servers are for first attempts.
             boolean nearby = early && crossingCosts && r.attempts == 0 && !near.isEmpty();
             Pool<Server> from = nearby ? near : r.fleet.ready;
-            Server s = group == null || !early && !blind ? byWeight(from)
-                    : place(r.fleet, group, early ? random.nextInt(spread) : spread + i - DRAWS / 2);
+            Server s = group != null && early ? place(r.fleet, group, random.nextInt(spread))
+                    : byWeight(from);
             if (s != other && usable(now, r, s)) {
                 return s;
             }
@@ -745,12 +742,10 @@
 
     /**
      * How many places a group chooses from: its share of the arrivals seen, of the whole fleet. Laplace's
-     * estimate: counting an unseen group as nothing would crowd its first places from many balancers. Of many
-     * groups, though: one that has seen three arrivals of two would take each for a third of the fleet.
+     * estimate: counting an unseen group as nothing would crowd its first places from many balancers.
      */
     private int spread(long now, Fleet f, Group g) {
-        double groups = Math.max(f.groups.size(), (double) f.ready.size() / GROUP_PLACES);
-        double share = (g.arrivals.at(now) + 1) / (f.groupArrivals.at(now) + groups);
+        double share = (g.arrivals.at(now) + 1) / (f.groupArrivals.at(now) + f.groups.size());
         int places = (int) Math.round(GROUP_SPREAD * share * f.ready.size());
         return Math.max(GROUP_PLACES, Math.min(f.ready.size(), places));
     }
