--- a/lab/src/main/java/tulipshed/lab/gate/Verdict.java
+++ b/lab/src/main/java/tulipshed/lab/gate/Verdict.java
@@ -10,7 +10,7 @@
  * and why it is missed, or null.
  */
 public record Verdict(DayKind kind, long seed, int nodes, int members, double served, double seesLate, double plainest, double wants,
-        double attempts, double refused, double tookS, String fault) {
+        double attempts, double refused, String fault) {
     /** Half of what one serves that sees true states late. */
     private static final double PART = 0.5;
     /** On a calm day as well the plainest policy's share less this, or the late-seeing one's less the other, if that is lower. */
@@ -33,14 +33,13 @@
             fault = String.format(Locale.ROOT, "served %.3f of the worth, the gate wants %.3f", served, wants);
         }
         return new Verdict(kind, seed, node.scenario().nodes().count(), node.loads().length, served, late.figure("service"),
-                plain.figure("service"), wants, node.figure("attempts_per_ask"), node.figure("refused_per_ask"),
-                node.tookS() + late.tookS() + plain.tookS(), fault);
+                plain.figure("service"), wants, node.figure("attempts_per_ask"), node.figure("refused_per_ask"), fault);
     }
 
     /** A day on which the node's own code threw. */
     static Verdict crashed(DayKind kind, long seed, Throwable why) {
         StackTraceElement at = why.getStackTrace().length > 0 ? why.getStackTrace()[0] : null;
-        return new Verdict(kind, seed, 0, 0, 0, 0, 0, 0, 0, 0, 0, "crash: " + why + (at == null ? "" : " at " + at));
+        return new Verdict(kind, seed, 0, 0, 0, 0, 0, 0, 0, 0, "crash: " + why + (at == null ? "" : " at " + at));
     }
 
     private static String broken(RuleReport rules) {
