--- a/lab/src/main/java/tulipshed/lab/gate/Verdict.java
+++ b/lab/src/main/java/tulipshed/lab/gate/Verdict.java
@@ -4,27 +4,42 @@
 import tulipshed.lab.model.Outcome;
 import tulipshed.lab.rules.Rule;
 import tulipshed.lab.rules.RuleReport;
+import tulipshed.lab.scenario.Scenario;
 
 /**
  * What came of one day: the share of its worth that was served, what others served on the same day, what the gate wants,
- * and why it is missed, or null.
+ * how far above what it wants of it the class that came off worst is, and why the gate is missed, or null.
  */
 public record Verdict(DayKind kind, long seed, int nodes, int members, double served, double seesLate, double plainest, double wants,
-        double attempts, double refused, String fault) {
+        double classMargin, double attempts, double refused, String fault) {
     /** Half of what one serves that sees true states late. */
     private static final double PART = 0.5;
     /** On a calm day as well the plainest policy's share less this, or the late-seeing one's less the other, if that is lower. */
     private static final double PLAIN_LESS = 0.05;
     private static final double LATE_LESS = 0.1;
+    /** The half holds as well for each class with this part of what is asked, unless the late-seeing one serves under that of it. */
+    private static final double CLASS_ASKED = 0.05;
+    private static final double CLASS_SERVED = 0.3;
 
     static double wants(DayKind kind, double seesLate, double plainest) {
         double half = PART * seesLate;
         return kind == DayKind.CALM ? Math.max(half, Math.min(plainest - PLAIN_LESS, seesLate - LATE_LESS)) : half;
     }
 
-    static Verdict of(DayKind kind, long seed, Outcome node, Outcome late, Outcome plain) {
+    /** Judges the node by what it, one who sees true states late, and the plainest policy served on the same day. */
+    public static Verdict of(DayKind kind, long seed, Outcome node, Outcome late, Outcome plain) {
         double served = node.figure("service");
         double wants = wants(kind, late.figure("service"), plain.figure("service"));
+        double classMargin = Double.POSITIVE_INFINITY;
+        Scenario.ClassOf worst = null;
+        for (Scenario.ClassOf c : node.scenario().classes()) {
+            double lateServed = late.figure(Outcome.served(c));
+            double above = node.figure(Outcome.served(c)) - PART * lateServed;
+            if (node.figure(Outcome.asked(c)) >= CLASS_ASKED && lateServed >= CLASS_SERVED && above < classMargin) {
+                classMargin = above;
+                worst = c;
+            }
+        }
         String fault = broken(node.rules());
         if (fault == null && node.rules().checked() == 0) {
             fault = "nothing was asked, so nothing was shown";
@@ -32,14 +47,18 @@
         if (fault == null && served < wants) {
             fault = String.format(Locale.ROOT, "served %.3f of the worth, the gate wants %.3f", served, wants);
         }
+        if (fault == null && classMargin < 0) {
+            fault = String.format(Locale.ROOT, "class %s served %.3f of its worth, the gate wants %.3f", worst.name(),
+                    node.figure(Outcome.served(worst)), PART * late.figure(Outcome.served(worst)));
+        }
         return new Verdict(kind, seed, node.scenario().nodes().count(), node.loads().length, served, late.figure("service"),
-                plain.figure("service"), wants, node.figure("attempts_per_ask"), node.figure("refused_per_ask"), fault);
+                plain.figure("service"), wants, classMargin, node.figure("attempts_per_ask"), node.figure("refused_per_ask"), fault);
     }
 
     /** A day on which the node's own code threw. */
     static Verdict crashed(DayKind kind, long seed, Throwable why) {
         StackTraceElement at = why.getStackTrace().length > 0 ? why.getStackTrace()[0] : null;
-        return new Verdict(kind, seed, 0, 0, 0, 0, 0, 0, 0, 0, "crash: " + why + (at == null ? "" : " at " + at));
+        return new Verdict(kind, seed, 0, 0, 0, 0, 0, 0, 0, 0, 0, "crash: " + why + (at == null ? "" : " at " + at));
     }
 
     private static String broken(RuleReport rules) {
@@ -56,9 +75,9 @@
         return fault == null;
     }
 
-    /** How far above what the gate wants. */
+    /** How far above what the gate wants, of all or of the class that came off worst, whichever is nearer. */
     public double margin() {
-        return served - wants;
+        return Math.min(served - wants, classMargin);
     }
 
     /** The day and its seed, as on the command line. */
--- a/lab/src/main/java/tulipshed/lab/model/Outcome.java
+++ b/lab/src/main/java/tulipshed/lab/model/Outcome.java
@@ -33,6 +33,8 @@
             wanted += worth * t.wantedUs[c];
             good += worth * t.goodUs[c];
             worst = Math.min(worst, part(t.goodUs[c], t.wantedUs[c]));
+            f.put(served(classes.get(c)), part(t.goodUs[c], t.wantedUs[c]));
+            f.put(asked(classes.get(c)), t.asked[c] / Math.max(1.0, sum(t.asked)));
         }
         f.put("service", part(good, wanted));
         f.put("worst_class", worst);
@@ -85,6 +87,16 @@
                 w.engine().trace(), tookS);
     }
 
+    /** Name of the figure that tells how much of a class's worth was served, of 1. */
+    public static String served(Scenario.ClassOf c) {
+        return "class_" + c.name();
+    }
+
+    /** Name of the figure that tells a class's part of all that was asked for, of 1. */
+    public static String asked(Scenario.ClassOf c) {
+        return "asked_" + c.name();
+    }
+
     private static double part(double good, double wanted) {
         return wanted <= 0 ? 1 : good / wanted;
     }
