Nodes that hold little refuse what members drop, and weigh members once

Seen, traced from every node's sends and ends: members of the larger kind got 87% of the sends. Balancer.load compared (own + newcomer) / weight; with three connections a node nearly always compares 1/2.5 with 1/1.5, after members were drawn by weight already. 341 resets of standing connections, of 174 clients, some 12 times: members drop the heaviest, these come again at once and make the next member late.

Change: the newcomer counts for no more than the mean (Balancer.load). Sheds: while serving members drop a node's own connections, clients that come again are refused by chance, with the longest time to come back.

--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -77,6 +77,7 @@
     private final Map<String, Double> usualSetupUs = new HashMap<>();
     private final List<Request> probing = new ArrayList<>();
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();
+    private final Sheds sheds = new Sheds();
     private DepthCurve curve;
     private double fastest;
     private double largestShare;
@@ -405,13 +406,15 @@
             // Kept by name, as a tenant's place in the settings may change.
             TokenBucket bucket = r.fleet.buckets.computeIfAbsent(
                     has ? settings.tenants().get(in.tenant()).name() : NO_TENANT, t -> new TokenBucket(now));
-            if (!bucket.take(now, rate)) {
+            boolean crowded = in.returning()
+                    && Hashing.uniform(r.dice, 0, 0) < sheds.refusal(now, whole.open, whole.ready.size());
+            if (crowded || !bucket.take(now, rate)) {
                 if (now >= nextLogUs) {
                     nextLogUs = now + LOG_US;
                     actions.log("refusing: " + r.fleet.ejected.size() + " of " + r.fleet.known.size()
                             + " servers known out of favour, " + r.fleet.failing + " of them failing");
                 }
-                refuse(r, bucket.untilTokenUs(rate));
+                refuse(r, crowded ? LATE_US : bucket.untilTokenUs(rate));
                 return;
             }
         }
@@ -719,19 +722,19 @@
         return s.entry.startedUs() == 0 ? Long.MAX_VALUE : now - s.entry.startedUs();
     }
 
-    /** Own load for each unit of capacity; a server at its pending limit loses. */
+    /**
+     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by weight
+     * already, large servers would win nearly every comparison where little is held. One at its limit loses.
+     */
     private double load(long now, Server s, Request r) {
         if (s.pending >= s.limit) {
             return Double.MAX_VALUE;
         }
-        double mean = r.fleet.load / Math.max(1e-9, r.fleet.weight);
-        double own = s.openLoad;
-        if (!s.stood) {
-            // A new server counts as if it bore the others' mean, or every balancer would rush to it.
-            own = Math.max(own, mean * s.weight());
-        }
-        // Not ramped: its credit already bounds what a warming server is sent.
-        return (own + r.load) / s.weight();
+        double even = s.weight() * r.fleet.load / Math.max(1e-9, r.fleet.weight);
+        // A new server counts as if it bore the others' mean, or every balancer would rush to it. Not ramped: its
+        // credit already bounds what a warming server is sent.
+        double own = s.stood ? s.openLoad : Math.max(s.openLoad, even);
+        return (own + Math.min(r.load, even)) / s.weight();
     }
 
     // ---- Groups ----
@@ -880,6 +883,9 @@
             idle.addLast(new Idle(s, now + settings.limits().connIdleUs()));
         }
         judge(now, s, outcome, r.standing);
+        if (outcome == Outcome.RESET && r.standing && whole.ready.has(s)) {
+            sheds.dropped(now);
+        }
         forgetIfGone(s);
         if (!outcome.neverRan && !r.mayHaveRun) {
             r.mayHaveRun = true;
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -20,6 +20,7 @@
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.RepeatGroup;
+import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -132,6 +133,25 @@
         }
     }
 
+    @Test
+    void aBalancerThatHoldsLittleSendsInProportionToWeight() {
+        Balancer b = setup.balancer(recorder, 1);
+        List<ServerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            // Of one kind, as setup times are to teach nothing here.
+            entries.add(new ServerEntry(Setup.name(i), ServerState.SERVING, "zone0", 0, "kind0", i % 2 == 0 ? 2.5 : 1.5, 0));
+        }
+        b.servers(0, ListKind.REMEMBERED, entries);
+        int large = 0;
+        for (long id = 1; id <= 2000; id++) {
+            b.request(id, request(id));
+            large += Integer.parseInt(recorder.sentTo().substring("server".length())) % 2 == 0 ? 1 : 0;
+            b.started(id, id, 0, 1000);
+            end(b, id, id, 0, true, Outcome.OK);
+        }
+        assertTrue(large > 1150 && large < 1350, "of 2000, to the half that holds five eighths: " + large);
+    }
+
     @Test
     void aServerThatFailedIsPassedOver() {
         Balancer b = balancer(10);
