Probes of members on sockets, so that placements do not wait for them in vain

The module asks two members before it places and waits up to 150 ms; on sockets Decisions.probe only wrote a log line, so every placement waited in vain, half of the 300 ms for a set-up.

Change: line.MemberProbes sends STATS on connections that are kept, one a member, 64 at most, 500 ms for an answer; each probe asked for is answered once, also where none can be sent. LoadReport believes a report whole or not at all. What cannot be used is counted in the log, never quoted. Nothing is sent where settings allow no probes.

Checked: loopback tests with a member played line by line: report, kept and reopened connections, overlap, silence, refusal, ten kinds of bad answer, 500 random reports (seed 41), leaving, probes not allowed.

--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -5,7 +5,7 @@
  * down; times are in milliseconds, sizes in bytes.
  */
 public record Limits(Sockets sockets, Lines lines, Discovery discovery, Transactions transactions, Leaving leaving,
-        Management management, Quic quic) {
+        Management management, Quic quic, Probes probes) {
 
     /** Sockets and buffers, whichever front they belong to. */
     public record Sockets(
@@ -132,6 +132,15 @@
             /** What the kernel may hold of datagrams that wait to be read, where it allows that much. */
             int receiveBytes) { }
 
+    /** Probes of pool members. */
+    public record Probes(
+            /** Connections kept for them, one a member. */
+            int connections,
+            /** How long an answer is waited for, from the probe on, with the way there. */
+            double answerMs,
+            /** How long a connection is kept unused. */
+            double idleMs) { }
+
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(
@@ -141,12 +150,13 @@
                 new Transactions(40, 800, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
-                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 2_500, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 256, 1, 512, 4 * 1024 * 1024));
+                new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 2_500, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 256, 1, 512, 4 * 1024 * 1024),
+                new Probes(64, 500, 5_000));
     }
 
     /** The same but for these. */
     public Limits with(Quic changed) {
-        return new Limits(sockets, lines, discovery, transactions, leaving, management, changed);
+        return new Limits(sockets, lines, discovery, transactions, leaving, management, changed, probes);
     }
 
     /** How many descriptors connections may take together when a new one is taken. */
--- a/node/src/main/java/tulipshed/line/Complaints.java
+++ b/node/src/main/java/tulipshed/line/Complaints.java
@@ -3,15 +3,17 @@
 import java.util.function.Consumer;
 import tulipshed.limits.Limits;
 
-/** Tells the log of clients that send what cannot be used: how many, and never what they sent. */
+/** Tells the log of others that send what cannot be used: how many, and never what they sent. */
 final class Complaints {
+    private final String what;
     private final Limits limits;
     private final Consumer<String> log;
     private int count;
     private String last = "";
     private double toldMs = Double.NEGATIVE_INFINITY;
 
-    Complaints(Limits limits, Consumer<String> log) {
+    Complaints(String what, Limits limits, Consumer<String> log) {
+        this.what = what;
         this.limits = limits;
         this.log = log;
     }
@@ -24,7 +26,7 @@
     /** One line at most for all that came since the line before, and not too often. */
     void tell(double nowMs) {
         if (count > 0 && nowMs - toldMs >= limits.lines().complaintsMs()) {
-            log.accept("clients turned away for what they sent: " + count + ", the last for " + last);
+            log.accept(what + ": " + count + ", the last for " + last);
             toldMs = nowMs;
             count = 0;
         }
--- a/node/src/main/java/tulipshed/line/LineFront.java
+++ b/node/src/main/java/tulipshed/line/LineFront.java
@@ -47,7 +47,7 @@
         this.core = core;
         this.log = log;
         unserved = new Unserved(limits);
-        complaints = new Complaints(limits, log);
+        complaints = new Complaints("clients turned away for what they sent", limits, log);
         scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
         loop.after(limits.sockets().sweepMs(), this::sweep);
     }
--- /dev/null
+++ b/node/src/main/java/tulipshed/line/LoadReport.java
@@ -0,0 +1,60 @@
+package tulipshed.line;
+
+import java.util.Map;
+import tulipshed.decision.BalancerApi.Report;
+
+/**
+ * The load report at the end of a member's answer: {@code inflight=7,queue=2,util=0.61}. Fields go by the names of the
+ * protocol page or by those of the settings; unknown ones are passed over.
+ */
+final class LoadReport {
+    private static final int FIELDS = 32; // in one line, known or not
+    private static final double MOST = 1e9; // more of anything is no figure
+    private static final Map<String, Integer> PLACES = Map.ofEntries(
+            Map.entry("inflight", 0), Map.entry("active", 0), Map.entry("queue", 1), Map.entry("waiting", 1),
+            Map.entry("util", 2), Map.entry("cpu", 2), Map.entry("latency_ms", 3), Map.entry("avg_ms", 3),
+            Map.entry("qps", 4), Map.entry("rps", 4), Map.entry("eps", 5), Map.entry("err_rps", 5),
+            Map.entry("x0", 6), Map.entry("x1", 7));
+
+    private LoadReport() { }
+
+    /**
+     * Reads what follows an answer's first word; {@link Report#NONE} where nothing does.
+     *
+     * @throws BadLine if a field has no value, a value is no number from 0 to 1e9, a known field comes twice or there are
+     *     more than 32: then none of it is believed
+     */
+    static Report read(String text) {
+        if (text.isBlank()) {
+            return Report.NONE;
+        }
+        String[] fields = text.strip().split(",", FIELDS + 1);
+        if (fields.length > FIELDS) {
+            throw new BadLine("a report of more than " + FIELDS + " fields");
+        }
+        double[] v = new double[8];
+        java.util.Arrays.fill(v, Double.NaN);
+        for (String field : fields) {
+            int is = field.indexOf('=');
+            double value = is < 0 ? Double.NaN : number(field.substring(is + 1));
+            if (!(value >= 0 && value <= MOST)) {
+                throw new BadLine("a report with a field that is no figure");
+            }
+            Integer place = PLACES.get(field.substring(0, is));
+            if (place != null && !Double.isNaN(v[place])) {
+                throw new BadLine("a report that names a field twice");
+            } else if (place != null) {
+                v[place] = value;
+            }
+        }
+        return new Report(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7]);
+    }
+
+    private static double number(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/tulipshed/line/MemberProbes.java
@@ -0,0 +1,240 @@
+package tulipshed.line;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.xnio.StreamConnection;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.limits.Limits;
+import tulipshed.link.Link;
+import tulipshed.link.XnioLoop;
+import tulipshed.time.Clock;
+import tulipshed.transaction.MemberProber;
+import tulipshed.transaction.PoolMember;
+import tulipshed.transaction.TransactionCore;
+
+/**
+ * Probes of members by {@code STATS}, on connections that are kept for the next probe, as opening one costs the member
+ * more than the probe: one a member, closed when unused, bounded in number, each probe bounded in time.
+ */
+public final class MemberProbes implements MemberProber {
+    private static final byte[] STATS = "STATS\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final Clock clock;
+    private final Limits limits;
+    private final XnioLoop loop;
+    private final TransactionCore core;
+    private final Consumer<String> log;
+    private final ByteBuffer scratch;
+    /** By member; the one used longest ago comes first. */
+    private final Map<String, Probe> probes = new LinkedHashMap<>(16, 0.75f, true);
+    private final Complaints complaints;
+    private boolean leaving;
+
+    public MemberProbes(Clock clock, Limits limits, XnioLoop loop, TransactionCore core, Consumer<String> log) {
+        this.clock = clock;
+        this.limits = limits;
+        this.loop = loop;
+        this.core = core;
+        this.log = log;
+        complaints = new Complaints("members' probes answered with what cannot be used", limits, log);
+        scratch = ByteBuffer.allocateDirect(limits.lines().lineBytes());
+        loop.after(limits.sockets().sweepMs(), this::sweep);
+    }
+
+    @Override
+    public void probe(PoolMember member) {
+        Probe p = probes.get(member.id());
+        if (p != null && !p.asking && !p.address.equals(member.address())) {
+            p.drop();
+            p = null;
+        }
+        if (p == null && (leaving || !room())) {
+            core.probed(member.id(), Outcome.UNUSED, Report.NONE);
+        } else if (p == null) {
+            p = new Probe(member);
+            probes.put(member.id(), p);
+            p.ask();
+        } else if (!p.asking) {
+            p.ask();
+        }
+    }
+
+    /** The node takes no more clients: no probe is sent any more, and no connection kept. */
+    public void leave() {
+        leaving = true;
+        new ArrayList<>(probes.values()).forEach(p -> p.over(Outcome.UNUSED));
+    }
+
+    /** Whether one more connection may be opened; one that waits unused gives way. */
+    private boolean room() {
+        if (probes.size() >= limits.probes().connections()) {
+            for (Iterator<Probe> it = probes.values().iterator(); it.hasNext();) {
+                Probe p = it.next();
+                if (!p.asking) {
+                    it.remove();
+                    p.close();
+                    break;
+                }
+            }
+        }
+        return probes.size() < limits.probes().connections() && loop.hasRoomForFlow();
+    }
+
+    private void sweep() {
+        double nowMs = clock.nowMs();
+        for (Probe p : new ArrayList<>(probes.values())) {
+            if (!p.asking && nowMs >= p.usedMs + limits.probes().idleMs()) {
+                p.drop();
+            }
+        }
+        complaints.tell(nowMs);
+        if (!leaving) {
+            loop.after(limits.sockets().sweepMs(), this::sweep);
+        }
+    }
+
+    /** One member's connection for probes, and the probe that is out on it. */
+    private final class Probe implements Link.Owner {
+        private final String member;
+        private final InetSocketAddress address;
+        private final LineSplitter splitter = new LineSplitter(limits.lines().lineBytes());
+        private XnioLoop.Dialing dialing;
+        private Link link;
+        private boolean asking;
+        private boolean kept;
+        private int number;
+        private double usedMs;
+
+        Probe(PoolMember member) {
+            this.member = member.id();
+            this.address = member.address();
+        }
+
+        void ask() {
+            asking = true;
+            usedMs = clock.nowMs();
+            kept = link != null;
+            int mine = ++number;
+            if (kept) {
+                say();
+            } else {
+                dial();
+            }
+            loop.after(limits.probes().answerMs(), () -> {
+                if (asking && number == mine) {
+                    over(link == null ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT);
+                }
+            });
+        }
+
+        private void dial() {
+            dialing = loop.dial(address, this::up, why -> over(Outcome.CONNECT_FAILED));
+        }
+
+        private void up(StreamConnection connection) {
+            dialing = null;
+            link = loop.link(connection, this);
+            say();
+            link.listen(true);
+        }
+
+        private void say() {
+            link.write(STATS);
+        }
+
+        private void answered(Outcome outcome, Report report) {
+            if (asking) {
+                asking = false;
+                core.probed(member, outcome, report);
+            }
+        }
+
+        private void over(Outcome outcome) {
+            drop();
+            answered(outcome, Report.NONE);
+        }
+
+        void drop() {
+            probes.remove(member, this);
+            close();
+        }
+
+        void close() {
+            if (dialing != null) {
+                dialing.giveUp();
+            }
+            if (link != null) {
+                link.close();
+            }
+        }
+
+        @Override
+        public void readable(Link from) {
+            for (int reads = 0; reads < limits.sockets().readsAtOnce() && !link.ended(); reads++) {
+                scratch.clear();
+                int n = link.read(scratch);
+                if (n < 0) {
+                    broken(from);
+                }
+                if (n <= 0) {
+                    return;
+                }
+                take(scratch.flip());
+            }
+        }
+
+        private void take(ByteBuffer in) {
+            try {
+                for (byte[] line = splitter.next(in); line != null && !link.ended(); line = splitter.next(in)) {
+                    line(new String(line, StandardCharsets.ISO_8859_1).strip());
+                }
+            } catch (BadLine e) {
+                complaints.add(e.getMessage());
+                over(Outcome.ERROR);
+            }
+        }
+
+        private void line(String text) {
+            if (!asking) {
+                // Nobody asked: on such a connection no answer could be told from another.
+                complaints.add("a line that nobody asked for");
+                drop();
+                return;
+            }
+            int space = text.indexOf(' ');
+            String word = space < 0 ? text : text.substring(0, space);
+            switch (word) {
+                case "PONG" -> answered(Outcome.OK, LoadReport.read(space < 0 ? "" : text.substring(space)));
+                case "ERR" -> answered(Outcome.ERROR, Report.NONE);
+                default -> {
+                    complaints.add(word.equals("NO") ? "a probe that is not allowed" : "another word than PONG or ERR");
+                    over(Outcome.ERROR);
+                }
+            }
+        }
+
+        @Override
+        public void drained(Link from) { }
+
+        /** The member may have closed a kept connection just as it was used again: then one more is opened, once. */
+        @Override
+        public void broken(Link from) {
+            link.close();
+            if (asking && kept) {
+                kept = false;
+                link = null;
+                splitter.rest();
+                dial();
+            } else {
+                over(Outcome.RESET);
+            }
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/transaction/Decisions.java
+++ b/node/src/main/java/tulipshed/transaction/Decisions.java
@@ -51,7 +51,7 @@
 
     @Override
     public void probe(String server) {
-        log.accept("probes are not allowed here: " + server);
+        turns.decide(() -> core.probe(server));
     }
 
     @Override
--- a/node/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/node/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -44,6 +44,7 @@
     private final Set<Transaction> standing = new LinkedHashSet<>();
     private final Shadows shadows = new Shadows();
     private MemberSource source = () -> { };
+    private MemberProber prober;
     private Companion companion;
     private double share = 1;
     private boolean watchesRoutes;
@@ -112,6 +113,25 @@
         this.source = source;
     }
 
+    /** Where the module's probes go; without one each is answered at once, with nothing, so that nobody waits for it. */
+    public void prober(MemberProber prober) {
+        this.prober = prober;
+    }
+
+    void probe(String memberId) {
+        PoolMember member = members.get(memberId);
+        if (prober != null && settings.limits().probes() && member != null && member.serving() && member.address() != null) {
+            prober.probe(member);
+        } else {
+            probed(memberId, Outcome.UNUSED, Report.NONE);
+        }
+    }
+
+    /** A probe's one answer; the report is {@link Report#NONE} where none came. */
+    public void probed(String memberId, Outcome outcome, Report report) {
+        turns.gather((module, ms, nowUs) -> module.probed(nowUs, memberId, outcome, report));
+    }
+
     // ---- What fronts, connectors and discovery tell ----
 
     /** A transaction arrived; it is owed one final answer from here on. */
--- /dev/null
+++ b/node/src/test/java/tulipshed/line/MemberProbesTest.java
@@ -0,0 +1,240 @@
+package tulipshed.line;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.testing.ModuleDelegate;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.ListedMember;
+import tulipshed.transaction.TransactionCore;
+
+/** Probes on loopback sockets, between the real core and a member played line by line. */
+class MemberProbesTest {
+    private record Heard(String member, Outcome outcome, Report report) { }
+
+    private final BlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
+    private ServerSocket member;
+    private XnioLoop loop;
+    private TransactionCore core;
+    private MemberProbes prober;
+    private BalancerApi.Actions actions;
+
+    @BeforeEach
+    void start() throws Exception {
+        start(true);
+    }
+
+    private void start(boolean allowed) throws Exception {
+        Limits limits = Limits.forDescriptors(1024);
+        Settings s = NodeConfig.load(java.util.Map.of("PROXY_CONFIG", "src/test/resources/node.json")).settings();
+        BalancerApi.Limits l = s.limits();
+        Settings settings = new Settings(s.self(), s.balancers(), s.zone(), s.passThrough(), s.askedList(), s.groups(),
+                s.weights(), s.reports(), new BalancerApi.Limits(l.maxAttempts(), l.maxRetryAfterUs(), l.cancel(), allowed,
+                l.peers(), l.retryAfter(), l.connectTimeoutUs(), l.connIdleUs(), l.streamsPerConn()), s.rules(), s.prices(),
+                s.classes(), s.tenants());
+        loop = new XnioLoop(limits);
+        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        BlockingQueue<TransactionCore> made = new LinkedBlockingQueue<>();
+        loop.afterGathering(() -> {
+            TransactionCore c = new TransactionCore(new SystemClock(), limits, settings, 1, loop, log::add,
+                    (given, seed, now, does) -> {
+                        actions = does;
+                        return new ModuleDelegate(new Balancer(given, seed, now, does)) {
+                            @Override
+                            public void probed(long now, String server, Outcome outcome, Report report) {
+                                heard.add(new Heard(server, outcome, report));
+                            }
+                        };
+                    });
+            c.members(ListKind.COMPLETE, List.of(new ListedMember(
+                    new ServerEntry("s-1", ServerState.SERVING, "decin", 0, "std-2c", 1, 0),
+                    (InetSocketAddress) member.getLocalSocketAddress())));
+            prober = new MemberProbes(new SystemClock(), limits, loop, c, log::add);
+            c.prober(prober);
+            made.add(c);
+        });
+        core = made.poll(10, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        member.close();
+        loop.stop();
+    }
+
+    /** The module asks for a probe, in a turn of its own. */
+    private void probe() {
+        loop.afterGathering(() -> {
+            actions.probe("s-1");
+            core.members(ListKind.CHANGES, List.of());
+        });
+    }
+
+    private Heard hear() throws InterruptedException {
+        Heard h = heard.poll(10, TimeUnit.SECONDS);
+        assertNotNull(h, "no answer to a probe");
+        return h;
+    }
+
+    private static String line(Socket s) throws IOException {
+        s.setSoTimeout(10_000);
+        return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII), 1).readLine();
+    }
+
+    private static void say(Socket s, String text) throws IOException {
+        s.getOutputStream().write((text + "\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void aReportReachesTheModuleAndTheConnectionIsKeptForTheNext() throws Exception {
+        probe();
+        try (Socket s = member.accept()) {
+            assertEquals("STATS", line(s));
+            say(s, "PONG util=0.61,queue=2,x0=0.75");
+            Heard first = hear();
+            assertEquals(Outcome.OK, first.outcome());
+            assertEquals(0.75, first.report().load());
+            assertEquals(0.61, first.report().cpu());
+            assertEquals(2, first.report().queue());
+            probe();
+            assertEquals("STATS", line(s));
+            say(s, "PONG x0=0.25");
+            assertEquals(0.25, hear().report().load());
+        }
+    }
+
+    @Test
+    void probesThatOverlapShareOneAnswer() throws Exception {
+        probe();
+        probe();
+        try (Socket s = member.accept()) {
+            assertEquals("STATS", line(s));
+            say(s, "PONG x0=0.5");
+            assertEquals(0.5, hear().report().load());
+            probe();
+            assertEquals("STATS", line(s), "the first line after the answer is the third probe's");
+        }
+    }
+
+    @Test
+    void aKeptConnectionThatTheMemberClosedIsOpenedAnew() throws Exception {
+        probe();
+        try (Socket s = member.accept()) {
+            line(s);
+            say(s, "PONG x0=0.5");
+            hear();
+        }
+        probe();
+        try (Socket s = member.accept()) {
+            assertEquals("STATS", line(s));
+            say(s, "PONG x0=0.125");
+            assertEquals(0.125, hear().report().load());
+        }
+    }
+
+    @Test
+    void aMemberThatRefusesOrSaysNothingIsToldOfInTime() throws Exception {
+        probe();
+        try (Socket s = member.accept()) {
+            line(s);
+            assertEquals(Outcome.TIMEOUT, hear().outcome());
+            assertEquals(-1, s.getInputStream().read(), "the connection is given up");
+        }
+        member.close();
+        probe();
+        assertEquals(Outcome.CONNECT_FAILED, hear().outcome());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"PONG x0=-1", "PONG x0=NaN", "PONG x0=1e99", "PONG x0=abc", "PONG x0", "PONG x0=1,x0=2",
+        "PONG util=,x0=1", "HELLO", "NO", "LOAD 3"})
+    void whatIsNoReportIsNotBelievedAndQuotedNowhere(String answer) throws Exception {
+        probe();
+        try (Socket s = member.accept()) {
+            line(s);
+            say(s, answer);
+            Heard h = hear();
+            assertEquals(Outcome.ERROR, h.outcome());
+            assertEquals(Report.NONE, h.report());
+        }
+        assertTrue(log.stream().noneMatch(l -> l.contains(answer)), log.toString());
+    }
+
+    @Test
+    void aNodeThatLeavesKeepsNoConnectionAndSendsNoProbe() throws Exception {
+        probe();
+        try (Socket s = member.accept()) {
+            line(s);
+            say(s, "PONG x0=0.5");
+            hear();
+            loop.afterGathering(prober::leave);
+            assertEquals(-1, s.getInputStream().read());
+            probe();
+            assertEquals(Outcome.UNUSED, hear().outcome());
+        }
+    }
+
+    @Test
+    void unknownFieldsArePassedOverAndMissingOnesUnknown() {
+        Report r = LoadReport.read(" inflight=7,colour=3,waiting=2");
+        assertEquals(7, r.inflight());
+        assertEquals(2, r.queue());
+        assertTrue(Double.isNaN(r.load()));
+        assertThrows(BadLine.class, () -> LoadReport.read("a=1,".repeat(40) + "b=1"));
+    }
+
+    @Property(tries = 500, seed = "41")
+    void aReportIsReadOrNotBelievedWhateverItHolds(@ForAll @StringLength(max = 60) String text) {
+        try {
+            Report r = LoadReport.read("x0=" + text);
+            assertTrue(text.isBlank() || Double.isNaN(r.load()) || r.load() >= 0 && r.load() <= 1e9, text);
+        } catch (BadLine e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+
+    @Test
+    void whereProbesAreNotAllowedNothingIsSentAndNobodyWaits() throws Exception {
+        stop();
+        start(false);
+        probe();
+        assertEquals(Outcome.UNUSED, hear().outcome());
+        member.setSoTimeout(100);
+        assertThrows(IOException.class, member::accept);
+    }
+}
