--- a/node/src/main/java/tulipshed/command/Node.java
+++ b/node/src/main/java/tulipshed/command/Node.java
@@ -19,7 +19,6 @@
 import tulipshed.discovery.Watch;
 import tulipshed.limits.Limits;
 import tulipshed.line.LineFront;
-import tulipshed.line.MemberProbes;
 import tulipshed.link.Siblings;
 import tulipshed.link.XnioLoop;
 import tulipshed.management.ManagementFront;
@@ -45,7 +44,6 @@
     private Names names;
     private TransactionCore core;
     private LineFront front;
-    private MemberProbes probes;
     private QuicFront quic;
     private ManagementFront management;
     private Watch watch;
@@ -113,8 +111,6 @@
         core.source(watch);
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
         front.declare(router == null ? null : router.declarations());
-        probes = new MemberProbes(clock, limits, loop, core, log);
-        core.prober(probes);
         if (siblings.otherServes()) {
             // What discovery has told the other process binds this one as well, so it asks before it serves.
             watch.catchUp();
@@ -266,7 +262,7 @@
             takeLast();
             IoUtils.safeClose(server);
             server = null;
-            probes.leave();
+            front.closed();
             if (quic != null) {
                 quic.leaving();
             }
--- a/node/src/main/java/tulipshed/line/LineFront.java
+++ b/node/src/main/java/tulipshed/line/LineFront.java
@@ -34,6 +34,7 @@
     final Complaints complaints;
     /** Whether the figure of a member's LOAD line is a delay. */
     private boolean loadTellsDelay;
+    private final MemberProbes probes;
     private Declarations declarations;
     private boolean ready = true;
 
@@ -49,6 +50,8 @@
         unserved = new Unserved(limits);
         complaints = new Complaints("clients turned away for what they sent", limits, log);
         scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
+        probes = new MemberProbes(this);
+        core.prober(probes);
         loop.after(limits.sockets().sweepMs(), this::sweep);
     }
 
@@ -98,6 +101,11 @@
         ready = false;
     }
 
+    /** The node takes no more clients: members are not probed any more. */
+    public void closed() {
+        probes.leave();
+    }
+
     boolean ready() {
         return ready;
     }
@@ -140,6 +148,7 @@
             s.neverOpened();
         }
         complaints.tell(nowMs);
+        probes.sweep(nowMs);
         loop.after(limits.sockets().sweepMs(), this::sweep);
     }
 }
--- a/node/src/main/java/tulipshed/line/LoadReport.java
+++ b/node/src/main/java/tulipshed/line/LoadReport.java
@@ -1,5 +1,6 @@
 package tulipshed.line;
 
+import java.util.Arrays;
 import java.util.Map;
 import tulipshed.decision.BalancerApi.Report;
 
@@ -33,7 +34,7 @@
             throw new BadLine("a report of more than " + FIELDS + " fields");
         }
         double[] v = new double[8];
-        java.util.Arrays.fill(v, Double.NaN);
+        Arrays.fill(v, Double.NaN);
         for (String field : fields) {
             int is = field.indexOf('=');
             double value = is < 0 ? Double.NaN : number(field.substring(is + 1));
--- a/node/src/main/java/tulipshed/line/MemberProbes.java
+++ b/node/src/main/java/tulipshed/line/MemberProbes.java
@@ -4,48 +4,32 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.xnio.StreamConnection;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Report;
-import tulipshed.limits.Limits;
 import tulipshed.link.Link;
 import tulipshed.link.XnioLoop;
-import tulipshed.time.Clock;
 import tulipshed.transaction.MemberProber;
 import tulipshed.transaction.PoolMember;
-import tulipshed.transaction.TransactionCore;
 
 /**
  * Probes of members by {@code STATS}, on connections that are kept for the next probe, as opening one costs the member
  * more than the probe: one a member, closed when unused, bounded in number, each probe bounded in time.
  */
-public final class MemberProbes implements MemberProber {
+final class MemberProbes implements MemberProber {
     private static final byte[] STATS = "STATS\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private final Clock clock;
-    private final Limits limits;
-    private final XnioLoop loop;
-    private final TransactionCore core;
-    private final Consumer<String> log;
-    private final ByteBuffer scratch;
+    private final LineFront front;
     /** By member; the one used longest ago comes first. */
     private final Map<String, Probe> probes = new LinkedHashMap<>(16, 0.75f, true);
     private final Complaints complaints;
     private boolean leaving;
 
-    public MemberProbes(Clock clock, Limits limits, XnioLoop loop, TransactionCore core, Consumer<String> log) {
-        this.clock = clock;
-        this.limits = limits;
-        this.loop = loop;
-        this.core = core;
-        this.log = log;
-        complaints = new Complaints("members' probes answered with what cannot be used", limits, log);
-        scratch = ByteBuffer.allocateDirect(limits.lines().lineBytes());
-        loop.after(limits.sockets().sweepMs(), this::sweep);
+    MemberProbes(LineFront front) {
+        this.front = front;
+        complaints = new Complaints("members' probes answered with what cannot be used", front.limits, front.log);
     }
 
     @Override
@@ -55,56 +39,47 @@
             p.drop();
             p = null;
         }
-        if (p == null && (leaving || !room())) {
-            core.probed(member.id(), Outcome.UNUSED, Report.NONE);
-        } else if (p == null) {
+        if (p == null && !leaving && room()) {
             p = new Probe(member);
             probes.put(member.id(), p);
-            p.ask();
+        }
+        if (p == null) {
+            front.core.probed(member.id(), Outcome.UNUSED, Report.NONE);
         } else if (!p.asking) {
             p.ask();
         }
     }
 
     /** The node takes no more clients: no probe is sent any more, and no connection kept. */
-    public void leave() {
+    void leave() {
         leaving = true;
         new ArrayList<>(probes.values()).forEach(p -> p.over(Outcome.UNUSED));
     }
 
     /** Whether one more connection may be opened; one that waits unused gives way. */
     private boolean room() {
-        if (probes.size() >= limits.probes().connections()) {
-            for (Iterator<Probe> it = probes.values().iterator(); it.hasNext();) {
-                Probe p = it.next();
-                if (!p.asking) {
-                    it.remove();
-                    p.close();
-                    break;
-                }
-            }
+        int most = front.limits.probes().connections();
+        if (probes.size() >= most) {
+            probes.values().stream().filter(p -> !p.asking).findFirst().ifPresent(Probe::drop);
         }
-        return probes.size() < limits.probes().connections() && loop.hasRoomForFlow();
+        return probes.size() < most && front.loop.hasRoomForFlow();
     }
 
-    private void sweep() {
-        double nowMs = clock.nowMs();
+    /** Closes what was not used for long, and tells the log of what could not be used. */
+    void sweep(double nowMs) {
         for (Probe p : new ArrayList<>(probes.values())) {
-            if (!p.asking && nowMs >= p.usedMs + limits.probes().idleMs()) {
+            if (!p.asking && nowMs >= p.usedMs + front.limits.probes().idleMs()) {
                 p.drop();
             }
         }
         complaints.tell(nowMs);
-        if (!leaving) {
-            loop.after(limits.sockets().sweepMs(), this::sweep);
-        }
     }
 
     /** One member's connection for probes, and the probe that is out on it. */
     private final class Probe implements Link.Owner {
         private final String member;
         private final InetSocketAddress address;
-        private final LineSplitter splitter = new LineSplitter(limits.lines().lineBytes());
+        private final LineSplitter splitter = new LineSplitter(front.limits.lines().lineBytes());
         private XnioLoop.Dialing dialing;
         private Link link;
         private boolean asking;
@@ -119,15 +94,15 @@
 
         void ask() {
             asking = true;
-            usedMs = clock.nowMs();
+            usedMs = front.clock.nowMs();
             kept = link != null;
             int mine = ++number;
             if (kept) {
-                say();
+                link.write(STATS);
             } else {
                 dial();
             }
-            loop.after(limits.probes().answerMs(), () -> {
+            front.loop.after(front.limits.probes().answerMs(), () -> {
                 if (asking && number == mine) {
                     over(link == null ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT);
                 }
@@ -135,24 +110,20 @@
         }
 
         private void dial() {
-            dialing = loop.dial(address, this::up, why -> over(Outcome.CONNECT_FAILED));
+            dialing = front.loop.dial(address, this::up, why -> over(Outcome.CONNECT_FAILED));
         }
 
         private void up(StreamConnection connection) {
             dialing = null;
-            link = loop.link(connection, this);
-            say();
-            link.listen(true);
-        }
-
-        private void say() {
+            link = front.loop.link(connection, this);
             link.write(STATS);
+            link.listen(true);
         }
 
         private void answered(Outcome outcome, Report report) {
             if (asking) {
                 asking = false;
-                core.probed(member, outcome, report);
+                front.core.probed(member, outcome, report);
             }
         }
 
@@ -163,10 +134,6 @@
 
         void drop() {
             probes.remove(member, this);
-            close();
-        }
-
-        void close() {
             if (dialing != null) {
                 dialing.giveUp();
             }
@@ -177,16 +144,16 @@
 
         @Override
         public void readable(Link from) {
-            for (int reads = 0; reads < limits.sockets().readsAtOnce() && !link.ended(); reads++) {
-                scratch.clear();
-                int n = link.read(scratch);
+            for (int reads = 0; reads < front.limits.sockets().readsAtOnce() && !link.ended(); reads++) {
+                front.scratch.clear();
+                int n = link.read(front.scratch);
                 if (n < 0) {
                     broken(from);
                 }
                 if (n <= 0) {
                     return;
                 }
-                take(scratch.flip());
+                take(front.scratch.flip());
             }
         }
 
@@ -208,13 +175,12 @@
                 drop();
                 return;
             }
-            int space = text.indexOf(' ');
-            String word = space < 0 ? text : text.substring(0, space);
-            switch (word) {
-                case "PONG" -> answered(Outcome.OK, LoadReport.read(space < 0 ? "" : text.substring(space)));
+            String[] words = text.split(" ", 2);
+            switch (words[0]) {
+                case "PONG" -> answered(Outcome.OK, LoadReport.read(words.length > 1 ? words[1] : ""));
                 case "ERR" -> answered(Outcome.ERROR, Report.NONE);
                 default -> {
-                    complaints.add(word.equals("NO") ? "a probe that is not allowed" : "another word than PONG or ERR");
+                    complaints.add(words[0].equals("NO") ? "a probe that is not allowed" : "another word than PONG or ERR");
                     over(Outcome.ERROR);
                 }
             }
--- a/node/src/test/java/tulipshed/line/MemberProbesTest.java
+++ b/node/src/test/java/tulipshed/line/MemberProbesTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -51,7 +52,7 @@
     private ServerSocket member;
     private XnioLoop loop;
     private TransactionCore core;
-    private MemberProbes prober;
+    private LineFront front;
     private BalancerApi.Actions actions;
 
     @BeforeEach
@@ -61,7 +62,8 @@
 
     private void start(boolean allowed) throws Exception {
         Limits limits = Limits.forDescriptors(1024);
-        Settings s = NodeConfig.load(java.util.Map.of("PROXY_CONFIG", "src/test/resources/node.json")).settings();
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        Settings s = config.settings();
         BalancerApi.Limits l = s.limits();
         Settings settings = new Settings(s.self(), s.balancers(), s.zone(), s.passThrough(), s.askedList(), s.groups(),
                 s.weights(), s.reports(), new BalancerApi.Limits(l.maxAttempts(), l.maxRetryAfterUs(), l.cancel(), allowed,
@@ -84,8 +86,7 @@
             c.members(ListKind.COMPLETE, List.of(new ListedMember(
                     new ServerEntry("s-1", ServerState.SERVING, "decin", 0, "std-2c", 1, 0),
                     (InetSocketAddress) member.getLocalSocketAddress())));
-            prober = new MemberProbes(new SystemClock(), limits, loop, c, log::add);
-            c.prober(prober);
+            front = new LineFront(new SystemClock(), limits, config.names(), config.loadTellsDelay(), loop, c, log::add);
             made.add(c);
         });
         core = made.poll(10, TimeUnit.SECONDS);
@@ -202,7 +203,7 @@
             line(s);
             say(s, "PONG x0=0.5");
             hear();
-            loop.afterGathering(prober::leave);
+            loop.afterGathering(front::closed);
             assertEquals(-1, s.getInputStream().read());
             probe();
             assertEquals(Outcome.UNUSED, hear().outcome());
