--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -723,16 +723,17 @@
     }
 
     /**
-     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by weight
-     * already, large servers would win nearly every comparison where little is held. One at its limit loses.
+     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by
+     * weight already, large servers would win nearly every comparison where little is held. One at its limit
+     * loses.
      */
     private double load(long now, Server s, Request r) {
         if (s.pending >= s.limit) {
             return Double.MAX_VALUE;
         }
         double even = s.weight() * r.fleet.load / Math.max(1e-9, r.fleet.weight);
-        // A new server counts as if it bore the others' mean, or every balancer would rush to it. Not ramped: its
-        // credit already bounds what a warming server is sent.
+        // A new server counts as if it bore the others' mean, or every balancer would rush to it. Not ramped:
+        // its credit already bounds what a warming server is sent.
         double own = s.stood ? s.openLoad : Math.max(s.openLoad, even);
         return (own + Math.min(r.load, even)) / s.weight();
     }
