Where loads are told, a group goes to the lighter holder and no member draws it past twice its share

Once any delay had been told, a random holder of the group drew it without bound (Balancer.bears "delaysTold ||", choose), until it was late and passed over for 8 s. Where loads are told the node knows it before.

Change: once a load has been told, the lighter of two holders, bounded at twice the even share.

The new test fails without the change.

--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -87,6 +87,7 @@
     private long nextLogUs = Long.MIN_VALUE;
     private double lateMs;
     private boolean delaysTold; // settings that promise it do not make it so
+    private boolean loadsTold;
     private boolean crossingCosts;
     private boolean reuses;
     private boolean probes;
@@ -536,7 +537,9 @@
             // A server that holds some of the group has paid for it. Before those that are warming: each
             // more that holds some of a group pays for the group again, and they can bear that least.
             Server m = group.members.get(random.nextInt(group.members.size()));
-            if (usable(now, r, m) && now >= m.ejectedUntil && m.pending < m.limit && bears(r, m)) {
+            Server n = loadsTold ? group.members.get(random.nextInt(group.members.size())) : m;
+            m = n != m && bears(now, r, n) && load(now, n, r) < load(now, m, r) ? n : m;
+            if (bears(now, r, m)) {
                 return m;
             }
         }
@@ -557,10 +560,11 @@
         return a == null || b != null && load(now, b, r) < load(now, a, r) ? b : a;
     }
 
-    /** Whether a server may draw more of its groups: until told late, or to a bound where nothing tells. */
-    private boolean bears(Request r, Server s) {
+    /** Whether a server may draw more of its groups: to a bound, but where only delays are told until late. */
+    private boolean bears(long now, Request r, Server s) {
         double even = (r.fleet.load + r.load) * s.weight() / Math.max(1e-9, r.fleet.weight);
-        return delaysTold || s.openLoad + r.load <= GROUP_PULL * even;
+        return usable(now, r, s) && now >= s.ejectedUntil && s.pending < s.limit
+                && (delaysTold && !loadsTold || s.openLoad + r.load <= GROUP_PULL * even);
     }
 
     private int ask(long now, Server s) {
@@ -723,9 +727,8 @@
     }
 
     /**
-     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by
-     * weight already, large servers would win nearly every comparison where little is held. One at its limit
-     * loses.
+     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by weight
+     * already, large servers would else win nearly always where little is held. One at its limit loses.
      */
     private double load(long now, Server s, Request r) {
         if (s.pending >= s.limit) {
@@ -834,6 +837,7 @@
     public void loadNote(long now, long request, double loadUsPerS) {
         Request r = requests.get(request);
         if (r != null && r.server != null) {
+            loadsTold = true;
             tally(r.server, 0, 0, loadUsPerS - r.load);
             r.load = loadUsPerS;
         }
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -634,6 +634,45 @@
         sent.forEach((server, many) -> assertTrue(many <= 21, server + " was sent " + many + " of 80 over eight"));
     }
 
+    /**
+     * Seen in the simulator at a site that tells loads and delays: groups went on to the servers that held them until
+     * these were late, while others stood idle.
+     */
+    @Test
+    void whereLoadsAreToldTheLighterHolderOfAGroupIsTakenAndTwiceItsEvenShareIsTheBound() {
+        setup.groups = true;
+        int lighter = 0;
+        for (int seed = 0; seed < 200; seed++) {
+            Balancer b = loaded(seed);
+            b.request(0, Setup.request(3, 0, "g", 2 * SECOND));
+            lighter += recorder.sentTo().equals(name(2)) ? 1 : 0;
+        }
+        assertTrue(lighter > 130, "of 200, three quarters by two draws and half by one: " + lighter);
+        Balancer b = loaded(1);
+        Map<String, Integer> sent = new HashMap<>();
+        for (int id = 3; id <= 80; id++) {
+            b.request(id * SECOND, Setup.request(id, 0, "g", 2 * SECOND));
+            sent.merge(recorder.sentTo(), 1, Integer::sum);
+            b.started(id * SECOND, id, 0, 1000);
+        }
+        sent.forEach((server, many) -> assertTrue(many <= 24, server + " was sent " + many + " of 78 over eight"));
+    }
+
+    /** Two connections without a group at each of eight; servers 1 and 2 hold some of g, a heavy and a light one. */
+    private Balancer loaded(int seed) {
+        Balancer b = setup.balancer(recorder, seed);
+        setup.list(b, 0, 8);
+        for (int id = 101; id <= 116; id++) {
+            b.alreadyOpen(0, request(id), name(id % 8));
+        }
+        for (int id = 1; id <= 2; id++) {
+            b.alreadyOpen(0, Setup.request(id, 0, "g", 2 * SECOND), name(id));
+            b.delayNote(0, id, 5);
+            b.loadNote(0, id, id == 1 ? 1.2 : 0.2);
+        }
+        return b;
+    }
+
     // ---- The asked list ----
 
     @Test
