A LOAD that is no load is not believed; answers' load reports reach the module

Cause: MemberConnection.load took whatever Double.parseDouble takes. LOAD NaN made the sums of its member, pools and fleet NaN for the rest of the process (Balancer.tally adds the difference), -5 and 1e300 went in as they came; each bad line, and each unknown answer, was quoted in the log without bound. TransactionCore.ended told Report.NONE whatever an answer held.

Change: figures from 0 to 1e9 only, in one place (LoadReport.figure); all that members send and that cannot be used is counted by one Complaints, one line in ten seconds, never quoted. BYE, ERR and BUSY hand their report over where settings promise it.

Checked: new tests over loopback sockets (nine bad loads, seven answers, a report that was not promised); LineFrontTest, MemberProbesTest and DescriptionTest pass.

--- a/node/src/main/java/tulipshed/line/LineFront.java
+++ b/node/src/main/java/tulipshed/line/LineFront.java
@@ -32,6 +32,7 @@
     private final Set<String> openIds = new HashSet<>();
     final Unserved unserved;
     final Complaints complaints;
+    final Complaints memberComplaints;
     /** Whether the figure of a member's LOAD line is a delay. */
     private boolean loadTellsDelay;
     private final MemberProbes probes;
@@ -49,6 +50,7 @@
         this.log = log;
         unserved = new Unserved(limits);
         complaints = new Complaints("clients turned away for what they sent", limits, log);
+        memberComplaints = new Complaints("what members sent and cannot be used", limits, log);
         scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
         probes = new MemberProbes(this);
         core.prober(probes);
@@ -148,6 +150,7 @@
             s.neverOpened();
         }
         complaints.tell(nowMs);
+        memberComplaints.tell(nowMs);
         probes.sweep(nowMs);
         loop.after(limits.sockets().sweepMs(), this::sweep);
     }
--- a/node/src/main/java/tulipshed/line/LoadReport.java
+++ b/node/src/main/java/tulipshed/line/LoadReport.java
@@ -37,10 +37,10 @@
         Arrays.fill(v, Double.NaN);
         for (String field : fields) {
             int is = field.indexOf('=');
-            double value = is < 0 ? Double.NaN : number(field.substring(is + 1));
-            if (!(value >= 0 && value <= MOST)) {
-                throw new BadLine("a report with a field that is no figure");
+            if (is < 0) {
+                throw new BadLine("a report with a field that has no value");
             }
+            double value = figure(field.substring(is + 1));
             Integer place = PLACES.get(field.substring(0, is));
             if (place != null && !Double.isNaN(v[place])) {
                 throw new BadLine("a report that names a field twice");
@@ -51,11 +51,21 @@
         return new Report(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7]);
     }
 
-    private static double number(String text) {
+    /**
+     * A figure that a member tells.
+     *
+     * @throws BadLine if it is no number from 0 to 1e9
+     */
+    static double figure(String text) {
+        double value;
         try {
-            return Double.parseDouble(text);
+            value = Double.parseDouble(text);
         } catch (NumberFormatException e) {
-            return Double.NaN;
+            value = Double.NaN;
+        }
+        if (!(value >= 0 && value <= MOST)) {
+            throw new BadLine("a figure that is no number from 0 to 1e9");
         }
+        return value;
     }
 }
--- a/node/src/main/java/tulipshed/line/MemberConnection.java
+++ b/node/src/main/java/tulipshed/line/MemberConnection.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Report;
 import tulipshed.link.Link;
 import tulipshed.link.XnioLoop;
 import tulipshed.transaction.ServerSideFlow;
@@ -20,6 +21,7 @@
     private XnioLoop.Dialing dialing;
     private Link link;
     private String lastWord = "";
+    private Report report = Report.NONE;
     private boolean clientFinished;
     private boolean dispatched;
     private final Silence silence;
@@ -79,7 +81,7 @@
     private void over(Outcome outcome) {
         if (state != State.OVER) {
             close();
-            front.core.ended(flow, outcome);
+            front.core.ended(flow, outcome, report);
         }
     }
 
@@ -130,11 +132,21 @@
         String text = new String(line, StandardCharsets.ISO_8859_1).strip();
         int space = text.indexOf(' ');
         lastWord = space < 0 ? text : text.substring(0, space);
+        String rest = space < 0 ? "" : text.substring(space + 1);
         if (state == State.STANDING) {
             client.fromMember(line);
-            if (lastWord.equals("LOAD")) {
-                load(text.substring(space + 1));
+        }
+        try {
+            switch (lastWord) {
+                case "LOAD" -> load(rest);
+                case "BYE", "ERR", "BUSY" -> report = front.core.reportsInAnswers() ? LoadReport.read(rest) : Report.NONE;
+                default -> { }
             }
+        } catch (BadLine e) {
+            // The line says what it says without it.
+            front.memberComplaints.add(e.getMessage());
+        }
+        if (state == State.STANDING) {
             return;
         }
         switch (lastWord) {
@@ -152,24 +164,25 @@
             // BYE and MOVE tell how the flow ends; its end follows.
             case "BYE", "MOVE" -> { }
             default -> {
-                front.log.accept("a member answered: " + text);
+                front.memberComplaints.add("a word that is no answer");
                 over(Outcome.ERROR);
             }
         }
     }
 
+    /**
+     * One word for both notes: where members tell only of delays, its figure is milliseconds. Taken for a load it would
+     * spoil the module's count of what every member bears, as would a figure that is none.
+     */
     private void load(String figure) {
-        try {
-            double value = Double.parseDouble(figure);
-            // One word for both notes: where members tell only of delays, its figure is milliseconds. Taken for
-            // a load it would spoil the module's count of what every member bears.
-            if (front.loadTellsDelay()) {
-                front.core.delayed(flow, value);
-            } else {
-                front.core.loadChanged(flow, value);
-            }
-        } catch (NumberFormatException e) {
-            front.log.accept("a load that is not a number: " + figure);
+        double value = LoadReport.figure(figure);
+        if (state != State.STANDING) {
+            return;
+        }
+        if (front.loadTellsDelay()) {
+            front.core.delayed(flow, value);
+        } else {
+            front.core.loadChanged(flow, value);
         }
     }
 
--- a/node/src/main/java/tulipshed/line/MemberProbes.java
+++ b/node/src/main/java/tulipshed/line/MemberProbes.java
@@ -24,12 +24,10 @@
     private final LineFront front;
     /** By member; the one used longest ago comes first. */
     private final Map<String, Probe> probes = new LinkedHashMap<>(16, 0.75f, true);
-    private final Complaints complaints;
     private boolean leaving;
 
     MemberProbes(LineFront front) {
         this.front = front;
-        complaints = new Complaints("members' probes answered with what cannot be used", front.limits, front.log);
     }
 
     @Override
@@ -65,14 +63,13 @@
         return probes.size() < most && front.loop.hasRoomForFlow();
     }
 
-    /** Closes what was not used for long, and tells the log of what could not be used. */
+    /** Closes what was not used for long. */
     void sweep(double nowMs) {
         for (Probe p : new ArrayList<>(probes.values())) {
             if (!p.asking && nowMs >= p.usedMs + front.limits.probes().idleMs()) {
                 p.drop();
             }
         }
-        complaints.tell(nowMs);
     }
 
     /** One member's connection for probes, and the probe that is out on it. */
@@ -163,7 +160,7 @@
                     line(new String(line, StandardCharsets.ISO_8859_1).strip());
                 }
             } catch (BadLine e) {
-                complaints.add(e.getMessage());
+                front.memberComplaints.add(e.getMessage());
                 over(Outcome.ERROR);
             }
         }
@@ -171,7 +168,7 @@
         private void line(String text) {
             if (!asking) {
                 // Nobody asked: on such a connection no answer could be told from another.
-                complaints.add("a line that nobody asked for");
+                front.memberComplaints.add("a line that nobody asked for");
                 drop();
                 return;
             }
@@ -180,7 +177,7 @@
                 case "PONG" -> answered(Outcome.OK, LoadReport.read(words.length > 1 ? words[1] : ""));
                 case "ERR" -> answered(Outcome.ERROR, Report.NONE);
                 default -> {
-                    complaints.add(words[0].equals("NO") ? "a probe that is not allowed" : "another word than PONG or ERR");
+                    front.memberComplaints.add(words[0].equals("NO") ? "a probe that is not allowed" : "another word than PONG or ERR");
                     over(Outcome.ERROR);
                 }
             }
--- a/node/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/node/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -248,8 +248,18 @@
         figures.dispatched();
     }
 
-    /** How a flow ended; told once, later tellings are passed over. */
+    /** Whether the settings say that answers may close with a load report. */
+    public boolean reportsInAnswers() {
+        return settings.reports() == BalancerApi.Reports.ANSWERS;
+    }
+
+    /** How a flow ended, with nothing told of its member's load. */
     public void ended(ServerSideFlow flow, Outcome outcome) {
+        ended(flow, outcome, Report.NONE);
+    }
+
+    /** How a flow ended; told once, later tellings are passed over. */
+    public void ended(ServerSideFlow flow, Outcome outcome, Report report) {
         if (flow.over()) {
             return;
         }
@@ -267,7 +277,7 @@
             failed(t);
         }
         turns.gather((module, ms, nowUs) -> {
-            module.finished(nowUs, t.id(), flow.number(), !t.owed(), outcome, Report.NONE);
+            module.finished(nowUs, t.id(), flow.number(), !t.owed(), outcome, report);
             forget(t);
         });
     }
--- a/node/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/node/src/test/java/tulipshed/line/LineFrontTest.java
@@ -14,6 +14,8 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +49,7 @@
     private final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
     private final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
     private final BlockingQueue<BalancerApi.Outcome> ends = new LinkedBlockingQueue<>();
+    private final BlockingQueue<BalancerApi.Report> reports = new LinkedBlockingQueue<>();
     private final List<String> log = new CopyOnWriteArrayList<>();
     private XnioLoop loop;
     private ServerSocket member;
@@ -83,7 +86,15 @@
     }
 
     private void start(Limits limits) throws Exception {
-        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        start(limits, "", "");
+    }
+
+    /** With other settings in place of some. */
+    private void start(Limits limits, String some, String others) throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json")).replace(some, others));
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        Files.delete(file);
         loop = new XnioLoop(limits);
         member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
@@ -125,6 +136,7 @@
         @Override
         public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
             ends.add(outcome);
+            reports.add(report);
             super.finished(now, request, attempt, concluded, outcome, report);
         }
 
@@ -180,6 +192,63 @@
         }
     }
 
+    /** Taken for a load, NaN would spoil all sums of the module for good; each line used to be quoted in the log. */
+    @Test
+    void aLoadThatIsNoneIsPassedOnToTheClientAndNotBelieved() throws Exception {
+        restart("\"TellsLoad\": false", "\"TellsLoad\": true");
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.say("UP r1\r\n");
+                assertEquals("UP r1", client.hear());
+                for (String bad : List.of("NaN", "-1", "Infinity", "1e300", "", "x", "1 2", "7".repeat(400))) {
+                    server.say("LOAD " + bad + "\r\n");
+                    assertEquals(("LOAD " + bad).strip(), client.hear().strip());
+                }
+                server.say("LOAD\r\nLOAD 1200.5\r\n");
+                assertEquals(1200.5, loads.poll(5, TimeUnit.SECONDS));
+                assertTrue(loads.isEmpty() && delays.isEmpty());
+            }
+        }
+        assertTrue(log.stream().noneMatch(l -> l.contains("x") && l.contains("LOAD") || l.contains("777")), log::toString);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {"UP r1|BYE inflight=7,queue=2,util=0.61; OK; 2; 0.61", "ERR queue=3; ERROR; 3; NaN",
+        "BUSY x0=1.5,util=1; FULL; NaN; 1", "BUSY; FULL; NaN; NaN", "BUSY queue=-3,util=1; FULL; NaN; NaN",
+        "BUSY queue=1,queue=2; FULL; NaN; NaN", "ERR queue; ERROR; NaN; NaN"})
+    void answersCloseWithAReportWhereTheSettingsSaySo(String said, BalancerApi.Outcome outcome, double queue, double cpu)
+            throws Exception {
+        restart("\"How\": \"off\"", "\"How\": \"inline\"");
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.say(said.replace("|", "\r\n") + "\r\n");
+                server.socket.shutdownOutput();
+                assertEquals(outcome, ends.poll(5, TimeUnit.SECONDS));
+                BalancerApi.Report report = reports.poll(5, TimeUnit.SECONDS);
+                assertEquals(queue, report.queue());
+                assertEquals(cpu, report.cpu());
+            }
+        }
+    }
+
+    @Test
+    void aReportThatTheSettingsDoNotPromiseIsNotBelieved() throws Exception {
+        try (End client = client()) {
+            client.say(OPEN);
+            try (End server = taken()) {
+                server.say("BUSY queue=9\r\n");
+                assertEquals(BalancerApi.Report.NONE, reports.poll(5, TimeUnit.SECONDS));
+            }
+        }
+    }
+
+    private void restart(String some, String others) throws Exception {
+        stop();
+        start(Limits.forDescriptors(1024), some, others);
+    }
+
     @Test
     void aMalformedFirstLineFailsAndIsNotForwarded() throws IOException {
         try (End client = client()) {
