Datagrams between nodes on sockets and behind the simulator, as transport that is off elsewhere

Change: peer.PeerPort opens the socket where settings and configuration allow it, takes 1 to 256 bytes from another node's address, 200 of one a second, and drops and counts the rest; what may not be sent is not. Actions.tell, TransactionCore.tell and peerMessage; ReplyWriter writes WritePeer. SIGHUP turns it on and off. Complaints moved to link. Nothing is sent yet.

--- a/lab/src/main/java/tulipshed/lab/policy/ModulePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/ModulePolicy.java
@@ -141,6 +141,11 @@
         throw new UnsupportedOperationException("members are not probed");
     }
 
+    @Override
+    public void tell(int peer, byte[] body) {
+        throw new UnsupportedOperationException("nodes do not talk");
+    }
+
     @Override
     public void watchList() {
         host.watch();
--- a/node/src/main/java/tulipshed/command/DemoCommand.java
+++ b/node/src/main/java/tulipshed/command/DemoCommand.java
@@ -86,7 +86,7 @@
                     .replace("127.0.0.1:4433", "127.0.0.1:0").getBytes(StandardCharsets.UTF_8), read.names());
             // The list that the configuration remembers names members that are not there.
             NodeConfig fresh = new NodeConfig(read.name(), read.listen(), null, read.discovery(), read.seed(), read.memoryMb(),
-                    read.sockets(), Map.of(), read.settings(), read.names(), read.loadTellsDelay());
+                    read.sockets(), Map.of(), read.settings(), read.names(), read.loadTellsDelay(), null);
             return new Node(fresh, rules, Limits.forDescriptors(DESCRIPTORS), new SystemClock(), l -> say("  [node] " + l));
         } finally {
             Files.deleteIfExists(folder.resolve("node.json"));
--- a/node/src/main/java/tulipshed/command/Node.java
+++ b/node/src/main/java/tulipshed/command/Node.java
@@ -23,6 +23,7 @@
 import tulipshed.link.XnioLoop;
 import tulipshed.management.ManagementFront;
 import tulipshed.operators.OperatorsFile;
+import tulipshed.peer.PeerPort;
 import tulipshed.quic.QuicConfig;
 import tulipshed.quic.QuicFront;
 import tulipshed.routing.Router;
@@ -45,6 +46,7 @@
     private TransactionCore core;
     private LineFront front;
     private QuicFront quic;
+    private PeerPort peers;
     private ManagementFront management;
     private Watch watch;
     private AcceptingChannel<StreamConnection> server;
@@ -111,6 +113,7 @@
         core.source(watch);
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
         front.declare(router == null ? null : router.declarations());
+        peersAs(config);
         if (siblings.otherServes()) {
             // What discovery has told the other process binds this one as well, so it asks before it serves.
             watch.catchUp();
@@ -120,6 +123,16 @@
         }
     }
 
+    /** Datagrams between nodes: nothing of them exists until a configuration allows them. */
+    private void peersAs(NodeConfig configured) {
+        if (peers == null && configured.peers() != null) {
+            peers = new PeerPort(clock, limits, loop, core, log);
+        }
+        if (peers != null) {
+            peers.configure(configured.peers());
+        }
+    }
+
     private void takeOver(CompletableFuture<Void> started, double latestMs) {
         if (core.listTold() || clock.nowMs() >= latestMs) {
             serve(started);
@@ -149,6 +162,9 @@
         siblings.look();
         core.share(siblings.share());
         core.lookAtCompanion();
+        if (peers != null && !siblings.accompanied() && !leaving) {
+            peers.look();
+        }
         if (!siblings.accompanied() && quic == null && quicConfig != null && !leaving) {
             try {
                 quic = new QuicFront(clock, limits, quicConfig, names, loop, core, log);
@@ -200,6 +216,7 @@
                     quic.reconfigure(QuicConfig.of(operators.quic()));
                 }
             }
+            peersAs(changed);
             watch.move(changed.discovery());
             core.figures().reloaded(true);
             // Said once it holds: whoever waits for the line may count on the new settings at once.
@@ -281,6 +298,9 @@
                 if (quic != null) {
                     quic.close();
                 }
+                if (peers != null) {
+                    peers.close();
+                }
                 if (management != null) {
                     management.close();
                 }
--- a/node/src/main/java/tulipshed/config/NodeConfig.java
+++ b/node/src/main/java/tulipshed/config/NodeConfig.java
@@ -12,12 +12,12 @@
 
 /**
  * What a node is told at its start, from the file that PROXY_CONFIG names and the variables beside it; the second
- * address, {@code management}, is null where it is off.
+ * address, {@code management}, is null where it is off, and so is {@code peers}.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress management,
         InetSocketAddress discovery, long seed,
         int memoryMb, int sockets, Map<String, Object> known, Settings settings, SettingsReader.Names names,
-        boolean loadTellsDelay) {
+        boolean loadTellsDelay, PeerConfig peers) {
 
     /** Reads the configuration; a {@link MalformedInput} tells in one line what is wrong with it. */
     public static NodeConfig load(Map<String, String> environment) {
@@ -45,11 +45,13 @@
         SettingsReader.Names names = new SettingsReader.Names();
         Map<String, Object> settings = child(json, "settings");
         Map<String, Object> family = child(settings, "FamilyInfo");
+        Settings read = SettingsReader.read(settings, names);
         return new NodeConfig(name, listen,
                 management == null || management.isEmpty() ? null : address("management", management), discovery,
                 seed(text(json, "seed", "0")), (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
-                child(json, "known"), SettingsReader.read(settings, names), names,
-                Boolean.TRUE.equals(family.get("TellsDelay")) && !Boolean.TRUE.equals(family.get("TellsLoad")));
+                child(json, "known"), read, names,
+                Boolean.TRUE.equals(family.get("TellsDelay")) && !Boolean.TRUE.equals(family.get("TellsLoad")),
+                PeerConfig.read(json, read.limits().peers(), read.self()));
     }
 
     private static long seed(String hex) {
--- a/node/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/node/src/main/java/tulipshed/decision/BalancerApi.java
@@ -69,6 +69,9 @@
 
     /** Everything decided, in the order decided. */
     interface Actions {
+        /** All other balancers of the tier. */
+        int ALL_PEERS = -1;
+
         /** Starts the next attempt of a request; time-out 0 means until the client gives up. */
         void send(long request, String server, long timeoutUs);
 
@@ -90,6 +93,12 @@
         /** Asks a server for its load report. */
         void probe(String server);
 
+        /**
+         * Sends a datagram of 1 to 256 bytes to another balancer by its number, or to all others with
+         * {@link #ALL_PEERS}. It may come late or not at all; where the settings allow none it goes nowhere.
+         */
+        void tell(int peer, byte[] body);
+
         /** Asks discovery to send the changes to the list from now on. */
         void watchList();
 
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -5,7 +5,7 @@
  * down; times are in milliseconds, sizes in bytes.
  */
 public record Limits(Sockets sockets, Lines lines, Discovery discovery, Transactions transactions, Leaving leaving,
-        Management management, Quic quic, Probes probes) {
+        Management management, Quic quic, Probes probes, Peers peers) {
 
     /** Sockets and buffers, whichever front they belong to. */
     public record Sockets(
@@ -141,6 +141,13 @@
             /** How long a connection is kept unused. */
             double idleMs) { }
 
+    /** Datagrams between nodes. */
+    public record Peers(
+            /** Largest body, which the protocol sets. */
+            int bytes,
+            /** Datagrams of one sender that are taken in a second; more are dropped. */
+            int perSecond) { }
+
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(
@@ -151,12 +158,13 @@
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
                 new Quic(2048, 4096, 8, 8, 30_000, 5_000, 3, 2_500, 8 * 1024, 1_000, 256, 4, 10_000, 5_000, 64, 256, 1, 512, 4 * 1024 * 1024),
-                new Probes(64, 500, 5_000));
+                new Probes(64, 500, 5_000),
+                new Peers(256, 200));
     }
 
     /** The same but for these. */
     public Limits with(Quic changed) {
-        return new Limits(sockets, lines, discovery, transactions, leaving, management, changed, probes);
+        return new Limits(sockets, lines, discovery, transactions, leaving, management, changed, probes, peers);
     }
 
     /** How many descriptors connections may take together when a new one is taken. */
--- a/node/src/main/java/tulipshed/line/LineFront.java
+++ b/node/src/main/java/tulipshed/line/LineFront.java
@@ -9,6 +9,7 @@
 import org.xnio.StreamConnection;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.limits.Limits;
+import tulipshed.link.Complaints;
 import tulipshed.link.Link;
 import tulipshed.link.XnioLoop;
 import tulipshed.routing.Declarations;
--- a/node/src/main/java/tulipshed/line/Complaints.java
+++ b/node/src/main/java/tulipshed/link/Complaints.java
@@ -1,10 +1,10 @@
-package tulipshed.line;
+package tulipshed.link;
 
 import java.util.function.Consumer;
 import tulipshed.limits.Limits;
 
 /** Tells the log of others that send what cannot be used: how many, and never what they sent. */
-final class Complaints {
+public final class Complaints {
     private final String what;
     private final Limits limits;
     private final Consumer<String> log;
@@ -12,19 +12,21 @@
     private String last = "";
     private double toldMs = Double.NEGATIVE_INFINITY;
 
-    Complaints(String what, Limits limits, Consumer<String> log) {
+    /** Counts under this name, which opens the line of the log. */
+    public Complaints(String what, Limits limits, Consumer<String> log) {
         this.what = what;
         this.limits = limits;
         this.log = log;
     }
 
-    void add(String why) {
+    /** One more; {@code why} is ours, never the sender's. */
+    public void add(String why) {
         count++;
         last = why;
     }
 
     /** One line at most for all that came since the line before, and not too often. */
-    void tell(double nowMs) {
+    public void tell(double nowMs) {
         if (count > 0 && nowMs - toldMs >= limits.lines().complaintsMs()) {
             log.accept(what + ": " + count + ", the last for " + last);
             toldMs = nowMs;
--- a/node/src/main/java/tulipshed/simulator/ReplyWriter.java
+++ b/node/src/main/java/tulipshed/simulator/ReplyWriter.java
@@ -89,6 +89,18 @@
         line("Poll", () -> json.writeStringField("Server", server));
     }
 
+    @Override
+    public void tell(int peer, byte[] body) {
+        line("WritePeer", () -> {
+            if (peer == ALL_PEERS) {
+                json.writeStringField("To", "*");
+            } else {
+                json.writeNumberField("To", peer);
+            }
+            json.writeBinaryField("Body", body);
+        });
+    }
+
     @Override
     public void watchList() {
         line("StreamChanges", () -> json.writeBooleanField("On", true));
--- a/node/src/main/java/tulipshed/transaction/Decisions.java
+++ b/node/src/main/java/tulipshed/transaction/Decisions.java
@@ -54,6 +54,11 @@
         turns.decide(() -> core.probe(server));
     }
 
+    @Override
+    public void tell(int peer, byte[] body) {
+        turns.decide(() -> core.tell(peer, body));
+    }
+
     @Override
     public void watchList() {
         turns.decide(core::watchList);
--- a/node/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/node/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -45,6 +45,7 @@
     private final Shadows shadows = new Shadows();
     private MemberSource source = () -> { };
     private MemberProber prober;
+    private PeerSender peers = (peer, body) -> { };
     private Companion companion;
     private double share = 1;
     private boolean watchesRoutes;
@@ -127,6 +128,22 @@
         }
     }
 
+    /** Where datagrams to other nodes go; without a sender, or where the settings allow none, they go nowhere. */
+    public void peers(PeerSender sender) {
+        peers = sender;
+    }
+
+    void tell(int peer, byte[] body) {
+        if (settings.limits().peers()) {
+            peers.send(peer, body);
+        }
+    }
+
+    /** What another node sent, by its number; the sender has been told apart from strangers. */
+    public void peerMessage(int from, byte[] body) {
+        turns.gather((module, ms, nowUs) -> module.peerMessage(nowUs, from, body));
+    }
+
     /** A probe's one answer; the report is {@link Report#NONE} where none came. */
     public void probed(String memberId, Outcome outcome, Report report) {
         turns.gather((module, ms, nowUs) -> module.probed(nowUs, memberId, outcome, report));
--- a/node/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/node/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -57,6 +57,27 @@
         assertFalse(e.getMessage().isBlank() || e.getMessage().contains("\n"));
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"[\"127.0.0.1:1\", \"127.0.0.1:2\"] | 127.0.0.1:3 | ",
+        "7 | 127.0.0.1:3 | peers is not a list", "[7] | 127.0.0.1:3 | an entry of peers is not a numeric host:port: null",
+        "[\"127.0.0.1:1\", \"127.0.0.1:1\"] | 127.0.0.1:3 | peers has an address twice",
+        "[\"n1:1\"] | 127.0.0.1:3 | an entry of peers is not a numeric host:port: n1:1",
+        "[] | 127.0.0.1 | peers_all is not a numeric host:port: 127.0.0.1"})
+    void addressesOfOtherNodesAreReadWhereTheSettingsAllowThemAndElsePassedOver(String peers, String all, String wrong)
+            throws IOException {
+        String text = Files.readString(FILE).replace("\"seed\":", "\"peer_listen\": \"127.0.0.1:9\", \"peers\": " + peers
+                + ", \"peers_all\": \"" + all + "\", \"seed\":");
+        assertNull(NodeConfig.parse(JsonValues.object(text.getBytes(StandardCharsets.UTF_8)), Map.of()).peers());
+        byte[] allowed = text.replace("\"Peers\": false", "\"Peers\": true").getBytes(StandardCharsets.UTF_8);
+        if (wrong == null) {
+            PeerConfig read = NodeConfig.parse(JsonValues.object(allowed), Map.of()).peers();
+            assertEquals("[/127.0.0.1:1, /127.0.0.1:2] /127.0.0.1:3", read.peers() + " " + read.all());
+        } else {
+            assertEquals(wrong, assertThrows(MalformedInput.class,
+                    () -> NodeConfig.parse(JsonValues.object(allowed), Map.of())).getMessage());
+        }
+    }
+
     @Property(tries = 200, seed = "41")
     void aSpoiltConfigurationIsReadOrCalledMalformedAndNothingElse(@ForAll long seed) throws IOException {
         try {
--- a/node/src/test/java/tulipshed/decision/DelegateActions.java
+++ b/node/src/test/java/tulipshed/decision/DelegateActions.java
@@ -43,6 +43,11 @@
         to.probe(server);
     }
 
+    @Override
+    public void tell(int peer, byte[] body) {
+        to.tell(peer, body);
+    }
+
     @Override
     public void watchList() {
         to.watchList();
--- a/node/src/test/java/tulipshed/decision/Recorder.java
+++ b/node/src/test/java/tulipshed/decision/Recorder.java
@@ -42,6 +42,11 @@
         lines.add("probe " + server);
     }
 
+    @Override
+    public void tell(int peer, byte[] body) {
+        lines.add("tell " + peer + " " + body.length);
+    }
+
     @Override
     public void watchList() {
         lines.add("watch");
--- /dev/null
+++ b/node/src/test/java/tulipshed/peer/PeerPortTest.java
@@ -0,0 +1,166 @@
+package tulipshed.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tulipshed.config.NodeConfig;
+import tulipshed.config.PeerConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.testing.ModuleDelegate;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.TransactionCore;
+
+/** The port under a real core whose module answers each datagram, with plain sockets as the other nodes. */
+class PeerPortTest {
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    @TempDir
+    private Path folder;
+    private DatagramSocket one;
+    private DatagramSocket all;
+    private XnioLoop loop;
+    private TransactionCore core;
+    private PeerPort port;
+    private InetSocketAddress node;
+
+    @BeforeEach
+    void open() throws IOException {
+        one = new DatagramSocket(0, LOOPBACK);
+        all = new DatagramSocket(0, LOOPBACK);
+        one.setSoTimeout(5000);
+        all.setSoTimeout(5000);
+        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
+            node = new InetSocketAddress(LOOPBACK, free.getLocalPort());
+        }
+        loop = new XnioLoop(Limits.forDescriptors(1024));
+    }
+
+    @AfterEach
+    void close() {
+        one.close();
+        all.close();
+        loop.stop();
+    }
+
+    /** Number 0 is this node, 1 is {@code one}; {@code answer} is what its module does with each datagram. */
+    private void start(boolean allowed, BiTell answer) throws Exception {
+        Path file = Files.writeString(folder.resolve("node.json"), Files.readString(Path.of("src/test/resources/node.json"))
+                .replace("\"Peers\": false", "\"Peers\": " + allowed));
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        onLoop(() -> {
+            core = new TransactionCore(new SystemClock(), Limits.forDescriptors(1024), config.settings(), 1, loop, l -> { },
+                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
+                        @Override
+                        public void peerMessage(long at, int from, byte[] body) {
+                            told.add(from + ":" + new String(body));
+                            answer.tell(actions, from);
+                        }
+                    });
+            port = new PeerPort(new SystemClock(), Limits.forDescriptors(1024), loop, core, l -> { });
+            port.configure(new PeerConfig(node, List.of(node, (InetSocketAddress) one.getLocalSocketAddress()),
+                    (InetSocketAddress) all.getLocalSocketAddress(), 0));
+            port.look();
+        });
+    }
+
+    private interface BiTell {
+        void tell(BalancerApi.Actions actions, int from);
+    }
+
+    private void onLoop(Runnable what) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.afterGathering(() -> {
+            try {
+                what.run();
+                done.complete(null);
+            } catch (RuntimeException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        done.get(10, TimeUnit.SECONDS);
+    }
+
+    private void say(String text) throws IOException {
+        one.send(new DatagramPacket(text.getBytes(), text.length(), node));
+    }
+
+    private static String hear(DatagramSocket at) throws IOException {
+        DatagramPacket p = new DatagramPacket(new byte[2000], 2000);
+        at.receive(p);
+        return new String(p.getData(), 0, p.getLength());
+    }
+
+    private long figure(String name) throws Exception {
+        CompletableFuture<Long> value = new CompletableFuture<>();
+        loop.afterGathering(() -> value.complete(core.figures().more().get(name).getAsLong()));
+        return value.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void theModuleHearsEachAndReachesOneOrAll() throws Exception {
+        start(true, (actions, from) -> {
+            actions.tell(from, "to you".getBytes());
+            actions.tell(BalancerApi.Actions.ALL_PEERS, "to all".getBytes());
+        });
+        say("a");
+        say("a");
+        assertEquals("to you", hear(one));
+        assertEquals("to all", hear(all));
+        assertEquals("1:a", told.poll(5, TimeUnit.SECONDS));
+        assertEquals("1:a", told.poll(5, TimeUnit.SECONDS), "a repeat is the module's to know");
+    }
+
+    /** A datagram of over 256 bytes voids a run; one to a node that is not there would go nowhere. */
+    @Test
+    void whatMayNotBeSentIsNot() throws Exception {
+        start(true, (actions, from) -> {
+            for (int peer : new int[] {0, 2, -2, Integer.MAX_VALUE}) {
+                actions.tell(peer, new byte[] {1});
+            }
+            actions.tell(1, new byte[257]);
+            actions.tell(1, new byte[0]);
+            actions.tell(1, "x".repeat(256).getBytes());
+        });
+        say("a");
+        assertEquals(256, hear(one).length(), "the last of seven is the first that goes out");
+        assertEquals(6, figure("peers_not_sent"));
+        assertEquals(1, figure("peers_sent"));
+    }
+
+    @Test
+    void nothingIsSentWhereTheSettingsAllowNone() throws Exception {
+        start(false, (actions, from) -> actions.tell(1, "x".getBytes()));
+        say("a");
+        assertEquals("1:a", told.poll(5, TimeUnit.SECONDS));
+        assertEquals(0, figure("peers_sent") + figure("peers_not_sent"), "not even handed to the port");
+    }
+
+    @Test
+    void aPortThatIsTurnedOffGivesItsAddressBack() throws Exception {
+        start(true, (actions, from) -> { });
+        onLoop(() -> port.configure(null));
+        new DatagramSocket(node).close();
+        onLoop(port::look);
+        assertTrue(!port.open());
+    }
+}
--- a/node/src/test/java/tulipshed/simulator/AdapterTest.java
+++ b/node/src/test/java/tulipshed/simulator/AdapterTest.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi.Actions;
+import tulipshed.testing.ModuleDelegate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -65,4 +67,21 @@
                 + "\"java.lang.IllegalStateException: no \\\"decision\\\"\"}\n"
                 + "{\"cmd\":\"Done\",\"frame\":1}\n", out.toString(StandardCharsets.UTF_8));
     }
+
+    @Test
+    void datagramsToOtherInstancesAreWrittenAsTheWireHasThem() throws IOException {
+        String start = resource("exchange.jsonl").lines().limit(2).reduce("", (a, b) -> a + b + "\n");
+        Adapter.run(new ByteArrayInputStream((start + "{\"cmd\":\"NoteFrom\",\"Who\":\"balancer_0\",\"SrcPeer\":2,"
+                + "\"Body\":\"aGkgNw==\"}\n{\"cmd\":\"Eob\"}\n").getBytes(StandardCharsets.UTF_8)), out, err,
+                (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
+                    @Override
+                    public void peerMessage(long at, int from, byte[] body) {
+                        actions.tell(from, body);
+                        actions.tell(Actions.ALL_PEERS, new byte[] {1, 2});
+                    }
+                });
+        assertTrue(out.toString(StandardCharsets.UTF_8).contains(
+                "{\"cmd\":\"WritePeer\",\"Who\":\"balancer_0\",\"To\":2,\"Body\":\"aGkgNw==\"}\n"
+                + "{\"cmd\":\"WritePeer\",\"Who\":\"balancer_0\",\"To\":\"*\",\"Body\":\"AQI=\"}\n"), out::toString);
+    }
 }
