--- a/lab/src/main/java/tulipshed/lab/load/NodeProcess.java
+++ b/lab/src/main/java/tulipshed/lab/load/NodeProcess.java
@@ -7,17 +7,25 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 
 /** A node as a process of its own, started with its configuration, and started again as often as it is stopped. */
 final class NodeProcess {
+    private static final int LINES = 2000;
     private final Path jar;
     private final Path config;
     private final Path temporary;
     private Process process;
     private final InetSocketAddress address;
+    private final Deque<Line> said = new ArrayDeque<>();
     private volatile boolean serves;
     private boolean killed;
+    private boolean stopped;
+
+    /** A line of its log, and when it came. */
+    record Line(long atNs, String text) { }
 
     /** A node that its configuration has listen on a port of its own. */
     NodeProcess(Path jar, Path config, Path temporary) throws IOException {
@@ -33,6 +41,7 @@
     void start() {
         serves = false;
         killed = false;
+        stopped = false;
         ProcessBuilder b = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Djava.io.tmpdir=" + temporary, "-jar",
                 jar.toString(), "serve"));
@@ -52,6 +61,7 @@
     private void read(Process of) {
         try (BufferedReader log = of.inputReader()) {
             for (String line = log.readLine(); line != null; line = log.readLine()) {
+                remember(line);
                 serves |= line.contains(" serves on ") && of == process;
                 if (line.contains("fault") || line.contains("Exception")) {
                     System.err.println("node: " + line);
@@ -63,6 +73,34 @@
         }
     }
 
+    private synchronized void remember(String line) {
+        said.add(new Line(System.nanoTime(), line));
+        if (said.size() > LINES) {
+            said.poll();
+        }
+    }
+
+    /** The last lines of its log, over all its starts. */
+    synchronized List<Line> said() {
+        return List.copyOf(said);
+    }
+
+    /** Whether it ended although nobody stopped it. */
+    boolean crashed() {
+        return process != null && !stopped && !process.isAlive();
+    }
+
+    /** Has the process stand still, or go on where it stood. */
+    void still(boolean on) {
+        try {
+            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     boolean serves() {
         return serves && process.isAlive();
     }
@@ -82,6 +120,10 @@
 
     void stop(boolean politely) {
         serves = false;
+        stopped = true;
+        if (process == null) {
+            return;
+        }
         if (politely) {
             process.destroy();
         } else {
--- a/lab/src/main/java/tulipshed/lab/load/SocketMember.java
+++ b/lab/src/main/java/tulipshed/lab/load/SocketMember.java
@@ -50,10 +50,18 @@
         @Override
         public void line(Wire wire, String line) {
             if (flow != null) {
+                if (!flow.over && line.startsWith("M ") && run.runs(number)) {
+                    wire.say(line);
+                }
                 return;
             }
             String[] words = line.split(" ");
             Try t = words.length > 1 && words[0].equals("OPEN") ? run.find(words[1]) : null;
+            if (t == null && words.length > 1 && run.hasLeft(words[1])) {
+                // Held on its way for longer than its client waited.
+                wire.reset();
+                return;
+            }
             if (t == null) {
                 run.stranger();
                 wire.sayAndClose("SYNTAX");
--- a/lab/src/main/java/tulipshed/lab/model/Kinds.java
+++ b/lab/src/main/java/tulipshed/lab/model/Kinds.java
@@ -23,6 +23,7 @@
     public static final int OVERDUE = 18;      // its own, Try: an answer would not even be a late one any more
     public static final int RELOAD = 19;       // the configuration is read again, discovery is elsewhere
     public static final int EARLY = 20;        // that part of the clients leave before they are answered
+    public static final int SAYS = 21;         // its own, a client's connection: it sends a line
     // To members.
     public static final int DIAL = 30;         // Flow
     public static final int DROP = 31;         // Flow: the node's side is closed
--- a/lab/src/main/java/tulipshed/lab/model/Troubles.java
+++ b/lab/src/main/java/tulipshed/lab/model/Troubles.java
@@ -214,7 +214,7 @@
                     planner.plan(t.atMs(), m, Kinds.CUT, null, 0);
                 }
             }
-            default -> throw new IllegalStateException(t.kind());
+            default -> throw new IllegalArgumentException(t.kind() + " needs links between real processes: lab trial");
         }
     }
 
--- a/lab/src/main/java/tulipshed/lab/model/World.java
+++ b/lab/src/main/java/tulipshed/lab/model/World.java
@@ -163,6 +163,20 @@
         return members[member].name;
     }
 
+    /** Whether a member's process runs. */
+    public boolean runs(int member) {
+        return members[member].alive();
+    }
+
+    /** Worth of all that clients wanted within a second of the day, for as long as each wanted it; 1 is one connection of worth 1. */
+    public double wanted(int second) {
+        long sum = 0;
+        for (Tally t : tallies) {
+            sum += t.secondWanted[Math.min(t.seconds - 1, second)];
+        }
+        return sum / 1e6;
+    }
+
     /** How many members there may ever be. */
     public int memberCount() {
         return members.length;
--- a/lab/src/main/java/tulipshed/lab/tool/Lab.java
+++ b/lab/src/main/java/tulipshed/lab/tool/Lab.java
@@ -7,7 +7,7 @@
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "tulipshed lab",
         description = "Emulates what the node balances, and compares designs.",
         subcommands = {RunCommand.class, SweepCommand.class, CompareCommand.class, ReportCommand.class, ReplayCommand.class,
-            LoadCommand.class, QueryCommand.class, GateCommand.class})
+            LoadCommand.class, TrialCommand.class, QueryCommand.class, GateCommand.class})
 public final class Lab {
     public static void main(String[] args) {
         System.setProperty("java.awt.headless", "true");
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/trial/Relays.java
@@ -0,0 +1,151 @@
+package tulipshed.lab.trial;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.lab.load.Ways;
+
+/**
+ * All links of a trial, on one thread of their own. What a round of reading shows is told ends first: a node ends one flow
+ * before it opens the next, but two sockets have no order.
+ */
+final class Relays implements AutoCloseable {
+    private static final int READ_BYTES = 64 * 1024;
+    private static final long TURN_MS = 1;
+
+    private final Selector selector = Selector.open();
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final List<StreamLink> links = new ArrayList<>();
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(READ_BYTES);
+    private final List<Runnable> ends = new ArrayList<>();
+    private final List<First> firsts = new ArrayList<>();
+    private long round;
+    private long connections;
+    private final UniformRandomProvider random;
+    private final Thread thread;
+    private volatile boolean stopped;
+    private volatile long latestNs;
+
+    /** What one connection has begun with, and its end where both came in one round. */
+    private record First(long connection, Runnable what) { }
+
+    /** Links whose jitter is drawn from {@code random}. */
+    Relays(UniformRandomProvider random) throws IOException {
+        this.random = random;
+        thread = new Thread(this::turns, "relays");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A link to an address; the ear, which may be null, is told on the relays' thread. */
+    StreamLink link(InetSocketAddress to, Ways.Ear ear) throws IOException {
+        StreamLink link = new StreamLink(this, to, ear);
+        on(() -> {
+            links.add(link);
+            try {
+                link.register();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        return link;
+    }
+
+    /** Runs something on the relays' thread, in the order given. */
+    void on(Runnable task) {
+        tasks.add(task);
+        selector.wakeup();
+    }
+
+    /** The longest that something due waited for the relays themselves, in milliseconds. */
+    double lateMs() {
+        return latestNs / 1e6;
+    }
+
+    private void turns() {
+        try {
+            while (!stopped) {
+                selector.select(TURN_MS);
+                round++;
+                for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+                    task.run();
+                }
+                for (SelectionKey k : selector.selectedKeys()) {
+                    if (k.attachment() instanceof StreamLink l) {
+                        l.accept();
+                    } else if (k.isValid()) {
+                        ((Carried) k.attachment()).ready();
+                    }
+                }
+                selector.selectedKeys().clear();
+                links.forEach(StreamLink::deliver);
+                ends.forEach(Runnable::run);
+                firsts.sort(Comparator.comparingLong(First::connection));
+                firsts.forEach(f -> f.what().run());
+                ends.clear();
+                firsts.clear();
+            }
+            for (StreamLink l : links) {
+                l.close();
+            }
+            selector.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("the relays have failed", e);
+        }
+    }
+
+    // ---- For links ----
+
+    Selector selector() {
+        return selector;
+    }
+
+    ByteBuffer scratch() {
+        return scratch;
+    }
+
+    double chance() {
+        return random.nextDouble();
+    }
+
+    void late(long ns) {
+        latestNs = Math.max(latestNs, ns);
+    }
+
+    long round() {
+        return round;
+    }
+
+    long nextConnection() {
+        return ++connections;
+    }
+
+    /** The end of a connection that had begun in an earlier round. */
+    void tellEnd(Runnable what) {
+        ends.add(what);
+    }
+
+    /** A beginning, or an end in the same round; in the order in which the connections were opened. */
+    void tellFirst(long connection, Runnable what) {
+        firsts.add(new First(connection, what));
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        selector.wakeup();
+        try {
+            thread.join(5000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/trial/Schedule.java
@@ -0,0 +1,183 @@
+package tulipshed.lab.trial;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.IntPredicate;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+import tulipshed.lab.scenario.Scenario;
+import tulipshed.lab.scenario.Scenario.Trouble;
+
+/**
+ * The faults of links and processes of one trial, from its scenario and seed alone; the scenario's other troubles are the
+ * world's. Without I/O and without a clock.
+ */
+final class Schedule {
+    /** Troubles that this makes; docs/fleet-trials.md has what their figures mean. */
+    static final List<String> KINDS = List.of("partition", "silence-members", "cut-links", "slow-links", "reset-links", "deaf-links",
+            "mute-discovery", "stop-nodes");
+    private static final int NODES_SEND = 1;
+    private static final int MEMBERS_SEND = 2;
+
+    private final List<Fault> faults;
+
+    Schedule(List<Fault> faults) {
+        this.faults = List.copyOf(faults);
+    }
+
+    /** Draws who is struck; members are {@code 0} to {@code members - 1}, and stand at sites in turn as nodes do. */
+    static Schedule draw(Scenario s, int members, UniformRandomProvider random) {
+        List<Fault> out = new ArrayList<>();
+        Set<Integer> nodes = all(s.nodes().count(), i -> true);
+        for (Trouble t : s.troubles()) {
+            double until = t.atMs() + t.overMs();
+            switch (t.kind()) {
+                case "partition" -> {
+                    int site = t.count() % s.network().sites();
+                    int sites = s.network().sites();
+                    // Either end at that site, the other elsewhere.
+                    out.add(links(t, until, all(s.nodes().count(), n -> n % sites == site), all(members, m -> m % sites != site), held(0)));
+                    out.add(links(t, until, all(s.nodes().count(), n -> n % sites != site), all(members, m -> m % sites == site), held(0)));
+                    if (site != 0) {
+                        out.add(discovery(t, until, all(s.nodes().count(), n -> n % sites == site)));
+                    }
+                }
+                case "silence-members" -> out.add(links(t, until, nodes, chosen(random, t, members), held(0)));
+                case "cut-links" -> each(out, t, until, s, members, random, held(t.count()));
+                case "deaf-links" -> each(out, t, until, s, members, random, new Condition(false, false, true, 0, 0));
+                case "slow-links" -> each(out, t, until, s, members, random,
+                        new Condition(false, false, false, t.factor(), t.factor()));
+                case "reset-links" -> out.add(new Fault(t.kind(), t.atMs(), t.atMs(), nodes, all(members, m -> true),
+                        Condition.SOUND, t.share(), t.count() == 1));
+                case "mute-discovery" -> out.add(discovery(t, until, chosen(random, t, s.nodes().count())));
+                case "stop-nodes" -> out.add(new Fault(t.kind(), t.atMs(), until, chosen(random, t, s.nodes().count()), Set.of(),
+                        Condition.SOUND, 0, false));
+                default -> { }
+            }
+        }
+        return new Schedule(out);
+    }
+
+    /** The same scenario without the troubles that are made here. */
+    static Scenario rest(Scenario s) {
+        return new Scenario(s.name(), s.lengthMs(), s.settleMs(), s.policy(), s.network(), s.nodes(), s.kinds(), s.members(),
+                s.discovery(), s.classes(), s.tenants(), s.clients(),
+                s.troubles().stream().filter(t -> !KINDS.contains(t.kind())).toList());
+    }
+
+    private static Condition held(int direction) {
+        return new Condition(direction != MEMBERS_SEND, direction != NODES_SEND, direction == 0, 0, 0);
+    }
+
+    private static Set<Integer> all(int of, IntPredicate which) {
+        return IntStream.range(0, of).filter(which).boxed().collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static Set<Integer> chosen(UniformRandomProvider random, Trouble t, int of) {
+        List<Integer> numbers = new ArrayList<>(all(of, i -> true));
+        ListSampler.shuffle(random, numbers);
+        int count = t.count() > 0 ? t.count() : (int) Math.round(t.share() * of);
+        return new TreeSet<>(numbers.subList(0, Math.min(of, Math.max(1, count))));
+    }
+
+    private static Fault links(Trouble t, double until, Set<Integer> nodes, Set<Integer> members, Condition c) {
+        return new Fault(t.kind(), t.atMs(), until, nodes, members, c, 0, false);
+    }
+
+    private static Fault discovery(Trouble t, double until, Set<Integer> nodes) {
+        return new Fault(t.kind(), t.atMs(), until, nodes, Set.of(), held(0), 0, false);
+    }
+
+    /** A share of the links between nodes and members, each drawn by itself, so that nodes see different members out. */
+    private static void each(List<Fault> out, Trouble t, double until, Scenario s, int members, UniformRandomProvider random, Condition c) {
+        for (int n = 0; n < s.nodes().count(); n++) {
+            Set<Integer> struck = new LinkedHashSet<>();
+            for (int m = 0; m < members; m++) {
+                if (random.nextDouble() < t.share()) {
+                    struck.add(m);
+                }
+            }
+            if (!struck.isEmpty()) {
+                out.add(links(t, until, Set.of(n), struck, c));
+            }
+        }
+    }
+
+    List<Fault> faults() {
+        return faults;
+    }
+
+    /** When the first begins and the last ends, in milliseconds; 0 without any. */
+    double firstMs() {
+        return faults.stream().mapToDouble(Fault::fromMs).min().orElse(0);
+    }
+
+    double lastMs() {
+        return faults.stream().mapToDouble(Fault::untilMs).max().orElse(0);
+    }
+
+    /** How the link between a node and a member is at a moment. */
+    Condition member(int node, int member, double nowMs) {
+        Condition c = Condition.SOUND;
+        for (Fault f : faults) {
+            if (f.at(nowMs) && f.nodes().contains(node) && f.members().contains(member)) {
+                c = c.and(f.condition());
+            }
+        }
+        return c;
+    }
+
+    /** How the link between a node and discovery is at a moment. */
+    Condition discovery(int node, double nowMs) {
+        Condition c = Condition.SOUND;
+        for (Fault f : faults) {
+            if (f.at(nowMs) && f.members().isEmpty() && f.nodes().contains(node)) {
+                c = c.and(f.condition());
+            }
+        }
+        return c;
+    }
+
+    /** Whether a node's process is to stand still at a moment. */
+    boolean still(int node, double nowMs) {
+        return faults.stream().anyMatch(f -> f.kind().equals("stop-nodes") && f.at(nowMs) && f.nodes().contains(node));
+    }
+
+    /** Whether it was to, at some moment between these. */
+    boolean stoodStill(int node, double fromMs, double toMs) {
+        return faults.stream().anyMatch(f -> f.kind().equals("stop-nodes") && f.nodes().contains(node) && f.fromMs() <= toMs
+                && f.untilMs() >= fromMs);
+    }
+
+    /** From when on a node can hear what discovery tells it at that moment. */
+    double hearsMs(int node, double atMs) {
+        double at = atMs;
+        for (boolean moved = true; moved;) {
+            moved = false;
+            for (Fault f : faults) {
+                boolean out = f.members().isEmpty() && f.nodes().contains(node)
+                        && (f.condition().holdsBack() || f.kind().equals("stop-nodes"));
+                if (out && f.at(at)) {
+                    at = f.untilMs();
+                    moved = true;
+                }
+            }
+        }
+        return at;
+    }
+
+    /** All moments at which something changes, in order. */
+    List<Double> changes() {
+        TreeSet<Double> out = new TreeSet<>();
+        faults.forEach(f -> {
+            out.add(f.fromMs());
+            out.add(f.untilMs());
+        });
+        return List.copyOf(out);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/trial/StreamLink.java
@@ -0,0 +1,98 @@
+package tulipshed.lab.trial;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import tulipshed.lab.load.Ways;
+
+/** One link: an address of its own, whose connections are carried on to another under what the link is going through. */
+final class StreamLink {
+    private static final int BACKLOG = 256;
+
+    private final Relays relays;
+    private final InetSocketAddress to;
+    private final Ways.Ear ear;
+    private final ServerSocketChannel listener;
+    private final Set<Carried> carried = new LinkedHashSet<>();
+    private Condition condition = Condition.SOUND;
+    private long changedNs = System.nanoTime();
+
+    StreamLink(Relays relays, InetSocketAddress to, Ways.Ear ear) throws IOException {
+        this.relays = relays;
+        this.to = to;
+        this.ear = ear;
+        listener = ServerSocketChannel.open();
+        listener.configureBlocking(false);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+    }
+
+    InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) listener.getLocalAddress();
+    }
+
+    // ---- On the relays' thread from here on ----
+
+    void register() throws IOException {
+        listener.register(relays.selector(), SelectionKey.OP_ACCEPT, this);
+    }
+
+    void accept() throws IOException {
+        for (SocketChannel c = listener.accept(); c != null; c = listener.accept()) {
+            carried.add(new Carried(this, relays, c, condition.deaf() ? null : to));
+        }
+    }
+
+    Condition condition() {
+        return condition;
+    }
+
+    /** Since when it has been as it is: what was held until then is no fault of the relays. */
+    long changedNs() {
+        return changedNs;
+    }
+
+    Ways.Ear ear() {
+        return ear;
+    }
+
+    void become(Condition changed) {
+        boolean heard = condition.deaf() && !changed.deaf();
+        condition = changed;
+        changedNs = System.nanoTime();
+        for (Carried c : List.copyOf(carried)) {
+            if (heard && c.unheard()) {
+                c.reset(false);
+            } else {
+                c.deliver();
+            }
+        }
+    }
+
+    /** Breaks what is open, the oldest share of it; {@code midLine} lets half of what a side is owed through before. */
+    void reset(double share, boolean midLine) {
+        List<Carried> all = new ArrayList<>(carried);
+        all.subList(0, (int) Math.round(all.size() * share)).forEach(c -> c.reset(midLine));
+    }
+
+    void deliver() {
+        if (!carried.isEmpty()) {
+            List.copyOf(carried).forEach(Carried::deliver);
+        }
+    }
+
+    void ended(Carried c) {
+        carried.remove(c);
+    }
+
+    void close() throws IOException {
+        listener.close();
+        List.copyOf(carried).forEach(c -> c.reset(false));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tulipshed/lab/trial/TrialRun.java
@@ -0,0 +1,128 @@
+package tulipshed.lab.trial;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import tulipshed.lab.load.LoadRun;
+import tulipshed.lab.load.Ways;
+import tulipshed.lab.model.Outcome;
+import tulipshed.lab.model.Seeds;
+import tulipshed.lab.scenario.Scenario;
+
+/** One trial: real nodes in the lab's world, each link between them and it through a relay, under a schedule of faults. */
+public final class TrialRun implements AutoCloseable, Ways {
+    private static final int DRAWS = 31; // apart from the world's own chances
+    private static final int JITTER = 32;
+
+    private final Schedule schedule;
+    private final List<Double> changes;
+    private final Relays relays;
+    private final LoadRun run;
+    /** By node, then member. */
+    private final List<List<StreamLink>> members = new ArrayList<>();
+    private final List<StreamLink> discovery = new ArrayList<>();
+    private final List<List<Condition>> set = new ArrayList<>();
+    private double turnedMs = -1;
+
+    /** The trial of a scenario, with the faults that its seed draws. */
+    public TrialRun(Scenario s, long seed, Path jar) throws IOException {
+        this(s, seed, jar, draw(s, seed));
+    }
+
+    TrialRun(Scenario s, long seed, Path jar, Schedule schedule) throws IOException {
+        this.schedule = schedule;
+        changes = schedule.changes();
+        for (int n = 0; n < s.nodes().count(); n++) {
+            members.add(new ArrayList<>());
+            set.add(new ArrayList<>());
+        }
+        relays = new Relays(Seeds.random(seed, JITTER, 0));
+        try {
+            run = new LoadRun(Schedule.rest(s), seed, jar, this);
+        } catch (IOException | RuntimeException e) {
+            relays.close();
+            throw e;
+        }
+    }
+
+    static Schedule draw(Scenario s, long seed) {
+        int members = s.kinds().stream().mapToInt(Scenario.MemberKind::count).sum();
+        return Schedule.draw(s, members, Seeds.random(seed, DRAWS, 0));
+    }
+
+    /** Plays it. */
+    public Verdict play(Verdict.Bounds bounds) throws IOException, InterruptedException {
+        Outcome o = run.run();
+        return Verdict.of(schedule, o, run, relays.lateMs(), bounds);
+    }
+
+    /** What the nodes said between two moments of the day. */
+    public List<String> said(double fromMs, double toMs) {
+        return run.said(fromMs, toMs);
+    }
+
+    // ---- The ways of the run ----
+
+    @Override
+    public InetSocketAddress toMember(int node, int member, InetSocketAddress there, Ear ear) throws IOException {
+        StreamLink link = relays.link(there, ear);
+        members.get(node).add(link);
+        set.get(node).add(Condition.SOUND);
+        return link.address();
+    }
+
+    @Override
+    public InetSocketAddress toDiscovery(int node, InetSocketAddress there) throws IOException {
+        StreamLink link = relays.link(there, null);
+        discovery.add(link);
+        return link.address();
+    }
+
+    @Override
+    public double hearsMs(int node, double atMs) {
+        return schedule.hearsMs(node, atMs);
+    }
+
+    @Override
+    public boolean stoodStill(int node, double fromMs, double toMs) {
+        return schedule.stoodStill(node, fromMs, toMs);
+    }
+
+    @Override
+    public void turn(double nowMs) {
+        double since = turnedMs;
+        if (changes.stream().noneMatch(at -> at > since && at <= nowMs)) {
+            return;
+        }
+        turnedMs = nowMs;
+        for (int n = 0; n < members.size(); n++) {
+            for (int m = 0; m < members.get(n).size(); m++) {
+                Condition now = schedule.member(n, m, nowMs);
+                if (!now.equals(set.get(n).set(m, now))) {
+                    become(members.get(n).get(m), now);
+                }
+            }
+            become(discovery.get(n), schedule.discovery(n, nowMs));
+            if (schedule.still(n, nowMs) != schedule.still(n, since)) {
+                run.still(n, schedule.still(n, nowMs));
+            }
+        }
+        for (Fault f : schedule.faults()) {
+            if (f.share() > 0 && f.fromMs() > since && f.fromMs() <= nowMs) {
+                members.forEach(links -> links.forEach(l -> relays.on(() -> l.reset(f.share(), f.midLine()))));
+            }
+        }
+    }
+
+    private void become(StreamLink link, Condition now) {
+        relays.on(() -> link.become(now));
+    }
+
+    @Override
+    public void close() throws IOException {
+        run.close();
+        relays.close();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
@@ -0,0 +1,101 @@
+package tulipshed.lab.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tulipshed.lab.scenario.Overrides;
+import tulipshed.lab.scenario.Scenario;
+import tulipshed.lab.scenario.ScenarioReader;
+
+/** Real processes under faults, and stand-ins whose faults the checkers find. */
+class TrialTest {
+    private static final Path JAR = Path.of("../node/target/tulipshed.jar");
+    private static final String FLEET = "(settle-s 1)(network (sites 2)(within-ms 0.5)(between-ms 2))"
+            + "(members std (count 6)(cores 4))(class c (deadline-ms 1800)(aim-ms 300)(life-s 5)(load 0.02)(message-aim-ms 100))"
+            + "(clients (per-second 12)(standing 40)(come-at-first 1)(groups 6)(give-up-share 0))"
+            + "(discovery (lag-ms 100)(calls-per-s 1000))(member-model (drain-ms 2500)(restart-ms 300)(warm-ms 500)(message-ms 1))";
+    private static final Verdict.Bounds BOUNDS = new Verdict.Bounds(2.5, 4000, 0.8);
+    @TempDir
+    private Path folder;
+
+    private static Scenario scenario(String more) {
+        return ScenarioReader.read("t", (FLEET + more).getBytes(StandardCharsets.UTF_8), new Overrides(Map.of()));
+    }
+
+    private static Verdict play(String more, Path jar) throws IOException, InterruptedException {
+        try (TrialRun trial = new TrialRun(scenario(more), 4, jar)) {
+            return trial.play(BOUNDS);
+        }
+    }
+
+    /** Four processes: a site is cut off, links between single nodes and members hold one way, one node stands still. */
+    @Test
+    void theNodeKeepsTheRulesWhileLinksFail() throws Exception {
+        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
+        Verdict v = play("(seconds 19)(nodes (count 4))(trouble partition (at-s 3)(over-s 2)(count 1))"
+                + "(trouble cut-links (at-s 6)(over-s 2)(share 0.3)(count 1))(trouble cut-links (at-s 8)(over-s 1)(share 0.3)(count 2))"
+                + "(trouble stop-nodes (at-s 9)(over-s 2)(share 0.25))(trouble reset-links (at-s 10)(share 0.5)(count 1))"
+                + "(trouble deploy-members (at-s 4)(share 0.3)(over-s 2))", JAR);
+        assertEquals(List.of(), v.breaches(), v::toString);
+        assertTrue(v.outcome().rules().checked() > 300, () -> "" + v.outcome().rules());
+    }
+
+    /** Each stand-in has one fault; its checker finds it, and no other of the rules is found broken. */
+    @Test
+    void checkersFindTheFaultsOfStandIns() throws Exception {
+        Map<String, String> faults = new LinkedHashMap<>();
+        faults.put("sound", null);
+        faults.put("silence", "one-answer");
+        faults.put("second-answer", "one-answer");
+        faults.put("late-answer", "one-answer");
+        faults.put("two-flows", "one-flow");
+        faults.put("keeps-drained", "drain");
+        faults.put("crashes", "ended by itself");
+        faults.put("strange-line", "no client had sent");
+        faults.put("retries-without-bound", "attempts an asking");
+        ExecutorService pool = Executors.newFixedThreadPool(3);
+        try {
+            Map<String, Future<Verdict>> verdicts = new LinkedHashMap<>();
+            for (String fault : faults.keySet()) {
+                Path jar = StandInNode.jar(folder, fault);
+                verdicts.put(fault, pool.submit(() -> play("(seconds 9)(nodes (count 2))"
+                        + "(trouble slow-links (at-s 2)(over-s 1)(share 0.5)(factor 10))(trouble deploy-members (at-s 3)(share 0.5)(over-s 1))",
+                        jar)));
+            }
+            for (Map.Entry<String, String> f : faults.entrySet()) {
+                List<String> breaches = verdicts.get(f.getKey()).get().breaches();
+                if (f.getValue() == null) {
+                    assertEquals(List.of(), breaches);
+                } else {
+                    assertTrue(breaches.stream().anyMatch(b -> b.contains(f.getValue())), f.getKey() + ": " + breaches);
+                    // A process that ends by itself also leaves askings without an answer.
+                    assertTrue(f.getKey().equals("crashes") || breaches.stream().filter(b -> b.startsWith("rule"))
+                            .allMatch(b -> b.contains(f.getValue())), f.getKey() + " alone: " + breaches);
+                }
+            }
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    @Test
+    void theMeanIsOverWholeSecondsAndNothingElse() {
+        List<Double> served = List.of(Double.NaN, 0.5, 1.0, 0.0, 1.0);
+        assertEquals(0.5, Verdict.mean(served, 0, 4000), 1e-12);
+        assertEquals(1.0, Verdict.mean(served, 1500, 3999), 1e-12);
+        assertTrue(Double.isNaN(Verdict.mean(served, 4500, 4900)));
+    }
+}
