Where lists are pushed, the node asks its agent from the start and after each failure

On sockets the agent must be asked, and nobody did: Node.start only hands the watch to the core. The node lived on the list of its start. Ruled out: the agent's silence (no call was made).

Change: Watch.pushed: asks by itself from the start, waits 1 s a call, 0.5 s of silence is a failure, the next call after 200 ms; after an answer with nothing new 100 ms at least, so that an agent that answers at once is not asked in a loop. One line of the log a dark time. Set at the start and on SIGHUP. Asked lists: as before.

Checked: a real process with an agent that tells, goes dark and comes back (ReloadTest) fails without it; WatchTest: reset, end, error, silence, pace.

--- a/node/src/main/java/tulipshed/command/Node.java
+++ b/node/src/main/java/tulipshed/command/Node.java
@@ -111,6 +111,7 @@
         core.companion(siblings);
         watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
         core.source(watch);
+        watch.pushed(!config.settings().askedList());
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
         front.declare(router == null ? null : router.declarations());
         peersAs(config);
@@ -218,6 +219,7 @@
             }
             peersAs(changed);
             watch.move(changed.discovery());
+            watch.pushed(!changed.settings().askedList());
             core.figures().reloaded(true);
             // Said once it holds: whoever waits for the line may count on the new settings at once.
             log.accept("tulipshed: reload, discovery at " + changed.discovery()
--- a/node/src/main/java/tulipshed/discovery/Watch.java
+++ b/node/src/main/java/tulipshed/discovery/Watch.java
@@ -31,6 +31,8 @@
     private boolean whole;
     private boolean catchingUp;
     private boolean watching;
+    private boolean pushed;
+    private boolean failing;
     private Link link;
     private XnioLoop.Dialing dialing;
     private HttpAnswer answer;
@@ -55,6 +57,17 @@
         }
     }
 
+    /**
+     * Whether lists are pushed to an agent on the node's machine: what the agent has counts as told, so it is watched by
+     * itself from now on and asked again soon after each failure. Where discovery is asked, the module says when.
+     */
+    public void pushed(boolean toAgent) {
+        pushed = toAgent;
+        if (pushed) {
+            watch();
+        }
+    }
+
     /** Asks now for all that changed, without waiting for news: what another process was told binds this one. */
     public void catchUp() {
         catchingUp = true;
@@ -90,7 +103,8 @@
         calling = true;
         answer = new HttpAnswer(limits.discovery().headBytes(), limits.discovery().bodyBytes());
         long call = ++calls;
-        loop.after(waitMs() + limits.discovery().watchSilenceMs(), () -> {
+        double silenceMs = pushed ? limits.discovery().agentSilenceMs() : limits.discovery().watchSilenceMs();
+        loop.after(waitMs() + silenceMs, () -> {
             if (calling && call == calls) {
                 failed("silence");
             }
@@ -103,7 +117,7 @@
     }
 
     private double waitMs() {
-        return whole || catchingUp ? 0 : limits.discovery().watchWaitMs();
+        return whole || catchingUp ? 0 : pushed ? limits.discovery().agentWaitMs() : limits.discovery().watchWaitMs();
     }
 
     private void up(StreamConnection connection) {
@@ -157,6 +171,7 @@
             return;
         }
         calling = false;
+        failing = false;
         if (!watching) {
             watching = true;
             log.accept("discovery: watching from version " + list.version() + " on");
@@ -168,7 +183,11 @@
             hangUp();
         }
         core.members(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list.members());
-        call();
+        if (pushed && list.members().isEmpty()) {
+            loop.after(limits.discovery().agentPaceMs(), this::watch);
+        } else {
+            call();
+        }
     }
 
     private void failed(String why) {
@@ -177,9 +196,16 @@
         }
         calling = false;
         watching = false;
-        log.accept("discovery: " + why);
+        // An agent is asked again so soon that each failure of a dark time would be a line.
+        if (!pushed || !failing) {
+            log.accept("discovery: " + why);
+        }
+        failing = true;
         hangUp();
         core.members(ListKind.FAILED, List.of());
+        if (pushed) {
+            loop.after(limits.discovery().agentRetryMs(), this::watch);
+        }
     }
 
     private void hangUp() {
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -50,7 +50,15 @@
             /** How long a watch waits there for something new. */
             double watchWaitMs,
             /** How long after that wait silence counts as a failed call. */
-            double watchSilenceMs) { }
+            double watchSilenceMs,
+            /** How long a call to an agent waits there that lists are pushed to: calls are free, and a silent one shows soon. */
+            double agentWaitMs,
+            /** How long after that wait its silence counts as a failed call. */
+            double agentSilenceMs,
+            /** After a failed call to an agent, until the next. */
+            double agentRetryMs,
+            /** Between two calls to an agent that has nothing new and answers at once; under 200 ms, or the watch would end. */
+            double agentPaceMs) { }
 
     /** What the core waits for. */
     public record Transactions(
@@ -153,7 +161,7 @@
         return new Limits(
                 new Sockets(16 * 1024, 16 * 1024, descriptors, 64, 1024, 4, 900, 250, 500),
                 new Lines(4096, 2_000, 16, 120_000, 10_000),
-                new Discovery(8 * 1024, 4 * 1024 * 1024, 10_000, 2_000),
+                new Discovery(8 * 1024, 4 * 1024 * 1024, 10_000, 2_000, 1_000, 500, 200, 100),
                 new Transactions(40, 800, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
--- a/node/src/test/java/tulipshed/command/ReloadTest.java
+++ b/node/src/test/java/tulipshed/command/ReloadTest.java
@@ -11,6 +11,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -19,6 +20,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import tulipshed.demo.StandInDiscovery;
 import tulipshed.testing.NodeProcess;
 
 /** SIGHUP, given to a node in a process of its own. */
@@ -177,4 +179,39 @@
             }
         }
     }
+
+    /** Where lists are pushed, the node's agent is the only one who knows: it is asked from the start and after each dark time. */
+    @Test
+    void aNodeToWhoseAgentListsArePushedHearsOfMembersFromTheStartAndAfterADarkTime() throws Exception {
+        int listen = freePort();
+        int staff = freePort();
+        try (StandInDiscovery agent = new StandInDiscovery()) {
+            Path file = configure(listen, agent.address().getPort());
+            Files.writeString(file, Files.readString(file).replace("\"Discovery\": \"ask\"", "\"Discovery\": \"push\""));
+            InetSocketAddress member = new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
+            agent.tell("s-1", member, "decin", "std-2c", "SERVING");
+            agent.tell("s-2", member, "decin", "std-2c", "SERVING");
+            try (NodeProcess node = new NodeProcess(Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:" + staff))) {
+                node.log("tulipshed: n0 serves");
+                targets(staff, 2);
+                agent.tell("s-3", member, "usti", "std-2c", "SERVING");
+                targets(staff, 3);
+                agent.dark(true);
+                agent.tell("s-4", member, "usti", "std-2c", "SERVING");
+                node.log("discovery: ");
+                agent.dark(false);
+                targets(staff, 4);
+                agent.tell("s-4", member, "usti", "std-2c", "DELETED");
+                targets(staff, 3);
+            }
+        }
+    }
+
+    private static void targets(int staff, int wanted) throws IOException {
+        long untilNanos = System.nanoTime() + 10_000_000_000L;
+        String found = "\"targets\":" + wanted + ",";
+        while (!call(staff, "/status/metrics").contains(found)) {
+            assertTrue(System.nanoTime() < untilNanos, "the node did not hear of " + wanted);
+        }
+    }
 }
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/WatchTest.java
@@ -55,6 +55,65 @@
         });
     }
 
+    /** The next call that the watch makes by itself, after the first, which the module asked for, has failed. */
+    private Socket nextCall() throws IOException {
+        Socket socket = discovery.accept();
+        socket.setSoTimeout(5000);
+        return socket;
+    }
+
+    /** Seen at the second site: nobody asked the agent, so the list of the start was the only one that the node ever had. */
+    @Test
+    void anAgentIsWatchedByItselfAndAskedAgainAfterEachFailure() throws Exception {
+        nextCall().close();
+        assertEquals("FAILED 0", news());
+        loop.afterGathering(() -> watch.pushed(true));
+        // It resets, ends without an answer, answers with an error, and says nothing at all.
+        try (Socket socket = nextCall()) {
+            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait=1000 "));
+            socket.setSoLinger(true, 0);
+        }
+        assertEquals("FAILED 0", news());
+        try (Socket socket = nextCall()) {
+            call(socket);
+        }
+        assertEquals("FAILED 0", news());
+        try (Socket socket = nextCall()) {
+            call(socket);
+            answer(socket, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", news());
+        }
+        try (Socket silent = nextCall()) {
+            call(silent);
+            assertEquals("FAILED 0", news(), "within the time in which a drain has to be known");
+        }
+        try (Socket socket = nextCall()) {
+            call(socket);
+            answer(socket, "200 OK", list(42, true));
+            assertEquals("COMPLETE 1", news());
+            assertTrue(call(socket).contains("index=42&"));
+        }
+    }
+
+    /** Agents may answer at once although nothing is new; the watch must neither spin nor pause for 200 ms. */
+    @Test
+    void anAgentThatHasNothingNewIsNotAskedInALoop() throws Exception {
+        nextCall().close();
+        assertEquals("FAILED 0", news());
+        loop.afterGathering(() -> watch.pushed(true));
+        try (Socket socket = nextCall()) {
+            call(socket);
+            long began = System.nanoTime();
+            int calls = 20;
+            for (int i = 0; i < calls; i++) {
+                answer(socket, "200 OK", "{\"version\":41,\"full\":false,\"servers\":[]}");
+                assertEquals("CHANGES 0", news());
+                call(socket);
+            }
+            assertTrue((System.nanoTime() - began) / 1e6 >= calls * 90.0, "calls without a pause");
+        }
+    }
+
     @AfterEach
     void stop() throws IOException {
         loop.stop();
