--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -300,6 +300,11 @@
         return List.copyOf(lines.values());
     }
 
+    /** Where the nodes listen. */
+    public List<String> nodes() {
+        return processes.stream().map(p -> p.address().toString()).toList();
+    }
+
     /** Has a node's process stand still, or go on where it stood. */
     public void still(int node, boolean on) {
         nodes.get(node).still(on);
--- a/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
+++ b/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
@@ -39,7 +39,7 @@
     }
 
     private static String text(InetSocketAddress a) {
-        return "127.0.0.1:" + a.getPort();
+        return a.getAddress().getHostAddress() + ":" + a.getPort();
     }
 
     private static void settings(ObjectNode to, Scenario s, int node) {
--- a/lab/src/main/java/tulipshed/lab/load/NodeProcess.java
+++ b/lab/src/main/java/tulipshed/lab/load/NodeProcess.java
@@ -5,15 +5,18 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A node as a process of its own, started with its configuration, and started again as often as it is stopped. */
 final class NodeProcess {
     private static final int LINES = 2000;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 10_000;
+    private static final AtomicInteger STARTED = new AtomicInteger();
     private final Path jar;
     private final Path config;
     private final Path temporary;
@@ -27,11 +30,13 @@
     /** A line of its log, and when it came. */
     record Line(long atNs, String text) { }
 
-    /** A node that its configuration has listen on a port of its own. */
+    /** A node that its configuration has listen on an address of its own. */
     NodeProcess(Path jar, Path config, Path temporary) throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = (InetSocketAddress) free.getLocalSocketAddress();
-        }
+        // A free port that the kernel names may be somebody else's by the time that the node has started, another run's too: its
+        // clients would come to the wrong fleet. So the address is this process's own, the port below those the kernel gives.
+        long pid = ProcessHandle.current().pid();
+        address = new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, (byte) (1 + pid / 250 / 250 % 250),
+            (byte) (1 + pid / 250 % 250), (byte) (1 + pid % 250)}), FIRST_PORT + STARTED.getAndIncrement() % PORTS);
         this.jar = jar;
         this.config = config;
         this.temporary = temporary;
--- a/lab/src/main/java/tulipshed/lab/trial/Carried.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Carried.java
@@ -220,7 +220,7 @@
             String line = end >= 0 ? first.substring(0, end).strip() : "";
             first.setLength(0);
             firstRound = relays.round();
-            relays.tellFirst(number, () -> link.ear().first(this, line));
+            relays.tellFirst(number, false, () -> link.ear().first(this, line));
         }
     }
 
@@ -229,7 +229,7 @@
             toldOver = true;
             Runnable what = () -> link.ear().over(this);
             if (firstRound == relays.round()) {
-                relays.tellFirst(number, what);
+                relays.tellFirst(number, true, what);
             } else {
                 relays.tellEnd(what);
             }
--- a/lab/src/main/java/tulipshed/lab/trial/Relays.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Relays.java
@@ -9,7 +9,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import tulipshed.lab.load.Ways;
 
@@ -35,7 +37,7 @@
     private volatile long latestNs;
 
     /** What one connection has begun with, and its end where both came in one round. */
-    private record First(long connection, Runnable what) { }
+    private record First(long connection, boolean end, Runnable what) { }
 
     /** Links whose jitter is drawn from {@code random}. */
     Relays(UniformRandomProvider random) throws IOException {
@@ -88,8 +90,7 @@
                 selector.selectedKeys().clear();
                 links.forEach(StreamLink::deliver);
                 ends.forEach(Runnable::run);
-                firsts.sort(Comparator.comparingLong(First::connection));
-                firsts.forEach(f -> f.what().run());
+                tellFirsts();
                 ends.clear();
                 firsts.clear();
             }
@@ -102,6 +103,16 @@
         }
     }
 
+    /**
+     * What began in this round, on sockets that have no order between them: those that have ended in it as well come before
+     * those that go on. Two that really overlapped within one round are not told apart from two in turn.
+     */
+    private void tellFirsts() {
+        Set<Long> over = firsts.stream().filter(First::end).map(First::connection).collect(Collectors.toSet());
+        firsts.sort(Comparator.<First>comparingInt(f -> over.contains(f.connection()) ? 0 : 1).thenComparingLong(First::connection));
+        firsts.forEach(f -> f.what().run());
+    }
+
     // ---- For links ----
 
     Selector selector() {
@@ -133,9 +144,9 @@
         ends.add(what);
     }
 
-    /** A beginning, or an end in the same round; in the order in which the connections were opened. */
-    void tellFirst(long connection, Runnable what) {
-        firsts.add(new First(connection, what));
+    /** A beginning, or an end in the same round. */
+    void tellFirst(long connection, boolean end, Runnable what) {
+        firsts.add(new First(connection, end, what));
     }
 
     @Override
--- a/lab/src/main/java/tulipshed/lab/trial/Schedule.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Schedule.java
@@ -25,9 +25,13 @@
     private static final int MEMBERS_SEND = 2;
 
     private final List<Fault> faults;
+    private final double firstMs;
+    private final double lastMs;
 
-    Schedule(List<Fault> faults) {
+    private Schedule(List<Fault> faults, List<Trouble> troubles) {
         this.faults = List.copyOf(faults);
+        firstMs = troubles.stream().mapToDouble(Trouble::atMs).min().orElse(0);
+        lastMs = troubles.stream().mapToDouble(t -> t.atMs() + t.overMs()).max().orElse(0);
     }
 
     /** Draws who is struck; members are {@code 0} to {@code members - 1}, and stand at sites in turn as nodes do. */
@@ -60,7 +64,7 @@
                 default -> { }
             }
         }
-        return new Schedule(out);
+        return new Schedule(out, s.troubles());
     }
 
     /** The same scenario without the troubles that are made here. */
@@ -112,13 +116,14 @@
         return faults;
     }
 
-    /** When the first begins and the last ends, in milliseconds; 0 without any. */
+    /** When the first trouble of the day begins, also of those that the world makes, in milliseconds; 0 without any. */
     double firstMs() {
-        return faults.stream().mapToDouble(Fault::fromMs).min().orElse(0);
+        return firstMs;
     }
 
+    /** When the last of them ends. */
     double lastMs() {
-        return faults.stream().mapToDouble(Fault::untilMs).max().orElse(0);
+        return lastMs;
     }
 
     /** How the link between a node and a member is at a moment. */
--- a/lab/src/main/java/tulipshed/lab/trial/TrialRun.java
+++ b/lab/src/main/java/tulipshed/lab/trial/TrialRun.java
@@ -58,6 +58,11 @@
         return Verdict.of(schedule, o, run, relays.lateMs(), bounds);
     }
 
+    /** Where its nodes listen. */
+    List<String> nodes() {
+        return run.nodes();
+    }
+
     /** What the nodes said between two moments of the day. */
     public List<String> said(double fromMs, double toMs) {
         return run.said(fromMs, toMs);
--- a/lab/src/test/java/tulipshed/lab/trial/ScheduleTest.java
+++ b/lab/src/test/java/tulipshed/lab/trial/ScheduleTest.java
@@ -70,5 +70,8 @@
     void theWorldGetsTheOtherTroublesOnly() {
         Scenario s = scenario("(trouble partition (at-s 5)(over-s 4))(trouble kill-nodes (at-s 3)(count 1))(trouble cut-links (at-s 1))");
         assertEquals(List.of("kill-nodes"), Schedule.rest(s).troubles().stream().map(Scenario.Trouble::kind).toList());
+        Schedule all = Schedule.draw(s, 10, Seeds.random(1, 31, 0));
+        assertEquals(1000, all.firstMs());
+        assertEquals(9000, all.lastMs(), "also of what the world makes, as all count for being whole again");
     }
 }
--- a/lab/src/test/java/tulipshed/lab/trial/StandInNode.java
+++ b/lab/src/test/java/tulipshed/lab/trial/StandInNode.java
@@ -67,7 +67,8 @@
         String jar = System.getProperty("java.class.path");
         JsonNode config = new ObjectMapper().readTree(Files.readAllBytes(Path.of(System.getenv("PROXY_CONFIG"))));
         StandInNode node = new StandInNode(Path.of(jar).getFileName().toString().replace(".jar", ""), config);
-        try (ServerSocket listener = new ServerSocket(port(config.get("listen").asText()), 256, InetAddress.getLoopbackAddress())) {
+        String listen = config.get("listen").asText();
+        try (ServerSocket listener = new ServerSocket(port(listen), 256, InetAddress.getByName(listen.substring(0, listen.indexOf(':'))))) {
             start(node::asks);
             System.out.println("stand-in serves on " + listener.getLocalSocketAddress());
             if (node.fault.equals("crashes")) {
--- a/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
+++ b/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
@@ -7,9 +7,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -91,6 +94,24 @@
         }
     }
 
+    /** Seen in two trials side by side: both had been given one port, and each one's clients came to the other's nodes. */
+    @Test
+    void trialsSideBySideAreGivenNoAddressTwice() throws Exception {
+        List<TrialRun> trials = new ArrayList<>();
+        try {
+            Set<String> addresses = new HashSet<>();
+            for (int i = 0; i < 20; i++) {
+                trials.add(new TrialRun(scenario("(seconds 9)(nodes (count 16))"), i, JAR));
+                addresses.addAll(trials.get(i).nodes());
+            }
+            assertEquals(320, addresses.size());
+        } finally {
+            for (TrialRun t : trials) {
+                t.close();
+            }
+        }
+    }
+
     @Test
     void theMeanIsOverWholeSecondsAndNothingElse() {
         List<Double> served = List.of(Double.NaN, 0.5, 1.0, 0.0, 1.0);
