--- a/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
+++ b/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
@@ -69,9 +69,10 @@
         for (int i = 0; i < s.network().sites(); i++) {
             zones.add("s" + i);
         }
-        to.put("Zone", "s" + node % s.network().sites()).put("Me", node).put("PeersTotal", s.nodes().count());
+        to.put("Zone", "s" + node % s.network().sites()).put("Me", node).put("PeersTotal", s.nodes().count())
+                .put("Discovery", s.discovery().pushed() ? "push" : "ask");
         ((ObjectNode) to.get("Rules")).put("AskWithinS", s.discovery().askWithinMs() / 1000)
-                .put("ColdS", s.members().warmMs() / 1000).put("ColdShare", s.members().coldShare())
+                .put("DrainGraceS", s.members().drainGraceMs() / 1000).put("ColdS", s.members().warmMs() / 1000).put("ColdShare", s.members().coldShare())
                 .put("FallS", s.members().fallMs() / 1000).put("OverloadFactor", s.members().fallFactor());
     }
 }
--- a/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
@@ -82,6 +82,10 @@
             case Kinds.DARK -> {
                 darkUntilMs = nowMs + message.value;
                 onDark.accept(message.value);
+                if (world.scenario.discovery().pushed()) {
+                    // Agents are silent and learn nothing; nobody is told of a failure.
+                    return;
+                }
                 for (int n = watching.nextSetBit(0); n >= 0; n = watching.nextSetBit(n + 1)) {
                     fail(nowMs, world.nodes[n]);
                 }
@@ -104,6 +108,10 @@
     }
 
     private void tell(double nowMs, int change) {
+        if (world.scenario.discovery().pushed() && nowMs < darkUntilMs) {
+            remind(darkUntilMs, Kinds.TELL, change, 0);
+            return;
+        }
         told = change + 1;
         onNews.accept(changes.get(change));
         MemberNews.Batch batch = new MemberNews.Batch(ListKind.CHANGES, List.of(changes.get(change)));
@@ -120,6 +128,10 @@
 
     private void call(double nowMs, NodeSide from, int version) {
         calls++;
+        if (world.scenario.discovery().pushed()) {
+            remind(Math.max(nowMs, darkUntilMs), Kinds.ANSWER, from, version);
+            return;
+        }
         if (nowMs < darkUntilMs || busyUntilMs - nowMs > world.scenario.discovery().waiting()
                 / world.scenario.discovery().callsPerS() * 1000) {
             fail(nowMs, from);
--- a/lab/src/main/java/tulipshed/lab/model/NodePart.java
+++ b/lab/src/main/java/tulipshed/lab/model/NodePart.java
@@ -46,6 +46,10 @@
         policy = world.policies.apply(this);
         policy.settle();
         hears(new MemberNews.Batch(ListKind.REMEMBERED, list.news()));
+        if (world.scenario.discovery().pushed()) {
+            // The node's own network code asks the agent, without the module's word.
+            watch();
+        }
     }
 
     @Override
@@ -482,7 +486,8 @@
 
     @Override
     public void watch() {
-        if (world.cuts.backMs(site, world.discovery.site(), nowMs) <= nowMs) {
+        // An agent is on the node's own machine; what it is not told over a cut comes once the way is back.
+        if (world.scenario.discovery().pushed() || world.cuts.backMs(site, world.discovery.site(), nowMs) <= nowMs) {
             send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.WATCH, this, known.version());
         } else {
             remind(nowMs + SILENT_MS, Kinds.LIST, new MemberNews.Batch(ListKind.FAILED, List.of()), -1);
--- a/lab/src/main/java/tulipshed/lab/model/NodeSide.java
+++ b/lab/src/main/java/tulipshed/lab/model/NodeSide.java
@@ -12,8 +12,6 @@
 public abstract class NodeSide extends Part {
     /** How long after a client's wait an answer still counts. */
     protected static final double SLACK_MS = 20;
-    /** How long after the news of a drain something may still be sent. */
-    private static final double DRAIN_MS = 300;
 
     protected final int number;
     protected final String site;
@@ -54,7 +52,8 @@
 
     /** The same with each time limit so much longer, as on sockets. */
     protected final NodeRules newRules(double longerMs) {
-        return new NodeRules(number, tally().rules, SLACK_MS + longerMs, DRAIN_MS + longerMs);
+        return new NodeRules(number, tally().rules, SLACK_MS + longerMs,
+                world.scenario().members().drainGraceMs() + longerMs);
     }
 
     @Override
--- a/lab/src/main/java/tulipshed/lab/policy/SettingsOf.java
+++ b/lab/src/main/java/tulipshed/lab/policy/SettingsOf.java
@@ -7,7 +7,6 @@
 
 /** A scenario in the terms in which a node is told of its site. */
 final class SettingsOf {
-    private static final double GRACE_MS = 300;
     private static final double REPEAT_MS = 5000;
 
     private SettingsOf() { }
@@ -27,11 +26,11 @@
         double quota = s.clients().perSecond();
         List<BalancerApi.Tenant> tenants = s.tenants().stream().map(t -> new BalancerApi.Tenant(t.name(), t.share(),
                 t.quotaPerS() > 0 ? t.quotaPerS() : quota * t.share(), connections * t.share())).toList();
-        return new Settings(node, n.count(), "s" + node % s.network().sites(), false, true, n.groups(),
+        return new Settings(node, n.count(), "s" + node % s.network().sites(), false, !s.discovery().pushed(), n.groups(),
                 BalancerApi.Weights.SIZE, BalancerApi.Reports.NONE,
                 new BalancerApi.Limits(n.maxAttempts(), us(n.maxRetryAfterMs()), n.cancel(), false, false,
                         n.maxRetryAfterMs() > 0, us(n.connectTimeoutMs()), us(30_000), 1),
-                new BalancerApi.Rules(us(GRACE_MS), us(s.discovery().askWithinMs()), m.coldShare(), us(m.warmMs()),
+                new BalancerApi.Rules(us(m.drainGraceMs()), us(s.discovery().askWithinMs()), m.coldShare(), us(m.warmMs()),
                         m.fallFactor(), us(m.fallMs())),
                 new BalancerApi.Prices(0, 0, 0, 0.03, 0.19), classes, tenants);
     }
--- a/lab/src/main/java/tulipshed/lab/scenario/Scenario.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/Scenario.java
@@ -49,10 +49,14 @@
             /** Work a second of a group at each member that holds any of it, in cores. */
             double groupLoad,
             /** Whether nodes are told how long messages take at a member; on sockets they are not. */
-            boolean tellsDelay) { }
+            boolean tellsDelay,
+            /** How long after the news that a member drains or is gone something new may still be sent to it. */
+            double drainGraceMs) { }
 
     /** How nodes learn of members. */
-    public record Discovery(double lagMs, double detectMs, double silentMs, double callsPerS, double waiting, double askWithinMs) { }
+    public record Discovery(double lagMs, double detectMs, double silentMs, double callsPerS, double waiting, double askWithinMs,
+            /** Whether lists are pushed to an agent on each node's machine, which answers at no cost and learns nothing while it is dark. */
+            boolean pushed) { }
 
     /** A class of transactions. */
     public record ClassOf(String name, double share, double aimMs, double deadlineMs, double worth, double messageAimMs,
--- a/lab/src/main/java/tulipshed/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/ScenarioReader.java
@@ -133,7 +133,7 @@
                 s.number("reset-share", 0, 1, 0.3), s.number("cap", 0.01, 1e6, 2.5),
                 s.number("fills", 0.001, 1e6, 4), s.number("drain-ms", 0, DAY, 3000),
                 s.number("restart-ms", 1, DAY, 4000), s.number("group-load", 0, 1000, 0.05),
-                s.whole("tells-delay", 0, 1, 1) == 1);
+                s.whole("tells-delay", 0, 1, 1) == 1, s.number("drain-grace-ms", 0, MINUTE, 300));
         s.done();
         return m;
     }
@@ -143,7 +143,7 @@
         Discovery d = new Discovery(s.number("lag-ms", 0, MINUTE, 1000), s.number("detect-ms", 0, DAY, 2000),
                 s.number("silent-ms", 0, DAY, 7000),
                 scale * s.number("calls-per-s", 0.1, 1e9, 4), scale * s.number("waiting", 0, 1e9, 20),
-                s.number("ask-within-ms", 1, DAY, 10_000));
+                s.number("ask-within-ms", 1, DAY, 10_000), s.whole("pushed", 0, 1, 0) == 1);
         s.done();
         return d;
     }
--- a/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
+++ b/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
@@ -34,12 +34,16 @@
     @TempDir
     private Path folder;
 
-    private static Scenario scenario(String more) {
-        return ScenarioReader.read("t", (FLEET + more).getBytes(StandardCharsets.UTF_8), new Overrides(Map.of()));
+    private static Scenario scenario(String more, String... set) {
+        Map<String, String> figures = new LinkedHashMap<>();
+        for (String s : set) {
+            figures.put(s.substring(0, s.indexOf('=')), s.substring(s.indexOf('=') + 1));
+        }
+        return ScenarioReader.read("t", (FLEET + more).getBytes(StandardCharsets.UTF_8), new Overrides(figures));
     }
 
-    private static Verdict play(String more, Path jar) throws IOException, InterruptedException {
-        try (TrialRun trial = new TrialRun(scenario(more), 4, jar)) {
+    private static Verdict play(String more, Path jar, String... set) throws IOException, InterruptedException {
+        try (TrialRun trial = new TrialRun(scenario(more, set), 4, jar)) {
             return trial.play(BOUNDS);
         }
     }
@@ -56,6 +60,17 @@
         assertTrue(v.outcome().rules().checked() > 300, () -> "" + v.outcome().rules());
     }
 
+    /** A node that does not ask its agent lives on the list of its start, and sends to what has long been drained. */
+    @Test
+    void whereListsArePushedTheNodeKeepsToThemThroughDarkTimesAndMuteLinks() throws Exception {
+        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
+        Verdict v = play("(seconds 16)(nodes (count 3))(trouble deploy-members (at-s 3)(share 0.5)(over-s 3))"
+                + "(trouble dark-list (at-s 4)(over-s 2))(trouble mute-discovery (at-s 7)(over-s 2)(share 0.5))"
+                + "(trouble remove-members (at-s 7)(share 0.3)(over-s 2))", JAR, "discovery.pushed=1", "member-model.drain-grace-ms=2500");
+        assertEquals(List.of(), v.breaches(), v::toString);
+        assertTrue(v.outcome().figure("moves") > 0, () -> "nobody was moved off a drained member: " + v.outcome().figures());
+    }
+
     /** Each stand-in has one fault; its checker finds it, and no other of the rules is found broken. */
     @Test
     void checkersFindTheFaultsOfStandIns() throws Exception {
--- a/node/src/main/java/tulipshed/command/ServeCommand.java
+++ b/node/src/main/java/tulipshed/command/ServeCommand.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.kohsuke.args4j.Option;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
@@ -30,7 +31,11 @@
         OperatorsFile rules = operators(config);
         Reload reload = new Reload(() -> NodeConfig.load(environment), this::operators);
         // Without a handler of its own the virtual machine would exit on SIGHUP.
-        Signal.handle(new Signal("HUP"), s -> reload.reload());
+        if (Signal.handle(new Signal("HUP"), s -> reload.reload()) == SignalHandler.SIG_IGN) {
+            // Whoever started it ignores the signal, as nohup does, and the virtual machine keeps to that.
+            System.out.println("tulipshed: SIGHUP is ignored since before the start, no reload will be heard; start it by"
+                    + " env --default-signal=HUP");
+        }
         Limits limits = Limits.forDescriptors(config.sockets());
         try {
             Siblings siblings = siblings(config, environment.get("TMPDIR"), limits);
--- a/node/src/test/java/tulipshed/command/ReloadTest.java
+++ b/node/src/test/java/tulipshed/command/ReloadTest.java
@@ -73,6 +73,27 @@
         }
     }
 
+    /**
+     * Seen on the bench: days with SIGHUP played 0.3 or 0.98, by whether what had started the bench ignored the signal. A process
+     * inherits that, and the virtual machine installs no handler for a signal that is ignored.
+     */
+    @Test
+    void aNodeThatWasStartedWithSighupIgnoredSaysSoAndTheDeployFilesCommandUndoesIt() throws Exception {
+        String ignoring = "trap '' HUP; exec \"$@\"";
+        Map<String, String> environment = Map.of("PROXY_CONFIG", configure(freePort(), 9).toString());
+        try (NodeProcess node = new NodeProcess(List.of("sh", "-c", ignoring, "sh"), environment)) {
+            assertTrue(node.log("tulipshed: SIGHUP is ignored") != null);
+        }
+        String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = ")).findFirst()
+                .orElseThrow();
+        assertTrue(run.startsWith("run = \"exec env --default-signal=HUP java "), run);
+        try (NodeProcess node = new NodeProcess(List.of("sh", "-c", ignoring, "sh", "env", "--default-signal=HUP"), environment)) {
+            node.log("tulipshed: n0 serves");
+            node.signal("HUP");
+            assertTrue(node.log("tulipshed: reload") != null);
+        }
+    }
+
     private void change(int listen, int member, String... replacements) throws IOException {
         configure(listen, 9);
         Path file = folder.resolve("node.json");
--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -22,7 +22,13 @@
 
     /** Starts {@code serve} with these variables beside those of this process. */
     public NodeProcess(Map<String, String> environment, String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        this(List.of(), environment, arguments);
+    }
+
+    /** The same, started by a command that is given the node's own as its arguments. */
+    public NodeProcess(List<String> by, Map<String, String> environment, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(by);
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"),
                 "tulipshed.command.Main", "serve"));
         command.addAll(List.of(arguments));
