Trials hold nodes to what their agents have, asked or not: the old program breaks the drain rule

Change: where lists are pushed, what the agent has counts as told to the node, from when it can hear it (LoadRun.news). Measured: the trial of TrialTest with the program as it was: rule drain broken 8 times, first a flow 2,703 ms after the news, so 2.5 s and the slack over; with the program as it is: passed.

--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -190,6 +190,10 @@
         for (int d = 0; d < discoveries.size(); d++) {
             discoveries.get(d).tell(e.server(), addresses.get(d).get(n.member()), e.zone(), e.kind(), state, e.share(), startedMs);
         }
+        if (pushed()) {
+            // What a node's agent has counts as told, whether the node asks it or not.
+            nodes.forEach(node -> node.rules().told(heardMs(nodes.indexOf(node), nowMs()), n.member(), n.serving()));
+        }
         if (e.startedUs() > 0) {
             started.put(n.member(), e.startedUs() / 1000.0);
         }
@@ -199,12 +203,21 @@
     private void hear() {
         for (Told t = told.poll(); t != null; t = told.poll()) {
             Told now = t;
-            double atMs = ways == null ? t.atMs() : ways.hearsMs(t.node(), t.atMs());
+            double atMs = heardMs(t.node(), t.atMs());
             t.states().forEach((id, state) ->
                     nodes.get(now.node()).rules().told(atMs, numbers.get(id), state.equals("SERVING")));
         }
     }
 
+    private boolean pushed() {
+        return world.scenario().discovery().pushed();
+    }
+
+    /** From when on a node can hear what discovery or its agent has at that moment of the day. */
+    private double heardMs(int node, double atMs) {
+        return ways == null ? atMs : ways.hearsMs(node, atMs);
+    }
+
     private double sinceMs() {
         return beganNs == 0 ? 0 : (System.nanoTime() - beganNs) / 1e6;
     }
