Until its own load is told, a connection counts as usual for its class, not as 1

A leaving process moves 34 to 100 clients within a second. Balancer.Request counted each as 1 until its LOAD came, beside 40,000 (microseconds a second) of one whose load was told, so all went to the members that had least.

Change: usualLoads by class, as usualSetupUs; loadsTold went.

Where no load is told nothing changes.

--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -75,6 +75,7 @@
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
     private final Map<String, Double> usualSetupUs = new HashMap<>();
+    private final Map<String, Double> usualLoads = new HashMap<>(); // until a connection's own is told
     private final List<Request> probing = new ArrayList<>();
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();
     private final Sheds sheds = new Sheds();
@@ -87,7 +88,6 @@
     private long nextLogUs = Long.MIN_VALUE;
     private double lateMs;
     private boolean delaysTold; // settings that promise it do not make it so
-    private boolean loadsTold;
     private boolean crossingCosts;
     private boolean reuses;
     private boolean probes;
@@ -190,13 +190,13 @@
         private int awaited;
         private boolean asked;
 
-        Request(NewRequest in, RequestClass kind, Fleet fleet, long now, long luck) {
+        Request(NewRequest in, RequestClass kind, Fleet fleet, long now, long luck, double usualLoad) {
             this.in = in;
             this.dice = Hashing.mix(in.id() ^ luck);
             this.fleet = fleet;
             this.kind = kind;
             this.deadlineUs = now + in.graceUs();
-            this.load = in.hintUsPerS() > 0 ? in.hintUsPerS() : 1;
+            this.load = in.hintUsPerS() > 0 ? in.hintUsPerS() : usualLoad;
         }
     }
 
@@ -393,7 +393,9 @@
     // ---- Admission ----
 
     private Request enter(long now, NewRequest in) {
-        Request r = new Request(in, settings.classes().get(in.requestClass()), fleet(in.pool()), now, luck);
+        RequestClass kind = settings.classes().get(in.requestClass());
+        double usual = usualLoads.getOrDefault(kind.name(), 1.0);
+        Request r = new Request(in, kind, fleet(in.pool()), now, luck, usual);
         requests.put(in.id(), r);
         return r;
     }
@@ -537,7 +539,7 @@
             // A server that holds some of the group has paid for it. Before those that are warming: each
             // more that holds some of a group pays for the group again, and they can bear that least.
             Server m = group.members.get(random.nextInt(group.members.size()));
-            Server n = loadsTold ? group.members.get(random.nextInt(group.members.size())) : m;
+            Server n = !usualLoads.isEmpty() ? group.members.get(random.nextInt(group.members.size())) : m;
             m = n != m && bears(now, r, n) && load(now, n, r) < load(now, m, r) ? n : m;
             if (bears(now, r, m)) {
                 return m;
@@ -560,11 +562,11 @@
         return a == null || b != null && load(now, b, r) < load(now, a, r) ? b : a;
     }
 
-    /** Whether a server may draw more of its groups: to a bound, but where only delays are told until late. */
+    /** Whether a server may draw more of its groups: to a bound; where only delays are told, until late. */
     private boolean bears(long now, Request r, Server s) {
         double even = (r.fleet.load + r.load) * s.weight() / Math.max(1e-9, r.fleet.weight);
         return usable(now, r, s) && now >= s.ejectedUntil && s.pending < s.limit
-                && (delaysTold && !loadsTold || s.openLoad + r.load <= GROUP_PULL * even);
+                && (delaysTold && usualLoads.isEmpty() || s.openLoad + r.load <= GROUP_PULL * even);
     }
 
     private int ask(long now, Server s) {
@@ -727,8 +729,8 @@
     }
 
     /**
-     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by weight
-     * already, large servers would else win nearly always where little is held. One at its limit loses.
+     * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by
+     * weight, large servers would else win nearly always where little is held. One at its limit loses.
      */
     private double load(long now, Server s, Request r) {
         if (s.pending >= s.limit) {
@@ -837,7 +839,7 @@
     public void loadNote(long now, long request, double loadUsPerS) {
         Request r = requests.get(request);
         if (r != null && r.server != null) {
-            loadsTold = true;
+            usualLoads.merge(r.kind.name(), loadUsPerS, (usual, told) -> usual + (told - usual) * SETUP_GAIN);
             tally(r.server, 0, 0, loadUsPerS - r.load);
             r.load = loadUsPerS;
         }
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -658,6 +658,26 @@
         sent.forEach((server, many) -> assertTrue(many <= 24, server + " was sent " + many + " of 78 over eight"));
     }
 
+    /**
+     * Seen on sockets, where clients that move come all at once and their loads are told later: each counted as one beside
+     * thousands, so all of them went to the server that had least.
+     */
+    @Test
+    void connectionsWhoseLoadIsNotToldYetCountAsUsualForTheirClass() {
+        Balancer b = balancer(3);
+        for (int id = 1; id <= 4; id++) {
+            b.alreadyOpen(0, request(id), name(1 + id % 2));
+            b.loadNote(0, id, 40_000);
+        }
+        int toTheEmptyOne = 0;
+        for (int id = 5; id < 45; id++) {
+            b.request(id, request(id));
+            toTheEmptyOne += recorder.sentTo().equals(name(0)) ? 1 : 0;
+            b.started(id, id, 0, 1000);
+        }
+        assertTrue(toTheEmptyOne >= 11 && toTheEmptyOne <= 19, "of 40, 14 or 15 of which would make all even: " + toTheEmptyOne);
+    }
+
     /** Two connections without a group at each of eight; servers 1 and 2 hold some of g, a heavy and a light one. */
     private Balancer loaded(int seed) {
         Balancer b = setup.balancer(recorder, seed);
