--- a/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
+++ b/lab/src/test/java/tulipshed/lab/trial/TrialTest.java
@@ -56,6 +56,8 @@
                 + "(trouble cut-links (at-s 6)(over-s 2)(share 0.3)(count 1))(trouble cut-links (at-s 8)(over-s 1)(share 0.3)(count 2))"
                 + "(trouble stop-nodes (at-s 9)(over-s 2)(share 0.25))(trouble reset-links (at-s 10)(share 0.5)(count 1))"
                 + "(trouble deploy-members (at-s 4)(share 0.3)(over-s 2))", JAR);
+        // A run in which the tool itself was too slow says nothing of the node.
+        Assumptions.assumeTrue(v.voids().isEmpty(), v.voids()::toString);
         assertEquals(List.of(), v.breaches(), v::toString);
         assertTrue(v.outcome().rules().checked() > 300, () -> "" + v.outcome().rules());
     }
@@ -67,6 +69,8 @@
         Verdict v = play("(seconds 16)(nodes (count 3))(trouble deploy-members (at-s 3)(share 0.5)(over-s 3))"
                 + "(trouble dark-list (at-s 4)(over-s 2))(trouble mute-discovery (at-s 7)(over-s 2)(share 0.5))"
                 + "(trouble remove-members (at-s 7)(share 0.3)(over-s 2))", JAR, "discovery.pushed=1", "member-model.drain-grace-ms=2500");
+        // A run in which the tool itself was too slow says nothing of the node.
+        Assumptions.assumeTrue(v.voids().isEmpty(), v.voids()::toString);
         assertEquals(List.of(), v.breaches(), v::toString);
         assertTrue(v.outcome().figure("moves") > 0, () -> "nobody was moved off a drained member: " + v.outcome().figures());
     }
