Verdict's word on what failed is what it does; node by number in LoadRun

Read again: Verdict.failed said that breaches count in void runs too, which it does not do; LoadRun looked each node's number up by the node. TrialTest and LoadTest pass; nothing else changes.

--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -192,7 +192,9 @@
         }
         if (pushed()) {
             // What a node's agent has counts as told, whether the node asks it or not.
-            nodes.forEach(node -> node.rules().told(heardMs(nodes.indexOf(node), nowMs()), n.member(), n.serving()));
+            for (int node = 0; node < nodes.size(); node++) {
+                nodes.get(node).rules().told(heardMs(node, nowMs()), n.member(), n.serving());
+            }
         }
         if (e.startedUs() > 0) {
             started.put(n.member(), e.startedUs() / 1000.0);
--- a/lab/src/main/java/tulipshed/lab/trial/Verdict.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Verdict.java
@@ -83,7 +83,7 @@
         return breaches.isEmpty() && voids.isEmpty();
     }
 
-    /** A breach counts also where the tool was slow, unless it was one of time. */
+    /** Whether something did not hold, in a run that says something. */
     public boolean failed() {
         return !breaches.isEmpty() && voids.isEmpty();
     }
