--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
@@ -53,7 +54,7 @@
     private final Ways ways;
     private final Queue<Heard> heard = new ConcurrentLinkedQueue<>();
     private final Map<Object, Try> carried = new HashMap<>();
-    private final Map<String, Try> left = new HashMap<>();
+    private final Set<String> left = new HashSet<>();
     private final List<Double> served = new ArrayList<>();
     private final List<NodeProcess> processes = new ArrayList<>();
     private final List<SocketNode> nodes = new ArrayList<>();
@@ -93,10 +94,9 @@
         if (s.clients().standing() > 0 && !s.clients().comeAtFirst()) {
             throw new IllegalArgumentException("over sockets, set clients.come-at-first to 1");
         }
-        s.troubles().stream().map(Scenario.Trouble::kind).filter(k -> ScenarioReader.LINKS.contains(k) || k.equals("partition")
-                || k.equals("silence-members")).findFirst().ifPresent(k -> {
-                    throw new IllegalArgumentException(k + " needs links between the parts: lab trial");
-                });
+        s.troubles().stream().map(Scenario.Trouble::kind).filter(ScenarioReader.OVER_LINKS::contains).findFirst().ifPresent(k -> {
+            throw new IllegalArgumentException(k + " needs links between the parts: lab trial");
+        });
         world = new World(s, seed, 1, (id, number, w) -> {
             NodeProcess p = process(jar, number);
             SocketNode n = new SocketNode(id, number, w, this, p);
@@ -163,12 +163,12 @@
                 continue;
             }
             String[] words = h.line().split(" ");
-            Try t = words.length > 1 ? tries.getOrDefault(words[1], left.get(words[1])) : null;
-            if (t == null) {
-                stranger();
-            } else if (tries.containsKey(words[1])) {
+            Try t = words.length > 1 ? tries.get(words[1]) : null;
+            if (t != null) {
                 carried.put(h.connection(), t);
                 nodeOf(t).rules().sent(h.atMs(), t.watched, h.member());
+            } else if (words.length < 2 || !hasLeft(words[1])) {
+                stranger();
             }
         }
     }
@@ -339,7 +339,7 @@
 
     /** Whether it is the id of a client that has gone. */
     boolean hasLeft(String id) {
-        return left.containsKey(id);
+        return left.contains(id);
     }
 
     /** The longest turn of the tool itself: waits of less than this may be its own doing. */
@@ -367,7 +367,7 @@
 
     void forget(Try t) {
         if (tries.remove(id(t)) != null && ways != null) {
-            left.put(id(t), t);
+            left.add(id(t));
         }
     }
 
--- a/lab/src/main/java/tulipshed/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/tulipshed/lab/scenario/ScenarioReader.java
@@ -37,6 +37,8 @@
     /** What may go wrong between processes; only {@code lab trial} can make it. */
     public static final List<String> LINKS = List.of("cut-links", "slow-links", "reset-links", "deaf-links", "mute-discovery",
             "stop-nodes");
+    /** What real nodes have from links between the parts, and the world must not make as well. */
+    public static final List<String> OVER_LINKS = Stream.concat(LINKS.stream(), Stream.of("partition", "silence-members")).toList();
 
     private final Problems problems;
     private final Section top;
--- a/lab/src/main/java/tulipshed/lab/tool/LoadCommand.java
+++ b/lab/src/main/java/tulipshed/lab/tool/LoadCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -27,17 +26,15 @@
     @Mixin
     ScenarioOptions options;
 
-    @Option(names = "--node", defaultValue = "node/target/tulipshed.jar", description = "The node's jar (default ${DEFAULT-VALUE}).")
-    Path jar;
+    @Mixin
+    NodeJar node;
 
     @Option(names = "--out", description = "A folder of results to add this run to, under the policy's name sockets.")
     Path out;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        if (!Files.exists(jar)) {
-            throw new IllegalArgumentException("no jar of the node at " + jar);
-        }
+        Path jar = node.path();
         Overrides overrides = options.overrides();
         Scenario scenario = options.scenario(overrides);
         try (LoadRun run = new LoadRun(scenario, options.seed, jar)) {
--- a/lab/src/main/java/tulipshed/lab/tool/TrialCommand.java
+++ b/lab/src/main/java/tulipshed/lab/tool/TrialCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -28,8 +27,8 @@
     @Mixin
     ScenarioOptions options;
 
-    @Option(names = "--node", defaultValue = "node/target/tulipshed.jar", description = "The node's jar (default ${DEFAULT-VALUE}).")
-    Path jar;
+    @Mixin
+    NodeJar node;
 
     @Option(names = "--seeds", defaultValue = "1", description = "How many seeds, from --seed on (default ${DEFAULT-VALUE}).")
     int seeds;
@@ -46,9 +45,7 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        if (!Files.exists(jar)) {
-            throw new IllegalArgumentException("no jar of the node at " + jar);
-        }
+        Path jar = node.path();
         Scenario s = options.scenario(options.overrides());
         PrintWriter out = spec.commandLine().getOut();
         int worst = 0;
--- a/lab/src/main/java/tulipshed/lab/trial/Carried.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Carried.java
@@ -38,7 +38,6 @@
         private long lastNs;
         private boolean blocked;
         private boolean readOut;
-        private boolean closed;
 
         Side(SocketChannel channel, boolean connecting) throws IOException {
             this.channel = channel;
@@ -162,7 +161,7 @@
         }
         node.interest();
         other.interest();
-        if (node.closed && other.closed || node.readOut && other.readOut && node.due.isEmpty() && other.due.isEmpty()) {
+        if (node.readOut && other.readOut && node.due.isEmpty() && other.due.isEmpty()) {
             drop();
         }
     }
@@ -172,7 +171,7 @@
             return;
         }
         long now = System.nanoTime();
-        while (!s.due.isEmpty() && !s.blocked && !s.closed && s.due.peek().dueNs() <= now) {
+        while (!s.due.isEmpty() && !s.blocked && s.due.peek().dueNs() <= now) {
             Piece p = s.due.peek();
             try {
                 if (p.bytes() != null) {
@@ -184,17 +183,16 @@
                     relays.late(now - Math.max(p.dueNs(), link.changedNs()));
                 } else if (p.end() == End.FINISHED) {
                     s.channel.shutdownOutput();
-                    ended(s);
+                    if (s == node) {
+                        // The end of the flow as the node knows it.
+                        over();
+                    }
                 } else {
                     reset(false);
                     return;
                 }
             } catch (IOException e) {
                 // Whoever was to read it has gone: what it still sends is of no use to anybody either.
-                s.closed = true;
-                s.due.clear();
-                s.readOut = true;
-                ended(s);
                 reset(false);
                 return;
             }
@@ -202,13 +200,6 @@
         }
     }
 
-    /** An end that reaches the node is the end of the flow as the node knows it. */
-    private void ended(Side s) {
-        if (s == node) {
-            over();
-        }
-    }
-
     private void hearFirst(ByteBuffer in) {
         if (toldFirst || link.ear() == null) {
             return;
@@ -250,7 +241,7 @@
                 s.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             } catch (IOException e) {
                 // It has ended by itself.
-                s.closed = true;
+                continue;
             }
         }
         over();
@@ -265,7 +256,7 @@
                     s.channel.close();
                 } catch (IOException e) {
                     // Nothing is left to be closed.
-                    s.closed = true;
+                    continue;
                 }
             }
         }
--- a/lab/src/main/java/tulipshed/lab/trial/Schedule.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Schedule.java
@@ -12,15 +12,13 @@
 import org.apache.commons.rng.sampling.ListSampler;
 import tulipshed.lab.scenario.Scenario;
 import tulipshed.lab.scenario.Scenario.Trouble;
+import tulipshed.lab.scenario.ScenarioReader;
 
 /**
  * The faults of links and processes of one trial, from its scenario and seed alone; the scenario's other troubles are the
  * world's. Without I/O and without a clock.
  */
 final class Schedule {
-    /** Troubles that this makes; docs/fleet-trials.md has what their figures mean. */
-    static final List<String> KINDS = List.of("partition", "silence-members", "cut-links", "slow-links", "reset-links", "deaf-links",
-            "mute-discovery", "stop-nodes");
     private static final int NODES_SEND = 1;
     private static final int MEMBERS_SEND = 2;
 
@@ -34,7 +32,7 @@
         lastMs = troubles.stream().mapToDouble(t -> t.atMs() + t.overMs()).max().orElse(0);
     }
 
-    /** Draws who is struck; members are {@code 0} to {@code members - 1}, and stand at sites in turn as nodes do. */
+    /** Draws who is struck (docs/fleet-trials.md has what the figures of each trouble mean); members are {@code 0} to {@code members - 1}, and stand at sites in turn as nodes do. */
     static Schedule draw(Scenario s, int members, UniformRandomProvider random) {
         List<Fault> out = new ArrayList<>();
         Set<Integer> nodes = all(s.nodes().count(), i -> true);
@@ -71,7 +69,7 @@
     static Scenario rest(Scenario s) {
         return new Scenario(s.name(), s.lengthMs(), s.settleMs(), s.policy(), s.network(), s.nodes(), s.kinds(), s.members(),
                 s.discovery(), s.classes(), s.tenants(), s.clients(),
-                s.troubles().stream().filter(t -> !KINDS.contains(t.kind())).toList());
+                s.troubles().stream().filter(t -> !ScenarioReader.OVER_LINKS.contains(t.kind())).toList());
     }
 
     private static Condition held(int direction) {
--- a/lab/src/main/java/tulipshed/lab/trial/StreamLink.java
+++ b/lab/src/main/java/tulipshed/lab/trial/StreamLink.java
@@ -63,6 +63,9 @@
     }
 
     void become(Condition changed) {
+        if (changed.equals(condition)) {
+            return;
+        }
         boolean heard = condition.deaf() && !changed.deaf();
         condition = changed;
         changedNs = System.nanoTime();
--- a/lab/src/main/java/tulipshed/lab/trial/TrialRun.java
+++ b/lab/src/main/java/tulipshed/lab/trial/TrialRun.java
@@ -23,7 +23,6 @@
     /** By node, then member. */
     private final List<List<StreamLink>> members = new ArrayList<>();
     private final List<StreamLink> discovery = new ArrayList<>();
-    private final List<List<Condition>> set = new ArrayList<>();
     private double turnedMs = -1;
 
     /** The trial of a scenario, with the faults that its seed draws. */
@@ -36,7 +35,6 @@
         changes = schedule.changes();
         for (int n = 0; n < s.nodes().count(); n++) {
             members.add(new ArrayList<>());
-            set.add(new ArrayList<>());
         }
         relays = new Relays(Seeds.random(seed, JITTER, 0));
         try {
@@ -74,7 +72,6 @@
     public InetSocketAddress toMember(int node, int member, InetSocketAddress there, Ear ear) throws IOException {
         StreamLink link = relays.link(there, ear);
         members.get(node).add(link);
-        set.get(node).add(Condition.SOUND);
         return link.address();
     }
 
@@ -104,10 +101,7 @@
         turnedMs = nowMs;
         for (int n = 0; n < members.size(); n++) {
             for (int m = 0; m < members.get(n).size(); m++) {
-                Condition now = schedule.member(n, m, nowMs);
-                if (!now.equals(set.get(n).set(m, now))) {
-                    become(members.get(n).get(m), now);
-                }
+                become(members.get(n).get(m), schedule.member(n, m, nowMs));
             }
             become(discovery.get(n), schedule.discovery(n, nowMs));
             if (schedule.still(n, nowMs) != schedule.still(n, since)) {
--- a/node/src/test/java/tulipshed/command/PeersTest.java
+++ b/node/src/test/java/tulipshed/command/PeersTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tulipshed.testing.NodeProcess.call;
 import static tulipshed.testing.NodeProcess.freePort;
+import static tulipshed.testing.NodeProcess.freeUdpPort;
 
 import java.io.IOException;
 import java.net.DatagramPacket;
@@ -37,9 +38,7 @@
     void open() throws IOException {
         peer = new DatagramSocket(0, LOOPBACK);
         stranger = new DatagramSocket(0, LOOPBACK);
-        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
-            hears = free.getLocalPort();
-        }
+        hears = freeUdpPort();
         staff = freePort();
     }
 
--- a/node/src/test/java/tulipshed/peer/PeerPortTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerPortTest.java
@@ -27,6 +27,7 @@
 import tulipshed.limits.Limits;
 import tulipshed.link.XnioLoop;
 import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.NodeProcess;
 import tulipshed.time.SystemClock;
 import tulipshed.transaction.TransactionCore;
 
@@ -49,9 +50,7 @@
         all = new DatagramSocket(0, LOOPBACK);
         one.setSoTimeout(5000);
         all.setSoTimeout(5000);
-        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
-            node = new InetSocketAddress(LOOPBACK, free.getLocalPort());
-        }
+        node = new InetSocketAddress(LOOPBACK, NodeProcess.freeUdpPort());
         loop = new XnioLoop(Limits.forDescriptors(1024));
     }
 
--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -5,6 +5,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -67,6 +68,13 @@
         }
     }
 
+    /** A UDP port on loopback that nobody hears on. */
+    public static int freeUdpPort() throws IOException {
+        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     public static Socket connect(int port) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(5000);
