A silent watch is opened anew after 4 s, dials and answers have times of their own

Checked: the nodes' logs. All watches fall silent in the first second; 'discovery: silence' stands 12 s after the call began, the list 0.9 to 2 s later; the change counted as told at 12 s. Ruled out: a list that came and was not heeded (no version follows before the next call). At fault: Watch.call (one time for the whole call, 10 s of wait and 2 s), Watch.failed (silence waits for the module's pause as any failure does), Balancer.askAgain (the pause doubled to 12 s, longer than the 6 s after which a change counts as told), Watch.catchUp (only set a flag while a call was out), Watch.move (called after stop), Watch.answered (a lower version was followed as a newer one). Change: a call waits 2.5 s there; 1.5 s of silence after it break the watch, which is opened anew at once and asks without waiting; a dial has 0.5 s, an answer 1 s from its first byte; after any other failure the module calls again after 0.65 to 1.95 s, by chance.

--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -53,7 +53,7 @@
     private static final double GROUP_PULL = 2; // of its even share, up to which a server draws a group
     private static final int MOST_GROUPS = 4096; // remembered before those long unseen are forgotten
     private static final double ASK_SPREAD = 0.4; // of the time allowed: first call to discovery, by chance
-    private static final long ASK_BACKOFF_US = 1_000_000; // after a failed call, doubled, with chance
+    private static final long ASK_AGAIN_US = 1_300_000; // after a failed call, with chance: told in 6 s
     private static final String NO_TENANT = ""; // of requests without one
     private static final double NO_PART = 1e-9; // of the allowances: nothing, and yet free stays free
     private static final double REUSE = 1; // of the mean load, up to which a free connection is used
@@ -83,7 +83,6 @@
     private double fastest;
     private double largestShare;
     private double quotaOpen;
-    private int failedCalls;
     private double ownPart = 1;
     private long nextLogUs = Long.MIN_VALUE;
     private double lateMs;
@@ -236,7 +235,6 @@
             askAgain();
             return;
         }
-        failedCalls = kind == ListKind.REMEMBERED ? failedCalls : 0;
         if (kind != ListKind.CHANGES) {
             Set<String> listed = new HashSet<>();
             entries.forEach(e -> listed.add(e.server()));
@@ -254,12 +252,10 @@
         }
     }
 
-    /** A failed call is repeated later, by chance and ever more rarely: a crowd at discovery feeds itself. */
+    /** A failed call is repeated soon, as changes count as told, and by chance: a crowd feeds itself. */
     private void askAgain() {
         if (settings.askedList()) {
-            long wait = Math.min(settings.rules().askWithinUs(), ASK_BACKOFF_US << Math.min(failedCalls, 8));
-            failedCalls++;
-            actions.timer((long) (wait * (0.5 + random.nextDouble())), TIMER_LIST);
+            actions.timer((long) (ASK_AGAIN_US * (0.5 + random.nextDouble())), TIMER_LIST);
         }
     }
 
--- a/node/src/main/java/tulipshed/discovery/Watch.java
+++ b/node/src/main/java/tulipshed/discovery/Watch.java
@@ -16,8 +16,10 @@
 import tulipshed.transaction.TransactionCore;
 
 /**
- * Watches discovery's list: each call waits for news, and the next follows as soon as it is answered. A call
- * that fails in any way ends the watch and is told to the core; when to ask again is the module's to say.
+ * Watches discovery's list: each call waits for news, and the next follows as soon as it is answered. Each step of a call
+ * has a time of its own. A watch that has fallen silent is opened anew at once; any other call that fails ends the watch
+ * and is told to the core, and when to ask again is the module's to say. All of that fits into the 6 s after which a change
+ * counts as told, whatever became of the calls before.
  */
 public final class Watch implements MemberSource, Link.Owner {
     private final Limits limits;
@@ -30,6 +32,7 @@
     /** Whether the next call asks for the whole list, which discovery answers without waiting for news. */
     private boolean whole;
     private boolean catchingUp;
+    private boolean stopped;
     private boolean watching;
     private boolean pushed;
     private boolean failing;
@@ -37,7 +40,11 @@
     private XnioLoop.Dialing dialing;
     private HttpAnswer answer;
     private boolean calling;
-    private long calls;
+    /** How long the call that is out waits there for news. */
+    private double waitMs;
+    /** Whether the answer to it has begun. */
+    private boolean answering;
+    private long steps;
 
     public Watch(InetSocketAddress discovery, Limits limits, XnioLoop loop, TransactionCore core, long version,
             Consumer<String> log) {
@@ -52,7 +59,7 @@
 
     @Override
     public void watch() {
-        if (!calling) {
+        if (!calling && !stopped) {
             call();
         }
     }
@@ -68,9 +75,15 @@
         }
     }
 
-    /** Asks now for all that changed, without waiting for news: what another process was told binds this one. */
+    /**
+     * Asks now for all that changed, without waiting for news: what another process was told binds this one. A call that
+     * is out and waits for news is given up for it.
+     */
     public void catchUp() {
         catchingUp = true;
+        if (calling && waitMs > 0) {
+            hangUp();
+        }
         watch();
     }
 
@@ -81,8 +94,8 @@
 
     /** Asks nothing more; the node ends. */
     public void stop() {
+        stopped = true;
         hangUp();
-        calling = true;
     }
 
     /**
@@ -95,29 +108,35 @@
             hangUp();
             discovery = to;
             whole = true;
-            call();
+            watch();
         }
     }
 
     private void call() {
         calling = true;
+        answering = false;
+        waitMs = whole || catchingUp ? 0 : pushed ? limits.discovery().agentWaitMs() : limits.discovery().watchWaitMs();
         answer = new HttpAnswer(limits.discovery().headBytes(), limits.discovery().bodyBytes());
-        long call = ++calls;
-        double silenceMs = pushed ? limits.discovery().agentSilenceMs() : limits.discovery().watchSilenceMs();
-        loop.after(waitMs() + silenceMs, () -> {
-            if (calling && call == calls) {
-                failed("silence");
-            }
-        });
         if (link != null) {
             ask();
         } else {
+            within(limits.discovery().dialMs(), () -> failed("no connection in time"));
             dialing = loop.dial(discovery, this::up, this::failed);
         }
     }
 
-    private double waitMs() {
-        return whole || catchingUp ? 0 : pushed ? limits.discovery().agentWaitMs() : limits.discovery().watchWaitMs();
+    private double silenceMs() {
+        return pushed ? limits.discovery().agentSilenceMs() : limits.discovery().watchSilenceMs();
+    }
+
+    /** The call that is out has this long for its next step. */
+    private void within(double ms, Runnable otherwise) {
+        long step = ++steps;
+        loop.after(ms, () -> {
+            if (calling && step == steps) {
+                otherwise.run();
+            }
+        });
     }
 
     private void up(StreamConnection connection) {
@@ -128,12 +147,28 @@
     }
 
     private void ask() {
+        within(waitMs + silenceMs(), () -> silent("silence"));
         String host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
-        String what = whole ? "" : "?index=" + version + "&wait=" + (long) waitMs();
+        String what = whole ? "" : "?index=" + version + "&wait=" + (long) waitMs;
         link.write(("GET /discovery/hosts" + what + " HTTP/1.1\r\nHost: " + host
                 + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
+    /**
+     * The answer did not come, or not all of it. Where the call waited for news the watch is broken, and what it missed may
+     * be known for seconds already: it is opened anew without a pause, and asks at once. Callers do not crowd by that, as
+     * each began its watch at a time of its own.
+     */
+    private void silent(String why) {
+        if (waitMs == 0 || pushed) {
+            failed(why);
+            return;
+        }
+        log.accept("discovery: " + why + ", the watch is opened anew");
+        watching = false;
+        catchUp();
+    }
+
     @Override
     public void readable(Link from) {
         while (link == from && !from.ended()) {
@@ -142,6 +177,10 @@
             if (n == 0) {
                 return;
             }
+            if (n > 0 && calling && !answering) {
+                answering = true;
+                within(limits.discovery().answerMs(), () -> silent("an answer that does not end"));
+            }
             boolean complete;
             try {
                 complete = n < 0 ? calling && answer.end() : calling && answer.take(in.flip());
@@ -176,8 +215,9 @@
             watching = true;
             log.accept("discovery: watching from version " + list.version() + " on");
         }
+        // Changes that lead back to an older version leave open what the list is there now.
+        whole = !whole && !list.full() && list.version() < version;
         version = list.version();
-        whole = false;
         catchingUp = false;
         if (ended || answer.closes()) {
             hangUp();
@@ -208,7 +248,9 @@
         }
     }
 
+    /** Ends the call that is out, if there is one, and its connection; nothing of it is told. */
     private void hangUp() {
+        calling = false;
         if (dialing != null) {
             dialing.giveUp();
             dialing = null;
@@ -225,8 +267,8 @@
     @Override
     public void broken(Link from) {
         if (link == from) {
-            hangUp();
             failed("the connection broke");
+            hangUp();
         }
     }
 }
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -21,6 +21,8 @@
             int backlog,
             /** Reads of one connection before the others have their turn. */
             int readsAtOnce,
+            /** Accepted connections that are looked at before the descriptors of those closed are given back. */
+            int acceptsAtOnce,
             /** How long a connection may linger once one side has ended it. */
             double lingerMs,
             /** How often what may have become too old is looked at. */
@@ -47,10 +49,14 @@
             int headBytes,
             /** Longest body of an answer. */
             int bodyBytes,
+            /** A connection that is not up within this time is given up. */
+            double dialMs,
             /** How long a watch waits there for something new. */
             double watchWaitMs,
-            /** How long after that wait silence counts as a failed call. */
+            /** How long after that wait silence counts as a failed call; with it and the next call within 6 s. */
             double watchSilenceMs,
+            /** An answer must be whole within this time of its first byte. */
+            double answerMs,
             /** How long a call to an agent waits there that lists are pushed to: calls are free, and a silent one shows soon. */
             double agentWaitMs,
             /** How long after that wait its silence counts as a failed call. */
@@ -159,9 +165,9 @@
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(
-                new Sockets(16 * 1024, 16 * 1024, descriptors, 64, 1024, 4, 900, 250, 500),
+                new Sockets(16 * 1024, 16 * 1024, descriptors, 64, 1024, 4, 8, 900, 250, 500),
                 new Lines(4096, 2_000, 16, 120_000, 10_000),
-                new Discovery(8 * 1024, 4 * 1024 * 1024, 10_000, 2_000, 1_000, 500, 200, 100),
+                new Discovery(8 * 1024, 4 * 1024 * 1024, 500, 2_500, 1_500, 1_000, 1_000, 500, 200, 100),
                 new Transactions(40, 800, 40_000, 100, 1_000, 100),
                 new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
@@ -170,6 +176,16 @@
                 new Peers(256, 200));
     }
 
+    /** The same but for these. */
+    public Limits with(Lines changed) {
+        return new Limits(sockets, changed, discovery, transactions, leaving, management, quic, probes, peers);
+    }
+
+    /** The same but for these. */
+    public Limits with(Discovery changed) {
+        return new Limits(sockets, lines, changed, transactions, leaving, management, quic, probes, peers);
+    }
+
     /** The same but for these. */
     public Limits with(Quic changed) {
         return new Limits(sockets, lines, discovery, transactions, leaving, management, changed, probes, peers);
@@ -185,6 +201,14 @@
         return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() / 2 - 2 * management.connections());
     }
 
+    /**
+     * How many clients' connections may be open or wait to be looked at: half of what connections may take, as each may have
+     * a flow, and those that are looked at next.
+     */
+    public int clientConnections() {
+        return Math.max(2, connectionDescriptors() / 2) + 2 * sockets.acceptsAtOnce();
+    }
+
     /** Connections without a whole first line at a time; a client that means it sends its line at once. */
     public int unopenedConnections() {
         return Math.max(1, connectionDescriptors() / 4);
