--- a/lab/src/main/java/tulipshed/lab/model/MemberPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/MemberPart.java
@@ -24,7 +24,6 @@
     private static final double NOTE_MS = 1000;
     private static final double SILENT_MS = 2000; // until a client gives up a member that says nothing
     private static final double LEAST_FREE = 0.05; // of a member, left for what is new however full it is
-    private static final double SLACK = 3; // usual connections that the cold rule leaves to chance
 
     final int number;
     final String name;
@@ -71,7 +70,7 @@
         int classes = world.scenario.classes().size();
         double shares = world.scenario.classes().stream().mapToDouble(Scenario.ClassOf::share).sum();
         double usual = world.scenario.classes().stream().mapToDouble(c -> c.share() / shares * c.load()).sum();
-        cold = new ColdRule(number, model.fallFactor(), model.fallMs(), SLACK * usual);
+        cold = new ColdRule(number, model.fallFactor(), model.fallMs(), usual);
         cap = usual > 0 ? model.cap() * kind.cores() * kind.speed() / usual : Double.MAX_VALUE;
         freeAtMs = new double[kind.cores()];
         standing = new Standing(classes, world.scenario.tenants().size(), model.groupLoad());
--- a/lab/src/main/java/tulipshed/lab/rules/ColdRule.java
+++ b/lab/src/main/java/tulipshed/lab/rules/ColdRule.java
@@ -2,15 +2,17 @@
 
 /**
  * Holds all nodes together to the rule of cold members, for one member: the work that reached it in a sliding window
- * against what it could have done in that time.
+ * against what it could have done in that time. Beyond a budget of N requests only 2 x root of N + 2 are chance, and never
+ * more than three, which was the whole of it before: both bounds hold, however many nodes there are.
  */
 public final class ColdRule {
     private static final int SLOTS = 30; // of the window; so it counts up to a thirtieth short
     private static final double TOLD = 2.0 / 3; // of the work, from nodes that knew, makes it a breach
+    private static final double MOST_CHANCE = 3; // requests
 
     private final int member;
     private final double factor;
-    private final double slack;
+    private final double request;
     private final double slotMs;
     private final double[] work = new double[SLOTS];
     private final double[] told = new double[SLOTS];
@@ -20,11 +22,11 @@
     /**
      * The rule for one member: more than {@code factor} times its capacity over {@code windowMs} pushes it over.
      *
-     * @param slack what is left to chance on top, in the unit of the work
+     * @param request what one request is in the mean, in the unit of the work; 0 leaves nothing to chance
      */
-    public ColdRule(int member, double factor, double windowMs, double slack) {
+    public ColdRule(int member, double factor, double windowMs, double request) {
         this.member = member;
-        this.slack = slack;
+        this.request = request;
         this.factor = factor;
         this.slotMs = windowMs / SLOTS;
     }
@@ -75,10 +77,16 @@
 
     /** How near it is to falling; 1 is the bound. */
     public double strain() {
-        double most = factor * sum(able) + slack;
+        double budget = factor * sum(able);
+        double most = budget + (request > 0 ? request * chance(budget / request) : 0);
         return most > 0 ? sum(work) / most : 0;
     }
 
+    /** What is left to chance beyond a budget of so many requests. */
+    static double chance(double budget) {
+        return Math.min(MOST_CHANCE, 2 * Math.sqrt(budget) + 2);
+    }
+
     /** It fell: a breach where those who pushed it knew that it was cold. */
     public void fell(double atMs, RuleReport report, double ageMs) {
         if (sum(told) >= TOLD * sum(work)) {
--- a/lab/src/test/java/tulipshed/lab/RulesTest.java
+++ b/lab/src/test/java/tulipshed/lab/RulesTest.java
@@ -84,6 +84,21 @@
         assertFalse(unknown.falls());
     }
 
+    /** Beyond a budget of N requests 2 x root of N + 2 are chance, and three at most, which was the older bound. */
+    @ParameterizedTest
+    @CsvSource({"0.01, 2.21", "0.09, 2.69", "0.16, 2.96", "0.25, 3.25", "1, 4", "9, 12"})
+    void chanceBeyondTheBudgetOfAColdMemberIsBounded(double budget, double bound) {
+        for (double request : new double[] {1, 0.02}) {
+            ColdRule rule = new ColdRule(3, 4, 1500, request);
+            double able = budget * request / 4 / 1500;
+            rule.pushed(10_000, 0, able, true);
+            rule.pushed(11_490, 0.99 * bound * request, able, true);
+            assertFalse(rule.falls(), budget + " and " + bound);
+            rule.pushed(11_490, 0.02 * bound * request, able, true);
+            assertTrue(rule.falls(), budget + " and " + bound);
+        }
+    }
+
     /** The module and the whole core keep answers, flows and drains through every kind of trouble. */
     @ParameterizedTest
     @CsvSource({"calm, module", "herd, module", "herd, core", "deploy, module", "deploy, core", "dark-list, module",
