What a client sent is read before anything is decided against it; descriptors stay free

Seen by reading line by line (docs/crossings.md has every pair) and by tests on real sockets: - A client's FIN or RST beside the connection to its member: the loop handled whichever the kernel told first, so an attempt could begin for one that had gone. - neverOpened and giveWay decided over unread bytes; giveWay closed at once, and a close over unread bytes is a reset. A leaving node closed resting clients without a word. rejectAllOwed said BUSY, that a repeat is harmless, also while an attempt of a class that may not be repeated was out. - The window of a keyed class was looked at when the module chose, up to 250 ms before the bytes go. - 1,024 idle clients and 256 descriptors: 'Too many open files' for seconds (255 descriptors counted in /proc); dials to members failed, members were put out of favour for it, no call to discovery within 6 s. Checked: Unserved closes the oldest, but XNIO's accept thread runs ahead of the loop, and the JDK gives a closed descriptor back only in the selector's next look, which came after the whole burst. Change: ClientSession.look before an attempt is opened, before its first byte and before a decision against the client; closeRead; LineFront.turnAway at the end of leaving; Transaction.mayRun and mayBeRefused; Acceptor hands on 8 at a time with a look in between, and at most half of the descriptors and 16 are clients'. Ruled out: a larger reserve (accepting takes all there is).

--- a/node/src/main/java/tulipshed/command/Node.java
+++ b/node/src/main/java/tulipshed/command/Node.java
@@ -8,9 +8,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
-import org.xnio.StreamConnection;
-import org.xnio.channels.AcceptingChannel;
 import tulipshed.config.NodeConfig;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.decision.Balancer;
@@ -19,6 +16,7 @@
 import tulipshed.discovery.Watch;
 import tulipshed.limits.Limits;
 import tulipshed.line.LineFront;
+import tulipshed.link.Acceptor;
 import tulipshed.link.Siblings;
 import tulipshed.link.XnioLoop;
 import tulipshed.management.ManagementFront;
@@ -49,7 +47,7 @@
     private PeerPort peers;
     private ManagementFront management;
     private Watch watch;
-    private AcceptingChannel<StreamConnection> server;
+    private Acceptor server;
     private double leavingSinceMs;
     private double endMs;
     private boolean handedOver;
@@ -111,7 +109,6 @@
         core.companion(siblings);
         watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
         core.source(watch);
-        watch.pushed(!config.settings().askedList());
         front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
         front.declare(router == null ? null : router.declarations());
         peersAs(config);
@@ -122,6 +119,7 @@
         } else {
             serve(started);
         }
+        watch.pushed(!config.settings().askedList());
     }
 
     /** Datagrams between nodes: nothing of them exists until a configuration allows them. */
@@ -144,7 +142,7 @@
 
     private void serve(CompletableFuture<Void> started) {
         try {
-            server = loop.listen(config.listen(), front::accepted);
+            server = loop.listen(config.listen(), limits.clientConnections(), front::accepted);
             siblings.serves();
             lookAtSiblings();
             log.accept("tulipshed: " + config.name() + " serves on " + config.listen()
@@ -178,7 +176,7 @@
 
     /** Where clients connect. */
     InetSocketAddress address() {
-        return server.getLocalAddress(InetSocketAddress.class);
+        return server.address();
     }
 
     /** Where staff call; null where that is off. */
@@ -263,23 +261,11 @@
         }
     }
 
-    /** XNIO accepts on a thread of its own and queues; what stands in the queue when it closes would be lost. */
-    private void takeLast() {
-        try {
-            for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
-                front.accepted(c);
-            }
-        } catch (IOException e) {
-            log.accept("cannot accept: " + e.getMessage());
-        }
-    }
-
     private void step(CountDownLatch gone) {
         double sinceMs = clock.nowMs() - leavingSinceMs;
         // Where another process listens already, what comes after this moment is better off there.
         if ((handedOver || sinceMs >= limits.leaving().takeMs()) && server != null) {
-            takeLast();
-            IoUtils.safeClose(server);
+            server.takeLastAndClose();
             server = null;
             front.closed();
             if (quic != null) {
@@ -294,6 +280,7 @@
         boolean done = handedOver && core.figures().concurrent() == 0 && loop.open() <= (watch.open() ? 1 : 0);
         if (sinceMs >= endMs || done) {
             watch.stop();
+            front.turnAway();
             core.rejectAllOwed();
             while (core.moveOne()) { }
             if (loop.open() == 0 || sinceMs > endMs + limits.sockets().lingerMs() / 3) {
--- a/node/src/main/java/tulipshed/line/ClientSession.java
+++ b/node/src/main/java/tulipshed/line/ClientSession.java
@@ -31,6 +31,7 @@
     private MemberConnection member;
     private boolean ended;
     private boolean ownsId;
+    private boolean closed;
     private int pings;
 
     ClientSession(LineFront front, StreamConnection connection) {
@@ -38,6 +39,7 @@
         this.link = front.loop.link(connection, this);
         this.splitter = new LineSplitter(front.limits.lines().lineBytes());
         this.sinceMs = front.clock.nowMs();
+        front.clients(1);
     }
 
     void start() {
@@ -164,16 +166,44 @@
         close();
     }
 
+    /** Whether its first line is still awaited, once all is read that has come by now. */
+    private boolean stillOpening() {
+        look();
+        return state == State.OPENING;
+    }
+
+    /** Reads what has come and was not told yet: the client may have gone, or its first line may have come. */
+    void look() {
+        if (state != State.RELAYING && !link.ended()) {
+            readable(link);
+        }
+    }
+
     /** The first line did not come in time. */
     void neverOpened() {
-        bad("no first line in time");
+        if (stillOpening()) {
+            bad("no first line in time");
+        }
     }
 
-    /** Its descriptor is wanted for a client that can be served. */
-    void giveWay() {
-        if (state == State.OPENING) {
+    /** The node takes no more first lines. */
+    void turnAway() {
+        if (stillOpening()) {
             reject(front.core.retryAfterMs(front.limits.sockets().noRoomRetryMs()));
         }
+    }
+
+    /** Its descriptor is wanted for a client that can be served; one whose first line has just come can. */
+    void giveWay() {
+        turnAway();
+        if (state == State.CLOSING) {
+            closeRead();
+        }
+    }
+
+    /** Closes after its last line; a close over what is unread would reset the connection, and the line go with it. */
+    private void closeRead() {
+        look();
         close();
     }
 
@@ -181,6 +211,10 @@
         closing();
         front.unserved.closed(this);
         link.close();
+        if (!closed) {
+            closed = true;
+            front.clients(-1);
+        }
     }
 
     /** Nothing more is wanted of the client; its id is free again. */
@@ -228,7 +262,7 @@
         front.unserved.answered(this);
         link.finish();
         link.listen(!ended);
-        front.loop.after(front.limits.sockets().lingerMs(), this::close);
+        front.loop.after(front.limits.sockets().lingerMs(), this::closeRead);
         if (ended && link.queued() == 0) {
             close();
         }
@@ -314,6 +348,11 @@
 
     @Override
     public void open(ServerSideFlow flow) {
+        look();
+        if (state != State.OWED) {
+            // The client has gone, and the core, told so just now, calls the flow off.
+            return;
+        }
         member = new MemberConnection(front, this, flow);
         member.dial();
     }
--- a/node/src/main/java/tulipshed/line/LineFront.java
+++ b/node/src/main/java/tulipshed/line/LineFront.java
@@ -39,6 +39,7 @@
     private final MemberProbes probes;
     private Declarations declarations;
     private boolean ready = true;
+    private int clients;
 
     public LineFront(Clock clock, Limits limits, Names names, boolean loadTellsDelay, XnioLoop loop,
             TransactionCore core, Consumer<String> log) {
@@ -88,7 +89,9 @@
 
     /** Takes one accepted connection. */
     public void accepted(StreamConnection connection) {
-        while (!loop.hasRoom() && unserved.closeOne()) { }
+        // Where as many are open as may be, the next would wait in the kernel, and nobody would give way to them.
+        while ((!loop.hasRoom() || clients >= limits.clientConnections() - limits.sockets().acceptsAtOnce())
+                && unserved.closeOne()) { }
         boolean room = loop.hasRoom();
         ClientSession session = new ClientSession(this, connection);
         if (room) {
@@ -104,11 +107,21 @@
         ready = false;
     }
 
+    /** The node is about to go: whoever has not sent a first line by now is told, and none is read any more. */
+    public void turnAway() {
+        unserved.opening().forEach(ClientSession::turnAway);
+    }
+
     /** The node takes no more clients: members are not probed any more. */
     public void closed() {
         probes.leave();
     }
 
+    /** A client's connection was taken, or closed. */
+    void clients(int more) {
+        clients += more;
+    }
+
     boolean ready() {
         return ready;
     }
--- a/node/src/main/java/tulipshed/line/MemberConnection.java
+++ b/node/src/main/java/tulipshed/line/MemberConnection.java
@@ -49,6 +49,8 @@
 
     private void up(StreamConnection connection) {
         link = front.loop.link(connection, this);
+        // Its end may have come with this event, and not have been told yet.
+        client.look();
         if (state != State.DIALING || !front.core.maySend(flow)) {
             link.close();
             over(Outcome.CONNECT_FAILED);
--- a/node/src/main/java/tulipshed/line/Unserved.java
+++ b/node/src/main/java/tulipshed/line/Unserved.java
@@ -54,6 +54,11 @@
         return true;
     }
 
+    /** Those whose first line has not come. */
+    List<ClientSession> opening() {
+        return List.copyOf(opening);
+    }
+
     /** Those whose first line should have come by now. */
     List<ClientSession> late(double nowMs) {
         List<ClientSession> late = new ArrayList<>();
--- a/node/src/main/java/tulipshed/link/XnioLoop.java
+++ b/node/src/main/java/tulipshed/link/XnioLoop.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -16,7 +15,6 @@
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 import org.xnio.channels.MulticastMessageChannel;
 import tulipshed.limits.Limits;
 import tulipshed.transaction.Loop;
@@ -99,33 +97,17 @@
         return open;
     }
 
-    /** Accepts connections at the address, and nowhere else. */
-    public AcceptingChannel<StreamConnection> listen(InetSocketAddress address, Consumer<StreamConnection> taker)
-            throws IOException {
-        return listen(address, Integer.MAX_VALUE, taker);
-    }
-
     /**
-     * Accepts connections of which no more than {@code most} take descriptors: those that come while as many are open
-     * wait in the kernel, as accepting runs ahead of the loop.
+     * Accepts connections at the address, and nowhere else. No more than {@code most} of them take descriptors: those that
+     * come while as many are open wait in the kernel, as accepting runs ahead of the loop.
      */
-    public AcceptingChannel<StreamConnection> listen(InetSocketAddress address, int most,
-            Consumer<StreamConnection> taker) throws IOException {
-        ChannelListener<AcceptingChannel<StreamConnection>> accept = server -> {
-            try {
-                for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
-                    taker.accept(c);
-                }
-            } catch (IOException e) {
-                System.err.println("tulipshed: cannot accept: " + e.getMessage());
-            }
-        };
-        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(address, accept,
+    public Acceptor listen(InetSocketAddress address, int most, Consumer<StreamConnection> taker) throws IOException {
+        Acceptor acceptor = new Acceptor(this, limits.sockets().acceptsAtOnce(), taker);
+        acceptor.starts(worker.createStreamConnectionServer(address, acceptor::ready,
                 OptionMap.builder().set(Options.BACKLOG, limits.sockets().backlog()).set(Options.REUSE_ADDRESSES, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most)
-                        .set(Options.TCP_NODELAY, true).getMap());
-        server.resumeAccepts();
-        return server;
+                        .set(Options.TCP_NODELAY, true).getMap()));
+        return acceptor;
     }
 
     /** Opens a UDP socket at the address; it counts among the descriptors until it is closed. */
--- a/node/src/main/java/tulipshed/management/ManagementFront.java
+++ b/node/src/main/java/tulipshed/management/ManagementFront.java
@@ -7,10 +7,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.channels.AcceptingChannel;
 import tulipshed.limits.Limits;
+import tulipshed.link.Acceptor;
 import tulipshed.link.XnioLoop;
 import tulipshed.management.ManagementSession.Answer;
 import tulipshed.time.Clock;
@@ -29,7 +28,7 @@
     private final BooleanSupplier serves;
     private final Set<ManagementSession> calling = new LinkedHashSet<>();
     private final Set<ManagementSession> answered = new LinkedHashSet<>();
-    private final AcceptingChannel<StreamConnection> server;
+    private final Acceptor server;
 
     /** Listens at once; {@code serves} says whether this process takes clients now. */
     public ManagementFront(InetSocketAddress address, Clock clock, Limits limits, XnioLoop loop, TransactionCore core,
@@ -47,12 +46,12 @@
 
     /** Where it listens. */
     public InetSocketAddress address() {
-        return server.getLocalAddress(InetSocketAddress.class);
+        return server.address();
     }
 
     /** Ends its listening and what is open. */
     public void close() {
-        IoUtils.safeClose(server);
+        server.close();
         List.copyOf(calling).forEach(ManagementSession::close);
         List.copyOf(answered).forEach(ManagementSession::close);
     }
--- a/node/src/main/java/tulipshed/transaction/Transaction.java
+++ b/node/src/main/java/tulipshed/transaction/Transaction.java
@@ -1,6 +1,9 @@
 package tulipshed.transaction;
 
+import tulipshed.decision.BalancerApi.Effect;
 import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.RepeatGroup;
+import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
 
@@ -17,7 +20,8 @@
     private final double deadlineMs;
     private final boolean standingBefore;
     private long id;
-    private String className;
+    private RequestClass kind;
+    private double ranAtMs = Double.NaN;
     private int place = -1;
     private State state = State.OWED;
     private ServerSideFlow flow;
@@ -74,9 +78,31 @@
         pool = held;
     }
 
-    /** The class is kept by its name: settings that change later leave an open transaction its own. */
-    void className(String name) {
-        className = name;
+    /** Settings that change later leave an open transaction its own class. */
+    void kind(RequestClass ofSettings) {
+        kind = ofSettings;
+    }
+
+    /** An attempt that began then may have run. */
+    void ran(double startedMs) {
+        if (Double.isNaN(ranAtMs)) {
+            ranAtMs = startedMs;
+        }
+    }
+
+    /** Whether an attempt's bytes may go out now, as far as those before it may have run. */
+    boolean mayRun(double nowMs) {
+        return Double.isNaN(ranAtMs) || switch (kind.effect()) {
+            case REPEATABLE -> true;
+            case KEYED -> nowMs < ranAtMs + Clock.toMillis(kind.repeatWindowUs());
+            case ONCE -> false;
+        };
+    }
+
+    /** Whether its client may be told that a repeat is harmless, also while an attempt is out. */
+    boolean mayBeRefused() {
+        return kind.effect() == Effect.REPEATABLE || kind.effect() == Effect.KEYED && kind.repeatGroup() == RepeatGroup.ALL
+                || Double.isNaN(ranAtMs) && (flow == null || !flow.connected());
     }
 
     /** Where the other process of the node reads of it; below 0 where nowhere. */
@@ -93,7 +119,7 @@
     }
 
     String className() {
-        return className;
+        return kind.name();
     }
 
     long id() {
--- a/node/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/node/src/main/java/tulipshed/transaction/TransactionCore.java
@@ -202,7 +202,7 @@
     }
 
     private void count(Transaction t) {
-        t.className(settings.classes().get(t.requestClass()).name());
+        t.kind(settings.classes().get(t.requestClass()));
         figures.taken();
     }
 
@@ -230,9 +230,14 @@
 
     /**
      * Asked by a connector when a flow's connection is up and its first byte could go out: whether it may.
-     * Guards against a member that began to drain, or left, while the connection was being made.
+     * Guards against a member that began to drain, or left, while the connection was being made, and against a time for
+     * repeats that has passed meanwhile, which says nothing of the member.
      */
     public boolean maySend(ServerSideFlow flow) {
+        if (!flow.over() && !flow.transaction().mayRun(clock.nowMs())) {
+            ended(flow, Outcome.UNUSED);
+            return false;
+        }
         flow.connect();
         return !flow.over() && flow.transaction().owed()
                 && (flow.member().serving()
@@ -283,6 +288,9 @@
         flow.end();
         Transaction t = flow.transaction();
         t.flow(null);
+        if (!outcome.neverRan) {
+            t.ran(flow.startedMs());
+        }
         if (t.standing()) {
             close(t);
             standing.remove(t);
@@ -408,7 +416,7 @@
     private void timeOut(ServerSideFlow flow) {
         if (!flow.over() && !flow.transaction().standing()) {
             flow.transaction().connector().giveUp(flow);
-            ended(flow, Outcome.TIMEOUT);
+            ended(flow, flow.connected() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
     }
 
@@ -582,11 +590,17 @@
         return standing.size();
     }
 
-    /** The node is about to go: everything still owed is answered now. */
+    /** The node is about to go: everything still owed is answered now, as refused only where a repeat is harmless. */
     public void rejectAllOwed() {
         for (Transaction t : List.copyOf(transactions.values())) {
             if (t.owed()) {
-                answer(t.id(), x -> rejected(x, 0));
+                answer(t.id(), x -> {
+                    if (x.mayBeRefused()) {
+                        rejected(x, 0);
+                    } else {
+                        failed(x);
+                    }
+                });
                 callOff(t);
             }
         }
--- a/node/src/test/java/tulipshed/command/NodeTest.java
+++ b/node/src/test/java/tulipshed/command/NodeTest.java
@@ -55,12 +55,16 @@
     }
 
     private void node(int descriptors, OperatorsFile operators) throws IOException {
+        node(Limits.forDescriptors(descriptors), operators);
+    }
+
+    private void node(Limits limits, OperatorsFile operators) throws IOException {
         Path file = folder.resolve("node.json");
         Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json"))
                 .replace(":18080", ":0").replace(":18081", ":" + member.getLocalPort()).replaceAll("(\"HardLimitS\": )[34]", "$1" + longest));
         Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
         node = new Node(NodeConfig.load(environment), operators,
-                Limits.forDescriptors(descriptors), new SystemClock(), log::add);
+                limits, new SystemClock(), log::add);
     }
 
     private Socket client(String first) throws IOException {
@@ -165,6 +169,24 @@
         }
     }
 
+    /** Some rest until the node ends them: the end of its process would close them without a word, perhaps over a request. */
+    @Test
+    void aRestingClientIsToldBeforeTheNodeEnds() throws IOException {
+        longest = 1;
+        Limits usual = Limits.forDescriptors(1024);
+        node(usual.with(new Limits.Lines(usual.lines().lineBytes(), 60_000, usual.lines().pings(), usual.lines().longestWaitMs(),
+                usual.lines().complaintsMs())), OperatorsFile.EMPTY);
+        try (Socket resting = client("PING\r\n"); Socket half = client("OPEN ha")) {
+            BufferedReader in = reader(resting);
+            assertEquals("PONG", in.readLine());
+            node.leave();
+            for (BufferedReader each : List.of(in, reader(half))) {
+                assertTrue(each.readLine().matches("BUSY [0-9]+"));
+                assertNull(each.readLine());
+            }
+        }
+    }
+
     /** SIGKILL comes 0.7 s after the longest deadline, which settings may make shorter than usual. */
     @Test
     void whereNobodyWaitsLongANodeLeavesSooner() throws IOException {
--- /dev/null
+++ b/node/src/test/java/tulipshed/line/LineFrontBench.java
@@ -0,0 +1,193 @@
+package tulipshed.line;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.limits.Limits;
+import tulipshed.link.XnioLoop;
+import tulipshed.testing.ModuleDelegate;
+import tulipshed.time.SystemClock;
+import tulipshed.transaction.ListedMember;
+import tulipshed.transaction.TransactionCore;
+
+/** The platform's front with the real core and module, between plain sockets on loopback. */
+abstract class LineFrontBench {
+    static final String OPEN = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
+    final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
+    final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
+    final BlockingQueue<BalancerApi.Outcome> ends = new LinkedBlockingQueue<>();
+    final BlockingQueue<BalancerApi.Report> reports = new LinkedBlockingQueue<>();
+    final List<String> log = new CopyOnWriteArrayList<>();
+    XnioLoop loop;
+    TransactionCore core;
+    LineFront front;
+    ServerSocket member;
+    /** Listed from {@link #listSecond} on. */
+    ServerSocket second;
+    /** Run on the loop before the module is told of an arrival, and of the end of an attempt. */
+    volatile Runnable atArrival = () -> { };
+    volatile Runnable atEnd = () -> { };
+    private InetSocketAddress node;
+
+    /** One end of a connection, line by line. */
+    static final class End implements AutoCloseable {
+        final Socket socket;
+        final BufferedReader in;
+
+        End(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(5000);
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        String hear() throws IOException {
+            return in.readLine();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        start(Limits.forDescriptors(1024));
+    }
+
+    void start(Limits limits) throws Exception {
+        start(limits, "", "");
+    }
+
+    /** With other settings in place of some. */
+    void start(Limits limits, String some, String others) throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json")).replace(some, others));
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        Files.delete(file);
+        loop = new XnioLoop(limits);
+        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        second = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        // A member that is not asked fails its test, and does not hold it for ever.
+        member.setSoTimeout(10_000);
+        second.setSoTimeout(10_000);
+        BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
+        loop.afterGathering(() -> {
+            core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, l -> { },
+                    (settings, seed, now, actions) -> new Noting(new Balancer(settings, seed, now, actions)));
+            core.members(ListKind.COMPLETE, List.of(listed("s-1", ServerState.SERVING, member)));
+            front = new LineFront(new SystemClock(), limits, config.names(), config.loadTellsDelay(), loop, core, log::add);
+            try {
+                listening.add(loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), limits.clientConnections(),
+                        front::accepted).address());
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        node = listening.poll(10, TimeUnit.SECONDS);
+    }
+
+    static ListedMember listed(String id, ServerState state, ServerSocket at) {
+        return new ListedMember(new ServerEntry(id, state, "decin", 0, "std-2c", 1, 0),
+                (InetSocketAddress) at.getLocalSocketAddress());
+    }
+
+    /** The second member serves too. */
+    void listSecond() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        loop.afterGathering(() -> {
+            core.members(ListKind.CHANGES, List.of(listed("s-2", ServerState.SERVING, second)));
+            told.countDown();
+        });
+        await(told);
+    }
+
+    void restart(String some, String others) throws Exception {
+        stop();
+        start(Limits.forDescriptors(1024), some, others);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        member.close();
+        second.close();
+        loop.stop();
+    }
+
+    /** The module, with an ear on its notes. */
+    private final class Noting extends ModuleDelegate {
+        Noting(BalancerApi to) {
+            super(to);
+        }
+
+        @Override
+        public void request(long now, NewRequest request) {
+            atArrival.run();
+            super.request(now, request);
+        }
+
+        @Override
+        public void delayNote(long now, long request, double delayMs) {
+            delays.add(delayMs);
+        }
+
+        @Override
+        public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
+            atEnd.run();
+            ends.add(outcome);
+            reports.add(report);
+            super.finished(now, request, attempt, concluded, outcome, report);
+        }
+
+        @Override
+        public void loadNote(long now, long request, double loadUsPerS) {
+            loads.add(loadUsPerS);
+        }
+    }
+
+    End client() throws IOException {
+        return new End(new Socket(node.getAddress(), node.getPort()));
+    }
+
+    End taken() throws IOException {
+        return new End(member.accept());
+    }
+
+    /** Waits on whichever thread, the loop's too, but never without end. */
+    static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(10, TimeUnit.SECONDS)) {
+                throw new IllegalStateException("waited in vain");
+            }
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/node/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/node/src/test/java/tulipshed/line/LineFrontTest.java
@@ -5,155 +5,23 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import tulipshed.config.NodeConfig;
-import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
 import tulipshed.link.DatagramPort;
-import tulipshed.link.XnioLoop;
-import tulipshed.testing.ModuleDelegate;
-import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
-
-/** The platform's front with the real core and module, between plain sockets on loopback. */
-class LineFrontTest {
-    private static final String OPEN = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
-    private final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
-    private final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
-    private final BlockingQueue<BalancerApi.Outcome> ends = new LinkedBlockingQueue<>();
-    private final BlockingQueue<BalancerApi.Report> reports = new LinkedBlockingQueue<>();
-    private final List<String> log = new CopyOnWriteArrayList<>();
-    private XnioLoop loop;
-    private ServerSocket member;
-    private InetSocketAddress node;
-
-    /** One end of a connection, line by line. */
-    private static final class End implements AutoCloseable {
-        final Socket socket;
-        final BufferedReader in;
-
-        End(Socket socket) throws IOException {
-            this.socket = socket;
-            socket.setSoTimeout(5000);
-            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        }
-
-        void say(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-        }
-
-        String hear() throws IOException {
-            return in.readLine();
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
-    @BeforeEach
-    void start() throws Exception {
-        start(Limits.forDescriptors(1024));
-    }
-
-    private void start(Limits limits) throws Exception {
-        start(limits, "", "");
-    }
-
-    /** With other settings in place of some. */
-    private void start(Limits limits, String some, String others) throws Exception {
-        Path file = Files.createTempFile("node", ".json");
-        Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json")).replace(some, others));
-        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
-        Files.delete(file);
-        loop = new XnioLoop(limits);
-        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
-        loop.afterGathering(() -> {
-            TransactionCore core = new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, l -> { },
-                    (settings, seed, now, actions) -> new Noting(new Balancer(settings, seed, now, actions)));
-            core.members(ListKind.COMPLETE, List.of(new ListedMember(
-                    new ServerEntry("s-1", ServerState.SERVING, "decin", 0, "std-2c", 1, 0),
-                    (InetSocketAddress) member.getLocalSocketAddress())));
-            LineFront front = new LineFront(new SystemClock(), limits, config.names(), config.loadTellsDelay(), loop,
-                    core, log::add);
-            try {
-                listening.add(loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accepted)
-                        .getLocalAddress(InetSocketAddress.class));
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        node = listening.poll(10, TimeUnit.SECONDS);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        member.close();
-        loop.stop();
-    }
-
-    /** The module, with an ear on its notes. */
-    private final class Noting extends ModuleDelegate {
-        Noting(BalancerApi to) {
-            super(to);
-        }
-
-        @Override
-        public void delayNote(long now, long request, double delayMs) {
-            delays.add(delayMs);
-        }
-
-        @Override
-        public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
-            ends.add(outcome);
-            reports.add(report);
-            super.finished(now, request, attempt, concluded, outcome, report);
-        }
-
-        @Override
-        public void loadNote(long now, long request, double loadUsPerS) {
-            loads.add(loadUsPerS);
-        }
-    }
-
-    private End client() throws IOException {
-        return new End(new Socket(node.getAddress(), node.getPort()));
-    }
-
-    private End taken() throws IOException {
-        return new End(member.accept());
-    }
 
+/** The platform's front: what each side hears of the other. */
+class LineFrontTest extends LineFrontBench {
     @Test
     void aConnectionIsOpenedRelayedAndEndedTheWayItsMemberEndsIt() throws IOException {
         try (End client = client()) {
@@ -244,11 +112,6 @@
         }
     }
 
-    private void restart(String some, String others) throws Exception {
-        stop();
-        start(Limits.forDescriptors(1024), some, others);
-    }
-
     @Test
     void aMalformedFirstLineFailsAndIsNotForwarded() throws IOException {
         try (End client = client()) {
--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -19,6 +19,8 @@
 /** A node in a process of its own, and the line protocol's small talk with it. */
 public final class NodeProcess implements AutoCloseable {
     public final Process process;
+    /** The lines of its log that were read so far. */
+    public final List<String> said = new ArrayList<>();
     private final BufferedReader log;
 
     /** Starts {@code serve} with these variables beside those of this process. */
@@ -41,10 +43,11 @@
 
     /** The next line of its log that starts like this, or null at the end. */
     public String log(String start) throws IOException {
-        String line = log.readLine();
-        while (line != null && !line.startsWith(start)) {
+        String line;
+        do {
             line = log.readLine();
-        }
+            said.add(String.valueOf(line));
+        } while (line != null && !line.startsWith(start));
         return line;
     }
 
--- a/node/src/test/java/tulipshed/transaction/CoreBench.java
+++ b/node/src/test/java/tulipshed/transaction/CoreBench.java
@@ -1,6 +1,10 @@
 package tulipshed.transaction;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,13 +28,20 @@
     boolean leavesDraining;
     Actions module;
     final TransactionCore core;
+    final Settings settings;
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private final List<Timer> timers = new ArrayList<>();
 
     private record Timer(double atMs, Runnable task) { }
 
     CoreBench() {
-        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        this("", "");
+    }
+
+    /** With other settings in place of some, everywhere. */
+    CoreBench(String some, String others) {
+        NodeConfig config = config(some, others);
+        settings = config.settings();
         core = new TransactionCore(clock, tulipshed.limits.Limits.forDescriptors(1024), config.settings(), 1, this, heard::add,
                 (settings, seed, now, actions) -> {
                     module = actions;
@@ -40,6 +51,18 @@
         take();
     }
 
+    private static NodeConfig config(String some, String others) {
+        try {
+            Path file = Files.createTempFile("node", ".json");
+            Files.writeString(file, Files.readString(Path.of("src/test/resources/node.json")).replace(some, others));
+            NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+            Files.delete(file);
+            return config;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     void tell(String id, ServerState state) {
         tell(ListKind.CHANGES, id, state);
     }
--- a/node/src/test/java/tulipshed/transaction/TransactionCoreTest.java
+++ b/node/src/test/java/tulipshed/transaction/TransactionCoreTest.java
@@ -280,4 +280,92 @@
         bench.core.ended(flow, Outcome.OK);
         assertEquals(List.of(new Companion.Standing("s-1", null, 0), 7), noted, "and it is told what stands here");
     }
+
+    // ---- What may have run ----
+
+    private static CoreBench once() {
+        return new CoreBench("\"Effect\": \"repeatable\"", "\"Effect\": \"once\"");
+    }
+
+    private static CoreBench keyed() {
+        return new CoreBench("\"Effect\": \"repeatable\",\n    \"Group\": \"all\"",
+                "\"Effect\": \"by_key\",\n    \"Group\": \"zone\"");
+    }
+
+    /** BUSY says that a repeat is harmless; an attempt that is out may have run. */
+    @Test
+    void aLeavingNodeDoesNotCallHarmlessWhatMayHaveRun() {
+        for (CoreBench bench : List.of(once(), keyed())) {
+            ServerSideFlow out = bench.sent(2000);
+            assertTrue(bench.core.maySend(out));
+            bench.core.rejectAllOwed();
+            assertEquals(List.of("client: fail", "give up", "finished 0 CANCELLED concluded"), bench.take());
+            ServerSideFlow before = bench.sent(2000);
+            assertTrue(bench.core.maySend(before));
+            bench.core.ended(before, Outcome.RESET);
+            assertEquals(List.of("finished 0 RESET"), bench.take());
+            bench.core.rejectAllOwed();
+            assertEquals("client: fail", bench.take().get(0), "one that is over may have run as well");
+        }
+    }
+
+    /** Its class was one of which attempts may be repeated when it came; new settings say otherwise. */
+    @Test
+    void anOpenTransactionKeepsTheClassThatItCameWith() {
+        CoreBench bench = new CoreBench();
+        ServerSideFlow out = bench.sent(2000);
+        assertTrue(bench.core.maySend(out));
+        bench.core.reconfigure(once().settings);
+        bench.core.rejectAllOwed();
+        assertEquals("client: reject 0.0", bench.take().get(0));
+        ServerSideFlow later = bench.sent(2000);
+        assertTrue(bench.core.maySend(later));
+        bench.core.rejectAllOwed();
+        assertEquals("client: fail", bench.take().get(0));
+    }
+
+    @Test
+    void aLeavingNodeRefusesWhatNeverRan() {
+        CoreBench bench = once();
+        bench.sent(2000);
+        bench.core.rejectAllOwed();
+        assertEquals("client: reject 0.0", bench.take().get(0), "its connection is not up yet");
+        ServerSideFlow full = bench.sent(2000);
+        assertTrue(bench.core.maySend(full));
+        bench.core.ended(full, Outcome.FULL);
+        assertEquals(List.of("finished 0 FULL"), bench.take());
+        bench.core.rejectAllOwed();
+        assertEquals("client: reject 0.0", bench.take().get(0), "a member that turns away has not run it");
+    }
+
+    /** The module chose in time; the bytes would go too late. */
+    @Test
+    void aRepeatWhoseTimePassesWhileTheConnectionIsMadeIsNotSent() {
+        CoreBench bench = new CoreBench("\"Effect\": \"repeatable\",\n    \"Group\": \"all\",\n    \"HardLimitS\": 4.8,\n"
+                + "    \"LateWorth\": 0.0,\n    \"Name\": \"slot-board\",\n    \"RepeatWindowS\": 5.0",
+                "\"Effect\": \"by_key\",\n    \"Group\": \"all\",\n    \"HardLimitS\": 4.8,\n"
+                + "    \"LateWorth\": 0.0,\n    \"Name\": \"slot-board\",\n    \"RepeatWindowS\": 0.2");
+        ServerSideFlow first = bench.sent(2000);
+        assertTrue(bench.core.maySend(first));
+        bench.pass(100);
+        bench.core.ended(first, Outcome.RESET);
+        bench.module.send(bench.lastRequest, "s-1", 0);
+        bench.core.turn();
+        bench.take();
+        ServerSideFlow late = bench.flows.get(bench.flows.size() - 1);
+        bench.pass(98);
+        assertTrue(bench.core.maySend(late), "just in time");
+        bench.pass(3);
+        assertFalse(bench.core.maySend(late));
+        assertEquals(List.of("finished 1 UNUSED"), bench.take(), "which says nothing of the member");
+    }
+
+    /** An attempt whose connection never came up has not run, also where its time ends before that of the connection. */
+    @Test
+    void aTimeOutBeforeTheConnectionIsUpProvesThatNothingRan() {
+        CoreBench bench = once();
+        bench.sent(150);
+        bench.pass(111);
+        assertEquals(List.of("give up", "finished 0 CONNECT_FAILED"), bench.take());
+    }
 }
