--- /dev/null
+++ b/lab/scenarios/cold.sexp
@@ -0,0 +1,17 @@
+; Cold members and many nodes, for `lab trial`: six in ten members are replaced within 4 s, and while they are cold every node is
+; killed and comes back, so all of them hear of the new ones at one moment, and half of them late.
+(seconds 34)
+(settle-s 2)
+(network (sites 3) (within-ms 0.5) (between-ms 4))
+(nodes (count 16) (restart-ms 300) (max-attempts 6))
+(members std-2c (count 5) (cores 2) (speed 1))
+(members wide-3c (count 7) (cores 3) (speed 0.75))
+(class slot-board (share 51) (aim-ms 800) (deadline-ms 4800) (worth 1) (message-aim-ms 60) (life-s 20) (load 0.05))
+(class gate-status (share 35) (aim-ms 300) (deadline-ms 1200) (worth 1) (message-aim-ms 150) (life-s 20) (load 0.02))
+(class slot-booking (share 14) (aim-ms 500) (deadline-ms 3000) (worth 3) (message-aim-ms 100) (life-s 12) (load 0.02))
+(clients (per-second 14) (standing 220) (come-at-first 1) (groups 8) (grouped 1) (tries 3) (return-ms 400))
+(discovery (lag-ms 600) (calls-per-s 400))
+(member-model (group-load 0.03) (warm-ms 14000) (cold-share 0.15) (fall-factor 4) (fall-ms 1500) (drain-ms 3000) (message-ms 1) (tells-delay 0))
+(trouble deploy-members (at-s 8) (share 0.6) (over-s 4))
+(trouble kill-nodes (at-s 13) (share 1) (over-s 0.5))
+(trouble mute-discovery (at-s 14) (share 0.5) (over-s 2))
--- /dev/null
+++ b/lab/src/test/java/tulipshed/lab/ColdFleetTest.java
@@ -0,0 +1,58 @@
+package tulipshed.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tulipshed.lab.gate.DayDraw;
+import tulipshed.lab.gate.DayKind;
+import tulipshed.lab.model.Outcome;
+import tulipshed.lab.model.World;
+import tulipshed.lab.rules.Rule;
+import tulipshed.lab.scenario.Overrides;
+import tulipshed.lab.scenario.ScenarioReader;
+
+/**
+ * What all nodes together send a cold member stays within its budget and what is left to chance, however many they are.
+ * GateTest has the node that ignores cold members and is found.
+ */
+class ColdFleetTest {
+    private static final String ALL_RESTART_AND_HEAR_LATE =
+            "(trouble kill-nodes (at-s 12) (share 1) (over-s 0.3)) (trouble late-list (at-s 6) (over-s 20) (factor 4))";
+
+    private static Outcome play(DayKind kind, long seed, int nodes, int members, String more) {
+        Map<String, String> set = new TreeMap<>(Map.of("policy", "core", "nodes.count", "" + nodes));
+        String text = DayDraw.text(kind, seed, new DayDraw.Size(nodes, members)) + more;
+        return new World(ScenarioReader.read(kind.word(), text.getBytes(StandardCharsets.UTF_8), new Overrides(set)), seed, 1).run();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 8", "5, 16", "30, 30", "100, 30"})
+    void noColdMemberIsPushedOverByAnyNumberOfNodes(int nodes, int members) {
+        double most = 0;
+        for (DayKind kind : new DayKind[] {DayKind.ROLL, DayKind.HERD, DayKind.JOIN}) {
+            for (long seed = 1; seed <= 3; seed++) {
+                Outcome o = play(kind, seed, nodes, members, "");
+                assertEquals(0, o.figure("cold_fell"), kind + " " + seed);
+                most = Math.max(most, o.figure("cold_strain"));
+            }
+        }
+        assertTrue(most > 0.2, "cold members were sent something: " + most);
+    }
+
+    /** Restarted at one moment, and told late and at different times: who had been told keeps the ramp. */
+    @ParameterizedTest
+    @CsvSource({"1, 8", "5, 16", "30, 30", "100, 30"})
+    void noneIsPushedOverByNodesThatKnewThoughAllRestartAndHearLate(int nodes, int members) {
+        for (DayKind kind : new DayKind[] {DayKind.ROLL, DayKind.HERD, DayKind.JOIN}) {
+            for (long seed = 1; seed <= 3; seed++) {
+                Outcome o = play(kind, seed, nodes, members, ALL_RESTART_AND_HEAR_LATE);
+                assertEquals(0, o.rules().broken(Rule.COLD), kind + " " + seed + ": " + o.rules());
+            }
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -176,6 +176,11 @@
                 new Peers(256, 200));
     }
 
+    /** The same but for these. */
+    public Limits with(Sockets changed) {
+        return new Limits(changed, lines, discovery, transactions, leaving, management, quic, probes, peers);
+    }
+
     /** The same but for these. */
     public Limits with(Lines changed) {
         return new Limits(sockets, changed, discovery, transactions, leaving, management, quic, probes, peers);
--- a/node/src/main/java/tulipshed/line/ClientSession.java
+++ b/node/src/main/java/tulipshed/line/ClientSession.java
@@ -197,12 +197,12 @@
     void giveWay() {
         turnAway();
         if (state == State.CLOSING) {
-            closeRead();
+            close();
         }
     }
 
-    /** Closes after its last line; a close over what is unread would reset the connection, and the line go with it. */
-    private void closeRead() {
+    /** Closes a while after its last line; over what is unread a close would be a reset, and the line go with it. */
+    private void lingered() {
         look();
         close();
     }
@@ -262,7 +262,7 @@
         front.unserved.answered(this);
         link.finish();
         link.listen(!ended);
-        front.loop.after(front.limits.sockets().lingerMs(), this::closeRead);
+        front.loop.after(front.limits.sockets().lingerMs(), this::lingered);
         if (ended && link.queued() == 0) {
             close();
         }
--- a/node/src/main/java/tulipshed/line/MemberConnection.java
+++ b/node/src/main/java/tulipshed/line/MemberConnection.java
@@ -53,7 +53,8 @@
         client.look();
         if (state != State.DIALING || !front.core.maySend(flow)) {
             link.close();
-            over(Outcome.CONNECT_FAILED);
+            // One whose client has gone says nothing of the member.
+            over(flow.transaction().owed() ? Outcome.CONNECT_FAILED : Outcome.CANCELLED);
             return;
         }
         state = State.WAITING;
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -839,6 +839,33 @@
         assertEquals(List.of(), recorder.take());
     }
 
+    /** It has gone: neither the report nor the end of the wait sends it on. */
+    @Test
+    void aClientThatLeavesWhileAProbeIsAwaitedIsNotSentOn() {
+        setup.probes = true;
+        setup.reports = BalancerApi.Reports.PROBES;
+        Balancer b = balancer(2);
+        b.request(0, request(1));
+        long token = Long.parseLong(recorder.take().get(2).split(" ")[2]);
+        b.abandoned(500, 1);
+        b.probed(1000, name(0), Outcome.OK, report(0.9));
+        b.probed(2000, name(1), Outcome.OK, report(0.4));
+        b.timer(150_000, token);
+        assertEquals(List.of(), recorder.take());
+        assertEquals(0, b.requestsHeld());
+    }
+
+    @Test
+    void aClientThatLeavesWhileNoServerIsReadyIsNotSentOn() {
+        Balancer b = setup.balancer(recorder, 1);
+        b.request(0, request(1, 0, null, SECOND));
+        long token = Long.parseLong(recorder.take().get(0).split(" ")[2]);
+        b.abandoned(100_000, 1);
+        setup.list(b, 150_000, 1);
+        b.timer(200_000, token);
+        assertEquals(List.of(), recorder.take());
+    }
+
     @Test
     void aDearProbeIsNotSent() {
         setup.probes = true;
--- a/node/src/test/java/tulipshed/line/CrossingsTest.java
+++ b/node/src/test/java/tulipshed/line/CrossingsTest.java
@@ -15,6 +15,7 @@
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.limits.Limits;
 
 /**
  * Events that cross, on real sockets: the loop is held at the decisive point until the other event has happened too, so
@@ -125,6 +126,27 @@
         throw new IllegalStateException();
     }
 
+    /** It waits until a member serves, leaves, and one serves in the same moment. */
+    @ParameterizedTest
+    @ValueSource(strings = {"FIN", "RST"})
+    void aClientThatLeftWhileNoMemberServedIsNotSentOn(String how) throws Exception {
+        CountDownLatch drained = new CountDownLatch(1);
+        loop.afterGathering(() -> {
+            core.members(ListKind.CHANGES, java.util.List.of(listed("s-1", ServerState.DRAINING, member)));
+            drained.countDown();
+        });
+        await(drained);
+        CountDownLatch arrived = new CountDownLatch(1);
+        atArrival = arrived::countDown;
+        End client = client();
+        client.say(OPEN);
+        await(arrived);
+        holdAndThen(() -> core.members(ListKind.CHANGES, java.util.List.of(listed("s-1", ServerState.SERVING, member))));
+        leave(client, how);
+        happened.countDown();
+        nothingWasSentBefore();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"FIN", "RST"})
     void aClientThatLeavesWhileTheConnectionIsMadeIsNotSentOn(String how) throws Exception {
@@ -137,6 +159,7 @@
             leave(client, how);
             happened.countDown();
             assertNull(server.hear(), "the member reads nothing of it");
+            assertEquals(Outcome.CANCELLED, ends.poll(5, TimeUnit.SECONDS), "nothing is held against the member");
         }
     }
 
@@ -231,6 +254,31 @@
         }
     }
 
+    /** The time for reading its last line ends as more of it comes: still an end, and no reset. */
+    @Test
+    void oneThatLingeredSeesAnEndAlsoOverUnreadBytes() throws Exception {
+        stop();
+        Limits usual = Limits.forDescriptors(1024);
+        Limits.Sockets s = usual.sockets();
+        long lingerMs = 300;
+        start(usual.with(new Limits.Sockets(s.relayBytes(), s.readBytes(), s.descriptors(), s.reservedDescriptors(), s.backlog(),
+                s.readsAtOnce(), s.acceptsAtOnce(), lingerMs, s.sweepMs(), s.noRoomRetryMs())));
+        try (End client = client()) {
+            client.say("frob\r\n");
+            assertEquals("ERR", client.hear());
+            // Held until the time has ended, so that its end is the next that the loop looks at, and the bytes come after.
+            holdAndThen(() -> {
+                long untilNs = System.nanoTime() + lingerMs * 1_000_000;
+                while (System.nanoTime() < untilNs) {
+                    Thread.onSpinWait();
+                }
+            });
+            client.say("OPEN and more that nobody wants\r\n");
+            happened.countDown();
+            assertNull(client.hear(), "an end, and no reset");
+        }
+    }
+
     /** A request that comes after the last line has been answered by it; it is read and goes nowhere. */
     @Test
     void aRequestAfterTheLastLineIsNotSentOn() throws Exception {
