--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -5,6 +5,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -14,14 +15,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /** A node in a process of its own, and the line protocol's small talk with it. */
 public final class NodeProcess implements AutoCloseable {
+    private static final String END = "\0";
+    private static final int LOG_S = 20;
+
     public final Process process;
     /** The lines of its log that were read so far. */
     public final List<String> said = new ArrayList<>();
-    private final BufferedReader log;
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
 
     /** Starts {@code serve} with these variables beside those of this process. */
     public NodeProcess(Map<String, String> environment, String... arguments) throws IOException {
@@ -38,17 +44,30 @@
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
         process = builder.redirectErrorStream(true).start();
-        log = process.inputReader();
+        Thread reader = new Thread(() -> {
+            try {
+                process.inputReader().lines().forEach(log::add);
+            } catch (UncheckedIOException closed) {
+                // Its process was ended from here.
+            }
+            log.add(END);
+        }, "log of " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
     }
 
-    /** The next line of its log that starts like this, or null at the end. */
+    /** The next line of its log that starts like this, or null at the end, or where it says nothing for long. */
     public String log(String start) throws IOException {
         String line;
         do {
-            line = log.readLine();
+            try {
+                line = log.poll(LOG_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                throw new IOException("interrupted", e);
+            }
             said.add(String.valueOf(line));
-        } while (line != null && !line.startsWith(start));
-        return line;
+        } while (line != null && !line.equals(END) && !line.startsWith(start));
+        return END.equals(line) ? null : line;
     }
 
     public void signal(String name) throws IOException, InterruptedException {
