--- a/node/src/test/java/tulipshed/command/DrainTermsTest.java
+++ b/node/src/test/java/tulipshed/command/DrainTermsTest.java
@@ -28,6 +28,7 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
 import tulipshed.operators.OperatorsFile;
+import tulipshed.testing.Backlog;
 import tulipshed.time.SystemClock;
 
 /**
@@ -62,7 +63,7 @@
             port = socket.getLocalPort();
             switch (how) {
                 case REFUSED -> socket.close();
-                case DIAL_HANGS -> fill();
+                case DIAL_HANGS -> filling.addAll(Backlog.fill(socket));
                 default -> serve();
             }
         }
@@ -71,19 +72,6 @@
             return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:" + port + "\",\"state\":\"" + state + "\"}";
         }
 
-        private void fill() throws IOException {
-            while (true) {
-                Socket next = new Socket();
-                try {
-                    next.connect(socket.getLocalSocketAddress(), 300);
-                    filling.add(next);
-                } catch (java.net.SocketTimeoutException takesNoMore) {
-                    next.close();
-                    return;
-                }
-            }
-        }
-
         private void serve() {
             Thread t = new Thread(() -> {
                 try {
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/WatchTest.java
@@ -23,6 +23,7 @@
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
 import tulipshed.link.XnioLoop;
+import tulipshed.testing.Backlog;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
 import tulipshed.transaction.TransactionCore;
@@ -323,7 +324,7 @@
     void aDialThatHangsIsGivenUpInItsOwnTime() throws Exception {
         Watch watch = impatient(200, 60_000, 60_000, 60_000);
         try (Socket out = nextCall(); ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            List<Socket> waiting = fill(full);
+            List<Socket> waiting = Backlog.fill(full);
             loop.afterGathering(() -> watch.move((InetSocketAddress) full.getLocalSocketAddress()));
             assertEquals("FAILED 0", news());
             for (Socket s : waiting) {
@@ -332,21 +333,6 @@
         }
     }
 
-    /** Connects until the kernel takes no more for it. */
-    private static List<Socket> fill(ServerSocket full) throws IOException {
-        List<Socket> waiting = new java.util.ArrayList<>();
-        while (true) {
-            Socket next = new Socket();
-            try {
-                next.connect(full.getLocalSocketAddress(), 300);
-                waiting.add(next);
-            } catch (java.net.SocketTimeoutException takesNoMore) {
-                next.close();
-                return waiting;
-            }
-        }
-    }
-
     /** Half an answer, and one that drips: each byte used to be as good as an answer until 12 s were over. */
     @Test
     void anAnswerThatDoesNotEndIsGivenUpAndTheWatchOpenedAnew() throws Exception {
