Decision: request, connection group and idle connection get files of their own

Change: RequestState, ConnectionGroup and IdleConnection are package-private data holders of their own; the private isEligible is told apart from the interface's count.

--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -72,12 +72,12 @@
     private final Fleet whole = new Fleet(0, GROUP_MEMORY_US);
     private final Fleet none = new Fleet(1, GROUP_MEMORY_US);
     private final Map<String, Fleet> pools = new LinkedHashMap<>();
-    private final Map<Long, Request> requests = new HashMap<>();
+    private final Map<Long, RequestState> requests = new HashMap<>();
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
     private final Map<String, Double> usualSetupUs = new HashMap<>();
     private final Map<String, Double> usualLoads = new HashMap<>(); // until a connection's own is told
-    private final List<Request> probing = new ArrayList<>();
-    private final ArrayDeque<Idle> idle = new ArrayDeque<>();
+    private final List<RequestState> probing = new ArrayList<>();
+    private final ArrayDeque<IdleConnection> idle = new ArrayDeque<>();
     private final Sheds sheds = new Sheds();
     private DepthCurve curve;
     private double fastest;
@@ -166,55 +166,6 @@
 
     // ---- What is known of servers, requests and groups ----
 
-    /** One request from its arrival until its client is done and its attempt has ended. */
-    private static final class Request {
-        private final NewRequest in;
-        private final RequestClass kind;
-        private final long deadlineUs;
-        private final long dice; // one chance for each server, however often it is looked at
-        private double load;
-        private int attempts;
-        private Fleet fleet;
-        private Server server;
-        private Group group;
-        private boolean standing;
-        private boolean answered;
-        private boolean mayHaveRun;
-        private ServerEntry ranOn;
-        private long ranAtUs;
-        private long sentAtUs;
-        private Server avoid;
-        private Server first;
-        private Server second;
-        private int awaited;
-        private boolean asked;
-
-        Request(NewRequest in, RequestClass kind, Fleet fleet, long now, long luck, double usualLoad) {
-            this.in = in;
-            this.dice = Hashing.mix(in.id() ^ luck);
-            this.fleet = fleet;
-            this.kind = kind;
-            this.deadlineUs = now + in.graceUs();
-            this.load = in.hintUsPerS() > 0 ? in.hintUsPerS() : usualLoad;
-        }
-    }
-
-    /** A connection to a server that stays open unused for a while. */
-    private record Idle(Server server, long untilUs) { }
-
-    /** Connections that share work on each server that holds any of them. */
-    static final class Group {
-        private final long hash;
-        private final FadingCount arrivals = new FadingCount(GROUP_MEMORY_US);
-        private final List<Server> members = new ArrayList<>();
-        private Server[] places = new Server[GROUP_PLACES];
-        private int listVersion = -1;
-
-        Group(String name) {
-            this.hash = Hashing.of(name);
-        }
-    }
-
     /** Requests that still owe an answer or await the end of an attempt. */
     int requestsHeld() {
         return requests.size();
@@ -371,7 +322,7 @@
 
     @Override
     public void route(long now, long request, String pool) {
-        Request r = requests.get(request);
+        RequestState r = requests.get(request);
         if (r != null && !r.standing) {
             r.fleet = fleet(pool);
         }
@@ -388,17 +339,17 @@
 
     // ---- Admission ----
 
-    private Request enter(long now, NewRequest in) {
+    private RequestState enter(long now, NewRequest in) {
         RequestClass kind = settings.classes().get(in.requestClass());
         double usual = usualLoads.getOrDefault(kind.name(), 1.0);
-        Request r = new Request(in, kind, fleet(in.pool()), now, luck, usual);
+        RequestState r = new RequestState(in, kind, fleet(in.pool()), now, luck, usual);
         requests.put(in.id(), r);
         return r;
     }
 
     @Override
     public void request(long now, NewRequest in) {
-        Request r = enter(now, in);
+        RequestState r = enter(now, in);
         if (!in.midFlow()) {
             double rate = curve.rateAt(depth(now, r.fleet)) * ownPart;
             boolean has = in.tenant() >= 0 && in.tenant() < settings.tenants().size();
@@ -440,7 +391,7 @@
         return Math.max(pending, f.ejected.size() / (f.known.size() + 2.0));
     }
 
-    private void refuse(Request r, long retryAfterUs) {
+    private void refuse(RequestState r, long retryAfterUs) {
         long longest = settings.limits().retryAfter() ? settings.limits().maxRetryAfterUs() : 0;
         double jitter = 0.75 + 0.25 * random.nextDouble();
         actions.refuse(r.in.id(), (long) (Math.min(retryAfterUs, longest) * jitter));
@@ -448,7 +399,7 @@
     }
 
     /** A refusal promises that a repeat is harmless, so it needs an effect that allows the promise. */
-    private void refuseOrFail(Request r, long retryAfterUs) {
+    private void refuseOrFail(RequestState r, long retryAfterUs) {
         if (!r.mayHaveRun || r.kind.effect() == Effect.REPEATABLE
                 || r.kind.effect() == Effect.KEYED && r.kind.repeatGroup() == RepeatGroup.ALL) {
             refuse(r, retryAfterUs);
@@ -458,7 +409,7 @@
         }
     }
 
-    private void conclude(Request r) {
+    private void conclude(RequestState r) {
         r.answered = true;
         probing.remove(r);
         if (r.server == null) {
@@ -468,7 +419,7 @@
 
     // ---- Placement ----
 
-    private void place(long now, Request r) {
+    private void place(long now, RequestState r) {
         long left = r.deadlineUs - now;
         if (r.attempts >= settings.limits().maxAttempts() || left <= 0 || !maySendAgain(now, r)) {
             refuseOrFail(r, HOLD_US);
@@ -501,7 +452,7 @@
         actions.send(r.in.id(), s.name, patience);
     }
 
-    private boolean maySendAgain(long now, Request r) {
+    private boolean maySendAgain(long now, RequestState r) {
         return !r.mayHaveRun || switch (r.kind.effect()) {
             case REPEATABLE -> true;
             case KEYED -> now < r.ranAtUs + r.kind.repeatWindowUs();
@@ -510,7 +461,7 @@
     }
 
     /** A keyed request that may have run may go only where its repeat is discarded. */
-    private boolean sameRepeatGroup(Request r, Server s) {
+    private boolean sameRepeatGroup(RequestState r, Server s) {
         if (!r.mayHaveRun || r.kind.effect() != Effect.KEYED) {
             return true;
         }
@@ -521,14 +472,14 @@
         };
     }
 
-    private Server choose(long now, Request r) {
+    private Server choose(long now, RequestState r) {
         if (r.fleet.ready.isEmpty()) {
             return null;
         }
         fastest = Kind.estimate(kinds.values(), SPEED_PRIOR);
         whole.weigh(kinds.values());
         r.fleet.weigh(kinds.values());
-        Group group = group(now, r);
+        ConnectionGroup group = group(now, r);
         // Left to the draws alone, machines added in a rush stay empty while the others are crowded.
         Server a = warmingWithCredit(now, r);
         if (group != null && !group.members.isEmpty()) {
@@ -559,7 +510,7 @@
     }
 
     /** Whether a server may draw more of its groups: to a bound; where only delays are told, until late. */
-    private boolean bears(long now, Request r, Server s) {
+    private boolean bears(long now, RequestState r, Server s) {
         double even = (r.fleet.load + r.load) * s.weight() / Math.max(1e-9, r.fleet.weight);
         return usable(now, r, s) && now >= s.ejectedUntil && s.pending < s.limit
                 && (delaysTold && usualLoads.isEmpty() || s.openLoad + r.load <= GROUP_PULL * even);
@@ -574,7 +525,7 @@
     }
 
     /** The lighter of two by what they have just reported, as far as they have. */
-    private Server lighter(long now, Request r) {
+    private Server lighter(long now, RequestState r) {
         Server a = r.first;
         Server b = r.second;
         r.first = r.second = null;
@@ -589,23 +540,23 @@
     }
 
     /** Where opening a connection costs: a server to which one of ours has come free, best a near one. */
-    private Server idle(long now, Request r) {
+    private Server idle(long now, RequestState r) {
         double mean = REUSE * r.fleet.load / Math.max(1e-9, r.fleet.weight);
-        Idle found = null;
+        IdleConnection found = null;
         for (var it = idle.descendingIterator(); it.hasNext();) {
-            Idle i = it.next();
+            IdleConnection i = it.next();
             boolean better = found == null
-                    || crossingCosts && whole.near.has(i.server) && !whole.near.has(found.server);
-            if (better && now < i.untilUs && usable(now, r, i.server)
-                    && i.server.openLoad <= mean * i.server.weight()) {
+                    || crossingCosts && whole.near.has(i.server()) && !whole.near.has(found.server());
+            if (better && now < i.untilUs() && usable(now, r, i.server())
+                    && i.server().openLoad <= mean * i.server().weight()) {
                 found = i;
             }
         }
         idle.remove(found);
-        return found == null ? null : found.server;
+        return found == null ? null : found.server();
     }
 
-    private Server draw(long now, Request r, Group group, Server other) {
+    private Server draw(long now, RequestState r, ConnectionGroup group, Server other) {
         Pool<Server> near = r.fleet.near;
         int spread = group == null ? 0 : spread(now, r.fleet, group);
         for (int i = 0; i < DRAWS; i++) {
@@ -636,7 +587,7 @@
      * The first server allowed from a random one on, even out of favour: bad luck refuses nobody. One that
      * fails or is late now only for a first attempt: all would be spent on such within a moment.
      */
-    private Server inTurn(long now, Request r) {
+    private Server inTurn(long now, RequestState r) {
         Pool<Server> ready = r.fleet.ready;
         Server last = null;
         int start = random.nextInt(ready.size());
@@ -652,11 +603,11 @@
         return r.attempts == 0 ? last : null;
     }
 
-    private boolean usable(long now, Request r, Server s) {
-        return inFavour(now, r.fleet, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, r, s);
+    private boolean usable(long now, RequestState r, Server s) {
+        return isEligible(now, r.fleet, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, r, s);
     }
 
-    private boolean inFavour(long now, Fleet f, Server s) {
+    private boolean isEligible(long now, Fleet f, Server s) {
         // With most servers out of favour the fault is elsewhere: spreading over all beats crowding the rest.
         boolean panic = f.ejected.size() - f.failing > (f.ready.size() - f.failing) * (1 - PANIC);
         return f.ready.has(s) && (now >= s.ejectedUntil || panic && !s.failing && !late(now, s));
@@ -669,7 +620,7 @@
     @Override
     public int avoided(long now) {
         return (int) servers.values().stream().filter(s -> !s.gone && s.entry != null)
-                .filter(s -> !inFavour(now, whole, s)).count();
+                .filter(s -> !isEligible(now, whole, s)).count();
     }
 
     @Override
@@ -677,7 +628,7 @@
         Fleet f = fleet(pool);
         int count = 0;
         for (int i = 0; i < f.ready.size(); i++) {
-            count += inFavour(now, f, f.ready.get(i)) ? 1 : 0;
+            count += isEligible(now, f, f.ready.get(i)) ? 1 : 0;
         }
         return count;
     }
@@ -689,7 +640,7 @@
      * is pushed over, so all balancers together keep no more, however many they are: a part of a connection
      * is not saved until it is one, but is the chance with which one is sent.
      */
-    private boolean cold(long now, Request r, Server s) {
+    private boolean cold(long now, RequestState r, Server s) {
         long coldUs = settings.rules().coldUs();
         long age = age(now, s);
         if (!whole.warming.has(s) || age >= WARMING * coldUs) {
@@ -704,7 +655,7 @@
         return s.credit < 1 && s.credit <= Hashing.uniform(r.dice, s.hash, r.attempts);
     }
 
-    private Server warmingWithCredit(long now, Request r) {
+    private Server warmingWithCredit(long now, RequestState r) {
         Pool<Server> warming = r.fleet.warming;
         int start = random.nextInt(Math.max(1, warming.size()));
         for (int i = 0; i < WARMING_SEEN && i < warming.size(); i++) {
@@ -728,7 +679,7 @@
      * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by
      * weight, large servers would else win nearly always where little is held. One at its limit loses.
      */
-    private double load(long now, Server s, Request r) {
+    private double load(long now, Server s, RequestState r) {
         if (s.pending >= s.limit) {
             return Double.MAX_VALUE;
         }
@@ -741,30 +692,30 @@
 
     // ---- Groups ----
 
-    private Group group(long now, Request r) {
+    private ConnectionGroup group(long now, RequestState r) {
         String name = r.in.group();
         if (!settings.groups() || name == null) {
             return null;
         }
-        Map<String, Group> groups = r.fleet.groups;
+        Map<String, ConnectionGroup> groups = r.fleet.groups;
         if (groups.size() > MOST_GROUPS) {
             groups.values().removeIf(g -> g.members.isEmpty() && g.arrivals.at(now) < 0.1);
         }
-        return groups.computeIfAbsent(name, Group::new);
+        return groups.computeIfAbsent(name, n -> new ConnectionGroup(n, GROUP_PLACES, GROUP_MEMORY_US));
     }
 
     /**
      * How many places a group chooses from: its share of the arrivals seen, of the whole fleet. Laplace's
      * estimate: counting an unseen group as nothing would crowd its first places from many balancers.
      */
-    private int spread(long now, Fleet f, Group g) {
+    private int spread(long now, Fleet f, ConnectionGroup g) {
         double share = (g.arrivals.at(now) + 1) / (f.groupArrivals.at(now) + f.groups.size());
         int places = (int) Math.round(GROUP_SPREAD * share * f.ready.size());
         return Math.max(GROUP_PLACES, Math.min(f.ready.size(), places));
     }
 
     /** The group's i-th place by weighted rendezvous hashing, on which all balancers agree. */
-    private Server place(Fleet f, Group g, int i) {
+    private Server place(Fleet f, ConnectionGroup g, int i) {
         if (g.listVersion != f.version) {
             Arrays.fill(g.places, null);
             g.listVersion = f.version;
@@ -790,7 +741,7 @@
 
     @Override
     public void alreadyOpen(long now, NewRequest in, String server) {
-        Request r = enter(now, in);
+        RequestState r = enter(now, in);
         r.attempts = 1;
         r.standing = true;
         r.server = server(server);
@@ -802,8 +753,8 @@
         countGroup(now, r);
     }
 
-    private void countGroup(long now, Request r) {
-        Group g = group(now, r);
+    private void countGroup(long now, RequestState r) {
+        ConnectionGroup g = group(now, r);
         if (g != null) {
             g.members.add(r.server);
             r.group = g;
@@ -814,7 +765,7 @@
 
     @Override
     public void started(long now, long request, int attempt, long tookUs) {
-        Request r = requests.get(request);
+        RequestState r = requests.get(request);
         if (r == null || r.server == null || r.standing) {
             return;
         }
@@ -833,7 +784,7 @@
 
     @Override
     public void loadNote(long now, long request, double loadUsPerS) {
-        Request r = requests.get(request);
+        RequestState r = requests.get(request);
         if (r != null && r.server != null) {
             usualLoads.merge(r.kind.name(), loadUsPerS, (usual, told) -> usual + (told - usual) * SETUP_GAIN);
             tally(r.server, 0, 0, loadUsPerS - r.load);
@@ -843,7 +794,7 @@
 
     @Override
     public void delayNote(long now, long request, double delayMs) {
-        Request r = requests.get(request);
+        RequestState r = requests.get(request);
         if (r == null || r.server == null || r.answered) {
             return;
         }
@@ -867,7 +818,7 @@
     @Override
     public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome,
             Report report) {
-        Request r = requests.get(request);
+        RequestState r = requests.get(request);
         if (r == null || r.server == null) {
             return;
         }
@@ -880,10 +831,10 @@
             r.group = null;
         }
         if (reuses && (outcome == Outcome.OK || outcome == Outcome.CANCELLED && r.standing)) {
-            while (!idle.isEmpty() && idle.peekFirst().untilUs <= now) {
+            while (!idle.isEmpty() && idle.peekFirst().untilUs() <= now) {
                 idle.pollFirst();
             }
-            idle.addLast(new Idle(s, now + settings.limits().connIdleUs()));
+            idle.addLast(new IdleConnection(s, now + settings.limits().connIdleUs()));
         }
         judge(now, s, outcome, r.standing);
         if (outcome == Outcome.RESET && r.standing && whole.ready.has(s)) {
@@ -985,7 +936,7 @@
 
     @Override
     public void abandoned(long now, long request) {
-        Request r = requests.get(request);
+        RequestState r = requests.get(request);
         if (r == null) {
             return;
         }
@@ -1007,7 +958,7 @@
             s.reported = report.load();
             s.reportedAt = now;
         }
-        for (Request r : List.copyOf(probing)) {
+        for (RequestState r : List.copyOf(probing)) {
             if ((r.first == s || r.second == s) && --r.awaited == 0 && !r.answered) {
                 place(now, r);
             }
@@ -1020,7 +971,7 @@
             actions.watchList();
             return;
         }
-        Request r = requests.get(token >> 1);
+        RequestState r = requests.get(token >> 1);
         if (r != null && r.server == null && !r.answered) {
             place(now, r);
         }
--- a/node/src/main/java/tulipshed/decision/Fleet.java
+++ b/node/src/main/java/tulipshed/decision/Fleet.java
@@ -20,7 +20,7 @@
     final Pool<Server> warming;
     /** Ready servers that this balancer has news of. */
     final Pool<Server> known;
-    final Map<String, Balancer.Group> groups = new HashMap<>();
+    final Map<String, ConnectionGroup> groups = new HashMap<>();
     final Map<String, Balancer.TokenBucket> buckets = new HashMap<>();
     final FadingCount groupArrivals;
     /** Names of those that belong to it; not kept for the whole fleet. */
