Packages get the names of the field: proxy, transport, lineprotocol, simadapter, cli

Need: transaction, link, line, simulator and command name neither what they hold nor what the field calls it.

--- a/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
@@ -13,7 +13,7 @@
 import tulipshed.lab.engine.Message;
 import tulipshed.lab.engine.Part;
 import tulipshed.lab.policy.MemberNews;
-import tulipshed.transaction.ListedMember;
+import tulipshed.proxy.ListedMember;
 
 /**
  * Discovery: knows the members after a time, tells those that watch, answers calls one after the other at a fixed rate, and
--- a/lab/src/main/java/tulipshed/lab/policy/CorePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/CorePolicy.java
@@ -7,12 +7,12 @@
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.lab.scenario.Scenario;
 import tulipshed.limits.Limits;
-import tulipshed.transaction.Loop;
-import tulipshed.transaction.MemberConnector;
-import tulipshed.transaction.ServerSideFlow;
-import tulipshed.transaction.Transaction;
-import tulipshed.transaction.TransactionCore;
-import tulipshed.transaction.VirtualServer;
+import tulipshed.proxy.Loop;
+import tulipshed.proxy.MemberConnector;
+import tulipshed.proxy.ServerSideFlow;
+import tulipshed.proxy.Transaction;
+import tulipshed.proxy.TransactionCore;
+import tulipshed.proxy.VirtualServer;
 
 /** The node's whole core, with its timers on the virtual clock; the emulated network is its front and its connector. */
 final class CorePolicy implements Policy, Loop, MemberConnector {
--- a/lab/src/main/java/tulipshed/lab/policy/MemberNews.java
+++ b/lab/src/main/java/tulipshed/lab/policy/MemberNews.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.transaction.ListedMember;
+import tulipshed.proxy.ListedMember;
 
 /** What discovery tells of one member, by number; the entry is shared by all nodes. */
 public record MemberNews(int member, ListedMember listed) {
--- a/node/src/main/java/tulipshed/command/AdapterCommand.java
+++ b/node/src/main/java/tulipshed/cli/AdapterCommand.java
@@ -1,7 +1,7 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import tulipshed.decision.Balancer;
-import tulipshed.simulator.Adapter;
+import tulipshed.simadapter.Adapter;
 
 /** The decision module on the simulator's wire, over standard input and output. */
 public final class AdapterCommand implements Command {
--- a/node/src/main/java/tulipshed/command/Command.java
+++ b/node/src/main/java/tulipshed/cli/Command.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 /** One sub-command. */
 interface Command {
--- a/node/src/main/java/tulipshed/command/CommandGroup.java
+++ b/node/src/main/java/tulipshed/cli/CommandGroup.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.util.Map;
 import java.util.function.Supplier;
--- a/node/src/main/java/tulipshed/command/DemoCommand.java
+++ b/node/src/main/java/tulipshed/cli/DemoCommand.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.io.BufferedReader;
 import java.io.IOException;
--- a/node/src/main/java/tulipshed/command/ExpressionEvalCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionEvalCommand.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/node/src/main/java/tulipshed/command/ExpressionTestCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.io.File;
 import java.io.IOException;
--- a/node/src/main/java/tulipshed/command/Main.java
+++ b/node/src/main/java/tulipshed/cli/Main.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.util.Arrays;
 import java.util.LinkedHashMap;
--- a/node/src/main/java/tulipshed/command/Node.java
+++ b/node/src/main/java/tulipshed/cli/Node.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,10 +15,10 @@
 import tulipshed.discovery.MemberList;
 import tulipshed.discovery.Watch;
 import tulipshed.limits.Limits;
-import tulipshed.line.LineFront;
-import tulipshed.link.Acceptor;
-import tulipshed.link.Siblings;
-import tulipshed.link.XnioLoop;
+import tulipshed.lineprotocol.LineFront;
+import tulipshed.transport.Acceptor;
+import tulipshed.transport.Siblings;
+import tulipshed.transport.XnioLoop;
 import tulipshed.management.ManagementFront;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.peer.PeerPort;
@@ -26,7 +26,7 @@
 import tulipshed.quic.QuicFront;
 import tulipshed.routing.Router;
 import tulipshed.time.Clock;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.TransactionCore;
 
 /** Puts the parts of one node together, and takes it out of service in good order. */
 final class Node {
--- a/node/src/main/java/tulipshed/command/ServeCommand.java
+++ b/node/src/main/java/tulipshed/cli/ServeCommand.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import java.io.File;
 import java.io.IOException;
@@ -10,7 +10,7 @@
 import tulipshed.config.MalformedInput;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
-import tulipshed.link.Siblings;
+import tulipshed.transport.Siblings;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
 
--- a/node/src/main/java/tulipshed/command/VersionCommand.java
+++ b/node/src/main/java/tulipshed/cli/VersionCommand.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 /** Says which version this is. */
 public final class VersionCommand implements Command {
--- a/node/src/main/java/tulipshed/discovery/MemberList.java
+++ b/node/src/main/java/tulipshed/discovery/MemberList.java
@@ -8,7 +8,7 @@
 import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.time.Clock;
-import tulipshed.transaction.ListedMember;
+import tulipshed.proxy.ListedMember;
 
 /** Discovery's list, or a change to it: its version, whether it is the whole, and its entries. */
 public record MemberList(long version, boolean full, List<ListedMember> members) {
--- a/node/src/main/java/tulipshed/discovery/Watch.java
+++ b/node/src/main/java/tulipshed/discovery/Watch.java
@@ -10,10 +10,10 @@
 import tulipshed.config.MalformedInput;
 import tulipshed.decision.BalancerApi.ListKind;
 import tulipshed.limits.Limits;
-import tulipshed.link.Link;
-import tulipshed.link.XnioLoop;
-import tulipshed.transaction.MemberSource;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.transport.Link;
+import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.MemberSource;
+import tulipshed.proxy.TransactionCore;
 
 /**
  * Watches discovery's list: each call waits for news, and the next follows as soon as it is answered. Each step of a call
--- a/node/src/main/java/tulipshed/line/BadLine.java
+++ b/node/src/main/java/tulipshed/lineprotocol/BadLine.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 /** Input that is not of the platform's protocol. */
 final class BadLine extends RuntimeException {
--- a/node/src/main/java/tulipshed/line/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -1,15 +1,15 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.xnio.StreamConnection;
-import tulipshed.link.Link;
-import tulipshed.transaction.MemberConnector;
-import tulipshed.transaction.ServerSideFlow;
-import tulipshed.transaction.Transaction;
-import tulipshed.transaction.VirtualServer;
+import tulipshed.transport.Link;
+import tulipshed.proxy.MemberConnector;
+import tulipshed.proxy.ServerSideFlow;
+import tulipshed.proxy.Transaction;
+import tulipshed.proxy.VirtualServer;
 
 /** The client's side of one connection, and the connector of its flows to members. */
 final class ClientSession implements VirtualServer, MemberConnector, Link.Owner {
--- a/node/src/main/java/tulipshed/line/LineFront.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineFront.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
@@ -9,13 +9,13 @@
 import org.xnio.StreamConnection;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.limits.Limits;
-import tulipshed.link.Complaints;
-import tulipshed.link.Link;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.Complaints;
+import tulipshed.transport.Link;
+import tulipshed.transport.XnioLoop;
 import tulipshed.routing.Declarations;
 import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.TransactionCore;
 
 /** The platform's front: takes client connections, and keeps what its sessions share. */
 public final class LineFront {
--- a/node/src/main/java/tulipshed/line/LineSplitter.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineSplitter.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
--- a/node/src/main/java/tulipshed/line/LoadReport.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LoadReport.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.util.Arrays;
 import java.util.Map;
--- a/node/src/main/java/tulipshed/line/MemberConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/MemberConnection.java
@@ -1,13 +1,13 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Report;
-import tulipshed.link.Link;
-import tulipshed.link.XnioLoop;
-import tulipshed.transaction.ServerSideFlow;
+import tulipshed.transport.Link;
+import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.ServerSideFlow;
 
 /** One server-side flow on a connection of its own to a pool member. */
 final class MemberConnection implements Link.Owner {
--- a/node/src/main/java/tulipshed/line/MemberProbes.java
+++ b/node/src/main/java/tulipshed/lineprotocol/MemberProbes.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -9,10 +9,10 @@
 import org.xnio.StreamConnection;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Report;
-import tulipshed.link.Link;
-import tulipshed.link.XnioLoop;
-import tulipshed.transaction.MemberProber;
-import tulipshed.transaction.PoolMember;
+import tulipshed.transport.Link;
+import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.MemberProber;
+import tulipshed.proxy.PoolMember;
 
 /**
  * Probes of members by {@code STATS}, on connections that are kept for the next probe, as opening one costs the member
--- a/node/src/main/java/tulipshed/line/OpeningLine.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpeningLine.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -7,7 +7,7 @@
 import java.util.Set;
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.routing.Declarations;
-import tulipshed.transaction.Transaction.Arrival;
+import tulipshed.proxy.Transaction.Arrival;
 
 /**
  * A client's first line: {@code OPEN ID KEY name=value,...}. Keeps the text as it came, so that it can go on
--- a/node/src/main/java/tulipshed/line/Silence.java
+++ b/node/src/main/java/tulipshed/lineprotocol/Silence.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 /**
  * Whether a member that owes an answer to a client's line has gone without a word. A member that runs answers at once, so
--- a/node/src/main/java/tulipshed/management/ManagementFront.java
+++ b/node/src/main/java/tulipshed/management/ManagementFront.java
@@ -9,11 +9,11 @@
 import java.util.function.BooleanSupplier;
 import org.xnio.StreamConnection;
 import tulipshed.limits.Limits;
-import tulipshed.link.Acceptor;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.Acceptor;
+import tulipshed.transport.XnioLoop;
 import tulipshed.management.ManagementSession.Answer;
 import tulipshed.time.Clock;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.TransactionCore;
 
 /**
  * The second address, for staff and their tools. Its connections are few, short and apart from the clients': when
--- a/node/src/main/java/tulipshed/management/ManagementSession.java
+++ b/node/src/main/java/tulipshed/management/ManagementSession.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
-import tulipshed.link.Link;
+import tulipshed.transport.Link;
 
 /** One connection of the second address: one call, one answer, and its end. */
 final class ManagementSession implements Link.Owner {
--- a/node/src/main/java/tulipshed/management/MetricsWriter.java
+++ b/node/src/main/java/tulipshed/management/MetricsWriter.java
@@ -7,8 +7,8 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import tulipshed.transaction.Figures;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.Figures;
+import tulipshed.proxy.TransactionCore;
 
 /** Writes the figures of a node as one JSON object. */
 final class MetricsWriter {
--- a/node/src/main/java/tulipshed/peer/PeerPort.java
+++ b/node/src/main/java/tulipshed/peer/PeerPort.java
@@ -10,12 +10,12 @@
 import tulipshed.config.PeerConfig;
 import tulipshed.decision.BalancerApi.Actions;
 import tulipshed.limits.Limits;
-import tulipshed.link.Complaints;
-import tulipshed.link.DatagramPort;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.Complaints;
+import tulipshed.transport.DatagramPort;
+import tulipshed.transport.XnioLoop;
 import tulipshed.time.Clock;
-import tulipshed.transaction.PeerSender;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.PeerSender;
+import tulipshed.proxy.TransactionCore;
 
 /**
  * Datagrams between the nodes of a tier: transport alone. Open only while the configuration names an address and the
--- a/node/src/main/java/tulipshed/transaction/Figures.java
+++ b/node/src/main/java/tulipshed/proxy/Figures.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/node/src/main/java/tulipshed/transaction/Loop.java
+++ b/node/src/main/java/tulipshed/proxy/Loop.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /** The one thread on which everything runs. */
 public interface Loop {
--- a/node/src/main/java/tulipshed/transaction/MemberConnector.java
+++ b/node/src/main/java/tulipshed/proxy/MemberConnector.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /**
  * Opens server-side flows towards pool members; each front brings its own. What becomes of a flow is told to
--- a/node/src/main/java/tulipshed/transaction/MemberProber.java
+++ b/node/src/main/java/tulipshed/proxy/MemberProber.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /**
  * Asks pool members how busy they are. Every probe asked for is answered once by {@link TransactionCore#probed}, also
--- a/node/src/main/java/tulipshed/transaction/MemberSource.java
+++ b/node/src/main/java/tulipshed/proxy/MemberSource.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /** Where the list of pool members comes from. */
 public interface MemberSource {
--- a/node/src/main/java/tulipshed/transaction/PeerSender.java
+++ b/node/src/main/java/tulipshed/proxy/PeerSender.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /** Sends datagrams to the other nodes of the tier; they may come late or not at all, and nobody is told. */
 public interface PeerSender {
--- a/node/src/main/java/tulipshed/transaction/PoolMember.java
+++ b/node/src/main/java/tulipshed/proxy/PoolMember.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import java.net.InetSocketAddress;
 import tulipshed.decision.BalancerApi.ServerEntry;
--- a/node/src/main/java/tulipshed/transaction/PoolMembers.java
+++ b/node/src/main/java/tulipshed/proxy/PoolMembers.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import java.util.Collection;
 import java.util.HashMap;
--- a/node/src/main/java/tulipshed/transaction/Routing.java
+++ b/node/src/main/java/tulipshed/proxy/Routing.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -11,7 +11,7 @@
 import tulipshed.routing.Classified;
 import tulipshed.routing.Router;
 import tulipshed.routing.Subject;
-import tulipshed.transaction.Transaction.Arrival;
+import tulipshed.proxy.Transaction.Arrival;
 
 /** Holds transactions to what the operators' rules make of them, and tells the module of pools and routes. */
 final class Routing {
--- a/node/src/main/java/tulipshed/transaction/ServerSideFlow.java
+++ b/node/src/main/java/tulipshed/proxy/ServerSideFlow.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /** One attempt of a transaction at one pool member. */
 public final class ServerSideFlow {
--- a/node/src/main/java/tulipshed/transaction/Transaction.java
+++ b/node/src/main/java/tulipshed/proxy/Transaction.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import tulipshed.decision.BalancerApi.Effect;
 import tulipshed.decision.BalancerApi.NewRequest;
--- a/node/src/main/java/tulipshed/transaction/TransactionCore.java
+++ b/node/src/main/java/tulipshed/proxy/TransactionCore.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
--- a/node/src/main/java/tulipshed/transaction/VirtualServer.java
+++ b/node/src/main/java/tulipshed/proxy/VirtualServer.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 /** A transaction's client, as the front that took it implements it. Called on the loop only. */
 public interface VirtualServer {
--- a/node/src/main/java/tulipshed/quic/ClientPath.java
+++ b/node/src/main/java/tulipshed/quic/ClientPath.java
@@ -1,7 +1,7 @@
 package tulipshed.quic;
 
 import java.net.InetSocketAddress;
-import tulipshed.link.DatagramPort;
+import tulipshed.transport.DatagramPort;
 
 /**
  * One way by which a client is heard: its address, the listener that hears it, and, once something goes to its member, a place
--- a/node/src/main/java/tulipshed/quic/FlowSide.java
+++ b/node/src/main/java/tulipshed/quic/FlowSide.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.transaction.ServerSideFlow;
+import tulipshed.proxy.ServerSideFlow;
 
 /** One path's place on a socket towards its member, and whether anything comes back there. */
 final class FlowSide {
--- a/node/src/main/java/tulipshed/quic/FlowSockets.java
+++ b/node/src/main/java/tulipshed/quic/FlowSockets.java
@@ -7,8 +7,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import tulipshed.link.DatagramPort;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.DatagramPort;
+import tulipshed.transport.XnioLoop;
 import tulipshed.quic.QuicFigures.Figure;
 
 /** The node's UDP sockets towards members, each shared by one flow of every member; {@link FlowSlots} says which. */
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -16,14 +16,14 @@
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.StatelessReset;
 import tulipshed.limits.Limits;
-import tulipshed.link.DatagramPort;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.DatagramPort;
+import tulipshed.transport.XnioLoop;
 import tulipshed.quic.QuicFigures.Figure;
 import tulipshed.routing.Origin;
 import tulipshed.routing.TransactionSchema;
 import tulipshed.time.Clock;
-import tulipshed.transaction.Transaction.Arrival;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.Transaction.Arrival;
+import tulipshed.proxy.TransactionCore;
 
 /**
  * The second front: QUIC by connection ids. A datagram belongs to the connection that its destination id
--- a/node/src/main/java/tulipshed/quic/QuicSession.java
+++ b/node/src/main/java/tulipshed/quic/QuicSession.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.link.DatagramPort;
+import tulipshed.transport.DatagramPort;
 import tulipshed.quic.QuicFigures.Figure;
-import tulipshed.transaction.MemberConnector;
-import tulipshed.transaction.ServerSideFlow;
-import tulipshed.transaction.Transaction;
-import tulipshed.transaction.VirtualServer;
+import tulipshed.proxy.MemberConnector;
+import tulipshed.proxy.ServerSideFlow;
+import tulipshed.proxy.Transaction;
+import tulipshed.proxy.VirtualServer;
 
 /**
  * One connection of QUIC: carries out what its {@link ConnectionMachine} says, between the client's paths and the core, and is
--- a/node/src/main/java/tulipshed/quic/Strangers.java
+++ b/node/src/main/java/tulipshed/quic/Strangers.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
-import tulipshed.link.DatagramPort;
+import tulipshed.transport.DatagramPort;
 
 /**
  * Datagrams of those that nothing is known of, waiting for a moment in which nobody else does. Opening a stranger's packet takes
--- a/node/src/main/java/tulipshed/simulator/ReplyWriter.java
+++ b/node/src/main/java/tulipshed/simadapter/ReplyWriter.java
@@ -1,4 +1,4 @@
-package tulipshed.simulator;
+package tulipshed.simadapter;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/node/src/main/java/tulipshed/link/Complaints.java
+++ b/node/src/main/java/tulipshed/transport/Complaints.java
@@ -1,4 +1,4 @@
-package tulipshed.link;
+package tulipshed.transport;
 
 import java.util.function.Consumer;
 import tulipshed.limits.Limits;
--- a/node/src/main/java/tulipshed/link/DatagramPort.java
+++ b/node/src/main/java/tulipshed/transport/DatagramPort.java
@@ -1,4 +1,4 @@
-package tulipshed.link;
+package tulipshed.transport;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/node/src/main/java/tulipshed/link/Siblings.java
+++ b/node/src/main/java/tulipshed/transport/Siblings.java
@@ -1,4 +1,4 @@
-package tulipshed.link;
+package tulipshed.transport;
 
 import java.io.IOException;
 import java.lang.invoke.VarHandle;
@@ -12,7 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import tulipshed.transaction.Companion;
+import tulipshed.proxy.Companion;
 
 /**
  * What the two processes of one node know of each other while one takes over from the other. Each has a slot of a small
--- a/node/src/main/java/tulipshed/link/XnioLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioLoop.java
@@ -1,4 +1,4 @@
-package tulipshed.link;
+package tulipshed.transport;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,7 +17,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.MulticastMessageChannel;
 import tulipshed.limits.Limits;
-import tulipshed.transaction.Loop;
+import tulipshed.proxy.Loop;
 
 /** The one I/O thread: XNIO's, which runs listeners and, after those that were ready, the tasks given to it. */
 public final class XnioLoop implements Loop {
--- a/node/src/test/java/tulipshed/PackagesTest.java
+++ b/node/src/test/java/tulipshed/PackagesTest.java
@@ -22,7 +22,7 @@
     void theCoreKnowsNoWire() {
         noClasses()
                 .that()
-                .resideInAnyPackage("tulipshed.transaction..", "tulipshed.decision..")
+                .resideInAnyPackage("tulipshed.proxy..", "tulipshed.decision..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -30,9 +30,9 @@
                         "java.nio..",
                         "java.io..",
                         "com.fasterxml..",
-                        "tulipshed.line..",
+                        "tulipshed.lineprotocol..",
                         "tulipshed.quic..",
-                        "tulipshed.link..",
+                        "tulipshed.transport..",
                         "tulipshed.discovery..")
                 .check(classes);
     }
@@ -49,7 +49,7 @@
                         "org.xnio..",
                         "java.nio..",
                         "java.io..",
-                        "tulipshed.transaction..",
+                        "tulipshed.proxy..",
                         "tulipshed.operators..",
                         "tulipshed.config..")
                 .check(classes);
@@ -63,7 +63,7 @@
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
-                        "tulipshed.transaction..", "tulipshed.limits..", "tulipshed.time..", "tulipshed.config..")
+                        "tulipshed.proxy..", "tulipshed.limits..", "tulipshed.time..", "tulipshed.config..")
                 .check(classes);
     }
 }
--- a/node/src/test/java/tulipshed/command/DescriptorsTest.java
+++ b/node/src/test/java/tulipshed/cli/DescriptorsTest.java
@@ -1,4 +1,4 @@
-package tulipshed.command;
+package tulipshed.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/WatchTest.java
@@ -22,11 +22,11 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.testing.Backlog;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.TransactionCore;
 
 /** The watch against a stand-in discovery that answers as each test says. */
 class WatchTest {
--- a/node/src/test/java/tulipshed/line/LineFrontBench.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -26,11 +26,11 @@
 import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.ListedMember;
+import tulipshed.proxy.TransactionCore;
 
 /** The platform's front with the real core and module, between plain sockets on loopback. */
 abstract class LineFrontBench {
--- a/node/src/test/java/tulipshed/line/LineFrontTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontTest.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import tulipshed.decision.BalancerApi;
 import tulipshed.limits.Limits;
-import tulipshed.link.DatagramPort;
+import tulipshed.transport.DatagramPort;
 
 /** The platform's front: what each side hears of the other. */
 class LineFrontTest extends LineFrontBench {
--- a/node/src/test/java/tulipshed/line/LineParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -16,7 +16,7 @@
 import tulipshed.config.SettingsReader.Names;
 import tulipshed.routing.Declarations;
 import tulipshed.testing.Cuts;
-import tulipshed.transaction.Transaction.Arrival;
+import tulipshed.proxy.Transaction.Arrival;
 
 class LineParserTest {
     private static final String OPEN = "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1,zz=9\r\n";
--- a/node/src/test/java/tulipshed/line/MemberProbesTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -37,11 +37,11 @@
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.ListedMember;
+import tulipshed.proxy.TransactionCore;
 
 /** Probes on loopback sockets, between the real core and a member played line by line. */
 class MemberProbesTest {
--- a/node/src/test/java/tulipshed/line/SilenceTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/SilenceTest.java
@@ -1,4 +1,4 @@
-package tulipshed.line;
+package tulipshed.lineprotocol;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/node/src/test/java/tulipshed/management/ManagementFrontTest.java
+++ b/node/src/test/java/tulipshed/management/ManagementFrontTest.java
@@ -20,9 +20,9 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.TransactionCore;
 
 /** The second address between plain sockets on loopback. */
 class ManagementFrontTest {
--- a/node/src/test/java/tulipshed/peer/PeerPortTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerPortTest.java
@@ -25,11 +25,11 @@
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.testing.NodeProcess;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.TransactionCore;
 
 /** The port under a real core whose module answers each datagram, with plain sockets as the other nodes. */
 class PeerPortTest {
--- a/node/src/test/java/tulipshed/transaction/CoreBench.java
+++ b/node/src/test/java/tulipshed/proxy/CoreBench.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/node/src/test/java/tulipshed/transaction/DuesTest.java
+++ b/node/src/test/java/tulipshed/proxy/DuesTest.java
@@ -1,4 +1,4 @@
-package tulipshed.transaction;
+package tulipshed.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/node/src/test/java/tulipshed/quic/FrontSetup.java
+++ b/node/src/test/java/tulipshed/quic/FrontSetup.java
@@ -17,14 +17,14 @@
 import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.quic.StandIns.Client;
 import tulipshed.quic.StandIns.Client.Heard;
 import tulipshed.quic.StandIns.Server;
 import tulipshed.quic.StandIns.Server.Manner;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.ListedMember;
+import tulipshed.proxy.TransactionCore;
 
 /** A front, or several, with the real core and module between stand-in servers on loopback. */
 abstract class FrontSetup {
--- a/node/src/test/java/tulipshed/quic/KwikTest.java
+++ b/node/src/test/java/tulipshed/quic/KwikTest.java
@@ -39,11 +39,11 @@
 import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.ListedMember;
+import tulipshed.proxy.TransactionCore;
 
 /**
  * Whole handshakes with TLS and echoes on streams through the front, with a client and a server that others wrote. What
--- a/node/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/node/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -18,7 +18,7 @@
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.ServerIds;
 import tulipshed.decision.BalancerApi.ServerState;
-import tulipshed.link.DatagramPort;
+import tulipshed.transport.DatagramPort;
 import tulipshed.quic.StandIns.Client;
 import tulipshed.quic.StandIns.Client.Heard;
 import tulipshed.quic.StandIns.Server;
--- a/node/src/test/java/tulipshed/quic/QuicLabProcess.java
+++ b/node/src/test/java/tulipshed/quic/QuicLabProcess.java
@@ -20,10 +20,10 @@
 import tulipshed.decision.BalancerApi.ServerEntry;
 import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
-import tulipshed.link.XnioLoop;
+import tulipshed.transport.XnioLoop;
 import tulipshed.time.SystemClock;
-import tulipshed.transaction.ListedMember;
-import tulipshed.transaction.TransactionCore;
+import tulipshed.proxy.ListedMember;
+import tulipshed.proxy.TransactionCore;
 
 /** What {@link QuicLab} measures: the front with core and module, or a bare relay that looks at addresses alone. */
 final class QuicLabProcess {
--- a/node/src/test/java/tulipshed/simulator/AdapterTest.java
+++ b/node/src/test/java/tulipshed/simadapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package tulipshed.simulator;
+package tulipshed.simadapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -44,7 +44,7 @@
                 "java.base/sun.nio.ch=ALL-UNNAMED",
                 "-cp",
                 System.getProperty("java.class.path"),
-                "tulipshed.command.Main",
+                "tulipshed.cli.Main",
                 "serve"));
         command.addAll(List.of(arguments));
         ProcessBuilder builder = new ProcessBuilder(command);
--- a/node/src/test/java/tulipshed/link/DatagramPortTest.java
+++ b/node/src/test/java/tulipshed/transport/DatagramPortTest.java
@@ -1,4 +1,4 @@
-package tulipshed.link;
+package tulipshed.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/node/src/test/java/tulipshed/link/SiblingsTest.java
+++ b/node/src/test/java/tulipshed/transport/SiblingsTest.java
@@ -1,4 +1,4 @@
-package tulipshed.link;
+package tulipshed.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.limits.Limits;
-import tulipshed.transaction.Companion;
+import tulipshed.proxy.Companion;
 
 class SiblingsTest {
     @TempDir
