--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -20,7 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Stream;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.demo.StandInDiscovery;
 import tulipshed.lab.model.Outcome;
 import tulipshed.lab.model.World;
@@ -205,20 +205,21 @@
     }
 
     private void news(MemberNews n) {
-        var e = n.listed().entry();
+        var e = n.listed().info();
         long startedMs =
                 e.startedUs() == 0 ? 0 : System.currentTimeMillis() - Math.round(nowMs() - e.startedUs() / 1000.0);
-        String state = e.state() == ServerState.GONE ? "DELETED" : e.state().name();
+        String state =
+                e.status() == EndpointStatus.REMOVED ? "DELETED" : e.status().name();
         for (int d = 0; d < discoveries.size(); d++) {
             discoveries
                     .get(d)
                     .tell(
-                            e.server(),
+                            e.id(),
                             addresses.get(d).get(n.member()),
                             e.zone(),
-                            e.kind(),
+                            e.machineType(),
                             state,
-                            e.share(),
+                            e.weight(),
                             startedMs);
         }
         if (pushed()) {
--- a/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
+++ b/lab/src/main/java/tulipshed/lab/load/NodeConfigWriter.java
@@ -41,13 +41,13 @@
         ArrayNode servers = ((ObjectNode) all.get("known")).putArray("servers");
         for (MemberNews n : known.news()) {
             servers.addObject()
-                    .put("id", n.listed().entry().server())
+                    .put("id", n.listed().info().id())
                     .put("addr", text(members.get(n.member())))
-                    .put("zone", n.listed().entry().zone())
-                    .put("kind", n.listed().entry().kind())
+                    .put("zone", n.listed().info().zone())
+                    .put("kind", n.listed().info().machineType())
                     .put("cell", 0)
                     .put("state", "SERVING")
-                    .put("weight", n.listed().entry().share())
+                    .put("weight", n.listed().info().weight())
                     .put("started_ms", 0);
         }
         settings((ObjectNode) all.get("settings"), s, node);
--- a/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/DiscoveryPart.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.lab.engine.Message;
 import tulipshed.lab.engine.Part;
 import tulipshed.lab.policy.MemberNews;
-import tulipshed.proxy.ListedMember;
+import tulipshed.proxy.EndpointListEntry;
 
 /**
  * Discovery: knows the members after a time, tells those that watch, answers calls one after the other at a fixed rate, and
@@ -43,7 +43,7 @@
         this.world = world;
         now = new MemberNews[world.members.length];
         for (int m = 0; m < world.listedAtStart; m++) {
-            now[m] = news(m, ServerState.SERVING, 0);
+            now[m] = news(m, EndpointStatus.SERVING, 0);
         }
     }
 
@@ -59,15 +59,15 @@
                 all.add(n);
             }
         }
-        return new MemberNews.Batch(ListKind.REMEMBERED, List.copyOf(all));
+        return new MemberNews.Batch(EndpointListKind.CACHED, List.copyOf(all));
     }
 
-    private MemberNews news(int member, ServerState state, double startedMs) {
+    private MemberNews news(int member, EndpointStatus state, double startedMs) {
         MemberPart m = world.members[member];
         return new MemberNews(
                 member,
-                new ListedMember(
-                        new ServerEntry(
+                new EndpointListEntry(
+                        new EndpointInfo(
                                 m.name, state, m.site, 0, m.kind.name(), m.kind.share(), Math.round(startedMs * 1000)),
                         NOWHERE));
     }
@@ -77,7 +77,7 @@
         switch (message.kind) {
             case Kinds.STATE -> {
                 int[] what = (int[]) message.what;
-                change(nowMs, what[0], ServerState.values()[what[1]], message.value);
+                change(nowMs, what[0], EndpointStatus.values()[what[1]], message.value);
             }
             case Kinds.FELL -> remind(nowMs + world.scenario.discovery().detectMs(), Kinds.STATE, message.what, 0);
             case Kinds.LATE -> laterMs = message.value;
@@ -100,12 +100,12 @@
         }
     }
 
-    private void change(double nowMs, int member, ServerState state, double startedMs) {
+    private void change(double nowMs, int member, EndpointStatus state, double startedMs) {
         MemberNews n = news(member, state, startedMs);
-        if (state == ServerState.GONE && now[member] == null) {
+        if (state == EndpointStatus.REMOVED && now[member] == null) {
             return;
         }
-        now[member] = state == ServerState.GONE ? null : n;
+        now[member] = state == EndpointStatus.REMOVED ? null : n;
         changes.add(n);
         // In the order in which it happened, also where a late spell ends.
         lastDueMs = Math.max(lastDueMs, nowMs + world.scenario.discovery().lagMs() + laterMs);
@@ -119,7 +119,7 @@
         }
         told = change + 1;
         onNews.accept(changes.get(change));
-        MemberNews.Batch batch = new MemberNews.Batch(ListKind.CHANGES, List.of(changes.get(change)));
+        MemberNews.Batch batch = new MemberNews.Batch(EndpointListKind.CHANGES, List.of(changes.get(change)));
         for (int n = watching.nextSetBit(0); n >= 0; n = watching.nextSetBit(n + 1)) {
             toNode(nowMs, world.nodes[n], batch, change + 1);
         }
@@ -158,11 +158,11 @@
         }
         watching.set(to.number);
         if (version < 0) {
-            toNode(nowMs, to, new MemberNews.Batch(ListKind.COMPLETE, complete()), told);
+            toNode(nowMs, to, new MemberNews.Batch(EndpointListKind.COMPLETE, complete()), told);
             return;
         }
         List<MemberNews> since = version < told ? List.copyOf(changes.subList(version, told)) : List.of();
-        toNode(nowMs, to, new MemberNews.Batch(ListKind.CHANGES, since), told);
+        toNode(nowMs, to, new MemberNews.Batch(EndpointListKind.CHANGES, since), told);
     }
 
     /** The whole list as it is known by now. */
@@ -170,12 +170,12 @@
         Map<Integer, MemberNews> all = new TreeMap<>();
         world.atStart.news().forEach(n -> all.put(n.member(), n));
         changes.subList(0, told).forEach(n -> all.put(n.member(), n));
-        all.values().removeIf(n -> n.listed().entry().state() == ServerState.GONE);
+        all.values().removeIf(n -> n.listed().info().status() == EndpointStatus.REMOVED);
         return List.copyOf(all.values());
     }
 
     private void fail(double nowMs, NodeSide node) {
         failedCalls++;
-        toNode(nowMs, node, new MemberNews.Batch(ListKind.FAILED, List.of()), -1);
+        toNode(nowMs, node, new MemberNews.Batch(EndpointListKind.FAILED, List.of()), -1);
     }
 }
--- a/lab/src/main/java/tulipshed/lab/model/KnownList.java
+++ b/lab/src/main/java/tulipshed/lab/model/KnownList.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.lab.policy.MemberNews;
 
 /** What a node was told of members, over all its processes. */
@@ -41,7 +41,7 @@
     }
 
     void started(MemberNews n) {
-        long us = n.listed().entry().startedUs();
+        long us = n.listed().info().startedUs();
         if (us > 0) {
             started.put(n.member(), us / 1000.0);
         }
@@ -55,15 +55,15 @@
     /** The list as this node last had it. */
     MemberNews.Batch remembered() {
         Map<Integer, MemberNews> last = last();
-        last.values().removeIf(n -> n.listed().entry().state() == ServerState.GONE);
-        return new MemberNews.Batch(ListKind.REMEMBERED, List.copyOf(last.values()));
+        last.values().removeIf(n -> n.listed().info().status() == EndpointStatus.REMOVED);
+        return new MemberNews.Batch(EndpointListKind.CACHED, List.copyOf(last.values()));
     }
 
     private Map<Integer, MemberNews> last() {
         Map<Integer, MemberNews> last = new TreeMap<>();
         atStart.news().forEach(n -> last.put(n.member(), n));
         for (MemberNews.Batch b : heard) {
-            if (b.kind() == ListKind.COMPLETE) {
+            if (b.kind() == EndpointListKind.COMPLETE) {
                 last.clear();
             }
             b.news().forEach(n -> last.put(n.member(), n));
@@ -73,7 +73,7 @@
 
     /** Members once told of that a complete list does not name: it says that they are gone. */
     List<Integer> missing(MemberNews.Batch complete) {
-        if (complete.kind() == ListKind.CHANGES || complete.kind() == ListKind.FAILED) {
+        if (complete.kind() == EndpointListKind.CHANGES || complete.kind() == EndpointListKind.FAILED) {
             return List.of();
         }
         Set<Integer> named = new HashSet<>();
--- a/lab/src/main/java/tulipshed/lab/model/MemberPart.java
+++ b/lab/src/main/java/tulipshed/lab/model/MemberPart.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.lab.engine.Message;
 import tulipshed.lab.engine.Part;
 import tulipshed.lab.policy.Flow;
@@ -326,7 +326,7 @@
                     nowMs + world.wayToDiscovery(this),
                     world.discovery,
                     Kinds.FELL,
-                    new int[] {number, ServerState.GONE.ordinal()},
+                    new int[] {number, EndpointStatus.REMOVED.ordinal()},
                     0);
         }
     }
--- a/lab/src/main/java/tulipshed/lab/model/NodePart.java
+++ b/lab/src/main/java/tulipshed/lab/model/NodePart.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.lab.engine.Message;
 import tulipshed.lab.policy.Flow;
@@ -45,7 +45,7 @@
         rules = newRules();
         policy = world.policies.apply(this);
         policy.settle();
-        hears(new MemberNews.Batch(ListKind.REMEMBERED, list.news()));
+        hears(new MemberNews.Batch(EndpointListKind.CACHED, list.news()));
         if (world.scenario.discovery().pushed()) {
             // The node's own network code asks the agent, without the module's word.
             watch();
@@ -303,8 +303,8 @@
                     "list, " + batch.kind() + ": "
                             + batch.news().stream()
                                     .limit(20)
-                                    .map(n -> n.listed().entry().server() + " "
-                                            + n.listed().entry().state())
+                                    .map(n -> n.listed().info().id() + " "
+                                            + n.listed().info().status())
                                     .toList());
         }
         for (MemberNews n : batch.news()) {
@@ -509,7 +509,7 @@
         if (world.scenario.discovery().pushed() || world.cuts.backMs(site, world.discovery.site(), nowMs) <= nowMs) {
             send(nowMs + world.wayToDiscovery(this), world.discovery, Kinds.WATCH, this, known.version());
         } else {
-            remind(nowMs + SILENT_MS, Kinds.LIST, new MemberNews.Batch(ListKind.FAILED, List.of()), -1);
+            remind(nowMs + SILENT_MS, Kinds.LIST, new MemberNews.Batch(EndpointListKind.FAILED, List.of()), -1);
         }
     }
 
--- a/lab/src/main/java/tulipshed/lab/model/Troubles.java
+++ b/lab/src/main/java/tulipshed/lab/model/Troubles.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.ListSampler;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.lab.engine.Part;
 import tulipshed.lab.scenario.Scenario;
 import tulipshed.lab.scenario.Scenario.Trouble;
@@ -68,7 +68,7 @@
         return t.atMs() + t.overMs() * random.nextDouble();
     }
 
-    private void state(double atMs, int member, ServerState state, double startedMs) {
+    private void state(double atMs, int member, EndpointStatus state, double startedMs) {
         planner.plan(atMs, world.discovery, Kinds.STATE, new int[] {member, state.ordinal()}, startedMs);
     }
 
@@ -80,7 +80,7 @@
                 for (int m = added; m < added + n; m++) {
                     double at = within(t);
                     planner.plan(at, world.members[m], Kinds.RISES, null, 0);
-                    state(at, m, ServerState.SERVING, at);
+                    state(at, m, EndpointStatus.SERVING, at);
                 }
                 added += n;
             } else if (t.kind().endsWith("-members") && !t.kind().equals("silence-members")) {
@@ -126,10 +126,10 @@
             if (world.members[m].site.equals(site)) {
                 planner.plan(t.atMs(), world.members[m], Kinds.DIES, null, 0);
                 if (knownMs < backMs) {
-                    state(knownMs, m, ServerState.GONE, 0);
+                    state(knownMs, m, EndpointStatus.REMOVED, 0);
                 }
                 planner.plan(backMs, world.members[m], Kinds.RISES, null, 0);
-                state(backMs, m, ServerState.SERVING, backMs);
+                state(backMs, m, EndpointStatus.SERVING, backMs);
             }
         }
     }
@@ -146,13 +146,13 @@
             switch (t.kind()) {
                 case "deploy-members", "remove-members" -> {
                     double gone = at + model.drainMs();
-                    state(at, m, ServerState.DRAINING, 0);
+                    state(at, m, EndpointStatus.DRAINING, 0);
                     planner.plan(gone, member, Kinds.DRAINED, null, 0);
-                    state(gone, m, ServerState.GONE, 0);
+                    state(gone, m, EndpointStatus.REMOVED, 0);
                     if (t.kind().startsWith("deploy")) {
                         double back = gone + model.restartMs();
                         planner.plan(back, member, Kinds.RISES, null, 0);
-                        state(back, m, ServerState.SERVING, back);
+                        state(back, m, EndpointStatus.SERVING, back);
                     }
                 }
                 case "kill-members", "crash-members" -> {
@@ -163,7 +163,7 @@
                                             ? world.scenario.discovery().detectMs()
                                             : world.scenario.discovery().silentMs()),
                             m,
-                            ServerState.GONE,
+                            EndpointStatus.REMOVED,
                             0);
                 }
                 case "slow-members" -> {
--- a/lab/src/main/java/tulipshed/lab/policy/BaselinePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/BaselinePolicy.java
@@ -2,7 +2,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.Outcome;
 
 /** What is common to the policies that the module is compared with: they choose, try again elsewhere, then turn away. */
@@ -56,17 +56,17 @@
 
     @Override
     public void list(MemberNews.Batch batch) {
-        if (batch.kind() == ListKind.FAILED) {
+        if (batch.kind() == EndpointListKind.FAILED) {
             host.after(ASK_MS * (0.5 + random.nextDouble()), host::watch);
             return;
         }
-        if (batch.kind() != ListKind.CHANGES) {
+        if (batch.kind() != EndpointListKind.CHANGES) {
             while (count > 0) {
                 remove(serving[count - 1]);
             }
         }
         for (MemberNews n : batch.news()) {
-            weight[n.member()] = n.listed().entry().share();
+            weight[n.member()] = n.listed().info().weight();
             if (n.serving() && placeOf[n.member()] < 0) {
                 if (count == serving.length) {
                     serving = java.util.Arrays.copyOf(serving, Math.max(16, 2 * count));
--- a/lab/src/main/java/tulipshed/lab/policy/CorePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/CorePolicy.java
@@ -7,22 +7,22 @@
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.lab.scenario.Scenario;
 import tulipshed.limits.Limits;
-import tulipshed.proxy.Loop;
-import tulipshed.proxy.MemberConnector;
-import tulipshed.proxy.ServerSideFlow;
-import tulipshed.proxy.Transaction;
-import tulipshed.proxy.TransactionCore;
-import tulipshed.proxy.VirtualServer;
+import tulipshed.proxy.Attempt;
+import tulipshed.proxy.ClientConnection;
+import tulipshed.proxy.EventLoop;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.proxy.Request;
+import tulipshed.proxy.UpstreamConnector;
 
 /** The node's whole core, with its timers on the virtual clock; the emulated network is its front and its connector. */
-final class CorePolicy implements Policy, Loop, MemberConnector {
+final class CorePolicy implements Policy, EventLoop, UpstreamConnector {
     private static final int DESCRIPTORS = 1024; // the core itself counts none
 
     private final Host host;
     private final Map<String, Integer> numbers;
     private final ArrayDeque<Runnable> ready = new ArrayDeque<>();
-    private final Map<Transaction, Client> byTransaction = new IdentityHashMap<>();
-    private final TransactionCore core;
+    private final Map<Request, Client> byTransaction = new IdentityHashMap<>();
+    private final ProxyCore core;
     /** The connection that stood before, while the core takes it. */
     private Flow standing;
 
@@ -30,7 +30,7 @@
         this.host = host;
         this.numbers = numbers;
         Scenario s = host.scenario();
-        core = new TransactionCore(
+        core = new ProxyCore(
                 host::nowMs,
                 Limits.forDescriptors(DESCRIPTORS),
                 SettingsOf.of(s, host.node()),
@@ -42,22 +42,22 @@
                     }
                 },
                 Balancer::new);
-        core.source(host::watch);
+        core.endpointListSource(host::watch);
     }
 
     /** One client's transaction, as its front would hold it. */
-    private final class Client implements VirtualServer {
+    private final class Client implements ClientConnection {
         private final Try t;
-        private final Transaction transaction;
+        private final Request transaction;
 
         Client(Try t, boolean stoodBefore) {
             this.t = t;
             Wish w = t.wish;
             Scenario s = host.scenario();
-            transaction = new Transaction(
+            transaction = new Request(
                     this,
                     CorePolicy.this,
-                    new Transaction.Arrival(
+                    new Request.Attributes(
                             w.requestClass,
                             w.tenant,
                             "k" + t.id,
@@ -85,7 +85,7 @@
         }
 
         @Override
-        public void move() {
+        public void migrate() {
             host.move(t);
         }
     }
@@ -93,12 +93,12 @@
     // ---- The loop ----
 
     @Override
-    public void afterGathering(Runnable task) {
+    public void execute(Runnable task) {
         ready.add(task);
     }
 
     @Override
-    public void after(double ms, Runnable task) {
+    public void schedule(double ms, Runnable task) {
         host.after(ms, task);
     }
 
@@ -120,34 +120,34 @@
     // ---- The connector ----
 
     @Override
-    public void open(ServerSideFlow flow) {
-        Client c = client(flow);
+    public void open(Attempt attempt) {
+        Client c = client(attempt);
         if (standing != null) {
-            standing.kept = flow;
+            standing.kept = attempt;
             c.t.kept = c;
-            core.up(flow);
+            core.attemptEstablished(attempt);
             standing = null;
             return;
         }
-        if (!core.maySend(flow)) {
-            core.ended(flow, Outcome.UNUSED);
+        if (!core.mayForward(attempt)) {
+            core.attemptEnded(attempt, Outcome.UNUSED);
             return;
         }
-        Flow f = host.dial(c.t, numbers.get(flow.member().id()));
-        f.kept = flow;
-        core.dispatched();
+        Flow f = host.dial(c.t, numbers.get(attempt.endpoint().id()));
+        f.kept = attempt;
+        core.attemptForwarded();
     }
 
     @Override
-    public void giveUp(ServerSideFlow flow) {
-        Client c = client(flow);
-        if (c != null && c.t.flow != null && c.t.flow.kept == flow) {
+    public void abandon(Attempt attempt) {
+        Client c = client(attempt);
+        if (c != null && c.t.flow != null && c.t.flow.kept == attempt) {
             host.giveUp(c.t.flow);
         }
     }
 
-    private Client client(ServerSideFlow flow) {
-        return byTransaction.get(flow.transaction());
+    private Client client(Attempt attempt) {
+        return byTransaction.get(attempt.request());
     }
 
     private void forget(Try t) {
@@ -160,7 +160,8 @@
 
     @Override
     public void list(MemberNews.Batch batch) {
-        core.members(batch.kind(), batch.news().stream().map(MemberNews::listed).toList());
+        core.endpointsChanged(
+                batch.kind(), batch.news().stream().map(MemberNews::listed).toList());
     }
 
     @Override
@@ -168,7 +169,7 @@
         Client c = new Client(t, false);
         t.kept = c;
         byTransaction.put(c.transaction, c);
-        core.arrived(c.transaction);
+        core.requestArrived(c.transaction);
     }
 
     @Override
@@ -179,14 +180,14 @@
         t.standing = true;
         byTransaction.put(c.transaction, c);
         standing = f;
-        core.alreadyOpen(c.transaction, host.nameOf(f.member));
+        core.adoptConnection(c.transaction, host.nameOf(f.member));
         settle();
         standing = null;
     }
 
     @Override
     public boolean up(Flow f) {
-        if (f.over || !core.up((ServerSideFlow) f.kept)) {
+        if (f.over || !core.attemptEstablished((Attempt) f.kept)) {
             return false;
         }
         f.of.owed = false;
@@ -197,7 +198,7 @@
     @Override
     public void ended(Flow f, Outcome outcome) {
         if (f.kept != null) {
-            core.ended((ServerSideFlow) f.kept, outcome);
+            core.attemptEnded((Attempt) f.kept, outcome);
         }
         if (!f.of.owed) {
             forget(f.of);
@@ -207,18 +208,18 @@
     @Override
     public void left(Try t) {
         t.owed = false;
-        core.clientLeft(((Client) t.kept).transaction);
+        core.clientDisconnected(((Client) t.kept).transaction);
         settle();
         forget(t);
     }
 
     @Override
     public void delayed(Flow f, double delayMs) {
-        core.delayed((ServerSideFlow) f.kept, delayMs);
+        core.latencyReported((Attempt) f.kept, delayMs);
     }
 
     @Override
     public void loadChanged(Flow f) {
-        core.loadChanged((ServerSideFlow) f.kept, f.of.wish.load * 1e6);
+        core.loadReported((Attempt) f.kept, f.of.wish.load * 1e6);
     }
 }
--- a/lab/src/main/java/tulipshed/lab/policy/Faulty.java
+++ b/lab/src/main/java/tulipshed/lab/policy/Faulty.java
@@ -137,7 +137,7 @@
         for (MemberNews n : news.news()) {
             if (n.serving()) {
                 notServingSince.remove(n.member());
-                long us = n.listed().entry().startedUs();
+                long us = n.listed().info().startedUs();
                 if (us > 0) {
                     started.put(n.member(), us / 1000.0);
                 }
--- a/lab/src/main/java/tulipshed/lab/policy/ModulePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/ModulePolicy.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.Report;
-import tulipshed.decision.BalancerApi.ServerEntry;
 
 /** The real decision module, told by the emulator what the node's core would tell it. */
 final class ModulePolicy extends AttemptingPolicy implements BalancerApi.Actions {
@@ -50,9 +50,9 @@
 
     @Override
     public void list(MemberNews.Batch batch) {
-        List<ServerEntry> entries = new ArrayList<>(batch.news().size());
-        batch.news().forEach(n -> entries.add(n.listed().entry()));
-        module.servers(now(), batch.kind(), entries);
+        List<EndpointInfo> entries = new ArrayList<>(batch.news().size());
+        batch.news().forEach(n -> entries.add(n.listed().info()));
+        module.endpointsChanged(now(), batch.kind(), entries);
     }
 
     @Override
@@ -64,7 +64,7 @@
     @Override
     void ask(Try t) {
         tries.put(t.id, t);
-        module.request(now(), request(t, host.nowMs()));
+        module.requestArrived(now(), request(t, host.nowMs()));
     }
 
     @Override
@@ -72,12 +72,12 @@
         tries.put(t.id, t);
         t.owed = false;
         t.standing = true;
-        module.alreadyOpen(now(), request(t, host.nowMs()), host.nameOf(f.member));
+        module.connectionAdopted(now(), request(t, host.nowMs()), host.nameOf(f.member));
     }
 
     @Override
     void started(Flow f, double tookMs) {
-        module.started(now(), f.of.id, f.number, SettingsOf.us(tookMs));
+        module.attemptEstablished(now(), f.of.id, f.number, SettingsOf.us(tookMs));
     }
 
     @Override
@@ -85,12 +85,12 @@
         if (concluded) {
             tries.remove(f.of.id);
         }
-        module.finished(now(), f.of.id, f.number, concluded, outcome, Report.NONE);
+        module.attemptEnded(now(), f.of.id, f.number, concluded, outcome, LoadReport.NONE);
     }
 
     @Override
     void abandoned(Try t) {
-        module.abandoned(now(), t.id);
+        module.requestCancelled(now(), t.id);
         if (t.flow == null) {
             tries.remove(t.id);
         }
@@ -98,65 +98,65 @@
 
     @Override
     public void delayed(Flow f, double delayMs) {
-        module.delayNote(now(), f.of.id, delayMs);
+        module.latencyReported(now(), f.of.id, delayMs);
     }
 
     @Override
     public void loadChanged(Flow f) {
-        module.loadNote(now(), f.of.id, f.of.wish.load * 1e6);
+        module.loadReported(now(), f.of.id, f.of.wish.load * 1e6);
     }
 
     // ---- What the module decides ----
 
     @Override
-    public void send(long request, String server, long timeoutUs) {
-        attempt(tries.get(request), numbers.get(server), timeoutUs / 1000.0);
+    public void startAttempt(long requestId, String server, long timeoutUs) {
+        attempt(tries.get(requestId), numbers.get(server), timeoutUs / 1000.0);
     }
 
     @Override
-    public void cancel(long request, int attempt) {
+    public void cancelAttempt(long requestId, int attempt) {
         // Called while the client leaves, which ends the attempt in any case.
     }
 
     @Override
-    public void refuse(long request, long retryAfterUs) {
-        Try t = tries.remove(request);
+    public void reject(long requestId, long retryAfterUs) {
+        Try t = tries.remove(requestId);
         t.owed = false;
         host.refuse(t, retryAfterUs / 1000.0);
     }
 
     @Override
-    public void fail(long request) {
-        Try t = tries.remove(request);
+    public void fail(long requestId) {
+        Try t = tries.remove(requestId);
         t.owed = false;
         host.fail(t);
     }
 
     @Override
-    public void move(long request) {
-        Try t = tries.get(request);
+    public void migrate(long requestId) {
+        Try t = tries.get(requestId);
         if (t != null) {
             host.move(t);
         }
     }
 
     @Override
-    public void timer(long afterUs, long token) {
-        host.after(afterUs / 1000.0, () -> module.timer(now(), token));
+    public void scheduleTimer(long afterUs, long token) {
+        host.after(afterUs / 1000.0, () -> module.timerFired(now(), token));
     }
 
     @Override
-    public void probe(String server) {
+    public void startHealthCheck(String server) {
         throw new UnsupportedOperationException("members are not probed");
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         throw new UnsupportedOperationException("nodes do not talk");
     }
 
     @Override
-    public void watchList() {
+    public void watchEndpoints() {
         host.watch();
     }
 
--- a/lab/src/main/java/tulipshed/lab/policy/SettingsOf.java
+++ b/lab/src/main/java/tulipshed/lab/policy/SettingsOf.java
@@ -28,8 +28,8 @@
                         us(c.aimMs()),
                         us(c.deadlineMs()),
                         c.worth(),
-                        BalancerApi.Effect.REPEATABLE,
-                        BalancerApi.RepeatGroup.ALL,
+                        BalancerApi.Idempotency.IDEMPOTENT,
+                        BalancerApi.DeduplicationScope.ALL,
                         us(REPEAT_MS),
                         us(c.messageAimMs())))
                 .toList();
@@ -48,9 +48,9 @@
                 false,
                 !s.discovery().pushed(),
                 n.groups(),
-                BalancerApi.Weights.SIZE,
-                BalancerApi.Reports.NONE,
-                new BalancerApi.Limits(
+                BalancerApi.WeightSemantics.SIZE,
+                BalancerApi.LoadReportSource.NONE,
+                new BalancerApi.SiteLimits(
                         n.maxAttempts(),
                         us(n.maxRetryAfterMs()),
                         n.cancel(),
@@ -60,7 +60,7 @@
                         us(n.connectTimeoutMs()),
                         us(30_000),
                         1),
-                new BalancerApi.Rules(
+                new BalancerApi.ProtocolRules(
                         us(m.drainGraceMs()),
                         us(s.discovery().askWithinMs()),
                         m.coldShare(),
--- a/node/src/main/java/tulipshed/cli/CheckCommand.java
+++ b/node/src/main/java/tulipshed/cli/CheckCommand.java
@@ -18,7 +18,7 @@
     @Override
     public int run() {
         NodeConfig config = NodeConfig.load(System.getenv());
-        OperatorsFile file = operators == null ? null : OperatorsFile.load(operators.toPath(), config.names());
+        OperatorsFile file = operators == null ? null : OperatorsFile.load(operators.toPath(), config.nameIndex());
         System.out.println("configuration of " + config.name() + " is sound: "
                 + config.settings().classes().size()
                 + " classes, " + config.settings().tenants().size() + " tenants, "
--- a/node/src/main/java/tulipshed/cli/DemoCommand.java
+++ b/node/src/main/java/tulipshed/cli/DemoCommand.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.kohsuke.args4j.Option;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.demo.StandInDiscovery;
 import tulipshed.demo.StandInMember;
@@ -61,7 +61,7 @@
             say(sound ? "All of it as it should be." : "Something was not as it should be.");
             return sound ? 0 : 1;
         } catch (IOException e) {
-            throw new MalformedInput("the demo could not go on: " + e.getMessage());
+            throw new MalformedInputException("the demo could not go on: " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return 1;
@@ -97,7 +97,7 @@
                     resource("tulipshed.sexp")
                             .replace("127.0.0.1:4433", "127.0.0.1:0")
                             .getBytes(StandardCharsets.UTF_8),
-                    read.names());
+                    read.nameIndex());
             // The list that the configuration remembers names members that are not there.
             NodeConfig fresh = new NodeConfig(
                     read.name(),
@@ -109,8 +109,8 @@
                     read.sockets(),
                     Map.of(),
                     read.settings(),
-                    read.names(),
-                    read.loadTellsDelay(),
+                    read.nameIndex(),
+                    read.loadReportsLatency(),
                     null);
             return new Node(
                     fresh, rules, Limits.forDescriptors(DESCRIPTORS), new SystemClock(), l -> say("  [node] " + l));
--- a/node/src/main/java/tulipshed/cli/ExpressionCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionCommand.java
@@ -7,7 +7,7 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.operators.OperatorsFile;
 
 /** Work on the operators' file and on single expressions, without a node. */
@@ -28,9 +28,9 @@
     }
 
     /** Classes and tenants that a file may name: those of a node's configuration. */
-    static Names names(File config) {
+    static NameIndex names(File config) {
         return NodeConfig.load(config == null ? System.getenv() : Map.of("PROXY_CONFIG", config.toString()))
-                .names();
+                .nameIndex();
     }
 
     /** What is wrong with a file, or that nothing is. */
--- a/node/src/main/java/tulipshed/cli/ExpressionEvalCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionEvalCommand.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.expression.Attribute;
 import tulipshed.expression.Checker;
 import tulipshed.expression.Cost;
@@ -51,7 +51,7 @@
         for (String w : with) {
             int equals = w.indexOf('=');
             if (equals <= 0) {
-                throw new MalformedInput("--with takes NAME=VALUE, not " + w);
+                throw new MalformedInputException("--with takes NAME=VALUE, not " + w);
             }
             given.put(w.substring(0, equals), w.substring(equals + 1));
         }
@@ -80,7 +80,7 @@
             if (given.containsKey(a.name())) {
                 set(frame, a, given.get(a.name()));
             } else if (!a.optional() && e.asks(a.name())) {
-                throw new MalformedInput(
+                throw new MalformedInputException(
                         "the expression asks for " + a.name() + ": give it, --with " + a.name() + "=...");
             }
         }
@@ -130,7 +130,7 @@
         } else if (value instanceof Boolean b) {
             frame.set(a, (boolean) b);
         } else {
-            throw new MalformedInput(text + " is not what " + a.name() + " can be: " + a.type()
+            throw new MalformedInputException(text + " is not what " + a.name() + " can be: " + a.type()
                     + (a.type() == Type.STRING ? " of at most " + a.longest() + " characters" : ""));
         }
     }
--- a/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
-import tulipshed.config.MalformedInput;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.MalformedInputException;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.operators.CaseTable;
 import tulipshed.operators.OperatorsFile;
 
@@ -33,13 +33,13 @@
 
     @Override
     public int run() {
-        Names names = ExpressionCommand.names(config);
+        NameIndex names = ExpressionCommand.names(config);
         OperatorsFile rules = OperatorsFile.load(file.toPath(), names);
         CaseTable table;
         try {
             table = CaseTable.read(cases.toString(), Files.readAllBytes(cases.toPath()));
         } catch (IOException e) {
-            throw new MalformedInput(
+            throw new MalformedInputException(
                     "cannot read " + cases + ": " + e.getClass().getSimpleName());
         }
         List<String> failures = table.run(rules, names);
--- a/node/src/main/java/tulipshed/cli/Main.java
+++ b/node/src/main/java/tulipshed/cli/Main.java
@@ -6,7 +6,7 @@
 import java.util.function.Supplier;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.operators.BadOperatorsFile;
 
 /** The command line. */
@@ -96,7 +96,7 @@
                             ? program + ": bad configuration: " + oneLine(e.getMessage())
                             : e.lines());
             return 2;
-        } catch (MalformedInput e) {
+        } catch (MalformedInputException e) {
             System.err.println(program + ": bad configuration: " + oneLine(e.getMessage()));
             return 2;
         }
--- a/node/src/main/java/tulipshed/cli/Node.java
+++ b/node/src/main/java/tulipshed/cli/Node.java
@@ -9,24 +9,24 @@
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.decision.Balancer;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.discovery.MemberList;
-import tulipshed.discovery.Watch;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.discovery.EndpointListUpdate;
+import tulipshed.discovery.EndpointWatch;
 import tulipshed.limits.Limits;
-import tulipshed.lineprotocol.LineFront;
-import tulipshed.transport.Acceptor;
-import tulipshed.transport.Siblings;
-import tulipshed.transport.XnioLoop;
-import tulipshed.management.ManagementFront;
+import tulipshed.lineprotocol.LineProtocolFrontend;
+import tulipshed.management.ManagementServer;
 import tulipshed.operators.OperatorsFile;
-import tulipshed.peer.PeerPort;
+import tulipshed.peer.PeerSocket;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.quic.QuicConfig;
 import tulipshed.quic.QuicFront;
 import tulipshed.routing.Router;
 import tulipshed.time.Clock;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.Acceptor;
+import tulipshed.transport.HotRestartState;
+import tulipshed.transport.XnioEventLoop;
 
 /** Puts the parts of one node together, and takes it out of service in good order. */
 final class Node {
@@ -38,15 +38,15 @@
     private final Clock clock;
     private final Consumer<String> log;
     private final Limits limits;
-    private final XnioLoop loop;
-    private final Siblings siblings;
-    private Names names;
-    private TransactionCore core;
-    private LineFront front;
+    private final XnioEventLoop loop;
+    private final HotRestartState siblings;
+    private NameIndex names;
+    private ProxyCore core;
+    private LineProtocolFrontend front;
     private QuicFront quic;
-    private PeerPort peers;
-    private ManagementFront management;
-    private Watch watch;
+    private PeerSocket peers;
+    private ManagementServer management;
+    private EndpointWatch watch;
     private Acceptor server;
     private double leavingSinceMs;
     private double endMs;
@@ -56,7 +56,7 @@
     /** Starts a node that has no other process beside it. */
     Node(NodeConfig config, OperatorsFile operators, Limits limits, Clock clock, Consumer<String> log)
             throws IOException {
-        this(config, operators, limits, new Siblings(), clock, log);
+        this(config, operators, limits, new HotRestartState(), clock, log);
     }
 
     /** Starts a node; the second front stays off where the operators' file does not name it. */
@@ -64,22 +64,22 @@
             NodeConfig config,
             OperatorsFile operators,
             Limits limits,
-            Siblings siblings,
+            HotRestartState siblings,
             Clock clock,
             Consumer<String> log)
             throws IOException {
         this.siblings = siblings;
         this.config = config;
-        names = config.names();
+        names = config.nameIndex();
         quicConfig = operators.quic() == null ? null : QuicConfig.of(operators.quic());
         router = operators.router();
         this.clock = clock;
         this.log = log;
         this.limits = limits;
-        loop = new XnioLoop(limits, siblings);
+        loop = new XnioEventLoop(limits, siblings);
         // All parts live on the loop; whoever starts the node waits until it takes connections.
         CompletableFuture<Void> started = new CompletableFuture<>();
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             try {
                 start(started);
             } catch (IOException | RuntimeException e) {
@@ -99,39 +99,41 @@
     }
 
     private void start(CompletableFuture<Void> started) throws IOException {
-        core = new TransactionCore(clock, limits, config.settings(), config.seed(), loop, log, Balancer::new);
+        core = new ProxyCore(clock, limits, config.settings(), config.seed(), loop, log, Balancer::new);
         if (config.management() != null) {
-            management = new ManagementFront(
+            management = new ManagementServer(
                     config.management(), clock, limits, loop, core, () -> server != null && !leaving);
             log.accept("tulipshed: management on " + management.address());
         }
-        MemberList known = config.known().isEmpty() ? null : MemberList.read(config.known());
+        EndpointListUpdate known =
+                config.cachedEndpoints().isEmpty() ? null : EndpointListUpdate.read(config.cachedEndpoints());
         if (known != null) {
-            core.members(ListKind.REMEMBERED, known.members());
+            core.endpointsChanged(EndpointListKind.CACHED, known.entries());
         }
         if (router != null) {
-            core.route(router);
+            core.useRouter(router);
         }
-        core.companion(siblings);
-        watch = new Watch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
-        core.source(watch);
-        front = new LineFront(clock, limits, config.names(), config.loadTellsDelay(), loop, core, log);
-        front.declare(router == null ? null : router.declarations());
+        core.hotRestartPeer(siblings);
+        watch = new EndpointWatch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
+        core.endpointListSource(watch);
+        front = new LineProtocolFrontend(
+                clock, limits, config.nameIndex(), config.loadReportsLatency(), loop, core, log);
+        front.setDeclarations(router == null ? null : router.declarations());
         peersAs(config);
-        if (siblings.otherServes()) {
+        if (siblings.isPeerServing()) {
             // What discovery has told the other process binds this one as well, so it asks before it serves.
             watch.catchUp();
-            takeOver(started, clock.nowMs() + limits.leaving().takeOverListMs());
+            takeOver(started, clock.nowMs() + limits.shutdown().takeoverListTimeoutMs());
         } else {
             serve(started);
         }
-        watch.pushed(!config.settings().askedList());
+        watch.setPushed(!config.settings().polledDiscovery());
     }
 
     /** Datagrams between nodes: nothing of them exists until a configuration allows them. */
     private void peersAs(NodeConfig configured) {
         if (peers == null && configured.peers() != null) {
-            peers = new PeerPort(clock, limits, loop, core, log);
+            peers = new PeerSocket(clock, limits, loop, core, log);
         }
         if (peers != null) {
             peers.configure(configured.peers());
@@ -139,20 +141,20 @@
     }
 
     private void takeOver(CompletableFuture<Void> started, double latestMs) {
-        if (core.listTold() || clock.nowMs() >= latestMs) {
+        if (core.endpointListReceived() || clock.nowMs() >= latestMs) {
             serve(started);
         } else {
-            loop.after(STEP_MS, () -> takeOver(started, latestMs));
+            loop.schedule(STEP_MS, () -> takeOver(started, latestMs));
         }
     }
 
     private void serve(CompletableFuture<Void> started) {
         try {
-            server = loop.listen(config.listen(), limits.clientConnections(), front::accepted);
-            siblings.serves();
+            server = loop.listen(config.listen(), limits.clientConnections(), front::accept);
+            siblings.markServing();
             lookAtSiblings();
             log.accept("tulipshed: " + config.name() + " serves on " + config.listen()
-                    + (siblings.accompanied() ? ", beside another process" : ""));
+                    + (siblings.hasPeer() ? ", beside another process" : ""));
             started.complete(null);
         } catch (UncheckedIOException e) {
             started.completeExceptionally(e.getCause());
@@ -163,14 +165,14 @@
 
     /** Keeps up with the other process of this node; its UDP port is free once it has gone. */
     private void lookAtSiblings() {
-        loop.after(limits.sockets().sweepMs(), this::lookAtSiblings);
-        siblings.look();
-        core.share(siblings.share());
-        core.lookAtCompanion();
-        if (peers != null && !siblings.accompanied() && !leaving) {
-            peers.look();
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::lookAtSiblings);
+        siblings.refresh();
+        core.quotaShare(siblings.quotaShare());
+        core.syncHotRestartPeer();
+        if (peers != null && !siblings.hasPeer() && !leaving) {
+            peers.retryBind();
         }
-        if (!siblings.accompanied() && quic == null && quicConfig != null && !leaving) {
+        if (!siblings.hasPeer() && quic == null && quicConfig != null && !leaving) {
             try {
                 quic = new QuicFront(clock, limits, quicConfig, names, loop, core, log);
                 log.accept("tulipshed: QUIC on " + quic.address());
@@ -193,7 +195,7 @@
     /** How many members the list names as serving, once all gathered before is handed over. */
     long serving() {
         CompletableFuture<Long> count = new CompletableFuture<>();
-        loop.afterGathering(() -> count.complete(core.serving()));
+        loop.execute(() -> count.complete(core.serving()));
         return count.join();
     }
 
@@ -208,14 +210,14 @@
                 || !changed.listen().equals(config.listen())
                 || !Objects.equals(changed.management(), config.management())
                 || changed.sockets() != config.sockets();
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             core.reconfigure(changed.settings());
-            front.reconfigure(changed.names(), changed.loadTellsDelay());
-            names = changed.names();
+            front.reconfigure(changed.nameIndex(), changed.loadReportsLatency());
+            names = changed.nameIndex();
             if (router != null || operators.router() != null) {
                 router = operators.router();
-                core.route(router);
-                front.declare(router == null ? null : router.declarations());
+                core.useRouter(router);
+                front.setDeclarations(router == null ? null : router.declarations());
             }
             if (quic != null) {
                 quic.reconfigure(names);
@@ -224,9 +226,9 @@
                 }
             }
             peersAs(changed);
-            watch.move(changed.discovery());
-            watch.pushed(!changed.settings().askedList());
-            core.figures().reloaded(true);
+            watch.setDiscoveryAddress(changed.discovery());
+            watch.setPushed(!changed.settings().polledDiscovery());
+            core.metrics().reloaded(true);
             // Said once it holds: whoever waits for the line may count on the new settings at once.
             log.accept("tulipshed: reload, discovery at " + changed.discovery()
                     + (more ? "; the other changes wait for the next start" : ""));
@@ -235,8 +237,8 @@
 
     /** A new configuration that could not be read changes nothing. */
     void turnedDown(String why) {
-        loop.afterGathering(() -> {
-            core.figures().reloaded(false);
+        loop.execute(() -> {
+            core.metrics().reloaded(false);
             log.accept("tulipshed: reload, the old settings stay: " + why.replaceAll("\\s+", " "));
         });
     }
@@ -247,19 +249,19 @@
      */
     void leave() {
         CountDownLatch gone = new CountDownLatch(1);
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             leavingSinceMs = clock.nowMs();
-            siblings.look();
-            handedOver = siblings.otherServes();
-            siblings.leaves();
-            core.share(siblings.share());
+            siblings.refresh();
+            handedOver = siblings.isPeerServing();
+            siblings.markLeaving();
+            core.quotaShare(siblings.quotaShare());
             if (!handedOver) {
-                front.leaving();
+                front.startLeaving();
             }
             leaving = true;
-            endMs = Math.min(limits.leaving().longestMs(), core.longestDeadlineMs())
-                    + limits.leaving().endMs();
-            log.accept("tulipshed: leaving" + (handedOver ? " to another process, " : ", ") + core.standingCount()
+            endMs = Math.min(limits.shutdown().maxDeadlineMs(), core.longestDeadlineMs())
+                    + limits.shutdown().endMarginMs();
+            log.accept("tulipshed: leaving" + (handedOver ? " to another process, " : ", ") + core.establishedCount()
                     + " connections stand");
             step(gone);
         });
@@ -273,26 +275,29 @@
     private void step(CountDownLatch gone) {
         double sinceMs = clock.nowMs() - leavingSinceMs;
         // Where another process listens already, what comes after this moment is better off there.
-        if ((handedOver || sinceMs >= limits.leaving().takeMs()) && server != null) {
-            server.takeLastAndClose();
+        if ((handedOver || sinceMs >= limits.shutdown().acceptMs()) && server != null) {
+            server.drainAndClose();
             server = null;
-            front.closed();
+            front.listenerClosed();
             if (quic != null) {
                 quic.leaving();
             }
         }
-        if (sinceMs >= (handedOver ? 0 : Math.min(limits.leaving().moveMs(), endMs / 2))) {
+        if (sinceMs >= (handedOver ? 0 : Math.min(limits.shutdown().migrateAfterMs(), endMs / 2))) {
             double leftMs = Math.max(STEP_MS, endMs - sinceMs);
-            int now = (int) Math.ceil(core.standingCount() * Math.min(1, STEP_MS / leftMs));
-            for (int i = 0; i < now && core.moveOne(); i++) {}
+            int now = (int) Math.ceil(core.establishedCount() * Math.min(1, STEP_MS / leftMs));
+            for (int i = 0; i < now && core.migrateOldest(); i++) {}
         }
-        boolean done = handedOver && core.figures().concurrent() == 0 && loop.open() <= (watch.open() ? 1 : 0);
+        boolean done = handedOver
+                && core.metrics().activeRequests() == 0
+                && loop.openConnections() <= (watch.isConnected() ? 1 : 0);
         if (sinceMs >= endMs || done) {
             watch.stop();
-            front.turnAway();
-            core.rejectAllOwed();
-            while (core.moveOne()) {}
-            if (loop.open() == 0 || sinceMs > endMs + limits.sockets().lingerMs() / 3) {
+            front.rejectWaitingClients();
+            core.rejectAllPending();
+            while (core.migrateOldest()) {}
+            if (loop.openConnections() == 0
+                    || sinceMs > endMs + limits.sockets().lingerTimeoutMs() / 3) {
                 if (quic != null) {
                     quic.close();
                 }
@@ -306,6 +311,6 @@
                 return;
             }
         }
-        loop.after(STEP_MS, () -> step(gone));
+        loop.schedule(STEP_MS, () -> step(gone));
     }
 }
--- a/node/src/main/java/tulipshed/cli/Reload.java
+++ b/node/src/main/java/tulipshed/cli/Reload.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Function;
 import java.util.function.Supplier;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.operators.OperatorsFile;
 
@@ -42,7 +42,7 @@
         } catch (OutOfMemoryError e) {
             // Bounds keep it from coming so far; the node's own state has not been touched.
             node.turnedDown("no memory left to read it");
-        } catch (MalformedInput e) {
+        } catch (MalformedInputException e) {
             node.turnedDown(e.getMessage());
         }
     }
--- a/node/src/main/java/tulipshed/cli/ServeCommand.java
+++ b/node/src/main/java/tulipshed/cli/ServeCommand.java
@@ -7,12 +7,12 @@
 import org.kohsuke.args4j.Option;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
-import tulipshed.transport.Siblings;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
+import tulipshed.transport.HotRestartState;
 
 /** One real node, until it is told to stop. */
 public final class ServeCommand implements Command {
@@ -42,36 +42,36 @@
         }
         Limits limits = Limits.forDescriptors(config.sockets());
         try {
-            Siblings siblings = siblings(config, environment.get("TMPDIR"), limits);
+            HotRestartState siblings = siblings(config, environment.get("TMPDIR"), limits);
             Node node = new Node(config, rules, limits, siblings, new SystemClock(), System.out::println);
             reload.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
         } catch (IOException e) {
-            throw new MalformedInput("cannot listen on " + config.listen() + ": " + e.getMessage());
+            throw new MalformedInputException("cannot listen on " + config.listen() + ": " + e.getMessage());
         }
     }
 
     private OperatorsFile operators(NodeConfig config) {
-        return operators == null ? OperatorsFile.EMPTY : OperatorsFile.load(operators.toPath(), config.names());
+        return operators == null ? OperatorsFile.EMPTY : OperatorsFile.load(operators.toPath(), config.nameIndex());
     }
 
     /** A node may run as two processes while one takes over; they meet in a file that its address names. */
-    private static Siblings siblings(NodeConfig config, String folder, Limits limits) {
+    private static HotRestartState siblings(NodeConfig config, String folder, Limits limits) {
         if (folder == null || folder.isEmpty()) {
-            return new Siblings();
+            return new HotRestartState();
         }
         String address = config.listen().getAddress().getHostAddress() + "-"
                 + config.listen().getPort();
         try {
-            return new Siblings(
+            return new HotRestartState(
                     Path.of(folder, "tulipshed-" + address.replace(':', '.') + ".share"),
-                    limits.leaving().sharedIds());
+                    limits.shutdown().sharedIds());
         } catch (IOException e) {
             System.out.println("tulipshed: no second process can take over, TMPDIR is of no use: " + e);
-            return new Siblings();
+            return new HotRestartState();
         } catch (IllegalStateException e) {
-            throw new MalformedInput(e.getMessage());
+            throw new MalformedInputException(e.getMessage());
         }
     }
 }
--- a/node/src/main/java/tulipshed/config/Completeness.java
+++ b/node/src/main/java/tulipshed/config/ConfigValidator.java
@@ -9,7 +9,7 @@
  * Whether a configuration holds all that one has, each of its kind. A file that was cut off or written by halves must
  * not be taken for one that leaves the rest to defaults.
  */
-final class Completeness {
+final class ConfigValidator {
     /** Text, list, object, flag, number, number above 0, whole number above 0. */
     private enum Kind {
         T,
@@ -47,9 +47,9 @@
     private static final Map<String, Set<String>> WORDS =
             Map.of("Effect", Set.of("repeatable", "by_key", "once"), "Group", Set.of("all", "zone", "cell"));
 
-    private Completeness() {}
+    private ConfigValidator() {}
 
-    /** A {@link MalformedInput} says what is missing or of another kind, first of all. */
+    /** A {@link MalformedInputException} says what is missing or of another kind, first of all. */
     static void check(Map<String, Object> json) {
         object("the file", json, TOP);
         object("limits", json.get("limits"), LIMITS);
@@ -58,13 +58,13 @@
         PARTS.forEach((part, keys) -> object(part, settings.get(part), keys));
         List<?> classes = named("Classes", settings, CLASS);
         if (classes.isEmpty()) {
-            throw new MalformedInput("Classes is empty");
+            throw new MalformedInputException("Classes is empty");
         }
         for (Object c : classes) {
             WORDS.forEach((key, words) -> {
                 Object word = ((Map<?, ?>) c).get(key);
                 if (!words.contains(word)) {
-                    throw new MalformedInput(
+                    throw new MalformedInputException(
                             key + " is none of " + words.stream().sorted().toList() + ": " + word);
                 }
             });
@@ -77,7 +77,7 @@
         Set<Object> names = new HashSet<>();
         for (Object entry : entries) {
             if (!names.add(object("an entry of " + what, entry, keys).get("Name"))) {
-                throw new MalformedInput(what + " has a name twice");
+                throw new MalformedInputException(what + " has a name twice");
             }
         }
         return entries;
@@ -85,16 +85,16 @@
 
     private static Map<?, ?> object(String where, Object value, String keys) {
         if (!(value instanceof Map<?, ?> map)) {
-            throw new MalformedInput(where + " is not an object");
+            throw new MalformedInputException(where + " is not an object");
         }
         for (String key : keys.split(" ")) {
             int colon = key.indexOf(':');
             String name = key.substring(0, colon);
             if (!map.containsKey(name)) {
-                throw new MalformedInput(name + " is missing from " + where);
+                throw new MalformedInputException(name + " is missing from " + where);
             }
             if (!is(Kind.valueOf(key.substring(colon + 1)), map.get(name))) {
-                throw new MalformedInput(name + " of " + where + " is not what it should be");
+                throw new MalformedInputException(name + " of " + where + " is not what it should be");
             }
         }
         return map;
--- a/node/src/main/java/tulipshed/config/JsonValues.java
+++ b/node/src/main/java/tulipshed/config/JsonValues.java
@@ -20,17 +20,17 @@
     public static Map<String, Object> object(byte[] utf8) {
         try (JsonParser in = FACTORY.createParser(utf8)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
-                throw new MalformedInput("not a JSON object");
+                throw new MalformedInputException("not a JSON object");
             }
             Map<String, Object> map = object(in);
             if (in.nextToken() != null) {
-                throw new MalformedInput("something follows the JSON object");
+                throw new MalformedInputException("something follows the JSON object");
             }
             return map;
         } catch (JsonProcessingException e) {
-            throw new MalformedInput(e.getOriginalMessage());
+            throw new MalformedInputException(e.getOriginalMessage());
         } catch (IOException e) {
-            throw new MalformedInput(e.getMessage());
+            throw new MalformedInputException(e.getMessage());
         }
     }
 
--- a/node/src/main/java/tulipshed/config/MalformedInput.java
+++ b/node/src/main/java/tulipshed/config/MalformedInputException.java
@@ -1,10 +1,10 @@
 package tulipshed.config;
 
 /** A line that is not of the wire; the adapter says so and ends. */
-public class MalformedInput extends RuntimeException {
+public class MalformedInputException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    public MalformedInput(String message) {
+    public MalformedInputException(String message) {
         super(message);
     }
 }
--- a/node/src/main/java/tulipshed/config/NodeConfig.java
+++ b/node/src/main/java/tulipshed/config/NodeConfig.java
@@ -22,35 +22,36 @@
         long seed,
         int memoryMb,
         int sockets,
-        Map<String, Object> known,
+        Map<String, Object> cachedEndpoints,
         Settings settings,
-        SettingsReader.Names names,
-        boolean loadTellsDelay,
+        SettingsReader.NameIndex nameIndex,
+        boolean loadReportsLatency,
         PeerConfig peers) {
 
-    /** Reads the configuration; a {@link MalformedInput} tells in one line what is wrong with it. */
+    /** Reads the configuration; a {@link MalformedInputException} tells in one line what is wrong with it. */
     public static NodeConfig load(Map<String, String> environment) {
         String file = environment.get("PROXY_CONFIG");
         if (file == null || file.isEmpty()) {
-            throw new MalformedInput("PROXY_CONFIG is not set");
+            throw new MalformedInputException("PROXY_CONFIG is not set");
         }
         byte[] bytes;
         try {
             bytes = Files.readAllBytes(Path.of(file));
         } catch (IOException | java.nio.file.InvalidPathException e) {
-            throw new MalformedInput("cannot read " + file + ": " + e.getClass().getSimpleName());
+            throw new MalformedInputException(
+                    "cannot read " + file + ": " + e.getClass().getSimpleName());
         }
         return parse(JsonValues.object(bytes), environment);
     }
 
     static NodeConfig parse(Map<String, Object> json, Map<String, String> environment) {
-        Completeness.check(json);
+        ConfigValidator.check(json);
         String name = text(json, "name", null);
         InetSocketAddress listen = address("listen", text(json, "listen", null));
         InetSocketAddress discovery = address("discovery", text(json, "discovery", null));
         String management = text(json, "management", environment.get("PROXY_MANAGEMENT"));
         Map<String, Object> limits = child(json, "limits");
-        SettingsReader.Names names = new SettingsReader.Names();
+        SettingsReader.NameIndex names = new SettingsReader.NameIndex();
         Map<String, Object> settings = child(json, "settings");
         Map<String, Object> family = child(settings, "FamilyInfo");
         Settings read = SettingsReader.read(settings, names);
@@ -66,14 +67,14 @@
                 read,
                 names,
                 Boolean.TRUE.equals(family.get("TellsDelay")) && !Boolean.TRUE.equals(family.get("TellsLoad")),
-                PeerConfig.read(json, read.limits().peers(), read.self()));
+                PeerConfig.read(json, read.limits().peerMessages(), read.nodeIndex()));
     }
 
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
         } catch (NumberFormatException e) {
-            throw new MalformedInput("seed is not a hexadecimal number: " + hex);
+            throw new MalformedInputException("seed is not a hexadecimal number: " + hex);
         }
     }
 
@@ -81,20 +82,20 @@
     public static InetSocketAddress address(String what, String text) {
         int colon = text == null ? -1 : text.lastIndexOf(':');
         if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+\\]")) {
-            throw new MalformedInput(what + " is not a numeric host:port: " + text);
+            throw new MalformedInputException(what + " is not a numeric host:port: " + text);
         }
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
         } catch (UnknownHostException | IllegalArgumentException e) {
-            throw new MalformedInput(what + " is not a numeric host:port: " + text);
+            throw new MalformedInputException(what + " is not a numeric host:port: " + text);
         }
     }
 
     private static String text(Map<String, Object> json, String key, String otherwise) {
         Object value = json.get(key);
         if (value != null && !(value instanceof String)) {
-            throw new MalformedInput(key + " is not a text");
+            throw new MalformedInputException(key + " is not a text");
         }
         return value == null ? otherwise : (String) value;
     }
@@ -102,7 +103,7 @@
     private static double number(Map<String, Object> json, String key, double otherwise) {
         Object value = json.get(key);
         if (value != null && !(value instanceof Double)) {
-            throw new MalformedInput(key + " is not a number");
+            throw new MalformedInputException(key + " is not a number");
         }
         return value == null ? otherwise : (Double) value;
     }
@@ -111,13 +112,13 @@
     private static Map<String, Object> child(Map<String, Object> json, String key) {
         Object value = json.get(key);
         if (value != null && !(value instanceof Map)) {
-            throw new MalformedInput(key + " is not an object");
+            throw new MalformedInputException(key + " is not an object");
         }
         return value == null ? Map.of() : (Map<String, Object>) value;
     }
 
     /** Listed servers in discovery's form, or an empty list. */
     public List<?> knownServers() {
-        return known.get("servers") instanceof List<?> l ? l : List.of();
+        return cachedEndpoints.get("servers") instanceof List<?> l ? l : List.of();
     }
 }
--- a/node/src/main/java/tulipshed/config/PeerConfig.java
+++ b/node/src/main/java/tulipshed/config/PeerConfig.java
@@ -18,14 +18,14 @@
             return null;
         }
         if (!(json.get("peers") instanceof List<?> listed)) {
-            throw new MalformedInput("peers is not a list");
+            throw new MalformedInputException("peers is not a list");
         }
         List<InetSocketAddress> peers = new ArrayList<>();
         for (Object peer : listed) {
             peers.add(address("an entry of peers", peer));
         }
         if (new HashSet<>(peers).size() < peers.size()) {
-            throw new MalformedInput("peers has an address twice");
+            throw new MalformedInputException("peers has an address twice");
         }
         return new PeerConfig(
                 address("peer_listen", json.get("peer_listen")),
--- a/node/src/main/java/tulipshed/config/SettingsReader.java
+++ b/node/src/main/java/tulipshed/config/SettingsReader.java
@@ -4,21 +4,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import tulipshed.decision.BalancerApi.Effect;
-import tulipshed.decision.BalancerApi.Limits;
+import tulipshed.decision.BalancerApi.DeduplicationScope;
+import tulipshed.decision.BalancerApi.Idempotency;
+import tulipshed.decision.BalancerApi.LoadReportSource;
 import tulipshed.decision.BalancerApi.Prices;
-import tulipshed.decision.BalancerApi.RepeatGroup;
-import tulipshed.decision.BalancerApi.Reports;
+import tulipshed.decision.BalancerApi.ProtocolRules;
 import tulipshed.decision.BalancerApi.RequestClass;
-import tulipshed.decision.BalancerApi.Rules;
 import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.decision.BalancerApi.SiteLimits;
 import tulipshed.decision.BalancerApi.Tenant;
-import tulipshed.decision.BalancerApi.Weights;
+import tulipshed.decision.BalancerApi.WeightSemantics;
 
 /** Turns the wire's settings into the module's; what is absent takes the value that assumes least. */
 public final class SettingsReader {
     /** Names used on the wire, by index in the module's settings. */
-    public static final class Names {
+    public static final class NameIndex {
         public final Map<String, Integer> classes = new HashMap<>();
         public final Map<String, Integer> tenants = new HashMap<>();
     }
@@ -29,7 +29,7 @@
         this.map = map;
     }
 
-    public static Settings read(Map<String, Object> wire, Names names) {
+    public static Settings read(Map<String, Object> wire, NameIndex names) {
         SettingsReader top = new SettingsReader(wire);
         SettingsReader family = top.child("FamilyInfo");
         SettingsReader bounds = top.child("Bounds");
@@ -44,7 +44,7 @@
                 family.flag("Groups", false),
                 weights(top.text("Weights", "off")),
                 reports(top.child("LoadReport").text("How", "off")),
-                new Limits(
+                new SiteLimits(
                         (int) bounds.number("MaxAttempts", 1),
                         bounds.micros("MaxRetryAfterS", 0),
                         bounds.flag("Cancel", false),
@@ -54,7 +54,7 @@
                         bounds.micros("ConnectTimeoutS", 0.25),
                         bounds.micros("ConnIdleS", 0),
                         (int) bounds.number("StreamsPerConn", 1)),
-                new Rules(
+                new ProtocolRules(
                         rules.micros("DrainGraceS", 0),
                         rules.micros("AskWithinS", 10),
                         rules.number("ColdShare", 1),
@@ -71,7 +71,7 @@
                 tenants(top, family, names));
     }
 
-    private static List<RequestClass> classes(SettingsReader top, SettingsReader family, Names names) {
+    private static List<RequestClass> classes(SettingsReader top, SettingsReader family, NameIndex names) {
         List<Object> messageAims = family.list("MessageAimS");
         List<RequestClass> classes = new ArrayList<>();
         for (Object entry : top.list("Classes")) {
@@ -91,12 +91,12 @@
                     Math.round(messageAim * 1e6)));
         }
         if (classes.isEmpty()) {
-            throw new MalformedInput("Settings without Classes");
+            throw new MalformedInputException("Settings without Classes");
         }
         return List.copyOf(classes);
     }
 
-    private static List<Tenant> tenants(SettingsReader top, SettingsReader family, Names names) {
+    private static List<Tenant> tenants(SettingsReader top, SettingsReader family, NameIndex names) {
         List<Object> connections = family.list("TenantQuotaConnections");
         List<Tenant> tenants = new ArrayList<>();
         for (Object entry : top.list("Tenants")) {
@@ -109,35 +109,35 @@
         return List.copyOf(tenants);
     }
 
-    private static Weights weights(String word) {
+    private static WeightSemantics weights(String word) {
         return switch (word) {
-            case "live" -> Weights.LIVE;
-            case "nominal", "rough" -> Weights.SIZE;
-            default -> Weights.NONE;
+            case "live" -> WeightSemantics.LIVE;
+            case "nominal", "rough" -> WeightSemantics.SIZE;
+            default -> WeightSemantics.NONE;
         };
     }
 
-    private static Reports reports(String word) {
+    private static LoadReportSource reports(String word) {
         return switch (word) {
-            case "inline" -> Reports.ANSWERS;
-            case "on_probe" -> Reports.PROBES;
-            default -> Reports.NONE;
+            case "inline" -> LoadReportSource.RESPONSES;
+            case "on_probe" -> LoadReportSource.HEALTH_CHECKS;
+            default -> LoadReportSource.NONE;
         };
     }
 
-    private static Effect effect(String word) {
+    private static Idempotency effect(String word) {
         return switch (word) {
-            case "repeatable" -> Effect.REPEATABLE;
-            case "by_key" -> Effect.KEYED;
-            default -> Effect.ONCE;
+            case "repeatable" -> Idempotency.IDEMPOTENT;
+            case "by_key" -> Idempotency.WITH_KEY;
+            default -> Idempotency.NOT_IDEMPOTENT;
         };
     }
 
-    private static RepeatGroup group(String word) {
+    private static DeduplicationScope group(String word) {
         return switch (word) {
-            case "all" -> RepeatGroup.ALL;
-            case "zone" -> RepeatGroup.ZONE;
-            default -> RepeatGroup.CELL;
+            case "all" -> DeduplicationScope.ALL;
+            case "zone" -> DeduplicationScope.ZONE;
+            default -> DeduplicationScope.CELL;
         };
     }
 
--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -68,17 +68,17 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final long luck;
-    private final Map<String, Server> servers = new HashMap<>();
-    private final Fleet whole = new Fleet(0, GROUP_MEMORY_US);
-    private final Fleet none = new Fleet(1, GROUP_MEMORY_US);
-    private final Map<String, Fleet> pools = new LinkedHashMap<>();
+    private final Map<String, EndpointState> servers = new HashMap<>();
+    private final EndpointPool whole = new EndpointPool(0, GROUP_MEMORY_US);
+    private final EndpointPool none = new EndpointPool(1, GROUP_MEMORY_US);
+    private final Map<String, EndpointPool> pools = new LinkedHashMap<>();
     private final Map<Long, RequestState> requests = new HashMap<>();
-    private final Map<String, Kind> kinds = new LinkedHashMap<>();
+    private final Map<String, MachineType> kinds = new LinkedHashMap<>();
     private final Map<String, Double> usualSetupUs = new HashMap<>();
     private final Map<String, Double> usualLoads = new HashMap<>(); // until a connection's own is told
     private final List<RequestState> probing = new ArrayList<>();
     private final ArrayDeque<IdleConnection> idle = new ArrayDeque<>();
-    private final Sheds sheds = new Sheds();
+    private final DropRateLoadShedder sheds = new DropRateLoadShedder();
     private DepthCurve curve;
     private double fastest;
     private double largestShare;
@@ -96,10 +96,10 @@
         this.random = new SplittableRandom(seed);
         this.luck = Hashing.mix(seed);
         reconfigure(now, settings);
-        if (settings.askedList()) {
+        if (settings.polledDiscovery()) {
             // Restarted balancers asking at once would overrun discovery's fixed capacity.
-            double latest = settings.rules().askWithinUs() * ASK_SPREAD;
-            actions.timer((long) (latest * random.nextDouble()), TIMER_LIST);
+            double latest = settings.rules().pollWithinUs() * ASK_SPREAD;
+            actions.scheduleTimer((long) (latest * random.nextDouble()), TIMER_LIST);
         }
     }
 
@@ -107,14 +107,14 @@
     public void reconfigure(long now, Settings changed) {
         settings = changed;
         lateMs = settings.classes().stream()
-                        .mapToLong(RequestClass::messageAimUs)
+                        .mapToLong(RequestClass::messageLatencyObjectiveUs)
                         .filter(a -> a > 0)
                         .min()
                         .orElse(Long.MAX_VALUE)
                 / 1000.0;
-        probes = settings.limits().probes()
-                && settings.reports() == Reports.PROBES
-                && settings.prices().probe() < PROBE_WORTH;
+        probes = settings.limits().healthChecks()
+                && settings.loadReportSource() == LoadReportSource.HEALTH_CHECKS
+                && settings.prices().healthCheck() < PROBE_WORTH;
         reuses = settings.prices().handshake() > 0;
         crossingCosts = settings.prices().crossZone() > 0;
         double quota =
@@ -123,9 +123,9 @@
                 .mapToDouble(Tenant::quotaConnections)
                 .sum();
         // About what the fleet can hold, also for one that holds nothing yet.
-        quotaOpen = connections / settings.balancers();
+        quotaOpen = connections / settings.nodeCount();
         int tenants = Math.max(1, settings.tenants().size());
-        curve = new DepthCurve((quota > 0 ? quota / settings.balancers() / tenants : 1) * CURVE_START);
+        curve = new DepthCurve((quota > 0 ? quota / settings.nodeCount() / tenants : 1) * CURVE_START);
     }
 
     // ---- Depth curve and buckets ----
@@ -182,110 +182,111 @@
     /** What is not counted right; for tests. */
     String miscounted() {
         StringBuilder wrong = new StringBuilder(whole.miscounted(servers.values()));
-        pools.values().forEach(f -> wrong.append(f.miscounted(servers.values())));
+        pools.values().forEach(pool -> wrong.append(pool.miscounted(servers.values())));
         return wrong.toString();
     }
 
     // ---- The server list ----
 
     @Override
-    public void servers(long now, ListKind kind, List<ServerEntry> entries) {
-        if (kind == ListKind.FAILED) {
+    public void endpointsChanged(long now, EndpointListKind kind, List<EndpointInfo> entries) {
+        if (kind == EndpointListKind.FAILED) {
             askAgain();
             return;
         }
-        if (kind != ListKind.CHANGES) {
+        if (kind != EndpointListKind.CHANGES) {
             Set<String> listed = new HashSet<>();
-            entries.forEach(e -> listed.add(e.server()));
-            List<Server> absent = new ArrayList<>(servers.values());
-            absent.removeIf(s -> listed.contains(s.name));
-            absent.sort(Comparator.comparing(s -> s.name));
+            entries.forEach(e -> listed.add(e.id()));
+            List<EndpointState> absent = new ArrayList<>(servers.values());
+            absent.removeIf(endpoint -> listed.contains(endpoint.name));
+            absent.sort(Comparator.comparing(endpoint -> endpoint.name));
             absent.forEach(this::leave);
         }
-        for (ServerEntry e : entries) {
-            if (e.state() != ServerState.GONE) {
-                update(now, server(e.server()), e);
-            } else if (servers.containsKey(e.server())) {
-                leave(servers.get(e.server()));
+        for (EndpointInfo e : entries) {
+            if (e.status() != EndpointStatus.REMOVED) {
+                update(now, server(e.id()), e);
+            } else if (servers.containsKey(e.id())) {
+                leave(servers.get(e.id()));
             }
         }
     }
 
     /** A failed call is repeated soon, as changes count as told, and by chance: a crowd feeds itself. */
     private void askAgain() {
-        if (settings.askedList()) {
-            actions.timer((long) (ASK_AGAIN_US * (0.5 + random.nextDouble())), TIMER_LIST);
+        if (settings.polledDiscovery()) {
+            actions.scheduleTimer((long) (ASK_AGAIN_US * (0.5 + random.nextDouble())), TIMER_LIST);
         }
     }
 
-    private void update(long now, Server s, ServerEntry e) {
-        ServerEntry before = s.entry;
+    private void update(long now, EndpointState endpoint, EndpointInfo e) {
+        EndpointInfo before = endpoint.entry;
         boolean restarted = before != null && before.startedUs() != e.startedUs();
-        boolean serving = e.state() == ServerState.SERVING;
-        sizes(s, -1);
-        s.entry = e;
-        s.gone = false;
-        s.kind = kinds.computeIfAbsent(e.kind(), k -> new Kind());
+        boolean serving = e.status() == EndpointStatus.SERVING;
+        sizes(endpoint, -1);
+        endpoint.entry = e;
+        endpoint.gone = false;
+        endpoint.kind = kinds.computeIfAbsent(e.machineType(), k -> new MachineType());
         // A live share falls with what the server holds: the largest seen of its kind tells its size.
-        s.kind.size = Math.max(s.kind.size, e.share());
-        s.size = Math.max(1e-6, settings.weights() == Weights.LIVE ? s.kind.size : e.share());
+        endpoint.kind.size = Math.max(endpoint.kind.size, e.weight());
+        endpoint.size =
+                Math.max(1e-6, settings.weightSemantics() == WeightSemantics.LIVE ? endpoint.kind.size : e.weight());
         if (before == null || restarted) {
             // What was learnt of the process before does not hold for the new one.
-            setLimit(s, FIRST_LIMIT);
-            s.stood = e.startedUs() == 0;
-            readmit(s);
-            s.fleets.forEach(f -> f.warming.remove(s));
-            s.ejections = s.failures = 0;
-            s.delayAt = Long.MIN_VALUE / 2;
-        }
-        sizes(s, 1);
-        largestShare = Math.max(largestShare, e.share());
+            setLimit(endpoint, FIRST_LIMIT);
+            endpoint.stood = e.startedUs() == 0;
+            readmit(endpoint);
+            endpoint.fleets.forEach(pool -> pool.warming.remove(endpoint));
+            endpoint.ejections = endpoint.failures = 0;
+            endpoint.delayAt = Long.MIN_VALUE / 2;
+        }
+        sizes(endpoint, 1);
+        largestShare = Math.max(largestShare, e.weight());
         if (!serving) {
-            unready(s);
-        } else if (!whole.ready.has(s)) {
-            s.fleets.forEach(f -> f.ready.add(s));
-            s.fleets.forEach(f -> f.sum(s, 1));
+            unready(endpoint);
+        } else if (!whole.ready.has(endpoint)) {
+            endpoint.fleets.forEach(pool -> pool.ready.add(endpoint));
+            endpoint.fleets.forEach(pool -> pool.sum(endpoint, 1));
         }
         if (serving && e.zone().equals(settings.zone())) {
-            s.fleets.forEach(f -> f.near.add(s));
+            endpoint.fleets.forEach(pool -> pool.near.add(endpoint));
         }
-        if (serving && age(now, s) < WARMING * settings.rules().coldUs() && !whole.warming.has(s)) {
-            s.fleets.forEach(f -> f.warming.add(s));
-            s.credit = 0;
-            s.creditAt = now;
+        if (serving && age(now, endpoint) < WARMING * settings.rules().slowStartUs() && !whole.warming.has(endpoint)) {
+            endpoint.fleets.forEach(pool -> pool.warming.add(endpoint));
+            endpoint.credit = 0;
+            endpoint.creditAt = now;
         }
     }
 
-    private void leave(Server s) {
-        unready(s);
-        s.gone = true;
-        forgetIfGone(s);
+    private void leave(EndpointState endpoint) {
+        unready(endpoint);
+        endpoint.gone = true;
+        forgetIfGone(endpoint);
     }
 
-    private void forgetIfGone(Server s) {
-        if (s.gone && s.open == 0) {
-            servers.remove(s.name);
+    private void forgetIfGone(EndpointState endpoint) {
+        if (endpoint.gone && endpoint.open == 0) {
+            servers.remove(endpoint.name);
         }
     }
 
-    private void unready(Server s) {
-        if (whole.ready.has(s)) {
-            readmit(s);
-            s.fleets.forEach(f -> f.unready(s));
+    private void unready(EndpointState endpoint) {
+        if (whole.ready.has(endpoint)) {
+            readmit(endpoint);
+            endpoint.fleets.forEach(pool -> pool.unready(endpoint));
         }
     }
 
     /** Its size is about to change, or has. */
-    private void sizes(Server s, int sign) {
-        if (whole.ready.has(s)) {
-            s.fleets.forEach(f -> s.kind.ready(f.id, sign * s.size));
+    private void sizes(EndpointState endpoint, int sign) {
+        if (whole.ready.has(endpoint)) {
+            endpoint.fleets.forEach(pool -> endpoint.kind.ready(pool.id, sign * endpoint.size));
         }
     }
 
-    private Server server(String name) {
-        Server known = servers.get(name);
+    private EndpointState server(String name) {
+        EndpointState known = servers.get(name);
         if (known == null) {
-            known = new Server(name, FIRST_LIMIT, whole);
+            known = new EndpointState(name, FIRST_LIMIT, whole);
             servers.put(name, known);
             pooled(known);
         }
@@ -293,9 +294,10 @@
     }
 
     @Override
-    public void pools(long now, Map<String, Set<String>> members) {
-        pools.forEach((name, f) -> f.members = members.getOrDefault(name, Set.of()));
-        members.forEach((name, m) -> pools.computeIfAbsent(name, n -> new Fleet(free(), GROUP_MEMORY_US)).members = m);
+    public void poolsChanged(long now, Map<String, Set<String>> members) {
+        pools.forEach((name, pool) -> pool.members = members.getOrDefault(name, Set.of()));
+        members.forEach((name, m) ->
+                pools.computeIfAbsent(name, n -> new EndpointPool(free(), GROUP_MEMORY_US)).members = m);
         servers.values().forEach(this::pooled);
         pools.keySet().retainAll(members.keySet());
     }
@@ -303,45 +305,45 @@
     /** The lowest number that no fleet has. */
     private int free() {
         int id = 2;
-        while (pools.values().stream().mapToInt(f -> f.id).anyMatch(Integer.valueOf(id)::equals)) {
+        while (pools.values().stream().mapToInt(pool -> pool.id).anyMatch(Integer.valueOf(id)::equals)) {
             id++;
         }
         return id;
     }
 
-    private void pooled(Server s) {
-        for (Fleet f : pools.values()) {
-            boolean belongs = f.members.contains(s.name);
-            if (belongs != s.fleets.contains(f)) {
+    private void pooled(EndpointState endpoint) {
+        for (EndpointPool pool : pools.values()) {
+            boolean belongs = pool.members.contains(endpoint.name);
+            if (belongs != endpoint.fleets.contains(pool)) {
                 if (belongs) {
-                    f.enter(s);
+                    pool.enter(endpoint);
                 } else {
-                    f.leave(s);
+                    pool.leave(endpoint);
                 }
             }
         }
     }
 
     /** A pool that does not exist any more has no servers. */
-    private Fleet fleet(String pool) {
+    private EndpointPool fleet(String pool) {
         return pool == null ? whole : pools.getOrDefault(pool, none);
     }
 
     @Override
-    public void route(long now, long request, String pool) {
-        RequestState r = requests.get(request);
-        if (r != null && !r.standing) {
-            r.fleet = fleet(pool);
+    public void requestRerouted(long now, long requestId, String pool) {
+        RequestState request = requests.get(requestId);
+        if (request != null && !request.standing) {
+            request.fleet = fleet(pool);
         }
     }
 
-    private void setLimit(Server s, int limit) {
+    private void setLimit(EndpointState endpoint, int limit) {
         int bounded = Math.max(1, Math.min(HIGHEST_LIMIT, limit));
-        int more = bounded - s.limit;
-        if (whole.ready.has(s)) {
-            s.fleets.forEach(f -> f.limits += more);
+        int more = bounded - endpoint.limit;
+        if (whole.ready.has(endpoint)) {
+            endpoint.fleets.forEach(pool -> pool.limits += more);
         }
-        s.limit = bounded;
+        endpoint.limit = bounded;
     }
 
     // ---- Admission ----
@@ -349,37 +351,37 @@
     private RequestState enter(long now, NewRequest in) {
         RequestClass kind = settings.classes().get(in.requestClass());
         double usual = usualLoads.getOrDefault(kind.name(), 1.0);
-        RequestState r = new RequestState(in, kind, fleet(in.pool()), now, luck, usual);
-        requests.put(in.id(), r);
-        return r;
+        RequestState request = new RequestState(in, kind, fleet(in.pool()), now, luck, usual);
+        requests.put(in.id(), request);
+        return request;
     }
 
     @Override
-    public void request(long now, NewRequest in) {
-        RequestState r = enter(now, in);
+    public void requestArrived(long now, NewRequest in) {
+        RequestState request = enter(now, in);
         if (!in.midFlow()) {
-            double rate = curve.rateAt(depth(now, r.fleet)) * ownPart;
+            double rate = curve.rateAt(depth(now, request.fleet)) * ownPart;
             boolean has = in.tenant() >= 0 && in.tenant() < settings.tenants().size();
             // Kept by name, as a tenant's place in the settings may change.
-            TokenBucket bucket = r.fleet.buckets.computeIfAbsent(
+            TokenBucket bucket = request.fleet.buckets.computeIfAbsent(
                     has ? settings.tenants().get(in.tenant()).name() : NO_TENANT, t -> new TokenBucket(now));
-            boolean crowded = in.returning()
-                    && Hashing.uniform(r.dice, 0, 0) < sheds.refusal(now, whole.open, whole.ready.size());
+            boolean crowded = in.reconnecting()
+                    && Hashing.uniform(request.dice, 0, 0) < sheds.refusal(now, whole.open, whole.ready.size());
             if (crowded || !bucket.take(now, rate)) {
                 if (now >= nextLogUs) {
                     nextLogUs = now + LOG_US;
-                    actions.log("refusing: " + r.fleet.ejected.size() + " of " + r.fleet.known.size()
-                            + " servers known out of favour, " + r.fleet.failing + " of them failing");
+                    actions.log("refusing: " + request.fleet.ejected.size() + " of " + request.fleet.known.size()
+                            + " servers known out of favour, " + request.fleet.failing + " of them failing");
                 }
-                refuse(r, crowded ? LATE_US : bucket.untilTokenUs(rate));
+                refuse(request, crowded ? LATE_US : bucket.untilTokenUs(rate));
                 return;
             }
         }
-        place(now, r);
+        place(now, request);
     }
 
     @Override
-    public void share(long now, double ofBalancer) {
+    public void quotaShareChanged(long now, double ofBalancer) {
         ownPart = Math.max(NO_PART, ofBalancer);
     }
 
@@ -387,172 +389,173 @@
      * Pending over limits. A fleet whose standing connections overload it has nothing pending: there the
      * share out of favour of the servers it has news of (and two more, lest one be all) is the depth.
      */
-    private double depth(long now, Fleet f) {
-        for (int i = 0; i < SWEEP && !f.ejected.isEmpty(); i++) {
-            Server s = f.ejected.get(random.nextInt(f.ejected.size()));
-            if (now >= s.ejectedUntil) {
-                readmit(s);
+    private double depth(long now, EndpointPool pool) {
+        for (int i = 0; i < SWEEP && !pool.ejected.isEmpty(); i++) {
+            EndpointState endpoint = pool.ejected.get(random.nextInt(pool.ejected.size()));
+            if (now >= endpoint.ejectedUntil) {
+                readmit(endpoint);
             }
         }
-        double pending = f.limits == 0 ? 0 : (double) f.pending / f.limits;
-        return Math.max(pending, f.ejected.size() / (f.known.size() + 2.0));
+        double pending = pool.limits == 0 ? 0 : (double) pool.pending / pool.limits;
+        return Math.max(pending, pool.ejected.size() / (pool.known.size() + 2.0));
     }
 
-    private void refuse(RequestState r, long retryAfterUs) {
+    private void refuse(RequestState request, long retryAfterUs) {
         long longest = settings.limits().retryAfter() ? settings.limits().maxRetryAfterUs() : 0;
         double jitter = 0.75 + 0.25 * random.nextDouble();
-        actions.refuse(r.in.id(), (long) (Math.min(retryAfterUs, longest) * jitter));
-        conclude(r);
+        actions.reject(request.in.id(), (long) (Math.min(retryAfterUs, longest) * jitter));
+        conclude(request);
     }
 
     /** A refusal promises that a repeat is harmless, so it needs an effect that allows the promise. */
-    private void refuseOrFail(RequestState r, long retryAfterUs) {
-        if (!r.mayHaveRun
-                || r.kind.effect() == Effect.REPEATABLE
-                || r.kind.effect() == Effect.KEYED && r.kind.repeatGroup() == RepeatGroup.ALL) {
-            refuse(r, retryAfterUs);
+    private void refuseOrFail(RequestState request, long retryAfterUs) {
+        if (!request.mayHaveRun
+                || request.kind.idempotency() == Idempotency.IDEMPOTENT
+                || request.kind.idempotency() == Idempotency.WITH_KEY
+                        && request.kind.deduplicationScope() == DeduplicationScope.ALL) {
+            refuse(request, retryAfterUs);
         } else {
-            actions.fail(r.in.id());
-            conclude(r);
+            actions.fail(request.in.id());
+            conclude(request);
         }
     }
 
-    private void conclude(RequestState r) {
-        r.answered = true;
-        probing.remove(r);
-        if (r.server == null) {
-            requests.remove(r.in.id());
+    private void conclude(RequestState request) {
+        request.answered = true;
+        probing.remove(request);
+        if (request.server == null) {
+            requests.remove(request.in.id());
         }
     }
 
     // ---- Placement ----
 
-    private void place(long now, RequestState r) {
-        long left = r.deadlineUs - now;
-        if (r.attempts >= settings.limits().maxAttempts() || left <= 0 || !maySendAgain(now, r)) {
-            refuseOrFail(r, HOLD_US);
+    private void place(long now, RequestState request) {
+        long left = request.deadlineUs - now;
+        if (request.attempts >= settings.limits().maxAttempts() || left <= 0 || !maySendAgain(now, request)) {
+            refuseOrFail(request, HOLD_US);
             return;
         }
-        Server s = r.first == null ? choose(now, r) : lighter(now, r);
-        if (r.awaited > 0) {
-            actions.timer(PROBE_WAIT_US, r.in.id() << 1 | TIMER_HELD);
+        EndpointState endpoint = request.first == null ? choose(now, request) : lighter(now, request);
+        if (request.awaited > 0) {
+            actions.scheduleTimer(PROBE_WAIT_US, request.in.id() << 1 | TIMER_HELD);
             return;
         }
-        if (s == null && r.fleet.ready.isEmpty() && left > 2 * HOLD_US) {
+        if (endpoint == null && request.fleet.ready.isEmpty() && left > 2 * HOLD_US) {
             // No server known to be ready: hold while there is time for the list to name one.
-            actions.timer(HOLD_US, r.in.id() << 1 | TIMER_HELD);
+            actions.scheduleTimer(HOLD_US, request.in.id() << 1 | TIMER_HELD);
             return;
-        } else if (s == null) {
+        } else if (endpoint == null) {
             // All fail or are late now: given up at once, to come again when there is news of them.
-            refuseOrFail(r, NEWS_US);
+            refuseOrFail(request, NEWS_US);
             return;
         }
         // A silent server must leave time for another attempt.
-        boolean last = r.attempts + 1 >= settings.limits().maxAttempts();
+        boolean last = request.attempts + 1 >= settings.limits().maxAttempts();
         long patience = last || left < 2 * LEAST_ATTEMPT_US ? 0 : Math.max(left / 2, LEAST_ATTEMPT_US);
-        r.attempts++;
-        r.server = s;
-        r.asked = false;
-        r.standing = false;
-        r.sentAtUs = now;
-        s.credit -= 1;
-        tally(s, 1, 1, r.load);
-        actions.send(r.in.id(), s.name, patience);
-    }
-
-    private boolean maySendAgain(long now, RequestState r) {
-        return !r.mayHaveRun
-                || switch (r.kind.effect()) {
-                    case REPEATABLE -> true;
-                    case KEYED -> now < r.ranAtUs + r.kind.repeatWindowUs();
-                    case ONCE -> false;
+        request.attempts++;
+        request.server = endpoint;
+        request.asked = false;
+        request.standing = false;
+        request.sentAtUs = now;
+        endpoint.credit -= 1;
+        tally(endpoint, 1, 1, request.load);
+        actions.startAttempt(request.in.id(), endpoint.name, patience);
+    }
+
+    private boolean maySendAgain(long now, RequestState request) {
+        return !request.mayHaveRun
+                || switch (request.kind.idempotency()) {
+                    case IDEMPOTENT -> true;
+                    case WITH_KEY -> now < request.ranAtUs + request.kind.deduplicationWindowUs();
+                    case NOT_IDEMPOTENT -> false;
                 };
     }
 
     /** A keyed request that may have run may go only where its repeat is discarded. */
-    private boolean sameRepeatGroup(RequestState r, Server s) {
-        if (!r.mayHaveRun || r.kind.effect() != Effect.KEYED) {
+    private boolean sameRepeatGroup(RequestState request, EndpointState endpoint) {
+        if (!request.mayHaveRun || request.kind.idempotency() != Idempotency.WITH_KEY) {
             return true;
         }
-        return switch (r.kind.repeatGroup()) {
+        return switch (request.kind.deduplicationScope()) {
             case ALL -> true;
-            case ZONE -> s.entry.zone().equals(r.ranOn.zone());
-            case CELL -> s.entry.cell() == r.ranOn.cell();
+            case ZONE -> endpoint.entry.zone().equals(request.ranOn.zone());
+            case CELL -> endpoint.entry.cell() == request.ranOn.cell();
         };
     }
 
-    private Server choose(long now, RequestState r) {
-        if (r.fleet.ready.isEmpty()) {
+    private EndpointState choose(long now, RequestState request) {
+        if (request.fleet.ready.isEmpty()) {
             return null;
         }
-        fastest = Kind.estimate(kinds.values(), SPEED_PRIOR);
+        fastest = MachineType.estimate(kinds.values(), SPEED_PRIOR);
         whole.weigh(kinds.values());
-        r.fleet.weigh(kinds.values());
-        ConnectionGroup group = group(now, r);
+        request.fleet.weigh(kinds.values());
+        ConnectionGroup group = group(now, request);
         // Left to the draws alone, machines added in a rush stay empty while the others are crowded.
-        Server a = warmingWithCredit(now, r);
+        EndpointState a = warmingWithCredit(now, request);
         if (group != null && !group.members.isEmpty()) {
             // A server that holds some of the group has paid for it. Before those that are warming: each
             // more that holds some of a group pays for the group again, and they can bear that least.
-            Server m = group.members.get(random.nextInt(group.members.size()));
-            Server n = !usualLoads.isEmpty() ? group.members.get(random.nextInt(group.members.size())) : m;
-            m = n != m && bears(now, r, n) && load(now, n, r) < load(now, m, r) ? n : m;
-            if (bears(now, r, m)) {
+            EndpointState m = group.members.get(random.nextInt(group.members.size()));
+            EndpointState n = !usualLoads.isEmpty() ? group.members.get(random.nextInt(group.members.size())) : m;
+            m = n != m && bears(now, request, n) && load(now, n, request) < load(now, m, request) ? n : m;
+            if (bears(now, request, m)) {
                 return m;
             }
         }
-        Server free = a == null ? idle(now, r) : null;
+        EndpointState free = a == null ? idle(now, request) : null;
         if (free != null) {
             return free;
         }
-        a = a != null ? a : draw(now, r, group, null);
-        Server b = a == null ? inTurn(now, r) : draw(now, r, group, a);
-        if (probes && a != null && b != null && !r.asked && r.deadlineUs - now > 4 * PROBE_WAIT_US) {
-            r.asked = true;
-            r.first = a;
-            r.second = b;
-            r.awaited = ask(now, a) + ask(now, b);
-            probing.add(r);
-            return r.awaited > 0 ? null : lighter(now, r);
+        a = a != null ? a : draw(now, request, group, null);
+        EndpointState b = a == null ? inTurn(now, request) : draw(now, request, group, a);
+        if (probes && a != null && b != null && !request.asked && request.deadlineUs - now > 4 * PROBE_WAIT_US) {
+            request.asked = true;
+            request.first = a;
+            request.second = b;
+            request.awaited = ask(now, a) + ask(now, b);
+            probing.add(request);
+            return request.awaited > 0 ? null : lighter(now, request);
         }
-        return a == null || b != null && load(now, b, r) < load(now, a, r) ? b : a;
+        return a == null || b != null && load(now, b, request) < load(now, a, request) ? b : a;
     }
 
     /** Whether a server may draw more of its groups: to a bound; where only delays are told, until late. */
-    private boolean bears(long now, RequestState r, Server s) {
-        double even = (r.fleet.load + r.load) * s.weight() / Math.max(1e-9, r.fleet.weight);
-        return usable(now, r, s)
-                && now >= s.ejectedUntil
-                && s.pending < s.limit
-                && (delaysTold && usualLoads.isEmpty() || s.openLoad + r.load <= GROUP_PULL * even);
+    private boolean bears(long now, RequestState request, EndpointState endpoint) {
+        double even = (request.fleet.load + request.load) * endpoint.weight() / Math.max(1e-9, request.fleet.weight);
+        return usable(now, request, endpoint)
+                && now >= endpoint.ejectedUntil
+                && endpoint.pending < endpoint.limit
+                && (delaysTold && usualLoads.isEmpty() || endpoint.openLoad + request.load <= GROUP_PULL * even);
     }
 
-    private int ask(long now, Server s) {
-        if (now - s.reportedAt < REPORT_NEWS_US) {
+    private int ask(long now, EndpointState endpoint) {
+        if (now - endpoint.reportedAt < REPORT_NEWS_US) {
             return 0;
         }
-        actions.probe(s.name);
+        actions.startHealthCheck(endpoint.name);
         return 1;
     }
 
     /** The lighter of two by what they have just reported, as far as they have. */
-    private Server lighter(long now, RequestState r) {
-        Server a = r.first;
-        Server b = r.second;
-        r.first = r.second = null;
-        r.awaited = 0;
-        probing.remove(r);
-        if (!usable(now, r, a) || !usable(now, r, b)) {
-            return usable(now, r, a) ? a : usable(now, r, b) ? b : choose(now, r);
+    private EndpointState lighter(long now, RequestState request) {
+        EndpointState a = request.first;
+        EndpointState b = request.second;
+        request.first = request.second = null;
+        request.awaited = 0;
+        probing.remove(request);
+        if (!usable(now, request, a) || !usable(now, request, b)) {
+            return usable(now, request, a) ? a : usable(now, request, b) ? b : choose(now, request);
         }
         boolean reported = now - Math.min(a.reportedAt, b.reportedAt) < REPORT_NEWS_US + PROBE_WAIT_US;
-        boolean bLighter = reported ? b.reported < a.reported : load(now, b, r) < load(now, a, r);
+        boolean bLighter = reported ? b.reported < a.reported : load(now, b, request) < load(now, a, request);
         return bLighter ? b : a;
     }
 
     /** Where opening a connection costs: a server to which one of ours has come free, best a near one. */
-    private Server idle(long now, RequestState r) {
-        double mean = REUSE * r.fleet.load / Math.max(1e-9, r.fleet.weight);
+    private EndpointState idle(long now, RequestState request) {
+        double mean = REUSE * request.fleet.load / Math.max(1e-9, request.fleet.weight);
         IdleConnection found = null;
         for (var it = idle.descendingIterator(); it.hasNext(); ) {
             IdleConnection i = it.next();
@@ -560,7 +563,7 @@
                     found == null || crossingCosts && whole.near.has(i.server()) && !whole.near.has(found.server());
             if (better
                     && now < i.untilUs()
-                    && usable(now, r, i.server())
+                    && usable(now, request, i.server())
                     && i.server().openLoad <= mean * i.server().weight()) {
                 found = i;
             }
@@ -569,80 +572,85 @@
         return found == null ? null : found.server();
     }
 
-    private Server draw(long now, RequestState r, ConnectionGroup group, Server other) {
-        Pool<Server> near = r.fleet.near;
-        int spread = group == null ? 0 : spread(now, r.fleet, group);
+    private EndpointState draw(long now, RequestState request, ConnectionGroup group, EndpointState other) {
+        IndexedSet<EndpointState> near = request.fleet.near;
+        int spread = group == null ? 0 : spread(now, request.fleet, group);
         for (int i = 0; i < DRAWS; i++) {
             boolean early = i < DRAWS / 2;
             // Away from a zone that fails as a whole: near servers are for first attempts.
-            boolean nearby = early && crossingCosts && r.attempts == 0 && !near.isEmpty();
-            Pool<Server> from = nearby ? near : r.fleet.ready;
-            Server s = group != null && early ? place(r.fleet, group, random.nextInt(spread)) : byWeight(from);
-            if (s != other && usable(now, r, s)) {
-                return s;
+            boolean nearby = early && crossingCosts && request.attempts == 0 && !near.isEmpty();
+            IndexedSet<EndpointState> from = nearby ? near : request.fleet.ready;
+            EndpointState endpoint =
+                    group != null && early ? place(request.fleet, group, random.nextInt(spread)) : byWeight(from);
+            if (endpoint != other && usable(now, request, endpoint)) {
+                return endpoint;
             }
         }
         return null;
     }
 
     /** A ready server drawn in proportion to its weight. */
-    private Server byWeight(Pool<Server> pool) {
-        Server s = pool.get(random.nextInt(pool.size()));
+    private EndpointState byWeight(IndexedSet<EndpointState> pool) {
+        EndpointState endpoint = pool.get(random.nextInt(pool.size()));
         double most = largestShare * fastest;
-        for (int i = 0; i < DRAWS && random.nextDouble() * most > s.entry.share() * s.kind.speed; i++) {
-            s = pool.get(random.nextInt(pool.size()));
+        for (int i = 0; i < DRAWS && random.nextDouble() * most > endpoint.entry.weight() * endpoint.kind.speed; i++) {
+            endpoint = pool.get(random.nextInt(pool.size()));
         }
-        return s;
+        return endpoint;
     }
 
     /**
      * The first server allowed from a random one on, even out of favour: bad luck refuses nobody. One that
      * fails or is late now only for a first attempt: all would be spent on such within a moment.
      */
-    private Server inTurn(long now, RequestState r) {
-        Pool<Server> ready = r.fleet.ready;
-        Server last = null;
+    private EndpointState inTurn(long now, RequestState request) {
+        IndexedSet<EndpointState> ready = request.fleet.ready;
+        EndpointState last = null;
         int start = random.nextInt(ready.size());
         for (int i = 0; i < IN_TURN && i < ready.size(); i++) {
-            Server s = ready.get((start + i) % ready.size());
-            if (s != r.avoid && sameRepeatGroup(r, s) && !cold(now, r, s)) {
-                if (!s.failing && !late(now, s)) {
-                    return s;
+            EndpointState endpoint = ready.get((start + i) % ready.size());
+            if (endpoint != request.avoid && sameRepeatGroup(request, endpoint) && !cold(now, request, endpoint)) {
+                if (!endpoint.failing && !late(now, endpoint)) {
+                    return endpoint;
                 }
-                last = s;
+                last = endpoint;
             }
         }
-        return r.attempts == 0 ? last : null;
+        return request.attempts == 0 ? last : null;
     }
 
-    private boolean usable(long now, RequestState r, Server s) {
-        return isEligible(now, r.fleet, s) && s != r.avoid && sameRepeatGroup(r, s) && !cold(now, r, s);
+    private boolean usable(long now, RequestState request, EndpointState endpoint) {
+        return isEligible(now, request.fleet, endpoint)
+                && endpoint != request.avoid
+                && sameRepeatGroup(request, endpoint)
+                && !cold(now, request, endpoint);
     }
 
-    private boolean isEligible(long now, Fleet f, Server s) {
+    private boolean isEligible(long now, EndpointPool pool, EndpointState endpoint) {
         // With most servers out of favour the fault is elsewhere: spreading over all beats crowding the rest.
-        boolean panic = f.ejected.size() - f.failing > (f.ready.size() - f.failing) * (1 - PANIC);
-        return f.ready.has(s) && (now >= s.ejectedUntil || panic && !s.failing && !late(now, s));
+        boolean panic = pool.ejected.size() - pool.failing > (pool.ready.size() - pool.failing) * (1 - PANIC);
+        return pool.ready.has(endpoint)
+                && (now >= endpoint.ejectedUntil || panic && !endpoint.failing && !late(now, endpoint));
     }
 
-    private boolean late(long now, Server s) {
-        return now - s.delayAt < NEWS_US && s.delayMs > lateMs;
+    private boolean late(long now, EndpointState endpoint) {
+        return now - endpoint.delayAt < NEWS_US && endpoint.delayMs > lateMs;
     }
 
     @Override
-    public int avoided(long now) {
+    public int ineligibleCount(long now) {
         return (int) servers.values().stream()
-                .filter(s -> !s.gone && s.entry != null)
-                .filter(s -> !isEligible(now, whole, s))
+                .filter(endpoint -> !endpoint.gone && endpoint.entry != null)
+                .filter(endpoint -> !isEligible(now, whole, endpoint))
                 .count();
     }
 
     @Override
-    public int inFavour(long now, String pool) {
-        Fleet f = fleet(pool);
+    public int eligibleCount(long now, String poolName) {
+        EndpointPool pool = fleet(poolName);
         int count = 0;
-        for (int i = 0; i < f.ready.size(); i++) {
-            count += isEligible(now, f, f.ready.get(i)) ? 1 : 0;
+        for (int i = 0; i < pool.ready.size(); i++) {
+            count += isEligible(now, pool, pool.ready.get(i)) ? 1 : 0;
         }
         return count;
     }
@@ -654,66 +662,67 @@
      * is pushed over, so all balancers together keep no more, however many they are: a part of a connection
      * is not saved until it is one, but is the chance with which one is sent.
      */
-    private boolean cold(long now, RequestState r, Server s) {
-        long coldUs = settings.rules().coldUs();
-        long age = age(now, s);
-        if (!whole.warming.has(s) || age >= WARMING * coldUs) {
+    private boolean cold(long now, RequestState request, EndpointState endpoint) {
+        long coldUs = settings.rules().slowStartUs();
+        long age = age(now, endpoint);
+        if (!whole.warming.has(endpoint) || age >= WARMING * coldUs) {
             return false;
         }
-        double share = settings.rules().coldShare();
+        double share = settings.rules().slowStartShare();
         double ramp = share + (1 - share) * Math.max(0, Math.min(age, coldUs)) / coldUs;
-        double each = Math.max(whole.open, quotaOpen) * s.weight() / Math.max(1e-9, whole.weight);
+        double each = Math.max(whole.open, quotaOpen) * endpoint.weight() / Math.max(1e-9, whole.weight);
         double perUs = FILL * settings.rules().overloadFactor() * each / coldUs * ramp * ownPart;
-        s.credit = Math.min(perUs * settings.rules().overloadUs(), s.credit + perUs * (now - s.creditAt));
-        s.creditAt = now;
-        return s.credit < 1 && s.credit <= Hashing.uniform(r.dice, s.hash, r.attempts);
+        endpoint.credit =
+                Math.min(perUs * settings.rules().overloadUs(), endpoint.credit + perUs * (now - endpoint.creditAt));
+        endpoint.creditAt = now;
+        return endpoint.credit < 1 && endpoint.credit <= Hashing.uniform(request.dice, endpoint.hash, request.attempts);
     }
 
-    private Server warmingWithCredit(long now, RequestState r) {
-        Pool<Server> warming = r.fleet.warming;
+    private EndpointState warmingWithCredit(long now, RequestState request) {
+        IndexedSet<EndpointState> warming = request.fleet.warming;
         int start = random.nextInt(Math.max(1, warming.size()));
         for (int i = 0; i < WARMING_SEEN && i < warming.size(); i++) {
-            Server s = warming.get((start + i) % warming.size());
-            if (age(now, s) >= WARMING * settings.rules().coldUs()) {
-                s.fleets.forEach(f -> f.warming.remove(s));
+            EndpointState endpoint = warming.get((start + i) % warming.size());
+            if (age(now, endpoint) >= WARMING * settings.rules().slowStartUs()) {
+                endpoint.fleets.forEach(pool -> pool.warming.remove(endpoint));
                 return null;
             }
-            if (usable(now, r, s)) {
-                return s;
+            if (usable(now, request, endpoint)) {
+                return endpoint;
             }
         }
         return null;
     }
 
-    private long age(long now, Server s) {
-        return s.entry.startedUs() == 0 ? Long.MAX_VALUE : now - s.entry.startedUs();
+    private long age(long now, EndpointState endpoint) {
+        return endpoint.entry.startedUs() == 0 ? Long.MAX_VALUE : now - endpoint.entry.startedUs();
     }
 
     /**
      * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by
      * weight, large servers would else win nearly always where little is held. One at its limit loses.
      */
-    private double load(long now, Server s, RequestState r) {
-        if (s.pending >= s.limit) {
+    private double load(long now, EndpointState endpoint, RequestState request) {
+        if (endpoint.pending >= endpoint.limit) {
             return Double.MAX_VALUE;
         }
-        double even = s.weight() * r.fleet.load / Math.max(1e-9, r.fleet.weight);
+        double even = endpoint.weight() * request.fleet.load / Math.max(1e-9, request.fleet.weight);
         // A new server counts as if it bore the others' mean, or every balancer would rush to it. Not ramped:
         // its credit already bounds what a warming server is sent.
-        double own = s.stood ? s.openLoad : Math.max(s.openLoad, even);
-        return (own + Math.min(r.load, even)) / s.weight();
+        double own = endpoint.stood ? endpoint.openLoad : Math.max(endpoint.openLoad, even);
+        return (own + Math.min(request.load, even)) / endpoint.weight();
     }
 
     // ---- Groups ----
 
-    private ConnectionGroup group(long now, RequestState r) {
-        String name = r.in.group();
-        if (!settings.groups() || name == null) {
+    private ConnectionGroup group(long now, RequestState request) {
+        String name = request.in.group();
+        if (!settings.groupAffinity() || name == null) {
             return null;
         }
-        Map<String, ConnectionGroup> groups = r.fleet.groups;
+        Map<String, ConnectionGroup> groups = request.fleet.groups;
         if (groups.size() > MOST_GROUPS) {
-            groups.values().removeIf(g -> g.members.isEmpty() && g.arrivals.at(now) < 0.1);
+            groups.values().removeIf(group -> group.members.isEmpty() && group.arrivals.at(now) < 0.1);
         }
         return groups.computeIfAbsent(name, n -> new ConnectionGroup(n, GROUP_PLACES, GROUP_MEMORY_US));
     }
@@ -722,166 +731,167 @@
      * How many places a group chooses from: its share of the arrivals seen, of the whole fleet. Laplace's
      * estimate: counting an unseen group as nothing would crowd its first places from many balancers.
      */
-    private int spread(long now, Fleet f, ConnectionGroup g) {
-        double share = (g.arrivals.at(now) + 1) / (f.groupArrivals.at(now) + f.groups.size());
-        int places = (int) Math.round(GROUP_SPREAD * share * f.ready.size());
-        return Math.max(GROUP_PLACES, Math.min(f.ready.size(), places));
+    private int spread(long now, EndpointPool pool, ConnectionGroup group) {
+        double share = (group.arrivals.at(now) + 1) / (pool.groupArrivals.at(now) + pool.groups.size());
+        int places = (int) Math.round(GROUP_SPREAD * share * pool.ready.size());
+        return Math.max(GROUP_PLACES, Math.min(pool.ready.size(), places));
     }
 
     /** The group's i-th place by weighted rendezvous hashing, on which all balancers agree. */
-    private Server place(Fleet f, ConnectionGroup g, int i) {
-        if (g.listVersion != f.version) {
-            Arrays.fill(g.places, null);
-            g.listVersion = f.version;
+    private EndpointState place(EndpointPool pool, ConnectionGroup group, int i) {
+        if (group.listVersion != pool.version) {
+            Arrays.fill(group.places, null);
+            group.listVersion = pool.version;
         }
-        if (i >= g.places.length) {
-            g.places = Arrays.copyOf(g.places, Math.max(i + 1, 2 * g.places.length));
+        if (i >= group.places.length) {
+            group.places = Arrays.copyOf(group.places, Math.max(i + 1, 2 * group.places.length));
         }
-        if (g.places[i] == null) {
+        if (group.places[i] == null) {
             double best = Double.MAX_VALUE;
-            for (int k = 0; k < f.ready.size(); k++) {
-                Server s = f.ready.get(k);
-                double score = -Math.log(Hashing.uniform(g.hash, s.hash, i)) / s.weight();
+            for (int k = 0; k < pool.ready.size(); k++) {
+                EndpointState endpoint = pool.ready.get(k);
+                double score = -Math.log(Hashing.uniform(group.hash, endpoint.hash, i)) / endpoint.weight();
                 if (score < best) {
                     best = score;
-                    g.places[i] = s;
+                    group.places[i] = endpoint;
                 }
             }
         }
-        return g.places[i];
+        return group.places[i];
     }
 
     // ---- What happens to attempts ----
 
     @Override
-    public void alreadyOpen(long now, NewRequest in, String server) {
-        RequestState r = enter(now, in);
-        r.attempts = 1;
-        r.standing = true;
-        r.server = server(server);
-        r.server.stood = true;
-        tally(r.server, 1, 0, r.load);
-        if (r.server.kind != null) {
-            r.server.kind.foundOpen(kinds.values());
+    public void connectionAdopted(long now, NewRequest in, String server) {
+        RequestState request = enter(now, in);
+        request.attempts = 1;
+        request.standing = true;
+        request.server = server(server);
+        request.server.stood = true;
+        tally(request.server, 1, 0, request.load);
+        if (request.server.kind != null) {
+            request.server.kind.foundOpen(kinds.values());
         }
-        countGroup(now, r);
+        countGroup(now, request);
     }
 
-    private void countGroup(long now, RequestState r) {
-        ConnectionGroup g = group(now, r);
-        if (g != null) {
-            g.members.add(r.server);
-            r.group = g;
-            g.arrivals.add(now);
-            r.fleet.groupArrivals.add(now);
+    private void countGroup(long now, RequestState request) {
+        ConnectionGroup group = group(now, request);
+        if (group != null) {
+            group.members.add(request.server);
+            request.group = group;
+            group.arrivals.add(now);
+            request.fleet.groupArrivals.add(now);
         }
     }
 
     @Override
-    public void started(long now, long request, int attempt, long tookUs) {
-        RequestState r = requests.get(request);
-        if (r == null || r.server == null || r.standing) {
+    public void attemptEstablished(long now, long requestId, int attempt, long tookUs) {
+        RequestState request = requests.get(requestId);
+        if (request == null || request.server == null || request.standing) {
             return;
         }
-        r.standing = true;
-        r.server.stood = true;
-        well(r.server);
-        tally(r.server, 0, -1, 0);
-        setLimit(r.server, r.server.limit + 1);
-        countGroup(now, r);
+        request.standing = true;
+        request.server.stood = true;
+        well(request.server);
+        tally(request.server, 0, -1, 0);
+        setLimit(request.server, request.server.limit + 1);
+        countGroup(now, request);
         // Against what is usual for the class, and capped: one stall says nothing of the kind's speed.
-        double usual = usualSetupUs.getOrDefault(r.kind.name(), (double) tookUs);
+        double usual = usualSetupUs.getOrDefault(request.kind.name(), (double) tookUs);
         usual += (tookUs - usual) * SETUP_GAIN;
-        usualSetupUs.put(r.kind.name(), usual);
-        r.server.kind.setUp(Math.min(3, tookUs / Math.max(1, usual)));
+        usualSetupUs.put(request.kind.name(), usual);
+        request.server.kind.setUp(Math.min(3, tookUs / Math.max(1, usual)));
     }
 
     @Override
-    public void loadNote(long now, long request, double loadUsPerS) {
-        RequestState r = requests.get(request);
-        if (r != null && r.server != null) {
-            usualLoads.merge(r.kind.name(), loadUsPerS, (usual, told) -> usual + (told - usual) * SETUP_GAIN);
-            tally(r.server, 0, 0, loadUsPerS - r.load);
-            r.load = loadUsPerS;
+    public void loadReported(long now, long requestId, double loadUsPerS) {
+        RequestState request = requests.get(requestId);
+        if (request != null && request.server != null) {
+            usualLoads.merge(request.kind.name(), loadUsPerS, (usual, told) -> usual + (told - usual) * SETUP_GAIN);
+            tally(request.server, 0, 0, loadUsPerS - request.load);
+            request.load = loadUsPerS;
         }
     }
 
     @Override
-    public void delayNote(long now, long request, double delayMs) {
-        RequestState r = requests.get(request);
-        if (r == null || r.server == null || r.answered) {
+    public void latencyReported(long now, long requestId, double delayMs) {
+        RequestState request = requests.get(requestId);
+        if (request == null || request.server == null || request.answered) {
             return;
         }
-        Server s = r.server;
-        boolean lateBefore = late(now, s);
+        EndpointState endpoint = request.server;
+        boolean lateBefore = late(now, endpoint);
         delaysTold = true;
-        s.delayMs = delayMs;
-        s.delayAt = now;
+        endpoint.delayMs = delayMs;
+        endpoint.delayAt = now;
         if (delayMs > SLOW * lateMs) {
             // No more for it before it is late: what is placed while the news travels still arrives.
-            eject(now, s, LATE_US);
+            eject(now, endpoint, LATE_US);
         }
         // Standing connections alone overload a server for as long as they live; one late second may be a
         // pause, so the second one in a row counts. By chance, as every balancer hears of it.
-        if (lateBefore && delayMs > lateMs && random.nextDouble() < MOVE_SHARE * s.open) {
-            actions.move(request);
-            conclude(r);
+        if (lateBefore && delayMs > lateMs && random.nextDouble() < MOVE_SHARE * endpoint.open) {
+            actions.migrate(requestId);
+            conclude(request);
         }
     }
 
     @Override
-    public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
-        RequestState r = requests.get(request);
-        if (r == null || r.server == null) {
+    public void attemptEnded(
+            long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
+        RequestState request = requests.get(requestId);
+        if (request == null || request.server == null) {
             return;
         }
-        Server s = r.server;
-        r.server = null;
-        r.avoid = s;
-        tally(s, -1, r.standing ? 0 : -1, -r.load);
-        if (r.group != null) {
-            r.group.members.remove(s);
-            r.group = null;
+        EndpointState endpoint = request.server;
+        request.server = null;
+        request.avoid = endpoint;
+        tally(endpoint, -1, request.standing ? 0 : -1, -request.load);
+        if (request.group != null) {
+            request.group.members.remove(endpoint);
+            request.group = null;
         }
-        if (reuses && (outcome == Outcome.OK || outcome == Outcome.CANCELLED && r.standing)) {
+        if (reuses && (outcome == Outcome.OK || outcome == Outcome.CANCELLED && request.standing)) {
             while (!idle.isEmpty() && idle.peekFirst().untilUs() <= now) {
                 idle.pollFirst();
             }
-            idle.addLast(new IdleConnection(s, now + settings.limits().connIdleUs()));
+            idle.addLast(new IdleConnection(endpoint, now + settings.limits().connectionIdleUs()));
         }
-        judge(now, s, outcome, r.standing);
-        if (outcome == Outcome.RESET && r.standing && whole.ready.has(s)) {
+        judge(now, endpoint, outcome, request.standing);
+        if (outcome == Outcome.RESET && request.standing && whole.ready.has(endpoint)) {
             sheds.dropped(now);
         }
-        forgetIfGone(s);
-        if (!outcome.neverRan && !r.mayHaveRun) {
-            r.mayHaveRun = true;
-            r.ranOn = s.entry;
-            r.ranAtUs = r.sentAtUs;
+        forgetIfGone(endpoint);
+        if (!outcome.neverRan && !request.mayHaveRun) {
+            request.mayHaveRun = true;
+            request.ranOn = endpoint.entry;
+            request.ranAtUs = request.sentAtUs;
         }
-        if (concluded || r.answered) {
-            requests.remove(request);
-        } else if (outcome == Outcome.UNUSED || r.deadlineUs - now < LEAST_ATTEMPT_US) {
-            refuseOrFail(r, HOLD_US);
+        if (concluded || request.answered) {
+            requests.remove(requestId);
+        } else if (outcome == Outcome.UNUSED || request.deadlineUs - now < LEAST_ATTEMPT_US) {
+            refuseOrFail(request, HOLD_US);
         } else {
-            place(now, r);
+            place(now, request);
         }
     }
 
     /** What an attempt's end says of its server: its pending limit (AIMD) and outlier ejection. */
-    private void judge(long now, Server s, Outcome outcome, boolean stood) {
+    private void judge(long now, EndpointState endpoint, Outcome outcome, boolean stood) {
         switch (outcome) {
             case OK -> {
-                setLimit(s, stood ? s.limit : s.limit + 1);
-                well(s);
+                setLimit(endpoint, stood ? endpoint.limit : endpoint.limit + 1);
+                well(endpoint);
             }
             case FULL -> {
-                setLimit(s, s.limit / 2);
-                eject(now, s, FULL_US);
+                setLimit(endpoint, endpoint.limit / 2);
+                eject(now, endpoint, FULL_US);
             }
             case CONNECT_FAILED, RESET, TIMEOUT -> {
-                setLimit(s, stood || outcome == Outcome.TIMEOUT ? s.limit : s.limit / 2);
-                fail(now, s, outcome != Outcome.RESET);
+                setLimit(endpoint, stood || outcome == Outcome.TIMEOUT ? endpoint.limit : endpoint.limit / 2);
+                fail(now, endpoint, outcome != Outcome.RESET);
             }
             default -> {}
         }
@@ -891,105 +901,113 @@
      * A reset counts once it is not alone; an unreachable or silent server costs each that tries it far more
      * than a moment, so there one is enough. The many that break when a server dies are one ejection.
      */
-    private void fail(long now, Server s, boolean enough) {
-        s.failures = now - s.failedAt < FAILURE_US ? s.failures + 1 : 1;
-        s.failedAt = now;
-        if (!whole.ready.has(s) || s.failing && now < s.ejectedUntil || s.failures < FAILURES && !enough) {
+    private void fail(long now, EndpointState endpoint, boolean enough) {
+        endpoint.failures = now - endpoint.failedAt < FAILURE_US ? endpoint.failures + 1 : 1;
+        endpoint.failedAt = now;
+        if (!whole.ready.has(endpoint)
+                || endpoint.failing && now < endpoint.ejectedUntil
+                || endpoint.failures < FAILURES && !enough) {
             return;
         }
-        eject(now, s, EJECT_US << Math.min(s.ejections, MOST_EJECTIONS - 1));
-        s.ejections++;
-        int more = s.failing ? 0 : 1;
-        s.fleets.forEach(f -> f.failing += more);
-        s.failing = true;
+        eject(now, endpoint, EJECT_US << Math.min(endpoint.ejections, MOST_EJECTIONS - 1));
+        endpoint.ejections++;
+        int more = endpoint.failing ? 0 : 1;
+        endpoint.fleets.forEach(pool -> pool.failing += more);
+        endpoint.failing = true;
     }
 
     /** A server serves: whatever it was held to have is over. */
-    private void well(Server s) {
-        s.ejections = s.failures = 0;
-        if (s.failing) {
-            readmit(s);
+    private void well(EndpointState endpoint) {
+        endpoint.ejections = endpoint.failures = 0;
+        if (endpoint.failing) {
+            readmit(endpoint);
         }
     }
 
-    private void eject(long now, Server s, long forUs) {
-        if (!whole.ready.has(s)) {
+    private void eject(long now, EndpointState endpoint, long forUs) {
+        if (!whole.ready.has(endpoint)) {
             return;
         }
-        s.fleets.forEach(f -> f.ejected.add(s));
-        s.fleets.forEach(f -> f.count(s));
+        endpoint.fleets.forEach(pool -> pool.ejected.add(endpoint));
+        endpoint.fleets.forEach(pool -> pool.count(endpoint));
         // Chance keeps the balancers from coming back to it all at once.
-        s.ejectedUntil = Math.max(s.ejectedUntil, now + (long) (forUs * (0.75 + 0.5 * random.nextDouble())));
-    }
-
-    private void readmit(Server s) {
-        s.ejectedUntil = 0;
-        int less = s.failing ? 1 : 0;
-        s.failing = false;
-        s.fleets.forEach(f -> {
-            f.ejected.remove(s);
-            f.failing -= less;
-            f.count(s);
+        endpoint.ejectedUntil =
+                Math.max(endpoint.ejectedUntil, now + (long) (forUs * (0.75 + 0.5 * random.nextDouble())));
+    }
+
+    private void readmit(EndpointState endpoint) {
+        endpoint.ejectedUntil = 0;
+        int less = endpoint.failing ? 1 : 0;
+        endpoint.failing = false;
+        endpoint.fleets.forEach(pool -> {
+            pool.ejected.remove(endpoint);
+            pool.failing -= less;
+            pool.count(endpoint);
         });
     }
 
     /** Adds to what a server bears, and to the sums over ready servers. */
-    private void tally(Server s, int opened, int sent, double load) {
-        s.open += opened;
-        s.pending += sent;
-        s.openLoad = s.open == 0 ? 0 : s.openLoad + load;
-        boolean ready = whole.ready.has(s);
-        s.fleets.forEach(f -> {
-            f.open += ready ? opened : 0;
-            f.pending += ready ? sent : 0;
-            f.load += ready ? load : 0;
-            f.count(s);
+    private void tally(EndpointState endpoint, int opened, int sent, double load) {
+        endpoint.open += opened;
+        endpoint.pending += sent;
+        endpoint.openLoad = endpoint.open == 0 ? 0 : endpoint.openLoad + load;
+        boolean ready = whole.ready.has(endpoint);
+        endpoint.fleets.forEach(pool -> {
+            pool.open += ready ? opened : 0;
+            pool.pending += ready ? sent : 0;
+            pool.load += ready ? load : 0;
+            pool.count(endpoint);
         });
     }
 
     @Override
-    public void abandoned(long now, long request) {
-        RequestState r = requests.get(request);
-        if (r == null) {
+    public void requestCancelled(long now, long requestId) {
+        RequestState request = requests.get(requestId);
+        if (request == null) {
             return;
         }
-        if (r.server != null && !r.standing && !r.answered && settings.limits().cancel()) {
-            actions.cancel(request, r.attempts - 1);
+        if (request.server != null
+                && !request.standing
+                && !request.answered
+                && settings.limits().cancellation()) {
+            actions.cancelAttempt(requestId, request.attempts - 1);
         }
-        conclude(r);
+        conclude(request);
     }
 
     @Override
-    public void probed(long now, String server, Outcome outcome, Report report) {
-        Server s = servers.get(server);
-        if (s == null) {
+    public void healthCheckCompleted(long now, String server, Outcome outcome, LoadReport report) {
+        EndpointState endpoint = servers.get(server);
+        if (endpoint == null) {
             return;
         }
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT) {
-            eject(now, s, EJECT_US);
+            eject(now, endpoint, EJECT_US);
         } else if (!Double.isNaN(report.load())) {
-            s.reported = report.load();
-            s.reportedAt = now;
-        }
-        for (RequestState r : List.copyOf(probing)) {
-            if ((r.first == s || r.second == s) && --r.awaited == 0 && !r.answered) {
-                place(now, r);
+            endpoint.reported = report.load();
+            endpoint.reportedAt = now;
+        }
+        for (RequestState request : List.copyOf(probing)) {
+            if ((request.first == endpoint || request.second == endpoint)
+                    && --request.awaited == 0
+                    && !request.answered) {
+                place(now, request);
             }
         }
     }
 
     @Override
-    public void timer(long now, long token) {
+    public void timerFired(long now, long token) {
         if (token == TIMER_LIST) {
-            actions.watchList();
+            actions.watchEndpoints();
             return;
         }
-        RequestState r = requests.get(token >> 1);
-        if (r != null && r.server == null && !r.answered) {
-            place(now, r);
+        RequestState request = requests.get(token >> 1);
+        if (request != null && request.server == null && !request.answered) {
+            place(now, request);
         }
     }
 
     @Override
-    public void peerMessage(long now, int from, byte[] body) {}
+    public void peerMessageReceived(long now, int from, byte[] body) {}
 }
--- a/node/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/node/src/main/java/tulipshed/decision/BalancerApi.java
@@ -14,37 +14,37 @@
 public interface BalancerApi {
 
     /** The discovery service's list, or a change to it. */
-    void servers(long now, ListKind kind, List<ServerEntry> entries);
+    void endpointsChanged(long now, EndpointListKind kind, List<EndpointInfo> entries);
 
     /** A client's request for a connection; exactly one final answer is owed for it. */
-    void request(long now, NewRequest request);
+    void requestArrived(long now, NewRequest request);
 
     /** A connection that already stood on {@code server} when this instance started. */
-    void alreadyOpen(long now, NewRequest request, String server);
+    void connectionAdopted(long now, NewRequest request, String server);
 
     /** First sign of service: the connection of this attempt stands. */
-    void started(long now, long request, int attempt, long tookUs);
+    void attemptEstablished(long now, long requestId, int attempt, long tookUs);
 
     /** The load of a standing connection changed, in microseconds of work a second. */
-    void loadNote(long now, long request, double loadUsPerS);
+    void loadReported(long now, long requestId, double loadUsPerS);
 
     /** Messages at this connection's server take long, in milliseconds. */
-    void delayNote(long now, long request, double delayMs);
+    void latencyReported(long now, long requestId, double delayMs);
 
     /** How an attempt ended; {@code concluded} when nothing more is owed to the client. */
-    void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report);
+    void attemptEnded(long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report);
 
     /** The client left; nothing more is owed. An outstanding attempt still gets its {@code finished}. */
-    void abandoned(long now, long request);
+    void requestCancelled(long now, long requestId);
 
     /** The answer to a probe. */
-    void probed(long now, String server, Outcome outcome, Report report);
+    void healthCheckCompleted(long now, String server, Outcome outcome, LoadReport report);
 
-    /** A timer asked for through {@link Actions#timer} is due. */
-    void timer(long now, long token);
+    /** A timer asked for through {@link Actions#scheduleTimer} is due. */
+    void timerFired(long now, long token);
 
     /** A message from another balancer. */
-    void peerMessage(long now, int from, byte[] body);
+    void peerMessageReceived(long now, int from, byte[] body);
 
     /** Other settings from now on; requests taken before keep their class. */
     void reconfigure(long now, Settings settings);
@@ -53,19 +53,19 @@
      * Pools of servers, by name, that requests may be held to; all that there are from now on. They may share
      * servers, and a name that the list does not know yet counts once it does.
      */
-    void pools(long now, Map<String, Set<String>> members);
+    void poolsChanged(long now, Map<String, Set<String>> members);
 
     /** A request that does not stand yet is held to another pool from now on, or to none where it is null. */
-    void route(long now, long request, String pool);
+    void requestRerouted(long now, long requestId, String pool);
 
     /** How many servers of a pool, or of all for null, are ready and in favour. */
-    int inFavour(long now, String pool);
+    int eligibleCount(long now, String pool);
 
     /** Of all that one balancer is allowed this instance has that share from now on; another has the rest. */
-    void share(long now, double ofBalancer);
+    void quotaShareChanged(long now, double ofBalancer);
 
     /** How many listed servers are sent nothing new at this time: they drain, or are out of favour. */
-    int avoided(long now);
+    int ineligibleCount(long now);
 
     /** Everything decided, in the order decided. */
     interface Actions {
@@ -73,56 +73,56 @@
         int ALL_PEERS = -1;
 
         /** Starts the next attempt of a request; time-out 0 means until the client gives up. */
-        void send(long request, String server, long timeoutUs);
+        void startAttempt(long requestId, String server, long timeoutUs);
 
         /** Stops waiting for an attempt. */
-        void cancel(long request, int attempt);
+        void cancelAttempt(long requestId, int attempt);
 
         /** Final answer: refused, safe to try again after the given time. */
-        void refuse(long request, long retryAfterUs);
+        void reject(long requestId, long retryAfterUs);
 
         /** Final answer: failed, with nothing promised about its effect. */
-        void fail(long request);
+        void fail(long requestId);
 
         /** Ends a standing connection politely; its client comes again. */
-        void move(long request);
+        void migrate(long requestId);
 
-        /** Asks for {@link BalancerApi#timer} after the given time. */
-        void timer(long afterUs, long token);
+        /** Asks for {@link BalancerApi#timerFired} after the given time. */
+        void scheduleTimer(long afterUs, long token);
 
         /** Asks a server for its load report. */
-        void probe(String server);
+        void startHealthCheck(String server);
 
         /**
          * Sends a datagram of 1 to 256 bytes to another balancer by its number, or to all others with
          * {@link #ALL_PEERS}. It may come late or not at all; where the settings allow none it goes nowhere.
          */
-        void tell(int peer, byte[] body);
+        void sendToPeer(int peer, byte[] body);
 
         /** Asks discovery to send the changes to the list from now on. */
-        void watchList();
+        void watchEndpoints();
 
         /** A line for the operator's log. */
         void log(String message);
     }
 
     /** How a list event is to be read. */
-    enum ListKind {
+    enum EndpointListKind {
         /** Changed entries only. */
         CHANGES,
         /** Complete: a server that is absent is gone. */
         COMPLETE,
         /** Complete, but possibly old: the list held before a restart. */
-        REMEMBERED,
+        CACHED,
         /** A call to discovery failed or the subscription broke; the list held stays valid. */
         FAILED
     }
 
     /** A server's place in its life. */
-    enum ServerState {
+    enum EndpointStatus {
         SERVING,
         DRAINING,
-        GONE
+        REMOVED
     }
 
     /** How an attempt ended. */
@@ -145,36 +145,42 @@
     }
 
     /** Whether a request may be repeated. */
-    enum Effect {
-        REPEATABLE,
-        KEYED,
-        ONCE
+    enum Idempotency {
+        IDEMPOTENT,
+        WITH_KEY,
+        NOT_IDEMPOTENT
     }
 
     /** The servers among which the repeats of a keyed request are discarded. */
-    enum RepeatGroup {
+    enum DeduplicationScope {
         ALL,
         ZONE,
         CELL
     }
 
     /** What a server's share in the list means. */
-    enum Weights {
+    enum WeightSemantics {
         NONE,
         SIZE,
         LIVE
     }
 
     /** Where load reports come from. */
-    enum Reports {
+    enum LoadReportSource {
         NONE,
-        ANSWERS,
-        PROBES
+        RESPONSES,
+        HEALTH_CHECKS
     }
 
     /** One server of the list; {@code startedUs} is 0 when it has run for long. */
-    record ServerEntry(
-            String server, ServerState state, String zone, int cell, String kind, double share, long startedUs) {}
+    record EndpointInfo(
+            String id,
+            EndpointStatus status,
+            String zone,
+            int cell,
+            String machineType,
+            double weight,
+            long startedUs) {}
 
     /** A request: class and tenant are indices into the settings, tenant -1 where there is none. */
     record NewRequest(
@@ -183,11 +189,11 @@
             int tenant,
             String key,
             String group,
-            long graceUs,
-            double hintUsPerS,
-            boolean repeat,
+            long timeoutUs,
+            double loadHintUsPerS,
+            boolean retry,
             boolean midFlow,
-            boolean returning,
+            boolean reconnecting,
             String pool) {
         /** A request that any server may take. */
         public NewRequest(
@@ -206,7 +212,7 @@
     }
 
     /** A server's load report; a value that was not reported is NaN. */
-    record Report(
+    record LoadReport(
             double inflight,
             double queue,
             double cpu,
@@ -216,22 +222,22 @@
             double load,
             double backlogS) {
         /** No report came. */
-        public static final Report NONE = new Report(
+        public static final LoadReport NONE = new LoadReport(
                 Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
     }
 
     /** All that an instance knows before its first event. */
     record Settings(
-            int self,
-            int balancers,
+            int nodeIndex,
+            int nodeCount,
             String zone,
             boolean passThrough,
-            boolean askedList,
-            boolean groups,
-            Weights weights,
-            Reports reports,
-            Limits limits,
-            Rules rules,
+            boolean polledDiscovery,
+            boolean groupAffinity,
+            WeightSemantics weightSemantics,
+            LoadReportSource loadReportSource,
+            SiteLimits limits,
+            ProtocolRules rules,
             Prices prices,
             List<RequestClass> classes,
             List<Tenant> tenants) {}
@@ -239,38 +245,38 @@
     /** One class of requests. */
     record RequestClass(
             String name,
-            long aimUs,
+            long latencyObjectiveUs,
             long deadlineUs,
-            double worth,
-            Effect effect,
-            RepeatGroup repeatGroup,
-            long repeatWindowUs,
-            long messageAimUs) {}
+            double priorityWeight,
+            Idempotency idempotency,
+            DeduplicationScope deduplicationScope,
+            long deduplicationWindowUs,
+            long messageLatencyObjectiveUs) {}
 
     /** One tenant; quotas are for all balancers together, 0 when not stated. */
-    record Tenant(String name, double share, double quotaPerS, double quotaConnections) {}
+    record Tenant(String name, double quotaShare, double quotaPerS, double quotaConnections) {}
 
     /** What the site permits. */
-    record Limits(
+    record SiteLimits(
             int maxAttempts,
             long maxRetryAfterUs,
-            boolean cancel,
-            boolean probes,
-            boolean peers,
+            boolean cancellation,
+            boolean healthChecks,
+            boolean peerMessages,
             boolean retryAfter,
             long connectTimeoutUs,
-            long connIdleUs,
-            int streamsPerConn) {}
+            long connectionIdleUs,
+            int streamsPerConnection) {}
 
     /** Figures of the four rules. */
-    record Rules(
+    record ProtocolRules(
             long drainGraceUs,
-            long askWithinUs,
-            double coldShare,
-            long coldUs,
+            long pollWithinUs,
+            double slowStartShare,
+            long slowStartUs,
             double overloadFactor,
             long overloadUs) {}
 
     /** What each unit costs, as a share of the whole result. */
-    record Prices(double crossZone, double handshake, double probe, double move, double waste) {}
+    record Prices(double crossZone, double handshake, double healthCheck, double migration, double waste) {}
 }
--- a/node/src/main/java/tulipshed/decision/ConnectionGroup.java
+++ b/node/src/main/java/tulipshed/decision/ConnectionGroup.java
@@ -6,15 +6,15 @@
 /** Connections that share work on each server that holds any of them. */
 final class ConnectionGroup {
     final long hash;
-    final FadingCount arrivals;
-    final List<Server> members = new ArrayList<>();
-    Server[] places;
+    final DecayingCounter arrivals;
+    final List<EndpointState> members = new ArrayList<>();
+    EndpointState[] places;
     int listVersion = -1;
 
     /** An empty group; {@code memoryUs} is how long its arrivals are remembered, in microseconds. */
     ConnectionGroup(String name, int places, double memoryUs) {
         hash = Hashing.of(name);
-        arrivals = new FadingCount(memoryUs);
-        this.places = new Server[places];
+        arrivals = new DecayingCounter(memoryUs);
+        this.places = new EndpointState[places];
     }
 }
--- a/node/src/main/java/tulipshed/decision/FadingCount.java
+++ b/node/src/main/java/tulipshed/decision/DecayingCounter.java
@@ -1,12 +1,12 @@
 package tulipshed.decision;
 
 /** A count of events that fades exponentially with time. */
-final class FadingCount {
+final class DecayingCounter {
     private final double fadeUs;
     private double count;
     private long atUs;
 
-    FadingCount(double fadeUs) {
+    DecayingCounter(double fadeUs) {
         this.fadeUs = fadeUs;
     }
 
--- a/node/src/main/java/tulipshed/decision/Sheds.java
+++ b/node/src/main/java/tulipshed/decision/DropRateLoadShedder.java
@@ -6,7 +6,7 @@
  * the heaviest first, and a tenth of the connections can ask for half of all work: what comes again after a break is
  * where the load is, so that is refused, by chance, for as long as own connections go on being dropped.
  */
-final class Sheds {
+final class DropRateLoadShedder {
     /** Microseconds until a dropped connection says little any more: its member stays late, or is still cold, for as long. */
     private static final double FADE_US = 15e6;
     /** Chance of a refusal for each part of the own connections that was dropped: members drop an eighth at once. */
@@ -14,7 +14,7 @@
     /** Highest chance of a refusal: the rest find out when it is over. */
     private static final double MOST = 0.9;
 
-    private final FadingCount dropped = new FadingCount(FADE_US);
+    private final DecayingCounter dropped = new DecayingCounter(FADE_US);
 
     /** A serving member dropped a connection that stood; {@code now} in microseconds. */
     void dropped(long now) {
--- a/node/src/main/java/tulipshed/decision/Server.java
+++ b/node/src/main/java/tulipshed/decision/EndpointState.java
@@ -2,18 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.EndpointInfo;
 
 /** One server as one balancer sees it, and the fleets that it belongs to. What follows from it is Balancer's to say. */
-final class Server extends Pool.Member {
+final class EndpointState extends IndexedSet.Member {
     final String name;
     final long hash;
     /** The whole fleet first, then the named ones. */
-    final List<Fleet> fleets = new ArrayList<>(1);
+    final List<EndpointPool> fleets = new ArrayList<>(1);
 
-    Kind kind;
+    MachineType kind;
     double size;
-    ServerEntry entry;
+    EndpointInfo entry;
     int limit;
     int pending;
     int open;
@@ -32,7 +32,7 @@
     double delayMs;
     long delayAt = Long.MIN_VALUE / 2;
 
-    Server(String name, int limit, Fleet whole) {
+    EndpointState(String name, int limit, EndpointPool whole) {
         this.name = name;
         this.limit = limit;
         hash = Hashing.of(name);
--- a/node/src/main/java/tulipshed/decision/IdleConnection.java
+++ b/node/src/main/java/tulipshed/decision/IdleConnection.java
@@ -1,4 +1,4 @@
 package tulipshed.decision;
 
 /** A connection to a server that stays open unused until {@code untilUs}, in microseconds. */
-record IdleConnection(Server server, long untilUs) {}
+record IdleConnection(EndpointState server, long untilUs) {}
--- a/node/src/main/java/tulipshed/decision/Pool.java
+++ b/node/src/main/java/tulipshed/decision/IndexedSet.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** Items in no order; adding, removing and drawing one take the same time however many there are. */
-final class Pool<T extends Pool.Member> {
+final class IndexedSet<T extends IndexedSet.Member> {
     private final int id;
     private final List<T> list = new ArrayList<>();
 
@@ -15,7 +15,7 @@
     }
 
     /** A pool with a number of its own, best a small one: each member keeps room for all numbers up to its highest. */
-    Pool(int id) {
+    IndexedSet(int id) {
         this.id = id;
     }
 
--- a/node/src/main/java/tulipshed/decision/Kind.java
+++ b/node/src/main/java/tulipshed/decision/MachineType.java
@@ -7,7 +7,7 @@
  * One kind of machine, and what was seen of its speed. The list's share may say nothing of it, so it is
  * estimated: from how the connections already open at the start were spread, and from setup times.
  */
-final class Kind {
+final class MachineType {
     /** Largest share listed. */
     double size;
     /** Sizes of the ready servers, summed for each fleet by its number. */
@@ -34,7 +34,7 @@
     }
 
     /** A connection was open at the start, over all kinds as they are now: later machines bore none. */
-    void foundOpen(Collection<Kind> all) {
+    void foundOpen(Collection<MachineType> all) {
         opened++;
         all.forEach(k -> k.sizeThen = k.readySizes[0]);
     }
@@ -49,19 +49,19 @@
      * Estimates all speeds and returns the highest; the belief that they are equal counts as {@code prior}
      * observations.
      */
-    static double estimate(Collection<Kind> all, double prior) {
+    static double estimate(Collection<MachineType> all, double prior) {
         double size = 0;
         double opened = 0;
         double setups = 0;
         double time = 0;
-        for (Kind k : all) {
+        for (MachineType k : all) {
             size += k.sizeThen;
             opened += k.opened;
             setups += k.setups;
             time += k.setupTime;
         }
         double highest = 0;
-        for (Kind k : all) {
+        for (MachineType k : all) {
             double byOpened = k.opened > 0 ? Math.log(k.opened / opened * size / k.sizeThen) : 0;
             double bySetups = k.setups > 0 ? Math.log(k.setups / setups * time / k.setupTime) : 0;
             double seen = k.opened + k.setups + prior;
--- a/node/src/main/java/tulipshed/decision/RequestState.java
+++ b/node/src/main/java/tulipshed/decision/RequestState.java
@@ -1,8 +1,8 @@
 package tulipshed.decision;
 
+import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.RequestClass;
-import tulipshed.decision.BalancerApi.ServerEntry;
 
 /** One request from its arrival until its client is done and its attempt has ended. */
 final class RequestState {
@@ -14,27 +14,27 @@
 
     double load;
     int attempts;
-    Fleet fleet;
-    Server server;
+    EndpointPool fleet;
+    EndpointState server;
     ConnectionGroup group;
     boolean standing;
     boolean answered;
     boolean mayHaveRun;
-    ServerEntry ranOn;
+    EndpointInfo ranOn;
     long ranAtUs;
     long sentAtUs;
-    Server avoid;
-    Server first;
-    Server second;
+    EndpointState avoid;
+    EndpointState first;
+    EndpointState second;
     int awaited;
     boolean asked;
 
-    RequestState(NewRequest in, RequestClass kind, Fleet fleet, long now, long luck, double usualLoad) {
+    RequestState(NewRequest in, RequestClass kind, EndpointPool fleet, long now, long luck, double usualLoad) {
         this.in = in;
         this.dice = Hashing.mix(in.id() ^ luck);
         this.fleet = fleet;
         this.kind = kind;
-        this.deadlineUs = now + in.graceUs();
-        this.load = in.hintUsPerS() > 0 ? in.hintUsPerS() : usualLoad;
+        this.deadlineUs = now + in.timeoutUs();
+        this.load = in.loadHintUsPerS() > 0 ? in.loadHintUsPerS() : usualLoad;
     }
 }
--- a/node/src/main/java/tulipshed/discovery/Watch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -7,13 +7,13 @@
 import java.util.function.Consumer;
 import org.xnio.StreamConnection;
 import tulipshed.config.JsonValues;
-import tulipshed.config.MalformedInput;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.config.MalformedInputException;
+import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.limits.Limits;
-import tulipshed.transport.Link;
-import tulipshed.transport.XnioLoop;
-import tulipshed.proxy.MemberSource;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.proxy.EndpointListSource;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.transport.TcpConnection;
+import tulipshed.transport.XnioEventLoop;
 
 /**
  * Watches discovery's list: each call waits for news, and the next follows as soon as it is answered. Each step of a call
@@ -21,10 +21,10 @@
  * and is told to the core, and when to ask again is the module's to say. All of that fits into the 6 s after which a change
  * counts as told, whatever became of the calls before.
  */
-public final class Watch implements MemberSource, Link.Owner {
+public final class EndpointWatch implements EndpointListSource, TcpConnection.Listener {
     private final Limits limits;
-    private final XnioLoop loop;
-    private final TransactionCore core;
+    private final XnioEventLoop loop;
+    private final ProxyCore core;
     private final Consumer<String> log;
     private final ByteBuffer in;
     private InetSocketAddress discovery;
@@ -35,11 +35,11 @@
     private boolean catchingUp;
     private boolean stopped;
     private boolean watching;
-    private boolean pushed;
+    private boolean setPushed;
     private boolean failing;
-    private Link link;
-    private XnioLoop.Dialing dialing;
-    private HttpAnswer answer;
+    private TcpConnection link;
+    private XnioEventLoop.PendingConnection dialing;
+    private HttpResponseParser answer;
     private boolean calling;
     /** How long the call that is out waits there for news. */
     private double waitMs;
@@ -48,11 +48,11 @@
 
     private long steps;
 
-    public Watch(
+    public EndpointWatch(
             InetSocketAddress discovery,
             Limits limits,
-            XnioLoop loop,
-            TransactionCore core,
+            XnioEventLoop loop,
+            ProxyCore core,
             long version,
             Consumer<String> log) {
         this.discovery = discovery;
@@ -75,9 +75,9 @@
      * Whether lists are pushed to an agent on the node's machine: what the agent has counts as told, so it is watched by
      * itself from now on and asked again soon after each failure. Where discovery is asked, the module says when.
      */
-    public void pushed(boolean toAgent) {
-        pushed = toAgent;
-        if (pushed) {
+    public void setPushed(boolean toAgent) {
+        setPushed = toAgent;
+        if (setPushed) {
             watch();
         }
     }
@@ -95,7 +95,7 @@
     }
 
     /** Whether it holds a connection. */
-    public boolean open() {
+    public boolean isConnected() {
         return link != null || dialing != null;
     }
 
@@ -110,7 +110,7 @@
      * the new one may count its versions differently, it is asked for the whole list, at once: what it has to tell
      * counts as told soon after the move.
      */
-    public void move(InetSocketAddress to) {
+    public void setDiscoveryAddress(InetSocketAddress to) {
         if (!to.equals(discovery)) {
             hangUp();
             discovery = to;
@@ -124,25 +124,29 @@
         answering = false;
         waitMs = whole || catchingUp
                 ? 0
-                : pushed ? limits.discovery().agentWaitMs() : limits.discovery().watchWaitMs();
-        answer = new HttpAnswer(
+                : setPushed
+                        ? limits.discovery().agentWaitMs()
+                        : limits.discovery().watchWaitMs();
+        answer = new HttpResponseParser(
                 limits.discovery().headBytes(), limits.discovery().bodyBytes());
         if (link != null) {
             ask();
         } else {
-            within(limits.discovery().dialMs(), () -> failed("no connection in time"));
-            dialing = loop.dial(discovery, this::up, this::failed);
+            within(limits.discovery().connectTimeoutMs(), () -> failed("no connection in time"));
+            dialing = loop.connect(discovery, this::up, this::failed);
         }
     }
 
     private double silenceMs() {
-        return pushed ? limits.discovery().agentSilenceMs() : limits.discovery().watchSilenceMs();
+        return setPushed
+                ? limits.discovery().agentTimeoutMs()
+                : limits.discovery().watchTimeoutMs();
     }
 
     /** The call that is out has this long for its next step. */
     private void within(double ms, Runnable otherwise) {
         long step = ++steps;
-        loop.after(ms, () -> {
+        loop.schedule(ms, () -> {
             if (calling && step == steps) {
                 otherwise.run();
             }
@@ -151,8 +155,8 @@
 
     private void up(StreamConnection connection) {
         dialing = null;
-        link = loop.link(connection, this);
-        link.listen(true);
+        link = loop.register(connection, this);
+        link.setReading(true);
         ask();
     }
 
@@ -171,7 +175,7 @@
      * each began its watch at a time of its own.
      */
     private void silent(String why) {
-        if (waitMs == 0 || pushed) {
+        if (waitMs == 0 || setPushed) {
             failed(why);
             return;
         }
@@ -181,8 +185,8 @@
     }
 
     @Override
-    public void readable(Link from) {
-        while (link == from && !from.ended()) {
+    public void onReadable(TcpConnection from) {
+        while (link == from && !from.isClosed()) {
             in.clear();
             int n = from.read(in);
             if (n == 0) {
@@ -190,19 +194,19 @@
             }
             if (n > 0 && calling && !answering) {
                 answering = true;
-                within(limits.discovery().answerMs(), () -> silent("an answer that does not end"));
+                within(limits.discovery().responseTimeoutMs(), () -> silent("an answer that does not end"));
             }
             boolean complete;
             try {
                 complete = n < 0 ? calling && answer.end() : calling && answer.take(in.flip());
-            } catch (HttpAnswer.BadAnswer e) {
+            } catch (HttpResponseParser.MalformedResponseException e) {
                 failed(e.getMessage());
                 return;
             }
             if (complete) {
                 answered(n < 0);
             } else if (n < 0 || !calling) {
-                broken(from);
+                onBroken(from);
                 return;
             }
         }
@@ -213,10 +217,10 @@
             failed("status " + answer.status());
             return;
         }
-        MemberList list;
+        EndpointListUpdate list;
         try {
-            list = MemberList.read(JsonValues.object(answer.body()));
-        } catch (MalformedInput e) {
+            list = EndpointListUpdate.read(JsonValues.object(answer.body()));
+        } catch (MalformedInputException e) {
             failed(e.getMessage());
             return;
         }
@@ -233,9 +237,9 @@
         if (ended || answer.closes()) {
             hangUp();
         }
-        core.members(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list.members());
-        if (pushed && list.members().isEmpty()) {
-            loop.after(limits.discovery().agentPaceMs(), this::watch);
+        core.endpointsChanged(list.full() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES, list.entries());
+        if (setPushed && list.entries().isEmpty()) {
+            loop.schedule(limits.discovery().agentPollIntervalMs(), this::watch);
         } else {
             call();
         }
@@ -248,14 +252,14 @@
         calling = false;
         watching = false;
         // An agent is asked again so soon that each failure of a dark time would be a line.
-        if (!pushed || !failing) {
+        if (!setPushed || !failing) {
             log.accept("discovery: " + why);
         }
         failing = true;
         hangUp();
-        core.members(ListKind.FAILED, List.of());
-        if (pushed) {
-            loop.after(limits.discovery().agentRetryMs(), this::watch);
+        core.endpointsChanged(EndpointListKind.FAILED, List.of());
+        if (setPushed) {
+            loop.schedule(limits.discovery().agentRetryDelayMs(), this::watch);
         }
     }
 
@@ -263,7 +267,7 @@
     private void hangUp() {
         calling = false;
         if (dialing != null) {
-            dialing.giveUp();
+            dialing.abandon();
             dialing = null;
         }
         if (link != null) {
@@ -273,10 +277,10 @@
     }
 
     @Override
-    public void drained(Link from) {}
+    public void onWritten(TcpConnection from) {}
 
     @Override
-    public void broken(Link from) {
+    public void onBroken(TcpConnection from) {
         if (link == from) {
             failed("the connection broke");
             hangUp();
--- a/node/src/main/java/tulipshed/discovery/HttpAnswer.java
+++ b/node/src/main/java/tulipshed/discovery/HttpResponseParser.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 
 /** Reads one answer of HTTP/1.1 as it comes in, with bounds on its head and body. */
-final class HttpAnswer {
+final class HttpResponseParser {
     private enum Part {
         HEAD,
         SIZED,
@@ -29,15 +29,15 @@
     private boolean closes;
 
     /** Input that is not an answer of HTTP/1.1 within the bounds. */
-    static final class BadAnswer extends RuntimeException {
+    static final class MalformedResponseException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        BadAnswer(String message) {
+        MalformedResponseException(String message) {
             super(message);
         }
     }
 
-    HttpAnswer(int longestHead, int longestBody) {
+    HttpResponseParser(int longestHead, int longestBody) {
         this.longestHead = longestHead;
         this.longestBody = longestBody;
     }
@@ -78,7 +78,7 @@
     private void copy(ByteBuffer in) {
         int n = part == Part.TO_END ? in.remaining() : (int) Math.min(in.remaining(), left);
         if (body.size() + n > longestBody) {
-            throw new BadAnswer("a body of more than " + longestBody + " bytes");
+            throw new MalformedResponseException("a body of more than " + longestBody + " bytes");
         }
         byte[] bytes = new byte[n];
         in.get(bytes);
@@ -91,7 +91,7 @@
 
     private void character(char c) {
         if (++headBytes > longestHead) {
-            throw new BadAnswer("a head of more than " + longestHead + " bytes");
+            throw new MalformedResponseException("a head of more than " + longestHead + " bytes");
         }
         if (c != '\n') {
             line.append(c);
@@ -116,7 +116,7 @@
     private void head(String text) {
         if (status == 0) {
             if (!text.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
-                throw new BadAnswer("not an answer of HTTP/1.1");
+                throw new MalformedResponseException("not an answer of HTTP/1.1");
             }
             status = Integer.parseInt(text.substring(9, 12));
             closes = text.startsWith("HTTP/1.0");
@@ -137,7 +137,7 @@
     private void field(String text) {
         int colon = text.indexOf(':');
         if (colon <= 0) {
-            throw new BadAnswer("a field without a name");
+            throw new MalformedResponseException("a field without a name");
         }
         String value = text.substring(colon + 1).strip().toLowerCase(Locale.ROOT);
         switch (text.substring(0, colon).toLowerCase(Locale.ROOT)) {
@@ -156,12 +156,12 @@
 
     private long figure(String text, int radix) {
         if (!text.matches("[0-9a-fA-F]{1,9}")) {
-            throw new BadAnswer("not a length: " + text);
+            throw new MalformedResponseException("not a length: " + text);
         }
         try {
             return Long.parseLong(text, radix);
         } catch (NumberFormatException e) {
-            throw new BadAnswer("not a length: " + text);
+            throw new MalformedResponseException("not a length: " + text);
         }
     }
 }
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -6,13 +6,13 @@
  */
 public record Limits(
         Sockets sockets,
-        Lines lines,
+        LineProtocol lineProtocol,
         Discovery discovery,
-        Transactions transactions,
-        Leaving leaving,
+        Requests requests,
+        Shutdown shutdown,
         Management management,
         Quic quic,
-        Probes probes,
+        HealthChecks healthChecks,
         Peers peers) {
 
     /** Sockets and buffers, whichever front they belong to. */
@@ -32,24 +32,24 @@
             /** Accepted connections that are looked at before the descriptors of those closed are given back. */
             int acceptsAtOnce,
             /** How long a connection may linger once one side has ended it. */
-            double lingerMs,
+            double lingerTimeoutMs,
             /** How often what may have become too old is looked at. */
-            double sweepMs,
+            double sweepIntervalMs,
             /** When a client that was turned away for want of descriptors should come again. */
-            double noRoomRetryMs) {}
+            double overloadRetryAfterMs) {}
 
     /** The platform's line protocol. */
-    public record Lines(
+    public record LineProtocol(
             /** Longest line, with its end. */
             int lineBytes,
             /** A first line must be complete within this time. */
-            double firstLineMs,
+            double firstLineTimeoutMs,
             /** Pings that a connection may send before its first line. */
             int pings,
             /** The longest time that a client may say it waits. */
             double longestWaitMs,
             /** Between two lines of the log on what clients sent that cannot be used. */
-            double complaintsMs) {}
+            double protocolErrorLogMs) {}
 
     /** Calls to discovery. */
     public record Discovery(
@@ -58,49 +58,49 @@
             /** Longest body of an answer. */
             int bodyBytes,
             /** A connection that is not up within this time is given up. */
-            double dialMs,
+            double connectTimeoutMs,
             /** How long a watch waits there for something new. */
             double watchWaitMs,
             /** How long after that wait silence counts as a failed call; with it and the next call within 6 s. */
-            double watchSilenceMs,
+            double watchTimeoutMs,
             /** An answer must be whole within this time of its first byte. */
-            double answerMs,
+            double responseTimeoutMs,
             /** How long a call to an agent waits there that lists are pushed to: calls are free, and a silent one shows soon. */
             double agentWaitMs,
             /** How long after that wait its silence counts as a failed call. */
-            double agentSilenceMs,
+            double agentTimeoutMs,
             /** After a failed call to an agent, until the next. */
-            double agentRetryMs,
+            double agentRetryDelayMs,
             /** Between two calls to an agent that has nothing new and answers at once; under 200 ms, or the watch would end. */
-            double agentPaceMs) {}
+            double agentPollIntervalMs) {}
 
     /** What the core waits for. */
-    public record Transactions(
+    public record Requests(
             /** Final answers are due this much before the client gives up, so that they arrive in time. */
-            double answerMarginMs,
+            double responseMarginMs,
             /** A member that returned nothing for this long after a client's line counts as silent; pauses are shorter. */
-            double silentMs,
+            double endpointTimeoutMs,
             /** How long connections that stood before the start may take to come up again. */
-            double standingMs,
+            double adoptionTimeoutMs,
             /** How often the list is looked at for the member of such a connection. */
-            double unknownMemberMs,
+            double unknownEndpointPollMs,
             /** How long that member is waited for where discovery has told its list since the start. */
-            double unlistedMemberMs,
+            double unlistedEndpointTimeoutMs,
             /** How often it is looked at whether routes should use other pools. */
-            double routesMs) {}
+            double routePollMs) {}
 
     /** Taking a process out of service. */
-    public record Leaving(
+    public record Shutdown(
             /** After SIGTERM: how long new connections are taken. */
-            double takeMs,
+            double acceptMs,
             /** From when on clients are asked to move; until then the others may still be coming back. */
-            double moveMs,
+            double migrateAfterMs,
             /** The longest that a deadline counts. */
-            double longestMs,
+            double maxDeadlineMs,
             /** How long after it all is answered and moved. */
-            double endMs,
+            double endMarginMs,
             /** How long the process that takes over waits for discovery's list before it serves with its own. */
-            double takeOverListMs,
+            double takeoverListTimeoutMs,
             /** Open ids that a process shows to the other process of its node. */
             int sharedIds) {}
 
@@ -111,7 +111,7 @@
             /** Longest head of a call. */
             int headBytes,
             /** A call must be whole within this time, and its answer read within this time. */
-            double callMs) {}
+            double requestTimeoutMs) {}
 
     /** The front for connection ids of QUIC. */
     public record Quic(
@@ -155,29 +155,29 @@
             int receiveBytes) {}
 
     /** Probes of pool members. */
-    public record Probes(
+    public record HealthChecks(
             /** Connections kept for them, one a member. */
             int connections,
             /** How long an answer is waited for, from the probe on, with the way there. */
-            double answerMs,
+            double responseTimeoutMs,
             /** How long a connection is kept unused. */
-            double idleMs) {}
+            double idleTimeoutMs) {}
 
     /** Datagrams between nodes. */
     public record Peers(
             /** Largest body, which the protocol sets. */
-            int bytes,
+            int maxBodyBytes,
             /** Datagrams of one sender that are taken in a second; more are dropped. */
-            int perSecond) {}
+            int maxPerSenderPerSecond) {}
 
     /** The limits of a node that may hold this many descriptors. */
     public static Limits forDescriptors(int descriptors) {
         return new Limits(
                 new Sockets(16 * 1024, 16 * 1024, descriptors, 64, 1024, 4, 8, 900, 250, 500),
-                new Lines(4096, 2_000, 16, 120_000, 10_000),
+                new LineProtocol(4096, 2_000, 16, 120_000, 10_000),
                 new Discovery(8 * 1024, 4 * 1024 * 1024, 500, 2_500, 1_500, 1_000, 1_000, 500, 200, 100),
-                new Transactions(40, 800, 40_000, 100, 1_000, 100),
-                new Leaving(500, 1_500, 3_000, 200, 1_500, 4096),
+                new Requests(40, 800, 40_000, 100, 1_000, 100),
+                new Shutdown(500, 1_500, 3_000, 200, 1_500, 4096),
                 new Management(16, 4 * 1024, 2_000),
                 new Quic(
                         2048,
@@ -199,28 +199,29 @@
                         1,
                         512,
                         4 * 1024 * 1024),
-                new Probes(64, 500, 5_000),
+                new HealthChecks(64, 500, 5_000),
                 new Peers(256, 200));
     }
 
     /** The same but for these. */
     public Limits with(Sockets changed) {
-        return new Limits(changed, lines, discovery, transactions, leaving, management, quic, probes, peers);
+        return new Limits(changed, lineProtocol, discovery, requests, shutdown, management, quic, healthChecks, peers);
     }
 
     /** The same but for these. */
-    public Limits with(Lines changed) {
-        return new Limits(sockets, changed, discovery, transactions, leaving, management, quic, probes, peers);
+    public Limits with(LineProtocol changed) {
+        return new Limits(sockets, changed, discovery, requests, shutdown, management, quic, healthChecks, peers);
     }
 
     /** The same but for these. */
     public Limits with(Discovery changed) {
-        return new Limits(sockets, lines, changed, transactions, leaving, management, quic, probes, peers);
+        return new Limits(sockets, lineProtocol, changed, requests, shutdown, management, quic, healthChecks, peers);
     }
 
     /** The same but for these. */
     public Limits with(Quic changed) {
-        return new Limits(sockets, lines, discovery, transactions, leaving, management, changed, probes, peers);
+        return new Limits(
+                sockets, lineProtocol, discovery, requests, shutdown, management, changed, healthChecks, peers);
     }
 
     /** How many descriptors connections may take together when a new one is taken. */
--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -5,14 +5,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.xnio.StreamConnection;
-import tulipshed.transport.Link;
-import tulipshed.proxy.MemberConnector;
-import tulipshed.proxy.ServerSideFlow;
-import tulipshed.proxy.Transaction;
-import tulipshed.proxy.VirtualServer;
+import tulipshed.proxy.Attempt;
+import tulipshed.proxy.ClientConnection;
+import tulipshed.proxy.Request;
+import tulipshed.proxy.UpstreamConnector;
+import tulipshed.transport.TcpConnection;
 
 /** The client's side of one connection, and the connector of its flows to members. */
-final class ClientSession implements VirtualServer, MemberConnector, Link.Owner {
+final class ClientSession implements ClientConnection, UpstreamConnector, TcpConnection.Listener {
     private static final byte[] PING = "PING\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] PONG = "PONG\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] ERR = "ERR\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -25,57 +25,57 @@
         CLOSING
     }
 
-    private final LineFront front;
-    private final Link link;
-    private final LineSplitter splitter;
+    private final LineProtocolFrontend front;
+    private final TcpConnection link;
+    private final CrlfDecoder splitter;
     private final double sinceMs;
     private final ByteArrayOutputStream early = new ByteArrayOutputStream();
     private State state = State.OPENING;
-    private OpeningLine line;
-    private Transaction transaction;
-    private MemberConnection member;
+    private OpenCommand line;
+    private Request transaction;
+    private UpstreamConnection member;
     private boolean ended;
     private boolean ownsId;
     private boolean closed;
     private int pings;
 
-    ClientSession(LineFront front, StreamConnection connection) {
+    ClientSession(LineProtocolFrontend front, StreamConnection connection) {
         this.front = front;
-        this.link = front.loop.link(connection, this);
-        this.splitter = new LineSplitter(front.limits.lines().lineBytes());
+        this.link = front.loop.register(connection, this);
+        this.splitter = new CrlfDecoder(front.limits.lineProtocol().lineBytes());
         this.sinceMs = front.clock.nowMs();
         front.clients(1);
     }
 
     void start() {
-        link.listen(true);
-        readable(link);
+        link.setReading(true);
+        onReadable(link);
     }
 
     double sinceMs() {
         return sinceMs;
     }
 
-    OpeningLine line() {
+    OpenCommand line() {
         return line;
     }
 
     // ---- What the client does ----
 
     @Override
-    public void readable(Link from) {
+    public void onReadable(TcpConnection from) {
         if (state == State.RELAYING) {
             relay();
             return;
         }
         ByteBuffer in = front.scratch;
         // One that sends without end must not keep the loop to itself; what it has left is told again.
-        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.ended(); i++) {
+        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.isClosed(); i++) {
             in.clear();
             int n = link.read(in);
             if (n <= 0) {
                 if (n < 0) {
-                    link.listen(false);
+                    link.setReading(false);
                     end();
                 }
                 return;
@@ -95,15 +95,15 @@
                 if (first != null) {
                     opening(first);
                 }
-            } catch (BadLine e) {
+            } catch (MalformedLineException e) {
                 bad(e.getMessage());
             }
         }
         if (state == State.OWED && in.hasRemaining()) {
             // Clients wait for their answer. What one sends early goes on later if it is as much as one line; one
             // that sends hundreds of commands at once is none of ours.
-            if (early.size() + in.remaining() > front.limits.lines().lineBytes()) {
-                front.core.clientLeft(transaction);
+            if (early.size() + in.remaining() > front.limits.lineProtocol().lineBytes()) {
+                front.core.clientDisconnected(transaction);
                 bad("more lines before an answer");
                 return;
             }
@@ -115,35 +115,38 @@
 
     /** The client sent what is not of the protocol. */
     private void bad(String why) {
-        front.complaints.add(why);
+        front.complaints.record(why);
         fail();
     }
 
     private void opening(byte[] first) {
         if (Arrays.equals(first, PING)) {
-            if (++pings > front.limits.lines().pings()) {
-                throw new BadLine("too many pings");
+            if (++pings > front.limits.lineProtocol().pings()) {
+                throw new MalformedLineException("too many pings");
             }
             if (front.ready()) {
                 link.write(PONG);
             }
             return;
         }
-        line = OpeningLine.parse(
-                first, front.names(), front.declarations(), front.limits.lines().longestWaitMs());
+        line = OpenCommand.parse(
+                first,
+                front.names(),
+                front.declarations(),
+                front.limits.lineProtocol().longestWaitMs());
         ownsId = front.takeId(line.id());
         if (!ownsId) {
             // Members would answer ERR, one after the other.
-            throw new BadLine("the id of an open transaction");
+            throw new MalformedLineException("the id of an open transaction");
         }
         state = State.OWED;
         front.unserved.opened(this);
-        transaction = new Transaction(
+        transaction = new Request(
                 this, this, line.arrival(), front.origin(link, line), front.clock.nowMs(), line.at() != null);
         if (line.at() != null) {
-            front.core.alreadyOpen(transaction, line.at());
+            front.core.adoptConnection(transaction, line.at());
         } else {
-            front.core.arrived(transaction);
+            front.core.requestArrived(transaction);
         }
     }
 
@@ -154,7 +157,7 @@
             case OPENING -> close();
             case OWED -> {
                 // It may still listen for an answer; where it does not, this goes nowhere.
-                front.core.clientLeft(transaction);
+                front.core.clientDisconnected(transaction);
                 fail();
             }
             case RELAYING -> member.clientFinished();
@@ -163,9 +166,9 @@
     }
 
     @Override
-    public void broken(Link from) {
+    public void onBroken(TcpConnection from) {
         switch (state) {
-            case OWED -> front.core.clientLeft(transaction);
+            case OWED -> front.core.clientDisconnected(transaction);
             case RELAYING -> member.clientBroke();
             default -> {}
         }
@@ -180,8 +183,8 @@
 
     /** Reads what has come and was not told yet: the client may have gone, or its first line may have come. */
     void look() {
-        if (state != State.RELAYING && !link.ended()) {
-            readable(link);
+        if (state != State.RELAYING && !link.isClosed()) {
+            onReadable(link);
         }
     }
 
@@ -195,7 +198,7 @@
     /** The node takes no more first lines. */
     void turnAway() {
         if (stillOpening()) {
-            reject(front.core.retryAfterMs(front.limits.sockets().noRoomRetryMs()));
+            reject(front.core.retryAfterMs(front.limits.sockets().overloadRetryAfterMs()));
         }
     }
 
@@ -246,7 +249,7 @@
     }
 
     @Override
-    public void move() {
+    public void migrate() {
         if (state == State.RELAYING) {
             member.drop();
             // Only whole lines are ever queued for the client, so this stands between two of them.
@@ -266,10 +269,10 @@
     /** Ends the sending; the rest of what the client sends is read and dropped, so that no reset overtakes. */
     private void finish() {
         front.unserved.answered(this);
-        link.finish();
-        link.listen(!ended);
-        front.loop.after(front.limits.sockets().lingerMs(), this::lingered);
-        if (ended && link.queued() == 0) {
+        link.shutdownOutput();
+        link.setReading(!ended);
+        front.loop.schedule(front.limits.sockets().lingerTimeoutMs(), this::lingered);
+        if (ended && link.queuedBytes() == 0) {
             close();
         }
     }
@@ -278,17 +281,17 @@
 
     private void relay() {
         ByteBuffer in = front.scratch;
-        while (!link.ended() && state == State.RELAYING) {
+        while (!link.isClosed() && state == State.RELAYING) {
             int room = front.limits.sockets().relayBytes() - member.queued();
             if (room <= 0) {
-                link.listen(false);
+                link.setReading(false);
                 return;
             }
             in.clear().limit(Math.min(room, in.capacity()));
             int n = link.read(in);
             if (n <= 0) {
                 if (n < 0) {
-                    link.listen(false);
+                    link.setReading(false);
                     end();
                 }
                 return;
@@ -301,7 +304,7 @@
     }
 
     /** The member serves: its line goes to the client, and all else both ways from now on. */
-    void joined(MemberConnection to, byte[] up) {
+    void joined(UpstreamConnection to, byte[] up) {
         member = to;
         state = State.RELAYING;
         link.write(up);
@@ -309,7 +312,7 @@
             member.fromClient(early.toByteArray());
             early.reset();
         }
-        link.listen(true);
+        link.setReading(true);
     }
 
     void fromMember(byte[] bytes) {
@@ -317,13 +320,13 @@
     }
 
     int queued() {
-        return link.queued();
+        return link.queuedBytes();
     }
 
     /** All that was queued for the member has been written. */
     void memberDrained() {
         if (state == State.RELAYING && !ended) {
-            link.listen(true);
+            link.setReading(true);
         }
     }
 
@@ -342,7 +345,7 @@
     }
 
     @Override
-    public void drained(Link from) {
+    public void onWritten(TcpConnection from) {
         if (state == State.RELAYING) {
             member.clientDrained();
         } else if (state == State.CLOSING && ended) {
@@ -353,19 +356,19 @@
     // ---- Flows ----
 
     @Override
-    public void open(ServerSideFlow flow) {
+    public void open(Attempt attempt) {
         look();
         if (state != State.OWED) {
             // The client has gone, and the core, told so just now, calls the flow off.
             return;
         }
-        member = new MemberConnection(front, this, flow);
+        member = new UpstreamConnection(front, this, attempt);
         member.dial();
     }
 
     @Override
-    public void giveUp(ServerSideFlow flow) {
-        if (member != null && member.flow() == flow) {
+    public void abandon(Attempt attempt) {
+        if (member != null && member.flow() == attempt) {
             member.drop();
             member = null;
         }
--- a/node/src/main/java/tulipshed/lineprotocol/LineSplitter.java
+++ b/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
@@ -4,11 +4,11 @@
 import java.util.Arrays;
 
 /** Cuts a stream into lines that end with CRLF, keeping no more than one line of bounded length. */
-final class LineSplitter {
+final class CrlfDecoder {
     private final byte[] held;
     private int length;
 
-    LineSplitter(int longest) {
+    CrlfDecoder(int longest) {
         held = new byte[longest];
     }
 
@@ -16,7 +16,7 @@
     byte[] next(ByteBuffer in) {
         while (in.hasRemaining()) {
             if (length == held.length) {
-                throw new BadLine("a line of more than " + held.length + " bytes");
+                throw new MalformedLineException("a line of more than " + held.length + " bytes");
             }
             byte b = in.get();
             held[length++] = b;
--- a/node/src/main/java/tulipshed/lineprotocol/Silence.java
+++ b/node/src/main/java/tulipshed/lineprotocol/InactivityDetector.java
@@ -5,13 +5,13 @@
  * silence soon says it; but a node that has itself stood still finds answers unread that came long ago. So the silence must
  * last over two looks, between which all that had come was read. Does no I/O; times are in milliseconds.
  */
-final class Silence {
+final class InactivityDetector {
     private final double bearableMs;
     private double askedMs = Double.NaN;
     private boolean suspected;
 
     /** One that is borne for this long, longer than a member may pause. */
-    Silence(double bearableMs) {
+    InactivityDetector(double bearableMs) {
         this.bearableMs = bearableMs;
     }
 
--- a/node/src/main/java/tulipshed/lineprotocol/LineFront.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -7,49 +7,49 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.xnio.StreamConnection;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.limits.Limits;
-import tulipshed.transport.Complaints;
-import tulipshed.transport.Link;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.routing.Declarations;
 import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.ProtocolErrorLog;
+import tulipshed.transport.TcpConnection;
+import tulipshed.transport.XnioEventLoop;
 
 /** The platform's front: takes client connections, and keeps what its sessions share. */
-public final class LineFront {
+public final class LineProtocolFrontend {
     private static final String NAME = "line";
 
     final Clock clock;
     final Limits limits;
-    private Names names;
-    final XnioLoop loop;
-    final TransactionCore core;
+    private NameIndex names;
+    final XnioEventLoop loop;
+    final ProxyCore core;
     final Consumer<String> log;
     /** Read into by whoever reads; nothing stays in it from one listener to the next. */
     final ByteBuffer scratch;
 
-    private final Set<MemberConnection> relays = new LinkedHashSet<>();
+    private final Set<UpstreamConnection> relays = new LinkedHashSet<>();
     private final Set<String> openIds = new HashSet<>();
-    final Unserved unserved;
-    final Complaints complaints;
-    final Complaints memberComplaints;
+    final UnservedConnections unserved;
+    final ProtocolErrorLog complaints;
+    final ProtocolErrorLog memberComplaints;
     /** Whether the figure of a member's LOAD line is a delay. */
     private boolean loadTellsDelay;
 
-    private final MemberProbes probes;
+    private final HealthCheckConnections probes;
     private Declarations declarations;
     private boolean ready = true;
     private int clients;
 
-    public LineFront(
+    public LineProtocolFrontend(
             Clock clock,
             Limits limits,
-            Names names,
+            NameIndex names,
             boolean loadTellsDelay,
-            XnioLoop loop,
-            TransactionCore core,
+            XnioEventLoop loop,
+            ProxyCore core,
             Consumer<String> log) {
         this.loadTellsDelay = loadTellsDelay;
         this.clock = clock;
@@ -58,23 +58,23 @@
         this.loop = loop;
         this.core = core;
         this.log = log;
-        unserved = new Unserved(limits);
-        complaints = new Complaints("clients turned away for what they sent", limits, log);
-        memberComplaints = new Complaints("what members sent and cannot be used", limits, log);
+        unserved = new UnservedConnections(limits);
+        complaints = new ProtocolErrorLog("clients turned away for what they sent", limits, log);
+        memberComplaints = new ProtocolErrorLog("what members sent and cannot be used", limits, log);
         scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
-        probes = new MemberProbes(this);
-        core.prober(probes);
-        loop.after(limits.sockets().sweepMs(), this::sweep);
+        probes = new HealthCheckConnections(this);
+        core.healthChecker(probes);
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
     }
 
     /** Other names, and another meaning of LOAD, from now on; connections that are open keep their class. */
-    public void reconfigure(Names changed, boolean tellsDelay) {
+    public void reconfigure(NameIndex changed, boolean tellsDelay) {
         names = changed;
         loadTellsDelay = tellsDelay;
     }
 
     /** What the operators' rules ask of first lines from now on; null where there are no rules. */
-    public void declare(Declarations declared) {
+    public void setDeclarations(Declarations declared) {
         declarations = declared;
     }
 
@@ -83,11 +83,11 @@
     }
 
     /** Where a transaction came from, as far as anybody asks. */
-    Origin origin(Link client, OpeningLine line) {
+    Origin origin(TcpConnection client, OpenCommand line) {
         return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), line.figures());
     }
 
-    Names names() {
+    NameIndex names() {
         return names;
     }
 
@@ -96,34 +96,34 @@
     }
 
     /** Takes one accepted connection. */
-    public void accepted(StreamConnection connection) {
+    public void accept(StreamConnection connection) {
         // Where as many are open as may be, the next would wait in the kernel, and nobody would give way to them.
-        while ((!loop.hasRoom()
+        while ((!loop.hasCapacityForClient()
                         || clients
                                 >= limits.clientConnections() - limits.sockets().acceptsAtOnce())
                 && unserved.closeOne()) {}
-        boolean room = loop.hasRoom();
+        boolean room = loop.hasCapacityForClient();
         ClientSession session = new ClientSession(this, connection);
         if (room) {
             unserved.opens(session);
             session.start();
         } else {
-            session.reject(core.retryAfterMs(limits.sockets().noRoomRetryMs()));
+            session.reject(core.retryAfterMs(limits.sockets().overloadRetryAfterMs()));
         }
     }
 
     /** The node is leaving: fronts that ask are not answered any more. */
-    public void leaving() {
+    public void startLeaving() {
         ready = false;
     }
 
     /** The node is about to go: whoever has not sent a first line by now is told, and none is read any more. */
-    public void turnAway() {
+    public void rejectWaitingClients() {
         unserved.opening().forEach(ClientSession::turnAway);
     }
 
     /** The node takes no more clients: members are not probed any more. */
-    public void closed() {
+    public void listenerClosed() {
         probes.leave();
     }
 
@@ -141,7 +141,7 @@
         if (!openIds.add(id)) {
             return false;
         }
-        if (!loop.siblings().take(id)) {
+        if (!loop.hotRestartState().claimId(id)) {
             openIds.remove(id);
             return false;
         }
@@ -150,16 +150,16 @@
 
     void freeId(String id) {
         openIds.remove(id);
-        loop.siblings().free(id);
+        loop.hotRestartState().releaseId(id);
     }
 
     /** Whether a flow may take a descriptor; who is not served gives way to it. */
     boolean roomForFlow() {
-        while (!loop.hasRoomForFlow() && unserved.closeOne()) {}
-        return loop.hasRoomForFlow();
+        while (!loop.hasCapacityForUpstream() && unserved.closeOne()) {}
+        return loop.hasCapacityForUpstream();
     }
 
-    void relaying(MemberConnection connection, boolean on) {
+    void relaying(UpstreamConnection connection, boolean on) {
         if (on) {
             relays.add(connection);
         } else {
@@ -173,9 +173,9 @@
         for (ClientSession s : unserved.late(nowMs)) {
             s.neverOpened();
         }
-        complaints.tell(nowMs);
-        memberComplaints.tell(nowMs);
+        complaints.flush(nowMs);
+        memberComplaints.flush(nowMs);
         probes.sweep(nowMs);
-        loop.after(limits.sockets().sweepMs(), this::sweep);
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/BadLine.java
+++ b/node/src/main/java/tulipshed/lineprotocol/MalformedLineException.java
@@ -1,10 +1,10 @@
 package tulipshed.lineprotocol;
 
 /** Input that is not of the platform's protocol. */
-final class BadLine extends RuntimeException {
+final class MalformedLineException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    BadLine(String message) {
+    MalformedLineException(String message) {
         super(message);
     }
 }
