--- a/node/src/main/java/tulipshed/lineprotocol/OpeningLine.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
@@ -5,26 +5,32 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Declarations;
-import tulipshed.proxy.Transaction.Arrival;
 
 /**
  * A client's first line: {@code OPEN ID KEY name=value,...}. Keeps the text as it came, so that it can go on
  * to a member unchanged but for the time that the node will wait.
  */
-final class OpeningLine {
+final class OpenCommand {
     private static final String END = "\r\n";
     private final String text;
     private final String id;
     private final int waitFrom;
     private final int waitTo;
-    private final Arrival arrival;
+    private final Attributes arrival;
     private final String at;
     private final Map<String, Object> figures;
 
-    private OpeningLine(
-            String text, String id, int waitFrom, int waitTo, Arrival arrival, String at, Map<String, Object> figures) {
+    private OpenCommand(
+            String text,
+            String id,
+            int waitFrom,
+            int waitTo,
+            Attributes arrival,
+            String at,
+            Map<String, Object> figures) {
         this.figures = figures;
         this.text = text;
         this.id = id;
@@ -34,20 +40,20 @@
         this.at = at;
     }
 
-    /** Reads one whole line; anything that a client would not send in this form is a {@link BadLine}. */
-    static OpeningLine parse(byte[] line, Names names, Declarations declared, double longestWaitMs) {
+    /** Reads one whole line; anything that a client would not send in this form is a {@link MalformedLineException}. */
+    static OpenCommand parse(byte[] line, NameIndex names, Declarations declared, double longestWaitMs) {
         String text = new String(line, StandardCharsets.ISO_8859_1);
         if (!text.endsWith(END)) {
-            throw new BadLine("a line that does not end with CRLF");
+            throw new MalformedLineException("a line that does not end with CRLF");
         }
         for (int i = 0; i < text.length() - END.length(); i++) {
             if (text.charAt(i) < ' ' || text.charAt(i) > '~') {
-                throw new BadLine("a character that is not printable ASCII");
+                throw new MalformedLineException("a character that is not printable ASCII");
             }
         }
         String[] words = text.substring(0, text.length() - END.length()).split(" ", -1);
         if (words.length != 4 || !words[0].equals("OPEN") || words[1].isEmpty() || words[2].isEmpty()) {
-            throw new BadLine("not of the form OPEN ID KEY NAMES");
+            throw new MalformedLineException("not of the form OPEN ID KEY NAMES");
         }
         return new Reader(text, words, names, declared, longestWaitMs).read();
     }
@@ -58,7 +64,7 @@
     }
 
     /** What the client asks for. */
-    Arrival arrival() {
+    Attributes arrival() {
         return arrival;
     }
 
@@ -82,7 +88,7 @@
     private static final class Reader {
         private final String text;
         private final String[] words;
-        private final Names names;
+        private final NameIndex names;
         private final Declarations declared;
         private final double longestWaitMs;
         private final Set<String> seen = new HashSet<>();
@@ -98,7 +104,7 @@
         private String at;
         private Map<String, Object> figures = Map.of();
 
-        Reader(String text, String[] words, Names names, Declarations declared, double longestWaitMs) {
+        Reader(String text, String[] words, NameIndex names, Declarations declared, double longestWaitMs) {
             this.declared = declared;
             this.text = text;
             this.words = words;
@@ -106,32 +112,32 @@
             this.longestWaitMs = longestWaitMs;
         }
 
-        OpeningLine read() {
+        OpenCommand read() {
             int from = words[0].length() + words[1].length() + words[2].length() + 3;
             for (String pair : words[3].split(",", -1)) {
                 int equals = pair.indexOf('=');
                 if (equals <= 0 || equals == pair.length() - 1 || !seen.add(pair.substring(0, equals))) {
-                    throw new BadLine("a name without a value, or twice");
+                    throw new MalformedLineException("a name without a value, or twice");
                 }
                 take(pair.substring(0, equals), pair.substring(equals + 1), from + equals + 1);
                 from += pair.length() + 1;
             }
             if (requestClass < 0 || waitMs < 0) {
-                throw new BadLine("no class or no time to wait");
+                throw new MalformedLineException("no class or no time to wait");
             }
             // One that stood before the node started may say how long it has lived or will: nothing waits for it.
             if (waitMs > longestWaitMs && at == null) {
-                throw new BadLine("a wait that is too long");
+                throw new MalformedLineException("a wait that is too long");
             }
             if (tenant < 0 && !names.tenants.isEmpty()) {
-                throw new BadLine("no tenant");
+                throw new MalformedLineException("no tenant");
             }
             if (words[2].length() > declared.longestKey()
                     || group != null && group.length() > declared.longestGroup()) {
-                throw new BadLine("a key or a group that is longer than declared");
+                throw new MalformedLineException("a key or a group that is longer than declared");
             }
-            Arrival arrival = new Arrival(requestClass, tenant, words[2], group, waitMs, hint, repeat, again);
-            return new OpeningLine(text, words[1], waitFrom, waitTo, arrival, at, figures);
+            Attributes arrival = new Attributes(requestClass, tenant, words[2], group, waitMs, hint, repeat, again);
+            return new OpenCommand(text, words[1], waitFrom, waitTo, arrival, at, figures);
         }
 
         private void take(String name, String value, int from) {
@@ -139,14 +145,14 @@
                 case "c" -> {
                     Integer known = names.classes.get(value);
                     if (known == null) {
-                        throw new BadLine("an unknown class");
+                        throw new MalformedLineException("an unknown class");
                     }
                     requestClass = known;
                 }
                 case "t" -> {
                     Integer known = names.tenants.get(value);
                     if (known == null) {
-                        throw new BadLine("an unknown tenant");
+                        throw new MalformedLineException("an unknown tenant");
                     }
                     tenant = known;
                 }
@@ -169,7 +175,7 @@
             if (declared.figures().containsKey(name)) {
                 Object read = declared.read(name, value);
                 if (read == null) {
-                    throw new BadLine("a figure that is not what was declared");
+                    throw new MalformedLineException("a figure that is not what was declared");
                 }
                 figures = figures.isEmpty() ? new HashMap<>() : figures;
                 figures.put(name, read);
@@ -178,7 +184,7 @@
 
         private static double number(String value) {
             if (!value.matches("[0-9]{1,15}(\\.[0-9]{1,15})?")) {
-                throw new BadLine("a figure that is not a number");
+                throw new MalformedLineException("a figure that is not a number");
             }
             return Double.parseDouble(value);
         }
--- a/node/src/main/java/tulipshed/lineprotocol/Unserved.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UnservedConnections.java
@@ -12,12 +12,12 @@
  * had their answer and have not ended yet. Clients that open hundreds and say nothing must not starve the others, so
  * the oldest give way.
  */
-final class Unserved {
+final class UnservedConnections {
     private final Limits limits;
     private final Set<ClientSession> opening = new LinkedHashSet<>();
     private final Set<ClientSession> answered = new LinkedHashSet<>();
 
-    Unserved(Limits limits) {
+    UnservedConnections(Limits limits) {
         this.limits = limits;
     }
 
@@ -63,7 +63,7 @@
     List<ClientSession> late(double nowMs) {
         List<ClientSession> late = new ArrayList<>();
         for (ClientSession s : opening) {
-            if (nowMs - s.sinceMs() < limits.lines().firstLineMs()) {
+            if (nowMs - s.sinceMs() < limits.lineProtocol().firstLineTimeoutMs()) {
                 break;
             }
             late.add(s);
--- a/node/src/main/java/tulipshed/lineprotocol/MemberConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
@@ -3,14 +3,14 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
+import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.Report;
-import tulipshed.transport.Link;
-import tulipshed.transport.XnioLoop;
-import tulipshed.proxy.ServerSideFlow;
+import tulipshed.proxy.Attempt;
+import tulipshed.transport.TcpConnection;
+import tulipshed.transport.XnioEventLoop;
 
 /** One server-side flow on a connection of its own to a pool member. */
-final class MemberConnection implements Link.Owner {
+final class UpstreamConnection implements TcpConnection.Listener {
     private enum State {
         DIALING,
         WAITING,
@@ -18,28 +18,28 @@
         OVER
     }
 
-    private final LineFront front;
+    private final LineProtocolFrontend front;
     private final ClientSession client;
-    private final ServerSideFlow flow;
-    private final LineSplitter splitter;
+    private final Attempt flow;
+    private final CrlfDecoder splitter;
     private State state = State.DIALING;
-    private XnioLoop.Dialing dialing;
-    private Link link;
+    private XnioEventLoop.PendingConnection dialing;
+    private TcpConnection link;
     private String lastWord = "";
-    private Report report = Report.NONE;
+    private LoadReport report = LoadReport.NONE;
     private boolean clientFinished;
     private boolean dispatched;
-    private final Silence silence;
+    private final InactivityDetector silence;
 
-    MemberConnection(LineFront front, ClientSession client, ServerSideFlow flow) {
+    UpstreamConnection(LineProtocolFrontend front, ClientSession client, Attempt attempt) {
         this.front = front;
         this.client = client;
-        this.flow = flow;
-        this.splitter = new LineSplitter(front.limits.lines().lineBytes());
-        this.silence = new Silence(front.limits.transactions().silentMs());
+        this.flow = attempt;
+        this.splitter = new CrlfDecoder(front.limits.lineProtocol().lineBytes());
+        this.silence = new InactivityDetector(front.limits.requests().endpointTimeoutMs());
     }
 
-    ServerSideFlow flow() {
+    Attempt flow() {
         return flow;
     }
 
@@ -49,33 +49,33 @@
             over(Outcome.UNUSED);
             return;
         }
-        dialing = front.loop.dial(flow.member().address(), this::up, why -> over(Outcome.CONNECT_FAILED));
+        dialing = front.loop.connect(flow.endpoint().address(), this::up, why -> over(Outcome.CONNECT_FAILED));
     }
 
     private void up(StreamConnection connection) {
-        link = front.loop.link(connection, this);
+        link = front.loop.register(connection, this);
         // Its end may have come with this event, and not have been told yet.
         client.look();
-        if (state != State.DIALING || !front.core.maySend(flow)) {
+        if (state != State.DIALING || !front.core.mayForward(flow)) {
             link.close();
             // One whose client has gone says nothing of the member.
-            over(flow.transaction().owed() ? Outcome.CONNECT_FAILED : Outcome.CANCELLED);
+            over(flow.request().isPending() ? Outcome.CONNECT_FAILED : Outcome.CANCELLED);
             return;
         }
         state = State.WAITING;
         double nowMs = front.clock.nowMs();
         double waitMs = client.line().at() == null
-                ? flow.waitLeftMs(nowMs)
-                : flow.transaction().deadlineMs() - nowMs;
+                ? flow.remainingWaitMs(nowMs)
+                : flow.request().deadlineMs() - nowMs;
         link.write(client.line().onward(waitMs));
-        link.listen(true);
+        link.setReading(true);
     }
 
     /** Ends the flow without a word to the core. */
     void drop() {
         close();
         if (dialing != null) {
-            dialing.giveUp();
+            dialing.abandon();
         }
     }
 
@@ -90,19 +90,19 @@
     private void over(Outcome outcome) {
         if (state != State.OVER) {
             close();
-            front.core.ended(flow, outcome, report);
+            front.core.attemptEnded(flow, outcome, report);
         }
     }
 
     // ---- What the member does ----
 
     @Override
-    public void readable(Link from) {
+    public void onReadable(TcpConnection from) {
         ByteBuffer in = front.scratch;
         while (state != State.OVER) {
             int room = front.limits.sockets().relayBytes() - client.queued();
             if (state == State.STANDING && room <= 0) {
-                link.listen(false);
+                link.setReading(false);
                 return;
             }
             in.clear().limit(Math.min(Math.max(1, room), in.capacity()));
@@ -126,7 +126,7 @@
                 if (line != null) {
                     line(line);
                 }
-            } catch (BadLine e) {
+            } catch (MalformedLineException e) {
                 if (state != State.STANDING) {
                     over(Outcome.ERROR);
                     return;
@@ -149,19 +149,19 @@
             switch (lastWord) {
                 case "LOAD" -> load(rest);
                 case "BYE", "ERR", "BUSY" ->
-                    report = front.core.reportsInAnswers() ? LoadReport.read(rest) : Report.NONE;
+                    report = front.core.expectsInlineLoadReports() ? LoadReportParser.read(rest) : LoadReport.NONE;
                 default -> {}
             }
-        } catch (BadLine e) {
+        } catch (MalformedLineException e) {
             // The line says what it says without it.
-            front.memberComplaints.add(e.getMessage());
+            front.memberComplaints.record(e.getMessage());
         }
         if (state == State.STANDING) {
             return;
         }
         switch (lastWord) {
             case "UP" -> {
-                if (front.core.up(flow)) {
+                if (front.core.attemptEstablished(flow)) {
                     state = State.STANDING;
                     front.relaying(this, true);
                     client.joined(this, line);
@@ -174,7 +174,7 @@
             // BYE and MOVE tell how the flow ends; its end follows.
             case "BYE", "MOVE" -> {}
             default -> {
-                front.memberComplaints.add("a word that is no answer");
+                front.memberComplaints.record("a word that is no answer");
                 over(Outcome.ERROR);
             }
         }
@@ -185,14 +185,14 @@
      * spoil the module's count of what every member bears, as would a figure that is none.
      */
     private void load(String figure) {
-        double value = LoadReport.figure(figure);
+        double value = LoadReportParser.figure(figure);
         if (state != State.STANDING) {
             return;
         }
         if (front.loadTellsDelay()) {
-            front.core.delayed(flow, value);
+            front.core.latencyReported(flow, value);
         } else {
-            front.core.loadChanged(flow, value);
+            front.core.loadReported(flow, value);
         }
     }
 
@@ -206,7 +206,7 @@
 
     /** The member ended its sending. */
     private void ended() {
-        link.listen(false);
+        link.setReading(false);
         if (state == State.STANDING) {
             client.fromMember(splitter.rest());
             client.memberFinished();
@@ -215,20 +215,20 @@
     }
 
     @Override
-    public void broken(Link from) {
+    public void onBroken(TcpConnection from) {
         if (state == State.STANDING) {
             client.memberBroke();
             over(endOutcome(Outcome.RESET));
         } else {
             // Without the line's last byte the member cannot have taken it.
-            over(link.queued() > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET);
+            over(link.queuedBytes() > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET);
         }
     }
 
     // ---- Relay ----
 
     int queued() {
-        return link == null ? 0 : link.queued();
+        return link == null ? 0 : link.queuedBytes();
     }
 
     void fromClient(byte[] bytes) {
@@ -239,30 +239,30 @@
     /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
     void lookAtSilence(double nowMs) {
         if (silence.gone(nowMs)) {
-            front.core.silent(flow);
+            front.core.endpointUnresponsive(flow);
         }
     }
 
     @Override
-    public void drained(Link from) {
+    public void onWritten(TcpConnection from) {
         if (state == State.WAITING && !dispatched) {
             dispatched = true;
-            front.core.dispatched();
+            front.core.attemptForwarded();
         }
         client.memberDrained();
     }
 
     void clientDrained() {
         if (state == State.STANDING) {
-            link.listen(true);
+            link.setReading(true);
         }
     }
 
     /** The client ended its sending: so does this side, and the member's end is awaited for a while. */
     void clientFinished() {
         clientFinished = true;
-        link.finish();
-        front.loop.after(front.limits.sockets().lingerMs(), () -> {
+        link.shutdownOutput();
+        front.loop.schedule(front.limits.sockets().lingerTimeoutMs(), () -> {
             if (state == State.STANDING) {
                 client.memberFinished();
                 over(Outcome.CANCELLED);
--- a/node/src/main/java/tulipshed/management/CallParser.java
+++ b/node/src/main/java/tulipshed/management/HttpRequestParser.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 
 /** Reads the head of one call as it comes in, and keeps no more of it than its method, its path and one line. */
-final class CallParser {
+final class HttpRequestParser {
     private static final String NAME = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
     private final int longestHead;
     private final StringBuilder line = new StringBuilder();
@@ -11,7 +11,7 @@
     private String method;
     private String path;
 
-    CallParser(int longestHead) {
+    HttpRequestParser(int longestHead) {
         this.longestHead = longestHead;
     }
 
@@ -19,7 +19,7 @@
     boolean take(ByteBuffer in) {
         while (in.hasRemaining()) {
             if (++bytes > longestHead) {
-                throw new BadCall("a head of more than " + longestHead + " bytes");
+                throw new MalformedRequestException("a head of more than " + longestHead + " bytes");
             }
             char c = (char) (in.get() & 0xFF);
             if (c != '\n') {
@@ -49,7 +49,7 @@
         line.setLength(0);
         if (method == null) {
             if (!text.matches(NAME + " /[!-~]* HTTP/1\\.[01]")) {
-                throw new BadCall("not a call of HTTP/1.1");
+                throw new MalformedRequestException("not a call of HTTP/1.1");
             }
             String[] words = text.split(" ");
             method = words[0];
@@ -57,7 +57,7 @@
         } else if (text.isEmpty()) {
             return true;
         } else if (!text.matches(NAME + ":[ -~\t\u0080-\u00ff]*")) {
-            throw new BadCall("a field without a name");
+            throw new MalformedRequestException("a field without a name");
         }
         return false;
     }
--- a/node/src/main/java/tulipshed/management/BadCall.java
+++ b/node/src/main/java/tulipshed/management/MalformedRequestException.java
@@ -1,10 +1,10 @@
 package tulipshed.management;
 
 /** Bytes that are not a call of HTTP/1.1 within the bounds. */
-final class BadCall extends RuntimeException {
+final class MalformedRequestException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    BadCall(String message) {
+    MalformedRequestException(String message) {
         super(message);
     }
 }
--- a/node/src/main/java/tulipshed/management/ManagementFront.java
+++ b/node/src/main/java/tulipshed/management/ManagementServer.java
@@ -9,34 +9,34 @@
 import java.util.function.BooleanSupplier;
 import org.xnio.StreamConnection;
 import tulipshed.limits.Limits;
-import tulipshed.transport.Acceptor;
-import tulipshed.transport.XnioLoop;
 import tulipshed.management.ManagementSession.Answer;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.time.Clock;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.Acceptor;
+import tulipshed.transport.XnioEventLoop;
 
 /**
  * The second address, for staff and their tools. Its connections are few, short and apart from the clients': when
  * there are too many, the oldest give way, those that have their answer first.
  */
-public final class ManagementFront {
+public final class ManagementServer {
     final Clock clock;
     final Limits limits;
     final ByteBuffer scratch;
-    private final XnioLoop loop;
-    private final TransactionCore core;
+    private final XnioEventLoop loop;
+    private final ProxyCore core;
     private final BooleanSupplier serves;
     private final Set<ManagementSession> calling = new LinkedHashSet<>();
     private final Set<ManagementSession> answered = new LinkedHashSet<>();
     private final Acceptor server;
 
     /** Listens at once; {@code serves} says whether this process takes clients now. */
-    public ManagementFront(
+    public ManagementServer(
             InetSocketAddress address,
             Clock clock,
             Limits limits,
-            XnioLoop loop,
-            TransactionCore core,
+            XnioEventLoop loop,
+            ProxyCore core,
             BooleanSupplier serves)
             throws IOException {
         this.clock = clock;
@@ -47,7 +47,7 @@
         scratch = ByteBuffer.allocate(limits.management().headBytes());
         // As many again as are kept, so that there is always one that makes the oldest give way.
         server = loop.listen(address, 2 * limits.management().connections(), this::accepted);
-        loop.after(limits.sockets().sweepMs(), this::sweep);
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
     }
 
     /** Where it listens. */
@@ -96,10 +96,10 @@
     }
 
     private void sweep() {
-        double longAgoMs = clock.nowMs() - limits.management().callMs();
+        double longAgoMs = clock.nowMs() - limits.management().requestTimeoutMs();
         for (Set<ManagementSession> some : List.of(calling, answered)) {
             List.copyOf(some).stream().filter(s -> s.sinceMs() < longAgoMs).forEach(ManagementSession::late);
         }
-        loop.after(limits.sockets().sweepMs(), this::sweep);
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
     }
 }
--- a/node/src/main/java/tulipshed/management/ManagementSession.java
+++ b/node/src/main/java/tulipshed/management/ManagementSession.java
@@ -3,27 +3,27 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
-import tulipshed.transport.Link;
+import tulipshed.transport.TcpConnection;
 
 /** One connection of the second address: one call, one answer, and its end. */
-final class ManagementSession implements Link.Owner {
-    private final ManagementFront front;
-    private final Link link;
-    private final CallParser parser;
+final class ManagementSession implements TcpConnection.Listener {
+    private final ManagementServer front;
+    private final TcpConnection link;
+    private final HttpRequestParser parser;
     private final double sinceMs;
     private boolean answered;
 
-    ManagementSession(ManagementFront front, StreamConnection connection) {
+    ManagementSession(ManagementServer front, StreamConnection connection) {
         this.front = front;
         // Not counted by the loop: these descriptors are set aside, and clients have none of them.
-        this.link = new Link(connection, this, () -> {});
-        this.parser = new CallParser(front.limits.management().headBytes());
+        this.link = new TcpConnection(connection, this, () -> {});
+        this.parser = new HttpRequestParser(front.limits.management().headBytes());
         this.sinceMs = front.clock.nowMs();
     }
 
     void start() {
-        link.listen(true);
-        readable(link);
+        link.setReading(true);
+        onReadable(link);
     }
 
     double sinceMs() {
@@ -31,16 +31,16 @@
     }
 
     @Override
-    public void readable(Link from) {
+    public void onReadable(TcpConnection from) {
         ByteBuffer in = front.scratch;
-        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.ended(); i++) {
+        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.isClosed(); i++) {
             in.clear();
             int n = link.read(in);
             if (n < 0) {
-                if (!answered || link.queued() == 0) {
+                if (!answered || link.queuedBytes() == 0) {
                     close();
                 } else {
-                    link.listen(false);
+                    link.setReading(false);
                 }
             }
             if (n <= 0) {
@@ -57,7 +57,7 @@
             if (parser.take(in)) {
                 answer(front.answer(parser.method(), parser.path()));
             }
-        } catch (BadCall e) {
+        } catch (MalformedRequestException e) {
             answer(Answer.plain(400, "Bad Request", e.getMessage()));
         }
     }
@@ -75,9 +75,9 @@
         answered = true;
         front.answered(this);
         link.write(answer.bytes());
-        link.finish();
+        link.shutdownOutput();
         // What else is sent is read and dropped until the caller ends, so that no reset overtakes the answer.
-        link.listen(true);
+        link.setReading(true);
     }
 
     void close() {
@@ -86,10 +86,10 @@
     }
 
     @Override
-    public void drained(Link from) {}
+    public void onWritten(TcpConnection from) {}
 
     @Override
-    public void broken(Link from) {
+    public void onBroken(TcpConnection from) {
         close();
     }
 
--- a/node/src/main/java/tulipshed/management/MetricsWriter.java
+++ b/node/src/main/java/tulipshed/management/MetricsWriter.java
@@ -7,8 +7,8 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import tulipshed.proxy.Figures;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.proxy.NodeMetrics;
+import tulipshed.proxy.ProxyCore;
 
 /** Writes the figures of a node as one JSON object. */
 final class MetricsWriter {
@@ -16,31 +16,33 @@
 
     private MetricsWriter() {}
 
-    static byte[] json(TransactionCore core) {
+    static byte[] json(ProxyCore core) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator json = FACTORY.createGenerator(out)) {
-            Figures figures = core.figures();
+            NodeMetrics figures = core.metrics();
             json.writeStartObject();
             json.writeObjectFieldStart("replies");
-            for (Map.Entry<String, Figures.Replies> entry : figures.replies().entrySet()) {
+            for (Map.Entry<String, NodeMetrics.ResponseCounts> entry :
+                    figures.responses().entrySet()) {
                 json.writeObjectFieldStart(entry.getKey());
-                json.writeNumberField("success", entry.getValue().up());
+                json.writeNumberField("success", entry.getValue().established());
                 json.writeNumberField("overload", entry.getValue().rejected());
                 json.writeNumberField("error", entry.getValue().failed());
                 json.writeEndObject();
             }
             json.writeEndObject();
-            json.writeNumberField("concurrent", figures.concurrent());
-            json.writeNumberField("dispatches", figures.dispatches());
-            json.writeNumberField("targets", core.targets());
-            json.writeNumberField("targets_disabled", core.targetsAvoided());
-            json.writeNumberField("reload_success", figures.reloadsTaken());
-            json.writeNumberField("reload_failure", figures.reloadsTurnedDown());
-            for (Map.Entry<String, LongSupplier> entry : figures.more().entrySet()) {
+            json.writeNumberField("concurrent", figures.activeRequests());
+            json.writeNumberField("dispatches", figures.forwardedAttempts());
+            json.writeNumberField("targets", core.listedEndpoints());
+            json.writeNumberField("targets_disabled", core.ineligibleEndpoints());
+            json.writeNumberField("reload_success", figures.reloadsApplied());
+            json.writeNumberField("reload_failure", figures.reloadsRejected());
+            for (Map.Entry<String, LongSupplier> entry :
+                    figures.frontendCounters().entrySet()) {
                 json.writeNumberField(entry.getKey(), entry.getValue().getAsLong());
             }
-            if (core.routes()) {
-                json.writeNumberField("routes_spilled", core.routesSpilled());
+            if (core.hasRoutes()) {
+                json.writeNumberField("routes_spilled", core.spilledRoutes());
             }
             json.writeEndObject();
         } catch (IOException e) {
--- a/node/src/main/java/tulipshed/operators/BadOperatorsFile.java
+++ b/node/src/main/java/tulipshed/operators/BadOperatorsFile.java
@@ -1,10 +1,10 @@
 package tulipshed.operators;
 
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.sexpr.Problems;
 
 /** An operators' file that is not taken; it carries all that is wrong with it. */
-public final class BadOperatorsFile extends MalformedInput {
+public final class BadOperatorsFile extends MalformedInputException {
     private static final long serialVersionUID = 1L;
     private final transient Problems problems;
 
--- a/node/src/main/java/tulipshed/operators/CaseTable.java
+++ b/node/src/main/java/tulipshed/operators/CaseTable.java
@@ -9,9 +9,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import tulipshed.config.SettingsReader.Names;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.expression.Network;
 import tulipshed.routing.Classified;
 import tulipshed.routing.Declarations;
@@ -37,7 +37,7 @@
     private static final String NONE = "none";
 
     private final String file;
-    private final List<ServerEntry> members = new ArrayList<>();
+    private final List<EndpointInfo> members = new ArrayList<>();
     private final List<Case> cases = new ArrayList<>();
     private int failed;
 
@@ -87,9 +87,9 @@
         }
         String zone = f.has("zone") ? f.text("zone") : "";
         String kind = f.has("kind") ? f.text("kind") : "";
-        members.add(new ServerEntry(
+        members.add(new EndpointInfo(
                 id.value(),
-                ServerState.SERVING,
+                EndpointStatus.SERVING,
                 zone,
                 f.has("cell") ? (int) f.whole("cell", 0, Integer.MAX_VALUE, 0) : 0,
                 kind,
@@ -155,7 +155,7 @@
     }
 
     /** What came out other than expected, a line each. */
-    public List<String> run(OperatorsFile rules, Names names) {
+    public List<String> run(OperatorsFile rules, NameIndex names) {
         List<String> lines = new ArrayList<>();
         failed = 0;
         Router router = rules.router();
@@ -184,7 +184,7 @@
         return lines;
     }
 
-    private static String unknown(Case c, Names names, Router router) {
+    private static String unknown(Case c, NameIndex names, Router router) {
         Object requestClass = c.given().get("class");
         Object tenant = c.given().get("tenant");
         if (!names.classes.containsKey(String.valueOf(requestClass))) {
--- a/node/src/main/java/tulipshed/operators/Fields.java
+++ b/node/src/main/java/tulipshed/operators/Fields.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Place;
@@ -125,7 +125,7 @@
         String text = text(name);
         try {
             return text == null ? null : NodeConfig.address(name, text);
-        } catch (MalformedInput e) {
+        } catch (MalformedInputException e) {
             problems.add(value(name).place(), "expected a numeric host:port, found " + text);
             return null;
         }
--- a/node/src/main/java/tulipshed/operators/OperatorsFile.java
+++ b/node/src/main/java/tulipshed/operators/OperatorsFile.java
@@ -4,8 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import tulipshed.config.MalformedInput;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.MalformedInputException;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.routing.Router;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
@@ -26,22 +26,23 @@
     public static final OperatorsFile EMPTY = new OperatorsFile(null, null, new Explanation());
 
     /** Reads a file against the names of the settings; {@link BadOperatorsFile} tells all that is wrong with it. */
-    public static OperatorsFile load(Path file, Names names) {
+    public static OperatorsFile load(Path file, NameIndex names) {
         byte[] bytes;
         try {
             if (Files.size(file) > BOUNDS.bytes()) {
-                throw new MalformedInput(file + ":1:1: the file has " + Files.size(file) + " bytes; at most "
+                throw new MalformedInputException(file + ":1:1: the file has " + Files.size(file) + " bytes; at most "
                         + BOUNDS.bytes() + " are read");
             }
             bytes = Files.readAllBytes(file);
         } catch (IOException e) {
-            throw new MalformedInput("cannot read " + file + ": " + e.getClass().getSimpleName());
+            throw new MalformedInputException(
+                    "cannot read " + file + ": " + e.getClass().getSimpleName());
         }
         return read(file.toString(), bytes, names);
     }
 
     /** Reads the bytes of a file that errors call by that name. */
-    public static OperatorsFile read(String name, byte[] bytes, Names names) {
+    public static OperatorsFile read(String name, byte[] bytes, NameIndex names) {
         Problems problems = new Problems(name);
         List<Form> forms = SexprReader.read(bytes, BOUNDS, problems);
         OperatorsFile file = problems.none() ? new SectionReader(names, problems).read(forms) : null;
--- a/node/src/main/java/tulipshed/operators/QuicSection.java
+++ b/node/src/main/java/tulipshed/operators/QuicSection.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.connectionid.ServerIds;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
@@ -69,7 +69,7 @@
     public record Retry(Map<Integer, byte[]> keys, int use, double expiresMs, int on, int off, double stayMs) {}
 
     /** Reads {@code (quic ...)}; null where something is wrong, which is noted. */
-    static QuicSection read(Form.Sequence section, Names names, Problems problems) {
+    static QuicSection read(Form.Sequence section, NameIndex names, Problems problems) {
         int before = problems.count();
         List<Form> others = new ArrayList<>();
         List<Ids> ids = new ArrayList<>();
--- a/node/src/main/java/tulipshed/operators/RuleReader.java
+++ b/node/src/main/java/tulipshed/operators/RuleReader.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.expression.Checker;
 import tulipshed.expression.Expr;
 import tulipshed.expression.Program;
@@ -20,7 +20,7 @@
 final class RuleReader {
     private static final Set<String> FIELDS = new LinkedHashSet<>(List.of("when", "class", "tenant", "group"));
 
-    private final Names names;
+    private final NameIndex names;
     private final TransactionSchema schema;
     private final Checker checker;
     private final long maxCost;
@@ -30,7 +30,7 @@
     private record Read(String name, Expr when, String className, String tenant, Expr group) {}
 
     RuleReader(
-            Names names,
+            NameIndex names,
             TransactionSchema schema,
             Checker checker,
             long maxCost,
--- a/node/src/main/java/tulipshed/operators/SectionReader.java
+++ b/node/src/main/java/tulipshed/operators/SectionReader.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.expression.Builtins;
 import tulipshed.expression.Checker;
 import tulipshed.expression.Cost;
@@ -35,7 +35,7 @@
     private static final long USUAL_COST = 10_000; // about 50 microseconds on half a core
     private static final long MOST_COST = 1_000_000;
 
-    private final Names names;
+    private final NameIndex names;
     private final Problems problems;
     private final Explanation explanation = new Explanation();
     private final List<Form.Sequence> defines = new ArrayList<>();
@@ -43,7 +43,7 @@
     private final List<Form.Sequence> routes = new ArrayList<>();
     private final Map<String, Form.Sequence> once = new HashMap<>();
 
-    SectionReader(Names names, Problems problems) {
+    SectionReader(NameIndex names, Problems problems) {
         this.names = names;
         this.problems = problems;
     }
--- a/node/src/main/java/tulipshed/peer/PeerPort.java
+++ b/node/src/main/java/tulipshed/peer/PeerSocket.java
@@ -10,12 +10,12 @@
 import tulipshed.config.PeerConfig;
 import tulipshed.decision.BalancerApi.Actions;
 import tulipshed.limits.Limits;
-import tulipshed.transport.Complaints;
-import tulipshed.transport.DatagramPort;
-import tulipshed.transport.XnioLoop;
-import tulipshed.time.Clock;
 import tulipshed.proxy.PeerSender;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.time.Clock;
+import tulipshed.transport.ProtocolErrorLog;
+import tulipshed.transport.UdpSocket;
+import tulipshed.transport.XnioEventLoop;
 
 /**
  * Datagrams between the nodes of a tier: transport alone. Open only while the configuration names an address and the
@@ -23,18 +23,18 @@
  * that the configuration gives for another node, is 1 to 256 bytes long, and is not one too many of that node's second;
  * any other is dropped and counted. Lost, late and repeated ones are the receiver's to bear. Used on the loop only.
  */
-public final class PeerPort implements PeerSender {
+public final class PeerSocket implements PeerSender {
     private static final double SECOND_MS = 1000;
 
     private final Clock clock;
     private final Limits limits;
-    private final XnioLoop loop;
-    private final TransactionCore core;
-    private final Complaints complaints;
+    private final XnioEventLoop loop;
+    private final ProxyCore core;
+    private final ProtocolErrorLog complaints;
     private final ByteBuffer scratch;
     private PeerConfig config;
     private Map<InetSocketAddress, Sender> senders = Map.of();
-    private DatagramPort port;
+    private UdpSocket port;
     private long sent;
     private long unsent;
     private long taken;
@@ -59,20 +59,20 @@
         }
     }
 
-    /** A port that is off until {@link #configure} and {@link #look}. */
-    public PeerPort(Clock clock, Limits limits, XnioLoop loop, TransactionCore core, Consumer<String> log) {
+    /** A port that is off until {@link #configure} and {@link #retryBind}. */
+    public PeerSocket(Clock clock, Limits limits, XnioEventLoop loop, ProxyCore core, Consumer<String> log) {
         this.clock = clock;
         this.limits = limits;
         this.loop = loop;
         this.core = core;
-        complaints = new Complaints("datagrams between nodes that cannot be used", limits, log);
+        complaints = new ProtocolErrorLog("datagrams between nodes that cannot be used", limits, log);
         // One byte more, by which a datagram that is too long shows.
-        scratch = ByteBuffer.allocateDirect(limits.peers().bytes() + 1);
-        core.peers(this);
-        core.figures().more("peers_sent", () -> sent);
-        core.figures().more("peers_not_sent", () -> unsent);
-        core.figures().more("peers_received", () -> taken);
-        core.figures().more("peers_dropped", () -> dropped);
+        scratch = ByteBuffer.allocateDirect(limits.peers().maxBodyBytes() + 1);
+        core.peerSender(this);
+        core.metrics().frontendCounters("peers_sent", () -> sent);
+        core.metrics().frontendCounters("peers_not_sent", () -> unsent);
+        core.metrics().frontendCounters("peers_received", () -> taken);
+        core.metrics().frontendCounters("peers_dropped", () -> dropped);
     }
 
     /** Other addresses from now on, or null for none; a socket that is not wanted any more is closed at once. */
@@ -92,24 +92,24 @@
     }
 
     /** Opens the socket where it is wanted and the address is free; tells the log of what was dropped. */
-    public void look() {
+    public void retryBind() {
         if (config != null && port == null) {
             try {
-                port = loop.datagrams(config.listen(), scratch, this::received);
+                port = loop.bindUdp(config.listen(), scratch, this::received);
             } catch (IOException e) {
                 // Another process of this node may hold it still; talk only adds, so the node serves without.
-                complaints.add("an address that cannot be listened on");
+                complaints.record("an address that cannot be listened on");
             }
         }
-        complaints.tell(clock.nowMs());
+        complaints.flush(clock.nowMs());
     }
 
     /** Whether other nodes can be heard. */
-    public boolean open() {
+    public boolean isOpen() {
         return port != null;
     }
 
-    /** Ends it; {@link #look} opens it again. */
+    /** Ends it; {@link #retryBind} opens it again. */
     public void close() {
         if (port != null) {
             port.close();
@@ -125,7 +125,7 @@
         if (port == null
                 || !known
                 || body.length == 0
-                || body.length > limits.peers().bytes()) {
+                || body.length > limits.peers().maxBodyBytes()) {
             unsent++;
             return;
         }
@@ -137,18 +137,18 @@
         Sender sender = senders.get(from);
         if (sender == null) {
             drop("a stranger");
-        } else if (datagram.length > limits.peers().bytes()) {
+        } else if (datagram.length > limits.peers().maxBodyBytes()) {
             drop("one that is too long");
-        } else if (sender.tooMany(clock.nowMs(), limits.peers().perSecond())) {
+        } else if (sender.tooMany(clock.nowMs(), limits.peers().maxPerSenderPerSecond())) {
             drop("one too many of a second");
         } else {
             taken++;
-            core.peerMessage(sender.number, datagram);
+            core.peerMessageReceived(sender.number, datagram);
         }
     }
 
     private void drop(String why) {
         dropped++;
-        complaints.add(why);
+        complaints.record(why);
     }
 }
--- a/node/src/main/java/tulipshed/proxy/ServerSideFlow.java
+++ b/node/src/main/java/tulipshed/proxy/Attempt.java
@@ -1,48 +1,48 @@
 package tulipshed.proxy;
 
 /** One attempt of a transaction at one pool member. */
-public final class ServerSideFlow {
-    private final Transaction transaction;
-    private final PoolMember member;
+public final class Attempt {
+    private final Request request;
+    private final Endpoint endpoint;
     private final int number;
     private final double startedMs;
     private final double endsMs;
     private boolean connected;
-    private boolean over;
+    private boolean isEnded;
     private boolean leaving;
     private double upMs;
-    private Dues.Due untilUp;
-    private Dues.Due untilConnected;
+    private TimerQueue.Timer untilUp;
+    private TimerQueue.Timer untilConnected;
 
-    ServerSideFlow(Transaction transaction, PoolMember member, int number, double startedMs, double endsMs) {
-        this.transaction = transaction;
-        this.member = member;
+    Attempt(Request transaction, Endpoint endpoint, int number, double startedMs, double endsMs) {
+        this.request = transaction;
+        this.endpoint = endpoint;
         this.number = number;
         this.startedMs = startedMs;
         this.endsMs = endsMs;
     }
 
-    public Transaction transaction() {
-        return transaction;
+    public Request request() {
+        return request;
     }
 
-    public PoolMember member() {
-        return member;
+    public Endpoint endpoint() {
+        return endpoint;
     }
 
     /** What looks whether it has come up, and whether it is connected; of no use once it is up or over. */
-    void waits(Dues.Due up, Dues.Due connected) {
+    void waits(TimerQueue.Timer up, TimerQueue.Timer connected) {
         untilUp = up;
         untilConnected = connected;
     }
 
     private void dropWaits() {
         if (untilUp != null) {
-            untilUp.drop();
+            untilUp.cancel();
             untilUp = null;
         }
         if (untilConnected != null) {
-            untilConnected.drop();
+            untilConnected.cancel();
             untilConnected = null;
         }
     }
@@ -52,7 +52,7 @@
     }
 
     /** How long the node will still wait for this flow to come up. */
-    public double waitLeftMs(double nowMs) {
+    public double remainingWaitMs(double nowMs) {
         return Math.max(0, endsMs - nowMs);
     }
 
@@ -72,12 +72,12 @@
         connected = true;
     }
 
-    boolean over() {
-        return over;
+    boolean isEnded() {
+        return isEnded;
     }
 
     void end() {
-        over = true;
+        isEnded = true;
         dropWaits();
     }
 
--- a/node/src/main/java/tulipshed/proxy/VirtualServer.java
+++ b/node/src/main/java/tulipshed/proxy/ClientConnection.java
@@ -1,7 +1,7 @@
 package tulipshed.proxy;
 
 /** A transaction's client, as the front that took it implements it. Called on the loop only. */
-public interface VirtualServer {
+public interface ClientConnection {
     /** Final answer: turned away; trying again is harmless, after that many milliseconds where above 0. */
     void reject(double retryAfterMs);
 
@@ -9,5 +9,5 @@
     void fail();
 
     /** Asks the client of a standing connection to come again, and ends the connection on both sides. */
-    void move();
+    void migrate();
 }
--- a/node/src/main/java/tulipshed/proxy/PoolMember.java
+++ b/node/src/main/java/tulipshed/proxy/Endpoint.java
@@ -1,28 +1,28 @@
 package tulipshed.proxy;
 
 import java.net.InetSocketAddress;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 
 /** One pool member as the list last told of it. */
-public final class PoolMember {
+public final class Endpoint {
     private final String id;
     private InetSocketAddress address;
-    private ServerState state = ServerState.GONE;
-    private ServerEntry entry;
+    private EndpointStatus state = EndpointStatus.REMOVED;
+    private EndpointInfo entry;
 
-    PoolMember(String id) {
+    Endpoint(String id) {
         this.id = id;
     }
 
-    void update(ServerEntry entry, InetSocketAddress address) {
+    void update(EndpointInfo entry, InetSocketAddress address) {
         this.entry = entry;
-        state = entry.state();
+        state = entry.status();
         this.address = address;
     }
 
     void gone() {
-        state = ServerState.GONE;
+        state = EndpointStatus.REMOVED;
     }
 
     public String id() {
@@ -35,17 +35,17 @@
     }
 
     /** Whether the list last named it as serving. */
-    public boolean serving() {
-        return state == ServerState.SERVING;
+    public boolean isServing() {
+        return state == EndpointStatus.SERVING;
     }
 
     /** What the list last told of it; null where it never did. */
-    ServerEntry entry() {
+    EndpointInfo entry() {
         return entry;
     }
 
     /** Whether the list names it, serving or draining. */
     boolean listed() {
-        return state != ServerState.GONE;
+        return state != EndpointStatus.REMOVED;
     }
 }
--- a/node/src/main/java/tulipshed/proxy/Turns.java
+++ b/node/src/main/java/tulipshed/proxy/EventBatch.java
@@ -7,11 +7,11 @@
 import tulipshed.time.Clock;
 
 /** Gathers what happens, hands all of it to the module in one turn, and then carries out what the module decided. */
-final class Turns {
+final class EventBatch {
     private final Clock clock;
-    private final Loop loop;
+    private final EventLoop loop;
     private final Consumer<String> log;
-    private final Dues dues = new Dues();
+    private final TimerQueue dues = new TimerQueue();
     private final List<Event> gathered = new ArrayList<>();
     private final List<Runnable> decided = new ArrayList<>();
     private BalancerApi module;
@@ -22,7 +22,7 @@
         void tell(BalancerApi module, double nowMs, long nowUs);
     }
 
-    Turns(Clock clock, Loop loop, Consumer<String> log) {
+    EventBatch(Clock clock, EventLoop loop, Consumer<String> log) {
         this.clock = clock;
         this.loop = loop;
         this.log = log;
@@ -34,19 +34,19 @@
         wake();
     }
 
-    void gather(Event event) {
+    void add(Event event) {
         gathered.add(event);
         wake();
     }
 
     /** To be carried out once all that was gathered has been handed over. */
-    void decide(Runnable action) {
+    void defer(Runnable action) {
         decided.add(action);
     }
 
     /** To be looked at then, unless it is dropped before. */
-    Dues.Due due(double atMs, Runnable what) {
-        Dues.Due due = dues.add(atMs, what);
+    TimerQueue.Timer schedule(double atMs, Runnable what) {
+        TimerQueue.Timer due = dues.add(atMs, what);
         wake();
         return due;
     }
@@ -54,12 +54,12 @@
     private void wake() {
         if (!ahead) {
             ahead = true;
-            loop.afterGathering(this::turn);
+            loop.execute(this::run);
         }
     }
 
     /** Hands all that was gathered to the module, then carries out what it decided. */
-    void turn() {
+    void run() {
         ahead = false;
         double nowMs = clock.nowMs();
         dues.run(nowMs, this::guarded);
--- a/node/src/main/java/tulipshed/proxy/Loop.java
+++ b/node/src/main/java/tulipshed/proxy/EventLoop.java
@@ -1,10 +1,10 @@
 package tulipshed.proxy;
 
 /** The one thread on which everything runs. */
-public interface Loop {
+public interface EventLoop {
     /** Runs the task after all that is ready now has been gathered. */
-    void afterGathering(Runnable task);
+    void execute(Runnable task);
 
     /** Runs the task after that many milliseconds, or a little later. */
-    void after(double ms, Runnable task);
+    void schedule(double ms, Runnable task);
 }
--- a/node/src/main/java/tulipshed/proxy/Transaction.java
+++ b/node/src/main/java/tulipshed/proxy/Request.java
@@ -1,25 +1,25 @@
 package tulipshed.proxy;
 
-import tulipshed.decision.BalancerApi.Effect;
+import tulipshed.decision.BalancerApi.DeduplicationScope;
+import tulipshed.decision.BalancerApi.Idempotency;
 import tulipshed.decision.BalancerApi.NewRequest;
-import tulipshed.decision.BalancerApi.RepeatGroup;
 import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
 
 /** One request of a client for a connection, from its arrival to its end. */
-public final class Transaction {
+public final class Request {
     /** How far it has come; the first answer is the last. */
     enum State {
-        OWED,
-        STANDING,
+        PENDING,
+        ESTABLISHED,
         ANSWERED
     }
 
-    private final VirtualServer client;
-    private final MemberConnector connector;
+    private final ClientConnection client;
+    private final UpstreamConnector connector;
     private Origin origin;
-    private Arrival arrival;
+    private Attributes attributes;
     private String pool;
     private final double deadlineMs;
     private final boolean standingBefore;
@@ -27,44 +27,48 @@
     private RequestClass kind;
     private double ranAtMs = Double.NaN;
     private int place = -1;
-    private State state = State.OWED;
-    private ServerSideFlow flow;
+    private State state = State.PENDING;
+    private Attempt attempt;
     private int attempts;
-    private Dues.Due deadline;
+    private TimerQueue.Timer deadline;
 
     /** What the client asks for, in the terms of the settings; tenant -1 where there is none. */
-    public record Arrival(
+    public record Attributes(
             int requestClass,
             int tenant,
             String key,
             String group,
-            double waitMs,
-            double hintUsPerS,
-            boolean repeat,
-            boolean returning) {}
+            double timeoutMs,
+            double loadHintUsPerS,
+            boolean retry,
+            boolean reconnecting) {}
 
     /**
      * A transaction that arrived at {@code nowMs}; {@code standingBefore} marks one whose connection stood at
      * a member before this node started, which no deadline ends.
      */
-    public Transaction(
-            VirtualServer client, MemberConnector connector, Arrival arrival, double nowMs, boolean standingBefore) {
+    public Request(
+            ClientConnection client,
+            UpstreamConnector connector,
+            Attributes arrival,
+            double nowMs,
+            boolean standingBefore) {
         this(client, connector, arrival, Origin.UNKNOWN, nowMs, standingBefore);
     }
 
     /** One of which it is known where it came from. */
-    public Transaction(
-            VirtualServer client,
-            MemberConnector connector,
-            Arrival arrival,
+    public Request(
+            ClientConnection client,
+            UpstreamConnector connector,
+            Attributes arrival,
             Origin origin,
             double nowMs,
             boolean standingBefore) {
         this.origin = origin;
         this.client = client;
         this.connector = connector;
-        this.arrival = arrival;
-        this.deadlineMs = nowMs + arrival.waitMs();
+        this.attributes = arrival;
+        this.deadlineMs = nowMs + arrival.timeoutMs();
         this.standingBefore = standingBefore;
     }
 
@@ -76,13 +80,13 @@
         return origin;
     }
 
-    Arrival arrival() {
-        return arrival;
+    Attributes attributes() {
+        return attributes;
     }
 
     /** What the rules made of it; its deadline stays. */
-    void arrival(Arrival classified) {
-        arrival = classified;
+    void attributes(Attributes classified) {
+        attributes = classified;
     }
 
     /** The pool that it is held to, or null. */
@@ -109,18 +113,18 @@
     /** Whether an attempt's bytes may go out now, as far as those before it may have run. */
     boolean mayRun(double nowMs) {
         return Double.isNaN(ranAtMs)
-                || switch (kind.effect()) {
-                    case REPEATABLE -> true;
-                    case KEYED -> nowMs < ranAtMs + Clock.toMillis(kind.repeatWindowUs());
-                    case ONCE -> false;
+                || switch (kind.idempotency()) {
+                    case IDEMPOTENT -> true;
+                    case WITH_KEY -> nowMs < ranAtMs + Clock.toMillis(kind.deduplicationWindowUs());
+                    case NOT_IDEMPOTENT -> false;
                 };
     }
 
     /** Whether its client may be told that a repeat is harmless, also while an attempt is out. */
     boolean mayBeRefused() {
-        return kind.effect() == Effect.REPEATABLE
-                || kind.effect() == Effect.KEYED && kind.repeatGroup() == RepeatGroup.ALL
-                || Double.isNaN(ranAtMs) && (flow == null || !flow.connected());
+        return kind.idempotency() == Idempotency.IDEMPOTENT
+                || kind.idempotency() == Idempotency.WITH_KEY && kind.deduplicationScope() == DeduplicationScope.ALL
+                || Double.isNaN(ranAtMs) && (attempt == null || !attempt.connected());
     }
 
     /** Where the other process of the node reads of it; below 0 where nowhere. */
@@ -132,8 +136,8 @@
         return place;
     }
 
-    Companion.Standing standingAt(String member) {
-        return new Companion.Standing(member, arrival.group(), arrival.hintUsPerS());
+    HotRestartPeer.EstablishedConnection establishedAt(String member) {
+        return new HotRestartPeer.EstablishedConnection(member, attributes.group(), attributes.loadHintUsPerS());
     }
 
     String className() {
@@ -145,7 +149,7 @@
     }
 
     int requestClass() {
-        return arrival.requestClass();
+        return attributes.requestClass();
     }
 
     NewRequest asRequest(double nowMs, int requestClass) {
@@ -153,18 +157,18 @@
         return new NewRequest(
                 id,
                 requestClass,
-                arrival.tenant(),
-                arrival.key(),
-                arrival.group(),
+                attributes.tenant(),
+                attributes.key(),
+                attributes.group(),
                 Clock.toMicros(left),
-                arrival.hintUsPerS(),
-                arrival.repeat(),
+                attributes.loadHintUsPerS(),
+                attributes.retry(),
                 false,
-                arrival.returning(),
+                attributes.reconnecting(),
                 pool);
     }
 
-    MemberConnector connector() {
+    UpstreamConnector connector() {
         return connector;
     }
 
@@ -174,25 +178,25 @@
     }
 
     /** Whether its connection stood at a member before this node took it. */
-    public boolean stoodBefore() {
+    public boolean isAdopted() {
         return standingBefore;
     }
 
     /** Whether a final answer is still owed. */
-    public boolean owed() {
-        return state == State.OWED;
+    public boolean isPending() {
+        return state == State.PENDING;
     }
 
     /** Whether its connection stands at a pool member. */
-    public boolean standing() {
-        return state == State.STANDING;
+    public boolean isEstablished() {
+        return state == State.ESTABLISHED;
     }
 
     /** Where it came from matters to rules until it stands; there are many that stand. */
-    void stand() {
+    void establish() {
         dropDeadline();
         origin = Origin.UNKNOWN;
-        state = State.STANDING;
+        state = State.ESTABLISHED;
     }
 
     /** Nothing more is owed from here on. */
@@ -202,25 +206,25 @@
     }
 
     /** What looks at its deadline; of no use once it is answered. */
-    void deadline(Dues.Due due) {
+    void deadline(TimerQueue.Timer due) {
         deadline = due;
     }
 
     private void dropDeadline() {
         if (deadline != null) {
-            deadline.drop();
+            deadline.cancel();
             deadline = null;
         }
     }
 
     /** The flow that is out, or null; never more than one. */
-    ServerSideFlow flow() {
-        return flow;
+    Attempt attempt() {
+        return attempt;
     }
 
-    void flow(ServerSideFlow flow) {
-        this.flow = flow;
-        if (flow != null) {
+    void attempt(Attempt attempt) {
+        this.attempt = attempt;
+        if (attempt != null) {
             attempts++;
         }
     }
@@ -229,7 +233,7 @@
         return attempts;
     }
 
-    VirtualServer client() {
+    ClientConnection client() {
         return client;
     }
 }
--- a/node/src/main/java/tulipshed/proxy/Routing.java
+++ b/node/src/main/java/tulipshed/proxy/RequestRouting.java
@@ -6,15 +6,15 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi;
-import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Classified;
 import tulipshed.routing.Router;
 import tulipshed.routing.Subject;
-import tulipshed.proxy.Transaction.Arrival;
 
 /** Holds transactions to what the operators' rules make of them, and tells the module of pools and routes. */
-final class Routing {
+final class RequestRouting {
     private final Consumer<String> log;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
@@ -22,7 +22,7 @@
     private Router router;
     private Map<String, String> spilled = Map.of();
 
-    Routing(Settings settings, Consumer<String> log) {
+    RequestRouting(Settings settings, Consumer<String> log) {
         this.log = log;
         reconfigure(settings);
     }
@@ -36,7 +36,7 @@
     }
 
     /** Other rules, or none; the list is what they work on from now on. */
-    void router(Router changed, Collection<ServerEntry> listed, double nowMs) {
+    void router(Router changed, Collection<EndpointInfo> listed, double nowMs) {
         router = changed;
         spilled = Map.of();
         if (router != null) {
@@ -50,31 +50,31 @@
     }
 
     /** Gives a transaction the class, tenant and group that the rules say. */
-    void classify(Transaction t) {
+    void classify(Request request) {
         if (router == null) {
             return;
         }
-        Arrival a = t.arrival();
-        Classified c = router.classify(subject(t));
+        Attributes a = request.attributes();
+        Classified c = router.classify(subject(request));
         // Names that the settings have dropped meanwhile change nothing.
-        t.arrival(new Arrival(
+        request.attributes(new Attributes(
                 classes.getOrDefault(c.className(), a.requestClass()),
                 c.tenant() == null ? a.tenant() : tenants.getOrDefault(c.tenant(), a.tenant()),
                 a.key(),
                 c.group(),
-                a.waitMs(),
-                a.hintUsPerS(),
-                a.repeat(),
-                a.returning()));
+                a.timeoutMs(),
+                a.loadHintUsPerS(),
+                a.retry(),
+                a.reconnecting()));
     }
 
     /** The pool to which it is held now, or null. */
-    String pool(Transaction t) {
-        return router == null || !router.routes() ? null : router.pool(subject(t));
+    String pool(Request request) {
+        return router == null || !router.routes() ? null : router.pool(subject(request));
     }
 
-    private Subject subject(Transaction t) {
-        Arrival a = t.arrival();
+    private Subject subject(Request request) {
+        Attributes a = request.attributes();
         String className = settings.classes()
                 .get(Math.min(a.requestClass(), settings.classes().size() - 1))
                 .name();
@@ -86,26 +86,26 @@
                 tenant,
                 a.key(),
                 a.group(),
-                a.waitMs(),
-                a.hintUsPerS(),
-                a.repeat(),
-                a.returning(),
-                t.origin());
+                a.timeoutMs(),
+                a.loadHintUsPerS(),
+                a.retry(),
+                a.reconnecting(),
+                request.origin());
     }
 
     /** The list changed, or time has passed; whether the pools are others now. */
-    boolean members(Collection<ServerEntry> listed, double nowMs) {
+    boolean members(Collection<EndpointInfo> listed, double nowMs) {
         return router != null && router.members(listed, nowMs);
     }
 
     /** Tells the module which pools there are. */
     void tellPools(BalancerApi module, long nowUs) {
-        module.pools(nowUs, router == null ? Map.of() : router.pools());
+        module.poolsChanged(nowUs, router == null ? Map.of() : router.pools());
     }
 
     /** Looks at which pools the routes use; where that changes, those that wait are told to the module anew. */
-    void look(BalancerApi module, long nowUs, Collection<Transaction> transactions) {
-        if (router == null || !router.look(pool -> module.inFavour(nowUs, pool))) {
+    void look(BalancerApi module, long nowUs, Collection<Request> transactions) {
+        if (router == null || !router.look(pool -> module.eligibleCount(nowUs, pool))) {
             return;
         }
         Map<String, String> now = router.spilled();
@@ -122,13 +122,13 @@
     }
 
     /** Those that do not stand yet are held to what the routes say now; what stands stays. */
-    void reroute(BalancerApi module, long nowUs, Collection<Transaction> transactions) {
-        for (Transaction t : transactions) {
-            if (t.owed()) {
-                String pool = pool(t);
-                if (!Objects.equals(pool, t.pool())) {
-                    t.pool(pool);
-                    module.route(nowUs, t.id(), pool);
+    void reroute(BalancerApi module, long nowUs, Collection<Request> transactions) {
+        for (Request request : transactions) {
+            if (request.isPending()) {
+                String pool = pool(request);
+                if (!Objects.equals(pool, request.pool())) {
+                    request.pool(pool);
+                    module.requestRerouted(nowUs, request.id(), pool);
                 }
             }
         }
--- a/node/src/main/java/tulipshed/proxy/Dues.java
+++ b/node/src/main/java/tulipshed/proxy/TimerQueue.java
@@ -4,9 +4,9 @@
 import java.util.function.Consumer;
 
 /** Things to look at when their time has come, those of one time in the order asked for. */
-final class Dues {
+final class TimerQueue {
     private static final int WORTH_CLEARING = 1024;
-    private final PriorityQueue<Due> dues = new PriorityQueue<>();
+    private final PriorityQueue<Timer> dues = new PriorityQueue<>();
     private double armedMs = Double.MAX_VALUE;
     private long count;
     private int dropped;
@@ -15,19 +15,19 @@
      * One thing to look at. Whoever needs it no more drops it: most waits end early, and what they hold, a whole transaction,
      * would stay until their time has come, at a high rate many times what is open.
      */
-    final class Due implements Comparable<Due> {
+    final class Timer implements Comparable<Timer> {
         private final double atMs;
         private final long order;
         private Runnable what;
 
-        private Due(double atMs, long order, Runnable what) {
+        private Timer(double atMs, long order, Runnable what) {
             this.atMs = atMs;
             this.order = order;
             this.what = what;
         }
 
         /** It need not be looked at any more. */
-        void drop() {
+        void cancel() {
             if (what != null) {
                 what = null;
                 dropped++;
@@ -39,14 +39,14 @@
         }
 
         @Override
-        public int compareTo(Due other) {
+        public int compareTo(Timer other) {
             int byTime = Double.compare(atMs, other.atMs);
             return byTime != 0 ? byTime : Long.compare(order, other.order);
         }
     }
 
-    Due add(double atMs, Runnable what) {
-        Due due = new Due(atMs, count++, what);
+    Timer add(double atMs, Runnable what) {
+        Timer due = new Timer(atMs, count++, what);
         dues.add(due);
         return due;
     }
@@ -54,7 +54,7 @@
     /** Hands on all whose time has come, also those that come due while this goes on. */
     void run(double nowMs, Consumer<Runnable> how) {
         while (!dues.isEmpty() && dues.peek().atMs <= nowMs) {
-            Due due = dues.poll();
+            Timer due = dues.poll();
             if (due.what == null) {
                 dropped--;
             } else {
@@ -66,7 +66,7 @@
     }
 
     /** Asks the loop to wake when the next is due, unless it has been asked already. */
-    void arm(double nowMs, Loop loop, Runnable wake) {
+    void arm(double nowMs, EventLoop loop, Runnable wake) {
         while (!dues.isEmpty() && dues.peek().what == null) {
             dues.poll();
             dropped--;
@@ -75,7 +75,7 @@
             return;
         }
         armedMs = dues.peek().atMs;
-        loop.after(Math.max(0, armedMs - nowMs), wake);
+        loop.schedule(Math.max(0, armedMs - nowMs), wake);
     }
 
     /** How many are kept, with those dropped and not cleared yet. */
--- a/node/src/main/java/tulipshed/proxy/MemberConnector.java
+++ b/node/src/main/java/tulipshed/proxy/UpstreamConnector.java
@@ -2,20 +2,20 @@
 
 /**
  * Opens server-side flows towards pool members; each front brings its own. What becomes of a flow is told to
- * {@link TransactionCore}, also where it cannot be opened at all.
+ * {@link ProxyCore}, also where it cannot be opened at all.
  */
-public interface MemberConnector {
-    /** Starts the flow. Before its first byte is sent, {@link TransactionCore#maySend} must allow it. */
-    void open(ServerSideFlow flow);
+public interface UpstreamConnector {
+    /** Starts the flow. Before its first byte is sent, {@link ProxyCore#mayForward} must allow it. */
+    void open(Attempt attempt);
 
     /** Ends a flow of which nothing more is wanted; nothing is told of it from here on. */
-    void giveUp(ServerSideFlow flow);
+    void abandon(Attempt attempt);
 
     /**
      * Whether flows must leave a member that drains: where each message is sent anew rather than on a
      * connection that stands, going on would be sending something new.
      */
-    default boolean leavesDraining() {
+    default boolean mustLeaveDrainingEndpoint() {
         return false;
     }
 }
--- a/node/src/main/java/tulipshed/quic/ClientPath.java
+++ b/node/src/main/java/tulipshed/quic/ClientPath.java
@@ -1,7 +1,7 @@
 package tulipshed.quic;
 
 import java.net.InetSocketAddress;
-import tulipshed.transport.DatagramPort;
+import tulipshed.transport.UdpSocket;
 
 /**
  * One way by which a client is heard: its address, the listener that hears it, and, once something goes to its member, a place
@@ -11,12 +11,12 @@
  */
 final class ClientPath {
     private final QuicSession session;
-    private DatagramPort listener;
+    private UdpSocket listener;
     private InetSocketAddress client;
     private FlowSide side;
     private double heardMs;
 
-    ClientPath(QuicSession session, DatagramPort listener, InetSocketAddress client, double nowMs) {
+    ClientPath(QuicSession session, UdpSocket listener, InetSocketAddress client, double nowMs) {
         this.session = session;
         this.listener = listener;
         this.client = client;
@@ -27,7 +27,7 @@
         return session;
     }
 
-    boolean isAt(DatagramPort otherListener, InetSocketAddress other) {
+    boolean isAt(UdpSocket otherListener, InetSocketAddress other) {
         return listener == otherListener && client.equals(other);
     }
 
@@ -40,7 +40,7 @@
     }
 
     /** The client is heard elsewhere now. */
-    void move(DatagramPort changedListener, InetSocketAddress changed) {
+    void move(UdpSocket changedListener, InetSocketAddress changed) {
         listener = changedListener;
         client = changed;
     }
--- a/node/src/main/java/tulipshed/quic/FlowSide.java
+++ b/node/src/main/java/tulipshed/quic/FlowSide.java
@@ -2,39 +2,39 @@
 
 import java.util.function.Consumer;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.proxy.ServerSideFlow;
+import tulipshed.proxy.Attempt;
 
 /** One path's place on a socket towards its member, and whether anything comes back there. */
 final class FlowSide {
     private final QuicFront front;
-    private final ServerSideFlow flow;
+    private final Attempt flow;
     private FlowSockets.Seat seat;
     private double unansweredSinceMs = Double.NaN;
     private int unanswered;
 
-    private FlowSide(QuicFront front, ServerSideFlow flow) {
+    private FlowSide(QuicFront front, Attempt attempt) {
         this.front = front;
-        this.flow = flow;
+        this.flow = attempt;
     }
 
     /** Opens a flow's first; null, and the core told why, where it may not be sent to or there is no descriptor for it. */
-    static FlowSide open(QuicFront front, ServerSideFlow flow, Consumer<byte[]> heard) {
-        if (!front.core.maySend(flow)) {
-            front.core.ended(flow, Outcome.CONNECT_FAILED);
+    static FlowSide open(QuicFront front, Attempt attempt, Consumer<byte[]> heard) {
+        if (!front.core.mayForward(attempt)) {
+            front.core.attemptEnded(attempt, Outcome.CONNECT_FAILED);
             return null;
         }
-        FlowSide side = further(front, flow, heard);
+        FlowSide side = further(front, attempt, heard);
         if (side == null) {
             // Our own want of descriptors; it says nothing of the member.
-            front.core.ended(flow, Outcome.UNUSED);
+            front.core.attemptEnded(attempt, Outcome.UNUSED);
         }
         return side;
     }
 
     /** Opens one more of a flow that stands, for another path of its client; null where there is no descriptor for it. */
-    static FlowSide further(QuicFront front, ServerSideFlow flow, Consumer<byte[]> heard) {
-        FlowSide side = new FlowSide(front, flow);
-        side.seat = front.sockets.seat(flow.member().address(), front.clock.nowMs(), heard);
+    static FlowSide further(QuicFront front, Attempt attempt, Consumer<byte[]> heard) {
+        FlowSide side = new FlowSide(front, attempt);
+        side.seat = front.sockets.seat(attempt.endpoint().address(), front.clock.nowMs(), heard);
         return side.seat == null ? null : side;
     }
 
@@ -46,7 +46,7 @@
 
     /** Every datagram is a sending of its own: from the news of a drain on, none goes there any more. */
     void send(byte[] datagram, double nowMs) {
-        if (flow.member().serving()) {
+        if (flow.endpoint().isServing()) {
             if (unanswered == 0) {
                 unansweredSinceMs = nowMs;
             }
--- a/node/src/main/java/tulipshed/quic/FlowSockets.java
+++ b/node/src/main/java/tulipshed/quic/FlowSockets.java
@@ -7,13 +7,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import tulipshed.transport.DatagramPort;
-import tulipshed.transport.XnioLoop;
 import tulipshed.quic.QuicFigures.Figure;
+import tulipshed.transport.UdpSocket;
+import tulipshed.transport.XnioEventLoop;
 
 /** The node's UDP sockets towards members, each shared by one flow of every member; {@link FlowSlots} says which. */
 final class FlowSockets {
-    private final XnioLoop loop;
+    private final XnioEventLoop loop;
     private final InetAddress address;
     private final ByteBuffer scratch;
     private final QuicFigures counted;
@@ -24,10 +24,10 @@
     /** One socket, and who hears what on it, by the member's address. */
     private final class Socket {
         private final Map<InetSocketAddress, Seat> seats = new HashMap<>();
-        private final DatagramPort port;
+        private final UdpSocket port;
 
         Socket() throws IOException {
-            port = loop.datagrams(new InetSocketAddress(address, 0), scratch, (from, datagram) -> {
+            port = loop.bindUdp(new InetSocketAddress(address, 0), scratch, (from, datagram) -> {
                 Seat seat = seats.get(from);
                 if (seat == null) {
                     counted.count(Figure.DROPPED_STRAY);
@@ -71,7 +71,7 @@
     }
 
     FlowSockets(
-            XnioLoop loop,
+            XnioEventLoop loop,
             InetAddress address,
             ByteBuffer scratch,
             QuicFigures counted,
@@ -87,7 +87,7 @@
 
     /** A place for one more flow to that member; null where there is no descriptor for it. */
     Seat seat(InetSocketAddress member, double nowMs, Consumer<byte[]> heard) {
-        int slot = slots.take(member, nowMs, loop::hasRoomForFlow);
+        int slot = slots.take(member, nowMs, loop::hasCapacityForUpstream);
         if (slot < 0) {
             return null;
         }
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -12,18 +12,18 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.StatelessReset;
 import tulipshed.limits.Limits;
-import tulipshed.transport.DatagramPort;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.proxy.Request.Attributes;
 import tulipshed.quic.QuicFigures.Figure;
 import tulipshed.routing.Origin;
 import tulipshed.routing.TransactionSchema;
 import tulipshed.time.Clock;
-import tulipshed.proxy.Transaction.Arrival;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.UdpSocket;
+import tulipshed.transport.XnioEventLoop;
 
 /**
  * The second front: QUIC by connection ids. A datagram belongs to the connection that its destination id
@@ -45,8 +45,8 @@
     final IdTable table = new IdTable();
     final FlowSockets sockets;
     private int unproven;
-    final XnioLoop loop;
-    final TransactionCore core;
+    final XnioEventLoop loop;
+    final ProxyCore core;
     final Consumer<String> log;
     final RandomGenerator random = new SecureRandom();
     final ByteBuffer scratch;
@@ -56,8 +56,8 @@
     private final Set<QuicSession> unanswered = new LinkedHashSet<>();
 
     private final Set<QuicSession> all = new LinkedHashSet<>();
-    private final List<DatagramPort> listeners = new ArrayList<>();
-    private Names names;
+    private final List<UdpSocket> listeners = new ArrayList<>();
+    private NameIndex names;
     private int openings;
     private boolean leaving;
 
@@ -65,9 +65,9 @@
             Clock clock,
             Limits limits,
             QuicConfig config,
-            Names names,
-            XnioLoop loop,
-            TransactionCore core,
+            NameIndex names,
+            XnioEventLoop loop,
+            ProxyCore core,
             Consumer<String> log)
             throws IOException {
         this.clock = clock;
@@ -87,21 +87,21 @@
                 limits.quic().seatQuietMs(),
                 log);
         for (Figure f : Figure.values()) {
-            core.figures().more(f.written(), () -> counted.get(f));
+            core.metrics().frontendCounters(f.written(), () -> counted.get(f));
         }
-        core.figures().more("quic_connections", all::size);
-        core.figures().more("quic_ids", table::ids);
-        core.figures().more("quic_flow_sockets", sockets::count);
+        core.metrics().frontendCounters("quic_connections", all::size);
+        core.metrics().frontendCounters("quic_ids", table::ids);
+        core.metrics().frontendCounters("quic_flow_sockets", sockets::count);
         listen(config.listen());
         if (config.preferred() != null) {
             listen(config.preferred());
         }
-        loop.after(SWEEP_MS, this::sweep);
+        loop.schedule(SWEEP_MS, this::sweep);
     }
 
     private void listen(InetSocketAddress at) throws IOException {
-        DatagramPort[] own = new DatagramPort[1];
-        own[0] = loop.datagrams(at, scratch, (from, datagram) -> {
+        UdpSocket[] own = new UdpSocket[1];
+        own[0] = loop.bindUdp(at, scratch, (from, datagram) -> {
             counted.count(Figure.DATAGRAMS);
             received(own[0], from, datagram);
         });
@@ -129,7 +129,7 @@
     }
 
     /** Other names of classes and tenants from now on; connections that are open keep their class. */
-    public void reconfigure(Names changed) {
+    public void reconfigure(NameIndex changed) {
         names = changed;
     }
 
@@ -142,12 +142,12 @@
     }
 
     /** What a new connection asks for, or null where the settings do not name that any more. */
-    Arrival arrival(String key) {
+    Attributes arrival(String key) {
         Integer requestClass = names.classes.get(config.requestClass());
         Integer tenant = config.tenant() == null ? Integer.valueOf(-1) : names.tenants.get(config.tenant());
         return requestClass == null || tenant == null
                 ? null
-                : new Arrival(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
+                : new Attributes(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
     }
 
     /** Where a transaction came from, and what its client said in the clear; null where it is not known. */
@@ -182,7 +182,7 @@
 
     /** Closes the port; what comes later is not taken. */
     public void close() {
-        listeners.forEach(DatagramPort::close);
+        listeners.forEach(UdpSocket::close);
     }
 
     /** Connections kept; for tests. */
@@ -195,7 +195,7 @@
         return table.ids();
     }
 
-    private void received(DatagramPort listener, InetSocketAddress from, byte[] datagram) {
+    private void received(UdpSocket listener, InetSocketAddress from, byte[] datagram) {
         List<Packet> packets;
         try {
             packets = Packet.read(datagram, config.ids()::length);
@@ -229,12 +229,12 @@
             counted.count(Figure.DROPPED_PRESSED);
         } else if (!hearing) {
             hearing = true;
-            loop.afterGathering(this::hearStrangers);
+            loop.execute(this::hearStrangers);
         }
     }
 
     private void known(
-            ClientPath path, DatagramPort listener, InetSocketAddress from, byte[] datagram, List<Packet> packets) {
+            ClientPath path, UdpSocket listener, InetSocketAddress from, byte[] datagram, List<Packet> packets) {
         Packet first = packets.get(0);
         ClientPath heard = path;
         if (!path.isAt(listener, from)) {
@@ -269,7 +269,7 @@
             hearing = !strangers.isEmpty();
             if (hearing) {
                 // Not at once: the loop runs what it is given at once before it looks at sockets again.
-                loop.after(STRANGERS_PAUSE_MS, this::hearStrangers);
+                loop.schedule(STRANGERS_PAUSE_MS, this::hearStrangers);
             }
         }
     }
@@ -288,7 +288,7 @@
 
     /** An Initial that no connection knows opens a transaction, if it is one that a client would send. */
     private void open(
-            DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
+            UdpSocket listener, InetSocketAddress from, byte[] datagram, Packet initial, List<Packet> packets) {
         if (datagram.length < LEAST_FIRST_DATAGRAM || initial.destination().length() < LEAST_FIRST_ID) {
             counted.count(Figure.DROPPED_SMALL);
             return;
@@ -326,7 +326,7 @@
                             initial.destination(),
                             initial.source(),
                             InitialFrames.CONNECTION_REFUSED,
-                            QuicSession.busy(core.retryAfterMs(limits.sockets().noRoomRetryMs()))));
+                            QuicSession.busy(core.retryAfterMs(limits.sockets().overloadRetryAfterMs()))));
             return;
         }
         if (arrival("") == null) {
@@ -359,7 +359,7 @@
 
     /** Whether there is no room for one more connection; one more at a member may find a place on a socket that is open. */
     private boolean full() {
-        return all.size() >= limits.quic().sessions() || sockets.count() == 0 && !loop.hasRoom();
+        return all.size() >= limits.quic().sessions() || sockets.count() == 0 && !loop.hasCapacityForClient();
     }
 
     /**
@@ -404,7 +404,7 @@
     }
 
     /** Nothing is kept of a client that has to prove its address: what it must repeat is in its token. */
-    private void retry(DatagramPort listener, InetSocketAddress to, Packet initial, Version version) {
+    private void retry(UdpSocket listener, InetSocketAddress to, Packet initial, Version version) {
         byte[] id = new byte[RETRY_ID];
         random.nextBytes(id);
         ConnectionId given = new ConnectionId(id);
@@ -458,7 +458,7 @@
      * A version that is not spoken here is answered with those that are (RFC 8999 section 6), and with one that nobody
      * speaks, so that clients do not come to rely on the list (RFC 9000 section 6.3).
      */
-    private void negotiate(DatagramPort listener, InetSocketAddress from, byte[] datagram, Packet p) {
+    private void negotiate(UdpSocket listener, InetSocketAddress from, byte[] datagram, Packet p) {
         if (datagram.length < LEAST_FIRST_DATAGRAM) {
             return;
         }
@@ -486,6 +486,6 @@
         double nowMs = clock.nowMs();
         List.copyOf(all).forEach(s -> s.lookAtAge(nowMs));
         sockets.sweep(nowMs);
-        loop.after(SWEEP_MS, this::sweep);
+        loop.schedule(SWEEP_MS, this::sweep);
     }
 }
--- a/node/src/main/java/tulipshed/quic/QuicSession.java
+++ b/node/src/main/java/tulipshed/quic/QuicSession.java
@@ -5,18 +5,18 @@
 import java.util.List;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.transport.DatagramPort;
+import tulipshed.proxy.Attempt;
+import tulipshed.proxy.ClientConnection;
+import tulipshed.proxy.Request;
+import tulipshed.proxy.UpstreamConnector;
 import tulipshed.quic.QuicFigures.Figure;
-import tulipshed.proxy.MemberConnector;
-import tulipshed.proxy.ServerSideFlow;
-import tulipshed.proxy.Transaction;
-import tulipshed.proxy.VirtualServer;
+import tulipshed.transport.UdpSocket;
 
 /**
  * One connection of QUIC: carries out what its {@link ConnectionMachine} says, between the client's paths and the core, and is
  * the connector of its flows to members.
  */
-final class QuicSession implements VirtualServer, MemberConnector {
+final class QuicSession implements ClientConnection, UpstreamConnector {
     private static final int LONGEST_REPLY = 43;
 
     private final QuicFront front;
@@ -26,15 +26,15 @@
     /** By which the client was last heard. */
     private ClientPath current;
 
-    private Transaction transaction;
-    private ServerSideFlow flow;
+    private Request transaction;
+    private Attempt flow;
     private byte[] answer;
     private boolean countedUnproven;
     private boolean carriedOn;
     private String numberedAt;
     private long number = -1;
 
-    QuicSession(QuicFront front, ConnectionMachine machine, DatagramPort listener, InetSocketAddress client) {
+    QuicSession(QuicFront front, ConnectionMachine machine, UdpSocket listener, InetSocketAddress client) {
         this.front = front;
         this.machine = machine;
         current = new ClientPath(this, listener, client, front.clock.nowMs());
@@ -56,34 +56,34 @@
 
     /** The hello is whole, so all is known that rules may ask for. */
     private void arrive() {
-        transaction = new Transaction(
+        transaction = new Request(
                 this,
                 this,
                 front.arrival(machine.keyedBy().toString()),
                 QuicFront.origin(current.client(), machine.takeOpening()),
                 front.clock.nowMs(),
                 false);
-        front.core.arrived(transaction);
+        front.core.requestArrived(transaction);
     }
 
     /** A connection that stands at that member already, though this node knows nothing else of it. */
     void carryOn(String member) {
         carriedOn = true;
         number(machine.current(), member);
-        transaction = new Transaction(
+        transaction = new Request(
                 this,
                 this,
                 front.arrival(machine.current().toString()),
                 QuicFront.origin(current.client(), null),
                 front.clock.nowMs(),
                 true);
-        front.core.alreadyOpen(transaction, member);
+        front.core.adoptConnection(transaction, member);
     }
 
     /** Others need its place more: it ends, and its client hears that it must come again. */
     void giveWay() {
         if (flow != null) {
-            front.core.ended(flow, Outcome.CANCELLED);
+            front.core.attemptEnded(flow, Outcome.CANCELLED);
             forget();
         }
     }
@@ -122,7 +122,7 @@
             case NEVER_WHOLE -> neverWhole();
             case TAKEN_BACK -> {
                 if (transaction != null) {
-                    front.core.clientLeft(transaction);
+                    front.core.clientDisconnected(transaction);
                 }
                 end();
             }
@@ -165,7 +165,7 @@
      * The path of this connection at that address: for an id that came there first, a path of its own, so that the member sees
      * two and answers each where it belongs.
      */
-    ClientPath path(DatagramPort listener, InetSocketAddress client, ConnectionId id) {
+    ClientPath path(UdpSocket listener, InetSocketAddress client, ConnectionId id) {
         ClientPath path =
                 paths.stream().filter(p -> p.isAt(listener, client)).findFirst().orElse(null);
         if (path == null) {
@@ -193,7 +193,7 @@
     }
 
     /** The client of that path is heard elsewhere, under an id that it used before: its network has given it another address. */
-    ClientPath rebind(ClientPath path, DatagramPort listener, InetSocketAddress client, ConnectionId id) {
+    ClientPath rebind(ClientPath path, UdpSocket listener, InetSocketAddress client, ConnectionId id) {
         for (ClientPath p : paths) {
             if (p.isAt(listener, client)) {
                 front.table.lead(id, p);
@@ -240,7 +240,7 @@
     }
 
     @Override
-    public void move() {
+    public void migrate() {
         answer(InitialFrames.CONNECTION_REFUSED, "moved; come again");
     }
 
@@ -280,7 +280,7 @@
     // ---- Flows ----
 
     @Override
-    public void open(ServerSideFlow opened) {
+    public void open(Attempt opened) {
         flow = opened;
         ClientPath path = current;
         FlowSide side = FlowSide.open(front, opened, d -> fromMember(path, d));
@@ -290,18 +290,18 @@
         }
         double nowMs = front.clock.nowMs();
         machine.first().forEach(d -> side.send(d, nowMs));
-        front.core.dispatched();
+        front.core.attemptForwarded();
     }
 
     @Override
-    public void giveUp(ServerSideFlow given) {
+    public void abandon(Attempt given) {
         if (flow == given) {
             closeSides();
         }
     }
 
     @Override
-    public boolean leavesDraining() {
+    public boolean mustLeaveDrainingEndpoint() {
         return true;
     }
 
@@ -322,7 +322,7 @@
         switch (step) {
             case REFUSED, FAILED -> {
                 closeSides();
-                front.core.ended(flow, step == ConnectionMachine.Step.REFUSED ? Outcome.FULL : Outcome.ERROR);
+                front.core.attemptEnded(flow, step == ConnectionMachine.Step.REFUSED ? Outcome.FULL : Outcome.ERROR);
                 return;
             }
             case RETRIED -> {
@@ -331,7 +331,7 @@
                 return;
             }
             case BEGIN -> {
-                if (!front.core.up(flow)) {
+                if (!front.core.attemptEstablished(flow)) {
                     return;
                 }
                 machine.stands();
@@ -343,7 +343,7 @@
             boolean fromServer = p.type() == Packet.Type.INITIAL || p.type() == Packet.Type.HANDSHAKE;
             if (fromServer && !ids.has(p.source())) {
                 learn(p.source(), path);
-                number(p.source(), flow.member().id());
+                number(p.source(), flow.endpoint().id());
             }
         }
         toClient(path, datagram);
@@ -351,18 +351,18 @@
             // The server has lost its state. The client has the reset; what it still sends is answered here.
             front.counted.count(Figure.RESETS_PASSED);
             end();
-            front.core.ended(flow, Outcome.RESET);
+            front.core.attemptEnded(flow, Outcome.RESET);
         }
     }
 
     /** Whether it stands at that member. */
     boolean standsAt(String member) {
         return machine.stage() == ConnectionMachine.Stage.STANDING
-                && flow.member().id().equals(member);
+                && flow.endpoint().id().equals(member);
     }
 
     /** Its flow; for tests. */
-    ServerSideFlow flow() {
+    Attempt flow() {
         return flow;
     }
 
@@ -414,10 +414,10 @@
                 front.waits(-1);
                 neverWhole();
             }
-            case SILENT -> front.core.silent(flow);
+            case SILENT -> front.core.endpointUnresponsive(flow);
             case IDLE -> {
                 // How it ended cannot be seen: its last packets could not be read.
-                front.core.ended(flow, Outcome.OK);
+                front.core.attemptEnded(flow, Outcome.OK);
                 end();
                 forget();
             }
--- a/node/src/main/java/tulipshed/quic/Strangers.java
+++ b/node/src/main/java/tulipshed/quic/Strangers.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
-import tulipshed.transport.DatagramPort;
+import tulipshed.transport.UdpSocket;
 
 /**
  * Datagrams of those that nothing is known of, waiting for a moment in which nobody else does. Opening a stranger's packet takes
@@ -17,7 +17,7 @@
 
     /** One datagram, where it was heard, what was read of it, and where the id of a short header leads, null for nowhere. */
     record Datagram(
-            DatagramPort listener,
+            UdpSocket listener,
             InetSocketAddress from,
             byte[] bytes,
             List<Packet> packets,
--- a/node/src/main/java/tulipshed/routing/MemberPools.java
+++ b/node/src/main/java/tulipshed/routing/MemberPools.java
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.expression.Frame;
 import tulipshed.expression.Program;
 
@@ -33,14 +33,14 @@
     }
 
     /** Works them out anew; whether anything changed. */
-    boolean update(Collection<ServerEntry> listed, double nowMs) {
+    boolean update(Collection<EndpointInfo> listed, double nowMs) {
         Map<String, Set<String>> now = new LinkedHashMap<>();
         conditions.keySet().forEach(name -> now.put(name, new HashSet<>()));
-        for (ServerEntry e : listed) {
+        for (EndpointInfo e : listed) {
             if (schema.fill(frame, e, nowMs)) {
                 conditions.forEach((name, condition) -> {
                     if (condition.truth(frame)) {
-                        now.get(name).add(e.server());
+                        now.get(name).add(e.id());
                     }
                 });
             }
--- a/node/src/main/java/tulipshed/routing/MemberSchema.java
+++ b/node/src/main/java/tulipshed/routing/MemberSchema.java
@@ -1,6 +1,6 @@
 package tulipshed.routing;
 
-import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.expression.Attribute;
 import tulipshed.expression.Frame;
 import tulipshed.expression.Schema;
@@ -27,18 +27,18 @@
     }
 
     /** Puts one member into a frame; false where its texts are too long. */
-    boolean fill(Frame f, ServerEntry e, double nowMs) {
-        if (e.server().length() > LONGEST
+    boolean fill(Frame f, EndpointInfo e, double nowMs) {
+        if (e.id().length() > LONGEST
                 || e.zone().length() > LONGEST
-                || e.kind().length() > LONGEST) {
+                || e.machineType().length() > LONGEST) {
             return false;
         }
         f.begin();
-        f.set(id, e.server());
+        f.set(id, e.id());
         f.set(zone, e.zone());
-        f.set(kind, e.kind());
+        f.set(kind, e.machineType());
         f.set(cell, (long) e.cell());
-        f.set(weight, e.share());
+        f.set(weight, e.weight());
         f.set(age, e.startedUs() == 0 ? OLD_MS : Math.max(0, (long) (nowMs - e.startedUs() / 1000.0)));
         return true;
     }
--- a/node/src/main/java/tulipshed/routing/Router.java
+++ b/node/src/main/java/tulipshed/routing/Router.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.ToIntFunction;
-import tulipshed.decision.BalancerApi.ServerEntry;
+import tulipshed.decision.BalancerApi.EndpointInfo;
 
 /**
  * What the operators' rules make of transactions: class, tenant and group, and the pool that each is held to. It decides
@@ -59,7 +59,7 @@
     }
 
     /** The list changed, or members grew older; whether the pools changed. */
-    public boolean members(Collection<ServerEntry> listed, double nowMs) {
+    public boolean members(Collection<EndpointInfo> listed, double nowMs) {
         return pools != null && pools.update(listed, nowMs);
     }
 
--- a/node/src/main/java/tulipshed/simadapter/Adapter.java
+++ b/node/src/main/java/tulipshed/simadapter/Adapter.java
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.SettingsReader;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.Actions;
@@ -34,7 +34,7 @@
     }
 
     /** One running balancer. */
-    private record Instance(BalancerApi balancer, SettingsReader.Names names) {}
+    private record Instance(BalancerApi balancer, SettingsReader.NameIndex names) {}
 
     Adapter(InputStream in, OutputStream out, Factory factory) throws IOException {
         this.factory = factory;
@@ -47,7 +47,7 @@
         try {
             new Adapter(in, out, factory).loop();
             return 0;
-        } catch (IOException | MalformedInput e) {
+        } catch (IOException | MalformedInputException e) {
             String what = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
             String line = "tulipshed: malformed input: " + String.valueOf(what).replaceAll("\\s+", " ") + "\n";
             try {
@@ -68,10 +68,10 @@
             }
             event.read(in, token);
             if (!"Batch".equals(event.cmd)) {
-                throw new MalformedInput("expected Batch, got " + event.cmd);
+                throw new MalformedInputException("expected Batch, got " + event.cmd);
             }
             if (Double.isNaN(event.timeS) || event.frame < 0) {
-                throw new MalformedInput("a Batch without TimeS or frame");
+                throw new MalformedInputException("a Batch without TimeS or frame");
             }
             long now = Math.round(event.timeS * 1e6);
             long frame = event.frame;
@@ -84,19 +84,19 @@
         while (true) {
             JsonToken token = in.nextToken();
             if (token == null) {
-                throw new MalformedInput("input ends inside a batch");
+                throw new MalformedInputException("input ends inside a batch");
             }
             event.read(in, token);
             if ("Eob".equals(event.cmd)) {
                 return;
             }
             if (event.who == null) {
-                throw new MalformedInput("an event without Who: " + event.cmd);
+                throw new MalformedInputException("an event without Who: " + event.cmd);
             }
             out.instance(event.who);
             try {
                 dispatch(now);
-            } catch (MalformedInput e) {
+            } catch (MalformedInputException e) {
                 throw e;
             } catch (RuntimeException e) {
                 out.exception(e.toString());
@@ -107,40 +107,40 @@
     private void dispatch(long now) {
         if ("Provision".equals(event.cmd)) {
             if (event.settings == null) {
-                throw new MalformedInput("Provision without Settings");
+                throw new MalformedInputException("Provision without Settings");
             }
-            SettingsReader.Names names = new SettingsReader.Names();
+            SettingsReader.NameIndex names = new SettingsReader.NameIndex();
             Settings settings = SettingsReader.read(event.settings, names);
             instances.put(event.who, new Instance(factory.create(settings, event.seed, now, out), names));
             return;
         }
         Instance instance = instances.get(event.who);
         if (instance == null) {
-            throw new MalformedInput(event.cmd + " for an instance that was not provisioned: " + event.who);
+            throw new MalformedInputException(event.cmd + " for an instance that was not provisioned: " + event.who);
         }
         BalancerApi b = instance.balancer;
         switch (event.cmd) {
             case "Detach" -> instances.remove(event.who);
-            case "PeersKnown" -> b.servers(now, event.listKind(), event.servers);
-            case "Incoming" -> b.request(now, event.newRequest(instance.names));
-            case "Open" -> b.alreadyOpen(now, event.newRequest(instance.names), event.server());
-            case "Started" -> b.started(now, event.id(), event.leg, event.tookUs);
+            case "PeersKnown" -> b.endpointsChanged(now, event.listKind(), event.servers);
+            case "Incoming" -> b.requestArrived(now, event.newRequest(instance.names));
+            case "Open" -> b.connectionAdopted(now, event.newRequest(instance.names), event.server());
+            case "Started" -> b.attemptEstablished(now, event.id(), event.leg, event.tookUs);
             case "Notice" -> {
                 if (event.sort == 1) {
-                    b.loadNote(now, event.id(), event.value);
+                    b.loadReported(now, event.id(), event.value);
                 } else if (event.sort == 2) {
-                    b.delayNote(now, event.id(), event.value);
+                    b.latencyReported(now, event.id(), event.value);
                 }
             }
             case "Finished" -> {
                 Outcome outcome = event.outcome();
-                b.finished(now, event.id(), event.leg, event.noMore, outcome, event.report());
+                b.attemptEnded(now, event.id(), event.leg, event.noMore, outcome, event.report());
             }
-            case "Abandoned" -> b.abandoned(now, event.id());
-            case "Checked" -> b.probed(now, event.server(), event.outcome(), event.report());
-            case "TickDue" -> b.timer(now, event.label);
-            case "NoteFrom" -> b.peerMessage(now, event.srcPeer, event.body);
-            default -> throw new MalformedInput("unknown event " + event.cmd);
+            case "Abandoned" -> b.requestCancelled(now, event.id());
+            case "Checked" -> b.healthCheckCompleted(now, event.server(), event.outcome(), event.report());
+            case "TickDue" -> b.timerFired(now, event.label);
+            case "NoteFrom" -> b.peerMessageReceived(now, event.srcPeer, event.body);
+            default -> throw new MalformedInputException("unknown event " + event.cmd);
         }
     }
 }
--- a/node/src/main/java/tulipshed/simadapter/ReplyWriter.java
+++ b/node/src/main/java/tulipshed/simadapter/ReplyWriter.java
@@ -38,9 +38,9 @@
     }
 
     @Override
-    public void send(long request, String server, long timeoutUs) {
+    public void startAttempt(long requestId, String server, long timeoutUs) {
         line("CallOut", () -> {
-            json.writeNumberField("MsgId", request);
+            json.writeNumberField("MsgId", requestId);
             json.writeStringField("Server", server);
             if (timeoutUs != 0) {
                 seconds("PatienceS", timeoutUs);
@@ -49,17 +49,17 @@
     }
 
     @Override
-    public void cancel(long request, int attempt) {
+    public void cancelAttempt(long requestId, int attempt) {
         line("Recall", () -> {
-            json.writeNumberField("MsgId", request);
+            json.writeNumberField("MsgId", requestId);
             json.writeNumberField("Leg", attempt);
         });
     }
 
     @Override
-    public void refuse(long request, long retryAfterUs) {
+    public void reject(long requestId, long retryAfterUs) {
         line("Decline", () -> {
-            json.writeNumberField("MsgId", request);
+            json.writeNumberField("MsgId", requestId);
             if (retryAfterUs > 0) {
                 seconds("HoldOffS", retryAfterUs);
             }
@@ -67,17 +67,17 @@
     }
 
     @Override
-    public void fail(long request) {
-        line("Fail", () -> json.writeNumberField("MsgId", request));
+    public void fail(long requestId) {
+        line("Fail", () -> json.writeNumberField("MsgId", requestId));
     }
 
     @Override
-    public void move(long request) {
-        line("Move", () -> json.writeNumberField("MsgId", request));
+    public void migrate(long requestId) {
+        line("Move", () -> json.writeNumberField("MsgId", requestId));
     }
 
     @Override
-    public void timer(long afterUs, long token) {
+    public void scheduleTimer(long afterUs, long token) {
         line("Defer", () -> {
             seconds("AfterS", afterUs);
             json.writeNumberField("Label", token);
@@ -85,12 +85,12 @@
     }
 
     @Override
-    public void probe(String server) {
+    public void startHealthCheck(String server) {
         line("Poll", () -> json.writeStringField("Server", server));
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         line("WritePeer", () -> {
             if (peer == ALL_PEERS) {
                 json.writeStringField("To", "*");
@@ -102,7 +102,7 @@
     }
 
     @Override
-    public void watchList() {
+    public void watchEndpoints() {
         line("StreamChanges", () -> json.writeBooleanField("On", true));
     }
 
--- a/node/src/main/java/tulipshed/simadapter/WireEvent.java
+++ b/node/src/main/java/tulipshed/simadapter/WireEvent.java
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import tulipshed.config.JsonValues;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.SettingsReader;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.Report;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
 
 /** One line of input, read field by field; reused from line to line. Unknown fields are skipped. */
 final class WireEvent {
@@ -24,7 +24,7 @@
     long frame;
     long seed;
     Map<String, Object> settings;
-    List<ServerEntry> servers;
+    List<EndpointInfo> servers;
     int leg;
     long tookUs;
     boolean noMore;
@@ -55,7 +55,7 @@
     void read(JsonParser in, JsonToken first) throws IOException {
         clear();
         if (first != JsonToken.START_OBJECT) {
-            throw new MalformedInput("a line that is not an object: " + first);
+            throw new MalformedInputException("a line that is not an object: " + first);
         }
         for (String name = in.nextFieldName(); name != null; name = in.nextFieldName()) {
             if (in.nextToken() == JsonToken.VALUE_NULL) {
@@ -64,10 +64,10 @@
             field(in, name);
         }
         if (in.currentToken() != JsonToken.END_OBJECT) {
-            throw new MalformedInput("a line that does not end");
+            throw new MalformedInputException("a line that does not end");
         }
         if (cmd == null) {
-            throw new MalformedInput("a line without cmd");
+            throw new MalformedInputException("a line without cmd");
         }
     }
 
@@ -124,25 +124,25 @@
 
     long id() {
         if (msgId < 0) {
-            throw new MalformedInput(cmd + " without MsgId");
+            throw new MalformedInputException(cmd + " without MsgId");
         }
         return msgId;
     }
 
     String server() {
         if (server == null) {
-            throw new MalformedInput(cmd + " without Server");
+            throw new MalformedInputException(cmd + " without Server");
         }
         return server;
     }
 
-    ListKind listKind() {
+    EndpointListKind listKind() {
         return switch (String.valueOf(scope)) {
-            case "patch" -> ListKind.CHANGES;
-            case "whole" -> ListKind.COMPLETE;
-            case "stale_copy" -> ListKind.REMEMBERED;
-            case "broken" -> ListKind.FAILED;
-            default -> throw new MalformedInput("unknown Scope " + scope);
+            case "patch" -> EndpointListKind.CHANGES;
+            case "whole" -> EndpointListKind.COMPLETE;
+            case "stale_copy" -> EndpointListKind.CACHED;
+            case "broken" -> EndpointListKind.FAILED;
+            default -> throw new MalformedInputException("unknown Scope " + scope);
         };
     }
 
@@ -156,14 +156,14 @@
             case "dropped" -> Outcome.RESET;
             case "revoked" -> Outcome.CANCELLED;
             case "unused" -> Outcome.UNUSED;
-            default -> throw new MalformedInput("unknown Verdict " + verdict);
+            default -> throw new MalformedInputException("unknown Verdict " + verdict);
         };
     }
 
-    NewRequest newRequest(SettingsReader.Names names) {
+    NewRequest newRequest(SettingsReader.NameIndex names) {
         Integer requestClass = names.classes.get(service);
         if (requestClass == null) {
-            throw new MalformedInput("unknown Service " + service);
+            throw new MalformedInputException("unknown Service " + service);
         }
         return new NewRequest(
                 id(),
@@ -178,9 +178,9 @@
                 returned);
     }
 
-    Report report() {
+    LoadReport report() {
         double[] t = telemetry;
-        return reported ? new Report(t[0], t[1], t[2], t[3], t[4], t[5], t[6], t[7]) : Report.NONE;
+        return reported ? new LoadReport(t[0], t[1], t[2], t[3], t[4], t[5], t[6], t[7]) : LoadReport.NONE;
     }
 
     private void telemetry(JsonParser in) throws IOException {
@@ -198,9 +198,9 @@
         }
     }
 
-    private static List<ServerEntry> entries(JsonParser in) throws IOException {
+    private static List<EndpointInfo> entries(JsonParser in) throws IOException {
         expect(in, JsonToken.START_ARRAY, "NodesList");
-        List<ServerEntry> list = new ArrayList<>();
+        List<EndpointInfo> list = new ArrayList<>();
         while (in.nextToken() == JsonToken.START_OBJECT) {
             String server = null;
             String state = null;
@@ -223,46 +223,46 @@
                 }
             }
             if (server == null) {
-                throw new MalformedInput("a list entry without Server");
+                throw new MalformedInputException("a list entry without Server");
             }
-            list.add(new ServerEntry(server, state(state), zone, cell, kind, share, started));
+            list.add(new EndpointInfo(server, state(state), zone, cell, kind, share, started));
         }
         expect(in, JsonToken.END_ARRAY, "NodesList");
         return list;
     }
 
-    private static ServerState state(String state) {
+    private static EndpointStatus state(String state) {
         return switch (String.valueOf(state)) {
-            case "SERVING" -> ServerState.SERVING;
-            case "DRAINING" -> ServerState.DRAINING;
-            case "DELETED" -> ServerState.GONE;
-            default -> throw new MalformedInput("unknown StageState " + state);
+            case "SERVING" -> EndpointStatus.SERVING;
+            case "DRAINING" -> EndpointStatus.DRAINING;
+            case "DELETED" -> EndpointStatus.REMOVED;
+            default -> throw new MalformedInputException("unknown StageState " + state);
         };
     }
 
     private static void expect(JsonParser in, JsonToken token, String name) {
         if (in.currentToken() != token) {
-            throw new MalformedInput(name + " is " + in.currentToken() + ", not " + token);
+            throw new MalformedInputException(name + " is " + in.currentToken() + ", not " + token);
         }
     }
 
     private static String text(JsonParser in, String name) throws IOException {
         if (in.currentToken() != JsonToken.VALUE_STRING) {
-            throw new MalformedInput(name + " is not a text");
+            throw new MalformedInputException(name + " is not a text");
         }
         return in.getText();
     }
 
     private static long whole(JsonParser in, String name) throws IOException {
         if (in.currentToken() != JsonToken.VALUE_NUMBER_INT) {
-            throw new MalformedInput(name + " is not a whole number");
+            throw new MalformedInputException(name + " is not a whole number");
         }
         return in.getLongValue();
     }
 
     private static double number(JsonParser in, String name) throws IOException {
         if (in.currentToken() == null || !in.currentToken().isNumeric()) {
-            throw new MalformedInput(name + " is not a number");
+            throw new MalformedInputException(name + " is not a number");
         }
         return in.getDoubleValue();
     }
@@ -274,7 +274,7 @@
     /** A seed may use all 64 bits. */
     private static long seed(JsonParser in) throws IOException {
         if (in.currentToken() != JsonToken.VALUE_NUMBER_INT) {
-            throw new MalformedInput("RngSeed is not a whole number");
+            throw new MalformedInputException("RngSeed is not a whole number");
         }
         return in.getBigIntegerValue().longValue();
     }
--- a/node/src/main/java/tulipshed/transport/Acceptor.java
+++ b/node/src/main/java/tulipshed/transport/Acceptor.java
@@ -17,14 +17,14 @@
 public final class Acceptor implements Closeable {
     private static final double NEXT_LOOK_MS = 1;
 
-    private final XnioLoop loop;
+    private final XnioEventLoop loop;
     private final int atOnce;
     private final Consumer<StreamConnection> taker;
     private final ArrayDeque<StreamConnection> accepted = new ArrayDeque<>();
     private AcceptingChannel<StreamConnection> channel;
     private boolean ahead;
 
-    Acceptor(XnioLoop loop, int atOnce, Consumer<StreamConnection> taker) {
+    Acceptor(XnioEventLoop loop, int atOnce, Consumer<StreamConnection> taker) {
         this.loop = loop;
         this.atOnce = atOnce;
         this.taker = taker;
@@ -65,12 +65,12 @@
         }
         if (!accepted.isEmpty()) {
             ahead = true;
-            loop.after(NEXT_LOOK_MS, this::handOn);
+            loop.schedule(NEXT_LOOK_MS, this::handOn);
         }
     }
 
     /** Hands on all that has been accepted, and takes nothing more. */
-    public void takeLastAndClose() {
+    public void drainAndClose() {
         gather(channel);
         while (!accepted.isEmpty()) {
             taker.accept(accepted.poll());
--- a/node/src/main/java/tulipshed/transport/Siblings.java
+++ b/node/src/main/java/tulipshed/transport/HotRestartState.java
@@ -12,13 +12,13 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import tulipshed.proxy.Companion;
+import tulipshed.proxy.HotRestartPeer;
 
 /**
  * What the two processes of one node know of each other while one takes over from the other. Each has a slot of a small
  * file that both map, writes only its own, and holds a lock on it that ends with the process, however that ends.
  */
-public final class Siblings implements Companion {
+public final class HotRestartState implements HotRestartPeer {
     private static final int SLOTS = 2;
     private static final int STATE = 0;
     private static final int OPEN = 4;
@@ -40,9 +40,9 @@
     private final int own;
     private final int other;
     private final Map<String, Integer> places = new HashMap<>();
-    private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    private final ArrayDeque<Integer> releaseId = new ArrayDeque<>();
     private final ArrayDeque<Integer> freePlaces = new ArrayDeque<>();
-    private boolean accompanied;
+    private boolean hasPeer;
 
     /** How far a process has come; none of these where there is no such process. */
     private enum State {
@@ -53,7 +53,7 @@
     }
 
     /** A process that has no other beside it. */
-    public Siblings() {
+    public HotRestartState() {
         file = null;
         shared = null;
         lock = null;
@@ -61,7 +61,7 @@
     }
 
     /** Joins whoever uses that file; it is made where it is missing. */
-    public Siblings(Path path, int ids) throws IOException {
+    public HotRestartState(Path path, int ids) throws IOException {
         this.ids = ids;
         int slotBytes = FIRST_ID + ids * (Long.BYTES + PLACE_BYTES);
         file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
@@ -77,7 +77,7 @@
         state(State.NONE);
         shared.putInt(own + OPEN, 0).putInt(own + HIGHEST_ID, 0).putInt(own + HIGHEST_PLACE, 0);
         state(State.STARTING);
-        look();
+        refresh();
     }
 
     private FileLock takeSlot() throws IOException {
@@ -108,25 +108,25 @@
     }
 
     /** Looks whether the other process lives; its files say nothing of that. */
-    public void look() {
+    public void refresh() {
         if (file == null) {
             return;
         }
         try (FileLock its = tryLock(SLOTS - 1 - (int) lock.position())) {
-            accompanied = its == null;
+            hasPeer = its == null;
         } catch (IOException e) {
-            accompanied = false;
+            hasPeer = false;
         }
     }
 
     /** Whether there is another process of this node. */
-    public boolean accompanied() {
-        return accompanied;
+    public boolean hasPeer() {
+        return hasPeer;
     }
 
     /** Whether it takes clients, and is not about to go. */
-    public boolean otherServes() {
-        return accompanied && otherState() == State.SERVING;
+    public boolean isPeerServing() {
+        return hasPeer && otherState() == State.SERVING;
     }
 
     private State otherState() {
@@ -134,12 +134,12 @@
     }
 
     /** This process takes clients from now on. */
-    public void serves() {
+    public void markServing() {
         state(State.SERVING);
     }
 
     /** This process is about to go. */
-    public void leaves() {
+    public void markLeaving() {
         state(State.LEAVING);
     }
 
@@ -150,8 +150,8 @@
     }
 
     /** What this process may use of all that the node is allowed: half where both take clients, nothing once it leaves. */
-    public double share() {
-        if (!otherServes()) {
+    public double quotaShare() {
+        if (!isPeerServing()) {
             return 1;
         }
         return State.values()[shared.getInt(own + STATE)] == State.LEAVING ? 0 : 0.5;
@@ -165,29 +165,29 @@
     }
 
     /** Connections open in the other process. */
-    int otherOpen() {
-        return accompanied ? shared.getInt(other + OPEN) : 0;
+    int peerOpenConnections() {
+        return hasPeer ? shared.getInt(other + OPEN) : 0;
     }
 
     /** Takes an id of an open transaction; false where the other process has it open. */
-    public boolean take(String id) {
+    public boolean claimId(String id) {
         if (shared == null) {
             return true;
         }
         long hash = hash(id);
         int highest = shared.getInt(own + HIGHEST_ID);
-        if (free.isEmpty() && highest < ids) {
-            free.add(highest);
+        if (releaseId.isEmpty() && highest < ids) {
+            releaseId.add(highest);
             shared.putInt(own + HIGHEST_ID, highest + 1);
         }
-        if (!free.isEmpty()) {
-            places.put(id, free.peek());
-            shared.putLong(own + FIRST_ID + free.poll() * Long.BYTES, hash);
+        if (!releaseId.isEmpty()) {
+            places.put(id, releaseId.peek());
+            shared.putLong(own + FIRST_ID + releaseId.poll() * Long.BYTES, hash);
         }
         // Written before the other's are read, as the other does: of two at the same moment at least one is seen.
         VarHandle.fullFence();
-        if (accompanied && otherHas(hash)) {
-            free(id);
+        if (hasPeer && otherHas(hash)) {
+            releaseId(id);
             return false;
         }
         return true;
@@ -204,17 +204,17 @@
     }
 
     /** The transaction with this id has ended. */
-    public void free(String id) {
+    public void releaseId(String id) {
         Integer place = places.remove(id);
         if (place != null) {
             shared.putLong(own + FIRST_ID + place * Long.BYTES, 0);
-            free.add(place);
+            releaseId.add(place);
         }
     }
 
     @Override
-    public int stands(Standing standing) {
-        byte[] member = standing.member().getBytes(StandardCharsets.UTF_8);
+    public int connectionEstablished(EstablishedConnection standing) {
+        byte[] member = standing.endpointId().getBytes(StandardCharsets.UTF_8);
         byte[] group = standing.group() == null ? new byte[0] : standing.group().getBytes(StandardCharsets.UTF_8);
         if (shared == null || member.length > LONGEST_TEXT || group.length > LONGEST_TEXT) {
             return -1;
@@ -225,7 +225,7 @@
         }
         int place = freePlaces.isEmpty() ? highest : freePlaces.poll();
         int at = at(own, place);
-        shared.putDouble(at + HINT, standing.hint());
+        shared.putDouble(at + HINT, standing.loadHintUsPerS());
         shared.put(at + MEMBER, (byte) member.length).put(at + MEMBER + 1, member);
         shared.put(at + GROUP, (byte) group.length).put(at + GROUP + 1, group);
         VarHandle.fullFence();
@@ -235,23 +235,24 @@
     }
 
     @Override
-    public void ended(int place) {
+    public void connectionEnded(int place) {
         shared.putLong(at(own, place), 0);
         freePlaces.add(place);
     }
 
     /** One that is being written at this moment may be read wrongly; the next reading puts it right. */
     @Override
-    public Map<Integer, Standing> others() {
-        Map<Integer, Standing> standing = new HashMap<>();
-        int highest = accompanied ? Math.min(ids, shared.getInt(other + HIGHEST_PLACE)) : 0;
+    public Map<Integer, EstablishedConnection> peerConnections() {
+        Map<Integer, EstablishedConnection> standing = new HashMap<>();
+        int highest = hasPeer ? Math.min(ids, shared.getInt(other + HIGHEST_PLACE)) : 0;
         for (int place = 0; place < highest; place++) {
             int at = at(other, place);
             if (shared.getLong(at) != 0) {
                 String group = text(at + GROUP);
                 standing.put(
                         place,
-                        new Standing(text(at + MEMBER), group.isEmpty() ? null : group, shared.getDouble(at + HINT)));
+                        new EstablishedConnection(
+                                text(at + MEMBER), group.isEmpty() ? null : group, shared.getDouble(at + HINT)));
             }
         }
         return standing;
--- a/node/src/main/java/tulipshed/transport/SharedPortProvider.java
+++ b/node/src/main/java/tulipshed/transport/ReusePortProvider.java
@@ -16,11 +16,11 @@
  * and binds a listener in one step and has no option for that. The virtual machine finds this class as a service; the
  * program's manifest opens the platform's provider to it.
  */
-public final class SharedPortProvider extends SelectorProvider {
+public final class ReusePortProvider extends SelectorProvider {
     private final SelectorProvider platform;
 
     /** For the virtual machine. */
-    public SharedPortProvider() {
+    public ReusePortProvider() {
         try {
             platform = (SelectorProvider) Class.forName("sun.nio.ch.DefaultSelectorProvider")
                     .getMethod("get")
--- a/node/src/main/java/tulipshed/transport/Link.java
+++ b/node/src/main/java/tulipshed/transport/TcpConnection.java
@@ -13,37 +13,37 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /** One TCP connection: reads when asked to, queues what cannot be written yet, ends the way it is told. */
-public final class Link {
+public final class TcpConnection {
     private final StreamConnection connection;
     private final ConduitStreamSourceChannel source;
     private final ConduitStreamSinkChannel sink;
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
-    private final Owner owner;
-    private int queued;
-    private boolean finishing;
+    private final Listener owner;
+    private int queuedBytes;
+    private boolean isShuttingDown;
     private boolean finished;
-    private boolean ended;
+    private boolean isClosed;
 
     /** Hears what happens on a link; nothing after the link is closed. */
-    public interface Owner {
+    public interface Listener {
         /** Something can be read: bytes, or the end. */
-        void readable(Link link);
+        void onReadable(TcpConnection link);
 
         /** All that was queued has been written. */
-        void drained(Link link);
+        void onWritten(TcpConnection link);
 
         /** The connection broke. */
-        void broken(Link link);
+        void onBroken(TcpConnection link);
     }
 
-    public Link(StreamConnection connection, Owner owner, Runnable whenClosed) {
+    public TcpConnection(StreamConnection connection, Listener owner, Runnable whenClosed) {
         this.connection = connection;
         this.owner = owner;
         source = connection.getSourceChannel();
         sink = connection.getSinkChannel();
         source.setReadListener(s -> {
-            if (!ended) {
-                owner.readable(this);
+            if (!isClosed) {
+                owner.onReadable(this);
             }
         });
         sink.setWriteListener(s -> flush());
@@ -62,15 +62,15 @@
     /** Reads what is there; -1 at the end, 0 when there is nothing now. A break is told to the owner as well. */
     public int read(ByteBuffer into) {
         try {
-            return ended ? 0 : source.read(into);
+            return isClosed ? 0 : source.read(into);
         } catch (IOException e) {
             broken();
             return 0;
         }
     }
 
-    public void listen(boolean on) {
-        if (ended) {
+    public void setReading(boolean on) {
+        if (isClosed) {
             return;
         }
         if (on) {
@@ -81,8 +81,8 @@
     }
 
     /** Bytes that wait to be written. */
-    public int queued() {
-        return queued;
+    public int queuedBytes() {
+        return queuedBytes;
     }
 
     public void write(byte[] bytes) {
@@ -91,46 +91,46 @@
 
     /** Takes the buffer over; what cannot be written at once is queued. */
     public void write(ByteBuffer bytes) {
-        if (ended || finishing || !bytes.hasRemaining()) {
+        if (isClosed || isShuttingDown || !bytes.hasRemaining()) {
             return;
         }
         queue.add(bytes);
-        queued += bytes.remaining();
+        queuedBytes += bytes.remaining();
         flush();
     }
 
     /** Ends this side's sending once all is written. */
-    public void finish() {
-        if (!finishing && !ended) {
-            finishing = true;
+    public void shutdownOutput() {
+        if (!isShuttingDown && !isClosed) {
+            isShuttingDown = true;
             flush();
         }
     }
 
-    public boolean finishing() {
-        return finishing;
+    public boolean isShuttingDown() {
+        return isShuttingDown;
     }
 
     private void flush() {
-        if (ended || finished) {
+        if (isClosed || finished) {
             return;
         }
-        boolean waited = queued > 0;
+        boolean waited = queuedBytes > 0;
         try {
             while (!queue.isEmpty()) {
                 int written = sink.write(queue.peek());
-                queued -= written;
+                queuedBytes -= written;
                 if (queue.peek().hasRemaining()) {
                     sink.resumeWrites();
                     return;
                 }
                 queue.poll();
             }
-            if (finishing) {
+            if (isShuttingDown) {
                 sink.shutdownWrites();
                 finished = sink.flush();
             }
-            if (finishing && !finished) {
+            if (isShuttingDown && !finished) {
                 sink.resumeWrites();
             } else {
                 sink.suspendWrites();
@@ -140,29 +140,29 @@
             return;
         }
         if (waited) {
-            owner.drained(this);
+            owner.onWritten(this);
         }
     }
 
     private void broken() {
-        if (!ended) {
-            ended = true;
+        if (!isClosed) {
+            isClosed = true;
             IoUtils.safeClose(connection);
-            owner.broken(this);
+            owner.onBroken(this);
         }
     }
 
     /** Closes at once; what was not read yet makes the other end see a reset. */
     public void close() {
-        if (!ended) {
-            ended = true;
+        if (!isClosed) {
+            isClosed = true;
             IoUtils.safeClose(connection);
         }
     }
 
     /** Closes with a reset. */
     public void abort() {
-        if (!ended) {
+        if (!isClosed) {
             try {
                 connection.setOption(Options.CLOSE_ABORT, true);
             } catch (IOException e) {
@@ -174,7 +174,7 @@
         }
     }
 
-    public boolean ended() {
-        return ended;
+    public boolean isClosed() {
+        return isClosed;
     }
 }
--- a/node/src/main/java/tulipshed/transport/DatagramPort.java
+++ b/node/src/main/java/tulipshed/transport/UdpSocket.java
@@ -8,7 +8,7 @@
 import org.xnio.channels.SocketAddressBuffer;
 
 /** One UDP socket. What cannot be sent at once is dropped, as any hop on the way might. */
-public final class DatagramPort {
+public final class UdpSocket {
     private final MulticastMessageChannel channel;
     private final Runnable whenClosed;
     private boolean closed;
@@ -18,7 +18,7 @@
         void received(InetSocketAddress from, byte[] datagram);
     }
 
-    DatagramPort(
+    UdpSocket(
             MulticastMessageChannel channel,
             ByteBuffer scratch,
             int readsAtOnce,
--- a/node/src/main/java/tulipshed/transport/XnioLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -17,31 +17,31 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.MulticastMessageChannel;
 import tulipshed.limits.Limits;
-import tulipshed.proxy.Loop;
+import tulipshed.proxy.EventLoop;
 
 /** The one I/O thread: XNIO's, which runs listeners and, after those that were ready, the tasks given to it. */
-public final class XnioLoop implements Loop {
+public final class XnioEventLoop implements EventLoop {
     /** Kept, as loggers that nobody holds forget their level. */
     private static final List<Logger> LIBRARIES = List.of(Logger.getLogger("org.xnio"), Logger.getLogger("org.jboss"));
 
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Limits limits;
-    private final Siblings siblings;
-    private int open;
+    private final HotRestartState hotRestartState;
+    private int openConnections;
     private volatile boolean stopped;
 
-    public XnioLoop(Limits limits) throws IOException {
-        this(limits, new Siblings());
+    public XnioEventLoop(Limits limits) throws IOException {
+        this(limits, new HotRestartState());
     }
 
     /** A loop whose process may not be the only one of its node. */
-    public XnioLoop(Limits limits, Siblings siblings) throws IOException {
+    public XnioEventLoop(Limits limits, HotRestartState siblings) throws IOException {
         this.limits = limits;
-        this.siblings = siblings;
+        this.hotRestartState = siblings;
         // XNIO and its threads greet with a line each, whose formatting alone costs a tenth of the start.
         LIBRARIES.forEach(l -> l.setLevel(Level.WARNING));
-        Xnio xnio = Xnio.getInstance("nio", XnioLoop.class.getClassLoader());
+        Xnio xnio = Xnio.getInstance("nio", XnioEventLoop.class.getClassLoader());
         worker = xnio.createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "tulipshed")
                 .set(Options.WORKER_IO_THREADS, 1)
@@ -52,53 +52,53 @@
     }
 
     @Override
-    public void afterGathering(Runnable task) {
+    public void execute(Runnable task) {
         if (!stopped) {
             thread.execute(task);
         }
     }
 
     @Override
-    public void after(double ms, Runnable task) {
+    public void schedule(double ms, Runnable task) {
         if (ms <= 0) {
-            afterGathering(task);
+            execute(task);
         } else if (!stopped) {
             thread.executeAfter(task, (long) Math.ceil(ms), TimeUnit.MILLISECONDS);
         }
     }
 
     /** Whether two more connections, a client's and its member's, stay within the descriptors allowed. */
-    public boolean hasRoom() {
-        return open + others() + 2 <= limits.connectionDescriptors();
+    public boolean hasCapacityForClient() {
+        return openConnections + others() + 2 <= limits.connectionDescriptors();
     }
 
     /** Whether one more connection, to a member, stays within the descriptors allowed. */
-    public boolean hasRoomForFlow() {
-        return open + others() < limits.flowDescriptors();
+    public boolean hasCapacityForUpstream() {
+        return openConnections + others() < limits.flowDescriptors();
     }
 
     /** What another process of this node holds: its connections, and what a process needs besides. */
     private int others() {
-        return siblings.accompanied()
-                ? siblings.otherOpen()
+        return hotRestartState.hasPeer()
+                ? hotRestartState.peerOpenConnections()
                         + limits.sockets().reservedDescriptors()
                         + 2 * limits.management().connections()
                 : 0;
     }
 
     private void opened(int more) {
-        open += more;
-        siblings.open(open);
+        openConnections += more;
+        hotRestartState.open(openConnections);
     }
 
     /** The other process of this node, where there is one. */
-    public Siblings siblings() {
-        return siblings;
+    public HotRestartState hotRestartState() {
+        return hotRestartState;
     }
 
     /** Connections open now. */
-    public int open() {
-        return open;
+    public int openConnections() {
+        return openConnections;
     }
 
     /**
@@ -121,7 +121,7 @@
     }
 
     /** Opens a UDP socket at the address; it counts among the descriptors until it is closed. */
-    public DatagramPort datagrams(InetSocketAddress address, ByteBuffer scratch, DatagramPort.Receiver receiver)
+    public UdpSocket bindUdp(InetSocketAddress address, ByteBuffer scratch, UdpSocket.Receiver receiver)
             throws IOException {
         // XNIO would let addresses be used again, and the kernel then gives one free port to two such sockets: the
         // first hears
@@ -134,7 +134,7 @@
                         Options.RECEIVE_BUFFER,
                         limits.quic().receiveBytes()));
         opened(1);
-        return new DatagramPort(channel, scratch, limits.quic().readsAtOnce(), receiver, () -> opened(-1));
+        return new UdpSocket(channel, scratch, limits.quic().readsAtOnce(), receiver, () -> opened(-1));
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
@@ -145,19 +145,19 @@
     }
 
     /** Makes a connection known to be open; it is counted until it is closed. */
-    public Link link(StreamConnection connection, Link.Owner owner) {
+    public TcpConnection register(StreamConnection connection, TcpConnection.Listener owner) {
         opened(1);
-        return new Link(connection, owner, () -> opened(-1));
+        return new TcpConnection(connection, owner, () -> opened(-1));
     }
 
     /** A connection being made. */
-    public interface Dialing {
+    public interface PendingConnection {
         /** Nothing more is told of it; a connection that comes up all the same is closed. */
-        void giveUp();
+        void abandon();
     }
 
     /** Opens a connection; one of the two is called, on the loop, unless it is given up before. */
-    public Dialing dial(InetSocketAddress to, Consumer<StreamConnection> up, Consumer<String> failed) {
+    public PendingConnection connect(InetSocketAddress to, Consumer<StreamConnection> up, Consumer<String> failed) {
         Dial dial = new Dial(up, failed);
         opened(1);
         IoFuture<StreamConnection> future =
@@ -177,7 +177,7 @@
     }
 
     /** One dialled connection; whichever comes first of up, failed and given up is the end of it. */
-    private final class Dial implements Dialing {
+    private final class Dial implements PendingConnection {
         private final Consumer<StreamConnection> up;
         private final Consumer<String> failed;
         private IoFuture<StreamConnection> future;
@@ -212,7 +212,7 @@
         }
 
         @Override
-        public void giveUp() {
+        public void abandon() {
             given = true;
             if (future != null) {
                 future.cancel();
--- a/node/src/test/java/tulipshed/PackagesTest.java
+++ b/node/src/test/java/tulipshed/PackagesTest.java
@@ -62,8 +62,7 @@
                 .resideInAPackage("tulipshed.decision..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(
-                        "tulipshed.proxy..", "tulipshed.limits..", "tulipshed.time..", "tulipshed.config..")
+                .resideInAnyPackage("tulipshed.proxy..", "tulipshed.limits..", "tulipshed.time..", "tulipshed.config..")
                 .check(classes);
     }
 }
--- a/node/src/test/java/tulipshed/cli/NodeTest.java
+++ b/node/src/test/java/tulipshed/cli/NodeTest.java
@@ -195,12 +195,12 @@
         longest = 1;
         Limits usual = Limits.forDescriptors(1024);
         node(
-                usual.with(new Limits.Lines(
-                        usual.lines().lineBytes(),
+                usual.with(new Limits.LineProtocol(
+                        usual.lineProtocol().lineBytes(),
                         60_000,
-                        usual.lines().pings(),
-                        usual.lines().longestWaitMs(),
-                        usual.lines().complaintsMs())),
+                        usual.lineProtocol().pings(),
+                        usual.lineProtocol().longestWaitMs(),
+                        usual.lineProtocol().protocolErrorLogMs())),
                 OperatorsFile.EMPTY);
         try (Socket resting = client("PING\r\n");
                 Socket half = client("OPEN ha")) {
@@ -236,7 +236,7 @@
         Files.writeString(
                 file, Files.readString(Path.of("../example/tulipshed.sexp")).replace(":4433", ":0"));
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-                .names();
+                .nameIndex();
         node(1024, OperatorsFile.load(file, names));
         assertTrue(log.stream().anyMatch(l -> l.startsWith("tulipshed: QUIC on /127.0.0.1:")), log.toString());
         node.leave();
--- a/node/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/node/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -28,7 +28,7 @@
         assertEquals(Long.parseUnsignedLong("8c1f30d27a5be964", 16), config.seed());
         assertEquals(3, config.settings().classes().size());
         assertEquals(250_000, config.settings().limits().connectTimeoutUs());
-        assertEquals(60_000, config.settings().classes().get(0).messageAimUs());
+        assertEquals(60_000, config.settings().classes().get(0).messageLatencyObjectiveUs());
         assertEquals(1, config.knownServers().size());
     }
 
@@ -41,7 +41,7 @@
                         .management()
                         .getPort());
         assertThrows(
-                MalformedInput.class,
+                MalformedInputException.class,
                 () -> NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString(), "PROXY_MANAGEMENT", "nowhere")));
     }
 
@@ -71,8 +71,8 @@
             })
     void whatIsWrongWithAConfigurationIsSaid(String right, String wrong) throws IOException {
         byte[] bytes = Files.readString(FILE).replace(right, wrong).getBytes(StandardCharsets.UTF_8);
-        MalformedInput e =
-                assertThrows(MalformedInput.class, () -> NodeConfig.parse(JsonValues.object(bytes), Map.of()));
+        MalformedInputException e =
+                assertThrows(MalformedInputException.class, () -> NodeConfig.parse(JsonValues.object(bytes), Map.of()));
         assertFalse(e.getMessage().isBlank() || e.getMessage().contains("\n"));
     }
 
@@ -104,7 +104,9 @@
         } else {
             assertEquals(
                     wrong,
-                    assertThrows(MalformedInput.class, () -> NodeConfig.parse(JsonValues.object(allowed), Map.of()))
+                    assertThrows(
+                                    MalformedInputException.class,
+                                    () -> NodeConfig.parse(JsonValues.object(allowed), Map.of()))
                             .getMessage());
         }
     }
@@ -113,7 +115,7 @@
     void aSpoiltConfigurationIsReadOrCalledMalformedAndNothingElse(@ForAll long seed) throws IOException {
         try {
             NodeConfig.parse(JsonValues.object(Cuts.spoil(Files.readAllBytes(FILE), seed)), Map.of());
-        } catch (MalformedInput expected) {
+        } catch (MalformedInputException expected) {
             assertFalse(expected.getMessage().isBlank());
         }
     }
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -18,13 +18,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import tulipshed.decision.BalancerApi.Effect;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.DeduplicationScope;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.Idempotency;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.RepeatGroup;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
 
 class BalancerTest {
     private final Recorder recorder = new Recorder();
@@ -74,13 +74,13 @@
         long id = 0;
         // Nothing is ever answered, so the one server's pending limit fills and depth goes to one.
         for (int i = 0; i < 30; i++) {
-            b.request(i * 1000, request(++id, 0, null, 2 * SECOND));
+            b.requestArrived(i * 1000, request(++id, 0, null, 2 * SECOND));
         }
         List<String> busy = recorder.take();
         assertTrue(busy.contains("refuse 30"), busy.toString());
         assertEquals(
                 1, busy.stream().filter(l -> l.startsWith("log refusing: ")).count(), "one line in ten seconds");
-        b.request(40_000, request(++id, 1, null, 2 * SECOND));
+        b.requestArrived(40_000, request(++id, 1, null, 2 * SECOND));
         assertEquals(List.of("send 31 " + name(0)), recorder.take());
     }
 
@@ -90,12 +90,12 @@
         // for a tenant whose bucket would be empty by then.
         Balancer b = balancer(1);
         for (long id = 1; id <= 8; id++) {
-            b.request(id, request(id));
-            b.started(id, id, 0, 1000);
+            b.requestArrived(id, request(id));
+            b.attemptEstablished(id, id, 0, 1000);
         }
         recorder.take();
         for (long id = 11; id <= 16; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
         }
         // Three while that is under a quarter, then the bucket's last; with a limit of 4 it would have been two.
         assertEquals(
@@ -104,7 +104,7 @@
         end(b, 20, 11, 0, true, Outcome.FULL);
         end(b, 21, 12, 0, true, Outcome.FULL);
         for (long id = 21; id <= 30; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
         }
         assertTrue(recorder.take().contains("refuse 30"));
     }
@@ -113,10 +113,10 @@
     void midFlowArrivalsNeedNoToken() {
         Balancer b = balancer(1);
         for (long id = 1; id <= 30; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
         }
         recorder.take();
-        b.request(40, new NewRequest(99, 0, 0, "k", null, 2 * SECOND, 0, false, true, false));
+        b.requestArrived(40, new NewRequest(99, 0, 0, "k", null, 2 * SECOND, 0, false, true, false));
         assertEquals(List.of("send 99 " + name(0)), recorder.take());
     }
 
@@ -125,11 +125,11 @@
     @Test
     void theLighterOfTwoIsChosen() {
         Balancer b = balancer(2);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         String first = recorder.sentTo();
-        b.started(0, 1, 0, 1000);
+        b.attemptEstablished(0, 1, 0, 1000);
         for (long id = 2; id < 12; id++) {
-            b.request(1, request(id));
+            b.requestArrived(1, request(id));
             assertNotEquals(first, recorder.sentTo());
             end(b, 1, id, 0, true, Outcome.OK);
         }
@@ -138,18 +138,18 @@
     @Test
     void aBalancerThatHoldsLittleSendsInProportionToWeight() {
         Balancer b = setup.balancer(recorder, 1);
-        List<ServerEntry> entries = new ArrayList<>();
+        List<EndpointInfo> entries = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             // Of one kind, as setup times are to teach nothing here.
-            entries.add(new ServerEntry(
-                    Setup.name(i), ServerState.SERVING, "zone0", 0, "kind0", i % 2 == 0 ? 2.5 : 1.5, 0));
+            entries.add(new EndpointInfo(
+                    Setup.name(i), EndpointStatus.SERVING, "zone0", 0, "kind0", i % 2 == 0 ? 2.5 : 1.5, 0));
         }
-        b.servers(0, ListKind.REMEMBERED, entries);
+        b.endpointsChanged(0, EndpointListKind.CACHED, entries);
         int large = 0;
         for (long id = 1; id <= 2000; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
             large += Integer.parseInt(recorder.sentTo().substring("server".length())) % 2 == 0 ? 1 : 0;
-            b.started(id, id, 0, 1000);
+            b.attemptEstablished(id, id, 0, 1000);
             end(b, id, id, 0, true, Outcome.OK);
         }
         assertTrue(large > 1150 && large < 1350, "of 2000, to the half that holds five eighths: " + large);
@@ -158,14 +158,14 @@
     @Test
     void aServerThatFailedIsPassedOver() {
         Balancer b = balancer(10);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         String bad = recorder.sentTo();
         end(b, 1, 1, 0, false, Outcome.CONNECT_FAILED);
         assertNotEquals(bad, recorder.sentTo());
         for (long id = 2; id < 60; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
             assertNotEquals(bad, recorder.sentTo());
-            b.started(id, id, 0, 1000);
+            b.attemptEstablished(id, id, 0, 1000);
         }
     }
 
@@ -174,7 +174,7 @@
         Balancer b = balancer(4);
         for (long id = 1; id <= 40; id++) {
             // Mid-flow, as the buckets would refuse others on a fleet this bad.
-            b.request(id, new NewRequest(id, 0, 0, "k", null, 2 * SECOND, 0, false, true, false));
+            b.requestArrived(id, new NewRequest(id, 0, 0, "k", null, 2 * SECOND, 0, false, true, false));
             end(b, id, id, 0, true, Outcome.TIMEOUT);
         }
         Set<String> used = new HashSet<>();
@@ -192,10 +192,10 @@
         long id = 0;
         int fast = 0;
         for (int i = 0; i < 2000; i++) {
-            b.request(i * 10_000L, request(++id));
+            b.requestArrived(i * 10_000L, request(++id));
             String server = recorder.sentTo();
             boolean isFast = Integer.parseInt(server.substring("server".length())) % 2 == 0;
-            b.started(i * 10_000L, id, 0, isFast ? 10_000 : 30_000);
+            b.attemptEstablished(i * 10_000L, id, 0, isFast ? 10_000 : 30_000);
             fast += isFast && i >= 1000 ? 1 : 0;
             if (id > 100) {
                 end(b, i * 10_000L, id - 100, 0, true, Outcome.OK);
@@ -212,10 +212,10 @@
             Balancer b = setup.balancer(recorder, seed);
             setup.list(b, 0, 50);
             for (long id = 1; id <= 5; id++) {
-                b.request(id, request(id, 0, "g", 2 * SECOND));
+                b.requestArrived(id, request(id, 0, "g", 2 * SECOND));
                 used.add(recorder.sentTo());
-                b.started(id, id, 0, 1000);
-                b.delayNote(id, id, 5);
+                b.attemptEstablished(id, id, 0, 1000);
+                b.latencyReported(id, id, 5);
             }
         }
         // A hundred connections over fifty servers would use nearly all of them by chance.
@@ -233,7 +233,7 @@
         int far = 0;
         for (long id = 1; id <= 20; id++) {
             long now = id * 60 * SECOND;
-            b.request(now, request(id));
+            b.requestArrived(now, request(id));
             assertEquals(0, number(recorder.sentTo()) % 2, "first attempt in the own zone");
             // A zone that fails as a whole must not eat up all attempts.
             end(b, now, id, 0, false, Outcome.CONNECT_FAILED);
@@ -248,12 +248,12 @@
         setup.prices = new BalancerApi.Prices(0, 0.1, 0, 0, 0);
         Balancer b = balancer(50);
         for (long id = 1; id <= 5; id++) {
-            b.request(0, request(id));
-            b.started(0, id, 0, 1000);
+            b.requestArrived(0, request(id));
+            b.attemptEstablished(0, id, 0, 1000);
         }
         String freed = recorder.take().get(0).split(" ")[2];
         end(b, 0, 1, 0, true, Outcome.OK);
-        b.request(1, request(100));
+        b.requestArrived(1, request(100));
         assertEquals(freed, recorder.sentTo());
     }
 
@@ -263,27 +263,27 @@
     void aSlowServerIsPassedOverAndOneLateTwiceLosesConnections() {
         Balancer b = balancer(6);
         for (long id = 1; id <= 60; id++) {
-            b.request(0, request(id));
-            b.started(0, id, 0, 1000);
+            b.requestArrived(0, request(id));
+            b.attemptEstablished(0, id, 0, 1000);
         }
         List<String> sends = recorder.take();
         String late = sends.get(0).split(" ")[2];
-        b.delayNote(SECOND, 1, 150);
+        b.latencyReported(SECOND, 1, 150);
         assertEquals(List.of(), recorder.take());
         for (long id = 101; id <= 110; id++) {
-            b.request(SECOND, request(id));
+            b.requestArrived(SECOND, request(id));
             assertNotEquals(late, recorder.sentTo());
         }
-        b.delayNote(2 * SECOND, 1, 150);
+        b.latencyReported(2 * SECOND, 1, 150);
         assertEquals(List.of("move 1"), recorder.take());
-        b.delayNote(2 * SECOND, 1, 150);
+        b.latencyReported(2 * SECOND, 1, 150);
         assertEquals(List.of(), recorder.take(), "a moved connection is not moved again");
         end(b, 2 * SECOND, 1, 0, true, Outcome.CANCELLED);
         assertEquals(List.of(), recorder.take());
     }
 
     private void fails(Balancer b, long now, long id, int server, Outcome outcome) {
-        b.alreadyOpen(now, request(id), name(server));
+        b.connectionAdopted(now, request(id), name(server));
         end(b, now, id, 0, true, outcome);
     }
 
@@ -296,7 +296,7 @@
     private List<String> sentTo(Balancer b, long now, long firstId) {
         List<String> servers = new ArrayList<>();
         for (long id = firstId; id < firstId + 40; id++) {
-            b.request(now, free(id));
+            b.requestArrived(now, free(id));
             servers.add(recorder.sentTo());
             end(b, now, id, 0, true, Outcome.CANCELLED);
         }
@@ -320,7 +320,7 @@
     void theConnectionsThatBreakWithOneServerAreOneEjection() {
         Balancer b = balancer(4);
         for (int i = 0; i < 8; i++) {
-            b.alreadyOpen(0, request(1000 + i), name(0));
+            b.connectionAdopted(0, request(1000 + i), name(0));
         }
         for (int i = 0; i < 8; i++) {
             end(b, 1, 1000 + i, 0, true, Outcome.RESET);
@@ -336,7 +336,7 @@
         for (int i = 0; i < 4; i++) {
             fails(b, 1, 1000 + i, i, Outcome.CONNECT_FAILED);
         }
-        b.request(2, request(1));
+        b.requestArrived(2, request(1));
         assertEquals(name(4), recorder.sentTo());
         end(b, 3, 1, 0, false, Outcome.RESET);
         List<String> heard = recorder.take();
@@ -348,14 +348,14 @@
     void anythingInFavourGoesBeforeWhatIsLateEvenIfMostAreLate() {
         Balancer b = balancer(4);
         for (int i = 0; i < 3; i++) {
-            b.alreadyOpen(0, request(1000 + i), name(i));
-            b.delayNote(1, 1000 + i, 500);
+            b.connectionAdopted(0, request(1000 + i), name(i));
+            b.latencyReported(1, 1000 + i, 500);
         }
-        b.request(2, free(1));
+        b.requestArrived(2, free(1));
         assertEquals(name(3), recorder.sentTo());
-        b.request(3, free(2));
+        b.requestArrived(3, free(2));
         assertEquals(name(3), recorder.sentTo());
-        b.request(4, free(3));
+        b.requestArrived(4, free(3));
         assertEquals(name(3), recorder.sentTo());
     }
 
@@ -363,13 +363,13 @@
     void oneLateSecondMovesNobody() {
         Balancer b = balancer(2);
         for (long id = 1; id <= 40; id++) {
-            b.request(0, request(id));
-            b.started(0, id, 0, 1000);
+            b.requestArrived(0, request(id));
+            b.attemptEstablished(0, id, 0, 1000);
         }
         recorder.take();
-        b.delayNote(SECOND, 1, 500);
-        b.delayNote(SECOND + SECOND / 2, 1, 20);
-        b.delayNote(4 * SECOND, 1, 500);
+        b.latencyReported(SECOND, 1, 500);
+        b.latencyReported(SECOND + SECOND / 2, 1, 20);
+        b.latencyReported(4 * SECOND, 1, 500);
         assertEquals(List.of(), recorder.take());
     }
 
@@ -378,31 +378,31 @@
     @Test
     void withNoServerARequestIsHeldThenRefused() {
         Balancer b = setup.balancer(recorder, 1);
-        b.request(0, request(1, 0, null, SECOND));
+        b.requestArrived(0, request(1, 0, null, SECOND));
         List<String> held = recorder.take();
         assertEquals(1, held.size());
         long token = Long.parseLong(held.get(0).split(" ")[2]);
-        b.timer(700_000, token);
+        b.timerFired(700_000, token);
         assertEquals(List.of("refuse 1"), recorder.take());
-        b.timer(800_000, token);
-        b.abandoned(900_000, 1);
+        b.timerFired(800_000, token);
+        b.requestCancelled(900_000, 1);
         assertEquals(List.of(), recorder.take());
     }
 
     @Test
     void aHeldRequestIsSentWhenAServerAppears() {
         Balancer b = setup.balancer(recorder, 1);
-        b.request(0, request(1, 0, null, SECOND));
+        b.requestArrived(0, request(1, 0, null, SECOND));
         long token = Long.parseLong(recorder.take().get(0).split(" ")[2]);
         setup.list(b, 100_000, 1);
-        b.timer(200_000, token);
+        b.timerFired(200_000, token);
         assertEquals(List.of("send 1 " + name(0)), recorder.take());
     }
 
     @Test
     void whenAttemptsAreUsedUpTheRequestIsRefusedOnce() {
         Balancer b = balancer(8);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         for (int attempt = 0; attempt < setup.maxAttempts; attempt++) {
             recorder.sentTo();
             end(b, attempt, 1, attempt, false, Outcome.CONNECT_FAILED);
@@ -415,7 +415,7 @@
     @Test
     void theTimeOutAtTheDeadlineIsAnsweredAtOnce() {
         Balancer b = balancer(2);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
         end(b, 2 * SECOND, 1, 0, false, Outcome.TIMEOUT);
         assertEquals(List.of("refuse 1"), recorder.take());
@@ -424,28 +424,28 @@
     @Test
     void anOutcomeAndADepartureInOneBatchGiveOneAnswer() {
         Balancer b = balancer(1);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
         end(b, 2 * SECOND, 1, 0, false, Outcome.TIMEOUT);
-        b.abandoned(2 * SECOND, 1);
+        b.requestCancelled(2 * SECOND, 1);
         assertEquals(List.of("refuse 1"), recorder.take());
     }
 
     @Test
     void aClientThatLeavesHasItsAttemptCalledOffAndNothingMore() {
         Balancer b = balancer(3);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
-        b.abandoned(10, 1);
+        b.requestCancelled(10, 1);
         assertEquals(List.of("cancel 1 0"), recorder.take());
         end(b, 20, 1, 0, true, Outcome.CANCELLED);
         assertEquals(List.of(), recorder.take());
         setup.cancel = false;
         Balancer other = setup.balancer(recorder, 1);
         setup.list(other, 0, 3);
-        other.request(0, request(2));
+        other.requestArrived(0, request(2));
         recorder.sentTo();
-        other.abandoned(10, 2);
+        other.requestCancelled(10, 2);
         assertEquals(List.of(), recorder.take());
     }
 
@@ -454,12 +454,12 @@
         long[] timeout = {0};
         Balancer b = new Balancer(setup.settings(), 1, 0, new DelegateActions(recorder) {
             @Override
-            public void send(long request, String server, long timeoutUs) {
+            public void startAttempt(long requestId, String server, long timeoutUs) {
                 timeout[0] = timeoutUs;
             }
         });
         setup.list(b, 0, 4);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         assertTrue(timeout[0] > 0 && timeout[0] <= SECOND, "time-out " + timeout[0]);
     }
 
@@ -470,9 +470,9 @@
             value = Outcome.class,
             names = {"FULL", "CONNECT_FAILED"})
     void whatNeverRanMayBeSentAgainWhateverItsEffect(Outcome outcome) {
-        setup.effect = Effect.ONCE;
+        setup.effect = Idempotency.NOT_IDEMPOTENT;
         Balancer b = balancer(4);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
         end(b, 1, 1, 0, false, outcome);
         recorder.sentTo();
@@ -483,9 +483,9 @@
             value = Outcome.class,
             names = {"ERROR", "TIMEOUT", "RESET", "CANCELLED"})
     void aOnceRequestThatMayHaveRunIsFailedNotRefusedNorSentAgain(Outcome outcome) {
-        setup.effect = Effect.ONCE;
+        setup.effect = Idempotency.NOT_IDEMPOTENT;
         Balancer b = balancer(4);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
         end(b, 1, 1, 0, false, outcome);
         assertEquals(List.of("fail 1"), recorder.take());
@@ -493,11 +493,11 @@
 
     @Test
     void aKeyedRequestIsRepeatedOnlyInItsCellAndWindow() {
-        setup.effect = Effect.KEYED;
-        setup.group = RepeatGroup.CELL;
+        setup.effect = Idempotency.WITH_KEY;
+        setup.group = DeduplicationScope.CELL;
         setup.maxAttempts = 9;
         Balancer b = balancer(20);
-        b.request(0, request(1, 0, null, 20 * SECOND));
+        b.requestArrived(0, request(1, 0, null, 20 * SECOND));
         int first = Integer.parseInt(recorder.sentTo().substring(6));
         end(b, SECOND, 1, 0, false, Outcome.TIMEOUT);
         int second = Integer.parseInt(recorder.sentTo().substring(6));
@@ -508,24 +508,24 @@
 
     @Test
     void aKeyedRequestWithItsCellGoneIsFailed() {
-        setup.effect = Effect.KEYED;
-        setup.group = RepeatGroup.CELL;
+        setup.effect = Idempotency.WITH_KEY;
+        setup.group = DeduplicationScope.CELL;
         Balancer b = balancer(4);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         int first = Integer.parseInt(recorder.sentTo().substring(6));
         int mate = first ^ 1;
-        b.servers(1, ListKind.CHANGES, List.of(setup.server(mate, ServerState.GONE, 0)));
-        b.servers(1, ListKind.CHANGES, List.of(setup.server(first, ServerState.GONE, 0)));
+        b.endpointsChanged(1, EndpointListKind.CHANGES, List.of(setup.server(mate, EndpointStatus.REMOVED, 0)));
+        b.endpointsChanged(1, EndpointListKind.CHANGES, List.of(setup.server(first, EndpointStatus.REMOVED, 0)));
         end(b, 1_800_000, 1, 0, false, Outcome.RESET);
         assertEquals(List.of("fail 1"), recorder.take());
     }
 
     @Test
     void aKeyedRequestInAGroupOfAllMayGoAnywhereAndBeRefused() {
-        setup.effect = Effect.KEYED;
+        setup.effect = Idempotency.WITH_KEY;
         setup.maxAttempts = 2;
         Balancer b = balancer(20);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
         end(b, 1, 1, 0, false, Outcome.RESET);
         recorder.sentTo();
@@ -538,26 +538,26 @@
     @Test
     void nothingGoesToADrainingOrGoneServer() {
         Balancer b = balancer(4);
-        b.servers(
+        b.endpointsChanged(
                 0,
-                ListKind.CHANGES,
-                List.of(setup.server(0, ServerState.DRAINING, 0), setup.server(1, ServerState.GONE, 0)));
+                EndpointListKind.CHANGES,
+                List.of(setup.server(0, EndpointStatus.DRAINING, 0), setup.server(1, EndpointStatus.REMOVED, 0)));
         for (long id = 1; id <= 60; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
             String to = recorder.sentTo();
             assertTrue(to.equals(name(2)) || to.equals(name(3)), to);
-            b.started(id, id, 0, 1000);
+            b.attemptEstablished(id, id, 0, 1000);
         }
     }
 
     @Test
     void aServerAbsentFromACompleteListIsGone() {
         Balancer b = balancer(3);
-        b.servers(0, ListKind.COMPLETE, List.of(setup.server(2)));
+        b.endpointsChanged(0, EndpointListKind.COMPLETE, List.of(setup.server(2)));
         for (long id = 1; id <= 20; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
             assertEquals(name(2), recorder.sentTo());
-            b.started(id, id, 0, 1000);
+            b.attemptEstablished(id, id, 0, 1000);
         }
     }
 
@@ -569,24 +569,24 @@
         Balancer b = balancer(9);
         long id = 0;
         for (int i = 0; i < 90; i++) {
-            b.request(0, request(++id));
+            b.requestArrived(0, request(++id));
             recorder.sentTo();
-            b.started(0, id, 0, 1000);
+            b.attemptEstablished(0, id, 0, 1000);
         }
         long start = 100 * SECOND;
-        b.servers(start, ListKind.CHANGES, List.of(setup.server(9, ServerState.SERVING, start)));
+        b.endpointsChanged(start, EndpointListKind.CHANGES, List.of(setup.server(9, EndpointStatus.SERVING, start)));
         int cold = 0;
         for (int i = 0; i < 200; i++) {
-            b.request(start + i * 1000, request(++id));
+            b.requestArrived(start + i * 1000, request(++id));
             cold += recorder.sentTo().equals(name(9)) ? 1 : 0;
-            b.started(start + i * 1000, id, 0, 1000);
+            b.attemptEstablished(start + i * 1000, id, 0, 1000);
         }
         assertTrue(cold <= 6, "sent in the first wave: " + cold);
         for (int i = 0; i < 400; i++) {
             long now = start + SECOND + i * 20_000;
-            b.request(now, request(++id));
+            b.requestArrived(now, request(++id));
             cold += recorder.sentTo().equals(name(9)) ? 1 : 0;
-            b.started(now, id, 0, 1000);
+            b.attemptEstablished(now, id, 0, 1000);
         }
         assertTrue(cold > 10, "sent over its warm-up: " + cold);
     }
@@ -602,16 +602,16 @@
         int wave = 0;
         for (int seed = 0; seed < setup.balancers; seed++) {
             Balancer b = setup.balancer(recorder, seed);
-            b.servers(
+            b.endpointsChanged(
                     0,
-                    ListKind.COMPLETE,
+                    EndpointListKind.COMPLETE,
                     List.of(
                             setup.server(0),
                             setup.server(1),
                             setup.server(2),
                             setup.server(3),
-                            setup.server(4, ServerState.SERVING, 1)));
-            b.request(15 * SECOND, request(1));
+                            setup.server(4, EndpointStatus.SERVING, 1)));
+            b.requestArrived(15 * SECOND, request(1));
             wave += recorder.sentTo().equals(name(4)) ? 1 : 0;
         }
         // The four others are to hold 40 connections together; two seconds' gain is 18.
@@ -624,14 +624,14 @@
         setup.groups = true;
         setup.quotaConnections = 100;
         Balancer b = balancer(2);
-        b.servers(0, ListKind.CHANGES, List.of(setup.server(9, ServerState.SERVING, 1)));
-        b.alreadyOpen(0, Setup.request(1, 0, "g", 2 * SECOND), name(1));
-        b.delayNote(0, 1, 5);
+        b.endpointsChanged(0, EndpointListKind.CHANGES, List.of(setup.server(9, EndpointStatus.SERVING, 1)));
+        b.connectionAdopted(0, Setup.request(1, 0, "g", 2 * SECOND), name(1));
+        b.latencyReported(0, 1, 5);
         for (int id = 2; id < 20; id++) {
             long now = id * SECOND / 2;
-            b.request(now, Setup.request(id, 0, "g", 2 * SECOND));
+            b.requestArrived(now, Setup.request(id, 0, "g", 2 * SECOND));
             assertEquals(name(1), recorder.sentTo());
-            b.started(now, id, 0, 1000);
+            b.attemptEstablished(now, id, 0, 1000);
         }
     }
 
@@ -640,12 +640,12 @@
     void whereNothingTellsOfDelaysAGroupsServerIsNotSentMoreThanTwiceItsEvenShare() {
         setup.groups = true;
         Balancer b = balancer(8);
-        b.alreadyOpen(0, Setup.request(1, 0, "g", 2 * SECOND), name(1));
+        b.connectionAdopted(0, Setup.request(1, 0, "g", 2 * SECOND), name(1));
         Map<String, Integer> sent = new HashMap<>();
         for (int id = 2; id <= 80; id++) {
-            b.request(id * SECOND, Setup.request(id, 0, "g", 2 * SECOND));
+            b.requestArrived(id * SECOND, Setup.request(id, 0, "g", 2 * SECOND));
             sent.merge(recorder.sentTo(), 1, Integer::sum);
-            b.started(id * SECOND, id, 0, 1000);
+            b.attemptEstablished(id * SECOND, id, 0, 1000);
         }
         sent.forEach((server, many) -> assertTrue(many <= 21, server + " was sent " + many + " of 80 over eight"));
     }
@@ -660,16 +660,16 @@
         int lighter = 0;
         for (int seed = 0; seed < 200; seed++) {
             Balancer b = loaded(seed);
-            b.request(0, Setup.request(3, 0, "g", 2 * SECOND));
+            b.requestArrived(0, Setup.request(3, 0, "g", 2 * SECOND));
             lighter += recorder.sentTo().equals(name(2)) ? 1 : 0;
         }
         assertTrue(lighter > 130, "of 200, three quarters by two draws and half by one: " + lighter);
         Balancer b = loaded(1);
         Map<String, Integer> sent = new HashMap<>();
         for (int id = 3; id <= 80; id++) {
-            b.request(id * SECOND, Setup.request(id, 0, "g", 2 * SECOND));
+            b.requestArrived(id * SECOND, Setup.request(id, 0, "g", 2 * SECOND));
             sent.merge(recorder.sentTo(), 1, Integer::sum);
-            b.started(id * SECOND, id, 0, 1000);
+            b.attemptEstablished(id * SECOND, id, 0, 1000);
         }
         sent.forEach((server, many) -> assertTrue(many <= 24, server + " was sent " + many + " of 78 over eight"));
     }
@@ -682,14 +682,14 @@
     void connectionsWhoseLoadIsNotToldYetCountAsUsualForTheirClass() {
         Balancer b = balancer(3);
         for (int id = 1; id <= 4; id++) {
-            b.alreadyOpen(0, request(id), name(1 + id % 2));
-            b.loadNote(0, id, 40_000);
+            b.connectionAdopted(0, request(id), name(1 + id % 2));
+            b.loadReported(0, id, 40_000);
         }
         int toTheEmptyOne = 0;
         for (int id = 5; id < 45; id++) {
-            b.request(id, request(id));
+            b.requestArrived(id, request(id));
             toTheEmptyOne += recorder.sentTo().equals(name(0)) ? 1 : 0;
-            b.started(id, id, 0, 1000);
+            b.attemptEstablished(id, id, 0, 1000);
         }
         assertTrue(
                 toTheEmptyOne >= 11 && toTheEmptyOne <= 19,
@@ -701,12 +701,12 @@
         Balancer b = setup.balancer(recorder, seed);
         setup.list(b, 0, 8);
         for (int id = 101; id <= 116; id++) {
-            b.alreadyOpen(0, request(id), name(id % 8));
+            b.connectionAdopted(0, request(id), name(id % 8));
         }
         for (int id = 1; id <= 2; id++) {
-            b.alreadyOpen(0, Setup.request(id, 0, "g", 2 * SECOND), name(id));
-            b.delayNote(0, id, 5);
-            b.loadNote(0, id, id == 1 ? 1.2 : 0.2);
+            b.connectionAdopted(0, Setup.request(id, 0, "g", 2 * SECOND), name(id));
+            b.latencyReported(0, id, 5);
+            b.loadReported(0, id, id == 1 ? 1.2 : 0.2);
         }
         return b;
     }
@@ -722,9 +722,9 @@
         assertTrue(Long.parseLong(timer[1]) <= 10 * SECOND);
         List<Long> waits = new ArrayList<>();
         for (int i = 0; i < 1000; i++) {
-            b.timer(0, Long.parseLong(timer[2]));
+            b.timerFired(0, Long.parseLong(timer[2]));
             assertEquals(List.of("watch"), recorder.take());
-            b.servers(0, ListKind.FAILED, List.of());
+            b.endpointsChanged(0, EndpointListKind.FAILED, List.of());
             timer = recorder.take().get(0).split(" ");
             waits.add(Long.parseLong(timer[1]));
         }
@@ -738,18 +738,18 @@
     @Test
     void avoidedAreThoseThatDrainAndThoseOutOfFavour() {
         Balancer b = balancer(4);
-        assertEquals(0, b.avoided(0));
-        b.request(0, request(1));
+        assertEquals(0, b.ineligibleCount(0));
+        b.requestArrived(0, request(1));
         String failed = recorder.sentTo();
         end(b, 0, 1, 0, false, Outcome.CONNECT_FAILED);
-        assertEquals(1, b.avoided(1));
+        assertEquals(1, b.ineligibleCount(1));
         assertTrue(!recorder.sentTo().equals(failed));
         int other = failed.equals(name(0)) ? 1 : 0;
-        b.servers(1, ListKind.CHANGES, List.of(setup.server(other, ServerState.DRAINING, 0)));
-        assertEquals(2, b.avoided(1));
-        b.servers(1, ListKind.CHANGES, List.of(setup.server(other, ServerState.GONE, 0)));
-        assertEquals(1, b.avoided(1), "it is not listed any more");
-        assertEquals(0, b.avoided(60 * SECOND), "an ejection ends by itself");
+        b.endpointsChanged(1, EndpointListKind.CHANGES, List.of(setup.server(other, EndpointStatus.DRAINING, 0)));
+        assertEquals(2, b.ineligibleCount(1));
+        b.endpointsChanged(1, EndpointListKind.CHANGES, List.of(setup.server(other, EndpointStatus.REMOVED, 0)));
+        assertEquals(1, b.ineligibleCount(1), "it is not listed any more");
+        assertEquals(0, b.ineligibleCount(60 * SECOND), "an ejection ends by itself");
     }
 
     /** Two processes of one balancer together must not fill a cold server faster than one. */
@@ -758,16 +758,16 @@
         int[] sent = new int[2];
         for (int half = 0; half < 2; half++) {
             Balancer b = balancer(2);
-            b.share(0, half == 0 ? 1 : 0);
-            b.servers(
+            b.quotaShareChanged(0, half == 0 ? 1 : 0);
+            b.endpointsChanged(
                     0,
-                    ListKind.CHANGES,
-                    List.of(setup.server(2, ServerState.SERVING, 0), setup.server(9, ServerState.SERVING, 1)));
+                    EndpointListKind.CHANGES,
+                    List.of(setup.server(2, EndpointStatus.SERVING, 0), setup.server(9, EndpointStatus.SERVING, 1)));
             for (int i = 1; i < 400; i++) {
                 long now = i * 20_000L;
-                b.request(now, request(i));
+                b.requestArrived(now, request(i));
                 sent[half] += recorder.sentTo().equals(name(9)) ? 1 : 0;
-                b.started(now, i, 0, 1000);
+                b.attemptEstablished(now, i, 0, 1000);
             }
         }
         assertTrue(sent[0] > 5, "all of it: " + sent[0]);
@@ -782,19 +782,19 @@
         int cold = 0;
         for (int seed = 0; seed < 40; seed++) {
             Balancer b = setup.balancer(recorder, seed);
-            b.servers(
+            b.endpointsChanged(
                     0,
-                    ListKind.COMPLETE,
+                    EndpointListKind.COMPLETE,
                     List.of(
                             setup.server(0),
-                            setup.server(1, ServerState.SERVING, 1),
-                            setup.server(2, ServerState.SERVING, 1),
-                            setup.server(3, ServerState.SERVING, 1)));
+                            setup.server(1, EndpointStatus.SERVING, 1),
+                            setup.server(2, EndpointStatus.SERVING, 1),
+                            setup.server(3, EndpointStatus.SERVING, 1)));
             for (int i = 1; i <= 6; i++) {
                 long now = 2 * SECOND + i * SECOND / 2;
-                b.request(now, request(i));
+                b.requestArrived(now, request(i));
                 cold += recorder.sentTo().equals(name(0)) ? 0 : 1;
-                b.started(now, i, 0, 1000);
+                b.attemptEstablished(now, i, 0, 1000);
             }
         }
         assertTrue(cold > 180 && cold < 215, "of 240 to the three cold servers: " + cold);
@@ -805,11 +805,11 @@
     /** Kept by index, these would be another class's or tenant's once one before them is dropped. */
     @Test
     void newSettingsLeaveOpenRequestsTheirClassAndTenantsTheirBuckets() {
-        setup.effect = BalancerApi.Effect.ONCE;
+        setup.effect = BalancerApi.Idempotency.NOT_IDEMPOTENT;
         Balancer b = balancer(4);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
-        b.request(0, request(2));
+        b.requestArrived(0, request(2));
         recorder.sentTo();
         Setup changed = new Setup();
         changed.maxAttempts = 2;
@@ -817,54 +817,54 @@
         b.reconfigure(1, changed.settings());
         end(b, 2, 1, 0, false, Outcome.ERROR);
         assertEquals(List.of("fail 1"), recorder.take(), "open when it could not be repeated");
-        b.started(3, 2, 0, 1000);
+        b.attemptEstablished(3, 2, 0, 1000);
         end(b, 4, 2, 0, true, Outcome.OK);
-        b.request(5, request(3));
+        b.requestArrived(5, request(3));
         recorder.sentTo();
         end(b, 6, 3, 0, false, Outcome.ERROR);
         recorder.sentTo();
         end(b, 7, 3, 1, false, Outcome.ERROR);
         assertTrue(recorder.take().get(0).startsWith("refuse 3"), "two attempts and no more");
-        b.request(8, request(4, 1, null, 2 * SECOND));
+        b.requestArrived(8, request(4, 1, null, 2 * SECOND));
         recorder.sentTo();
     }
 
     // ---- Probes ----
 
-    private static BalancerApi.Report report(double load) {
+    private static BalancerApi.LoadReport report(double load) {
         double none = Double.NaN;
-        return new BalancerApi.Report(none, none, none, none, none, none, load, none);
+        return new BalancerApi.LoadReport(none, none, none, none, none, none, load, none);
     }
 
     @Test
     void whereAProbeIsCheapTheLighterOfTwoByReportIsTaken() {
         setup.probes = true;
-        setup.reports = BalancerApi.Reports.PROBES;
+        setup.reports = BalancerApi.LoadReportSource.HEALTH_CHECKS;
         Balancer b = balancer(2);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         List<String> asked = recorder.take();
         assertTrue(asked.contains("probe " + name(0)) && asked.contains("probe " + name(1)), asked.toString());
         assertEquals(3, asked.size(), "two probes and a timer, nothing sent yet");
-        b.probed(1000, name(0), Outcome.OK, report(0.9));
+        b.healthCheckCompleted(1000, name(0), Outcome.OK, report(0.9));
         assertEquals(List.of(), recorder.take());
-        b.probed(2000, name(1), Outcome.OK, report(0.4));
+        b.healthCheckCompleted(2000, name(1), Outcome.OK, report(0.4));
         assertEquals(List.of("send 1 " + name(1)), recorder.take());
         // The reports are still news: no further probe, and the answer is the same.
-        b.request(3000, request(2));
+        b.requestArrived(3000, request(2));
         assertEquals(List.of("send 2 " + name(1)), recorder.take());
     }
 
     @Test
     void aProbeWithoutAnswerHoldsARequestOnlyForItsTime() {
         setup.probes = true;
-        setup.reports = BalancerApi.Reports.PROBES;
+        setup.reports = BalancerApi.LoadReportSource.HEALTH_CHECKS;
         Balancer b = balancer(2);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         String timer = recorder.take().get(2);
-        b.timer(200_000, Long.parseLong(timer.split(" ")[2]));
+        b.timerFired(200_000, Long.parseLong(timer.split(" ")[2]));
         assertEquals(
                 1, recorder.take().stream().filter(l -> l.startsWith("send 1 ")).count());
-        b.probed(300_000, name(0), Outcome.TIMEOUT, BalancerApi.Report.NONE);
+        b.healthCheckCompleted(300_000, name(0), Outcome.TIMEOUT, BalancerApi.LoadReport.NONE);
         assertEquals(List.of(), recorder.take());
     }
 
@@ -872,14 +872,14 @@
     @Test
     void aClientThatLeavesWhileAProbeIsAwaitedIsNotSentOn() {
         setup.probes = true;
-        setup.reports = BalancerApi.Reports.PROBES;
+        setup.reports = BalancerApi.LoadReportSource.HEALTH_CHECKS;
         Balancer b = balancer(2);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         long token = Long.parseLong(recorder.take().get(2).split(" ")[2]);
-        b.abandoned(500, 1);
-        b.probed(1000, name(0), Outcome.OK, report(0.9));
-        b.probed(2000, name(1), Outcome.OK, report(0.4));
-        b.timer(150_000, token);
+        b.requestCancelled(500, 1);
+        b.healthCheckCompleted(1000, name(0), Outcome.OK, report(0.9));
+        b.healthCheckCompleted(2000, name(1), Outcome.OK, report(0.4));
+        b.timerFired(150_000, token);
         assertEquals(List.of(), recorder.take());
         assertEquals(0, b.requestsHeld());
     }
@@ -887,21 +887,21 @@
     @Test
     void aClientThatLeavesWhileNoServerIsReadyIsNotSentOn() {
         Balancer b = setup.balancer(recorder, 1);
-        b.request(0, request(1, 0, null, SECOND));
+        b.requestArrived(0, request(1, 0, null, SECOND));
         long token = Long.parseLong(recorder.take().get(0).split(" ")[2]);
-        b.abandoned(100_000, 1);
+        b.requestCancelled(100_000, 1);
         setup.list(b, 150_000, 1);
-        b.timer(200_000, token);
+        b.timerFired(200_000, token);
         assertEquals(List.of(), recorder.take());
     }
 
     @Test
     void aDearProbeIsNotSent() {
         setup.probes = true;
-        setup.reports = BalancerApi.Reports.PROBES;
+        setup.reports = BalancerApi.LoadReportSource.HEALTH_CHECKS;
         setup.prices = new BalancerApi.Prices(0, 0, 0.5, 0, 0);
         Balancer b = balancer(2);
-        b.request(0, request(1));
+        b.requestArrived(0, request(1));
         recorder.sentTo();
     }
 
@@ -910,7 +910,7 @@
     @Test
     void aConnectionOpenAtTheStartIsNeverSentNorAnswered() {
         Balancer b = balancer(2);
-        b.alreadyOpen(0, request(7), name(0));
+        b.connectionAdopted(0, request(7), name(0));
         end(b, SECOND, 7, 0, true, Outcome.RESET);
         assertEquals(List.of(), recorder.take());
     }
@@ -918,14 +918,14 @@
     @Test
     void eventsForUnknownRequestsAndServersAreNeutral() {
         Balancer b = balancer(2);
-        b.started(1, 77, 0, 10);
-        b.delayNote(1, 77, 500);
-        b.loadNote(1, 77, 500);
+        b.attemptEstablished(1, 77, 0, 10);
+        b.latencyReported(1, 77, 500);
+        b.loadReported(1, 77, 500);
         end(b, 1, 77, 0, true, Outcome.OK);
-        b.abandoned(1, 77);
-        b.probed(1, "nobody", Outcome.OK, BalancerApi.Report.NONE);
-        b.peerMessage(1, 3, new byte[0]);
-        b.timer(1, 12345);
+        b.requestCancelled(1, 77);
+        b.healthCheckCompleted(1, "nobody", Outcome.OK, BalancerApi.LoadReport.NONE);
+        b.peerMessageReceived(1, 3, new byte[0]);
+        b.timerFired(1, 12345);
         assertEquals(List.of(), recorder.take());
     }
 }
--- a/node/src/test/java/tulipshed/decision/DelegateActions.java
+++ b/node/src/test/java/tulipshed/decision/DelegateActions.java
@@ -9,48 +9,48 @@
     }
 
     @Override
-    public void send(long request, String server, long timeoutUs) {
-        to.send(request, server, timeoutUs);
+    public void startAttempt(long requestId, String server, long timeoutUs) {
+        to.startAttempt(requestId, server, timeoutUs);
     }
 
     @Override
-    public void cancel(long request, int attempt) {
-        to.cancel(request, attempt);
+    public void cancelAttempt(long requestId, int attempt) {
+        to.cancelAttempt(requestId, attempt);
     }
 
     @Override
-    public void refuse(long request, long retryAfterUs) {
-        to.refuse(request, retryAfterUs);
+    public void reject(long requestId, long retryAfterUs) {
+        to.reject(requestId, retryAfterUs);
     }
 
     @Override
-    public void fail(long request) {
-        to.fail(request);
+    public void fail(long requestId) {
+        to.fail(requestId);
     }
 
     @Override
-    public void move(long request) {
-        to.move(request);
+    public void migrate(long requestId) {
+        to.migrate(requestId);
     }
 
     @Override
-    public void timer(long afterUs, long token) {
-        to.timer(afterUs, token);
+    public void scheduleTimer(long afterUs, long token) {
+        to.scheduleTimer(afterUs, token);
     }
 
     @Override
-    public void probe(String server) {
-        to.probe(server);
+    public void startHealthCheck(String server) {
+        to.startHealthCheck(server);
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
-        to.tell(peer, body);
+    public void sendToPeer(int peer, byte[] body) {
+        to.sendToPeer(peer, body);
     }
 
     @Override
-    public void watchList() {
-        to.watchList();
+    public void watchEndpoints() {
+        to.watchEndpoints();
     }
 
     @Override
--- a/node/src/test/java/tulipshed/decision/PoolsTest.java
+++ b/node/src/test/java/tulipshed/decision/PoolsTest.java
@@ -16,10 +16,10 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.ServerState;
 
 /** Requests that are held to a pool of servers. */
 class PoolsTest {
@@ -51,13 +51,16 @@
     private List<String> play(Map<String, Set<String>> pools) {
         setup.groups = true;
         Balancer b = balancer(12);
-        b.pools(0, pools);
+        b.poolsChanged(0, pools);
         for (long id = 1; id <= 400; id++) {
             long now = id * 5000;
             Setup.round(b, now, id);
             if (id % 50 == 0) {
-                b.servers(now, ListKind.CHANGES, List.of(setup.server((int) (id / 50), ServerState.DRAINING, 0)));
-                b.pools(now, pools);
+                b.endpointsChanged(
+                        now,
+                        EndpointListKind.CHANGES,
+                        List.of(setup.server((int) (id / 50), EndpointStatus.DRAINING, 0)));
+                b.poolsChanged(now, pools);
             }
         }
         return recorder.take();
@@ -67,18 +70,19 @@
     @Test
     void aFullPoolTurnsAwayItsOwnAndNobodyElses() {
         Balancer b = balancer(12);
-        b.pools(0, Map.of("small", Set.of(name(0)), "rest", Set.of(name(5), name(6), name(7), name(8), name(9))));
+        b.poolsChanged(
+                0, Map.of("small", Set.of(name(0)), "rest", Set.of(name(5), name(6), name(7), name(8), name(9))));
         long id = 0;
         int refused = 0;
         for (int i = 0; i < 30; i++) {
-            b.request(i, held(++id, "small"));
+            b.requestArrived(i, held(++id, "small"));
             refused += recorder.take().get(0).startsWith("refuse") ? 1 : 0;
         }
         assertTrue(refused > 20, "one server takes 4 before it is known: " + refused);
         for (int i = 0; i < 4; i++) {
-            b.request(40, held(++id, "rest"));
+            b.requestArrived(40, held(++id, "rest"));
             assertTrue(List.of(name(5), name(6), name(7), name(8), name(9)).contains(recorder.sentTo()));
-            b.request(40, Setup.request(++id));
+            b.requestArrived(40, Setup.request(++id));
             assertTrue(recorder.sentTo().startsWith("server"));
         }
     }
@@ -86,34 +90,34 @@
     @Test
     void aPoolThatEmptiesWhileOneWaitsHoldsItUntilItIsRoutedAnew() {
         Balancer b = balancer(4);
-        b.pools(0, Map.of("p", Set.of(name(0)), "q", Set.of(name(1))));
-        b.servers(0, ListKind.CHANGES, List.of(setup.server(0, ServerState.DRAINING, 0)));
-        b.request(1, held(1, "p"));
+        b.poolsChanged(0, Map.of("p", Set.of(name(0)), "q", Set.of(name(1))));
+        b.endpointsChanged(0, EndpointListKind.CHANGES, List.of(setup.server(0, EndpointStatus.DRAINING, 0)));
+        b.requestArrived(1, held(1, "p"));
         List<String> lines = recorder.take();
         assertTrue(lines.size() == 1 && lines.get(0).startsWith("timer"), lines.toString());
         long token = Long.parseLong(lines.get(0).split(" ")[2]);
-        b.timer(200_000, token);
+        b.timerFired(200_000, token);
         assertTrue(recorder.take().get(0).startsWith("timer"), "still held, as there is time");
-        assertEquals(0, b.inFavour(200_000, "p"));
-        assertEquals(1, b.inFavour(200_000, "q"));
-        assertEquals(3, b.inFavour(200_000, null));
-        b.route(210_000, 1, "q");
-        b.timer(400_000, token);
+        assertEquals(0, b.eligibleCount(200_000, "p"));
+        assertEquals(1, b.eligibleCount(200_000, "q"));
+        assertEquals(3, b.eligibleCount(200_000, null));
+        b.requestRerouted(210_000, 1, "q");
+        b.timerFired(400_000, token);
         assertEquals(name(1), recorder.sentTo());
     }
 
     @Test
     void aPoolThatIsDroppedAnswersWhoWaitsAndLeavesWhatStands() {
         Balancer b = balancer(4);
-        b.pools(0, Map.of("p", Set.of(name(0))));
-        b.request(1, held(1, "p"));
+        b.poolsChanged(0, Map.of("p", Set.of(name(0))));
+        b.requestArrived(1, held(1, "p"));
         assertEquals(name(0), recorder.sentTo());
-        b.started(2, 1, 0, 10);
-        b.pools(3, Map.of());
+        b.attemptEstablished(2, 1, 0, 10);
+        b.poolsChanged(3, Map.of());
         assertEquals(List.of(), recorder.take(), "what stands is not touched");
-        b.request(4, held(2, "p"));
+        b.requestArrived(4, held(2, "p"));
         String timer = recorder.take().get(0);
-        b.timer(1_700_000, Long.parseLong(timer.split(" ")[2]));
+        b.timerFired(1_700_000, Long.parseLong(timer.split(" ")[2]));
         assertEquals(List.of("refuse 2"), recorder.take(), "and can come again");
         Setup.end(b, 1_800_000, 1, 0, true, Outcome.OK);
         assertEquals(0, b.requestsHeld());
@@ -125,16 +129,16 @@
         setup.groups = true;
         Balancer b = balancer(12);
         Set<String> pool = Set.of(name(1), name(2), name(3), name(4));
-        b.pools(0, Map.of("p", pool));
+        b.poolsChanged(0, Map.of("p", pool));
         Set<String> used = new HashSet<>();
         for (long id = 1; id <= 12; id++) {
-            b.request(id * 1000, held(2 * id, null, "g"));
+            b.requestArrived(id * 1000, held(2 * id, null, "g"));
             recorder.take();
-            b.started(id * 1000, 2 * id, 0, 10);
-            b.delayNote(id * 1000, 2 * id, 5);
-            b.request(id * 1000, held(2 * id + 1, "p", "g"));
+            b.attemptEstablished(id * 1000, 2 * id, 0, 10);
+            b.latencyReported(id * 1000, 2 * id, 5);
+            b.requestArrived(id * 1000, held(2 * id + 1, "p", "g"));
             used.add(recorder.sentTo());
-            b.started(id * 1000, 2 * id + 1, 0, 10);
+            b.attemptEstablished(id * 1000, 2 * id + 1, 0, 10);
         }
         assertTrue(pool.containsAll(used) && used.size() <= 2, used.toString());
     }
@@ -151,13 +155,13 @@
         Balancer[] b = new Balancer[1];
         b[0] = new Balancer(setup.settings(), seed, 0, new DelegateActions(new Recorder()) {
             @Override
-            public void send(long request, String server, long timeoutUs) {
+            public void startAttempt(long requestId, String server, long timeoutUs) {
                 assertTrue(serving.contains(server), server + " does not serve");
-                String pool = heldTo.get(request);
+                String pool = heldTo.get(requestId);
                 assertTrue(
                         pool == null || pools.getOrDefault(pool, Set.of()).contains(server),
                         server + " is not of " + pool);
-                out.put(request, attempts.merge(request, 1, Integer::sum) - 1);
+                out.put(requestId, attempts.merge(requestId, 1, Integer::sum) - 1);
             }
         });
         long now = 0;
@@ -166,14 +170,16 @@
             switch (random.nextInt(8)) {
                 case 0 -> {
                     int i = random.nextInt(10);
-                    ServerState state = ServerState.values()[random.nextInt(5) % 3];
-                    if (state == ServerState.SERVING) {
+                    EndpointStatus state = EndpointStatus.values()[random.nextInt(5) % 3];
+                    if (state == EndpointStatus.SERVING) {
                         serving.add(name(i));
                     } else {
                         serving.remove(name(i));
                     }
-                    b[0].servers(
-                            now, ListKind.CHANGES, List.of(setup.server(i, state, random.nextBoolean() ? now : 0)));
+                    b[0].endpointsChanged(
+                            now,
+                            EndpointListKind.CHANGES,
+                            List.of(setup.server(i, state, random.nextBoolean() ? now : 0)));
                 }
                 case 1 -> {
                     if (random.nextInt(3) == 0) {
@@ -187,15 +193,15 @@
                                 pools.put(p, members);
                             }
                         }
-                        b[0].pools(now, Map.copyOf(pools));
+                        b[0].poolsChanged(now, Map.copyOf(pools));
                     }
                 }
                 case 2, 3 -> {
                     for (Long open : List.copyOf(out.keySet())) {
                         int attempt = out.get(open);
                         if (random.nextInt(3) == 0) {
-                            b[0].started(now, open, attempt, 100);
-                            b[0].delayNote(now, open, random.nextInt(300));
+                            b[0].attemptEstablished(now, open, attempt, 100);
+                            b[0].latencyReported(now, open, random.nextInt(300));
                         } else if (random.nextInt(2) == 0) {
                             out.remove(open);
                             Setup.end(b[0], now, open, attempt, true, Outcome.values()[random.nextInt(8)]);
@@ -207,10 +213,10 @@
                             ? null
                             : List.of("p", "q", "r").get(random.nextInt(3));
                     heldTo.put(id, pool);
-                    b[0].request(now, held(id, pool));
+                    b[0].requestArrived(now, held(id, pool));
                     if (random.nextInt(5) == 0) {
                         heldTo.put(id, "q");
-                        b[0].route(now, id, "q");
+                        b[0].requestRerouted(now, id, "q");
                     }
                 }
             }
