--- a/node/src/test/java/tulipshed/decision/RandomEventsTest.java
+++ b/node/src/test/java/tulipshed/decision/RandomEventsTest.java
@@ -16,10 +16,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import tulipshed.decision.BalancerApi.Effect;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.Idempotency;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.ServerState;
 
 /** Long random sequences of legal events; the rules are checked after each action. */
 class RandomEventsTest {
@@ -40,7 +40,7 @@
         long now = 1;
         long lastId;
 
-        World(long seed, Effect effect) {
+        World(long seed, Idempotency effect) {
             super(new Recorder());
             random = new Random(seed);
             setup.effect = effect;
@@ -49,51 +49,51 @@
         }
 
         @Override
-        public void send(long request, String server, long timeoutUs) {
-            recorder.send(request, server, timeoutUs);
-            assertTrue(open.contains(request), "sent after its answer: " + request);
+        public void startAttempt(long requestId, String server, long timeoutUs) {
+            recorder.startAttempt(requestId, server, timeoutUs);
+            assertTrue(open.contains(requestId), "sent after its answer: " + requestId);
             assertTrue(ready.contains(server), "sent to a server that is not ready: " + server);
-            assertTrue(!outstanding.containsKey(request), "two attempts at once: " + request);
-            if (setup.effect == Effect.ONCE) {
-                assertTrue(!mayHaveRun.getOrDefault(request, false), "effect twice: " + request);
+            assertTrue(!outstanding.containsKey(requestId), "two attempts at once: " + requestId);
+            if (setup.effect == Idempotency.NOT_IDEMPOTENT) {
+                assertTrue(!mayHaveRun.getOrDefault(requestId, false), "effect twice: " + requestId);
             }
-            int attempt = attempts.merge(request, 1, Integer::sum);
+            int attempt = attempts.merge(requestId, 1, Integer::sum);
             assertTrue(attempt <= setup.maxAttempts, "too many attempts");
-            outstanding.put(request, attempt - 1);
-            standing.put(request, false);
+            outstanding.put(requestId, attempt - 1);
+            standing.put(requestId, false);
         }
 
         @Override
-        public void refuse(long request, long retryAfterUs) {
-            recorder.refuse(request, retryAfterUs);
-            answer(request);
-            if (setup.effect == Effect.ONCE) {
-                assertTrue(!mayHaveRun.getOrDefault(request, false), "refused what may have run: " + request);
+        public void reject(long requestId, long retryAfterUs) {
+            recorder.reject(requestId, retryAfterUs);
+            answer(requestId);
+            if (setup.effect == Idempotency.NOT_IDEMPOTENT) {
+                assertTrue(!mayHaveRun.getOrDefault(requestId, false), "refused what may have run: " + requestId);
             }
         }
 
         @Override
-        public void fail(long request) {
-            recorder.fail(request);
-            answer(request);
+        public void fail(long requestId) {
+            recorder.fail(requestId);
+            answer(requestId);
         }
 
         @Override
-        public void move(long request) {
-            recorder.move(request);
-            assertTrue(standing.getOrDefault(request, false), "moved what does not stand");
-            answer(request);
+        public void migrate(long requestId) {
+            recorder.migrate(requestId);
+            assertTrue(standing.getOrDefault(requestId, false), "moved what does not stand");
+            answer(requestId);
         }
 
         @Override
-        public void timer(long afterUs, long token) {
-            recorder.timer(afterUs, token);
+        public void scheduleTimer(long afterUs, long token) {
+            recorder.scheduleTimer(afterUs, token);
             timers.add(new long[] {now + afterUs, token});
         }
 
-        private void answer(long request) {
-            if (!open.remove(request)) {
-                throw new AssertionError("answered twice: " + request);
+        private void answer(long requestId) {
+            if (!open.remove(requestId)) {
+                throw new AssertionError("answered twice: " + requestId);
             }
         }
 
@@ -101,14 +101,14 @@
             now += random.nextInt(20_000);
             for (int i = timers.size() - 1; i >= 0; i--) {
                 if (timers.get(i)[0] <= now) {
-                    balancer.timer(now, timers.remove(i)[1]);
+                    balancer.timerFired(now, timers.remove(i)[1]);
                 }
             }
             switch (random.nextInt(10)) {
                 case 0, 1, 2 -> {
                     long id = ++lastId;
                     open.add(id);
-                    balancer.request(
+                    balancer.requestArrived(
                             now,
                             Setup.request(
                                     id, random.nextInt(2), setup.groups ? "g" + random.nextInt(5) : null, 2 * SECOND));
@@ -117,14 +117,14 @@
                 case 4 -> {
                     Long id = any();
                     if (id != null && open.remove(id)) {
-                        balancer.abandoned(now, id);
+                        balancer.requestCancelled(now, id);
                     }
                 }
                 case 5 -> {
                     Long id = any();
                     if (id != null && standing.get(id)) {
-                        balancer.delayNote(now, id, random.nextInt(400));
-                        balancer.loadNote(now, id, random.nextInt(9000));
+                        balancer.latencyReported(now, id, random.nextInt(400));
+                        balancer.loadReported(now, id, random.nextInt(9000));
                     }
                 }
                 case 6, 7 -> {
@@ -132,7 +132,7 @@
                     if (id != null && !standing.get(id) && open.contains(id)) {
                         standing.put(id, true);
                         mayHaveRun.put(id, true);
-                        balancer.started(now, id, outstanding.get(id), 1 + random.nextInt(50_000));
+                        balancer.attemptEstablished(now, id, outstanding.get(id), 1 + random.nextInt(50_000));
                     }
                 }
                 default -> {
@@ -169,20 +169,21 @@
 
         private void list() {
             int i = random.nextInt(12);
-            ServerState state = ServerState.values()[random.nextInt(5) % 3];
-            if (state == ServerState.SERVING) {
+            EndpointStatus state = EndpointStatus.values()[random.nextInt(5) % 3];
+            if (state == EndpointStatus.SERVING) {
                 ready.add(Setup.name(i));
             } else {
                 ready.remove(Setup.name(i));
             }
-            balancer.servers(now, ListKind.CHANGES, List.of(setup.server(i, state, random.nextBoolean() ? now : 0)));
+            balancer.endpointsChanged(
+                    now, EndpointListKind.CHANGES, List.of(setup.server(i, state, random.nextBoolean() ? now : 0)));
         }
 
         /** Ends all that is open, long after; whatever was held must have been answered by then. */
         void settle() {
             now += 10 * SECOND;
             while (!timers.isEmpty()) {
-                balancer.timer(now, timers.remove(0)[1]);
+                balancer.timerFired(now, timers.remove(0)[1]);
             }
             while (!outstanding.isEmpty()) {
                 finish(outstanding.keySet().iterator().next());
@@ -191,8 +192,8 @@
     }
 
     @ParameterizedTest
-    @EnumSource(Effect.class)
-    void theRulesHoldUnderAnyOrderOfEvents(Effect effect) {
+    @EnumSource(Idempotency.class)
+    void theRulesHoldUnderAnyOrderOfEvents(Idempotency effect) {
         for (long seed = 0; seed < 20; seed++) {
             World world = new World(seed, effect);
             for (int i = 0; i < 4000; i++) {
@@ -207,15 +208,15 @@
 
     @Test
     void theChecksCanFail() {
-        World world = new World(1, Effect.ONCE);
+        World world = new World(1, Idempotency.NOT_IDEMPOTENT);
         world.open.add(1L);
         world.ready.add("s");
-        world.send(1, "s", 0);
+        world.startAttempt(1, "s", 0);
         for (Runnable wrong : List.<Runnable>of(
-                () -> world.send(1, "s", 0),
-                () -> world.send(2, "s", 0),
-                () -> world.refuse(3, 0),
-                () -> world.move(1))) {
+                () -> world.startAttempt(1, "s", 0),
+                () -> world.startAttempt(2, "s", 0),
+                () -> world.reject(3, 0),
+                () -> world.migrate(1))) {
             try {
                 wrong.run();
             } catch (AssertionError seen) {
@@ -245,7 +246,7 @@
             long now = id * 5000;
             Setup.round(b, now, id);
             if (id % 11 == 0) {
-                b.delayNote(now, id - 1, 180);
+                b.latencyReported(now, id - 1, 180);
             }
         }
         return recorder.take();
--- a/node/src/test/java/tulipshed/decision/Recorder.java
+++ b/node/src/test/java/tulipshed/decision/Recorder.java
@@ -8,47 +8,47 @@
     final List<String> lines = new ArrayList<>();
 
     @Override
-    public void send(long request, String server, long timeoutUs) {
-        lines.add("send " + request + " " + server);
+    public void startAttempt(long requestId, String server, long timeoutUs) {
+        lines.add("send " + requestId + " " + server);
     }
 
     @Override
-    public void cancel(long request, int attempt) {
-        lines.add("cancel " + request + " " + attempt);
+    public void cancelAttempt(long requestId, int attempt) {
+        lines.add("cancel " + requestId + " " + attempt);
     }
 
     @Override
-    public void refuse(long request, long retryAfterUs) {
-        lines.add("refuse " + request);
+    public void reject(long requestId, long retryAfterUs) {
+        lines.add("refuse " + requestId);
     }
 
     @Override
-    public void fail(long request) {
-        lines.add("fail " + request);
+    public void fail(long requestId) {
+        lines.add("fail " + requestId);
     }
 
     @Override
-    public void move(long request) {
-        lines.add("move " + request);
+    public void migrate(long requestId) {
+        lines.add("move " + requestId);
     }
 
     @Override
-    public void timer(long afterUs, long token) {
+    public void scheduleTimer(long afterUs, long token) {
         lines.add("timer " + afterUs + " " + token);
     }
 
     @Override
-    public void probe(String server) {
+    public void startHealthCheck(String server) {
         lines.add("probe " + server);
     }
 
     @Override
-    public void tell(int peer, byte[] body) {
+    public void sendToPeer(int peer, byte[] body) {
         lines.add("tell " + peer + " " + body.length);
     }
 
     @Override
-    public void watchList() {
+    public void watchEndpoints() {
         lines.add("watch");
     }
 
--- a/node/src/test/java/tulipshed/decision/Setup.java
+++ b/node/src/test/java/tulipshed/decision/Setup.java
@@ -2,28 +2,28 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import tulipshed.decision.BalancerApi.Effect;
-import tulipshed.decision.BalancerApi.Limits;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.DeduplicationScope;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.Idempotency;
+import tulipshed.decision.BalancerApi.LoadReport;
+import tulipshed.decision.BalancerApi.LoadReportSource;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Prices;
-import tulipshed.decision.BalancerApi.RepeatGroup;
-import tulipshed.decision.BalancerApi.Report;
-import tulipshed.decision.BalancerApi.Reports;
+import tulipshed.decision.BalancerApi.ProtocolRules;
 import tulipshed.decision.BalancerApi.RequestClass;
-import tulipshed.decision.BalancerApi.Rules;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.decision.BalancerApi.SiteLimits;
 import tulipshed.decision.BalancerApi.Tenant;
-import tulipshed.decision.BalancerApi.Weights;
+import tulipshed.decision.BalancerApi.WeightSemantics;
 
 /** Settings and events for tests of the module alone; a builder whose defaults are plain. */
 final class Setup {
     static final long SECOND = 1_000_000;
-    Effect effect = Effect.REPEATABLE;
-    RepeatGroup group = RepeatGroup.ALL;
+    Idempotency effect = Idempotency.IDEMPOTENT;
+    DeduplicationScope group = DeduplicationScope.ALL;
     int balancers = 1;
     int maxAttempts = 4;
     boolean asked;
@@ -33,8 +33,8 @@
     String prefix = "";
     int tenants = 2;
     double quotaConnections;
-    Reports reports = Reports.NONE;
-    Weights weights = Weights.SIZE;
+    LoadReportSource reports = LoadReportSource.NONE;
+    WeightSemantics weights = WeightSemantics.SIZE;
     Prices prices = new Prices(0, 0, 0, 0, 0);
     boolean probes;
 
@@ -52,8 +52,8 @@
                 groups,
                 weights,
                 reports,
-                new Limits(maxAttempts, 1_500_000, cancel, probes, false, true, 250_000, 10 * SECOND, 1),
-                new Rules(500_000, 10 * SECOND, 0.25, 8 * SECOND, 3, 2 * SECOND),
+                new SiteLimits(maxAttempts, 1_500_000, cancel, probes, false, true, 250_000, 10 * SECOND, 1),
+                new ProtocolRules(500_000, 10 * SECOND, 0.25, 8 * SECOND, 3, 2 * SECOND),
                 prices,
                 List.of(new RequestClass(
                         prefix + "class0", 500_000, 2 * SECOND, 1, effect, group, 5 * SECOND, 100_000)),
@@ -64,12 +64,12 @@
         return new Balancer(settings(), seed, 0, recorder);
     }
 
-    ServerEntry server(int i) {
-        return server(i, ServerState.SERVING, 0);
+    EndpointInfo server(int i) {
+        return server(i, EndpointStatus.SERVING, 0);
     }
 
-    ServerEntry server(int i, ServerState state, long startedUs) {
-        return new ServerEntry(name(i), state, prefix + "zone" + i % 2, i / 2, prefix + "kind" + i % 2, 1, startedUs);
+    EndpointInfo server(int i, EndpointStatus state, long startedUs) {
+        return new EndpointInfo(name(i), state, prefix + "zone" + i % 2, i / 2, prefix + "kind" + i % 2, 1, startedUs);
     }
 
     static String name(int i) {
@@ -77,11 +77,11 @@
     }
 
     void list(Balancer b, long now, int servers) {
-        List<ServerEntry> entries = new ArrayList<>();
+        List<EndpointInfo> entries = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
             entries.add(server(i));
         }
-        b.servers(now, ListKind.REMEMBERED, entries);
+        b.endpointsChanged(now, EndpointListKind.CACHED, entries);
     }
 
     static NewRequest request(long id) {
@@ -94,15 +94,15 @@
 
     /** One request, of one of seven groups and two tenants, and what becomes of it: each fifth is reset. */
     static void round(Balancer b, long now, long id) {
-        b.request(now, request(id, (int) id % 2, "g" + id % 7, 2 * SECOND));
+        b.requestArrived(now, request(id, (int) id % 2, "g" + id % 7, 2 * SECOND));
         if (id % 5 == 0) {
             end(b, now, id, 0, false, Outcome.RESET);
         } else {
-            b.started(now, id, 0, id % 13 * 1000);
+            b.attemptEstablished(now, id, 0, id % 13 * 1000);
         }
     }
 
     static void end(Balancer b, long now, long id, int attempt, boolean concluded, Outcome outcome) {
-        b.finished(now, id, attempt, concluded, outcome, Report.NONE);
+        b.attemptEnded(now, id, attempt, concluded, outcome, LoadReport.NONE);
     }
 }
--- a/node/src/test/java/tulipshed/decision/ShedsTest.java
+++ b/node/src/test/java/tulipshed/decision/ShedsTest.java
@@ -9,10 +9,10 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.ServerState;
 
 /** What members drop comes again: refused by chance where a node's counts tell it nothing else. */
 class ShedsTest {
@@ -25,7 +25,7 @@
         Balancer b = setup.balancer(recorder, 1);
         setup.list(b, 0, 30);
         for (int i = 0; i < connections; i++) {
-            b.alreadyOpen(0, request(1000 + i), name(i % 30));
+            b.connectionAdopted(0, request(1000 + i), name(i % 30));
         }
         return b;
     }
@@ -35,11 +35,11 @@
         recorder.take();
         int refused = 0;
         for (long id = 1; id <= ASKED; id++) {
-            b.request(now, new NewRequest(id, 0, 0, "k" + id, null, 2 * SECOND, 0, false, false, returning));
+            b.requestArrived(now, new NewRequest(id, 0, 0, "k" + id, null, 2 * SECOND, 0, false, false, returning));
             List<String> said = recorder.take();
             refused += said.get(0).startsWith("refuse") ? 1 : 0;
             if (said.get(0).startsWith("send")) {
-                b.started(now, id, 0, 1000);
+                b.attemptEstablished(now, id, 0, 1000);
                 end(b, now, id, 0, true, Outcome.OK);
             }
         }
@@ -71,7 +71,7 @@
     @Test
     void whatADrainedMemberCutsOffAtItsEndIsNoNewsOfCrowding() {
         Balancer b = holding(3);
-        b.servers(SECOND, ListKind.CHANGES, List.of(setup.server(0, ServerState.DRAINING, 0)));
+        b.endpointsChanged(SECOND, EndpointListKind.CHANGES, List.of(setup.server(0, EndpointStatus.DRAINING, 0)));
         end(b, 2 * SECOND, 1000, 0, true, Outcome.RESET);
         assertEquals(0, refused(b, 2 * SECOND, true));
     }
--- a/node/src/test/java/tulipshed/discovery/DiscoveryParserTest.java
+++ b/node/src/test/java/tulipshed/discovery/DiscoveryParserTest.java
@@ -11,8 +11,8 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import tulipshed.config.JsonValues;
-import tulipshed.config.MalformedInput;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.config.MalformedInputException;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.testing.Cuts;
 
 class DiscoveryParserTest {
@@ -31,36 +31,36 @@
 
     @Property(tries = 300, seed = "21")
     void cutsDoNotChangeAnAnswer(@ForAll boolean chunked, @ForAll long seed) {
-        HttpAnswer answer = new HttpAnswer(200, 1000);
+        HttpResponseParser answer = new HttpResponseParser(200, 1000);
         Cuts.feed(answer(chunked), seed, answer::take);
         assertTrue(answer.take(java.nio.ByteBuffer.allocate(0)));
         assertEquals(200, answer.status());
         assertEquals(LIST, new String(answer.body(), StandardCharsets.ISO_8859_1));
-        MemberList list = MemberList.read(JsonValues.object(answer.body()));
+        EndpointListUpdate list = EndpointListUpdate.read(JsonValues.object(answer.body()));
         assertEquals(43, list.version());
-        assertEquals(ServerState.DRAINING, list.members().get(0).entry().state());
-        assertEquals(5_000, list.members().get(0).entry().startedUs());
+        assertEquals(EndpointStatus.DRAINING, list.entries().get(0).info().status());
+        assertEquals(5_000, list.entries().get(0).info().startedUs());
     }
 
     @Property(tries = 500, seed = "22")
     void aSpoiltAnswerIsReadOrCalledBadAndNothingElse(@ForAll boolean chunked, @ForAll long seed) {
-        HttpAnswer answer = new HttpAnswer(200, 1000);
+        HttpResponseParser answer = new HttpResponseParser(200, 1000);
         try {
             Cuts.feed(Cuts.spoil(answer(chunked), seed), seed, answer::take);
             if (answer.end()) {
-                MemberList.read(JsonValues.object(answer.body()));
+                EndpointListUpdate.read(JsonValues.object(answer.body()));
             }
-        } catch (HttpAnswer.BadAnswer | MalformedInput expected) {
+        } catch (HttpResponseParser.MalformedResponseException | MalformedInputException expected) {
             assertFalse(expected.getMessage().isEmpty());
         }
     }
 
     @Property(tries = 300, seed = "23")
     void garbageStaysBounded(@ForAll @Size(max = 600) byte[] garbage, @ForAll long seed) {
-        HttpAnswer answer = new HttpAnswer(50, 100);
+        HttpResponseParser answer = new HttpResponseParser(50, 100);
         try {
             Cuts.feed(garbage, seed, answer::take);
-        } catch (HttpAnswer.BadAnswer expected) {
+        } catch (HttpResponseParser.MalformedResponseException expected) {
             assertFalse(expected.getMessage().isEmpty());
         }
         assertTrue(answer.body().length <= 100);
@@ -69,6 +69,6 @@
     @Test
     void anEntryWithoutItsIdIsRefused() {
         byte[] json = LIST.replace("\"id\":\"s-5b\",", "").getBytes(StandardCharsets.ISO_8859_1);
-        assertThrows(MalformedInput.class, () -> MemberList.read(JsonValues.object(json)));
+        assertThrows(MalformedInputException.class, () -> EndpointListUpdate.read(JsonValues.object(json)));
     }
 }
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/WatchTest.java
@@ -22,20 +22,20 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.Backlog;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** The watch against a stand-in discovery that answers as each test says. */
 class WatchTest {
     private static final String ENTRY = "{\"id\":\"s-5\",\"addr\":\"127.0.0.1:9\",\"state\":\"SERVING\"}";
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
-    private XnioLoop loop;
+    private XnioEventLoop loop;
     private ServerSocket discovery;
-    private Watch watch;
-    private TransactionCore core;
+    private EndpointWatch watch;
+    private ProxyCore core;
 
     @BeforeEach
     void start() throws IOException {
@@ -43,9 +43,9 @@
         Limits limits = Limits.forDescriptors(1024);
         discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         discovery.setSoTimeout(5000);
-        loop = new XnioLoop(limits);
-        loop.afterGathering(() -> {
-            core = new TransactionCore(
+        loop = new XnioEventLoop(limits);
+        loop.execute(() -> {
+            core = new ProxyCore(
                     new SystemClock(),
                     limits,
                     config.settings(),
@@ -54,11 +54,12 @@
                     l -> {},
                     (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                         @Override
-                        public void servers(long at, ListKind kind, List<ServerEntry> entries) {
+                        public void endpointsChanged(long at, EndpointListKind kind, List<EndpointInfo> entries) {
                             told.add(kind + " " + entries.size());
                         }
                     });
-            watch = new Watch((InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> {});
+            watch = new EndpointWatch(
+                    (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> {});
             watch.watch();
         });
     }
@@ -75,7 +76,7 @@
     void anAgentIsWatchedByItselfAndAskedAgainAfterEachFailure() throws Exception {
         nextCall().close();
         assertEquals("FAILED 0", news());
-        loop.afterGathering(() -> watch.pushed(true));
+        loop.execute(() -> watch.setPushed(true));
         // It resets, ends without an answer, answers with an error, and says nothing at all.
         try (Socket socket = nextCall()) {
             assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait=1000 "));
@@ -108,7 +109,7 @@
     void anAgentThatHasNothingNewIsNotAskedInALoop() throws Exception {
         nextCall().close();
         assertEquals("FAILED 0", news());
-        loop.afterGathering(() -> watch.pushed(true));
+        loop.execute(() -> watch.setPushed(true));
         try (Socket socket = nextCall()) {
             call(socket);
             long began = System.nanoTime();
@@ -172,7 +173,7 @@
             answer(socket, "503 Service Unavailable", "");
             assertEquals("FAILED 0", news());
         }
-        loop.afterGathering(watch::catchUp);
+        loop.execute(watch::catchUp);
         try (Socket socket = discovery.accept()) {
             assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait=0 "));
             answer(socket, "200 OK", list(42, false));
@@ -186,10 +187,10 @@
     void aWatchThatIsStoppedHangsUpAndAsksNothingMore() throws Exception {
         try (Socket socket = discovery.accept()) {
             call(socket);
-            loop.afterGathering(watch::stop);
-            loop.afterGathering(watch::watch);
+            loop.execute(watch::stop);
+            loop.execute(watch::watch);
             assertEquals(-1, socket.getInputStream().read());
-            loop.afterGathering(() -> told.add("open " + watch.open()));
+            loop.execute(() -> told.add("open " + watch.isConnected()));
             assertEquals("open false", news(), "and no failure is told");
         }
     }
@@ -204,7 +205,7 @@
                 assertEquals("FAILED 0", news(), wrong);
                 assertEquals(-1, socket.getInputStream().read(), "hung up without another call");
             }
-            loop.afterGathering(watch::watch);
+            loop.execute(watch::watch);
         }
         try (Socket socket = discovery.accept()) {
             call(socket);
@@ -236,8 +237,8 @@
             elsewhere.setSoTimeout(5000);
             call(old);
             InetSocketAddress to = (InetSocketAddress) elsewhere.getLocalSocketAddress();
-            loop.afterGathering(() -> watch.move(to));
-            loop.afterGathering(() -> watch.move(to));
+            loop.execute(() -> watch.setDiscoveryAddress(to));
+            loop.execute(() -> watch.setDiscoveryAddress(to));
             try (Socket now = elsewhere.accept()) {
                 assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
                 answer(old, "200 OK", list(99, true));
@@ -258,13 +259,13 @@
             answer(old, "503 Service Unavailable", "");
             assertEquals("FAILED 0", news());
             elsewhere.setSoTimeout(5000);
-            loop.afterGathering(() -> watch.move((InetSocketAddress) elsewhere.getLocalSocketAddress()));
+            loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) elsewhere.getLocalSocketAddress()));
             try (Socket now = elsewhere.accept()) {
                 assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
                 answer(now, "503 Service Unavailable", "");
                 assertEquals("FAILED 0", news());
             }
-            loop.afterGathering(watch::watch);
+            loop.execute(watch::watch);
             try (Socket now = elsewhere.accept()) {
                 assertEquals("GET /discovery/hosts HTTP/1.1", call(now), "still the whole list");
             }
@@ -276,7 +277,7 @@
     private static final Limits.Discovery USUAL = Limits.forDescriptors(1024).discovery();
 
     /** A watch whose calls may take for ever but for these steps. */
-    private Watch impatient(double dialMs, double watchWaitMs, double watchSilenceMs, double answerMs)
+    private EndpointWatch impatient(double dialMs, double watchWaitMs, double watchSilenceMs, double answerMs)
             throws Exception {
         return replaced(Limits.forDescriptors(1024)
                 .with(new Limits.Discovery(
@@ -287,20 +288,21 @@
                         watchSilenceMs,
                         answerMs,
                         USUAL.agentWaitMs(),
-                        USUAL.agentSilenceMs(),
-                        USUAL.agentRetryMs(),
-                        USUAL.agentPaceMs())));
+                        USUAL.agentTimeoutMs(),
+                        USUAL.agentRetryDelayMs(),
+                        USUAL.agentPollIntervalMs())));
     }
 
-    private Watch replaced(Limits limits) throws Exception {
+    private EndpointWatch replaced(Limits limits) throws Exception {
         try (Socket first = nextCall()) {
             call(first);
-            loop.afterGathering(watch::stop);
+            loop.execute(watch::stop);
             assertEquals(-1, first.getInputStream().read());
         }
-        BlockingQueue<Watch> made = new LinkedBlockingQueue<>();
-        loop.afterGathering(() -> {
-            watch = new Watch((InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> {});
+        BlockingQueue<EndpointWatch> made = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            watch = new EndpointWatch(
+                    (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> {});
             made.add(watch);
             watch.watch();
         });
@@ -334,7 +336,7 @@
             call(anew);
             assertEquals("FAILED 0", news());
             assertEquals(-1, anew.getInputStream().read(), "hung up");
-            loop.afterGathering(() -> told.add("open " + watch.open()));
+            loop.execute(() -> told.add("open " + watch.isConnected()));
             assertEquals("open false", news(), "and not asked again");
         }
     }
@@ -342,11 +344,11 @@
     /** The whole call's time was the only one: a dial that hangs was noticed after 12 s. */
     @Test
     void aDialThatHangsIsGivenUpInItsOwnTime() throws Exception {
-        Watch watch = impatient(200, 60_000, 60_000, 60_000);
+        EndpointWatch watch = impatient(200, 60_000, 60_000, 60_000);
         try (Socket out = nextCall();
                 ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             List<Socket> waiting = Backlog.fill(full);
-            loop.afterGathering(() -> watch.move((InetSocketAddress) full.getLocalSocketAddress()));
+            loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) full.getLocalSocketAddress()));
             assertEquals("FAILED 0", news());
             for (Socket s : waiting) {
                 s.close();
@@ -390,14 +392,17 @@
     @Test
     void theTimesOfItsStepsFitIntoSixSeconds() {
         assertTrue(
-                USUAL.watchWaitMs() + USUAL.watchSilenceMs() + 2_000 <= 6_000,
+                USUAL.watchWaitMs() + USUAL.watchTimeoutMs() + 2_000 <= 6_000,
                 "reset or refused just before it is silent");
         assertTrue(
-                USUAL.watchWaitMs() + USUAL.watchSilenceMs() + USUAL.dialMs() + USUAL.watchSilenceMs() <= 6_000,
+                USUAL.watchWaitMs() + USUAL.watchTimeoutMs() + USUAL.connectTimeoutMs() + USUAL.watchTimeoutMs()
+                        <= 6_000,
                 "silent");
-        assertTrue(USUAL.dialMs() + 2_000 + USUAL.dialMs() + USUAL.watchSilenceMs() <= 6_000, "a dial that hangs");
         assertTrue(
-                USUAL.watchSilenceMs() + USUAL.answerMs() + 2_000 + USUAL.watchSilenceMs() <= 6_000,
+                USUAL.connectTimeoutMs() + 2_000 + USUAL.connectTimeoutMs() + USUAL.watchTimeoutMs() <= 6_000,
+                "a dial that hangs");
+        assertTrue(
+                USUAL.watchTimeoutMs() + USUAL.responseTimeoutMs() + 2_000 + USUAL.watchTimeoutMs() <= 6_000,
                 "drips from late on");
     }
 
@@ -406,7 +411,7 @@
     void catchingUpDoesNotWaitForACallThatIsOut() throws Exception {
         try (Socket out = nextCall()) {
             call(out);
-            loop.afterGathering(watch::catchUp);
+            loop.execute(watch::catchUp);
             try (Socket now = nextCall()) {
                 assertTrue(call(now).startsWith("GET /discovery/hosts?index=41&wait=0 "));
                 assertEquals(-1, out.getInputStream().read(), "given up for it");
@@ -434,9 +439,9 @@
         try (Socket socket = nextCall();
                 ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             call(socket);
-            loop.afterGathering(watch::stop);
-            loop.afterGathering(() -> watch.move((InetSocketAddress) elsewhere.getLocalSocketAddress()));
-            loop.afterGathering(() -> told.add("open " + watch.open()));
+            loop.execute(watch::stop);
+            loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) elsewhere.getLocalSocketAddress()));
+            loop.execute(() -> told.add("open " + watch.isConnected()));
             assertEquals("open false", news());
         }
     }
@@ -450,14 +455,14 @@
             call(old);
             java.util.concurrent.CountDownLatch held = new java.util.concurrent.CountDownLatch(1);
             java.util.concurrent.CountDownLatch written = new java.util.concurrent.CountDownLatch(1);
-            loop.afterGathering(() -> {
+            loop.execute(() -> {
                 held.countDown();
                 try {
                     assertTrue(written.await(5, TimeUnit.SECONDS));
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
-                watch.move((InetSocketAddress) elsewhere.getLocalSocketAddress());
+                watch.setDiscoveryAddress((InetSocketAddress) elsewhere.getLocalSocketAddress());
             });
             assertTrue(held.await(5, TimeUnit.SECONDS));
             answer(old, "200 OK", list(99, true));
--- a/node/src/test/java/tulipshed/lineprotocol/CrossingsTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/CrossingsTest.java
@@ -13,9 +13,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.limits.Limits;
 
 /**
@@ -38,7 +38,7 @@
 
     /** Holds the loop in a task of its own, and then does this at once, with nothing heard in between. */
     private void holdAndThen(Runnable decision) {
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             hold();
             try {
                 decision.run();
@@ -146,8 +146,9 @@
     @ValueSource(strings = {"FIN", "RST"})
     void aClientThatLeftWhileNoMemberServedIsNotSentOn(String how) throws Exception {
         CountDownLatch drained = new CountDownLatch(1);
-        loop.afterGathering(() -> {
-            core.members(ListKind.CHANGES, java.util.List.of(listed("s-1", ServerState.DRAINING, member)));
+        loop.execute(() -> {
+            core.endpointsChanged(
+                    EndpointListKind.CHANGES, java.util.List.of(listed("s-1", EndpointStatus.DRAINING, member)));
             drained.countDown();
         });
         await(drained);
@@ -156,8 +157,8 @@
         End client = client();
         client.say(OPEN);
         await(arrived);
-        holdAndThen(
-                () -> core.members(ListKind.CHANGES, java.util.List.of(listed("s-1", ServerState.SERVING, member))));
+        holdAndThen(() -> core.endpointsChanged(
+                EndpointListKind.CHANGES, java.util.List.of(listed("s-1", EndpointStatus.SERVING, member))));
         leave(client, how);
         happenedAndDecided();
         nothingWasSentBefore();
@@ -167,7 +168,7 @@
     @ValueSource(strings = {"FIN", "RST"})
     void aClientThatLeavesWhileTheConnectionIsMadeIsNotSentOn(String how) throws Exception {
         // After the turn that dials, and before the loop hears that the connection is up.
-        atArrival = () -> loop.afterGathering(this::hold);
+        atArrival = () -> loop.execute(this::hold);
         End client = client();
         client.say(OPEN);
         await(reached);
@@ -181,9 +182,10 @@
 
     @Test
     void aMemberThatBeginsToDrainWhileTheConnectionIsMadeIsSentNothing() throws Exception {
-        atArrival = () -> loop.afterGathering(() -> {
+        atArrival = () -> loop.execute(() -> {
             hold();
-            core.members(ListKind.CHANGES, java.util.List.of(listed("s-1", ServerState.DRAINING, member)));
+            core.endpointsChanged(
+                    EndpointListKind.CHANGES, java.util.List.of(listed("s-1", EndpointStatus.DRAINING, member)));
         });
         try (End client = client()) {
             client.say(OPEN);
@@ -226,7 +228,7 @@
         try (End client = client()) {
             client.say("PING\r\n");
             assertEquals("PONG", client.hear());
-            holdAndThen(() -> front.turnAway());
+            holdAndThen(() -> front.rejectWaitingClients());
             client.say(OPEN);
             happenedAndDecided();
             servedAs(client);
@@ -247,7 +249,7 @@
      */
     private void assertEnded(End client) throws Exception {
         CountDownLatch closed = new CountDownLatch(1);
-        loop.afterGathering(closed::countDown);
+        loop.execute(closed::countDown);
         await(closed);
         assertNull(client.hear());
         client.say("and still no reset\r\n");
@@ -298,8 +300,8 @@
                 s.readsAtOnce(),
                 s.acceptsAtOnce(),
                 lingerMs,
-                s.sweepMs(),
-                s.noRoomRetryMs())));
+                s.sweepIntervalMs(),
+                s.overloadRetryAfterMs())));
         try (End client = client()) {
             client.say("frob\r\n");
             assertEquals("ERR", client.hear());
@@ -324,7 +326,7 @@
             client.say("PING\r\n");
             assertEquals("PONG", client.hear());
             holdAndThen(() -> {
-                front.turnAway();
+                front.rejectWaitingClients();
                 assertFalse(front.unserved.opening().iterator().hasNext());
             });
             happenedAndDecided();
@@ -344,7 +346,7 @@
                 server.hear();
                 server.say("UP r1\r\n");
                 assertEquals("UP r1", client.hear());
-                holdAndThen(() -> core.moveOne());
+                holdAndThen(() -> core.migrateOldest());
                 server.say("M 1 who");
                 happenedAndDecided();
                 assertEquals("MOVE", client.hear());
--- a/node/src/test/java/tulipshed/lineprotocol/DescriptionTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/DescriptionTest.java
@@ -43,9 +43,9 @@
             String line = (String) example;
             assertTrue(line.matches((String) at(payload, "pattern")), line);
             NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-            OpeningLine read = OpeningLine.parse(
-                    line.getBytes(StandardCharsets.US_ASCII), config.names(), Declarations.NONE, 60_000);
-            assertEquals(line, new String(read.onward(read.arrival().waitMs()), StandardCharsets.US_ASCII));
+            OpenCommand read = OpenCommand.parse(
+                    line.getBytes(StandardCharsets.US_ASCII), config.nameIndex(), Declarations.NONE, 60_000);
+            assertEquals(line, new String(read.onward(read.arrival().timeoutMs()), StandardCharsets.US_ASCII));
         }
     }
 
--- a/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
@@ -22,15 +22,15 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.EndpointListEntry;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.ListedMember;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** The platform's front with the real core and module, between plain sockets on loopback. */
 abstract class LineFrontBench {
@@ -38,11 +38,11 @@
     final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
     final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
     final BlockingQueue<BalancerApi.Outcome> ends = new LinkedBlockingQueue<>();
-    final BlockingQueue<BalancerApi.Report> reports = new LinkedBlockingQueue<>();
+    final BlockingQueue<BalancerApi.LoadReport> reports = new LinkedBlockingQueue<>();
     final List<String> log = new CopyOnWriteArrayList<>();
-    XnioLoop loop;
-    TransactionCore core;
-    LineFront front;
+    XnioEventLoop loop;
+    ProxyCore core;
+    LineProtocolFrontend front;
     ServerSocket member;
     /** Listed from {@link #listSecond} on. */
     ServerSocket second;
@@ -93,15 +93,15 @@
                 file, Files.readString(Path.of("src/test/resources/node.json")).replace(some, others));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
         Files.delete(file);
-        loop = new XnioLoop(limits);
+        loop = new XnioEventLoop(limits);
         member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         second = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         // A member that is not asked fails its test, and does not hold it for ever.
         member.setSoTimeout(10_000);
         second.setSoTimeout(10_000);
         BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
-        loop.afterGathering(() -> {
-            core = new TransactionCore(
+        loop.execute(() -> {
+            core = new ProxyCore(
                     new SystemClock(),
                     limits,
                     config.settings(),
@@ -109,14 +109,14 @@
                     loop,
                     l -> {},
                     (settings, seed, now, actions) -> new Noting(new Balancer(settings, seed, now, actions)));
-            core.members(ListKind.COMPLETE, List.of(listed("s-1", ServerState.SERVING, member)));
-            front = new LineFront(
-                    new SystemClock(), limits, config.names(), config.loadTellsDelay(), loop, core, log::add);
+            core.endpointsChanged(EndpointListKind.COMPLETE, List.of(listed("s-1", EndpointStatus.SERVING, member)));
+            front = new LineProtocolFrontend(
+                    new SystemClock(), limits, config.nameIndex(), config.loadReportsLatency(), loop, core, log::add);
             try {
                 listening.add(loop.listen(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                                 limits.clientConnections(),
-                                front::accepted)
+                                front::accept)
                         .address());
             } catch (IOException e) {
                 throw new IllegalStateException(e);
@@ -125,16 +125,16 @@
         node = listening.poll(10, TimeUnit.SECONDS);
     }
 
-    static ListedMember listed(String id, ServerState state, ServerSocket at) {
-        return new ListedMember(
-                new ServerEntry(id, state, "decin", 0, "std-2c", 1, 0), (InetSocketAddress) at.getLocalSocketAddress());
+    static EndpointListEntry listed(String id, EndpointStatus state, ServerSocket at) {
+        return new EndpointListEntry(new EndpointInfo(id, state, "decin", 0, "std-2c", 1, 0), (InetSocketAddress)
+                at.getLocalSocketAddress());
     }
 
     /** The second member serves too. */
     void listSecond() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
-        loop.afterGathering(() -> {
-            core.members(ListKind.CHANGES, List.of(listed("s-2", ServerState.SERVING, second)));
+        loop.execute(() -> {
+            core.endpointsChanged(EndpointListKind.CHANGES, List.of(listed("s-2", EndpointStatus.SERVING, second)));
             told.countDown();
         });
         await(told);
@@ -159,26 +159,27 @@
         }
 
         @Override
-        public void request(long now, NewRequest request) {
+        public void requestArrived(long now, NewRequest request) {
             atArrival.run();
-            super.request(now, request);
+            super.requestArrived(now, request);
         }
 
         @Override
-        public void delayNote(long now, long request, double delayMs) {
+        public void latencyReported(long now, long requestId, double delayMs) {
             delays.add(delayMs);
         }
 
         @Override
-        public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
+        public void attemptEnded(
+                long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
             atEnd.run();
             ends.add(outcome);
             reports.add(report);
-            super.finished(now, request, attempt, concluded, outcome, report);
+            super.attemptEnded(now, requestId, attempt, concluded, outcome, report);
         }
 
         @Override
-        public void loadNote(long now, long request, double loadUsPerS) {
+        public void loadReported(long now, long requestId, double loadUsPerS) {
             loads.add(loadUsPerS);
         }
     }
--- a/node/src/test/java/tulipshed/lineprotocol/LineFrontTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import tulipshed.decision.BalancerApi;
 import tulipshed.limits.Limits;
-import tulipshed.transport.DatagramPort;
+import tulipshed.transport.UdpSocket;
 
 /** The platform's front: what each side hears of the other. */
 class LineFrontTest extends LineFrontBench {
@@ -103,7 +103,7 @@
                 server.say(said.replace("|", "\r\n") + "\r\n");
                 server.socket.shutdownOutput();
                 assertEquals(outcome, ends.poll(5, TimeUnit.SECONDS));
-                BalancerApi.Report report = reports.poll(5, TimeUnit.SECONDS);
+                BalancerApi.LoadReport report = reports.poll(5, TimeUnit.SECONDS);
                 assertEquals(queue, report.queue());
                 assertEquals(cpu, report.cpu());
             }
@@ -116,7 +116,7 @@
             client.say(OPEN);
             try (End server = taken()) {
                 server.say("BUSY queue=9\r\n");
-                assertEquals(BalancerApi.Report.NONE, reports.poll(5, TimeUnit.SECONDS));
+                assertEquals(BalancerApi.LoadReport.NONE, reports.poll(5, TimeUnit.SECONDS));
             }
         }
     }
@@ -281,7 +281,7 @@
     void pingsAreAnsweredUpToABound() throws IOException {
         try (End client = client()) {
             client.say("PING\r\n".repeat(100_000));
-            for (int i = 0; i < Limits.forDescriptors(1024).lines().pings(); i++) {
+            for (int i = 0; i < Limits.forDescriptors(1024).lineProtocol().pings(); i++) {
                 assertEquals("PONG", client.hear());
             }
             assertEquals("ERR", client.hear());
@@ -336,7 +336,7 @@
                 assertEquals("ERR", client.hear());
             }
         }
-        Thread.sleep(2 * (long) Limits.forDescriptors(1024).sockets().sweepMs());
+        Thread.sleep(2 * (long) Limits.forDescriptors(1024).sockets().sweepIntervalMs());
         assertTrue(log.size() >= 1 && log.size() <= 2, log.toString());
         assertTrue(log.get(0).startsWith("clients turned away for what they sent: "), log.toString());
         assertTrue(log.stream().noneMatch(l -> l.contains("forged")), log.toString());
@@ -347,14 +347,14 @@
     void aFlowWithoutADescriptorIsTurnedAwayAndNotCountedAgainstTheMember() throws Exception {
         stop();
         start(Limits.forDescriptors(40));
-        List<DatagramPort> ports = new ArrayList<>();
+        List<UdpSocket> ports = new ArrayList<>();
         try (End client = client()) {
             client.say("PING\r\n");
             assertEquals("PONG", client.hear());
-            loop.afterGathering(() -> {
-                while (loop.hasRoomForFlow()) {
+            loop.execute(() -> {
+                while (loop.hasCapacityForUpstream()) {
                     try {
-                        ports.add(loop.datagrams(
+                        ports.add(loop.bindUdp(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                                 ByteBuffer.allocate(8),
                                 (from, datagram) -> {}));
@@ -367,6 +367,6 @@
             assertTrue(client.hear().matches("BUSY [0-9]+"));
             assertEquals(BalancerApi.Outcome.UNUSED, ends.poll(5, TimeUnit.SECONDS));
         }
-        loop.afterGathering(() -> ports.forEach(DatagramPort::close));
+        loop.execute(() -> ports.forEach(UdpSocket::close));
     }
 }
--- a/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
@@ -30,29 +30,29 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.Report;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.EndpointListEntry;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.ListedMember;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** Probes on loopback sockets, between the real core and a member played line by line. */
 class MemberProbesTest {
-    private record Heard(String member, Outcome outcome, Report report) {}
+    private record Heard(String member, Outcome outcome, LoadReport report) {}
 
     private final BlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
     private final List<String> log = new CopyOnWriteArrayList<>();
     private ServerSocket member;
-    private XnioLoop loop;
-    private TransactionCore core;
-    private LineFront front;
+    private XnioEventLoop loop;
+    private ProxyCore core;
+    private LineProtocolFrontend front;
     private BalancerApi.Actions actions;
 
     @BeforeEach
@@ -64,51 +64,52 @@
         Limits limits = Limits.forDescriptors(1024);
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         Settings s = config.settings();
-        BalancerApi.Limits l = s.limits();
+        BalancerApi.SiteLimits l = s.limits();
         Settings settings = new Settings(
-                s.self(),
-                s.balancers(),
+                s.nodeIndex(),
+                s.nodeCount(),
                 s.zone(),
                 s.passThrough(),
-                s.askedList(),
-                s.groups(),
-                s.weights(),
-                s.reports(),
-                new BalancerApi.Limits(
+                s.polledDiscovery(),
+                s.groupAffinity(),
+                s.weightSemantics(),
+                s.loadReportSource(),
+                new BalancerApi.SiteLimits(
                         l.maxAttempts(),
                         l.maxRetryAfterUs(),
-                        l.cancel(),
+                        l.cancellation(),
                         allowed,
-                        l.peers(),
+                        l.peerMessages(),
                         l.retryAfter(),
                         l.connectTimeoutUs(),
-                        l.connIdleUs(),
-                        l.streamsPerConn()),
+                        l.connectionIdleUs(),
+                        l.streamsPerConnection()),
                 s.rules(),
                 s.prices(),
                 s.classes(),
                 s.tenants());
-        loop = new XnioLoop(limits);
+        loop = new XnioEventLoop(limits);
         member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        BlockingQueue<TransactionCore> made = new LinkedBlockingQueue<>();
-        loop.afterGathering(() -> {
-            TransactionCore c = new TransactionCore(
-                    new SystemClock(), limits, settings, 1, loop, log::add, (given, seed, now, does) -> {
+        BlockingQueue<ProxyCore> made = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            ProxyCore c =
+                    new ProxyCore(new SystemClock(), limits, settings, 1, loop, log::add, (given, seed, now, does) -> {
                         actions = does;
                         return new ModuleDelegate(new Balancer(given, seed, now, does)) {
                             @Override
-                            public void probed(long now, String server, Outcome outcome, Report report) {
+                            public void healthCheckCompleted(
+                                    long now, String server, Outcome outcome, LoadReport report) {
                                 heard.add(new Heard(server, outcome, report));
                             }
                         };
                     });
-            c.members(
-                    ListKind.COMPLETE,
-                    List.of(new ListedMember(
-                            new ServerEntry("s-1", ServerState.SERVING, "decin", 0, "std-2c", 1, 0),
+            c.endpointsChanged(
+                    EndpointListKind.COMPLETE,
+                    List.of(new EndpointListEntry(
+                            new EndpointInfo("s-1", EndpointStatus.SERVING, "decin", 0, "std-2c", 1, 0),
                             (InetSocketAddress) member.getLocalSocketAddress())));
-            front = new LineFront(
-                    new SystemClock(), limits, config.names(), config.loadTellsDelay(), loop, c, log::add);
+            front = new LineProtocolFrontend(
+                    new SystemClock(), limits, config.nameIndex(), config.loadReportsLatency(), loop, c, log::add);
             made.add(c);
         });
         core = made.poll(10, TimeUnit.SECONDS);
@@ -122,9 +123,9 @@
 
     /** The module asks for a probe, in a turn of its own. */
     private void probe() {
-        loop.afterGathering(() -> {
-            actions.probe("s-1");
-            core.members(ListKind.CHANGES, List.of());
+        loop.execute(() -> {
+            actions.startHealthCheck("s-1");
+            core.endpointsChanged(EndpointListKind.CHANGES, List.of());
         });
     }
 
@@ -224,7 +225,7 @@
             say(s, answer);
             Heard h = hear();
             assertEquals(Outcome.ERROR, h.outcome());
-            assertEquals(Report.NONE, h.report());
+            assertEquals(LoadReport.NONE, h.report());
         }
         assertTrue(log.stream().noneMatch(l -> l.contains(answer)), log.toString());
     }
@@ -236,7 +237,7 @@
             line(s);
             say(s, "PONG x0=0.5");
             hear();
-            loop.afterGathering(front::closed);
+            loop.execute(front::listenerClosed);
             assertEquals(-1, s.getInputStream().read());
             probe();
             assertEquals(Outcome.UNUSED, hear().outcome());
@@ -245,19 +246,19 @@
 
     @Test
     void unknownFieldsArePassedOverAndMissingOnesUnknown() {
-        Report r = LoadReport.read(" inflight=7,colour=3,waiting=2");
+        LoadReport r = LoadReportParser.read(" inflight=7,colour=3,waiting=2");
         assertEquals(7, r.inflight());
         assertEquals(2, r.queue());
         assertTrue(Double.isNaN(r.load()));
-        assertThrows(BadLine.class, () -> LoadReport.read("a=1,".repeat(40) + "b=1"));
+        assertThrows(MalformedLineException.class, () -> LoadReportParser.read("a=1,".repeat(40) + "b=1"));
     }
 
     @Property(tries = 500, seed = "41")
     void aReportIsReadOrNotBelievedWhateverItHolds(@ForAll @StringLength(max = 60) String text) {
         try {
-            Report r = LoadReport.read("x0=" + text);
+            LoadReport r = LoadReportParser.read("x0=" + text);
             assertTrue(text.isBlank() || Double.isNaN(r.load()) || r.load() >= 0 && r.load() <= 1e9, text);
-        } catch (BadLine e) {
+        } catch (MalformedLineException e) {
             assertNotNull(e.getMessage());
         }
     }
--- a/node/src/test/java/tulipshed/lineprotocol/SilenceTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/SilenceTest.java
@@ -8,9 +8,9 @@
 
 /** When a member that says nothing is given up; with times of the test's own. */
 class SilenceTest {
-    private final double bearableMs = Limits.forDescriptors(384).transactions().silentMs();
-    private final double sweepMs = Limits.forDescriptors(384).sockets().sweepMs();
-    private final Silence silence = new Silence(bearableMs);
+    private final double bearableMs = Limits.forDescriptors(384).requests().endpointTimeoutMs();
+    private final double sweepMs = Limits.forDescriptors(384).sockets().sweepIntervalMs();
+    private final InactivityDetector silence = new InactivityDetector(bearableMs);
 
     /** Seen when a zone was lost: each of its clients waited 2.5 s more, one after the other, before it was sent elsewhere. */
     @Test
--- a/node/src/test/java/tulipshed/management/CallParserTest.java
+++ b/node/src/test/java/tulipshed/management/CallParserTest.java
@@ -21,7 +21,7 @@
 
     @Property(tries = 200, seed = "51")
     void cutsDoNotChangeACall(@ForAll long seed) {
-        CallParser parser = new CallParser(4096);
+        HttpRequestParser parser = new HttpRequestParser(4096);
         boolean[] whole = new boolean[1];
         Cuts.feed(CALL, seed, in -> whole[0] |= parser.take(in));
         assertTrue(whole[0]);
@@ -30,17 +30,18 @@
 
     @Property(tries = 300, seed = "52")
     void garbageIsACallOrBadAndNothingElse(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
-        CallParser parser = new CallParser(128);
+        HttpRequestParser parser = new HttpRequestParser(128);
         try {
             Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(CALL, seed), seed, parser::take);
-        } catch (BadCall expected) {
+        } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
     }
 
     @Test
     void whatHasNoEndIsBounded() {
-        CallParser parser = new CallParser(64);
-        assertThrows(BadCall.class, () -> parser.take(ByteBuffer.wrap(ascii("GET /" + "x".repeat(100)))));
+        HttpRequestParser parser = new HttpRequestParser(64);
+        assertThrows(
+                MalformedRequestException.class, () -> parser.take(ByteBuffer.wrap(ascii("GET /" + "x".repeat(100)))));
     }
 }
--- a/node/src/test/java/tulipshed/management/ManagementFrontTest.java
+++ b/node/src/test/java/tulipshed/management/ManagementFrontTest.java
@@ -20,28 +20,27 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** The second address between plain sockets on loopback. */
 class ManagementFrontTest {
     private volatile boolean serves = true;
-    private XnioLoop loop;
+    private XnioEventLoop loop;
     private InetSocketAddress address;
 
     @BeforeEach
     void start() throws Exception {
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         Limits limits = Limits.forDescriptors(1024);
-        loop = new XnioLoop(limits);
+        loop = new XnioEventLoop(limits);
         CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             SystemClock clock = new SystemClock();
-            TransactionCore core =
-                    new TransactionCore(clock, limits, config.settings(), 1, loop, l -> {}, Balancer::new);
+            ProxyCore core = new ProxyCore(clock, limits, config.settings(), 1, loop, l -> {}, Balancer::new);
             try {
-                listening.complete(new ManagementFront(
+                listening.complete(new ManagementServer(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                                 clock,
                                 limits,
--- a/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
+++ b/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
@@ -16,15 +16,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import tulipshed.config.MalformedInput;
+import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.SettingsReader.Names;
+import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.testing.Cuts;
 
 class OperatorsFileTest {
     private static final Path EXAMPLE = Path.of("../example/tulipshed.sexp");
-    private final Names names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-            .names();
+    private final NameIndex names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
+            .nameIndex();
 
     private OperatorsFile read(String text) {
         return OperatorsFile.read("f", text.getBytes(StandardCharsets.UTF_8), names);
@@ -127,8 +127,8 @@
         assertEquals(21, lines.length);
         assertEquals("f:2:20: unknown name clas; did you mean class?", lines[0]);
         assertEquals("f: and 10 more", lines[20]);
-        String start =
-                assertThrows(MalformedInput.class, () -> read(text.toString())).getMessage();
+        String start = assertThrows(MalformedInputException.class, () -> read(text.toString()))
+                .getMessage();
         assertEquals(1, start.lines().count(), "at a start it is one line");
     }
 
--- a/node/src/test/java/tulipshed/peer/PeerPortTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerPortTest.java
@@ -25,11 +25,11 @@
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.testing.NodeProcess;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** The port under a real core whose module answers each datagram, with plain sockets as the other nodes. */
 class PeerPortTest {
@@ -41,9 +41,9 @@
 
     private DatagramSocket one;
     private DatagramSocket all;
-    private XnioLoop loop;
-    private TransactionCore core;
-    private PeerPort port;
+    private XnioEventLoop loop;
+    private ProxyCore core;
+    private PeerSocket port;
     private InetSocketAddress node;
 
     @BeforeEach
@@ -53,7 +53,7 @@
         one.setSoTimeout(5000);
         all.setSoTimeout(5000);
         node = new InetSocketAddress(LOOPBACK, NodeProcess.freeUdpPort());
-        loop = new XnioLoop(Limits.forDescriptors(1024));
+        loop = new XnioEventLoop(Limits.forDescriptors(1024));
     }
 
     @AfterEach
@@ -71,7 +71,7 @@
                         .replace("\"Peers\": false", "\"Peers\": " + allowed));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
         onLoop(() -> {
-            core = new TransactionCore(
+            core = new ProxyCore(
                     new SystemClock(),
                     Limits.forDescriptors(1024),
                     config.settings(),
@@ -80,18 +80,18 @@
                     l -> {},
                     (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                         @Override
-                        public void peerMessage(long at, int from, byte[] body) {
+                        public void peerMessageReceived(long at, int from, byte[] body) {
                             told.add(from + ":" + new String(body));
                             answer.tell(actions, from);
                         }
                     });
-            port = new PeerPort(new SystemClock(), Limits.forDescriptors(1024), loop, core, l -> {});
+            port = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, l -> {});
             port.configure(new PeerConfig(
                     node,
                     List.of(node, (InetSocketAddress) one.getLocalSocketAddress()),
                     (InetSocketAddress) all.getLocalSocketAddress(),
                     0));
-            port.look();
+            port.retryBind();
         });
     }
 
@@ -101,7 +101,7 @@
 
     private void onLoop(Runnable what) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             try {
                 what.run();
                 done.complete(null);
@@ -124,15 +124,16 @@
 
     private long figure(String name) throws Exception {
         CompletableFuture<Long> value = new CompletableFuture<>();
-        loop.afterGathering(() -> value.complete(core.figures().more().get(name).getAsLong()));
+        loop.execute(
+                () -> value.complete(core.metrics().frontendCounters().get(name).getAsLong()));
         return value.get(10, TimeUnit.SECONDS);
     }
 
     @Test
     void theModuleHearsEachAndReachesOneOrAll() throws Exception {
         start(true, (actions, from) -> {
-            actions.tell(from, "to you".getBytes());
-            actions.tell(BalancerApi.Actions.ALL_PEERS, "to all".getBytes());
+            actions.sendToPeer(from, "to you".getBytes());
+            actions.sendToPeer(BalancerApi.Actions.ALL_PEERS, "to all".getBytes());
         });
         say("a");
         say("a");
@@ -147,11 +148,11 @@
     void whatMayNotBeSentIsNot() throws Exception {
         start(true, (actions, from) -> {
             for (int peer : new int[] {0, 2, -2, Integer.MAX_VALUE}) {
-                actions.tell(peer, new byte[] {1});
+                actions.sendToPeer(peer, new byte[] {1});
             }
-            actions.tell(1, new byte[257]);
-            actions.tell(1, new byte[0]);
-            actions.tell(1, "x".repeat(256).getBytes());
+            actions.sendToPeer(1, new byte[257]);
+            actions.sendToPeer(1, new byte[0]);
+            actions.sendToPeer(1, "x".repeat(256).getBytes());
         });
         say("a");
         assertEquals(256, hear(one).length(), "the last of seven is the first that goes out");
@@ -161,7 +162,7 @@
 
     @Test
     void nothingIsSentWhereTheSettingsAllowNone() throws Exception {
-        start(false, (actions, from) -> actions.tell(1, "x".getBytes()));
+        start(false, (actions, from) -> actions.sendToPeer(1, "x".getBytes()));
         say("a");
         assertEquals("1:a", told.poll(5, TimeUnit.SECONDS));
         assertEquals(0, figure("peers_sent") + figure("peers_not_sent"), "not even handed to the port");
@@ -172,7 +173,7 @@
         start(true, (actions, from) -> {});
         onLoop(() -> port.configure(null));
         new DatagramSocket(node).close();
-        onLoop(port::look);
-        assertTrue(!port.open());
+        onLoop(port::retryBind);
+        assertTrue(!port.isOpen());
     }
 }
--- a/node/src/test/java/tulipshed/proxy/CoreBench.java
+++ b/node/src/test/java/tulipshed/proxy/CoreBench.java
@@ -12,22 +12,22 @@
 import java.util.Set;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.BalancerApi;
-import tulipshed.decision.BalancerApi.ListKind;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.Report;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.time.ManualClock;
 
 /** The core on a clock and a loop that tests drive, with a module that does what tests say and notes what it hears. */
-final class CoreBench implements Loop, VirtualServer, MemberConnector, BalancerApi {
+final class CoreBench implements EventLoop, ClientConnection, UpstreamConnector, BalancerApi {
     final ManualClock clock = new ManualClock(1_000_000);
     final List<String> heard = new ArrayList<>();
-    final List<ServerSideFlow> flows = new ArrayList<>();
+    final List<Attempt> flows = new ArrayList<>();
     boolean leavesDraining;
     Actions module;
-    final TransactionCore core;
+    final ProxyCore core;
     final Settings settings;
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private final List<Timer> timers = new ArrayList<>();
@@ -42,7 +42,7 @@
     CoreBench(String some, String others) {
         NodeConfig config = config(some, others);
         settings = config.settings();
-        core = new TransactionCore(
+        core = new ProxyCore(
                 clock,
                 tulipshed.limits.Limits.forDescriptors(1024),
                 config.settings(),
@@ -53,7 +53,7 @@
                     module = actions;
                     return this;
                 });
-        tell(ListKind.REMEMBERED, "s-1", ServerState.SERVING);
+        tell(EndpointListKind.CACHED, "s-1", EndpointStatus.SERVING);
         take();
     }
 
@@ -71,46 +71,46 @@
         }
     }
 
-    void tell(String id, ServerState state) {
-        tell(ListKind.CHANGES, id, state);
+    void tell(String id, EndpointStatus state) {
+        tell(EndpointListKind.CHANGES, id, state);
     }
 
-    private void tell(ListKind kind, String id, ServerState state) {
-        core.members(
+    private void tell(EndpointListKind kind, String id, EndpointStatus state) {
+        core.endpointsChanged(
                 kind,
-                List.of(new ListedMember(
-                        new ServerEntry(id, state, "decin", 0, "std-2c", 1, 0),
+                List.of(new EndpointListEntry(
+                        new EndpointInfo(id, state, "decin", 0, "std-2c", 1, 0),
                         new InetSocketAddress("127.0.0.1", 1))));
     }
 
-    Transaction arrive(double waitMs) {
-        Transaction t = transaction(waitMs, false);
-        core.arrived(t);
-        return t;
+    Request arrive(double waitMs) {
+        Request request = transaction(waitMs, false);
+        core.requestArrived(request);
+        return request;
     }
 
     /** A connection that stood at that member before. */
-    Transaction arriveAt(String member) {
-        Transaction t = transaction(2000, true);
-        core.alreadyOpen(t, member);
-        return t;
+    Request arriveAt(String member) {
+        Request request = transaction(2000, true);
+        core.adoptConnection(request, member);
+        return request;
     }
 
-    private Transaction transaction(double waitMs, boolean stoodBefore) {
-        return new Transaction(
+    private Request transaction(double waitMs, boolean stoodBefore) {
+        return new Request(
                 this,
                 this,
-                new Transaction.Arrival(0, 0, "k", null, waitMs, 0, false, false),
+                new Request.Attributes(0, 0, "k", null, waitMs, 0, false, false),
                 clock.nowMs(),
                 stoodBefore);
     }
 
     /** An arrival that the module sends to s-1 at once. */
-    ServerSideFlow sent(double waitMs) {
+    Attempt sent(double waitMs) {
         arrive(waitMs);
         run();
-        module.send(lastRequest, "s-1", 0);
-        core.turn();
+        module.startAttempt(lastRequest, "s-1", 0);
+        core.runBatch();
         run();
         take();
         return flows.get(flows.size() - 1);
@@ -147,12 +147,12 @@
     }
 
     @Override
-    public void afterGathering(Runnable task) {
+    public void execute(Runnable task) {
         tasks.add(task);
     }
 
     @Override
-    public void after(double ms, Runnable task) {
+    public void schedule(double ms, Runnable task) {
         timers.add(new Timer(clock.nowMs() + ms, task));
     }
 
@@ -167,87 +167,88 @@
     }
 
     @Override
-    public void move() {
+    public void migrate() {
         heard.add("client: move");
     }
 
     @Override
-    public void open(ServerSideFlow flow) {
-        flows.add(flow);
-        heard.add("open " + flow.member().id());
+    public void open(Attempt attempt) {
+        flows.add(attempt);
+        heard.add("open " + attempt.endpoint().id());
     }
 
     @Override
-    public void giveUp(ServerSideFlow flow) {
+    public void abandon(Attempt attempt) {
         heard.add("give up");
     }
 
     @Override
-    public boolean leavesDraining() {
+    public boolean mustLeaveDrainingEndpoint() {
         return leavesDraining;
     }
 
     @Override
-    public void servers(long now, ListKind kind, List<ServerEntry> entries) {
+    public void endpointsChanged(long now, EndpointListKind kind, List<EndpointInfo> entries) {
         heard.add("list " + kind);
     }
 
     @Override
-    public void request(long now, NewRequest request) {
+    public void requestArrived(long now, NewRequest request) {
         lastRequest = request.id();
-        heard.add("request " + request.graceUs() / 1000 + (request.pool() == null ? "" : " in " + request.pool())
+        heard.add("request " + request.timeoutUs() / 1000 + (request.pool() == null ? "" : " in " + request.pool())
                 + (request.requestClass() == 0 ? "" : " as " + request.requestClass()));
     }
 
     @Override
-    public void alreadyOpen(long now, NewRequest request, String server) {
+    public void connectionAdopted(long now, NewRequest request, String server) {
         lastRequest = request.id();
         heard.add("already open " + server);
     }
 
     @Override
-    public void started(long now, long request, int attempt, long tookUs) {
+    public void attemptEstablished(long now, long requestId, int attempt, long tookUs) {
         heard.add("started " + attempt);
     }
 
     @Override
-    public void loadNote(long now, long request, double loadUsPerS) {
+    public void loadReported(long now, long requestId, double loadUsPerS) {
         heard.add("load " + loadUsPerS);
     }
 
     @Override
-    public void delayNote(long now, long request, double delayMs) {
+    public void latencyReported(long now, long requestId, double delayMs) {
         heard.add("delay " + delayMs);
     }
 
     @Override
-    public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
+    public void attemptEnded(
+            long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
         heard.add("finished " + attempt + " " + outcome + (concluded ? " concluded" : ""));
     }
 
     @Override
-    public void abandoned(long now, long request) {
+    public void requestCancelled(long now, long requestId) {
         heard.add("abandoned");
     }
 
     @Override
-    public void probed(long now, String server, Outcome outcome, Report report) {}
+    public void healthCheckCompleted(long now, String server, Outcome outcome, LoadReport report) {}
 
     @Override
-    public void timer(long now, long token) {
+    public void timerFired(long now, long token) {
         heard.add("timer " + token);
     }
 
     @Override
-    public void peerMessage(long now, int from, byte[] body) {}
+    public void peerMessageReceived(long now, int from, byte[] body) {}
 
     @Override
-    public int avoided(long now) {
+    public int ineligibleCount(long now) {
         return 1;
     }
 
     @Override
-    public void share(long now, double ofBalancer) {
+    public void quotaShareChanged(long now, double ofBalancer) {
         heard.add("share " + ofBalancer);
     }
 
@@ -257,17 +258,17 @@
     }
 
     @Override
-    public void pools(long now, Map<String, Set<String>> members) {
+    public void poolsChanged(long now, Map<String, Set<String>> members) {
         heard.add("pools " + new java.util.TreeMap<>(members));
     }
 
     @Override
-    public void route(long now, long request, String pool) {
-        heard.add("route " + request + " " + pool);
+    public void requestRerouted(long now, long requestId, String pool) {
+        heard.add("route " + requestId + " " + pool);
     }
 
     @Override
-    public int inFavour(long now, String pool) {
+    public int eligibleCount(long now, String pool) {
         return inFavour.getOrDefault(pool, 0);
     }
 }
--- a/node/src/test/java/tulipshed/proxy/DuesTest.java
+++ b/node/src/test/java/tulipshed/proxy/DuesTest.java
@@ -15,11 +15,11 @@
     @Property(tries = 200, seed = "95")
     void whatIsDroppedIsNeverLookedAtAndDoesNotPileUp(@ForAll long seed) {
         Random random = new Random(seed);
-        Dues dues = new Dues();
+        TimerQueue dues = new TimerQueue();
         TreeMap<Double, List<Integer>> expected = new TreeMap<>();
         List<Integer> seen = new ArrayList<>();
         List<Integer> wanted = new ArrayList<>();
-        List<Dues.Due> made = new ArrayList<>();
+        List<TimerQueue.Timer> made = new ArrayList<>();
         List<Double> times = new ArrayList<>();
         double nowMs = 0;
         int live = 0;
@@ -34,8 +34,8 @@
             if (random.nextInt(20) > 0
                     && times.get(other) > nowMs
                     && expected.get(times.get(other)).remove((Integer) other)) {
-                made.get(other).drop();
-                made.get(other).drop();
+                made.get(other).cancel();
+                made.get(other).cancel();
                 live--;
             }
             if (random.nextInt(100) == 0) {
--- a/node/src/test/java/tulipshed/proxy/RoutingTest.java
+++ b/node/src/test/java/tulipshed/proxy/RoutingTest.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import tulipshed.config.NodeConfig;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.routing.Router;
 
@@ -23,7 +23,7 @@
                         "f",
                         text.getBytes(StandardCharsets.UTF_8),
                         NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-                                .names())
+                                .nameIndex())
                 .router();
     }
 
@@ -35,7 +35,7 @@
     @Test
     void anArrivalIsClassifiedAndHeldToItsPool() {
         ready(1, 1);
-        bench.core.route(router(POOLS + "(classify (rule r (when (= key \"k\")) (class \"slot-booking\")))"
+        bench.core.useRouter(router(POOLS + "(classify (rule r (when (= key \"k\")) (class \"slot-booking\")))"
                 + "(route r (when (= class \"slot-booking\")) (to b))"));
         assertEquals(List.of("pools {a=[s-1], b=[]}"), bench.take());
         bench.arrive(2000);
@@ -44,9 +44,9 @@
 
     @Test
     void thoseThatWaitAreHeldToTheNextPoolWhenTheirsEmpties() {
-        bench.tell("s-3", ServerState.SERVING);
+        bench.tell("s-3", EndpointStatus.SERVING);
         ready(1, 1);
-        bench.core.route(router(POOLS + "(route r (to a b))"));
+        bench.core.useRouter(router(POOLS + "(route r (to a b))"));
         bench.arrive(2000);
         bench.take();
         bench.inFavour.put("a", 0);
@@ -55,7 +55,7 @@
         bench.pass(2);
         assertEquals(List.of("route r: uses pool b instead of its first", "route 1 b"), bench.take());
         bench.inFavour.put("a", 1);
-        bench.tell("s-2", ServerState.SERVING);
+        bench.tell("s-2", EndpointStatus.SERVING);
         assertEquals(
                 List.of(
                         "list CHANGES",
@@ -70,14 +70,14 @@
     @Test
     void whatStandsStaysWhereItIsWhenItsPoolIsDropped() {
         ready(1, 1);
-        bench.core.route(router(POOLS + "(route r (to a))"));
-        ServerSideFlow flow = bench.sent(2000);
-        assertTrue(bench.core.up(flow));
+        bench.core.useRouter(router(POOLS + "(route r (to a))"));
+        Attempt attempt = bench.sent(2000);
+        assertTrue(bench.core.attemptEstablished(attempt));
         bench.arrive(1500);
         bench.take();
-        bench.core.route(null);
+        bench.core.useRouter(null);
         assertEquals(List.of("pools {}", "route 2 null"), bench.take());
-        assertTrue(flow.transaction().standing());
+        assertTrue(attempt.request().isEstablished());
         bench.pass(300);
         assertEquals(List.of(), bench.take(), "nobody looks at routes any more");
     }
@@ -85,18 +85,18 @@
     /** Settings may drop a class that a rule gave, before the rules are read anew. */
     @Test
     void aClassThatTheSettingsHaveDroppedChangesNothing() {
-        bench.core.route(router("(classify (rule r (when true) (class \"slot-booking\")))"));
+        bench.core.useRouter(router("(classify (rule r (when true) (class \"slot-booking\")))"));
         var s = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
                 .settings();
         bench.core.reconfigure(new tulipshed.decision.BalancerApi.Settings(
-                s.self(),
-                s.balancers(),
+                s.nodeIndex(),
+                s.nodeCount(),
                 s.zone(),
                 s.passThrough(),
-                s.askedList(),
-                s.groups(),
-                s.weights(),
-                s.reports(),
+                s.polledDiscovery(),
+                s.groupAffinity(),
+                s.weightSemantics(),
+                s.loadReportSource(),
                 s.limits(),
                 s.rules(),
                 s.prices(),
--- a/node/src/test/java/tulipshed/proxy/TransactionCoreTest.java
+++ b/node/src/test/java/tulipshed/proxy/TransactionCoreTest.java
@@ -10,9 +10,9 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import tulipshed.config.NodeConfig;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.RequestClass;
-import tulipshed.decision.BalancerApi.ServerState;
 import tulipshed.decision.BalancerApi.Settings;
 
 class TransactionCoreTest {
@@ -21,7 +21,7 @@
     @Test
     void allThatIsReadyGoesToTheModuleBeforeAnythingIsCarriedOut() {
         bench.arrive(2000);
-        bench.module.send(1, "s-1", 0);
+        bench.module.startAttempt(1, "s-1", 0);
         bench.arrive(1000);
         assertEquals(List.of("request 2000", "request 1000", "open s-1"), bench.take());
     }
@@ -30,18 +30,18 @@
     void aRejectionIsGivenAtOnceAndOnlyOnce() {
         bench.arrive(2000);
         bench.run();
-        bench.module.refuse(1, 250_000);
-        bench.module.refuse(1, 250_000);
+        bench.module.reject(1, 250_000);
+        bench.module.reject(1, 250_000);
         bench.module.fail(1);
-        bench.core.turn();
+        bench.core.runBatch();
         assertEquals(List.of("request 2000", "client: reject 250.0"), bench.take());
     }
 
     @Test
     void onlyOneFlowIsOutAtATime() {
         bench.sent(2000);
-        bench.module.send(bench.lastRequest, "s-1", 0);
-        bench.core.turn();
+        bench.module.startAttempt(bench.lastRequest, "s-1", 0);
+        bench.core.runBatch();
         assertEquals(List.of("finished 1 UNUSED"), bench.take());
     }
 
@@ -56,14 +56,14 @@
 
     @Test
     void silenceUntilTheClientGivesUpIsATimeOutStillOwedAnAnswer() {
-        ServerSideFlow flow = bench.sent(2000);
-        assertTrue(bench.core.maySend(flow));
+        Attempt attempt = bench.sent(2000);
+        assertTrue(bench.core.mayForward(attempt));
         bench.pass(1950);
         assertEquals(List.of(), bench.take());
         // Shortly before the client's own end, so that the answer reaches it in time.
         bench.pass(11);
         assertEquals(List.of("give up", "finished 0 TIMEOUT"), bench.take());
-        assertFalse(bench.core.up(flow), "what comes after the time-out is not relayed");
+        assertFalse(bench.core.attemptEstablished(attempt), "what comes after the time-out is not relayed");
     }
 
     @Test
@@ -78,38 +78,38 @@
     /** The news of a drain can come while the connection is being made. */
     @Test
     void nothingIsSentToAMemberThatBeganToDrainMeanwhile() {
-        ServerSideFlow flow = bench.sent(2000);
-        bench.tell("s-1", ServerState.DRAINING);
-        assertFalse(bench.core.maySend(flow));
-        bench.core.ended(flow, Outcome.CONNECT_FAILED);
-        bench.module.send(bench.lastRequest, "s-1", 0);
+        Attempt attempt = bench.sent(2000);
+        bench.tell("s-1", EndpointStatus.DRAINING);
+        assertFalse(bench.core.mayForward(attempt));
+        bench.core.attemptEnded(attempt, Outcome.CONNECT_FAILED);
+        bench.module.startAttempt(bench.lastRequest, "s-1", 0);
         assertEquals(List.of("list CHANGES", "finished 0 CONNECT_FAILED", "finished 1 CONNECT_FAILED"), bench.take());
     }
 
     @Test
     void aConnectionThatStoodBeforeGoesToItsMemberEvenWhileThatDrains() {
-        bench.tell("s-1", ServerState.DRAINING);
+        bench.tell("s-1", EndpointStatus.DRAINING);
         bench.take();
         bench.arriveAt("s-1");
         assertEquals(List.of("already open s-1", "open s-1"), bench.take());
-        ServerSideFlow flow = bench.flows.get(0);
-        assertTrue(bench.core.maySend(flow));
+        Attempt attempt = bench.flows.get(0);
+        assertTrue(bench.core.mayForward(attempt));
         bench.pass(5000);
-        assertTrue(bench.core.up(flow));
-        bench.core.ended(flow, Outcome.OK);
+        assertTrue(bench.core.attemptEstablished(attempt));
+        bench.core.attemptEnded(attempt, Outcome.OK);
         assertEquals(List.of("finished 0 OK concluded"), bench.take());
     }
 
     /** The list known at the start can be older than the connection. */
     @Test
     void oneThatStoodAtAMemberNotYetNamedWaitsForTheList() {
-        Transaction t = bench.arriveAt("s-9");
+        Request request = bench.arriveAt("s-9");
         bench.pass(3000);
         assertEquals(List.of(), bench.take());
-        bench.tell("s-9", ServerState.SERVING);
+        bench.tell("s-9", EndpointStatus.SERVING);
         bench.pass(150);
         assertEquals(List.of("list CHANGES", "already open s-9", "open s-9"), bench.take());
-        assertTrue(t.owed());
+        assertTrue(request.isPending());
         // Discovery has told its list by now: one that it does not name was made up.
         bench.arriveAt("s-10");
         bench.pass(900);
@@ -131,35 +131,35 @@
     void oneThatStoodBeforeAndIsNotFoundFailsAtOnce() {
         bench.arriveAt("s-1");
         bench.take();
-        bench.core.ended(bench.flows.get(0), Outcome.RESET);
+        bench.core.attemptEnded(bench.flows.get(0), Outcome.RESET);
         assertEquals(List.of("client: fail", "finished 0 RESET concluded"), bench.take());
     }
 
     @Test
     void aClientThatLeavesTakesItsFlowWithIt() {
-        ServerSideFlow flow = bench.sent(2000);
-        bench.core.clientLeft(flow.transaction());
+        Attempt attempt = bench.sent(2000);
+        bench.core.clientDisconnected(attempt.request());
         assertEquals(List.of("abandoned", "give up", "finished 0 CANCELLED concluded"), bench.take());
-        assertFalse(bench.core.up(flow));
+        assertFalse(bench.core.attemptEstablished(attempt));
     }
 
     @Test
     void aSilentMemberLosesItsClientInGoodOrder() {
-        ServerSideFlow flow = bench.sent(2000);
-        assertTrue(bench.core.up(flow));
-        bench.core.silent(flow);
-        bench.core.silent(flow);
+        Attempt attempt = bench.sent(2000);
+        assertTrue(bench.core.attemptEstablished(attempt));
+        bench.core.endpointUnresponsive(attempt);
+        bench.core.endpointUnresponsive(attempt);
         assertEquals(List.of("silent: s-1", "client: move", "started 0", "finished 0 RESET concluded"), bench.take());
     }
 
     @Test
     void flowsThatMayNotStayLeaveADrainingMemberWithinItsGrace() {
         bench.leavesDraining = true;
-        ServerSideFlow standing = bench.sent(2000);
-        bench.core.up(standing);
+        Attempt standing = bench.sent(2000);
+        bench.core.attemptEstablished(standing);
         bench.sent(2000);
         bench.take();
-        bench.tell("s-1", ServerState.DRAINING);
+        bench.tell("s-1", EndpointStatus.DRAINING);
         bench.pass(200);
         List<String> heard = bench.take();
         assertTrue(heard.contains("client: move") && heard.contains("finished 0 RESET"), heard.toString());
@@ -168,12 +168,12 @@
 
     @Test
     void leavingMovesWhoStandsAndRejectsWhoIsOwed() {
-        bench.core.up(bench.sent(2000));
+        bench.core.attemptEstablished(bench.sent(2000));
         bench.sent(2000);
         bench.take();
-        assertTrue(bench.core.moveOne());
-        assertFalse(bench.core.moveOne());
-        bench.core.rejectAllOwed();
+        assertTrue(bench.core.migrateOldest());
+        assertFalse(bench.core.migrateOldest());
+        bench.core.rejectAllPending();
         assertEquals(
                 List.of(
                         "client: move",
@@ -186,7 +186,7 @@
 
     @Test
     void timersComeBackWhenDue() {
-        bench.module.timer(20_000, 77);
+        bench.module.scheduleTimer(20_000, 77);
         bench.run();
         bench.pass(19);
         assertEquals(List.of(), bench.take());
@@ -195,33 +195,33 @@
     }
 
     private String replies(String requestClass) {
-        Figures.Replies r = bench.core.figures().replies().get(requestClass);
-        return r.up() + " " + r.rejected() + " " + r.failed();
+        NodeMetrics.ResponseCounts r = bench.core.metrics().responses().get(requestClass);
+        return r.established() + " " + r.rejected() + " " + r.failed();
     }
 
     @Test
     void eachFinalAnswerIsCountedOnceForItsClass() {
-        bench.core.up(bench.sent(2000));
+        bench.core.attemptEstablished(bench.sent(2000));
         bench.sent(2000);
-        assertEquals(2, bench.core.figures().concurrent());
-        bench.module.refuse(bench.lastRequest, 0);
-        bench.module.refuse(bench.lastRequest, 0);
-        bench.core.turn();
+        assertEquals(2, bench.core.metrics().activeRequests());
+        bench.module.reject(bench.lastRequest, 0);
+        bench.module.reject(bench.lastRequest, 0);
+        bench.core.runBatch();
         bench.arriveAt("s-1");
         bench.take();
-        bench.core.ended(bench.flows.get(bench.flows.size() - 1), Outcome.RESET);
-        bench.core.clientLeft(bench.arrive(2000));
+        bench.core.attemptEnded(bench.flows.get(bench.flows.size() - 1), Outcome.RESET);
+        bench.core.clientDisconnected(bench.arrive(2000));
         bench.arrive(300);
         bench.pass(300);
         assertEquals("1 1 2", replies("slot-board"));
         assertEquals("0 0 0", replies("gate-status"));
-        assertEquals(1, bench.core.figures().concurrent(), "the one that stands");
-        bench.core.ended(bench.flows.get(0), Outcome.OK);
-        assertEquals(0, bench.core.figures().concurrent());
-        bench.tell("s-2", ServerState.DRAINING);
-        assertEquals(2, bench.core.targets());
-        bench.tell("s-2", ServerState.GONE);
-        assertEquals(1, bench.core.targets());
+        assertEquals(1, bench.core.metrics().activeRequests(), "the one that stands");
+        bench.core.attemptEnded(bench.flows.get(0), Outcome.OK);
+        assertEquals(0, bench.core.metrics().activeRequests());
+        bench.tell("s-2", EndpointStatus.DRAINING);
+        assertEquals(2, bench.core.listedEndpoints());
+        bench.tell("s-2", EndpointStatus.REMOVED);
+        assertEquals(1, bench.core.listedEndpoints());
     }
 
     /** Without the order the module would judge an arrival by whatever class has taken its place. */
@@ -230,19 +230,19 @@
         Settings old = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
                 .settings();
         List<RequestClass> classes = old.classes();
-        bench.core.up(bench.sent(2000));
+        bench.core.attemptEstablished(bench.sent(2000));
         bench.take();
         bench.arrive(2000);
         bench.arriveAt("s-9");
         bench.core.reconfigure(new Settings(
-                old.self(),
-                old.balancers(),
+                old.nodeIndex(),
+                old.nodeCount(),
                 old.zone(),
                 old.passThrough(),
-                old.askedList(),
-                old.groups(),
-                old.weights(),
-                old.reports(),
+                old.polledDiscovery(),
+                old.groupAffinity(),
+                old.weightSemantics(),
+                old.loadReportSource(),
                 old.limits(),
                 old.rules(),
                 old.prices(),
@@ -253,17 +253,17 @@
                                 1,
                                 2000,
                                 1,
-                                classes.get(0).effect(),
-                                classes.get(0).repeatGroup(),
+                                classes.get(0).idempotency(),
+                                classes.get(0).deduplicationScope(),
                                 1,
                                 1)),
                 old.tenants()));
         assertEquals(List.of("request 2000", "settings 2"), bench.take());
         assertEquals("0 0 0", replies("gate-alarm"));
-        bench.tell("s-9", ServerState.SERVING);
+        bench.tell("s-9", EndpointStatus.SERVING);
         bench.pass(150);
         assertEquals(List.of("list CHANGES", "already open s-9", "open s-9"), bench.take(), "its class is gone");
-        bench.core.up(bench.flows.get(1));
+        bench.core.attemptEstablished(bench.flows.get(1));
         assertEquals("2 0 0", replies("slot-board"), "and its answer counts for it all the same");
         assertEquals(3000, bench.core.longestDeadlineMs());
     }
@@ -271,42 +271,45 @@
     /** Without this the process that takes over places the clients of the other as if nothing stood anywhere. */
     @Test
     void whatStandsInTheOtherProcessIsOpenForTheModuleUntilItEndsThere() {
-        Map<Integer, Companion.Standing> there = new HashMap<>();
+        Map<Integer, HotRestartPeer.EstablishedConnection> there = new HashMap<>();
         List<Object> noted = new ArrayList<>();
-        bench.core.companion(new Companion() {
+        bench.core.hotRestartPeer(new HotRestartPeer() {
             @Override
-            public int stands(Standing standing) {
+            public int connectionEstablished(EstablishedConnection standing) {
                 noted.add(standing);
                 return 7;
             }
 
             @Override
-            public void ended(int place) {
+            public void connectionEnded(int place) {
                 noted.add(place);
             }
 
             @Override
-            public Map<Integer, Standing> others() {
+            public Map<Integer, EstablishedConnection> peerConnections() {
                 return there;
             }
         });
-        there.put(3, new Companion.Standing("s-1", "desk", 0));
-        there.put(4, new Companion.Standing("nobody", "desk", 0));
-        bench.core.lookAtCompanion();
-        bench.core.lookAtCompanion();
+        there.put(3, new HotRestartPeer.EstablishedConnection("s-1", "desk", 0));
+        there.put(4, new HotRestartPeer.EstablishedConnection("nobody", "desk", 0));
+        bench.core.syncHotRestartPeer();
+        bench.core.syncHotRestartPeer();
         assertEquals(List.of("already open s-1"), bench.take());
-        there.put(3, new Companion.Standing("s-1", "gate", 0));
-        bench.core.lookAtCompanion();
+        there.put(3, new HotRestartPeer.EstablishedConnection("s-1", "gate", 0));
+        bench.core.syncHotRestartPeer();
         assertEquals(
                 List.of("finished 0 CANCELLED concluded", "already open s-1"), bench.take(), "another one there now");
         there.clear();
-        bench.core.lookAtCompanion();
+        bench.core.syncHotRestartPeer();
         assertEquals(List.of("finished 0 CANCELLED concluded"), bench.take());
-        assertEquals(0, bench.core.standingCount());
-        ServerSideFlow flow = bench.sent(2000);
-        bench.core.up(flow);
-        bench.core.ended(flow, Outcome.OK);
-        assertEquals(List.of(new Companion.Standing("s-1", null, 0), 7), noted, "and it is told what stands here");
+        assertEquals(0, bench.core.establishedCount());
+        Attempt attempt = bench.sent(2000);
+        bench.core.attemptEstablished(attempt);
+        bench.core.attemptEnded(attempt, Outcome.OK);
+        assertEquals(
+                List.of(new HotRestartPeer.EstablishedConnection("s-1", null, 0), 7),
+                noted,
+                "and it is told what stands here");
     }
 
     // ---- What may have run ----
@@ -325,15 +328,15 @@
     @Test
     void aLeavingNodeDoesNotCallHarmlessWhatMayHaveRun() {
         for (CoreBench bench : List.of(once(), keyed())) {
-            ServerSideFlow out = bench.sent(2000);
-            assertTrue(bench.core.maySend(out));
-            bench.core.rejectAllOwed();
+            Attempt out = bench.sent(2000);
+            assertTrue(bench.core.mayForward(out));
+            bench.core.rejectAllPending();
             assertEquals(List.of("client: fail", "give up", "finished 0 CANCELLED concluded"), bench.take());
-            ServerSideFlow before = bench.sent(2000);
-            assertTrue(bench.core.maySend(before));
-            bench.core.ended(before, Outcome.RESET);
+            Attempt before = bench.sent(2000);
+            assertTrue(bench.core.mayForward(before));
+            bench.core.attemptEnded(before, Outcome.RESET);
             assertEquals(List.of("finished 0 RESET"), bench.take());
-            bench.core.rejectAllOwed();
+            bench.core.rejectAllPending();
             assertEquals("client: fail", bench.take().get(0), "one that is over may have run as well");
         }
     }
@@ -342,14 +345,14 @@
     @Test
     void anOpenTransactionKeepsTheClassThatItCameWith() {
         CoreBench bench = new CoreBench();
-        ServerSideFlow out = bench.sent(2000);
-        assertTrue(bench.core.maySend(out));
+        Attempt out = bench.sent(2000);
+        assertTrue(bench.core.mayForward(out));
         bench.core.reconfigure(once().settings);
-        bench.core.rejectAllOwed();
+        bench.core.rejectAllPending();
         assertEquals("client: reject 0.0", bench.take().get(0));
-        ServerSideFlow later = bench.sent(2000);
-        assertTrue(bench.core.maySend(later));
-        bench.core.rejectAllOwed();
+        Attempt later = bench.sent(2000);
+        assertTrue(bench.core.mayForward(later));
+        bench.core.rejectAllPending();
         assertEquals("client: fail", bench.take().get(0));
     }
 
@@ -357,13 +360,13 @@
     void aLeavingNodeRefusesWhatNeverRan() {
         CoreBench bench = once();
         bench.sent(2000);
-        bench.core.rejectAllOwed();
+        bench.core.rejectAllPending();
         assertEquals("client: reject 0.0", bench.take().get(0), "its connection is not up yet");
-        ServerSideFlow full = bench.sent(2000);
-        assertTrue(bench.core.maySend(full));
-        bench.core.ended(full, Outcome.FULL);
+        Attempt full = bench.sent(2000);
+        assertTrue(bench.core.mayForward(full));
+        bench.core.attemptEnded(full, Outcome.FULL);
         assertEquals(List.of("finished 0 FULL"), bench.take());
-        bench.core.rejectAllOwed();
+        bench.core.rejectAllPending();
         assertEquals("client: reject 0.0", bench.take().get(0), "a member that turns away has not run it");
     }
 
@@ -375,18 +378,18 @@
                         + "    \"LateWorth\": 0.0,\n    \"Name\": \"slot-board\",\n    \"RepeatWindowS\": 5.0",
                 "\"Effect\": \"by_key\",\n    \"Group\": \"all\",\n    \"HardLimitS\": 4.8,\n"
                         + "    \"LateWorth\": 0.0,\n    \"Name\": \"slot-board\",\n    \"RepeatWindowS\": 0.2");
-        ServerSideFlow first = bench.sent(2000);
-        assertTrue(bench.core.maySend(first));
+        Attempt first = bench.sent(2000);
+        assertTrue(bench.core.mayForward(first));
         bench.pass(100);
-        bench.core.ended(first, Outcome.RESET);
-        bench.module.send(bench.lastRequest, "s-1", 0);
-        bench.core.turn();
+        bench.core.attemptEnded(first, Outcome.RESET);
+        bench.module.startAttempt(bench.lastRequest, "s-1", 0);
+        bench.core.runBatch();
         bench.take();
-        ServerSideFlow late = bench.flows.get(bench.flows.size() - 1);
+        Attempt late = bench.flows.get(bench.flows.size() - 1);
         bench.pass(98);
-        assertTrue(bench.core.maySend(late), "just in time");
+        assertTrue(bench.core.mayForward(late), "just in time");
         bench.pass(3);
-        assertFalse(bench.core.maySend(late));
+        assertFalse(bench.core.mayForward(late));
         assertEquals(List.of("finished 1 UNUSED"), bench.take(), "which says nothing of the member");
     }
 
--- a/node/src/test/java/tulipshed/quic/EndsTest.java
+++ b/node/src/test/java/tulipshed/quic/EndsTest.java
@@ -32,12 +32,12 @@
             assertEquals("served", open(clients.get(i)).what());
             assertEquals(new Heard("number", 5), number(clients.get(i), 5));
         }
-        assertEquals(10, (int) onLoop(() -> core.figures().concurrent()));
+        assertEquals(10, (int) onLoop(() -> core.metrics().activeRequests()));
         servers.get(0).conns.clear();
         for (Client client : clients) {
             assertEquals("reset", number(client, 6).what());
         }
-        assertEquals(0, (int) onLoop(() -> core.figures().concurrent()));
+        assertEquals(0, (int) onLoop(() -> core.metrics().activeRequests()));
         assertEquals(10, counted(Figure.RESETS_PASSED));
         int heard = servers.get(0).numbers.size();
         for (Client client : clients) {
@@ -88,10 +88,10 @@
             assertEquals("served", open(first).what());
             QuicSession session = onLoop(() -> front.table.path(first.server).session());
             onLoop(() -> {
-                core.ended(
-                        core.figures().concurrent() > 0 ? session.flow() : null,
+                core.attemptEnded(
+                        core.metrics().activeRequests() > 0 ? session.flow() : null,
                         tulipshed.decision.BalancerApi.Outcome.RESET);
-                session.giveUp(session.flow());
+                session.abandon(session.flow());
                 return null;
             });
             servers.get(0).manner = Manner.SILENT;
@@ -168,7 +168,7 @@
             assertEquals("served", open(known).what());
             CountDownLatch begun = new CountDownLatch(1);
             CountDownLatch held = new CountDownLatch(1);
-            loop.afterGathering(() -> {
+            loop.execute(() -> {
                 begun.countDown();
                 try {
                     held.await();
@@ -223,7 +223,7 @@
             }
             assertEquals(1 + 10, (int) onLoop(front::sessionCount));
             assertTrue(counted(Figure.GAVE_WAY) >= 180, "a port may come twice");
-            assertEquals(11, (int) onLoop(() -> core.figures().concurrent()));
+            assertEquals(11, (int) onLoop(() -> core.metrics().activeRequests()));
             servers.get(0).manner = Manner.SERVES;
             try (Client late = new Client(front.address(), 3)) {
                 assertEquals("served", open(late).what(), "there is room for honest ones");
--- a/node/src/test/java/tulipshed/quic/FrontSetup.java
+++ b/node/src/test/java/tulipshed/quic/FrontSetup.java
@@ -13,25 +13,25 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.connectionid.ServerIdGenerator;
 import tulipshed.decision.Balancer;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.EndpointListEntry;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.quic.StandIns.Client;
 import tulipshed.quic.StandIns.Client.Heard;
 import tulipshed.quic.StandIns.Server;
 import tulipshed.quic.StandIns.Server.Manner;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.ListedMember;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** A front, or several, with the real core and module between stand-in servers on loopback. */
 abstract class FrontSetup {
     final List<Server> servers = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
-    XnioLoop loop;
-    TransactionCore core;
+    XnioEventLoop loop;
+    ProxyCore core;
     QuicFront front;
     double deadlineMs = 1200;
     int mostSessions = 100;
@@ -48,11 +48,11 @@
     }
 
     /** One node's parts. */
-    record Node(XnioLoop loop, TransactionCore core, QuicFront front) {}
+    record Node(XnioEventLoop loop, ProxyCore core, QuicFront front) {}
 
-    static <T> T onLoop(XnioLoop loop, Task<T> task) {
+    static <T> T onLoop(XnioEventLoop loop, Task<T> task) {
         CompletableFuture<T> result = new CompletableFuture<>();
-        loop.afterGathering(() -> {
+        loop.execute(() -> {
             try {
                 result.complete(task.run());
             } catch (IOException | RuntimeException e) {
@@ -132,9 +132,9 @@
     /** One more node before the same servers. */
     Node node() throws IOException {
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-        XnioLoop started = new XnioLoop(limits());
+        XnioEventLoop started = new XnioEventLoop(limits());
         Node node = onLoop(started, () -> {
-            TransactionCore c = new TransactionCore(
+            ProxyCore c = new ProxyCore(
                     new SystemClock(), limits(), config.settings(), 1, started, text -> {}, Balancer::new);
             return new Node(
                     started,
@@ -143,14 +143,14 @@
                             new SystemClock(),
                             limits(),
                             config(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ids()),
-                            config.names(),
+                            config.nameIndex(),
                             started,
                             c,
                             text -> {}));
         });
         nodes.add(node);
         for (int i = 0; i < servers.size(); i++) {
-            tell(node, i, ServerState.SERVING);
+            tell(node, i, EndpointStatus.SERVING);
         }
         return node;
     }
@@ -163,16 +163,16 @@
     }
 
     /** Discovery's news of one server, to every node. */
-    void tell(int i, ServerState state) {
+    void tell(int i, EndpointStatus state) {
         nodes.forEach(n -> tell(n, i, state));
     }
 
-    private void tell(Node node, int i, ServerState state) {
-        ServerEntry entry = new ServerEntry("s-" + (i + 1), state, "decin", 0, "std-2c", 1, 0);
+    private void tell(Node node, int i, EndpointStatus state) {
+        EndpointInfo entry = new EndpointInfo("s-" + (i + 1), state, "decin", 0, "std-2c", 1, 0);
         onLoop(node.loop, () -> {
-            node.core.members(
-                    ListKind.CHANGES,
-                    List.of(new ListedMember(entry, servers.get(i).address())));
+            node.core.endpointsChanged(
+                    EndpointListKind.CHANGES,
+                    List.of(new EndpointListEntry(entry, servers.get(i).address())));
             return null;
         });
     }
--- a/node/src/test/java/tulipshed/quic/KwikTest.java
+++ b/node/src/test/java/tulipshed/quic/KwikTest.java
@@ -35,15 +35,15 @@
 import tech.kwik.core.server.ServerConnector;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
 import tulipshed.operators.OperatorsFile;
+import tulipshed.proxy.EndpointListEntry;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.ListedMember;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /**
  * Whole handshakes with TLS and echoes on streams through the front, with a client and a server that others wrote. What
@@ -55,8 +55,8 @@
     @TempDir
     private Path folder;
 
-    private XnioLoop loop;
-    private TransactionCore core;
+    private XnioEventLoop loop;
+    private ProxyCore core;
     private QuicFront front;
     private final List<ServerConnector> servers = new ArrayList<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
@@ -159,19 +159,19 @@
         for (int i = 0; i < 2; i++) {
             serve(keys);
         }
-        loop = new XnioLoop(Limits.forDescriptors(1024));
+        loop = new XnioEventLoop(Limits.forDescriptors(1024));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         onLoop(() -> {
-            core = new TransactionCore(
+            core = new ProxyCore(
                     new SystemClock(), Limits.forDescriptors(1024), config.settings(), 1, loop, l -> {}, Balancer::new);
-            core.route(OperatorsFile.read(
+            core.useRouter(OperatorsFile.read(
                             "f",
                             ("(pool one (where true)) (route r (when (= (default server-name \"\") \"localhost\"))"
                                             + "(to one)) (classify (rule r (when (= (default alpn \"\") \"slots\")) (class \"gate-status\")))")
                                     .getBytes(),
-                            config.names())
+                            config.nameIndex())
                     .router());
-            tell(ServerState.SERVING, ServerState.SERVING);
+            tell(EndpointStatus.SERVING, EndpointStatus.SERVING);
             front = new QuicFront(
                     new SystemClock(),
                     Limits.forDescriptors(1024),
@@ -185,7 +185,7 @@
                             StandIns.RESET,
                             null,
                             null),
-                    config.names(),
+                    config.nameIndex(),
                     loop,
                     core,
                     l -> {});
@@ -221,14 +221,14 @@
     }
 
     /** Discovery's news of both servers. */
-    private void tell(ServerState first, ServerState second) {
-        List<ListedMember> listed = new ArrayList<>();
+    private void tell(EndpointStatus first, EndpointStatus second) {
+        List<EndpointListEntry> listed = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
-            listed.add(new ListedMember(
-                    new ServerEntry("s-" + (i + 1), i == 0 ? first : second, "decin", 0, "std-2c", 1, 0),
+            listed.add(new EndpointListEntry(
+                    new EndpointInfo("s-" + (i + 1), i == 0 ? first : second, "decin", 0, "std-2c", 1, 0),
                     addresses.get(i)));
         }
-        core.members(ListKind.COMPLETE, listed);
+        core.endpointsChanged(EndpointListKind.COMPLETE, listed);
     }
 
     private <T> T onLoop(FrontSetup.Task<T> what) {
@@ -291,7 +291,7 @@
         assertEquals(2, (long) onLoop(() -> front.counted.get(QuicFigures.Figure.OPENED_V1)));
         assertEquals(1, (long) onLoop(() -> front.counted.get(QuicFigures.Figure.OPENED_V2)));
         assertEquals(3, (long)
-                onLoop(() -> core.figures().replies().get("gate-status").up()));
+                onLoop(() -> core.metrics().responses().get("gate-status").established()));
     }
 
     @Test
@@ -315,7 +315,7 @@
         System.out.println(echoed + 10 + " of " + (echoed + 10) + " echoes over " + rebinds + " rebinds");
         assertTrue(onLoop(() -> front.counted.get(QuicFigures.Figure.REBINDS)) >= rebinds);
         assertEquals(1, (int) onLoop(front::sessionCount));
-        assertEquals(1, (int) onLoop(() -> core.figures().concurrent()));
+        assertEquals(1, (int) onLoop(() -> core.metrics().activeRequests()));
         connection.close();
     }
 
@@ -339,7 +339,7 @@
             }
         }
         onLoop(() -> {
-            tell(ServerState.DRAINING, ServerState.SERVING);
+            tell(EndpointStatus.DRAINING, EndpointStatus.SERVING);
             return null;
         });
         int atDrained = streams.get(0);
@@ -354,7 +354,7 @@
             again.close();
         }
         assertEquals(atDrained, streams.get(0), "nothing more at the server that drains");
-        assertEquals(staying.size(), (int) onLoop(() -> core.figures().concurrent()) - 5);
+        assertEquals(staying.size(), (int) onLoop(() -> core.metrics().activeRequests()) - 5);
         staying.forEach(QuicClientConnection::close);
     }
 }
--- a/node/src/test/java/tulipshed/quic/MigrationTest.java
+++ b/node/src/test/java/tulipshed/quic/MigrationTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import tulipshed.connectionid.ConnectionId;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.quic.QuicFigures.Figure;
 import tulipshed.quic.StandIns.Client;
 import tulipshed.quic.StandIns.Client.Heard;
@@ -38,7 +38,7 @@
                 assertEquals(new Heard("number", i), number(other, i));
             }
             assertEquals(2, (int) onLoop(front::sessionCount));
-            assertEquals(2, (int) onLoop(() -> core.figures().concurrent()), "the module counts each once");
+            assertEquals(2, (int) onLoop(() -> core.metrics().activeRequests()), "the module counts each once");
             assertEquals(20, counted(Figure.IDS_JOINED));
             assertEquals(0, counted(Figure.CARRIED_ON));
             assertTrue(
@@ -202,7 +202,7 @@
         assertEquals(12, (int) onLoop(front::sessionCount));
         assertEquals(12, (int) onLoop(second.loop(), second.front()::sessionCount));
         assertEquals(
-                12, (int) onLoop(second.loop(), () -> second.core().figures().concurrent()));
+                12, (int) onLoop(second.loop(), () -> second.core().metrics().activeRequests()));
         // A node that has just started knows no id at all.
         Node fresh = node();
         for (Client client : clients) {
@@ -277,7 +277,7 @@
         assertTrue(clients.size() >= 10, "enough of them stand at the first server");
         Server drained = servers.get(0);
         drained.drainedNs = System.nanoTime();
-        tell(0, ServerState.DRAINING);
+        tell(0, EndpointStatus.DRAINING);
         int words = 0;
         int rebinds = 0;
         for (int round = 0; round < 100; round++) {
--- a/node/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/node/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -17,12 +17,12 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.ServerIds;
-import tulipshed.decision.BalancerApi.ServerState;
-import tulipshed.transport.DatagramPort;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.quic.StandIns.Client;
 import tulipshed.quic.StandIns.Client.Heard;
 import tulipshed.quic.StandIns.Server;
 import tulipshed.quic.StandIns.Server.Manner;
+import tulipshed.transport.UdpSocket;
 
 /** The second front with the real core and module between stand-in clients and servers on loopback. */
 class QuicFrontTest extends FrontSetup {
@@ -52,7 +52,7 @@
             assertEquals(new Heard("number", 1), client.hear());
             int held = servers.get(0).initials.get() == 1 ? 0 : 1;
             // In the middle of a booking: the client rebinds while its server begins to drain.
-            tell(held, ServerState.DRAINING);
+            tell(held, EndpointStatus.DRAINING);
             client.rebind();
             client.sendNumber(2);
             assertEquals("reset", client.hear().what());
@@ -90,7 +90,7 @@
     void aHelloOverThreeDatagramsIsWaitedForAndItsNamesAreKnownToRules() throws IOException {
         front(Manner.SERVES, Manner.SERVES);
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-                .names();
+                .nameIndex();
         var rules = tulipshed.operators.OperatorsFile.read(
                 "f",
                 ("(pool second (where (= member.id \"s-2\")))"
@@ -100,7 +100,7 @@
                         .getBytes(java.nio.charset.StandardCharsets.UTF_8),
                 names);
         onLoop(() -> {
-            core.route(rules.router());
+            core.useRouter(rules.router());
             return null;
         });
         for (int i = 0; i < 4; i++) {
@@ -118,7 +118,7 @@
             }
         }
         assertEquals(0, servers.get(0).initials.get());
-        long asGate = onLoop(() -> core.figures().replies().get("gate-status").up());
+        long asGate = onLoop(() -> core.metrics().responses().get("gate-status").established());
         assertEquals(4, asGate);
     }
 
@@ -214,7 +214,7 @@
             client.sendNumber(1);
             assertEquals(new Heard("number", 1), client.hear(), "an id of the new configuration, never seen");
             assertEquals(1, (int) onLoop(front::sessionCount), "the same connection, so the module counts one");
-            assertEquals(1, (int) onLoop(() -> core.figures().concurrent()));
+            assertEquals(1, (int) onLoop(() -> core.metrics().activeRequests()));
             configure(new IdConfigurations().with(next, members));
             client.server = before;
             client.sendNumber(2);
@@ -245,7 +245,7 @@
     void rulesGiveAConnectionItsClassAndItsPool() throws IOException {
         front(Manner.SERVES, Manner.SERVES, Manner.SERVES);
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-                .names();
+                .nameIndex();
         var rules = tulipshed.operators.OperatorsFile.read(
                 "f",
                 ("(pool third (where (= member.id \"s-3\")))"
@@ -255,7 +255,7 @@
                         .getBytes(java.nio.charset.StandardCharsets.UTF_8),
                 names);
         onLoop(() -> {
-            core.route(rules.router());
+            core.useRouter(rules.router());
             return null;
         });
         for (int i = 0; i < 6; i++) {
@@ -264,7 +264,7 @@
             }
         }
         assertEquals(6, servers.get(2).initials.get());
-        long asGate = onLoop(() -> core.figures().replies().get("gate-status").up());
+        long asGate = onLoop(() -> core.metrics().responses().get("gate-status").established());
         assertEquals(6, asGate);
     }
 
@@ -278,8 +278,8 @@
                 Thread.onSpinWait();
             }
             servers.add(new Server(2, Manner.SERVES));
-            tell(1, ServerState.SERVING);
-            tell(0, ServerState.DRAINING);
+            tell(1, EndpointStatus.SERVING);
+            tell(0, EndpointStatus.DRAINING);
             assertEquals("served", client.hear().what());
             client.sendNumber(7);
             assertEquals(new Heard("number", 7), client.hear());
@@ -343,7 +343,7 @@
                 Client late = new Client(front.address(), 20)) {
             assertEquals("served", open(client).what());
             onLoop(() -> {
-                var names = new tulipshed.config.SettingsReader.Names();
+                var names = new tulipshed.config.SettingsReader.NameIndex();
                 names.classes.put("slot-board", 0);
                 names.tenants.put("vltava-kontejner", 0);
                 front.reconfigure(names);
@@ -360,27 +360,27 @@
     void aFlowWithoutADescriptorIsTurnedAwayAndNotCountedAgainstTheServer() throws IOException {
         descriptors = 64 + 32 + 4 + 2;
         front(Manner.SERVES);
-        tell(0, ServerState.DRAINING);
+        tell(0, EndpointStatus.DRAINING);
         try (Client client = new Client(front.address(), 17)) {
             client.send(client.initial());
             while (onLoop(front::sessionCount) == 0) {
                 Thread.onSpinWait();
             }
-            List<DatagramPort> ports = new ArrayList<>();
+            List<UdpSocket> ports = new ArrayList<>();
             onLoop(() -> {
-                while (loop.hasRoomForFlow()) {
-                    ports.add(loop.datagrams(
+                while (loop.hasCapacityForUpstream()) {
+                    ports.add(loop.bindUdp(
                             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                             ByteBuffer.allocate(8),
                             (from, datagram) -> {}));
                 }
                 return null;
             });
-            tell(0, ServerState.SERVING);
+            tell(0, EndpointStatus.SERVING);
             assertEquals(new Heard("closed", InitialFrames.CONNECTION_REFUSED), client.hear());
             assertEquals(0, servers.get(0).initials.get());
             onLoop(() -> {
-                ports.forEach(DatagramPort::close);
+                ports.forEach(UdpSocket::close);
                 return null;
             });
             try (Client again = new Client(front.address(), 18)) {
--- a/node/src/test/java/tulipshed/quic/QuicLabProcess.java
+++ b/node/src/test/java/tulipshed/quic/QuicLabProcess.java
@@ -16,14 +16,14 @@
 import java.util.Map;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
-import tulipshed.decision.BalancerApi.ListKind;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
-import tulipshed.transport.XnioLoop;
+import tulipshed.proxy.EndpointListEntry;
+import tulipshed.proxy.ProxyCore;
 import tulipshed.time.SystemClock;
-import tulipshed.proxy.ListedMember;
-import tulipshed.proxy.TransactionCore;
+import tulipshed.transport.XnioEventLoop;
 
 /** What {@link QuicLab} measures: the front with core and module, or a bare relay that looks at addresses alone. */
 final class QuicLabProcess {
@@ -106,19 +106,20 @@
                 q.carriedOn(),
                 q.receiveBytes()));
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-        XnioLoop loop = new XnioLoop(limits);
+        XnioEventLoop loop = new XnioEventLoop(limits);
         Map<String, String> ids = new HashMap<>();
-        List<ListedMember> listed = new ArrayList<>();
+        List<EndpointListEntry> listed = new ArrayList<>();
         for (int i = 1; i <= members.size(); i++) {
             ids.put(String.format("%06x", i), "s-" + i);
-            listed.add(new ListedMember(
-                    new ServerEntry("s-" + i, ServerState.SERVING, "decin", 0, "std-2c", 1, 0), members.get(i - 1)));
+            listed.add(new EndpointListEntry(
+                    new EndpointInfo("s-" + i, EndpointStatus.SERVING, "decin", 0, "std-2c", 1, 0),
+                    members.get(i - 1)));
         }
         RetryTokens tokens = new RetryTokens(Map.of(1, new byte[16]), 1, 10_000);
         QuicFront front = FrontSetup.onLoop(loop, () -> {
-            TransactionCore core =
-                    new TransactionCore(new SystemClock(), limits, config.settings(), 1, loop, t -> {}, Balancer::new);
-            core.members(ListKind.COMPLETE, listed);
+            ProxyCore core =
+                    new ProxyCore(new SystemClock(), limits, config.settings(), 1, loop, t -> {}, Balancer::new);
+            core.endpointsChanged(EndpointListKind.COMPLETE, listed);
             return new QuicFront(
                     new SystemClock(),
                     limits,
@@ -132,7 +133,7 @@
                             StandIns.RESET,
                             tokens,
                             new RetryPolicy(200, 50, 1000)),
-                    config.names(),
+                    config.nameIndex(),
                     loop,
                     core,
                     t -> {});
--- a/node/src/test/java/tulipshed/routing/RouterTest.java
+++ b/node/src/test/java/tulipshed/routing/RouterTest.java
@@ -15,8 +15,8 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import tulipshed.config.NodeConfig;
-import tulipshed.decision.BalancerApi.ServerEntry;
-import tulipshed.decision.BalancerApi.ServerState;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.operators.OperatorsFile;
 
 class RouterTest {
@@ -28,15 +28,15 @@
                         "f",
                         (POOLS + routes).getBytes(StandardCharsets.UTF_8),
                         NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-                                .names())
+                                .nameIndex())
                 .router();
     }
 
-    private static List<ServerEntry> members(int a, int b) {
-        List<ServerEntry> list = new ArrayList<>();
+    private static List<EndpointInfo> members(int a, int b) {
+        List<EndpointInfo> list = new ArrayList<>();
         for (int i = 0; i < a + b; i++) {
-            list.add(new ServerEntry(
-                    "s-" + i, ServerState.SERVING, "z", 0, i < a ? "a" : "b", 1, i == 0 ? 1_000_000 : 0));
+            list.add(new EndpointInfo(
+                    "s-" + i, EndpointStatus.SERVING, "z", 0, i < a ? "a" : "b", 1, i == 0 ? 1_000_000 : 0));
         }
         return list;
     }
--- a/node/src/test/java/tulipshed/simadapter/AdapterTest.java
+++ b/node/src/test/java/tulipshed/simadapter/AdapterTest.java
@@ -85,9 +85,9 @@
                 err,
                 (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                     @Override
-                    public void peerMessage(long at, int from, byte[] body) {
-                        actions.tell(from, body);
-                        actions.tell(Actions.ALL_PEERS, new byte[] {1, 2});
+                    public void peerMessageReceived(long at, int from, byte[] body) {
+                        actions.sendToPeer(from, body);
+                        actions.sendToPeer(Actions.ALL_PEERS, new byte[] {1, 2});
                     }
                 });
         assertTrue(
--- a/node/src/test/java/tulipshed/testing/ModuleDelegate.java
+++ b/node/src/test/java/tulipshed/testing/ModuleDelegate.java
@@ -14,68 +14,69 @@
     }
 
     @Override
-    public void servers(long now, ListKind kind, List<ServerEntry> entries) {
-        to.servers(now, kind, entries);
+    public void endpointsChanged(long now, EndpointListKind kind, List<EndpointInfo> entries) {
+        to.endpointsChanged(now, kind, entries);
     }
 
     @Override
-    public void request(long now, NewRequest request) {
-        to.request(now, request);
+    public void requestArrived(long now, NewRequest request) {
+        to.requestArrived(now, request);
     }
 
     @Override
-    public void alreadyOpen(long now, NewRequest request, String server) {
-        to.alreadyOpen(now, request, server);
+    public void connectionAdopted(long now, NewRequest request, String server) {
+        to.connectionAdopted(now, request, server);
     }
 
     @Override
-    public void started(long now, long request, int attempt, long tookUs) {
-        to.started(now, request, attempt, tookUs);
+    public void attemptEstablished(long now, long requestId, int attempt, long tookUs) {
+        to.attemptEstablished(now, requestId, attempt, tookUs);
     }
 
     @Override
-    public void loadNote(long now, long request, double loadUsPerS) {
-        to.loadNote(now, request, loadUsPerS);
+    public void loadReported(long now, long requestId, double loadUsPerS) {
+        to.loadReported(now, requestId, loadUsPerS);
     }
 
     @Override
-    public void delayNote(long now, long request, double delayMs) {
-        to.delayNote(now, request, delayMs);
+    public void latencyReported(long now, long requestId, double delayMs) {
+        to.latencyReported(now, requestId, delayMs);
     }
 
     @Override
-    public void finished(long now, long request, int attempt, boolean concluded, Outcome outcome, Report report) {
-        to.finished(now, request, attempt, concluded, outcome, report);
+    public void attemptEnded(
+            long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
+        to.attemptEnded(now, requestId, attempt, concluded, outcome, report);
     }
 
     @Override
-    public void abandoned(long now, long request) {
-        to.abandoned(now, request);
+    public void requestCancelled(long now, long requestId) {
+        to.requestCancelled(now, requestId);
     }
 
     @Override
-    public void probed(long now, String server, Outcome outcome, Report report) {
-        to.probed(now, server, outcome, report);
+    public void healthCheckCompleted(long now, String server, Outcome outcome, LoadReport report) {
+        to.healthCheckCompleted(now, server, outcome, report);
     }
 
     @Override
-    public void timer(long now, long token) {
-        to.timer(now, token);
+    public void timerFired(long now, long token) {
+        to.timerFired(now, token);
     }
 
     @Override
-    public void peerMessage(long now, int from, byte[] body) {
-        to.peerMessage(now, from, body);
+    public void peerMessageReceived(long now, int from, byte[] body) {
+        to.peerMessageReceived(now, from, body);
     }
 
     @Override
-    public int avoided(long now) {
-        return to.avoided(now);
+    public int ineligibleCount(long now) {
+        return to.ineligibleCount(now);
     }
 
     @Override
-    public void share(long now, double ofBalancer) {
-        to.share(now, ofBalancer);
+    public void quotaShareChanged(long now, double ofBalancer) {
+        to.quotaShareChanged(now, ofBalancer);
     }
 
     @Override
@@ -84,17 +85,17 @@
     }
 
     @Override
-    public void pools(long now, Map<String, Set<String>> members) {
-        to.pools(now, members);
+    public void poolsChanged(long now, Map<String, Set<String>> members) {
+        to.poolsChanged(now, members);
     }
 
     @Override
-    public void route(long now, long request, String pool) {
-        to.route(now, request, pool);
+    public void requestRerouted(long now, long requestId, String pool) {
+        to.requestRerouted(now, requestId, pool);
     }
 
     @Override
-    public int inFavour(long now, String pool) {
-        return to.inFavour(now, pool);
+    public int eligibleCount(long now, String pool) {
+        return to.eligibleCount(now, pool);
     }
 }
--- a/node/src/test/java/tulipshed/transport/DatagramPortTest.java
+++ b/node/src/test/java/tulipshed/transport/DatagramPortTest.java
@@ -24,17 +24,17 @@
     /** XNIO lets addresses be used again, by which the kernel may give one free port to two sockets: the first then hears nothing. */
     @Test
     void noTwoSocketsAreGivenOnePort() throws IOException {
-        XnioLoop loop = new XnioLoop(Limits.forDescriptors(4096));
-        List<DatagramPort> ports = new ArrayList<>();
+        XnioEventLoop loop = new XnioEventLoop(Limits.forDescriptors(4096));
+        List<UdpSocket> ports = new ArrayList<>();
         Set<InetSocketAddress> addresses = new HashSet<>();
         try {
             for (int i = 0; i < 1500; i++) {
-                ports.add(loop.datagrams(ANY, ByteBuffer.allocate(8), (from, datagram) -> {}));
+                ports.add(loop.bindUdp(ANY, ByteBuffer.allocate(8), (from, datagram) -> {}));
                 addresses.add(ports.get(i).address());
             }
             assertEquals(ports.size(), addresses.size());
         } finally {
-            ports.forEach(DatagramPort::close);
+            ports.forEach(UdpSocket::close);
             loop.stop();
         }
     }
@@ -44,14 +44,14 @@
     void aFloodedSocketDoesNotKeepTheOthersWaiting() throws Exception {
         Limits limits = Limits.forDescriptors(1024);
         int batch = limits.quic().readsAtOnce();
-        XnioLoop loop = new XnioLoop(limits);
+        XnioEventLoop loop = new XnioEventLoop(limits);
         AtomicInteger before = new AtomicInteger(-1);
         AtomicInteger read = new AtomicInteger();
         CountDownLatch begun = new CountDownLatch(1);
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch all = new CountDownLatch(2 * batch + 1);
         try (DatagramSocket sender = new DatagramSocket()) {
-            loop.afterGathering(() -> {
+            loop.execute(() -> {
                 begun.countDown();
                 try {
                     held.await();
@@ -59,11 +59,11 @@
                     throw new IllegalStateException(e);
                 }
             });
-            DatagramPort flooded = loop.datagrams(ANY, ByteBuffer.allocate(64), (from, datagram) -> {
+            UdpSocket flooded = loop.bindUdp(ANY, ByteBuffer.allocate(64), (from, datagram) -> {
                 read.incrementAndGet();
                 all.countDown();
             });
-            DatagramPort quiet = loop.datagrams(ANY, ByteBuffer.allocate(64), (from, datagram) -> {
+            UdpSocket quiet = loop.bindUdp(ANY, ByteBuffer.allocate(64), (from, datagram) -> {
                 before.set(read.get());
                 all.countDown();
             });
--- a/node/src/test/java/tulipshed/transport/SiblingsTest.java
+++ b/node/src/test/java/tulipshed/transport/SiblingsTest.java
@@ -12,115 +12,118 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.limits.Limits;
-import tulipshed.proxy.Companion;
+import tulipshed.proxy.HotRestartPeer;
 
 class SiblingsTest {
     @TempDir
     private Path folder;
 
     private Path file;
-    private Siblings old;
+    private HotRestartState old;
 
     @BeforeEach
     void first() throws IOException {
         file = folder.resolve("share");
-        old = new Siblings(file, 8);
-        old.serves();
+        old = new HotRestartState(file, 8);
+        old.markServing();
     }
 
     @Test
     void oneAloneHasAll() {
-        assertFalse(old.accompanied());
-        assertEquals(1, old.share());
-        assertTrue(old.take("a"));
+        assertFalse(old.hasPeer());
+        assertEquals(1, old.quotaShare());
+        assertTrue(old.claimId("a"));
     }
 
     @Test
     void allowancesAreSharedOnlyWhileBothServe() throws IOException {
-        Siblings next = new Siblings(file, 8);
-        old.look();
-        assertTrue(old.accompanied() && next.otherServes());
-        assertEquals(1, old.share(), "the other does not take clients yet");
-        next.serves();
-        assertEquals(0.5, old.share());
-        assertEquals(0.5, next.share());
-        old.leaves();
-        assertEquals(0, old.share());
-        assertEquals(1, next.share());
+        HotRestartState next = new HotRestartState(file, 8);
+        old.refresh();
+        assertTrue(old.hasPeer() && next.isPeerServing());
+        assertEquals(1, old.quotaShare(), "the other does not take clients yet");
+        next.markServing();
+        assertEquals(0.5, old.quotaShare());
+        assertEquals(0.5, next.quotaShare());
+        old.markLeaving();
+        assertEquals(0, old.quotaShare());
+        assertEquals(1, next.quotaShare());
         old.close();
-        next.look();
-        assertFalse(next.accompanied());
+        next.refresh();
+        assertFalse(next.hasPeer());
         assertThrows(
                 IllegalStateException.class,
                 () -> {
-                    new Siblings(file, 8);
-                    new Siblings(file, 8);
+                    new HotRestartState(file, 8);
+                    new HotRestartState(file, 8);
                 },
                 "a third process");
     }
 
     @Test
     void anIdThatOneHasOpenIsNotTheOthers() throws IOException {
-        assertTrue(old.take("a"));
-        Siblings next = new Siblings(file, 8);
-        old.look();
-        assertFalse(next.take("a"));
-        assertTrue(next.take("b"));
-        assertFalse(old.take("b"));
-        old.free("a");
-        assertTrue(next.take("a"));
+        assertTrue(old.claimId("a"));
+        HotRestartState next = new HotRestartState(file, 8);
+        old.refresh();
+        assertFalse(next.claimId("a"));
+        assertTrue(next.claimId("b"));
+        assertFalse(old.claimId("b"));
+        old.releaseId("a");
+        assertTrue(next.claimId("a"));
         for (int i = 0; i < 100; i++) {
-            assertTrue(old.take("x" + i), "what finds no place is not shared");
-            old.free("x" + i);
+            assertTrue(old.claimId("x" + i), "what finds no place is not shared");
+            old.releaseId("x" + i);
         }
     }
 
     /** What a dead process left in the file must not bind the next one. */
     @Test
     void nothingIsLeftOfAProcessThatEnded() throws IOException {
-        old.take("a");
+        old.claimId("a");
         old.open(7);
         old.close();
-        Siblings next = new Siblings(file, 8);
-        assertFalse(next.accompanied() || next.otherServes());
-        assertTrue(next.take("a"));
-        assertEquals(0, next.otherOpen());
+        HotRestartState next = new HotRestartState(file, 8);
+        assertFalse(next.hasPeer() || next.isPeerServing());
+        assertTrue(next.claimId("a"));
+        assertEquals(0, next.peerOpenConnections());
     }
 
     @Test
     void whatStandsInOneIsToldToTheOtherUntilItEnds() throws IOException {
-        Companion.Standing one = new Companion.Standing("s-1", "desk", 0.5);
-        Companion.Standing two = new Companion.Standing("s-2", null, 0);
-        int place = old.stands(one);
-        int second = old.stands(two);
-        Siblings next = new Siblings(file, 8);
-        assertEquals(Map.of(place, one, second, two), next.others());
-        assertEquals(Map.of(), old.others(), "and not to itself");
-        old.ended(place);
-        assertEquals(Map.of(second, two), next.others());
-        assertEquals(place, old.stands(two), "its place is free again");
-        assertEquals(-1, old.stands(new Companion.Standing("s".repeat(40), null, 0)), "what has no room is not told");
+        HotRestartPeer.EstablishedConnection one = new HotRestartPeer.EstablishedConnection("s-1", "desk", 0.5);
+        HotRestartPeer.EstablishedConnection two = new HotRestartPeer.EstablishedConnection("s-2", null, 0);
+        int place = old.connectionEstablished(one);
+        int second = old.connectionEstablished(two);
+        HotRestartState next = new HotRestartState(file, 8);
+        assertEquals(Map.of(place, one, second, two), next.peerConnections());
+        assertEquals(Map.of(), old.peerConnections(), "and not to itself");
+        old.connectionEnded(place);
+        assertEquals(Map.of(second, two), next.peerConnections());
+        assertEquals(place, old.connectionEstablished(two), "its place is free again");
+        assertEquals(
+                -1,
+                old.connectionEstablished(new HotRestartPeer.EstablishedConnection("s".repeat(40), null, 0)),
+                "what has no room is not told");
         for (int i = 0; i < 6; i++) {
-            assertTrue(old.stands(one) >= 0);
+            assertTrue(old.connectionEstablished(one) >= 0);
         }
-        assertEquals(-1, old.stands(one));
+        assertEquals(-1, old.connectionEstablished(one));
         old.close();
-        next.look();
-        assertEquals(Map.of(), next.others(), "all ends with its process");
+        next.refresh();
+        assertEquals(Map.of(), next.peerConnections(), "all ends with its process");
     }
 
     @Test
     void theDescriptorsOfBothAreThoseOfOneNode() throws IOException {
         Limits limits = Limits.forDescriptors(400);
-        Siblings next = new Siblings(file, 8);
-        XnioLoop loop = new XnioLoop(limits, next);
+        HotRestartState next = new HotRestartState(file, 8);
+        XnioEventLoop loop = new XnioEventLoop(limits, next);
         old.open(limits.connectionDescriptors() - 64 - 32 - 2);
-        assertTrue(loop.hasRoom());
+        assertTrue(loop.hasCapacityForClient());
         old.open(limits.connectionDescriptors() - 64 - 32 - 1);
-        assertFalse(loop.hasRoom());
+        assertFalse(loop.hasCapacityForClient());
         old.close();
-        next.look();
-        assertTrue(loop.hasRoom());
+        next.refresh();
+        assertTrue(loop.hasCapacityForClient());
         loop.stop();
     }
 }
