--- a/lab/src/main/java/tulipshed/lab/policy/CorePolicy.java
+++ b/lab/src/main/java/tulipshed/lab/policy/CorePolicy.java
@@ -7,6 +7,7 @@
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.lab.scenario.Scenario;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.Attempt;
 import tulipshed.proxy.ClientConnection;
 import tulipshed.proxy.EventLoop;
@@ -21,7 +22,12 @@
     private final Host host;
     private final Map<String, Integer> numbers;
     private final ArrayDeque<Runnable> ready = new ArrayDeque<>();
-    private final Map<Request, Client> byTransaction = new IdentityHashMap<>();
+    private final IdentityHashMap<Request, Client> byTransaction = new IdentityHashMap<>();
+    /** An event that the core cannot handle ends the run: it is a defect of the program. */
+    private static final NodeLog ERRORS = NodeLog.errorsTo(line -> {
+        throw new IllegalStateException(line);
+    });
+
     private final ProxyCore core;
     /** The connection that stood before, while the core takes it. */
     private Flow standing;
@@ -36,11 +42,7 @@
                 SettingsOf.of(s, host.node()),
                 host.seed(),
                 this,
-                m -> {
-                    if (m.startsWith("fault")) {
-                        throw new IllegalStateException(m);
-                    }
-                },
+                ERRORS,
                 Balancer::new);
         core.endpointListSource(host::watch);
     }
--- a/node/src/main/java/tulipshed/cli/DemoCommand.java
+++ b/node/src/main/java/tulipshed/cli/DemoCommand.java
@@ -20,6 +20,7 @@
 import tulipshed.demo.StandInDiscovery;
 import tulipshed.demo.StandInMember;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
 
@@ -113,7 +114,11 @@
                     read.loadReportsLatency(),
                     null);
             return new Node(
-                    fresh, rules, Limits.forDescriptors(DESCRIPTORS), new SystemClock(), l -> say("  [node] " + l));
+                    fresh,
+                    rules,
+                    Limits.forDescriptors(DESCRIPTORS),
+                    new SystemClock(),
+                    NodeLog.to(line -> say("  [node] " + line)));
         } finally {
             Files.deleteIfExists(folder.resolve("node.json"));
             Files.delete(folder);
--- a/node/src/main/java/tulipshed/cli/Node.java
+++ b/node/src/main/java/tulipshed/cli/Node.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import tulipshed.config.NodeConfig;
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.decision.Balancer;
@@ -16,6 +16,7 @@
 import tulipshed.discovery.EndpointWatch;
 import tulipshed.limits.Limits;
 import tulipshed.lineprotocol.LineProtocolFrontend;
+import tulipshed.logging.NodeLog;
 import tulipshed.management.ManagementServer;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.peer.PeerSocket;
@@ -36,7 +37,8 @@
     private final QuicConfig quicConfig;
     private Router router;
     private final Clock clock;
-    private final Consumer<String> log;
+    private final NodeLog nodeLog;
+    private final Logger log;
     private final Limits limits;
     private final XnioEventLoop loop;
     private final HotRestartState siblings;
@@ -54,19 +56,12 @@
     private volatile boolean leaving;
 
     /** Starts a node that has no other process beside it. */
-    Node(NodeConfig config, OperatorsFile operators, Limits limits, Clock clock, Consumer<String> log)
-            throws IOException {
+    Node(NodeConfig config, OperatorsFile operators, Limits limits, Clock clock, NodeLog log) throws IOException {
         this(config, operators, limits, new HotRestartState(), clock, log);
     }
 
     /** Starts a node; the second front stays off where the operators' file does not name it. */
-    Node(
-            NodeConfig config,
-            OperatorsFile operators,
-            Limits limits,
-            HotRestartState siblings,
-            Clock clock,
-            Consumer<String> log)
+    Node(NodeConfig config, OperatorsFile operators, Limits limits, HotRestartState siblings, Clock clock, NodeLog log)
             throws IOException {
         this.siblings = siblings;
         this.config = config;
@@ -74,9 +69,10 @@
         quicConfig = operators.quic() == null ? null : QuicConfig.of(operators.quic());
         router = operators.router();
         this.clock = clock;
-        this.log = log;
+        nodeLog = log;
+        this.log = log.logger("node");
         this.limits = limits;
-        loop = new XnioEventLoop(limits, siblings);
+        loop = new XnioEventLoop(limits, siblings, log);
         // All parts live on the loop; whoever starts the node waits until it takes connections.
         CompletableFuture<Void> started = new CompletableFuture<>();
         loop.execute(() -> {
@@ -99,11 +95,11 @@
     }
 
     private void start(CompletableFuture<Void> started) throws IOException {
-        core = new ProxyCore(clock, limits, config.settings(), config.seed(), loop, log, Balancer::new);
+        core = new ProxyCore(clock, limits, config.settings(), config.seed(), loop, nodeLog, Balancer::new);
         if (config.management() != null) {
             management = new ManagementServer(
                     config.management(), clock, limits, loop, core, () -> server != null && !leaving);
-            log.accept("tulipshed: management on " + management.address());
+            log.info("management server listens on " + management.address());
         }
         EndpointListUpdate known =
                 config.cachedEndpoints().isEmpty() ? null : EndpointListUpdate.read(config.cachedEndpoints());
@@ -114,10 +110,10 @@
             core.useRouter(router);
         }
         core.hotRestartPeer(siblings);
-        watch = new EndpointWatch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), log);
+        watch = new EndpointWatch(config.discovery(), limits, loop, core, known == null ? 0 : known.version(), nodeLog);
         core.endpointListSource(watch);
         front = new LineProtocolFrontend(
-                clock, limits, config.nameIndex(), config.loadReportsLatency(), loop, core, log);
+                clock, limits, config.nameIndex(), config.loadReportsLatency(), loop, core, nodeLog);
         front.setDeclarations(router == null ? null : router.declarations());
         peersAs(config);
         if (siblings.isPeerServing()) {
@@ -133,7 +129,7 @@
     /** Datagrams between nodes: nothing of them exists until a configuration allows them. */
     private void peersAs(NodeConfig configured) {
         if (peers == null && configured.peers() != null) {
-            peers = new PeerSocket(clock, limits, loop, core, log);
+            peers = new PeerSocket(clock, limits, loop, core, nodeLog);
         }
         if (peers != null) {
             peers.configure(configured.peers());
@@ -153,8 +149,8 @@
             server = loop.listen(config.listen(), limits.clientConnections(), front::accept);
             siblings.markServing();
             lookAtSiblings();
-            log.accept("tulipshed: " + config.name() + " serves on " + config.listen()
-                    + (siblings.hasPeer() ? ", beside another process" : ""));
+            log.info(config.name() + " serves on " + config.listen()
+                    + (siblings.hasPeer() ? ", alongside another process" : ""));
             started.complete(null);
         } catch (UncheckedIOException e) {
             started.completeExceptionally(e.getCause());
@@ -174,8 +170,8 @@
         }
         if (!siblings.hasPeer() && quic == null && quicConfig != null && !leaving) {
             try {
-                quic = new QuicFront(clock, limits, quicConfig, names, loop, core, log);
-                log.accept("tulipshed: QUIC on " + quic.address());
+                quic = new QuicFront(clock, limits, quicConfig, names, loop, core, nodeLog);
+                log.info("QUIC frontend listens on " + quic.address());
             } catch (IOException e) {
                 throw new UncheckedIOException("QUIC: " + e.getMessage(), e);
             }
@@ -230,8 +226,8 @@
             watch.setPushed(!changed.settings().polledDiscovery());
             core.metrics().reloaded(true);
             // Said once it holds: whoever waits for the line may count on the new settings at once.
-            log.accept("tulipshed: reload, discovery at " + changed.discovery()
-                    + (more ? "; the other changes wait for the next start" : ""));
+            log.info("configuration reloaded, discovery at " + changed.discovery()
+                    + (more ? "; the other changes need a restart" : ""));
         });
     }
 
@@ -239,7 +235,7 @@
     void turnedDown(String why) {
         loop.execute(() -> {
             core.metrics().reloaded(false);
-            log.accept("tulipshed: reload, the old settings stay: " + why.replaceAll("\\s+", " "));
+            log.warn("configuration rejected, the current one stays: " + why.replaceAll("\\s+", " "));
         });
     }
 
@@ -261,8 +257,8 @@
             leaving = true;
             endMs = Math.min(limits.shutdown().maxDeadlineMs(), core.longestDeadlineMs())
                     + limits.shutdown().endMarginMs();
-            log.accept("tulipshed: leaving" + (handedOver ? " to another process, " : ", ") + core.establishedCount()
-                    + " connections stand");
+            log.info("shutting down" + (handedOver ? ", handing over to another process, " : ", ")
+                    + core.establishedCount() + " established connections");
             step(gone);
         });
         try {
--- a/node/src/main/java/tulipshed/cli/ServeCommand.java
+++ b/node/src/main/java/tulipshed/cli/ServeCommand.java
@@ -4,12 +4,12 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
+import org.jboss.logging.Logger;
 import org.kohsuke.args4j.Option;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
 import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.HotRestartState;
@@ -29,21 +29,20 @@
 
     @Override
     public int run() {
+        NodeLog nodeLog = NodeLog.to(System.out::println);
+        Logger log = nodeLog.logger("node");
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
         OperatorsFile rules = operators(config);
         Reload reload = new Reload(() -> NodeConfig.load(environment), this::operators);
-        // Without a handler of its own the virtual machine would exit on SIGHUP.
-        if (Signal.handle(new Signal("HUP"), s -> reload.reload()) == SignalHandler.SIG_IGN) {
-            // Whoever started it ignores the signal, as nohup does, and the virtual machine keeps to that.
-            System.out.println(
-                    "tulipshed: SIGHUP is ignored since before the start, no reload will be heard; start it by"
-                            + " env --default-signal=HUP");
+        if (!HangupSignal.handle(reload::reload)) {
+            log.warn("SIGHUP is ignored by the parent process, the configuration cannot be reloaded;"
+                    + " start with env --default-signal=HUP");
         }
         Limits limits = Limits.forDescriptors(config.sockets());
         try {
-            HotRestartState siblings = siblings(config, environment.get("TMPDIR"), limits);
-            Node node = new Node(config, rules, limits, siblings, new SystemClock(), System.out::println);
+            HotRestartState hotRestartState = hotRestartState(config, environment.get("TMPDIR"), limits, log);
+            Node node = new Node(config, rules, limits, hotRestartState, new SystemClock(), nodeLog);
             reload.serves(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
             return STAYS;
@@ -56,8 +55,8 @@
         return operators == null ? OperatorsFile.EMPTY : OperatorsFile.load(operators.toPath(), config.nameIndex());
     }
 
-    /** A node may run as two processes while one takes over; they meet in a file that its address names. */
-    private static HotRestartState siblings(NodeConfig config, String folder, Limits limits) {
+    /** The state shared by the two processes of a hot restart, in a file that the listen address names. */
+    private static HotRestartState hotRestartState(NodeConfig config, String folder, Limits limits, Logger log) {
         if (folder == null || folder.isEmpty()) {
             return new HotRestartState();
         }
@@ -68,7 +67,7 @@
                     Path.of(folder, "tulipshed-" + address.replace(':', '.') + ".share"),
                     limits.shutdown().sharedIds());
         } catch (IOException e) {
-            System.out.println("tulipshed: no second process can take over, TMPDIR is of no use: " + e);
+            log.warn("hot restart unavailable, cannot use TMPDIR: " + e);
             return new HotRestartState();
         } catch (IllegalStateException e) {
             throw new MalformedInputException(e.getMessage());
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -4,12 +4,13 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import org.xnio.StreamConnection;
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListSource;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.transport.TcpConnection;
@@ -25,7 +26,7 @@
     private final Limits limits;
     private final XnioEventLoop loop;
     private final ProxyCore core;
-    private final Consumer<String> log;
+    private final Logger log;
     private final ByteBuffer in;
     private InetSocketAddress discovery;
     private long version;
@@ -49,18 +50,13 @@
     private long steps;
 
     public EndpointWatch(
-            InetSocketAddress discovery,
-            Limits limits,
-            XnioEventLoop loop,
-            ProxyCore core,
-            long version,
-            Consumer<String> log) {
+            InetSocketAddress discovery, Limits limits, XnioEventLoop loop, ProxyCore core, long version, NodeLog log) {
         this.discovery = discovery;
         this.limits = limits;
         this.loop = loop;
         this.core = core;
         this.version = version;
-        this.log = log;
+        this.log = log.logger("discovery");
         in = ByteBuffer.allocate(limits.sockets().readBytes());
     }
 
@@ -132,7 +128,7 @@
         if (link != null) {
             ask();
         } else {
-            within(limits.discovery().connectTimeoutMs(), () -> failed("no connection in time"));
+            within(limits.discovery().connectTimeoutMs(), () -> failed("connect timeout"));
             dialing = loop.connect(discovery, this::up, this::failed);
         }
     }
@@ -161,7 +157,7 @@
     }
 
     private void ask() {
-        within(waitMs + silenceMs(), () -> silent("silence"));
+        within(waitMs + silenceMs(), () -> silent("no response in time"));
         String host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
         String what = whole ? "" : "?index=" + version + "&wait=" + (long) waitMs;
         link.write(
@@ -179,7 +175,7 @@
             failed(why);
             return;
         }
-        log.accept("discovery: " + why + ", the watch is opened anew");
+        log.warn("reopening watch: " + why);
         watching = false;
         catchUp();
     }
@@ -194,7 +190,7 @@
             }
             if (n > 0 && calling && !answering) {
                 answering = true;
-                within(limits.discovery().responseTimeoutMs(), () -> silent("an answer that does not end"));
+                within(limits.discovery().responseTimeoutMs(), () -> silent("incomplete response"));
             }
             boolean complete;
             try {
@@ -228,7 +224,7 @@
         failing = false;
         if (!watching) {
             watching = true;
-            log.accept("discovery: watching from version " + list.version() + " on");
+            log.info("watching endpoint list from version " + list.version());
         }
         // Changes that lead back to an older version leave open what the list is there now.
         whole = !whole && !list.full() && list.version() < version;
@@ -253,7 +249,7 @@
         watching = false;
         // An agent is asked again so soon that each failure of a dark time would be a line.
         if (!setPushed || !failing) {
-            log.accept("discovery: " + why);
+            log.warn("call failed: " + why);
         }
         failing = true;
         hangUp();
@@ -282,7 +278,7 @@
     @Override
     public void onBroken(TcpConnection from) {
         if (link == from) {
-            failed("the connection broke");
+            failed("connection lost");
             hangUp();
         }
     }
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -5,10 +5,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.xnio.StreamConnection;
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.routing.Declarations;
 import tulipshed.routing.Origin;
@@ -26,7 +26,6 @@
     private NameIndex names;
     final XnioEventLoop loop;
     final ProxyCore core;
-    final Consumer<String> log;
     /** Read into by whoever reads; nothing stays in it from one listener to the next. */
     final ByteBuffer scratch;
 
@@ -50,17 +49,16 @@
             boolean loadTellsDelay,
             XnioEventLoop loop,
             ProxyCore core,
-            Consumer<String> log) {
+            NodeLog log) {
         this.loadTellsDelay = loadTellsDelay;
         this.clock = clock;
         this.limits = limits;
         this.names = names;
         this.loop = loop;
         this.core = core;
-        this.log = log;
         unserved = new UnservedConnections(limits);
-        complaints = new ProtocolErrorLog("clients turned away for what they sent", limits, log);
-        memberComplaints = new ProtocolErrorLog("what members sent and cannot be used", limits, log);
+        complaints = new ProtocolErrorLog("client", "clients rejected for malformed input", limits, log);
+        memberComplaints = new ProtocolErrorLog("upstream", "malformed upstream lines ignored", limits, log);
         scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
         probes = new HealthCheckConnections(this);
         core.healthChecker(probes);
--- /dev/null
+++ b/node/src/main/java/tulipshed/logging/NodeLog.java
@@ -0,0 +1,80 @@
+package tulipshed.logging;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.jboss.logging.Logger;
+
+/**
+ * The log of one node: named loggers with levels whose records become lines of the form {@code LEVEL subject: message}.
+ *
+ * <p>The loggers are those of JBoss Logging, which XNIO brings, over the platform's {@code java.util.logging}. Each log
+ * has a logger tree of its own, so that several nodes in one process, as in tests, keep their lines apart. Safe for use
+ * by any thread; the sink is called on the thread that logs.
+ */
+public final class NodeLog {
+    private static final AtomicInteger COUNT = new AtomicInteger();
+    private static final NodeLog SILENT = new NodeLog("silent", Level.OFF, line -> {});
+
+    /** Held here, as the platform keeps only weak references to loggers and would forget the handler. */
+    private final java.util.logging.Logger root;
+
+    private NodeLog(String name, Level level, Consumer<String> sink) {
+        root = java.util.logging.Logger.getLogger(name);
+        root.setUseParentHandlers(false);
+        root.setLevel(level);
+        root.addHandler(new LineHandler(sink));
+    }
+
+    /** A log whose lines, of level INFO and above, go to {@code sink}. */
+    public static NodeLog to(Consumer<String> sink) {
+        return new NodeLog("tulipshed" + COUNT.incrementAndGet(), Level.INFO, sink);
+    }
+
+    /** A log of which only lines of level ERROR go to {@code sink}. */
+    public static NodeLog errorsTo(Consumer<String> sink) {
+        return new NodeLog("tulipshed" + COUNT.incrementAndGet(), Level.SEVERE, sink);
+    }
+
+    /** A log that writes nothing. */
+    public static NodeLog silent() {
+        return SILENT;
+    }
+
+    /**
+     * The logger for one subject, such as {@code discovery}; the same one at each call.
+     *
+     * @param subject one word without a dot, which opens the message of each line
+     */
+    public Logger logger(String subject) {
+        return Logger.getLogger(root.getName() + '.' + subject);
+    }
+
+    /** Formats records as lines and hands them on. */
+    private static final class LineHandler extends Handler {
+        private final Consumer<String> sink;
+
+        LineHandler(Consumer<String> sink) {
+            this.sink = sink;
+        }
+
+        @Override
+        public void publish(LogRecord logged) {
+            String name = logged.getLoggerName();
+            String subject = name.substring(name.lastIndexOf('.') + 1);
+            sink.accept(logged.getLevel() + " " + subject + ": " + logged.getMessage());
+        }
+
+        @Override
+        public void flush() {
+            // The sink writes each line as it comes.
+        }
+
+        @Override
+        public void close() {
+            // The sink belongs to whoever made the log.
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/tulipshed/logging/package-info.java
@@ -0,0 +1,2 @@
+/** The log of a node: one facade with levels and named loggers, written as lines of text. */
+package tulipshed.logging;
--- a/node/src/main/java/tulipshed/peer/PeerSocket.java
+++ b/node/src/main/java/tulipshed/peer/PeerSocket.java
@@ -6,10 +6,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.function.Consumer;
 import tulipshed.config.PeerConfig;
 import tulipshed.decision.BalancerApi.Actions;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.PeerSender;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.Clock;
@@ -60,12 +60,12 @@
     }
 
     /** A port that is off until {@link #configure} and {@link #retryBind}. */
-    public PeerSocket(Clock clock, Limits limits, XnioEventLoop loop, ProxyCore core, Consumer<String> log) {
+    public PeerSocket(Clock clock, Limits limits, XnioEventLoop loop, ProxyCore core, NodeLog log) {
         this.clock = clock;
         this.limits = limits;
         this.loop = loop;
         this.core = core;
-        complaints = new ProtocolErrorLog("datagrams between nodes that cannot be used", limits, log);
+        complaints = new ProtocolErrorLog("peer", "peer datagrams dropped", limits, log);
         // One byte more, by which a datagram that is too long shows.
         scratch = ByteBuffer.allocateDirect(limits.peers().maxBodyBytes() + 1);
         core.peerSender(this);
@@ -121,7 +121,7 @@
     public void send(int peer, byte[] body) {
         boolean all = peer == Actions.ALL_PEERS;
         boolean known =
-                config != null && (all || peer >= 0 && peer < config.peers().size() && peer != config.self());
+                config != null && (all || (peer >= 0 && peer < config.peers().size() && peer != config.self()));
         if (port == null
                 || !known
                 || body.length == 0
--- a/node/src/main/java/tulipshed/proxy/DecisionBuffer.java
+++ b/node/src/main/java/tulipshed/proxy/DecisionBuffer.java
@@ -1,7 +1,8 @@
 package tulipshed.proxy;
 
-import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import tulipshed.decision.BalancerApi;
+import tulipshed.logging.NodeLog;
 import tulipshed.time.Clock;
 
 /** Keeps what the module decides until the whole batch has been handed over. */
@@ -9,13 +10,13 @@
     private final ProxyCore core;
     private final EventBatch turns;
     private final Clock clock;
-    private final Consumer<String> log;
+    private final Logger log;
 
-    DecisionBuffer(ProxyCore core, EventBatch turns, Clock clock, Consumer<String> log) {
+    DecisionBuffer(ProxyCore core, EventBatch turns, Clock clock, NodeLog log) {
         this.core = core;
         this.turns = turns;
         this.clock = clock;
-        this.log = log;
+        this.log = log.logger("balancer");
     }
 
     @Override
@@ -67,6 +68,6 @@
 
     @Override
     public void log(String message) {
-        log.accept(message);
+        log.warn(message);
     }
 }
--- a/node/src/main/java/tulipshed/proxy/EventBatch.java
+++ b/node/src/main/java/tulipshed/proxy/EventBatch.java
@@ -2,15 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import tulipshed.decision.BalancerApi;
+import tulipshed.logging.NodeLog;
 import tulipshed.time.Clock;
 
 /** Gathers what happens, hands all of it to the module in one turn, and then carries out what the module decided. */
 final class EventBatch {
     private final Clock clock;
     private final EventLoop loop;
-    private final Consumer<String> log;
+    private final Logger log;
     private final TimerQueue dues = new TimerQueue();
     private final List<Event> gathered = new ArrayList<>();
     private final List<Runnable> decided = new ArrayList<>();
@@ -22,10 +23,10 @@
         void tell(BalancerApi module, double nowMs, long nowUs);
     }
 
-    EventBatch(Clock clock, EventLoop loop, Consumer<String> log) {
+    EventBatch(Clock clock, EventLoop loop, NodeLog log) {
         this.clock = clock;
         this.loop = loop;
-        this.log = log;
+        this.log = log.logger("core");
     }
 
     /** The module may have asked for timers already, before anything was gathered. */
@@ -79,7 +80,8 @@
         try {
             what.run();
         } catch (RuntimeException e) {
-            log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+            StackTraceElement[] trace = e.getStackTrace();
+            log.error("event handler failed: " + e + " at " + (trace.length > 0 ? trace[0] : "unknown location"));
         }
     }
 }
--- a/node/src/main/java/tulipshed/proxy/ProxyCore.java
+++ b/node/src/main/java/tulipshed/proxy/ProxyCore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.LoadReport;
@@ -14,6 +15,7 @@
 import tulipshed.decision.BalancerApi.RequestClass;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.routing.Router;
 import tulipshed.time.Clock;
 
@@ -34,7 +36,7 @@
     private final Clock clock;
     private final Limits limits;
     private Settings settings;
-    private final Consumer<String> log;
+    private final Logger log;
     private final BalancerApi module;
     private final NodeMetrics metrics = new NodeMetrics();
     private final EndpointRegistry endpointsChanged = new EndpointRegistry();
@@ -52,18 +54,12 @@
     private long lastId;
 
     public ProxyCore(
-            Clock clock,
-            Limits limits,
-            Settings settings,
-            long seed,
-            EventLoop loop,
-            Consumer<String> log,
-            Module factory) {
+            Clock clock, Limits limits, Settings settings, long seed, EventLoop loop, NodeLog log, Module factory) {
         this.clock = clock;
         this.limits = limits;
         this.settings = settings;
         eventBatch = new EventBatch(clock, loop, log);
-        this.log = log;
+        this.log = log.logger("core");
         routing = new RequestRouting(settings, log);
         this.module = factory.create(
                 settings, seed, Clock.toMicros(clock.nowMs()), new DecisionBuffer(this, eventBatch, clock, log));
@@ -256,8 +252,8 @@
         return !attempt.isEnded()
                 && attempt.request().isPending()
                 && (attempt.endpoint().isServing()
-                        || attempt.request().isAdopted()
-                                && !attempt.request().connector().mustLeaveDrainingEndpoint());
+                        || (attempt.request().isAdopted()
+                                && !attempt.request().connector().mustLeaveDrainingEndpoint()));
     }
 
     /** The member serves the flow; false where the flow is over and its answer must not reach the client. */
@@ -428,7 +424,7 @@
     /** The module answers in time by itself; should it not, the client still gets its one answer. */
     private void overdue(Request request) {
         if (request.isPending() && request.attempt() == null) {
-            log.accept("transaction " + request.id() + " was overdue");
+            log.warn("request " + request.id() + " failed: no decision before its deadline");
             failed(request);
             eventBatch.add((module, ms, nowUs) -> {
                 module.requestCancelled(nowUs, request.id());
@@ -540,7 +536,7 @@
     /** A standing connection's member has gone silent: its client is sent elsewhere. */
     public void endpointUnresponsive(Attempt attempt) {
         if (!attempt.isEnded() && attempt.request().isEstablished()) {
-            log.accept("silent: " + attempt.endpoint().id());
+            log.warn("endpoint " + attempt.endpoint().id() + " unresponsive: migrating its client");
             moveNow(attempt.request(), Outcome.RESET);
         }
     }
--- a/node/src/main/java/tulipshed/proxy/RequestRouting.java
+++ b/node/src/main/java/tulipshed/proxy/RequestRouting.java
@@ -4,10 +4,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.Settings;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Classified;
 import tulipshed.routing.Router;
@@ -15,15 +16,15 @@
 
 /** Holds transactions to what the operators' rules make of them, and tells the module of pools and routes. */
 final class RequestRouting {
-    private final Consumer<String> log;
+    private final Logger log;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
     private Settings settings;
     private Router router;
     private Map<String, String> spilled = Map.of();
 
-    RequestRouting(Settings settings, Consumer<String> log) {
-        this.log = log;
+    RequestRouting(Settings settings, NodeLog log) {
+        this.log = log.logger("route");
         reconfigure(settings);
     }
 
@@ -111,12 +112,12 @@
         Map<String, String> now = router.spilled();
         now.forEach((route, pool) -> {
             if (!pool.equals(spilled.get(route))) {
-                log.accept("route " + route + ": uses pool " + pool + " instead of its first");
+                log.info(route + " uses pool " + pool + " instead of its preferred pool");
             }
         });
         spilled.keySet().stream()
                 .filter(r -> !now.containsKey(r))
-                .forEach(r -> log.accept("route " + r + ": uses its first pool again"));
+                .forEach(r -> log.info(r + " uses its preferred pool again"));
         spilled = now;
         reroute(module, nowUs, transactions);
     }
--- a/node/src/main/java/tulipshed/quic/FlowSockets.java
+++ b/node/src/main/java/tulipshed/quic/FlowSockets.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import tulipshed.logging.NodeLog;
 import tulipshed.quic.QuicFigures.Figure;
 import tulipshed.transport.UdpSocket;
 import tulipshed.transport.XnioEventLoop;
@@ -17,7 +19,7 @@
     private final InetAddress address;
     private final ByteBuffer scratch;
     private final QuicFigures counted;
-    private final Consumer<String> log;
+    private final Logger log;
     private final FlowSlots slots;
     private final Map<Integer, Socket> sockets = new HashMap<>();
 
@@ -76,12 +78,12 @@
             ByteBuffer scratch,
             QuicFigures counted,
             double quietMs,
-            Consumer<String> log) {
+            NodeLog log) {
         this.loop = loop;
         this.address = address;
         this.scratch = scratch;
         this.counted = counted;
-        this.log = log;
+        this.log = log.logger("quic");
         slots = new FlowSlots(quietMs);
     }
 
@@ -96,7 +98,7 @@
             try {
                 socket = new Socket();
             } catch (IOException e) {
-                log.accept("no socket for a flow: " + e.getMessage());
+                log.warn("cannot open an upstream socket: " + e.getMessage());
                 slots.leave(member, slot, nowMs);
                 return null;
             }
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.StatelessReset;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.quic.QuicFigures.Figure;
@@ -47,7 +47,6 @@
     private int unproven;
     final XnioEventLoop loop;
     final ProxyCore core;
-    final Consumer<String> log;
     final RandomGenerator random = new SecureRandom();
     final ByteBuffer scratch;
     private final Strangers strangers;
@@ -68,7 +67,7 @@
             NameIndex names,
             XnioEventLoop loop,
             ProxyCore core,
-            Consumer<String> log)
+            NodeLog log)
             throws IOException {
         this.clock = clock;
         this.limits = limits;
@@ -76,7 +75,6 @@
         this.names = names;
         this.loop = loop;
         this.core = core;
-        this.log = log;
         scratch = ByteBuffer.allocateDirect(limits.quic().datagramBytes());
         strangers = new Strangers(limits.quic().strangers());
         sockets = new FlowSockets(
@@ -317,7 +315,7 @@
             return;
         }
         boolean waits = opening.hello() == null;
-        if (full() || leaving || waits && openings >= limits.quic().openings()) {
+        if (full() || leaving || (waits && openings >= limits.quic().openings())) {
             // Turned away without keeping anything of it.
             listener.send(
                     from,
@@ -359,7 +357,7 @@
 
     /** Whether there is no room for one more connection; one more at a member may find a place on a socket that is open. */
     private boolean full() {
-        return all.size() >= limits.quic().sessions() || sockets.count() == 0 && !loop.hasCapacityForClient();
+        return all.size() >= limits.quic().sessions() || (sockets.count() == 0 && !loop.hasCapacityForClient());
     }
 
     /**
@@ -385,7 +383,7 @@
         }
         // Another number is another connection, though both come from one socket of their client.
         if (!known.session().standsAt(place.member())
-                || place.connection() >= 0 && known.session().number() >= 0) {
+                || (place.connection() >= 0 && known.session().number() >= 0)) {
             return null;
         }
         counted.count(Figure.IDS_JOINED);
--- a/node/src/main/java/tulipshed/transport/ProtocolErrorLog.java
+++ b/node/src/main/java/tulipshed/transport/ProtocolErrorLog.java
@@ -1,22 +1,23 @@
 package tulipshed.transport;
 
-import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 
 /** Tells the log of others that send what cannot be used: how many, and never what they sent. */
 public final class ProtocolErrorLog {
     private final String what;
     private final Limits limits;
-    private final Consumer<String> log;
+    private final Logger log;
     private int count;
     private String last = "";
     private double toldMs = Double.NEGATIVE_INFINITY;
 
-    /** Counts under this name, which opens the line of the log. */
-    public ProtocolErrorLog(String what, Limits limits, Consumer<String> log) {
+    /** Counts events named {@code what}, and logs them under {@code subject}. */
+    public ProtocolErrorLog(String subject, String what, Limits limits, NodeLog log) {
         this.what = what;
         this.limits = limits;
-        this.log = log;
+        this.log = log.logger(subject);
     }
 
     /** One more; {@code why} is ours, never the sender's. */
@@ -28,7 +29,7 @@
     /** One line at most for all that came since the line before, and not too often. */
     public void flush(double nowMs) {
         if (count > 0 && nowMs - toldMs >= limits.lineProtocol().protocolErrorLogMs()) {
-            log.accept(what + ": " + count + ", the last for " + last);
+            log.warn(what + ": " + count + ", last: " + last);
             toldMs = nowMs;
             count = 0;
         }
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Level;
-import java.util.logging.Logger;
+import org.jboss.logging.Logger;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -17,28 +17,32 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.MulticastMessageChannel;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EventLoop;
 
 /** The one I/O thread: XNIO's, which runs listeners and, after those that were ready, the tasks given to it. */
 public final class XnioEventLoop implements EventLoop {
     /** Kept, as loggers that nobody holds forget their level. */
-    private static final List<Logger> LIBRARIES = List.of(Logger.getLogger("org.xnio"), Logger.getLogger("org.jboss"));
+    private static final List<java.util.logging.Logger> LIBRARIES =
+            List.of(java.util.logging.Logger.getLogger("org.xnio"), java.util.logging.Logger.getLogger("org.jboss"));
 
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Limits limits;
     private final HotRestartState hotRestartState;
+    private final Logger log;
     private int openConnections;
     private volatile boolean stopped;
 
     public XnioEventLoop(Limits limits) throws IOException {
-        this(limits, new HotRestartState());
+        this(limits, new HotRestartState(), NodeLog.silent());
     }
 
-    /** A loop whose process may not be the only one of its node. */
-    public XnioEventLoop(Limits limits, HotRestartState siblings) throws IOException {
+    /** A loop of a process that may share its node with another one during a hot restart. */
+    public XnioEventLoop(Limits limits, HotRestartState hotRestartState, NodeLog log) throws IOException {
         this.limits = limits;
-        this.hotRestartState = siblings;
+        this.hotRestartState = hotRestartState;
+        this.log = log.logger("transport");
         // XNIO and its threads greet with a line each, whose formatting alone costs a tenth of the start.
         LIBRARIES.forEach(l -> l.setLevel(Level.WARNING));
         Xnio xnio = Xnio.getInstance("nio", XnioEventLoop.class.getClassLoader());
@@ -106,7 +110,7 @@
      * come while as many are open wait in the kernel, as accepting runs ahead of the loop.
      */
     public Acceptor listen(InetSocketAddress address, int most, Consumer<StreamConnection> taker) throws IOException {
-        Acceptor acceptor = new Acceptor(this, limits.sockets().acceptsAtOnce(), taker);
+        Acceptor acceptor = new Acceptor(this, log, limits.sockets().acceptsAtOnce(), taker);
         acceptor.starts(worker.createStreamConnectionServer(
                 address,
                 acceptor::ready,
--- a/node/src/test/java/tulipshed/cli/DescriptorsTest.java
+++ b/node/src/test/java/tulipshed/cli/DescriptorsTest.java
@@ -72,7 +72,7 @@
                         folder.toString(),
                         "PROXY_MANAGEMENT",
                         "127.0.0.1:" + management));
-        assertNotNull(node.log("tulipshed: n0 serves"));
+        assertNotNull(node.log("INFO node: n0 serves"));
         return node;
     }
 
@@ -111,7 +111,7 @@
     private void goesOn(NodeProcess node) throws Exception {
         assertTrue(call(management, "/status").startsWith("HTTP/1.1 200 "), "the second address");
         node.signal("HUP");
-        assertNotNull(node.log("tulipshed: reload"), "a reload");
+        assertNotNull(node.reloadLine(), "a reload");
         // Discovery is back, and tells of another member.
         try (ServerSocket back = new ServerSocket()) {
             back.setReuseAddress(true);
@@ -125,13 +125,13 @@
                     + "\",\"state\":\"SERVING\"},{\"id\":\"s-1\",\"addr\":\"127.0.0.1:" + member.getLocalPort()
                     + "\",\"state\":\"DRAINING\"}]}";
             say(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
-            assertNotNull(node.log("discovery: watching from version 9 on"), "the list");
+            assertNotNull(node.log("INFO discovery: watching endpoint list from version 9"), "the list");
         }
     }
 
     private static void leaves(NodeProcess node) throws Exception {
         node.signal("TERM");
-        assertNotNull(node.log("tulipshed: leaving"), "SIGTERM");
+        assertNotNull(node.log("INFO node: shutting down"), "SIGTERM");
         assertTrue(node.ended(8));
         assertNull(node.log("the end of its log"));
         // Seen with 1,024 at once: accepting ran ahead, and dials to members and discovery failed for want of
--- a/node/src/test/java/tulipshed/cli/DrainTermsTest.java
+++ b/node/src/test/java/tulipshed/cli/DrainTermsTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.testing.Backlog;
 import tulipshed.time.SystemClock;
@@ -188,12 +189,12 @@
                     OperatorsFile.EMPTY,
                     Limits.forDescriptors(1024),
                     new SystemClock(),
-                    l -> {
+                    NodeLog.to(l -> {
                         log.add(l);
-                        if (l.startsWith("discovery: ") && !l.contains("watching")) {
+                        if (l.startsWith("WARN discovery: ")) {
                             failed.countDown();
                         }
-                    });
+                    }));
             Discovery sound = discovery;
             if (how == Fails.MOVED_MEANWHILE) {
                 // A call is out, and silent, as SIGHUP names another address.
--- a/node/src/test/java/tulipshed/cli/NodeTest.java
+++ b/node/src/test/java/tulipshed/cli/NodeTest.java
@@ -26,10 +26,12 @@
 import tulipshed.config.JsonValues;
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.time.SystemClock;
 
 /** A whole node on loopback: how it leaves, and what it does when it has no descriptors left. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class NodeTest {
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
@@ -69,7 +71,7 @@
                         .replace(":18081", ":" + member.getLocalPort())
                         .replaceAll("(\"HardLimitS\": )[34]", "$1" + longest));
         Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
-        node = new Node(NodeConfig.load(environment), operators, limits, new SystemClock(), log::add);
+        node = new Node(NodeConfig.load(environment), operators, limits, new SystemClock(), NodeLog.to(log::add));
     }
 
     private Socket client(String first) throws IOException {
@@ -238,7 +240,9 @@
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
                 .nameIndex();
         node(1024, OperatorsFile.load(file, names));
-        assertTrue(log.stream().anyMatch(l -> l.startsWith("tulipshed: QUIC on /127.0.0.1:")), log.toString());
+        assertTrue(
+                log.stream().anyMatch(l -> l.startsWith("INFO node: QUIC frontend listens on /127.0.0.1:")),
+                log.toString());
         node.leave();
         log.clear();
         node(1024, OperatorsFile.load(Path.of("../deploy/tulipshed.sexp"), names));
--- a/node/src/test/java/tulipshed/cli/PeersTest.java
+++ b/node/src/test/java/tulipshed/cli/PeersTest.java
@@ -25,6 +25,7 @@
 import tulipshed.testing.NodeProcess;
 
 /** Datagrams to nodes in processes of their own, from another node's address and from strangers. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class PeersTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
@@ -60,7 +61,7 @@
                 "127.0.0.1:" + staff,
                 "TMPDIR",
                 folder.toString()));
-        node.log("tulipshed: n0 serves");
+        node.log("INFO node: n0 serves");
         return node;
     }
 
@@ -122,7 +123,7 @@
             assertEquals(-1, figure("peers_received"), "no figure either");
             configure(true);
             node.signal("HUP");
-            assertFalse(node.log("tulipshed: reload").contains("old settings stay"));
+            assertFalse(node.reloadLine().contains("rejected"));
             // A restart of the other node's address is no matter; its datagrams are heard once the socket is open.
             long untilNanos = System.nanoTime() + 10_000_000_000L;
             while (figure("peers_received") < 1 && System.nanoTime() < untilNanos) {
@@ -131,7 +132,7 @@
             assertTrue(figure("peers_received") >= 1);
             configure(false);
             node.signal("HUP");
-            node.log("tulipshed: reload");
+            node.reloadLine();
             new DatagramSocket(hears, LOOPBACK).close();
         }
     }
--- a/node/src/test/java/tulipshed/cli/ReloadTest.java
+++ b/node/src/test/java/tulipshed/cli/ReloadTest.java
@@ -49,28 +49,29 @@
             discovery.setSoTimeout(10_000);
             try (NodeProcess node =
                     new NodeProcess(Map.of("PROXY_CONFIG", configure(listen, 9).toString()))) {
-                node.log("tulipshed: n0 serves");
+                node.log("INFO node: n0 serves");
                 try (Socket client = connect(listen)) {
                     BufferedReader in = reader(client);
                     assertEquals("PONG", ping(client, in));
                     Files.writeString(folder.resolve("node.json"), "{");
                     node.signal("HUP");
-                    assertTrue(node.log("tulipshed: reload").startsWith("tulipshed: reload, the old settings stay"));
+                    assertTrue(
+                            node.reloadLine().startsWith("WARN node: configuration rejected, the current one stays"));
                     configure(listen, discovery.getLocalPort());
                     node.signal("HUP");
                     assertEquals(
-                            "tulipshed: reload, discovery at /127.0.0.1:" + discovery.getLocalPort(),
-                            node.log("tulipshed: reload"));
+                            "INFO node: configuration reloaded, discovery at /127.0.0.1:" + discovery.getLocalPort(),
+                            node.reloadLine());
                     try (Socket call = discovery.accept()) {
                         assertEquals(
                                 "GET /discovery/hosts HTTP/1.1", reader(call).readLine());
                     }
                     node.signal("HUP");
-                    assertTrue(node.log("tulipshed: reload") != null, "once more does no harm");
+                    assertTrue(node.reloadLine() != null, "once more does no harm");
                     assertEquals("PONG", ping(client, in), "the connection has stayed");
                 }
                 node.signal("TERM");
-                node.log("tulipshed: leaving");
+                node.log("INFO node: shutting down");
                 node.signal("HUP");
                 assertTrue(node.ended(10));
                 assertEquals(143, node.process.exitValue(), "ended by SIGTERM, not by SIGHUP");
@@ -88,7 +89,7 @@
         Map<String, String> environment =
                 Map.of("PROXY_CONFIG", configure(freePort(), 9).toString());
         try (NodeProcess node = new NodeProcess(List.of("sh", "-c", ignoring, "sh"), environment)) {
-            assertTrue(node.log("tulipshed: SIGHUP is ignored") != null);
+            assertTrue(node.log("WARN node: SIGHUP is ignored") != null);
         }
         String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
                 .filter(l -> l.startsWith("run = "))
@@ -97,9 +98,9 @@
         assertTrue(run.startsWith("run = \"exec env --default-signal=HUP java "), run);
         try (NodeProcess node =
                 new NodeProcess(List.of("sh", "-c", ignoring, "sh", "env", "--default-signal=HUP"), environment)) {
-            node.log("tulipshed: n0 serves");
+            node.log("INFO node: n0 serves");
             node.signal("HUP");
-            assertTrue(node.log("tulipshed: reload") != null);
+            assertTrue(node.reloadLine() != null);
         }
     }
 
@@ -134,11 +135,11 @@
                     folder.resolve("node.json").toString(),
                     "PROXY_MANAGEMENT",
                     "127.0.0.1:" + management))) {
-                node.log("tulipshed: n0 serves");
+                node.log("INFO node: n0 serves");
                 assertEquals("ERR", answer(listen, "1", "gate-alarm"));
                 change(listen, member.getLocalPort(), "\"gate-status\"", "\"gate-alarm\"");
                 node.signal("HUP");
-                node.log("tulipshed: reload, discovery");
+                node.log("INFO node: configuration reloaded, discovery");
                 assertEquals("ERR", answer(listen, "2", "gate-status"), "dropped, so unknown");
                 try (Socket client = connect(listen)) {
                     say(client, "OPEN 3 k c=gate-alarm,t=melnik-terminal,d=2000\r\n");
@@ -150,12 +151,12 @@
                 for (String broken : List.of("", "{\"name\": \"n0\"}")) {
                     Files.writeString(folder.resolve("node.json"), broken);
                     node.signal("HUP");
-                    assertTrue(node.log("tulipshed: reload").startsWith("tulipshed: reload, the old settings stay"));
+                    assertTrue(
+                            node.reloadLine().startsWith("WARN node: configuration rejected, the current one stays"));
                 }
                 change(listen, member.getLocalPort(), "\"HardLimitS\": 4.8", "\"HardLimitS\": 0");
                 node.signal("HUP");
-                assertTrue(node.log("tulipshed: reload")
-                        .endsWith("HardLimitS of an entry of Classes is not what it should be"));
+                assertTrue(node.reloadLine().endsWith("HardLimitS of an entry of Classes is not what it should be"));
                 String figures = call(management, "/status/metrics");
                 assertTrue(figures.contains("\"gate-alarm\":{\"success\":1,"), figures);
                 assertTrue(figures.contains("\"reload_success\":1,\"reload_failure\":3}"), figures);
@@ -183,7 +184,7 @@
                             "127.0.0.1:" + management),
                     "--operators",
                     rules.toString())) {
-                node.log("tulipshed: n0 serves");
+                node.log("INFO node: n0 serves");
                 assertEquals("ERR", answer(listen, "1", "gate-status,berth=b1234"), "longer than declared");
                 try (Socket standing = connect(listen)) {
                     say(standing, "OPEN 2 k c=gate-status,t=melnik-terminal,d=2000,berth=b1\r\n");
@@ -193,14 +194,14 @@
                     assertEquals("UP r", in.readLine());
                     Files.writeString(rules, sound.replace("(to s)", "(to noone)") + "(route");
                     node.signal("HUP");
-                    String down = node.log("tulipshed: reload");
+                    String down = node.reloadLine();
                     assertTrue(
-                            down.startsWith("tulipshed: reload, the old settings stay: " + rules
+                            down.startsWith("WARN node: configuration rejected, the current one stays: " + rules
                                     + ":5:1: this ( is never closed"),
                             down);
                     Files.writeString(rules, sound.replace("(to s)", "(to none)"));
                     node.signal("HUP");
-                    node.log("tulipshed: reload, discovery");
+                    node.log("INFO node: configuration reloaded, discovery");
                     assertTrue(
                             answer(listen, "3", "gate-status,berth=b1").startsWith("BUSY"), "its pool has no member");
                     say(standing, "still here\r\n");
@@ -240,13 +241,13 @@
             agent.tell("s-2", member, "decin", "std-2c", "SERVING");
             try (NodeProcess node = new NodeProcess(
                     Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:" + staff))) {
-                node.log("tulipshed: n0 serves");
+                node.log("INFO node: n0 serves");
                 targets(staff, 2);
                 agent.tell("s-3", member, "usti", "std-2c", "SERVING");
                 targets(staff, 3);
                 agent.dark(true);
                 agent.tell("s-4", member, "usti", "std-2c", "SERVING");
-                node.log("discovery: ");
+                node.log("INFO discovery: ", "WARN discovery: ");
                 agent.dark(false);
                 targets(staff, 4);
                 agent.tell("s-4", member, "usti", "std-2c", "DELETED");
--- a/node/src/test/java/tulipshed/cli/RestartTest.java
+++ b/node/src/test/java/tulipshed/cli/RestartTest.java
@@ -24,6 +24,7 @@
 import tulipshed.testing.NodeProcess;
 
 /** Restarted processes serve with the list that they remember, whatever discovery does: none waits for it. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class RestartTest {
     private static final long READY_NS = 10_000_000_000L;
 
--- a/node/src/test/java/tulipshed/cli/UpgradeTest.java
+++ b/node/src/test/java/tulipshed/cli/UpgradeTest.java
@@ -26,6 +26,7 @@
 
 /** A second process of one node takes over from the first. */
 @Timeout(60)
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class UpgradeTest {
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
@@ -101,7 +102,7 @@
                         }
                     }
                     old.signal("TERM");
-                    assertTrue(old.log("tulipshed: leaving to another process") != null);
+                    assertTrue(old.log("INFO node: shutting down, handing over to another process") != null);
                     assertTrue(call(first, "/status").startsWith("HTTP/1.1 503 "));
                     for (int i = 0; i < 20; i++) {
                         try (Socket late = connect(listen)) {
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/WatchTest.java
@@ -22,6 +22,7 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.Backlog;
 import tulipshed.testing.ModuleDelegate;
@@ -29,6 +30,7 @@
 import tulipshed.transport.XnioEventLoop;
 
 /** The watch against a stand-in discovery that answers as each test says. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class WatchTest {
     private static final String ENTRY = "{\"id\":\"s-5\",\"addr\":\"127.0.0.1:9\",\"state\":\"SERVING\"}";
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
@@ -51,7 +53,7 @@
                     config.settings(),
                     1,
                     loop,
-                    l -> {},
+                    NodeLog.silent(),
                     (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                         @Override
                         public void endpointsChanged(long at, EndpointListKind kind, List<EndpointInfo> entries) {
@@ -59,7 +61,7 @@
                         }
                     });
             watch = new EndpointWatch(
-                    (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> {});
+                    (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, NodeLog.silent());
             watch.watch();
         });
     }
@@ -302,7 +304,7 @@
         BlockingQueue<EndpointWatch> made = new LinkedBlockingQueue<>();
         loop.execute(() -> {
             watch = new EndpointWatch(
-                    (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, l -> {});
+                    (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, NodeLog.silent());
             made.add(watch);
             watch.watch();
         });
--- a/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
@@ -26,6 +26,7 @@
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.ModuleDelegate;
@@ -107,11 +108,17 @@
                     config.settings(),
                     1,
                     loop,
-                    l -> {},
+                    NodeLog.silent(),
                     (settings, seed, now, actions) -> new Noting(new Balancer(settings, seed, now, actions)));
             core.endpointsChanged(EndpointListKind.COMPLETE, List.of(listed("s-1", EndpointStatus.SERVING, member)));
             front = new LineProtocolFrontend(
-                    new SystemClock(), limits, config.nameIndex(), config.loadReportsLatency(), loop, core, log::add);
+                    new SystemClock(),
+                    limits,
+                    config.nameIndex(),
+                    config.loadReportsLatency(),
+                    loop,
+                    core,
+                    NodeLog.to(log::add));
             try {
                 listening.add(loop.listen(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/node/src/test/java/tulipshed/lineprotocol/LineFrontTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontTest.java
@@ -79,7 +79,8 @@
             }
         }
         assertTrue(
-                log.stream().noneMatch(l -> l.contains("x") && l.contains("LOAD") || l.contains("777")), log::toString);
+                log.stream().noneMatch(l -> (l.contains("x") && l.contains("LOAD")) || l.contains("777")),
+                log::toString);
     }
 
     @ParameterizedTest
@@ -338,7 +339,7 @@
         }
         Thread.sleep(2 * (long) Limits.forDescriptors(1024).sockets().sweepIntervalMs());
         assertTrue(log.size() >= 1 && log.size() <= 2, log.toString());
-        assertTrue(log.get(0).startsWith("clients turned away for what they sent: "), log.toString());
+        assertTrue(log.get(0).startsWith("WARN client: clients rejected for malformed input: "), log.toString());
         assertTrue(log.stream().noneMatch(l -> l.contains("forged")), log.toString());
     }
 
--- a/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
@@ -37,6 +37,7 @@
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.ModuleDelegate;
@@ -92,8 +93,8 @@
         member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         BlockingQueue<ProxyCore> made = new LinkedBlockingQueue<>();
         loop.execute(() -> {
-            ProxyCore c =
-                    new ProxyCore(new SystemClock(), limits, settings, 1, loop, log::add, (given, seed, now, does) -> {
+            ProxyCore c = new ProxyCore(
+                    new SystemClock(), limits, settings, 1, loop, NodeLog.to(log::add), (given, seed, now, does) -> {
                         actions = does;
                         return new ModuleDelegate(new Balancer(given, seed, now, does)) {
                             @Override
@@ -109,7 +110,13 @@
                             new EndpointInfo("s-1", EndpointStatus.SERVING, "decin", 0, "std-2c", 1, 0),
                             (InetSocketAddress) member.getLocalSocketAddress())));
             front = new LineProtocolFrontend(
-                    new SystemClock(), limits, config.nameIndex(), config.loadReportsLatency(), loop, c, log::add);
+                    new SystemClock(),
+                    limits,
+                    config.nameIndex(),
+                    config.loadReportsLatency(),
+                    loop,
+                    c,
+                    NodeLog.to(log::add));
             made.add(c);
         });
         core = made.poll(10, TimeUnit.SECONDS);
@@ -257,7 +264,7 @@
     void aReportIsReadOrNotBelievedWhateverItHolds(@ForAll @StringLength(max = 60) String text) {
         try {
             LoadReport r = LoadReportParser.read("x0=" + text);
-            assertTrue(text.isBlank() || Double.isNaN(r.load()) || r.load() >= 0 && r.load() <= 1e9, text);
+            assertTrue(text.isBlank() || Double.isNaN(r.load()) || (r.load() >= 0 && r.load() <= 1e9), text);
         } catch (MalformedLineException e) {
             assertNotNull(e.getMessage());
         }
--- a/node/src/test/java/tulipshed/management/ManagementFrontTest.java
+++ b/node/src/test/java/tulipshed/management/ManagementFrontTest.java
@@ -20,6 +20,7 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
@@ -38,7 +39,7 @@
         CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
         loop.execute(() -> {
             SystemClock clock = new SystemClock();
-            ProxyCore core = new ProxyCore(clock, limits, config.settings(), 1, loop, l -> {}, Balancer::new);
+            ProxyCore core = new ProxyCore(clock, limits, config.settings(), 1, loop, NodeLog.silent(), Balancer::new);
             try {
                 listening.complete(new ManagementServer(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/node/src/test/java/tulipshed/peer/PeerPortTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerPortTest.java
@@ -1,5 +1,6 @@
 package tulipshed.peer;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -25,6 +26,7 @@
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.ModuleDelegate;
 import tulipshed.testing.NodeProcess;
@@ -77,15 +79,15 @@
                     config.settings(),
                     1,
                     loop,
-                    l -> {},
+                    NodeLog.silent(),
                     (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                         @Override
                         public void peerMessageReceived(long at, int from, byte[] body) {
-                            told.add(from + ":" + new String(body));
+                            told.add(from + ":" + new String(body, UTF_8));
                             answer.tell(actions, from);
                         }
                     });
-            port = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, l -> {});
+            port = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
             port.configure(new PeerConfig(
                     node,
                     List.of(node, (InetSocketAddress) one.getLocalSocketAddress()),
@@ -113,13 +115,13 @@
     }
 
     private void say(String text) throws IOException {
-        one.send(new DatagramPacket(text.getBytes(), text.length(), node));
+        one.send(new DatagramPacket(text.getBytes(UTF_8), text.length(), node));
     }
 
     private static String hear(DatagramSocket at) throws IOException {
         DatagramPacket p = new DatagramPacket(new byte[2000], 2000);
         at.receive(p);
-        return new String(p.getData(), 0, p.getLength());
+        return new String(p.getData(), 0, p.getLength(), UTF_8);
     }
 
     private long figure(String name) throws Exception {
@@ -132,8 +134,8 @@
     @Test
     void theModuleHearsEachAndReachesOneOrAll() throws Exception {
         start(true, (actions, from) -> {
-            actions.sendToPeer(from, "to you".getBytes());
-            actions.sendToPeer(BalancerApi.Actions.ALL_PEERS, "to all".getBytes());
+            actions.sendToPeer(from, "to you".getBytes(UTF_8));
+            actions.sendToPeer(BalancerApi.Actions.ALL_PEERS, "to all".getBytes(UTF_8));
         });
         say("a");
         say("a");
@@ -152,7 +154,7 @@
             }
             actions.sendToPeer(1, new byte[257]);
             actions.sendToPeer(1, new byte[0]);
-            actions.sendToPeer(1, "x".repeat(256).getBytes());
+            actions.sendToPeer(1, "x".repeat(256).getBytes(UTF_8));
         });
         say("a");
         assertEquals(256, hear(one).length(), "the last of seven is the first that goes out");
@@ -162,7 +164,7 @@
 
     @Test
     void nothingIsSentWhereTheSettingsAllowNone() throws Exception {
-        start(false, (actions, from) -> actions.sendToPeer(1, "x".getBytes()));
+        start(false, (actions, from) -> actions.sendToPeer(1, "x".getBytes(UTF_8)));
         say("a");
         assertEquals("1:a", told.poll(5, TimeUnit.SECONDS));
         assertEquals(0, figure("peers_sent") + figure("peers_not_sent"), "not even handed to the port");
--- a/node/src/test/java/tulipshed/proxy/CoreBench.java
+++ b/node/src/test/java/tulipshed/proxy/CoreBench.java
@@ -18,6 +18,7 @@
 import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.logging.NodeLog;
 import tulipshed.time.ManualClock;
 
 /** The core on a clock and a loop that tests drive, with a module that does what tests say and notes what it hears. */
@@ -48,7 +49,7 @@
                 config.settings(),
                 1,
                 this,
-                heard::add,
+                NodeLog.to(heard::add),
                 (settings, seed, now, actions) -> {
                     module = actions;
                     return this;
--- a/node/src/test/java/tulipshed/proxy/TransactionCoreTest.java
+++ b/node/src/test/java/tulipshed/proxy/TransactionCoreTest.java
@@ -149,7 +149,13 @@
         assertTrue(bench.core.attemptEstablished(attempt));
         bench.core.endpointUnresponsive(attempt);
         bench.core.endpointUnresponsive(attempt);
-        assertEquals(List.of("silent: s-1", "client: move", "started 0", "finished 0 RESET concluded"), bench.take());
+        assertEquals(
+                List.of(
+                        "WARN core: endpoint s-1 unresponsive: migrating its client",
+                        "client: move",
+                        "started 0",
+                        "finished 0 RESET concluded"),
+                bench.take());
     }
 
     @Test
--- a/node/src/test/java/tulipshed/quic/FrontSetup.java
+++ b/node/src/test/java/tulipshed/quic/FrontSetup.java
@@ -17,6 +17,7 @@
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.quic.StandIns.Client;
@@ -135,7 +136,7 @@
         XnioEventLoop started = new XnioEventLoop(limits());
         Node node = onLoop(started, () -> {
             ProxyCore c = new ProxyCore(
-                    new SystemClock(), limits(), config.settings(), 1, started, text -> {}, Balancer::new);
+                    new SystemClock(), limits(), config.settings(), 1, started, NodeLog.silent(), Balancer::new);
             return new Node(
                     started,
                     c,
@@ -146,7 +147,7 @@
                             config.nameIndex(),
                             started,
                             c,
-                            text -> {}));
+                            NodeLog.silent()));
         });
         nodes.add(node);
         for (int i = 0; i < servers.size(); i++) {
--- a/node/src/test/java/tulipshed/quic/KwikTest.java
+++ b/node/src/test/java/tulipshed/quic/KwikTest.java
@@ -1,5 +1,6 @@
 package tulipshed.quic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -39,6 +40,7 @@
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
@@ -163,12 +165,18 @@
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         onLoop(() -> {
             core = new ProxyCore(
-                    new SystemClock(), Limits.forDescriptors(1024), config.settings(), 1, loop, l -> {}, Balancer::new);
+                    new SystemClock(),
+                    Limits.forDescriptors(1024),
+                    config.settings(),
+                    1,
+                    loop,
+                    NodeLog.silent(),
+                    Balancer::new);
             core.useRouter(OperatorsFile.read(
                             "f",
                             ("(pool one (where true)) (route r (when (= (default server-name \"\") \"localhost\"))"
                                             + "(to one)) (classify (rule r (when (= (default alpn \"\") \"slots\")) (class \"gate-status\")))")
-                                    .getBytes(),
+                                    .getBytes(UTF_8),
                             config.nameIndex())
                     .router());
             tell(EndpointStatus.SERVING, EndpointStatus.SERVING);
@@ -188,7 +196,7 @@
                     config.nameIndex(),
                     loop,
                     core,
-                    l -> {});
+                    NodeLog.silent());
             return null;
         });
     }
--- a/node/src/test/java/tulipshed/quic/QuicLabProcess.java
+++ b/node/src/test/java/tulipshed/quic/QuicLabProcess.java
@@ -1,5 +1,7 @@
 package tulipshed.quic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -20,6 +22,7 @@
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.SystemClock;
@@ -117,8 +120,8 @@
         }
         RetryTokens tokens = new RetryTokens(Map.of(1, new byte[16]), 1, 10_000);
         QuicFront front = FrontSetup.onLoop(loop, () -> {
-            ProxyCore core =
-                    new ProxyCore(new SystemClock(), limits, config.settings(), 1, loop, t -> {}, Balancer::new);
+            ProxyCore core = new ProxyCore(
+                    new SystemClock(), limits, config.settings(), 1, loop, NodeLog.silent(), Balancer::new);
             core.endpointsChanged(EndpointListKind.COMPLETE, listed);
             return new QuicFront(
                     new SystemClock(),
@@ -136,10 +139,10 @@
                     config.nameIndex(),
                     loop,
                     core,
-                    t -> {});
+                    NodeLog.silent());
         });
         System.out.println(front.address().getPort());
-        BufferedReader in = new BufferedReader(new InputStreamReader(System.in));
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, UTF_8));
         while (in.readLine() != null) {
             System.gc();
             Runtime r = Runtime.getRuntime();
--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A node in a process of its own, and the line protocol's small talk with it. */
 public final class NodeProcess implements AutoCloseable {
@@ -64,8 +65,13 @@
         reader.start();
     }
 
-    /** The next line of its log that starts like this, or null at the end, or where it says nothing for long. */
-    public String log(String start) throws IOException {
+    /** The next line of its log that tells of a reload, taken or rejected. */
+    public String reloadLine() throws IOException {
+        return log("INFO node: configuration reloaded", "WARN node: configuration rejected");
+    }
+
+    /** The next line of its log that starts with one of these, or null at the end or after a long silence. */
+    public String log(String... starts) throws IOException {
         String line;
         do {
             try {
@@ -74,7 +80,7 @@
                 throw new IOException("interrupted", e);
             }
             said.add(String.valueOf(line));
-        } while (line != null && !line.equals(END) && !line.startsWith(start));
+        } while (line != null && !line.equals(END) && Stream.of(starts).noneMatch(line::startsWith));
         return END.equals(line) ? null : line;
     }
 
--- a/node/src/test/java/tulipshed/transport/SiblingsTest.java
+++ b/node/src/test/java/tulipshed/transport/SiblingsTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
 import tulipshed.proxy.HotRestartPeer;
 
 class SiblingsTest {
@@ -116,7 +117,7 @@
     void theDescriptorsOfBothAreThoseOfOneNode() throws IOException {
         Limits limits = Limits.forDescriptors(400);
         HotRestartState next = new HotRestartState(file, 8);
-        XnioEventLoop loop = new XnioEventLoop(limits, next);
+        XnioEventLoop loop = new XnioEventLoop(limits, next, NodeLog.silent());
         old.open(limits.connectionDescriptors() - 64 - 32 - 2);
         assertTrue(loop.hasCapacityForClient());
         old.open(limits.connectionDescriptors() - 64 - 32 - 1);
