--- a/lab/src/main/java/tulipshed/lab/engine/Shard.java
+++ b/lab/src/main/java/tulipshed/lab/engine/Shard.java
@@ -106,7 +106,7 @@
         if (here != 0) {
             return (word << 6) + Long.numberOfTrailingZeros(here);
         }
-        long after = word == 63 ? 0 : takenWords & -1L << word + 1;
+        long after = word == 63 ? 0 : takenWords & -1L << (word + 1);
         if (after == 0) {
             return -1;
         }
--- a/lab/src/main/java/tulipshed/lab/engine/SpinBarrier.java
+++ b/lab/src/main/java/tulipshed/lab/engine/SpinBarrier.java
@@ -15,6 +15,7 @@
         this.threads = threads;
     }
 
+    @SuppressWarnings("ThreadPriorityCheck") // a spinning thread gives its core up where there are too few
     void await() {
         int mine = round;
         if (waiting.incrementAndGet() == threads) {
--- a/lab/src/main/java/tulipshed/lab/model/Outcome.java
+++ b/lab/src/main/java/tulipshed/lab/model/Outcome.java
@@ -66,7 +66,8 @@
         f.put("failed_per_ask", sum(t.failed) / Math.max(1.0, sum(t.came)));
         f.put("resets", (double) sum(t.resets));
         f.put("moves", (double) sum(t.moves));
-        f.put("standing_mean", t.standingUs / 1000 / (w.scenario.lengthMs() - w.scenario.settleMs()));
+        long establishedMs = t.standingUs / 1000; // whole milliseconds
+        f.put("standing_mean", establishedMs / (w.scenario.lengthMs() - w.scenario.settleMs()));
         f.put("cold_fell", (double) t.felt);
         f.put("cold_strain", t.coldStrain / 1000.0);
         f.put("load_spread", spread(w));
--- a/lab/src/main/java/tulipshed/lab/rules/RuleReport.java
+++ b/lab/src/main/java/tulipshed/lab/rules/RuleReport.java
@@ -29,7 +29,7 @@
 
     private void keep(Rule rule, Breach b) {
         Breach had = first.get(rule);
-        if (had == null || b.atMs() < had.atMs() || b.atMs() == had.atMs() && b.where() < had.where()) {
+        if (had == null || b.atMs() < had.atMs() || (b.atMs() == had.atMs() && b.where() < had.where())) {
             first.put(rule, b);
         }
     }
--- a/lab/src/main/java/tulipshed/lab/trial/Carried.java
+++ b/lab/src/main/java/tulipshed/lab/trial/Carried.java
@@ -246,7 +246,6 @@
                 s.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             } catch (IOException e) {
                 // It has ended by itself.
-                continue;
             }
         }
         over();
@@ -261,7 +260,6 @@
                     s.channel.close();
                 } catch (IOException e) {
                     // Nothing is left to be closed.
-                    continue;
                 }
             }
         }
--- a/lab/src/test/java/tulipshed/lab/ToolTest.java
+++ b/lab/src/test/java/tulipshed/lab/ToolTest.java
@@ -8,6 +8,7 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
@@ -39,11 +40,13 @@
         String out = folder.resolve("r").toString();
         assertTrue(run(0, "sweep", experiment(2).toString(), "--out", out, "--quiet")
                 .contains("4 of 4 runs done now"));
-        Path one = Files.list(folder.resolve("r"))
-                .filter(f -> f.getFileName().toString().startsWith("run-"))
-                .sorted()
-                .findFirst()
-                .orElseThrow();
+        Path one;
+        try (Stream<Path> files = Files.list(folder.resolve("r"))) {
+            one = files.filter(f -> f.getFileName().toString().startsWith("run-"))
+                    .sorted()
+                    .findFirst()
+                    .orElseThrow();
+        }
         byte[] whole = Files.readAllBytes(one);
         Files.move(one, one.resolveSibling(one.getFileName() + ".part"));
         Files.write(one.resolveSibling(one.getFileName() + ".part"), new byte[100]);
--- a/lab/src/test/java/tulipshed/lab/trial/RelaysTest.java
+++ b/lab/src/test/java/tulipshed/lab/trial/RelaysTest.java
@@ -23,6 +23,7 @@
 import tulipshed.lab.model.Seeds;
 
 /** One link between plain sockets: the node's end dials, the member's end listens. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class RelaysTest {
     private static final Condition OUT = new Condition(true, false, false, 0, 0);
     private static final Condition BACK = new Condition(false, true, false, 0, 0);
--- a/lab/src/test/java/tulipshed/lab/trial/StandInNode.java
+++ b/lab/src/test/java/tulipshed/lab/trial/StandInNode.java
@@ -158,7 +158,7 @@
         client.setTcpNoDelay(true);
         BufferedReader in = reader(client);
         String line = in.readLine();
-        if (line == null || fault.equals("silence") && now(0.2)) {
+        if (line == null || (fault.equals("silence") && now(0.2))) {
             Thread.sleep(60_000);
             return;
         }
--- a/node/src/main/java/tulipshed/connectionid/ServerIdGenerator.java
+++ b/node/src/main/java/tulipshed/connectionid/ServerIdGenerator.java
@@ -37,7 +37,7 @@
         this.ids = ids;
         this.server = server.clone();
         this.random = random;
-        numbers = ids.numberBytes() == 0 ? Long.MAX_VALUE : 1L << 8 * ids.numberBytes();
+        numbers = ids.numberBytes() == 0 ? Long.MAX_VALUE : 1L << (8 * ids.numberBytes());
         // A server that comes back does not begin with the numbers that its clients may still use.
         next = random.nextLong(numbers);
     }
@@ -94,7 +94,7 @@
                 } while (!drawn.add(id));
                 return id;
             }
-            if (sequenceBytes < 4 && count >= 1 << 8 * sequenceBytes) {
+            if (sequenceBytes < 4 && count >= 1 << (8 * sequenceBytes)) {
                 throw new IllegalStateException("all " + count + " ids of this connection have been made");
             }
             byte[] nonce = new byte[ids.nonceBytes()];
--- a/node/src/main/java/tulipshed/connectionid/ServerIds.java
+++ b/node/src/main/java/tulipshed/connectionid/ServerIds.java
@@ -61,12 +61,12 @@
                 || serverBytes > 15
                 || nonceBytes < 4
                 || serverBytes + nonceBytes > ConnectionId.LONGEST - 1
-                || key != null && key.length != KEY
-                || numberBytes != 0
+                || (key != null && key.length != KEY)
+                || (numberBytes != 0
                         && (numberBytes < 2
                                 || numberBytes > LONGEST_NUMBER
                                 || numberBytes >= nonceBytes
-                                || key == null)) {
+                                || key == null))) {
             throw new IllegalArgumentException("a configuration that the QUIC-LB draft does not allow");
         }
         this.configuration = configuration;
@@ -111,7 +111,7 @@
         plain = key == null ? plain : decrypt(plain);
         long connection = numberBytes == 0 ? -1 : 0;
         for (int i = 0; i < numberBytes; i++) {
-            connection = connection << 8 | plain[serverBytes + i] & 0xFF;
+            connection = connection << 8 | (plain[serverBytes + i] & 0xFF);
         }
         return new Lead(HexFormat.of().formatHex(plain, 0, serverBytes), connection);
     }
--- a/node/src/main/java/tulipshed/connectionid/StatelessReset.java
+++ b/node/src/main/java/tulipshed/connectionid/StatelessReset.java
@@ -39,7 +39,7 @@
     public byte[] datagram(ConnectionId id, int answered, RandomGenerator random) {
         byte[] reset = new byte[Math.max(LEAST, Math.min(LENGTH, answered - 1))];
         random.nextBytes(reset);
-        reset[0] = (byte) (reset[0] & 0x3F | 0x40);
+        reset[0] = (byte) ((reset[0] & 0x3F) | 0x40);
         System.arraycopy(token(id), 0, reset, reset.length - TOKEN, TOKEN);
         return reset;
     }
--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -411,8 +411,8 @@
     private void refuseOrFail(RequestState request, long retryAfterUs) {
         if (!request.mayHaveRun
                 || request.kind.idempotency() == Idempotency.IDEMPOTENT
-                || request.kind.idempotency() == Idempotency.WITH_KEY
-                        && request.kind.deduplicationScope() == DeduplicationScope.ALL) {
+                || (request.kind.idempotency() == Idempotency.WITH_KEY
+                        && request.kind.deduplicationScope() == DeduplicationScope.ALL)) {
             refuse(request, retryAfterUs);
         } else {
             actions.fail(request.in.id());
@@ -499,7 +499,7 @@
             // more that holds some of a group pays for the group again, and they can bear that least.
             EndpointState m = group.members.get(random.nextInt(group.members.size()));
             EndpointState n = !usualLoads.isEmpty() ? group.members.get(random.nextInt(group.members.size())) : m;
-            m = n != m && bears(now, request, n) && load(now, n, request) < load(now, m, request) ? n : m;
+            m = n != m && bears(now, request, n) && load(n, request) < load(m, request) ? n : m;
             if (bears(now, request, m)) {
                 return m;
             }
@@ -518,7 +518,7 @@
             probing.add(request);
             return request.awaited > 0 ? null : lighter(now, request);
         }
-        return a == null || b != null && load(now, b, request) < load(now, a, request) ? b : a;
+        return a == null || (b != null && load(b, request) < load(a, request)) ? b : a;
     }
 
     /** Whether a server may draw more of its groups: to a bound; where only delays are told, until late. */
@@ -527,7 +527,7 @@
         return usable(now, request, endpoint)
                 && now >= endpoint.ejectedUntil
                 && endpoint.pending < endpoint.limit
-                && (delaysTold && usualLoads.isEmpty() || endpoint.openLoad + request.load <= GROUP_PULL * even);
+                && ((delaysTold && usualLoads.isEmpty()) || endpoint.openLoad + request.load <= GROUP_PULL * even);
     }
 
     private int ask(long now, EndpointState endpoint) {
@@ -549,7 +549,7 @@
             return usable(now, request, a) ? a : usable(now, request, b) ? b : choose(now, request);
         }
         boolean reported = now - Math.min(a.reportedAt, b.reportedAt) < REPORT_NEWS_US + PROBE_WAIT_US;
-        boolean bLighter = reported ? b.reported < a.reported : load(now, b, request) < load(now, a, request);
+        boolean bLighter = reported ? b.reported < a.reported : load(b, request) < load(a, request);
         return bLighter ? b : a;
     }
 
@@ -560,7 +560,7 @@
         for (var it = idle.descendingIterator(); it.hasNext(); ) {
             IdleConnection i = it.next();
             boolean better =
-                    found == null || crossingCosts && whole.near.has(i.server()) && !whole.near.has(found.server());
+                    found == null || (crossingCosts && whole.near.has(i.server()) && !whole.near.has(found.server()));
             if (better
                     && now < i.untilUs()
                     && usable(now, request, i.server())
@@ -630,7 +630,7 @@
         // With most servers out of favour the fault is elsewhere: spreading over all beats crowding the rest.
         boolean panic = pool.ejected.size() - pool.failing > (pool.ready.size() - pool.failing) * (1 - PANIC);
         return pool.ready.has(endpoint)
-                && (now >= endpoint.ejectedUntil || panic && !endpoint.failing && !late(now, endpoint));
+                && (now >= endpoint.ejectedUntil || (panic && !endpoint.failing && !late(now, endpoint)));
     }
 
     private boolean late(long now, EndpointState endpoint) {
@@ -702,7 +702,7 @@
      * Load for each unit of capacity with the newcomer, which counts for no more than the mean: drawn by
      * weight, large servers would else win nearly always where little is held. One at its limit loses.
      */
-    private double load(long now, EndpointState endpoint, RequestState request) {
+    private double load(EndpointState endpoint, RequestState request) {
         if (endpoint.pending >= endpoint.limit) {
             return Double.MAX_VALUE;
         }
@@ -853,7 +853,7 @@
             request.group.members.remove(endpoint);
             request.group = null;
         }
-        if (reuses && (outcome == Outcome.OK || outcome == Outcome.CANCELLED && request.standing)) {
+        if (reuses && (outcome == Outcome.OK || (outcome == Outcome.CANCELLED && request.standing))) {
             while (!idle.isEmpty() && idle.peekFirst().untilUs() <= now) {
                 idle.pollFirst();
             }
@@ -905,8 +905,8 @@
         endpoint.failures = now - endpoint.failedAt < FAILURE_US ? endpoint.failures + 1 : 1;
         endpoint.failedAt = now;
         if (!whole.ready.has(endpoint)
-                || endpoint.failing && now < endpoint.ejectedUntil
-                || endpoint.failures < FAILURES && !enough) {
+                || (endpoint.failing && now < endpoint.ejectedUntil)
+                || (endpoint.failures < FAILURES && !enough)) {
             return;
         }
         eject(now, endpoint, EJECT_US << Math.min(endpoint.ejections, MOST_EJECTIONS - 1));
--- a/node/src/main/java/tulipshed/expression/Cost.java
+++ b/node/src/main/java/tulipshed/expression/Cost.java
@@ -30,7 +30,7 @@
 
     /** The bound for one expression, less the bodies of those that are in {@code counted}, which grows. */
     long bound(Expr root, Set<Expr> counted) {
-        long sum = reference(root, counted);
+        long sum = reference(root);
         // The bodies of all that is remembered: each once.
         ArrayDeque<Expr> open = new ArrayDeque<>();
         Set<Expr> seen = new HashSet<>();
@@ -48,7 +48,7 @@
         return sum;
     }
 
-    private long reference(Expr e, Set<Expr> counted) {
+    private long reference(Expr e) {
         return e.remembered() ? 1 : body(e);
     }
 
--- a/node/src/main/java/tulipshed/expression/Network.java
+++ b/node/src/main/java/tulipshed/expression/Network.java
@@ -46,13 +46,13 @@
     }
 
     private static long mask(int bits) {
-        return bits <= 0 ? 0 : bits >= 64 ? -1 : -1L << 64 - bits;
+        return bits <= 0 ? 0 : bits >= 64 ? -1 : -1L << (64 - bits);
     }
 
     private static long bits(byte[] bytes, int from, int to) {
         long value = 0;
         for (int i = from; i < to; i++) {
-            value = value << 8 | bytes[i] & 0xFF;
+            value = value << 8 | (bytes[i] & 0xFF);
         }
         return value;
     }
--- a/node/src/main/java/tulipshed/expression/NumberNodes.java
+++ b/node/src/main/java/tulipshed/expression/NumberNodes.java
@@ -15,6 +15,7 @@
             this.b = b;
         }
 
+        @SuppressWarnings("ShortCircuitBoolean") // both halves are evaluated, so that each counts its cost
         @Override
         boolean truth(Frame f) {
             f.spent++;
--- a/node/src/main/java/tulipshed/expression/PatternSize.java
+++ b/node/src/main/java/tulipshed/expression/PatternSize.java
@@ -76,7 +76,7 @@
     private void skipClass() {
         int first = at;
         while (at < pattern.length()
-                && (pattern.charAt(at) != ']' || at == first || at == first + 1 && pattern.charAt(first) == '^')) {
+                && (pattern.charAt(at) != ']' || at == first || (at == first + 1 && pattern.charAt(first) == '^'))) {
             at += pattern.charAt(at) == '\\' ? 2 : 1;
         }
         at++;
--- a/node/src/main/java/tulipshed/expression/RuleTable.java
+++ b/node/src/main/java/tulipshed/expression/RuleTable.java
@@ -20,7 +20,6 @@
     private static final int LONGEST_PREFIX = 64; // characters; longer ones are compared, not looked up
     private static final int[] NONE = {};
 
-    private final List<Expr> conditions;
     private final List<Index> indexes = new ArrayList<>();
     private final Expr[] left;
     private final int[] unindexed;
@@ -143,7 +142,6 @@
     private record Part(Expr key, boolean prefix) {}
 
     RuleTable(List<Expr> conditions, Terms terms) {
-        this.conditions = List.copyOf(conditions);
         left = conditions.toArray(new Expr[0]);
         Map<Part, Integer> counts = new HashMap<>();
         conditions.forEach(c -> parts(c).forEach(p -> {
--- a/node/src/main/java/tulipshed/expression/TextMap.java
+++ b/node/src/main/java/tulipshed/expression/TextMap.java
@@ -18,7 +18,7 @@
             String k = keys[i];
             if (k.hashCode() == hash
                     && k.length() == length
-                    && (text instanceof String && text.length() == length ? k.equals(text) : Texts.at(text, k, 0))) {
+                    && ((text instanceof String s && s.length() == length) ? k.equals(s) : Texts.at(text, k, 0))) {
                 return values[i];
             }
         }
--- a/node/src/main/java/tulipshed/expression/Texts.java
+++ b/node/src/main/java/tulipshed/expression/Texts.java
@@ -5,8 +5,8 @@
     private Texts() {}
 
     static boolean equal(CharSequence a, CharSequence b) {
-        if (a instanceof String && b instanceof String) {
-            return a.equals(b);
+        if (a instanceof String left && b instanceof String right) {
+            return left.equals(right);
         }
         return a.length() == b.length() && at(a, b, 0);
     }
--- a/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
@@ -133,7 +133,7 @@
                 throw new MalformedLineException("no tenant");
             }
             if (words[2].length() > declared.longestKey()
-                    || group != null && group.length() > declared.longestGroup()) {
+                    || (group != null && group.length() > declared.longestGroup())) {
                 throw new MalformedLineException("a key or a group that is longer than declared");
             }
             Attributes arrival = new Attributes(requestClass, tenant, words[2], group, waitMs, hint, repeat, again);
--- a/node/src/main/java/tulipshed/operators/CaseTable.java
+++ b/node/src/main/java/tulipshed/operators/CaseTable.java
@@ -137,7 +137,11 @@
             } else if (v instanceof Form.Fraction x) {
                 return x.value();
             } else if (v instanceof Form.Word w) {
-                return w.name().equals("true") ? Boolean.TRUE : w.name().equals("false") ? Boolean.FALSE : w.name();
+                return switch (w.name()) {
+                    case "true" -> true;
+                    case "false" -> false;
+                    default -> w.name();
+                };
             }
         }
         problems.add(form.place(), "expected (NAME VALUE), found " + form.describe());
--- a/node/src/main/java/tulipshed/operators/RouteReader.java
+++ b/node/src/main/java/tulipshed/operators/RouteReader.java
@@ -182,6 +182,7 @@
         return targets;
     }
 
+    @SuppressWarnings("ReferenceEquality") // compares with the first element itself
     private void explain(Place place, List<Read> routes, RuleTable table) {
         CostCheck costs = new CostCheck(maxCost, problems);
         List<String> lines = new ArrayList<>();
--- a/node/src/main/java/tulipshed/operators/RuleReader.java
+++ b/node/src/main/java/tulipshed/operators/RuleReader.java
@@ -91,7 +91,7 @@
         if (!f.has("class") && !f.has("tenant") && !f.has("group")) {
             problems.add(s.place(), "expected a class, a tenant or a group that the rule gives");
         }
-        return name == null || condition == null || group != null && computed == null
+        return name == null || condition == null || (group != null && computed == null)
                 ? null
                 : new Read(name, condition, className, tenant, computed);
     }
--- a/node/src/main/java/tulipshed/proxy/Request.java
+++ b/node/src/main/java/tulipshed/proxy/Request.java
@@ -123,8 +123,8 @@
     /** Whether its client may be told that a repeat is harmless, also while an attempt is out. */
     boolean mayBeRefused() {
         return kind.idempotency() == Idempotency.IDEMPOTENT
-                || kind.idempotency() == Idempotency.WITH_KEY && kind.deduplicationScope() == DeduplicationScope.ALL
-                || Double.isNaN(ranAtMs) && (attempt == null || !attempt.connected());
+                || (kind.idempotency() == Idempotency.WITH_KEY && kind.deduplicationScope() == DeduplicationScope.ALL)
+                || (Double.isNaN(ranAtMs) && (attempt == null || !attempt.connected()));
     }
 
     /** Where the other process of the node reads of it; below 0 where nowhere. */
--- a/node/src/main/java/tulipshed/proxy/TimerQueue.java
+++ b/node/src/main/java/tulipshed/proxy/TimerQueue.java
@@ -71,7 +71,7 @@
             dues.poll();
             dropped--;
         }
-        if (dues.isEmpty() || armedMs > nowMs && armedMs <= dues.peek().atMs) {
+        if (dues.isEmpty() || (armedMs > nowMs && armedMs <= dues.peek().atMs)) {
             return;
         }
         armedMs = dues.peek().atMs;
--- a/node/src/main/java/tulipshed/quic/InitialKeys.java
+++ b/node/src/main/java/tulipshed/quic/InitialKeys.java
@@ -73,7 +73,7 @@
             long number = 0;
             for (int i = 0; i < numberBytes; i++) {
                 d[at + i] ^= m[1 + i];
-                number = number << 8 | d[at + i] & 0xFF;
+                number = number << 8 | (d[at + i] & 0xFF);
             }
             Cipher c = cipher(Cipher.DECRYPT_MODE, number);
             c.updateAAD(d, 0, at + numberBytes);
@@ -126,7 +126,7 @@
     private Cipher cipher(int mode, long number) throws GeneralSecurityException {
         byte[] nonce = iv.clone();
         for (int i = 0; i < 8; i++) {
-            nonce[nonce.length - 1 - i] ^= (byte) (number >>> 8 * i);
+            nonce[nonce.length - 1 - i] ^= (byte) (number >>> (8 * i));
         }
         Cipher c = Cipher.getInstance("AES/GCM/NoPadding");
         c.init(mode, new SecretKeySpec(key, "AES"), new GCMParameterSpec(8 * TAG, nonce));
--- a/node/src/main/java/tulipshed/quic/Packet.java
+++ b/node/src/main/java/tulipshed/quic/Packet.java
@@ -128,7 +128,7 @@
         int first = in.get() & 0xFF;
         long value = first & 0x3F;
         for (int i = (1 << (first >> 6)) - 1; i > 0; i--) {
-            value = value << 8 | in.get() & 0xFF;
+            value = value << 8 | (in.get() & 0xFF);
         }
         return value;
     }
--- a/node/src/main/java/tulipshed/quic/Version.java
+++ b/node/src/main/java/tulipshed/quic/Version.java
@@ -1,15 +1,14 @@
 package tulipshed.quic;
 
 import java.util.HexFormat;
-import tulipshed.quic.Packet.Type;
 
 /** The versions whose long headers are read: 1 (RFC 9000, RFC 9001) and 2 (RFC 9369), which differ in words alone. */
 enum Version {
-    V1(1, "38762cf7f55934b34d179ae6a4c80cadccbb7f0a", "quic ", new Type[] {
-        Type.INITIAL, Type.ZERO_RTT, Type.HANDSHAKE, Type.RETRY
+    V1(1, "38762cf7f55934b34d179ae6a4c80cadccbb7f0a", "quic ", new Packet.Type[] {
+        Packet.Type.INITIAL, Packet.Type.ZERO_RTT, Packet.Type.HANDSHAKE, Packet.Type.RETRY
     }),
-    V2(0x6b3343cfL, "0dede3def700a6db819381be6e269dcbf9bd2ed9", "quicv2 ", new Type[] {
-        Type.RETRY, Type.INITIAL, Type.ZERO_RTT, Type.HANDSHAKE
+    V2(0x6b3343cfL, "0dede3def700a6db819381be6e269dcbf9bd2ed9", "quicv2 ", new Packet.Type[] {
+        Packet.Type.RETRY, Packet.Type.INITIAL, Packet.Type.ZERO_RTT, Packet.Type.HANDSHAKE
     });
 
     /** A number of the form 0x?a?a?a?a, which no version ever has (RFC 9000 section 15). */
@@ -18,13 +17,15 @@
     /** As it stands in long headers. */
     final long number;
     /** For the secret of Initial packets (RFC 9001 section 5.2, RFC 9369 section 3.3.1). */
+    @SuppressWarnings("ImmutableEnumChecker") // private, and handed out as copies only
     private final byte[] salt;
     /** What the labels of keys begin with (RFC 9369 section 3.3.2). */
     final String label;
 
-    private final Type[] types;
+    @SuppressWarnings("ImmutableEnumChecker") // private, and never written
+    private final Packet.Type[] types;
 
-    Version(long number, String salt, String label, Type[] types) {
+    Version(long number, String salt, String label, Packet.Type[] types) {
         this.number = number;
         this.salt = HexFormat.of().parseHex(salt);
         this.label = label;
@@ -36,12 +37,12 @@
     }
 
     /** The kind of packet that the two bits of a long header mean (RFC 9369 section 3.2). */
-    Type type(int bits) {
+    Packet.Type type(int bits) {
         return types[bits];
     }
 
     /** The two bits of that kind. */
-    int bits(Type type) {
+    int bits(Packet.Type type) {
         return java.util.Arrays.asList(types).indexOf(type);
     }
 
--- a/node/src/main/java/tulipshed/routing/Declarations.java
+++ b/node/src/main/java/tulipshed/routing/Declarations.java
@@ -50,9 +50,9 @@
             case STRING:
                 return text.length() <= f.longest() ? text : null;
             case BOOLEAN:
-                return text.equals("1") || text.equals("true")
+                return (text.equals("1") || text.equals("true"))
                         ? Boolean.TRUE
-                        : text.equals("0") || text.equals("false") ? Boolean.FALSE : null;
+                        : (text.equals("0") || text.equals("false")) ? Boolean.FALSE : null;
             default:
                 break;
         }
--- a/node/src/main/java/tulipshed/sexpr/SexprReader.java
+++ b/node/src/main/java/tulipshed/sexpr/SexprReader.java
@@ -161,7 +161,7 @@
         String word = text.substring(start, at);
         char first = word.charAt(0);
         boolean number =
-                Character.isDigit(first) || first == '-' && word.length() > 1 && Character.isDigit(word.charAt(1));
+                Character.isDigit(first) || (first == '-' && word.length() > 1 && Character.isDigit(word.charAt(1)));
         if (!number) {
             add(new Form.Word(word, from));
             return;
@@ -206,7 +206,7 @@
     }
 
     private static boolean inWord(char c) {
-        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || IN_WORDS.indexOf(c) >= 0;
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || IN_WORDS.indexOf(c) >= 0;
     }
 
     private static String show(char c) {
--- a/node/src/main/java/tulipshed/sexpr/Spelling.java
+++ b/node/src/main/java/tulipshed/sexpr/Spelling.java
@@ -15,7 +15,7 @@
         if (name.length() <= LONGEST) {
             for (String k : known) {
                 int d = k.length() > LONGEST ? LONGEST : distance(name, k);
-                if (d < least || d == least && best != null && k.compareTo(best) < 0) {
+                if (d < least || (d == least && best != null && k.compareTo(best) < 0)) {
                     least = d;
                     best = k;
                 }
--- a/node/src/main/java/tulipshed/transport/Acceptor.java
+++ b/node/src/main/java/tulipshed/transport/Acceptor.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
@@ -18,14 +19,16 @@
     private static final double NEXT_LOOK_MS = 1;
 
     private final XnioEventLoop loop;
+    private final Logger log;
     private final int atOnce;
     private final Consumer<StreamConnection> taker;
     private final ArrayDeque<StreamConnection> accepted = new ArrayDeque<>();
     private AcceptingChannel<StreamConnection> channel;
     private boolean ahead;
 
-    Acceptor(XnioEventLoop loop, int atOnce, Consumer<StreamConnection> taker) {
+    Acceptor(XnioEventLoop loop, Logger log, int atOnce, Consumer<StreamConnection> taker) {
         this.loop = loop;
+        this.log = log;
         this.atOnce = atOnce;
         this.taker = taker;
     }
@@ -54,7 +57,7 @@
                 accepted.add(c);
             }
         } catch (IOException e) {
-            System.err.println("tulipshed: cannot accept: " + e.getMessage());
+            log.error("cannot accept a connection: " + e.getMessage());
         }
     }
 
--- a/node/src/test/java/tulipshed/benchmark/ExpressionBenchmark.java
+++ b/node/src/test/java/tulipshed/benchmark/ExpressionBenchmark.java
@@ -72,6 +72,7 @@
     }
 
     /** Compiles the rules in all three. */
+    @SuppressWarnings("InlineMeInliner") // the runtime that its own documentation shows
     @Setup
     public void compile() throws Exception {
         StringBuilder text = new StringBuilder();
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -74,7 +74,7 @@
         long id = 0;
         // Nothing is ever answered, so the one server's pending limit fills and depth goes to one.
         for (int i = 0; i < 30; i++) {
-            b.requestArrived(i * 1000, request(++id, 0, null, 2 * SECOND));
+            b.requestArrived(i * 1000L, request(++id, 0, null, 2 * SECOND));
         }
         List<String> busy = recorder.take();
         assertTrue(busy.contains("refuse 30"), busy.toString());
@@ -577,13 +577,13 @@
         b.endpointsChanged(start, EndpointListKind.CHANGES, List.of(setup.server(9, EndpointStatus.SERVING, start)));
         int cold = 0;
         for (int i = 0; i < 200; i++) {
-            b.requestArrived(start + i * 1000, request(++id));
+            b.requestArrived(start + i * 1000L, request(++id));
             cold += recorder.sentTo().equals(name(9)) ? 1 : 0;
-            b.attemptEstablished(start + i * 1000, id, 0, 1000);
+            b.attemptEstablished(start + i * 1000L, id, 0, 1000);
         }
         assertTrue(cold <= 6, "sent in the first wave: " + cold);
         for (int i = 0; i < 400; i++) {
-            long now = start + SECOND + i * 20_000;
+            long now = start + SECOND + i * 20_000L;
             b.requestArrived(now, request(++id));
             cold += recorder.sentTo().equals(name(9)) ? 1 : 0;
             b.attemptEstablished(now, id, 0, 1000);
--- a/node/src/test/java/tulipshed/expression/Reference.java
+++ b/node/src/test/java/tulipshed/expression/Reference.java
@@ -165,7 +165,7 @@
     }
 
     private static boolean equal(Object a, Object b) {
-        return a instanceof Double || b instanceof Double ? number(a) == number(b) : a.equals(b);
+        return (a instanceof Double || b instanceof Double) ? number(a) == number(b) : a.equals(b);
     }
 
     private static double number(Object o) {
--- a/node/src/test/java/tulipshed/quic/AddressTest.java
+++ b/node/src/test/java/tulipshed/quic/AddressTest.java
@@ -1,5 +1,6 @@
 package tulipshed.quic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -32,10 +33,10 @@
         ConnectionId none = new ConnectionId(new byte[0]);
         assertEquals(
                 "ff000000010008f067a5502a4262b5746f6b656e04a265ba2eff4d829058fb3f0f2496ba",
-                HEX.formatHex(RetryPacket.make(Version.V1, none, GIVEN, FIRST, "token".getBytes(), 15)));
+                HEX.formatHex(RetryPacket.make(Version.V1, none, GIVEN, FIRST, "token".getBytes(UTF_8), 15)));
         assertEquals(
                 "cf6b3343cf0008f067a5502a4262b5746f6b656ec8646ce8bfe33952d955543665dcc7b6",
-                HEX.formatHex(RetryPacket.make(Version.V2, none, GIVEN, FIRST, "token".getBytes(), 15)));
+                HEX.formatHex(RetryPacket.make(Version.V2, none, GIVEN, FIRST, "token".getBytes(UTF_8), 15)));
     }
 
     @Test
--- a/node/src/test/java/tulipshed/quic/EndsTest.java
+++ b/node/src/test/java/tulipshed/quic/EndsTest.java
@@ -159,6 +159,7 @@
     }
 
     /** Strangers wait while somebody known has something to say, though they came first; and only so many of them wait. */
+    @SuppressWarnings("ReferenceEquality") // the very datagram that was queued
     @Test
     void whoIsKnownGoesBeforeStrangers() throws Exception {
         mostSessions = 1000;
--- a/node/src/test/java/tulipshed/quic/MigrationTest.java
+++ b/node/src/test/java/tulipshed/quic/MigrationTest.java
@@ -289,7 +289,7 @@
                 client.sendNumber(round);
                 // One that has said nothing past its first packets still reads a close.
                 String what = client.hear().what();
-                words += what.equals("reset") || round == 0 && what.equals("closed") ? 1 : 0;
+                words += what.equals("reset") || (round == 0 && what.equals("closed")) ? 1 : 0;
             }
         }
         assertTrue(rebinds >= 1000);
--- a/node/src/test/java/tulipshed/quic/QuicLab.java
+++ b/node/src/test/java/tulipshed/quic/QuicLab.java
@@ -1,5 +1,7 @@
 package tulipshed.quic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -54,7 +56,7 @@
             process = new ProcessBuilder(command)
                     .redirectError(ProcessBuilder.Redirect.INHERIT)
                     .start();
-            in = new BufferedReader(new InputStreamReader(process.getInputStream()));
+            in = new BufferedReader(new InputStreamReader(process.getInputStream(), UTF_8));
             out = new PrintStream(process.getOutputStream(), true);
             address = new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(in.readLine()));
         }
--- a/node/src/test/java/tulipshed/quic/QuicLabLoad.java
+++ b/node/src/test/java/tulipshed/quic/QuicLabLoad.java
@@ -18,7 +18,6 @@
 /** Clients for measurements, on a few threads that never wait. */
 final class QuicLabLoad implements AutoCloseable {
     private static final int THREADS = 2;
-    private static final int HEAD = 1 + 12;
     private static final double RETRY_OPEN_S = 0.5;
     private static int seeds = 1;
 
--- a/node/src/test/java/tulipshed/quic/StandIns.java
+++ b/node/src/test/java/tulipshed/quic/StandIns.java
@@ -1,5 +1,7 @@
 package tulipshed.quic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -30,7 +32,7 @@
     /** Numbers from here on are probes of a path. */
     static final int PROBE = 1_000_000;
 
-    static final StatelessReset RESET = new StatelessReset("a key shared by all".getBytes());
+    static final StatelessReset RESET = new StatelessReset("a key shared by all".getBytes(UTF_8));
 
     /** A small hello that names a server and a protocol. */
     static final byte[] HELLO = hello("slots.example", "slots", 40);
@@ -46,7 +48,7 @@
                 .putShort((short) (name.length() + 3))
                 .put((byte) 0)
                 .putShort((short) name.length())
-                .put(name.getBytes());
+                .put(name.getBytes(UTF_8));
         ext.putShort((short) 16)
                 .putShort((short) (alpn.length() + 6))
                 .putShort((short) (alpn.length() + 4))
@@ -54,7 +56,7 @@
                 .put((byte) 0xFA)
                 .put((byte) 0xFA)
                 .put((byte) alpn.length())
-                .put(alpn.getBytes());
+                .put(alpn.getBytes(UTF_8));
         int body = 2 + 32 + 1 + 2 + 2 + 1 + 1 + 2 + ext.position();
         return ByteBuffer.allocate(4 + body)
                 .putInt(1 << 24 | body)
@@ -307,7 +309,7 @@
         void drain() throws IOException {
             socket.setSoTimeout(20);
             while (!hear().what().equals("nothing")) {
-                continue;
+                // Left out.
             }
             socket.setSoTimeout(3000);
         }
