--- a/node/src/main/java/tulipshed/expression/Program.java
+++ b/node/src/main/java/tulipshed/expression/Program.java
@@ -50,6 +50,7 @@
         private int remembered;
         private int lists;
 
+        /** A program over the attributes of this schema. */
         public Builder(Schema schema) {
             this.schema = schema;
         }
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -60,6 +60,11 @@
     private int openings;
     private boolean leaving;
 
+    /**
+     * Opens the sockets of the frontend; call it on the event-loop thread.
+     *
+     * @throws IOException if an address cannot be bound
+     */
     public QuicFront(
             Clock clock,
             Limits limits,
--- a/node/src/main/java/tulipshed/routing/Declarations.java
+++ b/node/src/main/java/tulipshed/routing/Declarations.java
@@ -22,6 +22,7 @@
     /** A further figure: its type, and for a string its length at most. */
     public record Figure(Type type, int longest) {}
 
+    /** Declares these further figures by name; the longest key and group are in characters. */
     public Declarations(Map<String, Figure> figures, int longestKey, int longestGroup) {
         this.figures = Collections.unmodifiableMap(new LinkedHashMap<>(figures));
         this.longestKey = longestKey;
--- a/node/src/main/java/tulipshed/sexpr/Problems.java
+++ b/node/src/main/java/tulipshed/sexpr/Problems.java
@@ -13,6 +13,7 @@
     private final List<Problem> first = new ArrayList<>();
     private int count;
 
+    /** No problems yet of the file with this name. */
     public Problems(String file) {
         this.file = file;
     }
