Limits and the tests of config, management, peer and simadapter take standard names

Need: components such as strangers, seatQuietMs, carriedOn and openings, and sentences as test names, did not say what they are. Change: renames only, by the compiler's tree; three test classes are named after the class that they test. Result: both modules compile; tests of config, management, peer, simadapter and ConnectionMachineTest passed; values and literals unchanged.

--- a/node/src/main/java/tulipshed/config/PeerConfig.java
+++ b/node/src/main/java/tulipshed/config/PeerConfig.java
@@ -10,7 +10,8 @@
  * Where this node hears other nodes, where each of them is sent to and known by, in the order of their numbers, and the
  * address that reaches all others; {@code self} is this node's own number.
  */
-public record PeerConfig(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all, int self) {
+public record PeerConfig(
+        InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress broadcast, int nodeIndex) {
 
     /** Null where the settings allow none or no address to listen on is named. */
     static PeerConfig read(Map<String, Object> json, boolean allowed, int self) {
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -28,9 +28,9 @@
             /** Connections waiting in the kernel to be accepted. */
             int backlog,
             /** Reads of one connection before the others have their turn. */
-            int readsAtOnce,
+            int maxReadsPerEvent,
             /** Accepted connections that are looked at before the descriptors of those closed are given back. */
-            int acceptsAtOnce,
+            int maxAcceptsPerEvent,
             /** How long a connection may linger once one side has ended it. */
             double lingerTimeoutMs,
             /** How often what may have become too old is looked at. */
@@ -118,41 +118,41 @@
             /** Largest datagram taken. */
             int datagramBytes,
             /** Connections kept at most. */
-            int sessions,
+            int maxConnections,
             /** Ids learned of one connection at most; the oldest learned goes first. */
-            int ids,
+            int maxIdsPerConnection,
             /** First datagrams of a client kept for a further attempt. */
-            int firstDatagrams,
+            int retainedFirstDatagrams,
             /** A connection on which nothing came for this long is forgotten. */
-            double idleMs,
+            double idleTimeoutMs,
             /** How long a final answer is repeated to a client that sends its first packet again. */
-            double answeredMs,
+            double finalResponseRepeatMs,
             /** A member counts as silent only after this many datagrams without one in return. */
-            int unanswered,
+            int unresponsiveAfterDatagrams,
             /** And after this long without one: datagrams may be lost on the way. */
-            double silentMs,
+            double unresponsiveTimeoutMs,
             /** Longest client hello. */
-            int helloBytes,
+            int maxClientHelloBytes,
             /** How long one that is not whole is waited for. */
-            double openingMs,
+            double clientHelloTimeoutMs,
             /** Connections whose hello is waited for at most; each holds its first datagrams and what it has of the hello. */
-            int openings,
+            int maxPendingClientHellos,
             /** Networks in which one client is at a time. */
-            int paths,
+            int maxPathsPerConnection,
             /** After so long without a word a path that is not the client's last gives back its place at the member. */
-            double pathIdleMs,
+            double pathIdleTimeoutMs,
             /** A place on a socket towards a member is not given to another flow before so long. */
-            double seatQuietMs,
+            double upstreamSocketReuseDelayMs,
             /** Datagrams read of one socket before the others have their turn. */
-            int readsAtOnce,
+            int maxReadsPerEvent,
             /** Datagrams of which nothing is known that wait until those of known connections have been passed on. */
-            int strangers,
+            int maxUnknownDatagrams,
             /** How long such datagrams are looked at before the sockets have their turn again. */
-            double strangersMs,
+            double unknownDatagramSliceMs,
             /** Connections carried on by their id alone that no member has answered yet; the oldest gives way. */
-            int carriedOn,
+            int maxUnconfirmedConnections,
             /** What the kernel may hold of datagrams that wait to be read, where it allows that much. */
-            int receiveBytes) {}
+            int receiveBufferBytes) {}
 
     /** Probes of pool members. */
     public record HealthChecks(
@@ -230,7 +230,7 @@
     }
 
     /** How many they may take when a flow is opened: clients taken at the same time must not starve each other. */
-    public int flowDescriptors() {
+    public int attemptDescriptors() {
         return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() / 2 - 2 * management.connections());
     }
 
@@ -239,7 +239,7 @@
      * a flow, and those that are looked at next.
      */
     public int clientConnections() {
-        return Math.max(2, connectionDescriptors() / 2) + 2 * sockets.acceptsAtOnce();
+        return Math.max(2, connectionDescriptors() / 2) + 2 * sockets.maxAcceptsPerEvent();
     }
 
     /** Connections without a whole first line at a time; a client that means it sends its line at once. */
--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -70,7 +70,7 @@
         }
         ByteBuffer in = front.scratch;
         // One that sends without end must not keep the loop to itself; what it has left is told again.
-        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.isClosed(); i++) {
+        for (int i = 0; i < front.limits.sockets().maxReadsPerEvent() && !link.isClosed(); i++) {
             in.clear();
             int n = link.read(in);
             if (n <= 0) {
--- a/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnections.java
+++ b/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnections.java
@@ -143,7 +143,7 @@
 
         @Override
         public void onReadable(TcpConnection from) {
-            for (int reads = 0; reads < front.limits.sockets().readsAtOnce() && !link.isClosed(); reads++) {
+            for (int reads = 0; reads < front.limits.sockets().maxReadsPerEvent() && !link.isClosed(); reads++) {
                 front.scratch.clear();
                 int n = link.read(front.scratch);
                 if (n < 0) {
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -98,7 +98,7 @@
         // Where as many are open as may be, the next would wait in the kernel, and nobody would give way to them.
         while ((!loop.hasCapacityForClient()
                         || clients
-                                >= limits.clientConnections() - limits.sockets().acceptsAtOnce())
+                                >= limits.clientConnections() - limits.sockets().maxAcceptsPerEvent())
                 && unserved.closeOne()) {}
         boolean room = loop.hasCapacityForClient();
         ClientSession session = new ClientSession(this, connection);
--- a/node/src/main/java/tulipshed/management/ManagementSession.java
+++ b/node/src/main/java/tulipshed/management/ManagementSession.java
@@ -33,7 +33,7 @@
     @Override
     public void onReadable(TcpConnection from) {
         ByteBuffer in = front.scratch;
-        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.isClosed(); i++) {
+        for (int i = 0; i < front.limits.sockets().maxReadsPerEvent() && !link.isClosed(); i++) {
             in.clear();
             int n = link.read(in);
             if (n < 0) {
--- a/node/src/main/java/tulipshed/peer/PeerSocket.java
+++ b/node/src/main/java/tulipshed/peer/PeerSocket.java
@@ -84,7 +84,7 @@
             config = changed;
             senders = new HashMap<>();
             for (int i = 0; changed != null && i < changed.peers().size(); i++) {
-                if (i != changed.self()) {
+                if (i != changed.nodeIndex()) {
                     senders.put(changed.peers().get(i), new Sender(i));
                 }
             }
@@ -121,7 +121,7 @@
     public void send(int peer, byte[] body) {
         boolean all = peer == Actions.ALL_PEERS;
         boolean known =
-                config != null && (all || (peer >= 0 && peer < config.peers().size() && peer != config.self()));
+                config != null && (all || (peer >= 0 && peer < config.peers().size() && peer != config.nodeIndex()));
         if (port == null
                 || !known
                 || body.length == 0
@@ -130,7 +130,7 @@
             return;
         }
         sent++;
-        port.send(all ? config.all() : config.peers().get(peer), body);
+        port.send(all ? config.broadcast() : config.peers().get(peer), body);
     }
 
     private void received(InetSocketAddress from, byte[] datagram) {
--- a/node/src/main/java/tulipshed/quic/ConnectionMachine.java
+++ b/node/src/main/java/tulipshed/quic/ConnectionMachine.java
@@ -150,7 +150,7 @@
         use(p.destination());
         // It has what was sent to its address: an id that its server chose.
         proven |= pastInitial && !current.equals(keyedBy);
-        if (stage == Stage.OWED && first.size() < limits.firstDatagrams()) {
+        if (stage == Stage.OWED && first.size() < limits.retainedFirstDatagrams()) {
             first.add(datagram);
         }
         return Step.PASS;
@@ -173,14 +173,14 @@
         } catch (BadPacket e) {
             return Step.BAD_HELLO;
         }
-        if (first.size() < limits.firstDatagrams()) {
+        if (first.size() < limits.retainedFirstDatagrams()) {
             first.add(datagram);
         }
         if (opening.hello() != null) {
             stage = Stage.OWED;
             return Step.ARRIVE;
         }
-        return first.size() >= limits.firstDatagrams() ? Step.NEVER_WHOLE : Step.HOLD;
+        return first.size() >= limits.retainedFirstDatagrams() ? Step.NEVER_WHOLE : Step.HOLD;
     }
 
     /** Whether this is the Initial of a client that takes its wish back. */
@@ -269,9 +269,9 @@
     /** What time has done; {@code silent} where the member has left the client's datagrams unanswered for too long. */
     Step tick(double nowMs, boolean silent) {
         return switch (stage) {
-            case ANSWERED -> nowMs - answeredMs > limits.answeredMs() ? Step.FORGET : Step.DROP;
-            case OPENING -> nowMs - openedMs > limits.openingMs() ? Step.NEVER_WHOLE : Step.DROP;
-            case STANDING -> silent ? Step.SILENT : nowMs - heardMs > limits.idleMs() ? Step.IDLE : Step.DROP;
+            case ANSWERED -> nowMs - answeredMs > limits.finalResponseRepeatMs() ? Step.FORGET : Step.DROP;
+            case OPENING -> nowMs - openedMs > limits.clientHelloTimeoutMs() ? Step.NEVER_WHOLE : Step.DROP;
+            case STANDING -> silent ? Step.SILENT : nowMs - heardMs > limits.idleTimeoutMs() ? Step.IDLE : Step.DROP;
             case OWED -> Step.DROP;
         };
     }
--- a/node/src/main/java/tulipshed/quic/FlowSide.java
+++ b/node/src/main/java/tulipshed/quic/FlowSide.java
@@ -57,8 +57,8 @@
 
     /** Whether that many datagrams have gone out for longer than a member may be silent, and nothing came back. */
     boolean silent(double nowMs) {
-        return unanswered >= front.limits.quic().unanswered()
-                && nowMs - unansweredSinceMs > front.limits.quic().silentMs();
+        return unanswered >= front.limits.quic().unresponsiveAfterDatagrams()
+                && nowMs - unansweredSinceMs > front.limits.quic().unresponsiveTimeoutMs();
     }
 
     void close() {
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -76,13 +76,13 @@
         this.loop = loop;
         this.core = core;
         scratch = ByteBuffer.allocateDirect(limits.quic().datagramBytes());
-        strangers = new Strangers(limits.quic().strangers());
+        strangers = new Strangers(limits.quic().maxUnknownDatagrams());
         sockets = new FlowSockets(
                 loop,
                 config.listen().getAddress(),
                 scratch,
                 counted,
-                limits.quic().seatQuietMs(),
+                limits.quic().upstreamSocketReuseDelayMs(),
                 log);
         for (Figure f : Figure.values()) {
             core.metrics().frontendCounters(f.written(), () -> counted.get(f));
@@ -250,7 +250,7 @@
     /** Whoever is known has been heard; now strangers, for a while, and then the others again. */
     private void hearStrangers() {
         try {
-            double untilMs = clock.nowMs() + limits.quic().strangersMs();
+            double untilMs = clock.nowMs() + limits.quic().unknownDatagramSliceMs();
             Strangers.Datagram d;
             while (clock.nowMs() < untilMs && (d = strangers.poll()) != null) {
                 // One of those before it may have opened its connection.
@@ -291,7 +291,7 @@
             counted.count(Figure.DROPPED_SMALL);
             return;
         }
-        Opening opening = new Opening(initial.destination(), limits.quic().helloBytes());
+        Opening opening = new Opening(initial.destination(), limits.quic().maxClientHelloBytes());
         try {
             if (!opening.take(packets) || opening.closes()) {
                 counted.count(Figure.DROPPED_MALFORMED);
@@ -315,7 +315,7 @@
             return;
         }
         boolean waits = opening.hello() == null;
-        if (full() || leaving || (waits && openings >= limits.quic().openings())) {
+        if (full() || leaving || (waits && openings >= limits.quic().maxPendingClientHellos())) {
             // Turned away without keeping anything of it.
             listener.send(
                     from,
@@ -357,7 +357,7 @@
 
     /** Whether there is no room for one more connection; one more at a member may find a place on a socket that is open. */
     private boolean full() {
-        return all.size() >= limits.quic().sessions() || (sockets.count() == 0 && !loop.hasCapacityForClient());
+        return all.size() >= limits.quic().maxConnections() || (sockets.count() == 0 && !loop.hasCapacityForClient());
     }
 
     /**
@@ -438,7 +438,7 @@
         counted.count(Figure.CARRIED_ON);
         // Ids in the clear can be forged, so those that no member has answered may not fill the table.
         unanswered.add(session);
-        if (unanswered.size() > limits.quic().carriedOn()) {
+        if (unanswered.size() > limits.quic().maxUnconfirmedConnections()) {
             QuicSession oldest = unanswered.iterator().next();
             unanswered.remove(oldest);
             counted.count(Figure.GAVE_WAY);
--- a/node/src/main/java/tulipshed/quic/QuicSession.java
+++ b/node/src/main/java/tulipshed/quic/QuicSession.java
@@ -169,7 +169,7 @@
         ClientPath path =
                 paths.stream().filter(p -> p.isAt(listener, client)).findFirst().orElse(null);
         if (path == null) {
-            if (paths.size() >= front.limits.quic().paths()) {
+            if (paths.size() >= front.limits.quic().maxPathsPerConnection()) {
                 close(paths.stream()
                         .filter(p -> p != current)
                         .min((a, b) -> Double.compare(a.heardMs(), b.heardMs()))
@@ -382,7 +382,7 @@
             return;
         }
         ids.add(id);
-        if (ids.count() > front.limits.quic().ids()) {
+        if (ids.count() > front.limits.quic().maxIdsPerConnection()) {
             front.table.forget(ids.poll(), this);
         }
     }
@@ -403,7 +403,7 @@
         for (ClientPath p : paths) {
             if (p != current
                     && p.side() != null
-                    && nowMs - p.heardMs() > front.limits.quic().pathIdleMs()) {
+                    && nowMs - p.heardMs() > front.limits.quic().pathIdleTimeoutMs()) {
                 p.side(null);
             }
         }
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -78,7 +78,7 @@
 
     /** Whether one more connection, to a member, stays within the descriptors allowed. */
     public boolean hasCapacityForUpstream() {
-        return openConnections + others() < limits.flowDescriptors();
+        return openConnections + others() < limits.attemptDescriptors();
     }
 
     /** What another process of this node holds: its connections, and what a process needs besides. */
@@ -110,7 +110,7 @@
      * come while as many are open wait in the kernel, as accepting runs ahead of the loop.
      */
     public Acceptor listen(InetSocketAddress address, int most, Consumer<StreamConnection> taker) throws IOException {
-        Acceptor acceptor = new Acceptor(this, log, limits.sockets().acceptsAtOnce(), taker);
+        Acceptor acceptor = new Acceptor(this, log, limits.sockets().maxAcceptsPerEvent(), taker);
         acceptor.starts(worker.createStreamConnectionServer(
                 address,
                 acceptor::ready,
@@ -136,9 +136,9 @@
                         Options.REUSE_ADDRESSES,
                         false,
                         Options.RECEIVE_BUFFER,
-                        limits.quic().receiveBytes()));
+                        limits.quic().receiveBufferBytes()));
         opened(1);
-        return new UdpSocket(channel, scratch, limits.quic().readsAtOnce(), receiver, () -> opened(-1));
+        return new UdpSocket(channel, scratch, limits.quic().maxReadsPerEvent(), receiver, () -> opened(-1));
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
--- a/node/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/node/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -21,7 +21,7 @@
     private static final Path FILE = Path.of("src/test/resources/node.json");
 
     @Test
-    void theFileOfTheDocumentIsRead() {
+    void readsDocumentedConfiguration() {
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString()));
         assertEquals("n0", config.name());
         assertEquals(18080, config.listen().getPort());
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void theSecondAddressIsOffUnlessTheFileOrTheEnvironmentNamesIt() {
+    void managementAddressIsOptionalAndComesFromFileOrEnvironment() {
         assertNull(NodeConfig.load(Map.of("PROXY_CONFIG", FILE.toString())).management());
         assertEquals(
                 18090,
@@ -69,7 +69,7 @@
                 "\"DrainGraceS\" | \"Grace\"",
                 "\"gate-status\" | \"slot-board\""
             })
-    void whatIsWrongWithAConfigurationIsSaid(String right, String wrong) throws IOException {
+    void rejectsInvalidConfigurationWithOneLineMessage(String right, String wrong) throws IOException {
         byte[] bytes = Files.readString(FILE).replace(right, wrong).getBytes(StandardCharsets.UTF_8);
         MalformedInputException e =
                 assertThrows(MalformedInputException.class, () -> NodeConfig.parse(JsonValues.object(bytes), Map.of()));
@@ -87,8 +87,7 @@
                 "[\"n1:1\"] | 127.0.0.1:3 | an entry of peers is not a numeric host:port: n1:1",
                 "[] | 127.0.0.1 | peers_all is not a numeric host:port: 127.0.0.1"
             })
-    void addressesOfOtherNodesAreReadWhereTheSettingsAllowThemAndElsePassedOver(String peers, String all, String wrong)
-            throws IOException {
+    void readsPeerAddressesOnlyIfSettingsAllowPeers(String peers, String all, String wrong) throws IOException {
         String text = Files.readString(FILE)
                 .replace(
                         "\"seed\":",
@@ -100,7 +99,7 @@
         if (wrong == null) {
             PeerConfig read =
                     NodeConfig.parse(JsonValues.object(allowed), Map.of()).peers();
-            assertEquals("[/127.0.0.1:1, /127.0.0.1:2] /127.0.0.1:3", read.peers() + " " + read.all());
+            assertEquals("[/127.0.0.1:1, /127.0.0.1:2] /127.0.0.1:3", read.peers() + " " + read.broadcast());
         } else {
             assertEquals(
                     wrong,
@@ -112,7 +111,7 @@
     }
 
     @Property(tries = 200, seed = "41")
-    void aSpoiltConfigurationIsReadOrCalledMalformedAndNothingElse(@ForAll long seed) throws IOException {
+    void corruptedConfigurationIsParsedOrReportedAsMalformed(@ForAll long seed) throws IOException {
         try {
             NodeConfig.parse(JsonValues.object(Cuts.spoil(Files.readAllBytes(FILE), seed)), Map.of());
         } catch (MalformedInputException expected) {
--- a/node/src/test/java/tulipshed/lineprotocol/CrossingsTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/CrossingsTest.java
@@ -297,8 +297,8 @@
                 s.descriptors(),
                 s.reservedDescriptors(),
                 s.backlog(),
-                s.readsAtOnce(),
-                s.acceptsAtOnce(),
+                s.maxReadsPerEvent(),
+                s.maxAcceptsPerEvent(),
                 lingerMs,
                 s.sweepIntervalMs(),
                 s.overloadRetryAfterMs())));
--- a/node/src/test/java/tulipshed/management/CallParserTest.java
+++ b/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
@@ -12,34 +12,34 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.testing.Cuts;
 
-class CallParserTest {
-    private static final byte[] CALL = ascii("GET /status?x=1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nAccept: */*\r\n\r\n");
+class HttpRequestParserTest {
+    private static final byte[] REQUEST = ascii("GET /status?x=1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nAccept: */*\r\n\r\n");
 
     private static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
     @Property(tries = 200, seed = "51")
-    void cutsDoNotChangeACall(@ForAll long seed) {
+    void fragmentationDoesNotChangeParsedRequest(@ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(4096);
         boolean[] whole = new boolean[1];
-        Cuts.feed(CALL, seed, in -> whole[0] |= parser.take(in));
+        Cuts.feed(REQUEST, seed, in -> whole[0] |= parser.take(in));
         assertTrue(whole[0]);
         assertEquals("GET /status", parser.method() + " " + parser.path());
     }
 
     @Property(tries = 300, seed = "52")
-    void garbageIsACallOrBadAndNothingElse(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
+    void arbitraryBytesAreParsedOrReportedAsMalformed(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(128);
         try {
-            Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(CALL, seed), seed, parser::take);
+            Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(REQUEST, seed), seed, parser::take);
         } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
     }
 
     @Test
-    void whatHasNoEndIsBounded() {
+    void rejectsHeadLongerThanLimit() {
         HttpRequestParser parser = new HttpRequestParser(64);
         assertThrows(
                 MalformedRequestException.class, () -> parser.take(ByteBuffer.wrap(ascii("GET /" + "x".repeat(100)))));
--- a/node/src/test/java/tulipshed/management/ManagementFrontTest.java
+++ b/node/src/test/java/tulipshed/management/ManagementServerTest.java
@@ -26,8 +26,8 @@
 import tulipshed.transport.XnioEventLoop;
 
 /** The second address between plain sockets on loopback. */
-class ManagementFrontTest {
-    private volatile boolean serves = true;
+class ManagementServerTest {
+    private volatile boolean serving = true;
     private XnioEventLoop loop;
     private InetSocketAddress address;
 
@@ -47,7 +47,7 @@
                                 limits,
                                 loop,
                                 core,
-                                () -> serves)
+                                () -> serving)
                         .address());
             } catch (IOException e) {
                 listening.completeExceptionally(e);
@@ -61,20 +61,20 @@
         loop.stop();
     }
 
-    private Socket caller(String says) throws IOException {
+    private Socket connect(String says) throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(5000);
         socket.getOutputStream().write(says.getBytes(StandardCharsets.ISO_8859_1));
         return socket;
     }
 
-    private static String heard(Socket socket) throws IOException {
+    private static String readToEnd(Socket socket) throws IOException {
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
 
-    private String call(String says) throws IOException {
-        try (Socket socket = caller(says)) {
-            return heard(socket);
+    private String exchange(String says) throws IOException {
+        try (Socket socket = connect(says)) {
+            return readToEnd(socket);
         }
     }
 
@@ -90,42 +90,43 @@
         "GET status,400",
         "frob,400"
     })
-    void eachCallHasItsAnswer(String call, int status) throws IOException {
-        String answer = call(call + " HTTP/1.1\r\nHost: n0\r\n\r\n");
+    void respondsWithStatusOfRequestLine(String call, int status) throws IOException {
+        String answer = exchange(call + " HTTP/1.1\r\nHost: n0\r\n\r\n");
         assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
         int body = answer.indexOf("\r\n\r\n") + 4;
         assertTrue(answer.contains("\r\nContent-Length: " + (answer.length() - body) + "\r\n"), answer);
     }
 
     @Test
-    void aProcessThatDoesNotServeSaysNo() throws IOException {
-        serves = false;
-        assertTrue(call("GET /status HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 503 "));
+    void statusIs503WhileNotServing() throws IOException {
+        serving = false;
+        assertTrue(exchange("GET /status HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 503 "));
     }
 
     @Test
-    void whatIsTooLongIsBad() throws IOException {
-        assertTrue(call("GET /status HTTP/1.1\r\nx: " + "y".repeat(5000)).startsWith("HTTP/1.1 400 "));
+    void rejectsHeadLongerThanLimit() throws IOException {
+        assertTrue(exchange("GET /status HTTP/1.1\r\nx: " + "y".repeat(5000)).startsWith("HTTP/1.1 400 "));
     }
 
-    private static long descriptors() {
+    private static long openDescriptors() {
         return new java.io.File("/proc/self/fd").list().length;
     }
 
     /** Without a bound of their own these would hold the answer back from whoever calls in earnest. */
     @Test
-    void silentAndHalfCallsKeepNoGoodCallWaitingAndEnd() throws IOException {
-        long before = descriptors();
+    void incompleteRequestsDoNotDelayCompleteOnesAndTimeOut() throws IOException {
+        long before = openDescriptors();
         List<Socket> half = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
-            half.add(caller(i % 2 == 0 ? "" : "GET /status HT"));
+            half.add(connect(i % 2 == 0 ? "" : "GET /status HT"));
         }
         long sinceNs = System.nanoTime();
-        assertTrue(call("GET /status HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        assertTrue(exchange("GET /status HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 200 "));
         assertTrue(System.nanoTime() - sinceNs < 1_000_000_000L);
-        assertEquals("", heard(half.get(0)), "the oldest gave way");
-        assertTrue(descriptors() - before < 100 + 2 * 16 + 10, "the callers' own, and those that the node may take");
-        assertTrue(heard(half.get(99)).startsWith("HTTP/1.1 408 "), "the youngest had its time");
+        assertEquals("", readToEnd(half.get(0)), "the oldest gave way");
+        assertTrue(
+                openDescriptors() - before < 100 + 2 * 16 + 10, "the callers' own, and those that the node may take");
+        assertTrue(readToEnd(half.get(99)).startsWith("HTTP/1.1 408 "), "the youngest had its time");
         assertTrue(System.nanoTime() - sinceNs < 4_000_000_000L);
         for (Socket s : half) {
             s.close();
--- a/node/src/test/java/tulipshed/peer/PeerPortTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerSocketTest.java
@@ -34,39 +34,39 @@
 import tulipshed.transport.XnioEventLoop;
 
 /** The port under a real core whose module answers each datagram, with plain sockets as the other nodes. */
-class PeerPortTest {
+class PeerSocketTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
-    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
     @TempDir
     private Path folder;
 
-    private DatagramSocket one;
-    private DatagramSocket all;
+    private DatagramSocket peer;
+    private DatagramSocket broadcast;
     private XnioEventLoop loop;
     private ProxyCore core;
-    private PeerSocket port;
-    private InetSocketAddress node;
+    private PeerSocket peerSocket;
+    private InetSocketAddress nodeAddress;
 
     @BeforeEach
     void open() throws IOException {
-        one = new DatagramSocket(0, LOOPBACK);
-        all = new DatagramSocket(0, LOOPBACK);
-        one.setSoTimeout(5000);
-        all.setSoTimeout(5000);
-        node = new InetSocketAddress(LOOPBACK, NodeProcess.freeUdpPort());
+        peer = new DatagramSocket(0, LOOPBACK);
+        broadcast = new DatagramSocket(0, LOOPBACK);
+        peer.setSoTimeout(5000);
+        broadcast.setSoTimeout(5000);
+        nodeAddress = new InetSocketAddress(LOOPBACK, NodeProcess.freeUdpPort());
         loop = new XnioEventLoop(Limits.forDescriptors(1024));
     }
 
     @AfterEach
     void close() {
-        one.close();
-        all.close();
+        peer.close();
+        broadcast.close();
         loop.stop();
     }
 
     /** Number 0 is this node, 1 is {@code one}; {@code answer} is what its module does with each datagram. */
-    private void start(boolean allowed, BiTell answer) throws Exception {
+    private void start(boolean allowed, MessageHandler answer) throws Exception {
         Path file = Files.writeString(
                 folder.resolve("node.json"),
                 Files.readString(Path.of("src/test/resources/node.json"))
@@ -83,22 +83,22 @@
                     (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                         @Override
                         public void peerMessageReceived(long at, int from, byte[] body) {
-                            told.add(from + ":" + new String(body, UTF_8));
-                            answer.tell(actions, from);
+                            received.add(from + ":" + new String(body, UTF_8));
+                            answer.handle(actions, from);
                         }
                     });
-            port = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
-            port.configure(new PeerConfig(
-                    node,
-                    List.of(node, (InetSocketAddress) one.getLocalSocketAddress()),
-                    (InetSocketAddress) all.getLocalSocketAddress(),
+            peerSocket = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
+            peerSocket.configure(new PeerConfig(
+                    nodeAddress,
+                    List.of(nodeAddress, (InetSocketAddress) peer.getLocalSocketAddress()),
+                    (InetSocketAddress) broadcast.getLocalSocketAddress(),
                     0));
-            port.retryBind();
+            peerSocket.retryBind();
         });
     }
 
-    private interface BiTell {
-        void tell(BalancerApi.Actions actions, int from);
+    private interface MessageHandler {
+        void handle(BalancerApi.Actions actions, int from);
     }
 
     private void onLoop(Runnable what) throws Exception {
@@ -114,17 +114,17 @@
         done.get(10, TimeUnit.SECONDS);
     }
 
-    private void say(String text) throws IOException {
-        one.send(new DatagramPacket(text.getBytes(UTF_8), text.length(), node));
+    private void sendFromPeer(String text) throws IOException {
+        peer.send(new DatagramPacket(text.getBytes(UTF_8), text.length(), nodeAddress));
     }
 
-    private static String hear(DatagramSocket at) throws IOException {
+    private static String receive(DatagramSocket at) throws IOException {
         DatagramPacket p = new DatagramPacket(new byte[2000], 2000);
         at.receive(p);
         return new String(p.getData(), 0, p.getLength(), UTF_8);
     }
 
-    private long figure(String name) throws Exception {
+    private long counter(String name) throws Exception {
         CompletableFuture<Long> value = new CompletableFuture<>();
         loop.execute(
                 () -> value.complete(core.metrics().frontendCounters().get(name).getAsLong()));
@@ -132,22 +132,22 @@
     }
 
     @Test
-    void theModuleHearsEachAndReachesOneOrAll() throws Exception {
+    void deliversMessagesAndSendsToOnePeerOrAll() throws Exception {
         start(true, (actions, from) -> {
             actions.sendToPeer(from, "to you".getBytes(UTF_8));
             actions.sendToPeer(BalancerApi.Actions.ALL_PEERS, "to all".getBytes(UTF_8));
         });
-        say("a");
-        say("a");
-        assertEquals("to you", hear(one));
-        assertEquals("to all", hear(all));
-        assertEquals("1:a", told.poll(5, TimeUnit.SECONDS));
-        assertEquals("1:a", told.poll(5, TimeUnit.SECONDS), "a repeat is the module's to know");
+        sendFromPeer("a");
+        sendFromPeer("a");
+        assertEquals("to you", receive(peer));
+        assertEquals("to all", receive(broadcast));
+        assertEquals("1:a", received.poll(5, TimeUnit.SECONDS));
+        assertEquals("1:a", received.poll(5, TimeUnit.SECONDS), "a repeat is the module's to know");
     }
 
     /** A datagram of over 256 bytes voids a run; one to a node that is not there would go nowhere. */
     @Test
-    void whatMayNotBeSentIsNot() throws Exception {
+    void countsInvalidMessagesAsNotSent() throws Exception {
         start(true, (actions, from) -> {
             for (int peer : new int[] {0, 2, -2, Integer.MAX_VALUE}) {
                 actions.sendToPeer(peer, new byte[] {1});
@@ -156,26 +156,26 @@
             actions.sendToPeer(1, new byte[0]);
             actions.sendToPeer(1, "x".repeat(256).getBytes(UTF_8));
         });
-        say("a");
-        assertEquals(256, hear(one).length(), "the last of seven is the first that goes out");
-        assertEquals(6, figure("peers_not_sent"));
-        assertEquals(1, figure("peers_sent"));
+        sendFromPeer("a");
+        assertEquals(256, receive(peer).length(), "the last of seven is the first that goes out");
+        assertEquals(6, counter("peers_not_sent"));
+        assertEquals(1, counter("peers_sent"));
     }
 
     @Test
-    void nothingIsSentWhereTheSettingsAllowNone() throws Exception {
+    void sendsNothingIfSettingsForbidPeers() throws Exception {
         start(false, (actions, from) -> actions.sendToPeer(1, "x".getBytes(UTF_8)));
-        say("a");
-        assertEquals("1:a", told.poll(5, TimeUnit.SECONDS));
-        assertEquals(0, figure("peers_sent") + figure("peers_not_sent"), "not even handed to the port");
+        sendFromPeer("a");
+        assertEquals("1:a", received.poll(5, TimeUnit.SECONDS));
+        assertEquals(0, counter("peers_sent") + counter("peers_not_sent"), "not even handed to the port");
     }
 
     @Test
-    void aPortThatIsTurnedOffGivesItsAddressBack() throws Exception {
+    void releasesAddressWhenDisabled() throws Exception {
         start(true, (actions, from) -> {});
-        onLoop(() -> port.configure(null));
-        new DatagramSocket(node).close();
-        onLoop(port::retryBind);
-        assertTrue(!port.isOpen());
+        onLoop(() -> peerSocket.configure(null));
+        new DatagramSocket(nodeAddress).close();
+        onLoop(peerSocket::retryBind);
+        assertTrue(!peerSocket.isOpen());
     }
 }
--- a/node/src/test/java/tulipshed/quic/ConnectionMachineTest.java
+++ b/node/src/test/java/tulipshed/quic/ConnectionMachineTest.java
@@ -33,7 +33,7 @@
     }
 
     private ConnectionMachine opens(byte[] datagram) {
-        Opening opening = new Opening(FIRST, limits.helloBytes());
+        Opening opening = new Opening(FIRST, limits.maxClientHelloBytes());
         opening.take(Packet.read(datagram, 8));
         return ConnectionMachine.opens(limits, FIRST, CLIENT, datagram, opening, false, nowMs);
     }
@@ -96,19 +96,19 @@
     @Test
     void timeEndsEachStage() {
         ConnectionMachine m = opens(hello(0, 1000));
-        assertEquals(Step.DROP, m.tick(nowMs + limits.openingMs(), false));
-        assertEquals(Step.NEVER_WHOLE, m.tick(nowMs + limits.openingMs() + 1, false));
+        assertEquals(Step.DROP, m.tick(nowMs + limits.clientHelloTimeoutMs(), false));
+        assertEquals(Step.NEVER_WHOLE, m.tick(nowMs + limits.clientHelloTimeoutMs() + 1, false));
         m.answered(nowMs);
         assertEquals(Step.REPEAT, client(m, hello(0, 1000)));
         assertEquals(Step.DROP, member(m, served(CLIENT)));
-        assertEquals(Step.DROP, m.tick(nowMs + limits.answeredMs(), false));
-        assertEquals(Step.FORGET, m.tick(nowMs + limits.answeredMs() + 1, false));
+        assertEquals(Step.DROP, m.tick(nowMs + limits.finalResponseRepeatMs(), false));
+        assertEquals(Step.FORGET, m.tick(nowMs + limits.finalResponseRepeatMs() + 1, false));
         ConnectionMachine standing = opens(whole());
         assertEquals(Step.DROP, standing.tick(nowMs + 1e9, true), "while an answer is owed the core keeps the time");
         standing.stands();
         assertEquals(Step.SILENT, standing.tick(nowMs, true));
-        assertEquals(Step.DROP, standing.tick(nowMs + limits.idleMs(), false));
-        assertEquals(Step.IDLE, standing.tick(nowMs + limits.idleMs() + 1, false));
+        assertEquals(Step.DROP, standing.tick(nowMs + limits.idleTimeoutMs(), false));
+        assertEquals(Step.IDLE, standing.tick(nowMs + limits.idleTimeoutMs() + 1, false));
     }
 
     @Test
--- a/node/src/test/java/tulipshed/quic/FrontSetup.java
+++ b/node/src/test/java/tulipshed/quic/FrontSetup.java
@@ -77,23 +77,23 @@
         return l.with(new Limits.Quic(
                 q.datagramBytes(),
                 mostSessions,
-                q.ids(),
-                q.firstDatagrams(),
+                q.maxIdsPerConnection(),
+                q.retainedFirstDatagrams(),
                 idleMs,
                 Math.min(idleMs, 5000),
-                q.unanswered(),
-                q.silentMs(),
-                q.helloBytes(),
+                q.unresponsiveAfterDatagrams(),
+                q.unresponsiveTimeoutMs(),
+                q.maxClientHelloBytes(),
                 300,
                 4,
-                q.paths(),
+                q.maxPathsPerConnection(),
                 pathIdleMs,
                 seatQuietMs,
-                q.readsAtOnce(),
-                q.strangers(),
-                q.strangersMs(),
+                q.maxReadsPerEvent(),
+                q.maxUnknownDatagrams(),
+                q.unknownDatagramSliceMs(),
                 carriedOn,
-                q.receiveBytes()));
+                q.receiveBufferBytes()));
     }
 
     IdConfigurations ids() {
--- a/node/src/test/java/tulipshed/simadapter/AdapterTest.java
+++ b/node/src/test/java/tulipshed/simadapter/AdapterTest.java
@@ -20,7 +20,7 @@
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
-    private int play(String input) {
+    private int run(String input) {
         return Adapter.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out, err, Balancer::new);
     }
 
@@ -31,8 +31,8 @@
     }
 
     @Test
-    void aShortExchangeIsAnsweredBatchByBatch() throws IOException {
-        assertEquals(0, play(resource("exchange.jsonl")));
+    void repliesToEachBatch() throws IOException {
+        assertEquals(0, run(resource("exchange.jsonl")));
         assertEquals(resource("exchange.reply.jsonl"), out.toString(StandardCharsets.UTF_8));
         assertEquals("", err.toString(StandardCharsets.UTF_8));
     }
@@ -47,8 +47,8 @@
                 "{\"cmd\":\"Batch\",\"TimeS\":1.0,\"frame\":1}\n{\"cmd\":\"Incoming\",\"Who\":\"balancer_9\",\"MsgId\":1}\n",
                 "{\"cmd\":\"Batch\",\"TimeS\":1.0,\"frame\":1}\n{\"cmd\":\"Eob\"",
             })
-    void malformedInputGetsOneLineAndAnExitCode(String input) {
-        assertEquals(2, play(input));
+    void malformedInputExitsWithCode2AndOneLineOnStandardError(String input) {
+        assertEquals(2, run(input));
         List<String> lines = err.toString(StandardCharsets.UTF_8).lines().toList();
         assertEquals(1, lines.size(), lines.toString());
         assertTrue(lines.get(0).startsWith("tulipshed: malformed input: "), lines.get(0));
@@ -56,7 +56,7 @@
     }
 
     @Test
-    void anExceptionInADecisionBecomesTheWiresOwn() throws IOException {
+    void exceptionOfDecisionModuleIsWrittenAsExceptionLine() throws IOException {
         String start = resource("exchange.jsonl").lines().limit(2).reduce("", (a, b) -> a + b + "\n");
         String input = start + "{\"cmd\":\"Eob\"}\n";
         int code = Adapter.run(
@@ -75,7 +75,7 @@
     }
 
     @Test
-    void datagramsToOtherInstancesAreWrittenAsTheWireHasThem() throws IOException {
+    void peerMessagesAreWrittenWithRecipientAndBody() throws IOException {
         String start = resource("exchange.jsonl").lines().limit(2).reduce("", (a, b) -> a + b + "\n");
         Adapter.run(
                 new ByteArrayInputStream((start + "{\"cmd\":\"NoteFrom\",\"Who\":\"balancer_0\",\"SrcPeer\":2,"
--- a/node/src/test/java/tulipshed/transport/DatagramPortTest.java
+++ b/node/src/test/java/tulipshed/transport/DatagramPortTest.java
@@ -43,7 +43,7 @@
     @Test
     void aFloodedSocketDoesNotKeepTheOthersWaiting() throws Exception {
         Limits limits = Limits.forDescriptors(1024);
-        int batch = limits.quic().readsAtOnce();
+        int batch = limits.quic().maxReadsPerEvent();
         XnioEventLoop loop = new XnioEventLoop(limits);
         AtomicInteger before = new AtomicInteger(-1);
         AtomicInteger read = new AtomicInteger();
