Proxy: public names isServing, servingEndpoints, BalancerFactory; tests named after behaviour

Need: two methods called serving answered different questions, a boolean chose which reload counter grew, and test methods were sentences in the old house style. Change: renames only, and RequestRoutingTest expects the route log lines as they are written since they go through NodeLog; it still named their former text and was red. It compares as strictly.

--- a/node/src/main/java/tulipshed/cli/Node.java
+++ b/node/src/main/java/tulipshed/cli/Node.java
@@ -191,7 +191,7 @@
     /** How many members the list names as serving, once all gathered before is handed over. */
     long serving() {
         CompletableFuture<Long> count = new CompletableFuture<>();
-        loop.execute(() -> count.complete(core.serving()));
+        loop.execute(() -> count.complete(core.servingEndpoints()));
         return count.join();
     }
 
@@ -224,7 +224,7 @@
             peersAs(changed);
             watch.setDiscoveryAddress(changed.discovery());
             watch.setPushed(!changed.settings().polledDiscovery());
-            core.metrics().reloaded(true);
+            core.metrics().recordReloadApplied();
             // Said once it holds: whoever waits for the line may count on the new settings at once.
             log.info("configuration reloaded, discovery at " + changed.discovery()
                     + (more ? "; the other changes need a restart" : ""));
@@ -234,7 +234,7 @@
     /** A new configuration that could not be read changes nothing. */
     void turnedDown(String why) {
         loop.execute(() -> {
-            core.metrics().reloaded(false);
+            core.metrics().recordReloadRejected();
             log.warn("configuration rejected, the current one stays: " + why.replaceAll("\\s+", " "));
         });
     }
--- a/node/src/main/java/tulipshed/proxy/NodeMetrics.java
+++ b/node/src/main/java/tulipshed/proxy/NodeMetrics.java
@@ -63,13 +63,14 @@
         forwardedAttempts++;
     }
 
-    /** A new configuration was taken, or turned down. */
-    public void reloaded(boolean taken) {
-        if (taken) {
-            reloadsApplied++;
-        } else {
-            reloadsRejected++;
-        }
+    /** Counts a configuration reload that took effect. */
+    public void recordReloadApplied() {
+        reloadsApplied++;
+    }
+
+    /** Counts a configuration reload that was rejected as malformed. */
+    public void recordReloadRejected() {
+        reloadsRejected++;
     }
 
     /** A figure that a front counts by itself; another of the same name takes its place. */
--- a/node/src/main/java/tulipshed/proxy/ProxyCore.java
+++ b/node/src/main/java/tulipshed/proxy/ProxyCore.java
@@ -29,7 +29,7 @@
     private static final double LEAVING_SHARE = 0.6; // of the drain grace: over which flows leave a member
 
     /** Makes the decision module once the core stands. */
-    public interface Module {
+    public interface BalancerFactory {
         BalancerApi create(Settings settings, long seed, long nowUs, BalancerApi.Actions actions);
     }
 
@@ -54,7 +54,7 @@
     private long lastId;
 
     public ProxyCore(
-            Clock clock, Limits limits, Settings settings, long seed, EventLoop loop, NodeLog log, Module factory) {
+            Clock clock, Limits limits, Settings settings, long seed, EventLoop loop, NodeLog log, BalancerFactory factory) {
         this.clock = clock;
         this.limits = limits;
         this.settings = settings;
@@ -375,7 +375,7 @@
     }
 
     /** Whether the list names this member as serving. */
-    public boolean serving(String memberId) {
+    public boolean isServing(String memberId) {
         Endpoint endpoint = endpointsChanged.get(memberId);
         return endpoint != null && endpoint.isServing() && endpoint.address() != null;
     }
@@ -560,7 +560,7 @@
     }
 
     /** Those of them that serve. */
-    public long serving() {
+    public long servingEndpoints() {
         return endpointsChanged.entries().stream()
                 .filter(e -> e.status() == BalancerApi.EndpointStatus.SERVING)
                 .count();
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -427,7 +427,7 @@
             counted.count(Figure.DROPPED_UNKNOWN_ID);
             return;
         }
-        if (!core.serving(place.member()) || arrival("") == null || full() || leaving) {
+        if (!core.isServing(place.member()) || arrival("") == null || full() || leaving) {
             counted.count(Figure.RESETS_SENT);
             d.listener().send(d.from(), config.reset().datagram(id, d.bytes().length, random));
             return;
--- a/node/src/test/java/tulipshed/proxy/CoreBench.java
+++ b/node/src/test/java/tulipshed/proxy/ProxyCoreFixture.java
@@ -22,7 +22,7 @@
 import tulipshed.time.ManualClock;
 
 /** The core on a clock and a loop that tests drive, with a module that does what tests say and notes what it hears. */
-final class CoreBench implements EventLoop, ClientConnection, UpstreamConnector, BalancerApi {
+final class ProxyCoreFixture implements EventLoop, ClientConnection, UpstreamConnector, BalancerApi {
     final ManualClock clock = new ManualClock(1_000_000);
     final List<String> heard = new ArrayList<>();
     final List<Attempt> flows = new ArrayList<>();
@@ -35,12 +35,12 @@
 
     private record Timer(double atMs, Runnable task) {}
 
-    CoreBench() {
+    ProxyCoreFixture() {
         this("", "");
     }
 
     /** With other settings in place of some, everywhere. */
-    CoreBench(String some, String others) {
+    ProxyCoreFixture(String some, String others) {
         NodeConfig config = config(some, others);
         settings = config.settings();
         core = new ProxyCore(
--- a/node/src/test/java/tulipshed/proxy/RoutingTest.java
+++ b/node/src/test/java/tulipshed/proxy/RequestRoutingTest.java
@@ -13,10 +13,10 @@
 import tulipshed.routing.Router;
 
 /** What the core makes of the operators' rules. */
-class RoutingTest {
+class RequestRoutingTest {
     private static final String POOLS =
             "(pool a (where (in member.id [\"s-1\" \"s-2\"]))) (pool b (where (= member.id \"s-3\")))";
-    private final CoreBench bench = new CoreBench();
+    private final ProxyCoreFixture bench = new ProxyCoreFixture();
 
     private static Router router(String text) {
         return OperatorsFile.read(
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void anArrivalIsClassifiedAndHeldToItsPool() {
+    void classifiesArrivalAndAssignsItsPool() {
         ready(1, 1);
         bench.core.useRouter(router(POOLS + "(classify (rule r (when (= key \"k\")) (class \"slot-booking\")))"
                 + "(route r (when (= class \"slot-booking\")) (to b))"));
@@ -43,7 +43,7 @@
     }
 
     @Test
-    void thoseThatWaitAreHeldToTheNextPoolWhenTheirsEmpties() {
+    void reroutesPendingRequestsWhenTheirPoolBecomesIneligible() {
         bench.tell("s-3", EndpointStatus.SERVING);
         ready(1, 1);
         bench.core.useRouter(router(POOLS + "(route r (to a b))"));
@@ -53,14 +53,14 @@
         bench.pass(99);
         assertEquals(List.of(), bench.take());
         bench.pass(2);
-        assertEquals(List.of("route r: uses pool b instead of its first", "route 1 b"), bench.take());
+        assertEquals(List.of("INFO route: r uses pool b instead of its preferred pool", "route 1 b"), bench.take());
         bench.inFavour.put("a", 1);
         bench.tell("s-2", EndpointStatus.SERVING);
         assertEquals(
                 List.of(
                         "list CHANGES",
                         "pools {a=[s-1, s-2], b=[s-3]}",
-                        "route r: uses its first pool again",
+                        "INFO route: r uses its preferred pool again",
                         "route 1 a"),
                 bench.take().stream()
                         .map(l -> l.replace("s-2, s-1", "s-1, s-2"))
@@ -68,7 +68,7 @@
     }
 
     @Test
-    void whatStandsStaysWhereItIsWhenItsPoolIsDropped() {
+    void keepsEstablishedConnectionWhenRouterIsRemoved() {
         ready(1, 1);
         bench.core.useRouter(router(POOLS + "(route r (to a))"));
         Attempt attempt = bench.sent(2000);
@@ -84,7 +84,7 @@
 
     /** Settings may drop a class that a rule gave, before the rules are read anew. */
     @Test
-    void aClassThatTheSettingsHaveDroppedChangesNothing() {
+    void ignoresClassThatSettingsNoLongerName() {
         bench.core.useRouter(router("(classify (rule r (when true) (class \"slot-booking\")))"));
         var s = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
                 .settings();
--- a/node/src/test/java/tulipshed/proxy/DuesTest.java
+++ b/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
@@ -10,10 +10,10 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class DuesTest {
+class TimerQueueTest {
     /** Every due that is not dropped is looked at, in its order, and what is dropped holds no memory for long. */
     @Property(tries = 200, seed = "95")
-    void whatIsDroppedIsNeverLookedAtAndDoesNotPileUp(@ForAll long seed) {
+    void runsTimersInOrderAndReleasesCancelledOnes(@ForAll long seed) {
         Random random = new Random(seed);
         TimerQueue dues = new TimerQueue();
         TreeMap<Double, List<Integer>> expected = new TreeMap<>();
--- a/node/src/test/java/tulipshed/proxy/TransactionCoreTest.java
+++ b/node/src/test/java/tulipshed/proxy/TransactionCoreTest.java
@@ -16,10 +16,10 @@
 import tulipshed.decision.BalancerApi.Settings;
 
 class TransactionCoreTest {
-    private final CoreBench bench = new CoreBench();
+    private final ProxyCoreFixture bench = new ProxyCoreFixture();
 
     @Test
-    void allThatIsReadyGoesToTheModuleBeforeAnythingIsCarriedOut() {
+    void deliversAllEventsBeforeRunningDecisions() {
         bench.arrive(2000);
         bench.module.startAttempt(1, "s-1", 0);
         bench.arrive(1000);
@@ -27,7 +27,7 @@
     }
 
     @Test
-    void aRejectionIsGivenAtOnceAndOnlyOnce() {
+    void sendsFinalResponseOnlyOnce() {
         bench.arrive(2000);
         bench.run();
         bench.module.reject(1, 250_000);
@@ -38,7 +38,7 @@
     }
 
     @Test
-    void onlyOneFlowIsOutAtATime() {
+    void allowsOneAttemptAtATime() {
         bench.sent(2000);
         bench.module.startAttempt(bench.lastRequest, "s-1", 0);
         bench.core.runBatch();
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void aConnectionNotUpInTimeCountsAsNeverRun() {
+    void connectTimeoutCountsAsNeverExecuted() {
         bench.sent(2000);
         bench.pass(249);
         assertEquals(List.of(), bench.take());
@@ -55,7 +55,7 @@
     }
 
     @Test
-    void silenceUntilTheClientGivesUpIsATimeOutStillOwedAnAnswer() {
+    void timesOutShortlyBeforeClientDeadlineAndKeepsRequestPending() {
         Attempt attempt = bench.sent(2000);
         assertTrue(bench.core.mayForward(attempt));
         bench.pass(1950);
@@ -67,7 +67,7 @@
     }
 
     @Test
-    void whatTheModuleForgetsIsAnsweredAllTheSame() {
+    void failsRequestWithoutDecisionAtItsDeadline() {
         bench.arrive(300);
         bench.pass(300);
         List<String> heard = bench.take();
@@ -77,7 +77,7 @@
 
     /** The news of a drain can come while the connection is being made. */
     @Test
-    void nothingIsSentToAMemberThatBeganToDrainMeanwhile() {
+    void forwardsNothingToEndpointThatStartedDraining() {
         Attempt attempt = bench.sent(2000);
         bench.tell("s-1", EndpointStatus.DRAINING);
         assertFalse(bench.core.mayForward(attempt));
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void aConnectionThatStoodBeforeGoesToItsMemberEvenWhileThatDrains() {
+    void adoptsConnectionOfDrainingEndpoint() {
         bench.tell("s-1", EndpointStatus.DRAINING);
         bench.take();
         bench.arriveAt("s-1");
@@ -102,7 +102,7 @@
 
     /** The list known at the start can be older than the connection. */
     @Test
-    void oneThatStoodAtAMemberNotYetNamedWaitsForTheList() {
+    void adoptionWaitsForUnlistedEndpoint() {
         Request request = bench.arriveAt("s-9");
         bench.pass(3000);
         assertEquals(List.of(), bench.take());
@@ -119,7 +119,7 @@
     }
 
     @Test
-    void oneThatStoodAtAMemberIsNotWaitedForWithoutEndWhereNoListComes() {
+    void adoptionFailsAfterTimeoutWithoutEndpointList() {
         bench.arriveAt("s-10");
         bench.pass(39_900);
         assertEquals(List.of(), bench.take());
@@ -128,7 +128,7 @@
     }
 
     @Test
-    void oneThatStoodBeforeAndIsNotFoundFailsAtOnce() {
+    void adoptionFailsAtOnceWhenConnectionIsUnknown() {
         bench.arriveAt("s-1");
         bench.take();
         bench.core.attemptEnded(bench.flows.get(0), Outcome.RESET);
@@ -136,7 +136,7 @@
     }
 
     @Test
-    void aClientThatLeavesTakesItsFlowWithIt() {
+    void cancelsAttemptWhenClientDisconnects() {
         Attempt attempt = bench.sent(2000);
         bench.core.clientDisconnected(attempt.request());
         assertEquals(List.of("abandoned", "give up", "finished 0 CANCELLED concluded"), bench.take());
@@ -144,7 +144,7 @@
     }
 
     @Test
-    void aSilentMemberLosesItsClientInGoodOrder() {
+    void migratesClientOnceFromUnresponsiveEndpoint() {
         Attempt attempt = bench.sent(2000);
         assertTrue(bench.core.attemptEstablished(attempt));
         bench.core.endpointUnresponsive(attempt);
@@ -159,7 +159,7 @@
     }
 
     @Test
-    void flowsThatMayNotStayLeaveADrainingMemberWithinItsGrace() {
+    void attemptsLeaveDrainingEndpointWithinGracePeriod() {
         bench.leavesDraining = true;
         Attempt standing = bench.sent(2000);
         bench.core.attemptEstablished(standing);
@@ -173,7 +173,7 @@
     }
 
     @Test
-    void leavingMovesWhoStandsAndRejectsWhoIsOwed() {
+    void shutdownMigratesEstablishedAndRejectsPending() {
         bench.core.attemptEstablished(bench.sent(2000));
         bench.sent(2000);
         bench.take();
@@ -191,7 +191,7 @@
     }
 
     @Test
-    void timersComeBackWhenDue() {
+    void deliversTimerOfBalancerAtItsDeadline() {
         bench.module.scheduleTimer(20_000, 77);
         bench.run();
         bench.pass(19);
@@ -206,7 +206,7 @@
     }
 
     @Test
-    void eachFinalAnswerIsCountedOnceForItsClass() {
+    void countsEachFinalResponseOncePerClass() {
         bench.core.attemptEstablished(bench.sent(2000));
         bench.sent(2000);
         assertEquals(2, bench.core.metrics().activeRequests());
@@ -232,7 +232,7 @@
 
     /** Without the order the module would judge an arrival by whatever class has taken its place. */
     @Test
-    void newSettingsComeAfterWhatWasGatheredUnderTheOldOnes() {
+    void deliversNewSettingsAfterEarlierEvents() {
         Settings old = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
                 .settings();
         List<RequestClass> classes = old.classes();
@@ -276,7 +276,7 @@
 
     /** Without this the process that takes over places the clients of the other as if nothing stood anywhere. */
     @Test
-    void whatStandsInTheOtherProcessIsOpenForTheModuleUntilItEndsThere() {
+    void replicatesConnectionsOfHotRestartPeer() {
         Map<Integer, HotRestartPeer.EstablishedConnection> there = new HashMap<>();
         List<Object> noted = new ArrayList<>();
         bench.core.hotRestartPeer(new HotRestartPeer() {
@@ -320,20 +320,20 @@
 
     // ---- What may have run ----
 
-    private static CoreBench once() {
-        return new CoreBench("\"Effect\": \"repeatable\"", "\"Effect\": \"once\"");
+    private static ProxyCoreFixture once() {
+        return new ProxyCoreFixture("\"Effect\": \"repeatable\"", "\"Effect\": \"once\"");
     }
 
-    private static CoreBench keyed() {
-        return new CoreBench(
+    private static ProxyCoreFixture keyed() {
+        return new ProxyCoreFixture(
                 "\"Effect\": \"repeatable\",\n    \"Group\": \"all\"",
                 "\"Effect\": \"by_key\",\n    \"Group\": \"zone\"");
     }
 
     /** BUSY says that a repeat is harmless; an attempt that is out may have run. */
     @Test
-    void aLeavingNodeDoesNotCallHarmlessWhatMayHaveRun() {
-        for (CoreBench bench : List.of(once(), keyed())) {
+    void shutdownFailsNonIdempotentRequestThatMayHaveExecuted() {
+        for (ProxyCoreFixture bench : List.of(once(), keyed())) {
             Attempt out = bench.sent(2000);
             assertTrue(bench.core.mayForward(out));
             bench.core.rejectAllPending();
@@ -349,8 +349,8 @@
 
     /** Its class was one of which attempts may be repeated when it came; new settings say otherwise. */
     @Test
-    void anOpenTransactionKeepsTheClassThatItCameWith() {
-        CoreBench bench = new CoreBench();
+    void requestKeepsItsClassAcrossReconfiguration() {
+        ProxyCoreFixture bench = new ProxyCoreFixture();
         Attempt out = bench.sent(2000);
         assertTrue(bench.core.mayForward(out));
         bench.core.reconfigure(once().settings);
@@ -363,8 +363,8 @@
     }
 
     @Test
-    void aLeavingNodeRefusesWhatNeverRan() {
-        CoreBench bench = once();
+    void shutdownRejectsRequestThatNeverExecuted() {
+        ProxyCoreFixture bench = once();
         bench.sent(2000);
         bench.core.rejectAllPending();
         assertEquals("client: reject 0.0", bench.take().get(0), "its connection is not up yet");
@@ -378,8 +378,8 @@
 
     /** The module chose in time; the bytes would go too late. */
     @Test
-    void aRepeatWhoseTimePassesWhileTheConnectionIsMadeIsNotSent() {
-        CoreBench bench = new CoreBench(
+    void doesNotForwardRetryAfterDeduplicationWindow() {
+        ProxyCoreFixture bench = new ProxyCoreFixture(
                 "\"Effect\": \"repeatable\",\n    \"Group\": \"all\",\n    \"HardLimitS\": 4.8,\n"
                         + "    \"LateWorth\": 0.0,\n    \"Name\": \"slot-board\",\n    \"RepeatWindowS\": 5.0",
                 "\"Effect\": \"by_key\",\n    \"Group\": \"all\",\n    \"HardLimitS\": 4.8,\n"
@@ -401,8 +401,8 @@
 
     /** An attempt whose connection never came up has not run, also where its time ends before that of the connection. */
     @Test
-    void aTimeOutBeforeTheConnectionIsUpProvesThatNothingRan() {
-        CoreBench bench = once();
+    void timeoutBeforeConnectCountsAsNeverExecuted() {
+        ProxyCoreFixture bench = once();
         bench.sent(150);
         bench.pass(111);
         assertEquals(List.of("give up", "finished 0 CONNECT_FAILED"), bench.take());
