--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -140,11 +140,16 @@
             throw new MalformedLineException("the id of an open transaction");
         }
         state = State.OWED;
-        front.unserved.opened(this);
+        front.unservedConnections.opened(this);
         transaction = new Request(
-                this, this, line.arrival(), front.origin(link, line), front.clock.nowMs(), line.at() != null);
-        if (line.at() != null) {
-            front.core.adoptConnection(transaction, line.at());
+                this,
+                this,
+                line.attributes(),
+                front.origin(link, line),
+                front.clock.nowMs(),
+                line.adoptedFrom() != null);
+        if (line.adoptedFrom() != null) {
+            front.core.adoptConnection(transaction, line.adoptedFrom());
         } else {
             front.core.requestArrived(transaction);
         }
@@ -189,22 +194,22 @@
     }
 
     /** The first line did not come in time. */
-    void neverOpened() {
+    void onOpenTimeout() {
         if (stillOpening()) {
             bad("no first line in time");
         }
     }
 
     /** The node takes no more first lines. */
-    void turnAway() {
+    void rejectIfOpening() {
         if (stillOpening()) {
             reject(front.core.retryAfterMs(front.limits.sockets().overloadRetryAfterMs()));
         }
     }
 
     /** Its descriptor is wanted for a client that can be served; one whose first line has just come can. */
-    void giveWay() {
-        turnAway();
+    void evict() {
+        rejectIfOpening();
         if (state == State.CLOSING) {
             close();
         }
@@ -218,7 +223,7 @@
 
     private void close() {
         closing();
-        front.unserved.closed(this);
+        front.unservedConnections.closed(this);
         link.close();
         if (!closed) {
             closed = true;
@@ -268,7 +273,7 @@
 
     /** Ends the sending; the rest of what the client sends is read and dropped, so that no reset overtakes. */
     private void finish() {
-        front.unserved.answered(this);
+        front.unservedConnections.answered(this);
         link.shutdownOutput();
         link.setReading(!ended);
         front.loop.schedule(front.limits.sockets().lingerTimeoutMs(), this::lingered);
--- a/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
+++ b/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
@@ -5,23 +5,23 @@
 
 /** Cuts a stream into lines that end with CRLF, keeping no more than one line of bounded length. */
 final class CrlfDecoder {
-    private final byte[] held;
+    private final byte[] partialBytes;
     private int length;
 
     CrlfDecoder(int longest) {
-        held = new byte[longest];
+        partialBytes = new byte[longest];
     }
 
     /** The next whole line with its end, or null when the input holds no more of one. */
     byte[] next(ByteBuffer in) {
         while (in.hasRemaining()) {
-            if (length == held.length) {
-                throw new MalformedLineException("a line of more than " + held.length + " bytes");
+            if (length == partialBytes.length) {
+                throw new MalformedLineException("a line of more than " + partialBytes.length + " bytes");
             }
             byte b = in.get();
-            held[length++] = b;
+            partialBytes[length++] = b;
             if (b == '\n') {
-                byte[] line = Arrays.copyOf(held, length);
+                byte[] line = Arrays.copyOf(partialBytes, length);
                 length = 0;
                 return line;
             }
@@ -30,14 +30,14 @@
     }
 
     /** Takes out what is held of an unfinished line. */
-    byte[] rest() {
-        byte[] rest = Arrays.copyOf(held, length);
+    byte[] takePartialLine() {
+        byte[] rest = Arrays.copyOf(partialBytes, length);
         length = 0;
         return rest;
     }
 
     /** Bytes held of an unfinished line. */
-    int held() {
+    int partialBytes() {
         return length;
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnections.java
+++ b/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnections.java
@@ -176,7 +176,7 @@
             }
             String[] words = text.split(" ", 2);
             switch (words[0]) {
-                case "PONG" -> answered(Outcome.OK, LoadReportParser.read(words.length > 1 ? words[1] : ""));
+                case "PONG" -> answered(Outcome.OK, LoadReportParser.parse(words.length > 1 ? words[1] : ""));
                 case "ERR" -> answered(Outcome.ERROR, LoadReport.NONE);
                 default -> {
                     front.memberComplaints.record(
@@ -196,7 +196,7 @@
             if (asking && kept) {
                 kept = false;
                 link = null;
-                splitter.rest();
+                splitter.takePartialLine();
                 dial();
             } else {
                 over(Outcome.RESET);
--- a/node/src/main/java/tulipshed/lineprotocol/InactivityDetector.java
+++ b/node/src/main/java/tulipshed/lineprotocol/InactivityDetector.java
@@ -16,20 +16,20 @@
     }
 
     /** The client sent something; what it sent before and is not answered counts from then. */
-    void asked(double nowMs) {
+    void requestSent(double nowMs) {
         if (Double.isNaN(askedMs)) {
             askedMs = nowMs;
         }
     }
 
     /** The member sent something. */
-    void heard() {
+    void responseReceived() {
         askedMs = Double.NaN;
         suspected = false;
     }
 
     /** A look, with turns of reading between any two: whether the member is gone. */
-    boolean gone(double nowMs) {
+    boolean isUnresponsive(double nowMs) {
         boolean silent = nowMs - askedMs > bearableMs;
         boolean gone = silent && suspected;
         suspected = silent;
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -31,7 +31,7 @@
 
     private final Set<UpstreamConnection> relays = new LinkedHashSet<>();
     private final Set<String> openIds = new HashSet<>();
-    final UnservedConnections unserved;
+    final UnservedConnections unservedConnections;
     final ProtocolErrorLog complaints;
     final ProtocolErrorLog memberComplaints;
     /** Whether the figure of a member's LOAD line is a delay. */
@@ -56,7 +56,7 @@
         this.names = names;
         this.loop = loop;
         this.core = core;
-        unserved = new UnservedConnections(limits);
+        unservedConnections = new UnservedConnections(limits);
         complaints = new ProtocolErrorLog("client", "clients rejected for malformed input", limits, log);
         memberComplaints = new ProtocolErrorLog("upstream", "malformed upstream lines ignored", limits, log);
         scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
@@ -82,7 +82,7 @@
 
     /** Where a transaction came from, as far as anybody asks. */
     Origin origin(TcpConnection client, OpenCommand line) {
-        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), line.figures());
+        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), line.declaredAttributes());
     }
 
     NameIndex names() {
@@ -99,11 +99,11 @@
         while ((!loop.hasCapacityForClient()
                         || clients
                                 >= limits.clientConnections() - limits.sockets().acceptsAtOnce())
-                && unserved.closeOne()) {}
+                && unservedConnections.evictOne()) {}
         boolean room = loop.hasCapacityForClient();
         ClientSession session = new ClientSession(this, connection);
         if (room) {
-            unserved.opens(session);
+            unservedConnections.opens(session);
             session.start();
         } else {
             session.reject(core.retryAfterMs(limits.sockets().overloadRetryAfterMs()));
@@ -117,7 +117,7 @@
 
     /** The node is about to go: whoever has not sent a first line by now is told, and none is read any more. */
     public void rejectWaitingClients() {
-        unserved.opening().forEach(ClientSession::turnAway);
+        unservedConnections.opening().forEach(ClientSession::rejectIfOpening);
     }
 
     /** The node takes no more clients: members are not probed any more. */
@@ -153,7 +153,7 @@
 
     /** Whether a flow may take a descriptor; who is not served gives way to it. */
     boolean roomForFlow() {
-        while (!loop.hasCapacityForUpstream() && unserved.closeOne()) {}
+        while (!loop.hasCapacityForUpstream() && unservedConnections.evictOne()) {}
         return loop.hasCapacityForUpstream();
     }
 
@@ -168,8 +168,8 @@
     private void sweep() {
         double nowMs = clock.nowMs();
         List.copyOf(relays).forEach(r -> r.lookAtSilence(nowMs));
-        for (ClientSession s : unserved.late(nowMs)) {
-            s.neverOpened();
+        for (ClientSession s : unservedConnections.overdue(nowMs)) {
+            s.onOpenTimeout();
         }
         complaints.flush(nowMs);
         memberComplaints.flush(nowMs);
--- a/node/src/main/java/tulipshed/lineprotocol/LoadReportParser.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LoadReportParser.java
@@ -35,7 +35,7 @@
      * @throws MalformedLineException if a field has no value, a value is no number from 0 to 1e9, a known field comes twice or there are
      *     more than 32: then none of it is believed
      */
-    static LoadReport read(String text) {
+    static LoadReport parse(String text) {
         if (text.isBlank()) {
             return LoadReport.NONE;
         }
@@ -50,7 +50,7 @@
             if (is < 0) {
                 throw new MalformedLineException("a report with a field that has no value");
             }
-            double value = figure(field.substring(is + 1));
+            double value = parseValue(field.substring(is + 1));
             Integer place = PLACES.get(field.substring(0, is));
             if (place != null && !Double.isNaN(v[place])) {
                 throw new MalformedLineException("a report that names a field twice");
@@ -66,7 +66,7 @@
      *
      * @throws MalformedLineException if it is no number from 0 to 1e9
      */
-    static double figure(String text) {
+    static double parseValue(String text) {
         double value;
         try {
             value = Double.parseDouble(text);
--- a/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
@@ -19,9 +19,9 @@
     private final String id;
     private final int waitFrom;
     private final int waitTo;
-    private final Attributes arrival;
-    private final String at;
-    private final Map<String, Object> figures;
+    private final Attributes attributes;
+    private final String adoptedFrom;
+    private final Map<String, Object> declaredAttributes;
 
     private OpenCommand(
             String text,
@@ -31,13 +31,13 @@
             Attributes arrival,
             String at,
             Map<String, Object> figures) {
-        this.figures = figures;
+        this.declaredAttributes = figures;
         this.text = text;
         this.id = id;
         this.waitFrom = waitFrom;
         this.waitTo = waitTo;
-        this.arrival = arrival;
-        this.at = at;
+        this.attributes = arrival;
+        this.adoptedFrom = at;
     }
 
     /** Reads one whole line; anything that a client would not send in this form is a {@link MalformedLineException}. */
@@ -64,22 +64,22 @@
     }
 
     /** What the client asks for. */
-    Attributes arrival() {
-        return arrival;
+    Attributes attributes() {
+        return attributes;
     }
 
     /** The declared further figures that it carries. */
-    Map<String, Object> figures() {
-        return figures;
+    Map<String, Object> declaredAttributes() {
+        return declaredAttributes;
     }
 
     /** The member at which this connection stood before, or null. */
-    String at() {
-        return at;
+    String adoptedFrom() {
+        return adoptedFrom;
     }
 
     /** The line as it goes on to a member that is told how long the node will wait. */
-    byte[] onward(double waitMs) {
+    byte[] forwardedLine(double waitMs) {
         long wait = Math.max(1, (long) Math.floor(waitMs));
         return (text.substring(0, waitFrom) + wait + text.substring(waitTo)).getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/node/src/main/java/tulipshed/lineprotocol/UnservedConnections.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UnservedConnections.java
@@ -24,7 +24,7 @@
     /** A connection was taken; its first line is awaited. */
     void opens(ClientSession session) {
         if (opening.size() >= limits.unopenedConnections()) {
-            first(opening).giveWay();
+            first(opening).evict();
         }
         opening.add(session);
     }
@@ -46,11 +46,11 @@
     }
 
     /** Closes the one that is missed least, if there is one. */
-    boolean closeOne() {
+    boolean evictOne() {
         if (answered.isEmpty() && opening.isEmpty()) {
             return false;
         }
-        first(answered.isEmpty() ? opening : answered).giveWay();
+        first(answered.isEmpty() ? opening : answered).evict();
         return true;
     }
 
@@ -60,7 +60,7 @@
     }
 
     /** Those whose first line should have come by now. */
-    List<ClientSession> late(double nowMs) {
+    List<ClientSession> overdue(double nowMs) {
         List<ClientSession> late = new ArrayList<>();
         for (ClientSession s : opening) {
             if (nowMs - s.sinceMs() < limits.lineProtocol().firstLineTimeoutMs()) {
--- a/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
@@ -64,10 +64,10 @@
         }
         state = State.WAITING;
         double nowMs = front.clock.nowMs();
-        double waitMs = client.line().at() == null
+        double waitMs = client.line().adoptedFrom() == null
                 ? flow.remainingWaitMs(nowMs)
                 : flow.request().deadlineMs() - nowMs;
-        link.write(client.line().onward(waitMs));
+        link.write(client.line().forwardedLine(waitMs));
         link.setReading(true);
     }
 
@@ -119,7 +119,7 @@
     }
 
     private void take(ByteBuffer in) {
-        silence.heard();
+        silence.responseReceived();
         while (state != State.OVER && in.hasRemaining()) {
             try {
                 byte[] line = splitter.next(in);
@@ -132,7 +132,7 @@
                     return;
                 }
                 // Longer than the protocol allows; it is the client's to judge.
-                client.fromMember(splitter.rest());
+                client.fromMember(splitter.takePartialLine());
             }
         }
     }
@@ -149,7 +149,7 @@
             switch (lastWord) {
                 case "LOAD" -> load(rest);
                 case "BYE", "ERR", "BUSY" ->
-                    report = front.core.expectsInlineLoadReports() ? LoadReportParser.read(rest) : LoadReport.NONE;
+                    report = front.core.expectsInlineLoadReports() ? LoadReportParser.parse(rest) : LoadReport.NONE;
                 default -> {}
             }
         } catch (MalformedLineException e) {
@@ -185,7 +185,7 @@
      * spoil the module's count of what every member bears, as would a figure that is none.
      */
     private void load(String figure) {
-        double value = LoadReportParser.figure(figure);
+        double value = LoadReportParser.parseValue(figure);
         if (state != State.STANDING) {
             return;
         }
@@ -208,7 +208,7 @@
     private void ended() {
         link.setReading(false);
         if (state == State.STANDING) {
-            client.fromMember(splitter.rest());
+            client.fromMember(splitter.takePartialLine());
             client.memberFinished();
         }
         over(endOutcome(clientFinished ? Outcome.CANCELLED : Outcome.RESET));
@@ -232,13 +232,13 @@
     }
 
     void fromClient(byte[] bytes) {
-        silence.asked(front.clock.nowMs());
+        silence.requestSent(front.clock.nowMs());
         link.write(bytes);
     }
 
     /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
     void lookAtSilence(double nowMs) {
-        if (silence.gone(nowMs)) {
+        if (silence.isUnresponsive(nowMs)) {
             front.core.endpointUnresponsive(flow);
         }
     }
--- a/node/src/test/java/tulipshed/lineprotocol/DescriptionTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/AsyncApiDescriptionTest.java
@@ -17,15 +17,15 @@
 import tulipshed.routing.Declarations;
 
 /** The AsyncAPI description says what the parsers take: its examples are read, and its references lead somewhere. */
-class DescriptionTest {
+class AsyncApiDescriptionTest {
     private final Map<String, Object> description;
 
-    DescriptionTest() throws IOException {
+    AsyncApiDescriptionTest() throws IOException {
         description = new Yaml().load(Files.readString(Path.of("../docs/asyncapi.yaml")));
     }
 
     @SuppressWarnings("unchecked")
-    private static Object at(Object from, String... path) {
+    private static Object valueAt(Object from, String... path) {
         Object value = from;
         for (String key : path) {
             value = ((Map<String, Object>) value).get(key);
@@ -35,22 +35,23 @@
     }
 
     @Test
-    void theExampleOfAFirstLineIsReadAndMatchesItsPattern() {
-        Object payload = at(description, "components", "messages", "open", "payload");
-        List<?> examples = (List<?>) at(payload, "examples");
+    void parsesExampleOpenCommandsThatMatchTheirPattern() {
+        Object payload = valueAt(description, "components", "messages", "open", "payload");
+        List<?> examples = (List<?>) valueAt(payload, "examples");
         assertFalse(examples.isEmpty());
         for (Object example : examples) {
             String line = (String) example;
-            assertTrue(line.matches((String) at(payload, "pattern")), line);
+            assertTrue(line.matches((String) valueAt(payload, "pattern")), line);
             NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
             OpenCommand read = OpenCommand.parse(
                     line.getBytes(StandardCharsets.US_ASCII), config.nameIndex(), Declarations.NONE, 60_000);
-            assertEquals(line, new String(read.onward(read.arrival().timeoutMs()), StandardCharsets.US_ASCII));
+            assertEquals(
+                    line, new String(read.forwardedLine(read.attributes().timeoutMs()), StandardCharsets.US_ASCII));
         }
     }
 
     @Test
-    void everyReferenceLeadsSomewhere() throws IOException {
+    void resolvesEveryReference() throws IOException {
         for (String file :
                 List.of("../docs/asyncapi.yaml", "../docs/openapi-discovery.yaml", "../docs/openapi-management.yaml")) {
             Object whole = new Yaml().load(Files.readString(Path.of(file)));
@@ -64,7 +65,7 @@
         }
         if (part instanceof Map<?, ?> map) {
             if (map.get("$ref") instanceof String reference) {
-                at(whole, reference.substring(2).split("/"));
+                valueAt(whole, reference.substring(2).split("/"));
                 return 1;
             }
             return map.values().stream().mapToInt(p -> references(whole, p)).sum();
--- a/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/HealthCheckConnectionsTest.java
@@ -45,15 +45,15 @@
 import tulipshed.transport.XnioEventLoop;
 
 /** Probes on loopback sockets, between the real core and a member played line by line. */
-class MemberProbesTest {
-    private record Heard(String member, Outcome outcome, LoadReport report) {}
+class HealthCheckConnectionsTest {
+    private record HealthCheckResult(String endpointId, Outcome outcome, LoadReport report) {}
 
-    private final BlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
-    private final List<String> log = new CopyOnWriteArrayList<>();
-    private ServerSocket member;
+    private final BlockingQueue<HealthCheckResult> results = new LinkedBlockingQueue<>();
+    private final List<String> logLines = new CopyOnWriteArrayList<>();
+    private ServerSocket endpointListener;
     private XnioEventLoop loop;
     private ProxyCore core;
-    private LineProtocolFrontend front;
+    private LineProtocolFrontend frontend;
     private BalancerApi.Actions actions;
 
     @BeforeEach
@@ -90,17 +90,23 @@
                 s.classes(),
                 s.tenants());
         loop = new XnioEventLoop(limits);
-        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        endpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         BlockingQueue<ProxyCore> made = new LinkedBlockingQueue<>();
         loop.execute(() -> {
             ProxyCore c = new ProxyCore(
-                    new SystemClock(), limits, settings, 1, loop, NodeLog.to(log::add), (given, seed, now, does) -> {
+                    new SystemClock(),
+                    limits,
+                    settings,
+                    1,
+                    loop,
+                    NodeLog.to(logLines::add),
+                    (given, seed, now, does) -> {
                         actions = does;
                         return new ModuleDelegate(new Balancer(given, seed, now, does)) {
                             @Override
                             public void healthCheckCompleted(
                                     long now, String server, Outcome outcome, LoadReport report) {
-                                heard.add(new Heard(server, outcome, report));
+                                results.add(new HealthCheckResult(server, outcome, report));
                             }
                         };
                     });
@@ -108,15 +114,15 @@
                     EndpointListKind.COMPLETE,
                     List.of(new EndpointListEntry(
                             new EndpointInfo("s-1", EndpointStatus.SERVING, "decin", 0, "std-2c", 1, 0),
-                            (InetSocketAddress) member.getLocalSocketAddress())));
-            front = new LineProtocolFrontend(
+                            (InetSocketAddress) endpointListener.getLocalSocketAddress())));
+            frontend = new LineProtocolFrontend(
                     new SystemClock(),
                     limits,
                     config.nameIndex(),
                     config.loadReportsLatency(),
                     loop,
                     c,
-                    NodeLog.to(log::add));
+                    NodeLog.to(logLines::add));
             made.add(c);
         });
         core = made.poll(10, TimeUnit.SECONDS);
@@ -124,91 +130,91 @@
 
     @AfterEach
     void stop() throws IOException {
-        member.close();
+        endpointListener.close();
         loop.stop();
     }
 
     /** The module asks for a probe, in a turn of its own. */
-    private void probe() {
+    private void startHealthCheck() {
         loop.execute(() -> {
             actions.startHealthCheck("s-1");
             core.endpointsChanged(EndpointListKind.CHANGES, List.of());
         });
     }
 
-    private Heard hear() throws InterruptedException {
-        Heard h = heard.poll(10, TimeUnit.SECONDS);
+    private HealthCheckResult nextResult() throws InterruptedException {
+        HealthCheckResult h = results.poll(10, TimeUnit.SECONDS);
         assertNotNull(h, "no answer to a probe");
         return h;
     }
 
-    private static String line(Socket s) throws IOException {
+    private static String readLine(Socket s) throws IOException {
         s.setSoTimeout(10_000);
         return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII), 1).readLine();
     }
 
-    private static void say(Socket s, String text) throws IOException {
+    private static void sendLine(Socket s, String text) throws IOException {
         s.getOutputStream().write((text + "\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
     @Test
-    void aReportReachesTheModuleAndTheConnectionIsKeptForTheNext() throws Exception {
-        probe();
-        try (Socket s = member.accept()) {
-            assertEquals("STATS", line(s));
-            say(s, "PONG util=0.61,queue=2,x0=0.75");
-            Heard first = hear();
+    void reportsLoadAndReusesConnectionForNextHealthCheck() throws Exception {
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            assertEquals("STATS", readLine(s));
+            sendLine(s, "PONG util=0.61,queue=2,x0=0.75");
+            HealthCheckResult first = nextResult();
             assertEquals(Outcome.OK, first.outcome());
             assertEquals(0.75, first.report().load());
             assertEquals(0.61, first.report().cpu());
             assertEquals(2, first.report().queue());
-            probe();
-            assertEquals("STATS", line(s));
-            say(s, "PONG x0=0.25");
-            assertEquals(0.25, hear().report().load());
+            startHealthCheck();
+            assertEquals("STATS", readLine(s));
+            sendLine(s, "PONG x0=0.25");
+            assertEquals(0.25, nextResult().report().load());
         }
     }
 
     @Test
-    void probesThatOverlapShareOneAnswer() throws Exception {
-        probe();
-        probe();
-        try (Socket s = member.accept()) {
-            assertEquals("STATS", line(s));
-            say(s, "PONG x0=0.5");
-            assertEquals(0.5, hear().report().load());
-            probe();
-            assertEquals("STATS", line(s), "the first line after the answer is the third probe's");
+    void overlappingHealthChecksShareOneResponse() throws Exception {
+        startHealthCheck();
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            assertEquals("STATS", readLine(s));
+            sendLine(s, "PONG x0=0.5");
+            assertEquals(0.5, nextResult().report().load());
+            startHealthCheck();
+            assertEquals("STATS", readLine(s), "the first line after the answer is the third probe's");
         }
     }
 
     @Test
-    void aKeptConnectionThatTheMemberClosedIsOpenedAnew() throws Exception {
-        probe();
-        try (Socket s = member.accept()) {
-            line(s);
-            say(s, "PONG x0=0.5");
-            hear();
+    void reopensIdleConnectionClosedByEndpoint() throws Exception {
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            readLine(s);
+            sendLine(s, "PONG x0=0.5");
+            nextResult();
         }
-        probe();
-        try (Socket s = member.accept()) {
-            assertEquals("STATS", line(s));
-            say(s, "PONG x0=0.125");
-            assertEquals(0.125, hear().report().load());
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            assertEquals("STATS", readLine(s));
+            sendLine(s, "PONG x0=0.125");
+            assertEquals(0.125, nextResult().report().load());
         }
     }
 
     @Test
-    void aMemberThatRefusesOrSaysNothingIsToldOfInTime() throws Exception {
-        probe();
-        try (Socket s = member.accept()) {
-            line(s);
-            assertEquals(Outcome.TIMEOUT, hear().outcome());
+    void reportsUnresponsiveAndUnreachableEndpointInTime() throws Exception {
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            readLine(s);
+            assertEquals(Outcome.TIMEOUT, nextResult().outcome());
             assertEquals(-1, s.getInputStream().read(), "the connection is given up");
         }
-        member.close();
-        probe();
-        assertEquals(Outcome.CONNECT_FAILED, hear().outcome());
+        endpointListener.close();
+        startHealthCheck();
+        assertEquals(Outcome.CONNECT_FAILED, nextResult().outcome());
     }
 
     @ParameterizedTest
@@ -225,45 +231,45 @@
                 "NO",
                 "LOAD 3"
             })
-    void whatIsNoReportIsNotBelievedAndQuotedNowhere(String answer) throws Exception {
-        probe();
-        try (Socket s = member.accept()) {
-            line(s);
-            say(s, answer);
-            Heard h = hear();
+    void rejectsMalformedReportWithoutQuotingIt(String answer) throws Exception {
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            readLine(s);
+            sendLine(s, answer);
+            HealthCheckResult h = nextResult();
             assertEquals(Outcome.ERROR, h.outcome());
             assertEquals(LoadReport.NONE, h.report());
         }
-        assertTrue(log.stream().noneMatch(l -> l.contains(answer)), log.toString());
+        assertTrue(logLines.stream().noneMatch(l -> l.contains(answer)), logLines.toString());
     }
 
     @Test
-    void aNodeThatLeavesKeepsNoConnectionAndSendsNoProbe() throws Exception {
-        probe();
-        try (Socket s = member.accept()) {
-            line(s);
-            say(s, "PONG x0=0.5");
-            hear();
-            loop.execute(front::listenerClosed);
+    void closesConnectionsAndSendsNoHealthCheckAfterListenerClosed() throws Exception {
+        startHealthCheck();
+        try (Socket s = endpointListener.accept()) {
+            readLine(s);
+            sendLine(s, "PONG x0=0.5");
+            nextResult();
+            loop.execute(frontend::listenerClosed);
             assertEquals(-1, s.getInputStream().read());
-            probe();
-            assertEquals(Outcome.UNUSED, hear().outcome());
+            startHealthCheck();
+            assertEquals(Outcome.UNUSED, nextResult().outcome());
         }
     }
 
     @Test
-    void unknownFieldsArePassedOverAndMissingOnesUnknown() {
-        LoadReport r = LoadReportParser.read(" inflight=7,colour=3,waiting=2");
+    void skipsUnknownFieldsAndLeavesMissingOnesUnknown() {
+        LoadReport r = LoadReportParser.parse(" inflight=7,colour=3,waiting=2");
         assertEquals(7, r.inflight());
         assertEquals(2, r.queue());
         assertTrue(Double.isNaN(r.load()));
-        assertThrows(MalformedLineException.class, () -> LoadReportParser.read("a=1,".repeat(40) + "b=1"));
+        assertThrows(MalformedLineException.class, () -> LoadReportParser.parse("a=1,".repeat(40) + "b=1"));
     }
 
     @Property(tries = 500, seed = "41")
-    void aReportIsReadOrNotBelievedWhateverItHolds(@ForAll @StringLength(max = 60) String text) {
+    void parsesOrRejectsAnyReportText(@ForAll @StringLength(max = 60) String text) {
         try {
-            LoadReport r = LoadReportParser.read("x0=" + text);
+            LoadReport r = LoadReportParser.parse("x0=" + text);
             assertTrue(text.isBlank() || Double.isNaN(r.load()) || (r.load() >= 0 && r.load() <= 1e9), text);
         } catch (MalformedLineException e) {
             assertNotNull(e.getMessage());
@@ -271,12 +277,12 @@
     }
 
     @Test
-    void whereProbesAreNotAllowedNothingIsSentAndNobodyWaits() throws Exception {
+    void sendsNothingWhenHealthChecksAreNotAllowed() throws Exception {
         stop();
         start(false);
-        probe();
-        assertEquals(Outcome.UNUSED, hear().outcome());
-        member.setSoTimeout(100);
-        assertThrows(IOException.class, member::accept);
+        startHealthCheck();
+        assertEquals(Outcome.UNUSED, nextResult().outcome());
+        endpointListener.setSoTimeout(100);
+        assertThrows(IOException.class, endpointListener::accept);
     }
 }
--- a/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
@@ -19,7 +19,8 @@
 import tulipshed.testing.Cuts;
 
 class LineParserTest {
-    private static final String OPEN = "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1,zz=9\r\n";
+    private static final String OPEN_COMMAND =
+            "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1,zz=9\r\n";
 
     private static NameIndex names() {
         NameIndex names = new NameIndex();
@@ -33,7 +34,8 @@
     }
 
     @Property(tries = 300, seed = "11")
-    void cutsDoNotChangeTheLines(@ForAll @Size(max = 20) List<@IntRange(max = 60) Integer> lengths, @ForAll long seed) {
+    void decodesSameLinesHoweverInputIsSplit(
+            @ForAll @Size(max = 20) List<@IntRange(max = 60) Integer> lengths, @ForAll long seed) {
         List<String> sent = lengths.stream().map(n -> "x".repeat(n) + "\r\n").toList();
         CrlfDecoder splitter = new CrlfDecoder(64);
         List<String> got = new ArrayList<>();
@@ -43,11 +45,11 @@
             }
         });
         assertEquals(sent, got);
-        assertEquals(0, splitter.held());
+        assertEquals(0, splitter.partialBytes());
     }
 
     @Property(tries = 300, seed = "12")
-    void garbageLosesNoByteAndStaysBounded(@ForAll @Size(max = 500) byte[] garbage, @ForAll long seed) {
+    void preservesEveryByteOfGarbage(@ForAll @Size(max = 500) byte[] garbage, @ForAll long seed) {
         CrlfDecoder splitter = new CrlfDecoder(16);
         ByteArrayOutputStream got = new ByteArrayOutputStream();
         Cuts.feed(garbage, seed, in -> {
@@ -56,21 +58,21 @@
                     byte[] line = splitter.next(in);
                     got.writeBytes(line == null ? new byte[0] : line);
                 } catch (MalformedLineException tooLong) {
-                    got.writeBytes(splitter.rest());
+                    got.writeBytes(splitter.takePartialLine());
                 }
             }
         });
-        got.writeBytes(splitter.rest());
+        got.writeBytes(splitter.takePartialLine());
         assertArrayEquals(garbage, got.toByteArray());
     }
 
     @Property(tries = 500, seed = "13")
-    void aSpoiltLineIsReadOrCalledBadAndNothingElse(@ForAll long seed) {
-        byte[] line = Cuts.spoil(ascii(OPEN), seed);
+    void parsesOrRejectsCorruptedOpenCommand(@ForAll long seed) {
+        byte[] line = Cuts.spoil(ascii(OPEN_COMMAND), seed);
         try {
             // What is let through must go on byte for byte but for its wait.
             OpenCommand read = OpenCommand.parse(line, names(), Declarations.NONE, 60_000);
-            String onward = new String(read.onward(read.arrival().timeoutMs()), StandardCharsets.ISO_8859_1);
+            String onward = new String(read.forwardedLine(read.attributes().timeoutMs()), StandardCharsets.ISO_8859_1);
             assertEquals(
                     new String(line, StandardCharsets.ISO_8859_1).replaceAll("d=[0-9.]+", ""),
                     onward.replaceAll("d=[0-9.]+", ""));
@@ -80,27 +82,31 @@
     }
 
     @Test
-    void onlyTheWaitChangesOnTheWay() {
-        OpenCommand line = OpenCommand.parse(ascii(OPEN), names(), Declarations.NONE, 60_000);
-        assertEquals(new Attributes(0, 3, "7f3a", "5c0f", 2000, 0, false, true), line.arrival());
-        assertEquals(OPEN.replace("d=2000", "d=1234"), new String(line.onward(1234.9), StandardCharsets.ISO_8859_1));
+    void replacesOnlyTimeoutWhenForwarding() {
+        OpenCommand line = OpenCommand.parse(ascii(OPEN_COMMAND), names(), Declarations.NONE, 60_000);
+        assertEquals(new Attributes(0, 3, "7f3a", "5c0f", 2000, 0, false, true), line.attributes());
+        assertEquals(
+                OPEN_COMMAND.replace("d=2000", "d=1234"),
+                new String(line.forwardedLine(1234.9), StandardCharsets.ISO_8859_1));
         // A wait of nothing would tell the member that the client has gone.
-        assertEquals(OPEN.replace("d=2000", "d=1"), new String(line.onward(0.2), StandardCharsets.ISO_8859_1));
+        assertEquals(
+                OPEN_COMMAND.replace("d=2000", "d=1"),
+                new String(line.forwardedLine(0.2), StandardCharsets.ISO_8859_1));
     }
 
     /** Seen on a day that did not begin: connections that stood before name waits far longer than any answer's. */
     @Test
-    void oneThatStoodBeforeMayNameAnyWait() {
+    void acceptsAnyTimeoutForAdoptedConnection() {
         String line = "OPEN 1 k c=chat,t=acme,d=86400000,at=s-1\r\n";
         assertEquals(
                 86_400_000,
                 OpenCommand.parse(ascii(line), names(), Declarations.NONE, 60_000)
-                        .arrival()
+                        .attributes()
                         .timeoutMs());
     }
 
     @Test
-    void whatNoClientSendsIsBad() {
+    void rejectsMalformedOpenCommands() {
         for (String bad : List.of(
                 "OPEN 1 k c=chat,t=acme,d=5\n",
                 "OPEN 1 k c=nope,t=acme,d=5\r\n",
--- a/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
@@ -34,42 +34,42 @@
 import tulipshed.transport.XnioEventLoop;
 
 /** The platform's front with the real core and module, between plain sockets on loopback. */
-abstract class LineFrontBench {
-    static final String OPEN = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
-    final BlockingQueue<Double> delays = new LinkedBlockingQueue<>();
+abstract class LineProtocolFixture {
+    static final String OPEN_COMMAND = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
+    final BlockingQueue<Double> latencies = new LinkedBlockingQueue<>();
     final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
-    final BlockingQueue<BalancerApi.Outcome> ends = new LinkedBlockingQueue<>();
-    final BlockingQueue<BalancerApi.LoadReport> reports = new LinkedBlockingQueue<>();
-    final List<String> log = new CopyOnWriteArrayList<>();
+    final BlockingQueue<BalancerApi.Outcome> outcomes = new LinkedBlockingQueue<>();
+    final BlockingQueue<BalancerApi.LoadReport> loadReports = new LinkedBlockingQueue<>();
+    final List<String> logLines = new CopyOnWriteArrayList<>();
     XnioEventLoop loop;
     ProxyCore core;
-    LineProtocolFrontend front;
-    ServerSocket member;
-    /** Listed from {@link #listSecond} on. */
-    ServerSocket second;
+    LineProtocolFrontend frontend;
+    ServerSocket endpointListener;
+    /** Listed from {@link #addSecondEndpoint} on. */
+    ServerSocket secondEndpointListener;
     /** Run on the loop before the module is told of an arrival, and of the end of an attempt. */
-    volatile Runnable atArrival = () -> {};
+    volatile Runnable beforeRequestArrived = () -> {};
 
-    volatile Runnable atEnd = () -> {};
-    private InetSocketAddress node;
+    volatile Runnable beforeAttemptEnded = () -> {};
+    private InetSocketAddress nodeAddress;
 
     /** One end of a connection, line by line. */
-    static final class End implements AutoCloseable {
+    static final class LineSocket implements AutoCloseable {
         final Socket socket;
-        final BufferedReader in;
+        final BufferedReader reader;
 
-        End(Socket socket) throws IOException {
+        LineSocket(Socket socket) throws IOException {
             this.socket = socket;
             socket.setSoTimeout(5000);
-            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            reader = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
         }
 
-        void say(String text) throws IOException {
+        void send(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         }
 
-        String hear() throws IOException {
-            return in.readLine();
+        String readLine() throws IOException {
+            return reader.readLine();
         }
 
         @Override
@@ -95,11 +95,11 @@
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
         Files.delete(file);
         loop = new XnioEventLoop(limits);
-        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        second = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        endpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        secondEndpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         // A member that is not asked fails its test, and does not hold it for ever.
-        member.setSoTimeout(10_000);
-        second.setSoTimeout(10_000);
+        endpointListener.setSoTimeout(10_000);
+        secondEndpointListener.setSoTimeout(10_000);
         BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
         loop.execute(() -> {
             core = new ProxyCore(
@@ -109,39 +109,42 @@
                     1,
                     loop,
                     NodeLog.silent(),
-                    (settings, seed, now, actions) -> new Noting(new Balancer(settings, seed, now, actions)));
-            core.endpointsChanged(EndpointListKind.COMPLETE, List.of(listed("s-1", EndpointStatus.SERVING, member)));
-            front = new LineProtocolFrontend(
+                    (settings, seed, now, actions) -> new RecordingModule(new Balancer(settings, seed, now, actions)));
+            core.endpointsChanged(
+                    EndpointListKind.COMPLETE, List.of(endpointEntry("s-1", EndpointStatus.SERVING, endpointListener)));
+            frontend = new LineProtocolFrontend(
                     new SystemClock(),
                     limits,
                     config.nameIndex(),
                     config.loadReportsLatency(),
                     loop,
                     core,
-                    NodeLog.to(log::add));
+                    NodeLog.to(logLines::add));
             try {
                 listening.add(loop.listen(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                                 limits.clientConnections(),
-                                front::accept)
+                                frontend::accept)
                         .address());
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
         });
-        node = listening.poll(10, TimeUnit.SECONDS);
+        nodeAddress = listening.poll(10, TimeUnit.SECONDS);
     }
 
-    static EndpointListEntry listed(String id, EndpointStatus state, ServerSocket at) {
+    static EndpointListEntry endpointEntry(String id, EndpointStatus state, ServerSocket at) {
         return new EndpointListEntry(new EndpointInfo(id, state, "decin", 0, "std-2c", 1, 0), (InetSocketAddress)
                 at.getLocalSocketAddress());
     }
 
     /** The second member serves too. */
-    void listSecond() throws Exception {
+    void addSecondEndpoint() throws Exception {
         CountDownLatch told = new CountDownLatch(1);
         loop.execute(() -> {
-            core.endpointsChanged(EndpointListKind.CHANGES, List.of(listed("s-2", EndpointStatus.SERVING, second)));
+            core.endpointsChanged(
+                    EndpointListKind.CHANGES,
+                    List.of(endpointEntry("s-2", EndpointStatus.SERVING, secondEndpointListener)));
             told.countDown();
         });
         await(told);
@@ -154,34 +157,34 @@
 
     @AfterEach
     void stop() throws IOException {
-        member.close();
-        second.close();
+        endpointListener.close();
+        secondEndpointListener.close();
         loop.stop();
     }
 
     /** The module, with an ear on its notes. */
-    private final class Noting extends ModuleDelegate {
-        Noting(BalancerApi to) {
+    private final class RecordingModule extends ModuleDelegate {
+        RecordingModule(BalancerApi to) {
             super(to);
         }
 
         @Override
         public void requestArrived(long now, NewRequest request) {
-            atArrival.run();
+            beforeRequestArrived.run();
             super.requestArrived(now, request);
         }
 
         @Override
         public void latencyReported(long now, long requestId, double delayMs) {
-            delays.add(delayMs);
+            latencies.add(delayMs);
         }
 
         @Override
         public void attemptEnded(
                 long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
-            atEnd.run();
-            ends.add(outcome);
-            reports.add(report);
+            beforeAttemptEnded.run();
+            outcomes.add(outcome);
+            loadReports.add(report);
             super.attemptEnded(now, requestId, attempt, concluded, outcome, report);
         }
 
@@ -191,12 +194,12 @@
         }
     }
 
-    End client() throws IOException {
-        return new End(new Socket(node.getAddress(), node.getPort()));
+    LineSocket connectClient() throws IOException {
+        return new LineSocket(new Socket(nodeAddress.getAddress(), nodeAddress.getPort()));
     }
 
-    End taken() throws IOException {
-        return new End(member.accept());
+    LineSocket acceptUpstream() throws IOException {
+        return new LineSocket(endpointListener.accept());
     }
 
     /** Waits on whichever thread, the loop's too, but never without end. */
--- /dev/null
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
@@ -0,0 +1,374 @@
+package tulipshed.lineprotocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import tulipshed.decision.BalancerApi;
+import tulipshed.limits.Limits;
+import tulipshed.transport.UdpSocket;
+
+/** The platform's front: what each side hears of the other. */
+class LineProtocolFrontendTest extends LineProtocolFixture {
+    @Test
+    void relaysBothWaysUntilEndpointEndsConnection() throws IOException {
+        try (LineSocket client = connectClient()) {
+            client.send("PING\r\n");
+            assertEquals("PONG", client.readLine());
+            client.send(OPEN_COMMAND.substring(0, 20));
+            client.send(OPEN_COMMAND.substring(20));
+            try (LineSocket server = acceptUpstream()) {
+                String line = server.readLine();
+                assertTrue(line.matches("OPEN 9b1f k c=slot-board,t=melnik-terminal,d=[0-9]+"), line);
+                server.send("UP r1\r\n");
+                assertEquals("UP r1", client.readLine());
+                client.send("M 1 x\r\n");
+                assertEquals("M 1 x", server.readLine());
+                server.send("M 1 x\r\nBYE\r\n");
+                server.socket.shutdownOutput();
+                assertEquals("M 1 x", client.readLine());
+                assertEquals("BYE", client.readLine());
+                assertNull(client.readLine());
+            }
+        }
+    }
+
+    /** Seen on a trouble day: a LOAD line was taken for a load where the settings tell of delays only. */
+    @Test
+    void readsLoadLineAsLatencyWhenConfigured() throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.send("UP r1\r\nLOAD 61.5\r\n");
+                assertEquals("UP r1", client.readLine());
+                assertEquals("LOAD 61.5", client.readLine());
+                assertEquals(61.5, latencies.poll(5, TimeUnit.SECONDS));
+                assertTrue(loads.isEmpty());
+            }
+        }
+    }
+
+    /** Taken for a load, NaN would spoil all sums of the module for good; each line used to be quoted in the log. */
+    @Test
+    void relaysButIgnoresMalformedLoadLine() throws Exception {
+        restart("\"TellsLoad\": false", "\"TellsLoad\": true");
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.send("UP r1\r\n");
+                assertEquals("UP r1", client.readLine());
+                for (String bad : List.of("NaN", "-1", "Infinity", "1e300", "", "x", "1 2", "7".repeat(400))) {
+                    server.send("LOAD " + bad + "\r\n");
+                    assertEquals(("LOAD " + bad).strip(), client.readLine().strip());
+                }
+                server.send("LOAD\r\nLOAD 1200.5\r\n");
+                assertEquals(1200.5, loads.poll(5, TimeUnit.SECONDS));
+                assertTrue(loads.isEmpty() && latencies.isEmpty());
+            }
+        }
+        assertTrue(
+                logLines.stream().noneMatch(l -> (l.contains("x") && l.contains("LOAD")) || l.contains("777")),
+                logLines::toString);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "UP r1|BYE inflight=7,queue=2,util=0.61; OK; 2; 0.61",
+                "ERR queue=3; ERROR; 3; NaN",
+                "BUSY x0=1.5,util=1; FULL; NaN; 1",
+                "BUSY; FULL; NaN; NaN",
+                "BUSY queue=-3,util=1; FULL; NaN; NaN",
+                "BUSY queue=1,queue=2; FULL; NaN; NaN",
+                "ERR queue; ERROR; NaN; NaN"
+            })
+    void readsInlineLoadReportsWhenConfigured(String said, BalancerApi.Outcome outcome, double queue, double cpu)
+            throws Exception {
+        restart("\"How\": \"off\"", "\"How\": \"inline\"");
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.send(said.replace("|", "\r\n") + "\r\n");
+                server.socket.shutdownOutput();
+                assertEquals(outcome, outcomes.poll(5, TimeUnit.SECONDS));
+                BalancerApi.LoadReport report = loadReports.poll(5, TimeUnit.SECONDS);
+                assertEquals(queue, report.queue());
+                assertEquals(cpu, report.cpu());
+            }
+        }
+    }
+
+    @Test
+    void ignoresInlineLoadReportWhenNotConfigured() throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.send("BUSY queue=9\r\n");
+                assertEquals(BalancerApi.LoadReport.NONE, loadReports.poll(5, TimeUnit.SECONDS));
+            }
+        }
+    }
+
+    @Test
+    void failsMalformedOpenCommandWithoutForwarding() throws IOException {
+        try (LineSocket client = connectClient()) {
+            client.send("OPEN 9b1f k c=nothing,d=5\r\n");
+            assertEquals("ERR", client.readLine());
+            assertNull(client.readLine());
+        }
+        endpointListener.setSoTimeout(100);
+        assertThrows(IOException.class, () -> endpointListener.accept());
+    }
+
+    @Test
+    void propagatesEndpointResetToClient() throws IOException {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            LineSocket server = acceptUpstream();
+            server.send("UP r1\r\n");
+            assertEquals("UP r1", client.readLine());
+            server.socket.setSoLinger(true, 0);
+            server.close();
+            assertThrows(IOException.class, client::readLine);
+        }
+    }
+
+    /** Buffers are bounded, so a slow reader stops its peer; nothing may be lost or cut by that. */
+    @Test
+    void relaysMoreThanBuffersHoldInBothDirections() throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; text.length() < 3_000_000; i++) {
+            text.append(i).append("x".repeat(i * 31 % 3000)).append("\r\n");
+        }
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.readLine();
+                server.send("UP r1\r\n");
+                client.readLine();
+                for (LineSocket[] way : new LineSocket[][] {{client, server}, {server, client}}) {
+                    Thread sender = new Thread(() -> {
+                        try {
+                            way[0].send(text.toString());
+                        } catch (IOException e) {
+                            throw new java.io.UncheckedIOException(e);
+                        }
+                    });
+                    sender.start();
+                    for (String line : text.toString().split("\r\n")) {
+                        assertEquals(line, way[1].readLine());
+                    }
+                    sender.join();
+                }
+            }
+        }
+    }
+
+    /** What comes back from a member, then the end of its connection, and the outcome that stands for it. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', RESET",
+        "BUSY, FULL",
+        "ERR, ERROR",
+        "SYNTAX, ERROR",
+        "MOVE, CANCELLED",
+        "UP r;BYE, OK",
+        "UP r;MOVE, CANCELLED",
+        "UP r, RESET"
+    })
+    void mapsEndpointResponsesToOutcomes(String lines, BalancerApi.Outcome outcome) throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.readLine();
+                server.send(lines.isEmpty() ? "" : lines.replace(";", "\r\n") + "\r\n");
+            }
+            assertEquals(outcome, outcomes.poll(5, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void reportsRefusedConnectionAsConnectFailed() throws Exception {
+        endpointListener.close();
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            assertEquals(BalancerApi.Outcome.CONNECT_FAILED, outcomes.poll(5, TimeUnit.SECONDS));
+        }
+    }
+
+    /** A machine that vanishes resets nothing: only the missing replies show it. */
+    @Test
+    void migratesClientOfUnresponsiveEndpoint() throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.send("UP r1\r\n");
+                assertEquals("UP r1", client.readLine());
+                client.send("M 1 x\r\n");
+                assertEquals("MOVE", client.readLine());
+                assertNull(client.readLine());
+                assertEquals(BalancerApi.Outcome.RESET, outcomes.poll(5, TimeUnit.SECONDS));
+            }
+        }
+    }
+
+    @Test
+    void sendsRetryDelayToClientRejectedEverywhere() throws IOException {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND.replace("d=4000", "d=300"));
+            try (LineSocket server = acceptUpstream()) {
+                server.readLine();
+                server.send("BUSY\r\n");
+                assertTrue(client.readLine().matches("BUSY [0-9]+"));
+            }
+        }
+    }
+
+    /** Seen on a rude day: members were sent the same bad request six times over, and answered ERR to each. */
+    @Test
+    void rejectsIdOfOpenRequest() throws IOException {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.send("UP r1\r\n");
+                assertEquals("UP r1", client.readLine());
+                try (LineSocket thief = connectClient()) {
+                    thief.send(OPEN_COMMAND.replace(" k ", " other "));
+                    assertEquals("ERR", thief.readLine());
+                }
+                client.send("M 1 x\r\n");
+                server.readLine();
+                assertEquals("M 1 x", server.readLine(), "the first one stands");
+                server.send("BYE\r\n");
+            }
+            assertEquals("BYE", client.readLine());
+            assertNull(client.readLine());
+        }
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                assertTrue(server.readLine().startsWith("OPEN"), "free again once its transaction is over");
+            }
+        }
+    }
+
+    /** A client that says nothing, or never all of it, or only pings, must not hold its connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "OPEN 9b", "PING\r\n"})
+    void failsClientWithoutOpenCommandWithinThreeSeconds(String said) throws IOException {
+        long sinceNs = System.nanoTime();
+        try (LineSocket client = connectClient()) {
+            client.send(said);
+            String heard = client.readLine();
+            assertEquals("ERR", heard.equals("PONG") ? client.readLine() : heard);
+            assertTrue(System.nanoTime() - sinceNs < 3_000_000_000L);
+        }
+    }
+
+    @Test
+    void answersPingsUpToLimit() throws IOException {
+        try (LineSocket client = connectClient()) {
+            client.send("PING\r\n".repeat(100_000));
+            for (int i = 0; i < Limits.forDescriptors(1024).lineProtocol().pings(); i++) {
+                assertEquals("PONG", client.readLine());
+            }
+            assertEquals("ERR", client.readLine());
+            assertNull(client.readLine());
+        }
+    }
+
+    @Test
+    void failsExcessiveEarlyDataWithoutForwarding() throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND.repeat(400));
+            assertEquals("ERR", client.readLine());
+            assertNull(client.readLine());
+        }
+        // Whatever of it a member saw was one line of the client's, and that flow has ended.
+        endpointListener.setSoTimeout(300);
+        try (LineSocket server = acceptUpstream()) {
+            String first = server.readLine();
+            assertTrue(first == null || server.readLine() == null);
+        } catch (java.net.SocketTimeoutException none) {
+            assertTrue(outcomes.isEmpty());
+        }
+    }
+
+    /** A value of 60 MB: the error comes at once, and the loop goes on serving others meanwhile. */
+    @Test
+    void failsUnterminatedLineImmediately() throws Exception {
+        try (LineSocket client = connectClient();
+                LineSocket other = connectClient()) {
+            Thread sender = new Thread(() -> {
+                try {
+                    client.send("OPEN 1 k c=" + "x".repeat(60_000_000));
+                } catch (IOException closed) {
+                    // The node need not take all of it.
+                    return;
+                }
+            });
+            sender.start();
+            assertEquals("ERR", client.readLine());
+            other.send("PING\r\n");
+            assertEquals("PONG", other.readLine());
+            sender.join(10_000);
+        }
+    }
+
+    /** Hundreds of bad lines must not fill the log, nor put into it what clients wrote. */
+    @Test
+    void logsNumberOfMalformedClientsWithoutQuotingThem() throws Exception {
+        for (int i = 0; i < 50; i++) {
+            try (LineSocket client = connectClient()) {
+                client.send("OPEN 1 k c=forged-log-line,t=melnik-terminal,d=5\r\n");
+                assertEquals("ERR", client.readLine());
+            }
+        }
+        Thread.sleep(2 * (long) Limits.forDescriptors(1024).sockets().sweepIntervalMs());
+        assertTrue(logLines.size() >= 1 && logLines.size() <= 2, logLines.toString());
+        assertTrue(
+                logLines.get(0).startsWith("WARN client: clients rejected for malformed input: "), logLines.toString());
+        assertTrue(logLines.stream().noneMatch(l -> l.contains("forged")), logLines.toString());
+    }
+
+    /** Without this the want of descriptors would look like a member that cannot be reached. */
+    @Test
+    void rejectsWithoutBlamingEndpointWhenDescriptorsRunOut() throws Exception {
+        stop();
+        start(Limits.forDescriptors(40));
+        List<UdpSocket> ports = new ArrayList<>();
+        try (LineSocket client = connectClient()) {
+            client.send("PING\r\n");
+            assertEquals("PONG", client.readLine());
+            loop.execute(() -> {
+                while (loop.hasCapacityForUpstream()) {
+                    try {
+                        ports.add(loop.bindUdp(
+                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                                ByteBuffer.allocate(8),
+                                (from, datagram) -> {}));
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }
+            });
+            client.send(OPEN_COMMAND);
+            assertTrue(client.readLine().matches("BUSY [0-9]+"));
+            assertEquals(BalancerApi.Outcome.UNUSED, outcomes.poll(5, TimeUnit.SECONDS));
+        }
+        loop.execute(() -> ports.forEach(UdpSocket::close));
+    }
+}
