--- a/lab/src/main/java/tulipshed/lab/load/LoadRun.java
+++ b/lab/src/main/java/tulipshed/lab/load/LoadRun.java
@@ -21,7 +21,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Stream;
 import tulipshed.decision.BalancerApi.EndpointStatus;
-import tulipshed.demo.StandInDiscovery;
+import tulipshed.demo.StubDiscovery;
 import tulipshed.lab.model.Outcome;
 import tulipshed.lab.model.World;
 import tulipshed.lab.policy.MemberNews;
@@ -47,7 +47,7 @@
     private final Selector selector = Selector.open();
     private final Path folder = Files.createTempDirectory("tulipshed-load");
     /** One for each node, so that it is known what each has been told. */
-    private final List<StandInDiscovery> discoveries = new ArrayList<>();
+    private final List<StubDiscovery> discoveries = new ArrayList<>();
 
     private final Queue<Told> told = new ConcurrentLinkedQueue<>();
     private final List<SocketMember> members = new ArrayList<>();
@@ -132,8 +132,8 @@
             }
             addresses.add(reached);
             int number = n;
-            StandInDiscovery d = new StandInDiscovery();
-            d.onTold(states -> told.add(new Told(number, sinceMs(), states)));
+            StubDiscovery d = new StubDiscovery();
+            d.onNotified(states -> told.add(new Told(number, sinceMs(), states)));
             discoveries.add(d);
         }
         world.atStart().news().forEach(this::news);
@@ -213,7 +213,7 @@
         for (int d = 0; d < discoveries.size(); d++) {
             discoveries
                     .get(d)
-                    .tell(
+                    .publish(
                             e.id(),
                             addresses.get(d).get(n.member()),
                             e.zone(),
@@ -274,7 +274,7 @@
         }
         List<Double> lightUp = new ArrayList<>();
         world.onDark(ms -> {
-            discoveries.forEach(d -> d.dark(true));
+            discoveries.forEach(d -> d.setUnavailable(true));
             lightUp.add(nowMs() + ms);
         });
         beganNs = System.nanoTime();
@@ -293,7 +293,7 @@
             world.runUntil(Math.max(0, before - window));
             if (!lightUp.isEmpty() && before >= lightUp.get(0)) {
                 lightUp.remove(0);
-                discoveries.forEach(d -> d.dark(false));
+                discoveries.forEach(d -> d.setUnavailable(false));
             }
             selector.select(1);
             // What can be read now may follow from what links have shown meanwhile, never the other way round.
@@ -430,7 +430,7 @@
     @Override
     public void close() throws IOException {
         processes.forEach(p -> p.stop(false));
-        discoveries.forEach(StandInDiscovery::close);
+        discoveries.forEach(StubDiscovery::close);
         for (SocketMember m : members) {
             m.close();
         }
--- a/node/src/main/java/tulipshed/cli/AdapterCommand.java
+++ b/node/src/main/java/tulipshed/cli/AdapterCommand.java
@@ -6,7 +6,7 @@
 /** The decision module on the simulator's wire, over standard input and output. */
 public final class AdapterCommand implements Command {
     @Override
-    public String about() {
+    public String description() {
         return "the decision module on the simulator's wire, over standard input and output";
     }
 
--- a/node/src/main/java/tulipshed/cli/CheckCommand.java
+++ b/node/src/main/java/tulipshed/cli/CheckCommand.java
@@ -11,7 +11,7 @@
     private File operators;
 
     @Override
-    public String about() {
+    public String description() {
         return "reads the configuration that serve would read, says what is wrong with it or what it understood";
     }
 
--- a/node/src/main/java/tulipshed/cli/Command.java
+++ b/node/src/main/java/tulipshed/cli/Command.java
@@ -3,11 +3,11 @@
 /** One sub-command. */
 interface Command {
     /** The program keeps running by itself. */
-    int STAYS = -1;
+    int KEEPS_RUNNING = -1;
 
     /** What it does, in a sentence. */
-    String about();
+    String description();
 
-    /** Does its work; the exit code, or {@link #STAYS}. */
+    /** Does its work; the exit code, or {@link #KEEPS_RUNNING}. */
     int run();
 }
--- a/node/src/main/java/tulipshed/cli/Reload.java
+++ b/node/src/main/java/tulipshed/cli/ConfigurationReloader.java
@@ -10,14 +10,14 @@
  * Has a running node read its configuration again, once for each time that it is asked to. The whole is read and
  * checked before the node hears of it.
  */
-final class Reload {
+final class ConfigurationReloader {
     private final Supplier<NodeConfig> source;
     private final Function<NodeConfig, OperatorsFile> operators;
     private Node node;
     private boolean early;
 
     /** The operators' file is read against the settings that come with it: both are taken, or neither. */
-    Reload(Supplier<NodeConfig> source, Function<NodeConfig, OperatorsFile> operators) {
+    ConfigurationReloader(Supplier<NodeConfig> source, Function<NodeConfig, OperatorsFile> operators) {
         this.source = source;
         this.operators = operators;
     }
@@ -41,9 +41,9 @@
             node.reload(config, operators.apply(config));
         } catch (OutOfMemoryError e) {
             // Bounds keep it from coming so far; the node's own state has not been touched.
-            node.turnedDown("no memory left to read it");
+            node.rejectConfiguration("no memory left to read it");
         } catch (MalformedInputException e) {
-            node.turnedDown(e.getMessage());
+            node.rejectConfiguration(e.getMessage());
         }
     }
 }
--- a/node/src/main/java/tulipshed/cli/DemoCommand.java
+++ b/node/src/main/java/tulipshed/cli/DemoCommand.java
@@ -17,8 +17,8 @@
 import org.kohsuke.args4j.Option;
 import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
-import tulipshed.demo.StandInDiscovery;
-import tulipshed.demo.StandInMember;
+import tulipshed.demo.StubDiscovery;
+import tulipshed.demo.StubEndpoint;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
@@ -32,20 +32,20 @@
     @Option(name = "--keep", usage = "go on serving after the session, until the program is told to stop")
     private boolean keep;
 
-    private final List<StandInMember> members = new ArrayList<>();
+    private final List<StubEndpoint> members = new ArrayList<>();
     private int ids;
     private InetSocketAddress address;
 
     @Override
-    public String about() {
+    public String description() {
         return "starts a node with stand-ins on loopback, plays a short session through it and says what happened";
     }
 
     @Override
     public int run() {
-        try (StandInDiscovery discovery = new StandInDiscovery()) {
+        try (StubDiscovery discovery = new StubDiscovery()) {
             for (int i = 1; i <= 3; i++) {
-                members.add(new StandInMember("s-" + i));
+                members.add(new StubEndpoint("s-" + i));
                 tell(discovery, i - 1, "SERVING");
             }
             say("A discovery on " + discovery.address() + " names three members: s-1 and s-2 (std-2c), s-3 (std-4c).");
@@ -58,7 +58,7 @@
                         "It goes on serving; end it with SIGTERM or Ctrl-C. Try: OPEN 1 desk-7 c=slot-board,t=melnik-terminal,d=2000");
                 new CountDownLatch(1).await();
             }
-            node.leave();
+            node.shutDown();
             say(sound ? "All of it as it should be." : "Something was not as it should be.");
             return sound ? 0 : 1;
         } catch (IOException e) {
@@ -73,8 +73,8 @@
         System.out.println(line);
     }
 
-    private void tell(StandInDiscovery discovery, int member, String state) {
-        discovery.tell(
+    private void tell(StubDiscovery discovery, int member, String state) {
+        discovery.publish(
                 members.get(member).id(),
                 members.get(member).address(),
                 member == 1 ? "usti" : "decin",
@@ -134,7 +134,7 @@
         }
     }
 
-    private boolean session(StandInDiscovery discovery, Node node) throws IOException, InterruptedException {
+    private boolean session(StubDiscovery discovery, Node node) throws IOException, InterruptedException {
         waitFor(node, 3);
         boolean sound = true;
         sound &= asks(
@@ -170,7 +170,7 @@
     /** Waits until the node has heard how many members serve. */
     private static void waitFor(Node node, int serving) throws IOException, InterruptedException {
         for (int i = 0; i < PATIENCE_MS / 10; i++) {
-            if (node.serving() == serving) {
+            if (node.servingEndpointCount() == serving) {
                 return;
             }
             TimeUnit.MILLISECONDS.sleep(10);
--- a/node/src/main/java/tulipshed/cli/ExpressionCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionCommand.java
@@ -13,7 +13,7 @@
 /** Work on the operators' file and on single expressions, without a node. */
 public final class ExpressionCommand implements CommandGroup {
     @Override
-    public String about() {
+    public String description() {
         return "checks, explains and tests the operators' file; tries an expression";
     }
 
@@ -46,7 +46,7 @@
         private File config;
 
         @Override
-        public String about() {
+        public String description() {
             return "says all that is wrong with an operators' file, with its places; exit code 2 where anything is";
         }
 
@@ -70,7 +70,7 @@
         private File config;
 
         @Override
-        public String about() {
+        public String description() {
             return "prints what was understood of an operators' file: types, the most that each rule costs, and how rules "
                     + "are found";
         }
--- a/node/src/main/java/tulipshed/cli/ExpressionEvalCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionEvalCommand.java
@@ -41,7 +41,7 @@
     private List<String> with = new ArrayList<>();
 
     @Override
-    public String about() {
+    public String description() {
         return "works out one expression: prints its type, its value and the most that it may cost; exit code 2 on an error";
     }
 
--- a/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
@@ -27,7 +27,7 @@
     private File config;
 
     @Override
-    public String about() {
+    public String description() {
         return "holds an operators' file to a table of cases; exit code 1 where one fails, 2 where a file is wrong";
     }
 
--- a/node/src/main/java/tulipshed/cli/Main.java
+++ b/node/src/main/java/tulipshed/cli/Main.java
@@ -61,7 +61,7 @@
         if (args.length > 0 && args[0].equals("--help")) {
             System.out.println("usage: " + program + " COMMAND ...; COMMAND --help tells more");
             commands.forEach((name, c) ->
-                    System.out.println(String.format("  %-11s%s", name, c.get().about())));
+                    System.out.println(String.format("  %-11s%s", name, c.get().description())));
             return 0;
         }
         if (args.length == 0 || !commands.containsKey(args[0])) {
@@ -76,7 +76,7 @@
         }
         CmdLineParser parser = new CmdLineParser(command);
         if (Arrays.asList(rest).contains("--help")) {
-            System.out.println(command.about());
+            System.out.println(command.description());
             System.out.print("usage: " + program + " " + args[0]);
             parser.printSingleLineUsage(System.out);
             System.out.println();
--- a/node/src/main/java/tulipshed/cli/Node.java
+++ b/node/src/main/java/tulipshed/cli/Node.java
@@ -53,7 +53,7 @@
     private double leavingSinceMs;
     private double endMs;
     private boolean handedOver;
-    private volatile boolean leaving;
+    private volatile boolean shuttingDown;
 
     /** Starts a node that has no other process beside it. */
     Node(NodeConfig config, OperatorsFile operators, Limits limits, Clock clock, NodeLog log) throws IOException {
@@ -98,7 +98,7 @@
         core = new ProxyCore(clock, limits, config.settings(), config.seed(), loop, nodeLog, Balancer::new);
         if (config.management() != null) {
             management = new ManagementServer(
-                    config.management(), clock, limits, loop, core, () -> server != null && !leaving);
+                    config.management(), clock, limits, loop, core, () -> server != null && !shuttingDown);
             log.info("management server listens on " + management.address());
         }
         EndpointListUpdate known =
@@ -165,10 +165,10 @@
         siblings.refresh();
         core.quotaShare(siblings.quotaShare());
         core.syncHotRestartPeer();
-        if (peers != null && !siblings.hasPeer() && !leaving) {
+        if (peers != null && !siblings.hasPeer() && !shuttingDown) {
             peers.retryBind();
         }
-        if (!siblings.hasPeer() && quic == null && quicConfig != null && !leaving) {
+        if (!siblings.hasPeer() && quic == null && quicConfig != null && !shuttingDown) {
             try {
                 quic = new QuicFront(clock, limits, quicConfig, names, loop, core, nodeLog);
                 log.info("QUIC frontend listens on " + quic.address());
@@ -184,20 +184,20 @@
     }
 
     /** Where staff call; null where that is off. */
-    InetSocketAddress management() {
+    InetSocketAddress managementAddress() {
         return management == null ? null : management.address();
     }
 
     /** How many members the list names as serving, once all gathered before is handed over. */
-    long serving() {
+    long servingEndpointCount() {
         CompletableFuture<Long> count = new CompletableFuture<>();
         loop.execute(() -> count.complete(core.serving()));
         return count.join();
     }
 
     /** Whether it has begun to leave. */
-    boolean isLeaving() {
-        return leaving;
+    boolean isShuttingDown() {
+        return shuttingDown;
     }
 
     /** Takes over what a running node can of its new configuration, all at once. Members and connections stay. */
@@ -232,7 +232,7 @@
     }
 
     /** A new configuration that could not be read changes nothing. */
-    void turnedDown(String why) {
+    void rejectConfiguration(String why) {
         loop.execute(() -> {
             core.metrics().reloaded(false);
             log.warn("configuration rejected, the current one stays: " + why.replaceAll("\\s+", " "));
@@ -243,7 +243,7 @@
      * Leaves in good order and returns when done: goes on taking what still arrives, then asks the standing
      * clients to move, spread over the time there is, and answers all that is owed.
      */
-    void leave() {
+    void shutDown() {
         CountDownLatch gone = new CountDownLatch(1);
         loop.execute(() -> {
             leavingSinceMs = clock.nowMs();
@@ -254,7 +254,7 @@
             if (!handedOver) {
                 front.startLeaving();
             }
-            leaving = true;
+            shuttingDown = true;
             endMs = Math.min(limits.shutdown().maxDeadlineMs(), core.longestDeadlineMs())
                     + limits.shutdown().endMarginMs();
             log.info("shutting down" + (handedOver ? ", handing over to another process, " : ", ")
--- a/node/src/main/java/tulipshed/cli/ServeCommand.java
+++ b/node/src/main/java/tulipshed/cli/ServeCommand.java
@@ -23,7 +23,7 @@
     private File operators;
 
     @Override
-    public String about() {
+    public String description() {
         return "one real node, from the file that PROXY_CONFIG names, until it is told to stop";
     }
 
@@ -34,7 +34,7 @@
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
         OperatorsFile rules = operators(config);
-        Reload reload = new Reload(() -> NodeConfig.load(environment), this::operators);
+        ConfigurationReloader reload = new ConfigurationReloader(() -> NodeConfig.load(environment), this::operators);
         if (!HangupSignal.handle(reload::reload)) {
             log.warn("SIGHUP is ignored by the parent process, the configuration cannot be reloaded;"
                     + " start with env --default-signal=HUP");
@@ -44,8 +44,8 @@
             HotRestartState hotRestartState = hotRestartState(config, environment.get("TMPDIR"), limits, log);
             Node node = new Node(config, rules, limits, hotRestartState, new SystemClock(), nodeLog);
             reload.serves(node);
-            Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leaving"));
-            return STAYS;
+            Runtime.getRuntime().addShutdownHook(new Thread(node::shutDown, "leaving"));
+            return KEEPS_RUNNING;
         } catch (IOException e) {
             throw new MalformedInputException("cannot listen on " + config.listen() + ": " + e.getMessage());
         }
--- a/node/src/main/java/tulipshed/cli/VersionCommand.java
+++ b/node/src/main/java/tulipshed/cli/VersionCommand.java
@@ -3,7 +3,7 @@
 /** Says which version this is. */
 public final class VersionCommand implements Command {
     @Override
-    public String about() {
+    public String description() {
         return "prints the version";
     }
 
--- a/node/src/main/java/tulipshed/demo/StandInDiscovery.java
+++ b/node/src/main/java/tulipshed/demo/StubDiscovery.java
@@ -17,21 +17,21 @@
 import java.util.regex.Pattern;
 
 /** A discovery on loopback that names the members it is told, and answers watches as soon as there is news. */
-public final class StandInDiscovery implements AutoCloseable {
+public final class StubDiscovery implements AutoCloseable {
     private static final Pattern WATCH = Pattern.compile("index=([0-9]{1,9})&wait=([0-9]{1,6})");
 
     private final HttpServer server;
-    private final ExecutorService threads = Executors.newCachedThreadPool(StandInDiscovery::daemon);
+    private final ExecutorService threads = Executors.newCachedThreadPool(StubDiscovery::daemon);
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long version;
-    private volatile boolean dark;
+    private volatile boolean setUnavailable;
 
     private Consumer<Map<String, String>> told = entries -> {};
 
     private record Entry(long version, String state, String json) {}
 
     /** Listens on a free port. */
-    public StandInDiscovery() throws IOException {
+    public StubDiscovery() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
         server.setExecutor(threads);
         server.createContext("/discovery/hosts", this::answer);
@@ -50,8 +50,8 @@
     }
 
     /** Names a member that has long run, or another state of it: SERVING, DRAINING or DELETED. */
-    public void tell(String id, InetSocketAddress at, String zone, String kind, String state) {
-        tell(id, at, zone, kind, state, 1, 0);
+    public void publish(String id, InetSocketAddress at, String zone, String kind, String state) {
+        publish(id, at, zone, kind, state, 1, 0);
     }
 
     /**
@@ -60,7 +60,7 @@
      * @param weight its size among the others
      * @param startedMs when it started, as Unix time in milliseconds, or 0 for long ago
      */
-    public synchronized void tell(
+    public synchronized void publish(
             String id, InetSocketAddress at, String zone, String kind, String state, double weight, long startedMs) {
         version++;
         entries.put(
@@ -76,13 +76,13 @@
     }
 
     /** Has somebody hear what each answer told, the state of each member by its name; called on a thread of its own. */
-    public synchronized void onTold(Consumer<Map<String, String>> listener) {
+    public synchronized void onNotified(Consumer<Map<String, String>> listener) {
         told = listener;
     }
 
     /** From now on, or no more, every call fails and every watch is broken off. */
-    public synchronized void dark(boolean now) {
-        dark = now;
+    public synchronized void setUnavailable(boolean now) {
+        setUnavailable = now;
         notifyAll();
     }
 
@@ -93,7 +93,7 @@
                         ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), states)
                         : list(true, -1, states))
                 .getBytes(StandardCharsets.UTF_8);
-        if (dark) {
+        if (setUnavailable) {
             call.sendResponseHeaders(503, -1);
             call.close();
             return;
@@ -112,7 +112,7 @@
         long untilNs = System.nanoTime() + waitMs * 1_000_000;
         try {
             for (long left = waitMs;
-                    version <= since && left > 0 && !dark;
+                    version <= since && left > 0 && !setUnavailable;
                     left = (untilNs - System.nanoTime()) / 1_000_000) {
                 wait(left);
             }
--- a/node/src/main/java/tulipshed/demo/StandInMember.java
+++ b/node/src/main/java/tulipshed/demo/StubEndpoint.java
@@ -12,15 +12,15 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A pool member on loopback that serves every first line and returns every further one. */
-public final class StandInMember implements AutoCloseable {
+public final class StubEndpoint implements AutoCloseable {
     private final String id;
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
     /** Listens on a free port. */
-    public StandInMember(String id) throws IOException {
+    public StubEndpoint(String id) throws IOException {
         this.id = id;
-        StandInDiscovery.daemon(this::accept).start();
+        StubDiscovery.daemon(this::accept).start();
     }
 
     /** What the list calls it. */
@@ -37,7 +37,7 @@
         try {
             while (true) {
                 Socket socket = listener.accept();
-                StandInDiscovery.daemon(() -> serve(socket)).start();
+                StubDiscovery.daemon(() -> serve(socket)).start();
             }
         } catch (IOException e) {
             // It was closed.
--- a/node/src/test/java/tulipshed/cli/RestartTest.java
+++ b/node/src/test/java/tulipshed/cli/CrashRestartTest.java
@@ -2,10 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static tulipshed.testing.NodeProcess.connect;
-import static tulipshed.testing.NodeProcess.freePort;
-import static tulipshed.testing.NodeProcess.reader;
-import static tulipshed.testing.NodeProcess.say;
+import static tulipshed.testing.LoopbackSockets.connect;
+import static tulipshed.testing.LoopbackSockets.freeTcpPort;
+import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -25,7 +25,7 @@
 
 /** Restarted processes serve with the list that they remember, whatever discovery does: none waits for it. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
-class RestartTest {
+class CrashRestartTest {
     private static final long READY_NS = 10_000_000_000L;
 
     @TempDir
@@ -53,7 +53,7 @@
     private static void untilReady(int listen, long sinceNs) throws IOException, InterruptedException {
         while (true) {
             try (Socket front = connect(listen)) {
-                say(front, "PING\r\n");
+                send(front, "PING\r\n");
                 String answer = reader(front).readLine();
                 assertTrue(System.nanoTime() - sinceNs < READY_NS, "ready within 10 s");
                 assertEquals("PONG", answer);
@@ -72,9 +72,9 @@
                     Socket call = at.accept();
                     calls.add(call);
                     if (as == Discovery.CROWDED) {
-                        say(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                        send(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
                     } else if (as == Discovery.DRIPS) {
-                        say(call, "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{");
+                        send(call, "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{");
                     }
                 }
             } catch (IOException closed) {
@@ -88,7 +88,7 @@
     @ParameterizedTest
     @EnumSource(Discovery.class)
     void aKilledProcessIsReadyAgainWhateverDiscoveryDoes(Discovery as) throws Exception {
-        int listen = freePort();
+        int listen = freeTcpPort();
         List<Socket> calls = new CopyOnWriteArrayList<>();
         try (ServerSocket at = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             int port = at.getLocalPort();
@@ -99,13 +99,13 @@
             }
             try (NodeProcess first = start(listen, port, "n")) {
                 untilReady(listen, System.nanoTime());
-                first.signal("KILL");
-                assertTrue(first.ended(5));
+                first.sendSignal("KILL");
+                assertTrue(first.awaitExit(5));
             }
             long sinceNs = System.nanoTime();
             try (NodeProcess again = start(listen, port, "n")) {
                 untilReady(listen, sinceNs);
-                assertTrue(again.process.isAlive());
+                assertTrue(again.isRunning());
             }
         } finally {
             for (Socket s : calls) {
@@ -122,9 +122,9 @@
         List<NodeProcess> running = new ArrayList<>();
         try {
             for (int i = 0; i < nodes; i++) {
-                ports.add(freePort());
+                ports.add(freeTcpPort());
             }
-            int dark = freePort();
+            int dark = freeTcpPort();
             long sinceNs = System.nanoTime();
             for (int i = 0; i < nodes; i++) {
                 running.add(start(ports.get(i), dark, "n" + i));
--- a/node/src/test/java/tulipshed/cli/DescriptorsTest.java
+++ b/node/src/test/java/tulipshed/cli/DescriptorExhaustionTest.java
@@ -4,11 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static tulipshed.testing.NodeProcess.call;
-import static tulipshed.testing.NodeProcess.connect;
-import static tulipshed.testing.NodeProcess.freePort;
-import static tulipshed.testing.NodeProcess.reader;
-import static tulipshed.testing.NodeProcess.say;
+import static tulipshed.testing.LoopbackSockets.connect;
+import static tulipshed.testing.LoopbackSockets.freeTcpPort;
+import static tulipshed.testing.LoopbackSockets.httpGet;
+import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -28,7 +28,7 @@
 import tulipshed.testing.NodeProcess;
 
 /** A node in a process that the kernel allows few descriptors, all of them wanted at once while discovery is down. */
-class DescriptorsTest {
+class DescriptorExhaustionTest {
     private static final int SOCKETS = 256;
     private static final List<String> LIMITED = List.of("sh", "-c", "ulimit -n " + SOCKETS + "; exec \"$@\"", "sh");
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
@@ -36,15 +36,15 @@
     @TempDir
     private Path folder;
 
-    private final int listen = freePort();
-    private final int management = freePort();
-    private final int discovery = freePort();
+    private final int listen = freeTcpPort();
+    private final int management = freeTcpPort();
+    private final int discovery = freeTcpPort();
     private final ServerSocket member = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final ServerSocket second = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final List<Socket> open = new ArrayList<>();
     private int ids;
 
-    DescriptorsTest() throws IOException {}
+    DescriptorExhaustionTest() throws IOException {}
 
     @AfterEach
     void close() throws IOException {
@@ -72,14 +72,14 @@
                         folder.toString(),
                         "PROXY_MANAGEMENT",
                         "127.0.0.1:" + management));
-        assertNotNull(node.log("INFO node: n0 serves"));
+        assertNotNull(node.awaitLogLine("INFO node: n0 serves"));
         return node;
     }
 
     private Socket client(String first) throws IOException {
         Socket socket = connect(listen);
         open.add(socket);
-        say(socket, first.replace("ID", "9b" + ids++));
+        send(socket, first.replace("ID", "9b" + ids++));
         return socket;
     }
 
@@ -91,7 +91,7 @@
             Socket server = by.accept();
             open.add(server);
             assertTrue(reader(server).readLine().startsWith("OPEN"));
-            say(server, "UP r\r\n");
+            send(server, "UP r\r\n");
         } catch (java.net.SocketTimeoutException notAsked) {
             return reader(client).readLine();
         }
@@ -109,9 +109,9 @@
 
     /** All that others want of the node goes on. */
     private void goesOn(NodeProcess node) throws Exception {
-        assertTrue(call(management, "/status").startsWith("HTTP/1.1 200 "), "the second address");
-        node.signal("HUP");
-        assertNotNull(node.reloadLine(), "a reload");
+        assertTrue(httpGet(management, "/status").startsWith("HTTP/1.1 200 "), "the second address");
+        node.sendSignal("HUP");
+        assertNotNull(node.awaitReloadLine(), "a reload");
         // Discovery is back, and tells of another member.
         try (ServerSocket back = new ServerSocket()) {
             back.setReuseAddress(true);
@@ -124,19 +124,21 @@
                     + second.getLocalPort()
                     + "\",\"state\":\"SERVING\"},{\"id\":\"s-1\",\"addr\":\"127.0.0.1:" + member.getLocalPort()
                     + "\",\"state\":\"DRAINING\"}]}";
-            say(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
-            assertNotNull(node.log("INFO discovery: watching endpoint list from version 9"), "the list");
+            send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            assertNotNull(node.awaitLogLine("INFO discovery: watching endpoint list from version 9"), "the list");
         }
     }
 
     private static void leaves(NodeProcess node) throws Exception {
-        node.signal("TERM");
-        assertNotNull(node.log("INFO node: shutting down"), "SIGTERM");
-        assertTrue(node.ended(8));
-        assertNull(node.log("the end of its log"));
+        node.sendSignal("TERM");
+        assertNotNull(node.awaitLogLine("INFO node: shutting down"), "SIGTERM");
+        assertTrue(node.awaitExit(8));
+        assertNull(node.awaitLogLine("the end of its log"));
         // Seen with 1,024 at once: accepting ran ahead, and dials to members and discovery failed for want of
         // descriptors.
-        assertTrue(node.said.stream().noneMatch(l -> l.contains("Too many open files")), node.said::toString);
+        assertTrue(
+                node.readLines().stream().noneMatch(l -> l.contains("Too many open files")),
+                node.readLines()::toString);
     }
 
     /** Four times as many as there are descriptors, all at once, half of them with half a line. */
--- a/node/src/test/java/tulipshed/cli/DrainTermsTest.java
+++ b/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
@@ -2,8 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static tulipshed.testing.NodeProcess.reader;
-import static tulipshed.testing.NodeProcess.say;
+import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -29,14 +29,14 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
-import tulipshed.testing.Backlog;
+import tulipshed.testing.ListenerBacklog;
 import tulipshed.time.SystemClock;
 
 /**
  * Whatever became of the calls before, a change counts as told 6 s after discovery has it and can be reached. Each kind of failing
  * call is met by a whole node; then discovery is sound and one member drains. All kinds at once, as each takes seconds.
  */
-class DrainTermsTest {
+class DrainNotificationTest {
     private static final double TOLD_MS = 6_000;
 
     @TempDir
@@ -74,7 +74,7 @@
             port = socket.getLocalPort();
             switch (how) {
                 case REFUSED -> socket.close();
-                case DIAL_HANGS -> filling.addAll(Backlog.fill(socket));
+                case DIAL_HANGS -> filling.addAll(ListenerBacklog.fill(socket));
                 default -> serve();
             }
         }
@@ -107,7 +107,7 @@
                 while (in.readLine() != null) {
                     while (!in.readLine().isEmpty()) {}
                     if (sound) {
-                        say(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                        send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
                         told.countDown();
                         in.readLine();
                         return;
@@ -122,15 +122,15 @@
 
         private void fail(Socket call) throws IOException, InterruptedException {
             switch (how) {
-                case BUSY -> say(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                case BUSY -> send(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
                 case RESET -> {
                     call.setSoLinger(true, 0);
                     call.close();
                 }
-                case HALF -> say(call, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
+                case HALF -> send(call, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
                 case DRIPS -> {
                     for (char c : ("HTTP/1.1 200 OK\r\nX: " + "x".repeat(4000)).toCharArray()) {
-                        say(call, String.valueOf(c));
+                        send(call, String.valueOf(c));
                         Thread.sleep(10);
                     }
                 }
@@ -213,11 +213,11 @@
                 try (Socket client =
                         new Socket(node.address().getAddress(), node.address().getPort())) {
                     client.setSoTimeout(5000);
-                    say(client, "OPEN " + how + i + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
+                    send(client, "OPEN " + how + i + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
                     serves.setSoTimeout(5000);
                     try (Socket server = serves.accept()) {
                         assertTrue(reader(server).readLine().startsWith("OPEN"));
-                        say(server, "UP r\r\n");
+                        send(server, "UP r\r\n");
                         assertEquals("UP r", reader(client).readLine());
                     }
                 }
--- a/node/src/test/java/tulipshed/cli/UpgradeTest.java
+++ b/node/src/test/java/tulipshed/cli/HotRestartTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static tulipshed.testing.NodeProcess.call;
-import static tulipshed.testing.NodeProcess.connect;
-import static tulipshed.testing.NodeProcess.freePort;
-import static tulipshed.testing.NodeProcess.reader;
-import static tulipshed.testing.NodeProcess.say;
+import static tulipshed.testing.LoopbackSockets.connect;
+import static tulipshed.testing.LoopbackSockets.freeTcpPort;
+import static tulipshed.testing.LoopbackSockets.httpGet;
+import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -27,16 +27,16 @@
 /** A second process of one node takes over from the first. */
 @Timeout(60)
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
-class UpgradeTest {
+class HotRestartTest {
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
     @TempDir
     private Path folder;
 
-    private final int listen = freePort();
+    private final int listen = freeTcpPort();
     private final ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
-    UpgradeTest() throws IOException {}
+    HotRestartTest() throws IOException {}
 
     private NodeProcess start(int management) throws IOException {
         Path file = Files.writeString(
@@ -55,21 +55,21 @@
 
     private Socket open(String id) throws IOException {
         Socket client = connect(listen);
-        say(client, OPEN.replace("ID", id));
+        send(client, OPEN.replace("ID", id));
         return client;
     }
 
     private Socket serve() throws IOException {
         Socket server = member.accept();
         assertTrue(reader(server).readLine().startsWith("OPEN"));
-        say(server, "UP r\r\n");
+        send(server, "UP r\r\n");
         return server;
     }
 
     private static void untilYes(int management) throws Exception {
         while (true) {
             try {
-                if (call(management, "/status").startsWith("HTTP/1.1 200 ")) {
+                if (httpGet(management, "/status").startsWith("HTTP/1.1 200 ")) {
                     return;
                 }
             } catch (IOException notYet) {
@@ -82,8 +82,8 @@
     /** Without a shared port the second process cannot start; without shared ids it serves one id twice. */
     @Test
     void theSecondProcessTakesTheClientsAndTheFirstMovesItsOwn() throws Exception {
-        int first = freePort();
-        int second = freePort();
+        int first = freeTcpPort();
+        int second = freeTcpPort();
         try (NodeProcess old = start(first)) {
             untilYes(first);
             try (Socket standing = open("9b1");
@@ -95,18 +95,18 @@
                     List<Socket> pings = new ArrayList<>();
                     for (int i = 0; i < 20; i++) {
                         pings.add(connect(listen));
-                        say(pings.get(i), "PING\r\n");
+                        send(pings.get(i), "PING\r\n");
                         assertEquals("PONG", reader(pings.get(i)).readLine(), "let in by either process");
                         try (Socket twice = open("9b1")) {
                             assertEquals("ERR", reader(twice).readLine(), "open in one process, so open");
                         }
                     }
-                    old.signal("TERM");
-                    assertTrue(old.log("INFO node: shutting down, handing over to another process") != null);
-                    assertTrue(call(first, "/status").startsWith("HTTP/1.1 503 "));
+                    old.sendSignal("TERM");
+                    assertTrue(old.awaitLogLine("INFO node: shutting down, handing over to another process") != null);
+                    assertTrue(httpGet(first, "/status").startsWith("HTTP/1.1 503 "));
                     for (int i = 0; i < 20; i++) {
                         try (Socket late = connect(listen)) {
-                            say(late, "PING\r\n");
+                            send(late, "PING\r\n");
                             assertEquals("PONG", reader(late).readLine(), "none ends at the door");
                         }
                     }
@@ -118,10 +118,10 @@
                         for (Socket s : pings) {
                             s.close();
                         }
-                        assertTrue(old.ended(5));
-                        say(again, "hello\r\n");
+                        assertTrue(old.awaitExit(5));
+                        send(again, "hello\r\n");
                         assertEquals("hello", reader(its).readLine());
-                        assertTrue(call(second, "/status/metrics").contains("\"concurrent\":1,\"dispatches\":1,"));
+                        assertTrue(httpGet(second, "/status/metrics").contains("\"concurrent\":1,\"dispatches\":1,"));
                     }
                 }
             }
--- a/node/src/test/java/tulipshed/cli/NodeTest.java
+++ b/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
@@ -32,7 +32,7 @@
 
 /** A whole node on loopback: how it leaves, and what it does when it has no descriptors left. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
-class NodeTest {
+class NodeLifecycleTest {
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
     @TempDir
@@ -94,8 +94,8 @@
 
     /** What the second address answers, head and body. */
     private String call(String what) throws IOException {
-        try (Socket staff =
-                new Socket(node.management().getAddress(), node.management().getPort())) {
+        try (Socket staff = new Socket(
+                node.managementAddress().getAddress(), node.managementAddress().getPort())) {
             staff.setSoTimeout(1000);
             staff.getOutputStream().write((what + " HTTP/1.1\r\nHost: n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             return new String(staff.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
@@ -132,9 +132,9 @@
                     "the description names all figures");
             assertTrue(figures.contains("\"slot-board\":{\"success\":1,\"overload\":0,\"error\":0}"), figures);
             assertTrue(figures.contains("\"concurrent\":1,\"dispatches\":1,"), figures);
-            Thread leaving = new Thread(node::leave);
+            Thread leaving = new Thread(node::shutDown);
             leaving.start();
-            while (!node.isLeaving()) {
+            while (!node.isShuttingDown()) {
                 Thread.onSpinWait();
             }
             assertTrue(call("GET /status").startsWith("HTTP/1.1 503 "), "from the signal on");
@@ -167,9 +167,9 @@
                 Socket first = serve()) {
             BufferedReader standingIn = reader(standing);
             assertEquals("UP r", standingIn.readLine());
-            Thread leaving = new Thread(node::leave);
+            Thread leaving = new Thread(node::shutDown);
             leaving.start();
-            while (!node.isLeaving()) {
+            while (!node.isShuttingDown()) {
                 Thread.onSpinWait();
             }
             try (Socket late = client("PING\r\n" + OPEN);
@@ -208,7 +208,7 @@
                 Socket half = client("OPEN ha")) {
             BufferedReader in = reader(resting);
             assertEquals("PONG", in.readLine());
-            node.leave();
+            node.shutDown();
             for (BufferedReader each : List.of(in, reader(half))) {
                 assertTrue(each.readLine().matches("BUSY [0-9]+"));
                 assertNull(each.readLine());
@@ -225,7 +225,7 @@
                 Socket server = serve()) {
             assertEquals("UP r", reader(standing).readLine());
             long sinceNs = System.nanoTime();
-            node.leave();
+            node.shutDown();
             // The deadlines are 1.0 to 1.8 s here.
             assertTrue(System.nanoTime() - sinceNs < 2_500_000_000L);
             assertEquals("MOVE", reader(standing).readLine());
@@ -243,7 +243,7 @@
         assertTrue(
                 log.stream().anyMatch(l -> l.startsWith("INFO node: QUIC frontend listens on /127.0.0.1:")),
                 log.toString());
-        node.leave();
+        node.shutDown();
         log.clear();
         node(1024, OperatorsFile.load(Path.of("../deploy/tulipshed.sexp"), names));
         assertFalse(log.stream().anyMatch(l -> l.contains("QUIC")), log.toString());
--- a/node/src/test/java/tulipshed/cli/PeersTest.java
+++ b/node/src/test/java/tulipshed/cli/PeerDatagramTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static tulipshed.testing.NodeProcess.call;
-import static tulipshed.testing.NodeProcess.freePort;
-import static tulipshed.testing.NodeProcess.freeUdpPort;
+import static tulipshed.testing.LoopbackSockets.freeTcpPort;
+import static tulipshed.testing.LoopbackSockets.freeUdpPort;
+import static tulipshed.testing.LoopbackSockets.httpGet;
 
 import java.io.IOException;
 import java.net.DatagramPacket;
@@ -26,7 +26,7 @@
 
 /** Datagrams to nodes in processes of their own, from another node's address and from strangers. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
-class PeersTest {
+class PeerDatagramTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     @TempDir
@@ -42,7 +42,7 @@
         peer = new DatagramSocket(0, LOOPBACK);
         stranger = new DatagramSocket(0, LOOPBACK);
         hears = freeUdpPort();
-        staff = freePort();
+        staff = freeTcpPort();
     }
 
     @AfterEach
@@ -61,7 +61,7 @@
                 "127.0.0.1:" + staff,
                 "TMPDIR",
                 folder.toString()));
-        node.log("INFO node: n0 serves");
+        node.awaitLogLine("INFO node: n0 serves");
         return node;
     }
 
@@ -71,7 +71,7 @@
                 Files.readString(Path.of("src/test/resources/node.json"))
                         .replace(
                                 "\"127.0.0.1:18080\",",
-                                "\"127.0.0.1:" + freePort() + "\", \"peer_listen\": \"127.0.0.1:" + hears
+                                "\"127.0.0.1:" + freeTcpPort() + "\", \"peer_listen\": \"127.0.0.1:" + hears
                                         + "\", \"peers\": [\"127.0.0.1:" + hears + "\", \"127.0.0.1:"
                                         + peer.getLocalPort()
                                         + "\"], \"peers_all\": \"127.0.0.1:" + peer.getLocalPort() + "\",")
@@ -83,7 +83,7 @@
     }
 
     private long figure(String name) throws IOException {
-        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(call(staff, "/status/metrics"));
+        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(httpGet(staff, "/status/metrics"));
         return m.find() ? Long.parseLong(m.group(1)) : -1;
     }
 
@@ -112,7 +112,7 @@
             // What is sent at once falls into two of its seconds at most.
             assertTrue(figure("peers_received") <= 2 * 200, "of 600 at once: " + figure("peers_received"));
             assertEquals(0, figure("peers_sent"), "nothing is sent until something gains by it");
-            assertTrue(node.process.isAlive());
+            assertTrue(node.isRunning());
         }
     }
 
@@ -122,8 +122,8 @@
             new DatagramSocket(hears, LOOPBACK).close();
             assertEquals(-1, figure("peers_received"), "no figure either");
             configure(true);
-            node.signal("HUP");
-            assertFalse(node.reloadLine().contains("rejected"));
+            node.sendSignal("HUP");
+            assertFalse(node.awaitReloadLine().contains("rejected"));
             // A restart of the other node's address is no matter; its datagrams are heard once the socket is open.
             long untilNanos = System.nanoTime() + 10_000_000_000L;
             while (figure("peers_received") < 1 && System.nanoTime() < untilNanos) {
@@ -131,8 +131,8 @@
             }
             assertTrue(figure("peers_received") >= 1);
             configure(false);
-            node.signal("HUP");
-            node.reloadLine();
+            node.sendSignal("HUP");
+            node.awaitReloadLine();
             new DatagramSocket(hears, LOOPBACK).close();
         }
     }
--- a/node/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/node/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class NodeConfigTest {
     private static final Path FILE = Path.of("src/test/resources/node.json");
@@ -114,7 +114,7 @@
     @Property(tries = 200, seed = "41")
     void aSpoiltConfigurationIsReadOrCalledMalformedAndNothingElse(@ForAll long seed) throws IOException {
         try {
-            NodeConfig.parse(JsonValues.object(Cuts.spoil(Files.readAllBytes(FILE), seed)), Map.of());
+            NodeConfig.parse(JsonValues.object(InputFuzzer.corrupt(Files.readAllBytes(FILE), seed)), Map.of());
         } catch (MalformedInputException expected) {
             assertFalse(expected.getMessage().isBlank());
         }
--- a/node/src/test/java/tulipshed/discovery/DiscoveryParserTest.java
+++ b/node/src/test/java/tulipshed/discovery/DiscoveryParserTest.java
@@ -13,7 +13,7 @@
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
 import tulipshed.decision.BalancerApi.EndpointStatus;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class DiscoveryParserTest {
     private static final String LIST = "{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-5b\",\"addr\":"
@@ -32,7 +32,7 @@
     @Property(tries = 300, seed = "21")
     void cutsDoNotChangeAnAnswer(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser answer = new HttpResponseParser(200, 1000);
-        Cuts.feed(answer(chunked), seed, answer::take);
+        InputFuzzer.feedInFragments(answer(chunked), seed, answer::take);
         assertTrue(answer.take(java.nio.ByteBuffer.allocate(0)));
         assertEquals(200, answer.status());
         assertEquals(LIST, new String(answer.body(), StandardCharsets.ISO_8859_1));
@@ -46,7 +46,7 @@
     void aSpoiltAnswerIsReadOrCalledBadAndNothingElse(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser answer = new HttpResponseParser(200, 1000);
         try {
-            Cuts.feed(Cuts.spoil(answer(chunked), seed), seed, answer::take);
+            InputFuzzer.feedInFragments(InputFuzzer.corrupt(answer(chunked), seed), seed, answer::take);
             if (answer.end()) {
                 EndpointListUpdate.read(JsonValues.object(answer.body()));
             }
@@ -59,7 +59,7 @@
     void garbageStaysBounded(@ForAll @Size(max = 600) byte[] garbage, @ForAll long seed) {
         HttpResponseParser answer = new HttpResponseParser(50, 100);
         try {
-            Cuts.feed(garbage, seed, answer::take);
+            InputFuzzer.feedInFragments(garbage, seed, answer::take);
         } catch (HttpResponseParser.MalformedResponseException expected) {
             assertFalse(expected.getMessage().isEmpty());
         }
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/WatchTest.java
@@ -24,8 +24,8 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.Backlog;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
+import tulipshed.testing.ListenerBacklog;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -54,12 +54,14 @@
                     1,
                     loop,
                     NodeLog.silent(),
-                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
-                        @Override
-                        public void endpointsChanged(long at, EndpointListKind kind, List<EndpointInfo> entries) {
-                            told.add(kind + " " + entries.size());
-                        }
-                    });
+                    (settings, seed, now, actions) ->
+                            new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
+                                @Override
+                                public void endpointsChanged(
+                                        long at, EndpointListKind kind, List<EndpointInfo> entries) {
+                                    told.add(kind + " " + entries.size());
+                                }
+                            });
             watch = new EndpointWatch(
                     (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, NodeLog.silent());
             watch.watch();
@@ -349,7 +351,7 @@
         EndpointWatch watch = impatient(200, 60_000, 60_000, 60_000);
         try (Socket out = nextCall();
                 ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            List<Socket> waiting = Backlog.fill(full);
+            List<Socket> waiting = ListenerBacklog.fill(full);
             loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) full.getLocalSocketAddress()));
             assertEquals("FAILED 0", news());
             for (Socket s : waiting) {
--- a/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineFrontBench.java
@@ -29,7 +29,7 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -160,7 +160,7 @@
     }
 
     /** The module, with an ear on its notes. */
-    private final class Noting extends ModuleDelegate {
+    private final class Noting extends DelegatingBalancer {
         Noting(BalancerApi to) {
             super(to);
         }
--- a/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
@@ -16,7 +16,7 @@
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Declarations;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class LineParserTest {
     private static final String OPEN = "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1,zz=9\r\n";
@@ -37,7 +37,7 @@
         List<String> sent = lengths.stream().map(n -> "x".repeat(n) + "\r\n").toList();
         CrlfDecoder splitter = new CrlfDecoder(64);
         List<String> got = new ArrayList<>();
-        Cuts.feed(ascii(String.join("", sent)), seed, in -> {
+        InputFuzzer.feedInFragments(ascii(String.join("", sent)), seed, in -> {
             for (byte[] l = splitter.next(in); l != null; l = splitter.next(in)) {
                 got.add(new String(l, StandardCharsets.ISO_8859_1));
             }
@@ -50,7 +50,7 @@
     void garbageLosesNoByteAndStaysBounded(@ForAll @Size(max = 500) byte[] garbage, @ForAll long seed) {
         CrlfDecoder splitter = new CrlfDecoder(16);
         ByteArrayOutputStream got = new ByteArrayOutputStream();
-        Cuts.feed(garbage, seed, in -> {
+        InputFuzzer.feedInFragments(garbage, seed, in -> {
             while (in.hasRemaining()) {
                 try {
                     byte[] line = splitter.next(in);
@@ -66,7 +66,7 @@
 
     @Property(tries = 500, seed = "13")
     void aSpoiltLineIsReadOrCalledBadAndNothingElse(@ForAll long seed) {
-        byte[] line = Cuts.spoil(ascii(OPEN), seed);
+        byte[] line = InputFuzzer.corrupt(ascii(OPEN), seed);
         try {
             // What is let through must go on byte for byte but for its wait.
             OpenCommand read = OpenCommand.parse(line, names(), Declarations.NONE, 60_000);
--- a/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/MemberProbesTest.java
@@ -40,7 +40,7 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -96,7 +96,7 @@
             ProxyCore c = new ProxyCore(
                     new SystemClock(), limits, settings, 1, loop, NodeLog.to(log::add), (given, seed, now, does) -> {
                         actions = does;
-                        return new ModuleDelegate(new Balancer(given, seed, now, does)) {
+                        return new DelegatingBalancer(new Balancer(given, seed, now, does)) {
                             @Override
                             public void healthCheckCompleted(
                                     long now, String server, Outcome outcome, LoadReport report) {
--- a/node/src/test/java/tulipshed/management/CallParserTest.java
+++ b/node/src/test/java/tulipshed/management/CallParserTest.java
@@ -10,7 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class CallParserTest {
     private static final byte[] CALL = ascii("GET /status?x=1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nAccept: */*\r\n\r\n");
@@ -23,7 +23,7 @@
     void cutsDoNotChangeACall(@ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(4096);
         boolean[] whole = new boolean[1];
-        Cuts.feed(CALL, seed, in -> whole[0] |= parser.take(in));
+        InputFuzzer.feedInFragments(CALL, seed, in -> whole[0] |= parser.take(in));
         assertTrue(whole[0]);
         assertEquals("GET /status", parser.method() + " " + parser.path());
     }
@@ -32,7 +32,7 @@
     void garbageIsACallOrBadAndNothingElse(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(128);
         try {
-            Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(CALL, seed), seed, parser::take);
+            InputFuzzer.feedInFragments(seed % 2 == 0 ? garbage : InputFuzzer.corrupt(CALL, seed), seed, parser::take);
         } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
--- a/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
+++ b/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
@@ -19,7 +19,7 @@
 import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.config.SettingsReader.NameIndex;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class OperatorsFileTest {
     private static final Path EXAMPLE = Path.of("../example/tulipshed.sexp");
@@ -153,7 +153,7 @@
     @Property(tries = 400, seed = "31")
     void aSpoiltFileIsReadOrRefusedWithPlaces(@ForAll long seed) throws IOException {
         try {
-            OperatorsFile.read("f", Cuts.spoil(Files.readAllBytes(EXAMPLE), seed), names);
+            OperatorsFile.read("f", InputFuzzer.corrupt(Files.readAllBytes(EXAMPLE), seed), names);
         } catch (BadOperatorsFile e) {
             for (String line : e.lines().split("\n")) {
                 assertTrue(line.matches("f:[0-9]+:[0-9]+: .+|f: and [0-9]+ more"), line);
--- a/node/src/test/java/tulipshed/peer/PeerPortTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerPortTest.java
@@ -28,8 +28,8 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
-import tulipshed.testing.NodeProcess;
+import tulipshed.testing.DelegatingBalancer;
+import tulipshed.testing.LoopbackSockets;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -54,7 +54,7 @@
         all = new DatagramSocket(0, LOOPBACK);
         one.setSoTimeout(5000);
         all.setSoTimeout(5000);
-        node = new InetSocketAddress(LOOPBACK, NodeProcess.freeUdpPort());
+        node = new InetSocketAddress(LOOPBACK, LoopbackSockets.freeUdpPort());
         loop = new XnioEventLoop(Limits.forDescriptors(1024));
     }
 
@@ -80,13 +80,14 @@
                     1,
                     loop,
                     NodeLog.silent(),
-                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
-                        @Override
-                        public void peerMessageReceived(long at, int from, byte[] body) {
-                            told.add(from + ":" + new String(body, UTF_8));
-                            answer.tell(actions, from);
-                        }
-                    });
+                    (settings, seed, now, actions) ->
+                            new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
+                                @Override
+                                public void peerMessageReceived(long at, int from, byte[] body) {
+                                    told.add(from + ":" + new String(body, UTF_8));
+                                    answer.tell(actions, from);
+                                }
+                            });
             port = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
             port.configure(new PeerConfig(
                     node,
--- a/node/src/test/java/tulipshed/quic/AddressTest.java
+++ b/node/src/test/java/tulipshed/quic/AddressTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.ServerIds;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** Proof of addresses: tokens, Retry packets, and when they are asked for. */
 class AddressTest {
@@ -61,7 +61,7 @@
     @Property(tries = 500, seed = "71")
     void aForgedTokenIsAsNone(@ForAll long seed) {
         byte[] token = tokens.seal(CLIENT, FIRST, GIVEN, 1_000_000, new Random(seed));
-        assertNull(tokens.open(Cuts.spoil(token, seed), CLIENT, GIVEN, 1_000_001));
+        assertNull(tokens.open(InputFuzzer.corrupt(token, seed), CLIENT, GIVEN, 1_000_001));
     }
 
     /** A number that swings around a threshold must not make the front flap. */
--- a/node/src/test/java/tulipshed/quic/HelloTest.java
+++ b/node/src/test/java/tulipshed/quic/HelloTest.java
@@ -18,7 +18,7 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import tulipshed.connectionid.ConnectionId;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** Client hellos in pieces, and the versions that carry them. */
 class HelloTest {
@@ -99,7 +99,7 @@
         byte[] hello = StandIns.hello("slots.example", "slots", 60);
         assertNull(ClientHello.read(ByteBuffer.wrap(hello, 0, (int) Math.floorMod(seed, (long) hello.length)), MOST));
         try {
-            ClientHello.read(ByteBuffer.wrap(Cuts.spoil(hello, seed)), MOST);
+            ClientHello.read(ByteBuffer.wrap(InputFuzzer.corrupt(hello, seed)), MOST);
         } catch (BadPacket expected) {
             assertFalse(expected.getMessage().isEmpty());
         }
--- a/node/src/test/java/tulipshed/quic/QuicParserTest.java
+++ b/node/src/test/java/tulipshed/quic/QuicParserTest.java
@@ -19,7 +19,7 @@
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.ServerIds;
 import tulipshed.connectionid.StatelessReset;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class QuicParserTest {
     private static final HexFormat HEX = HexFormat.of();
@@ -80,7 +80,7 @@
     @Property(tries = 400, seed = "31")
     void aSpoiltInitialNeverOpens(@ForAll long seed) {
         byte[] sound = initial(new byte[] {6, 0, 1, 1});
-        byte[] spoilt = Cuts.spoil(sound, seed);
+        byte[] spoilt = InputFuzzer.corrupt(sound, seed);
         assertFalse(Arrays.equals(sound, spoilt));
         assertThrows(BadPacket.class, () -> {
             Packet p = Packet.read(spoilt, 8).get(0);
--- a/node/src/test/java/tulipshed/sexpr/SexprReaderTest.java
+++ b/node/src/test/java/tulipshed/sexpr/SexprReaderTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class SexprReaderTest {
     private static final SexprReader.Bounds BOUNDS = new SexprReader.Bounds(2 << 20, 200, 400_000);
@@ -79,8 +79,8 @@
         Problems binary = new Problems("b");
         SexprReader.read(bytes, BOUNDS, binary);
         assertFalse(binary.none(), "400 random bytes are not UTF-8");
-        byte[] spoilt =
-                Cuts.spoil("(route a (when (= class \"x\")) (to p [1 2.5]))".getBytes(StandardCharsets.US_ASCII), seed);
+        byte[] spoilt = InputFuzzer.corrupt(
+                "(route a (when (= class \"x\")) (to p [1 2.5]))".getBytes(StandardCharsets.US_ASCII), seed);
         Problems p = new Problems("s");
         List<Form> forms = SexprReader.read(spoilt, BOUNDS, p);
         assertTrue(!p.none() || !forms.isEmpty() || spoilt.length == 0 || spoilt[0] == ';');
--- a/node/src/test/java/tulipshed/simadapter/AdapterTest.java
+++ b/node/src/test/java/tulipshed/simadapter/AdapterTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi.Actions;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
 
 class AdapterTest {
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -83,7 +83,7 @@
                         .getBytes(StandardCharsets.UTF_8)),
                 out,
                 err,
-                (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
+                (settings, seed, now, actions) -> new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
                     @Override
                     public void peerMessageReceived(long at, int from, byte[] body) {
                         actions.sendToPeer(from, body);
--- a/node/src/test/java/tulipshed/testing/Cuts.java
+++ b/node/src/test/java/tulipshed/testing/InputFuzzer.java
@@ -6,11 +6,11 @@
 import java.util.function.Consumer;
 
 /** Feeds parsers bytes in pieces cut at random places; the seed decides where. */
-public final class Cuts {
-    private Cuts() {}
+public final class InputFuzzer {
+    private InputFuzzer() {}
 
     /** Hands the bytes on in pieces of 1 to 40 bytes. */
-    public static void feed(byte[] bytes, long seed, Consumer<ByteBuffer> parser) {
+    public static void feedInFragments(byte[] bytes, long seed, Consumer<ByteBuffer> parser) {
         Random random = new Random(seed);
         for (int from = 0; from < bytes.length; ) {
             int to = Math.min(bytes.length, from + 1 + random.nextInt(40));
@@ -20,7 +20,7 @@
     }
 
     /** A valid message with one byte changed, one left out, or its end cut off. */
-    public static byte[] spoil(byte[] message, long seed) {
+    public static byte[] corrupt(byte[] message, long seed) {
         Random random = new Random(seed);
         byte[] spoilt = message.clone();
         int at = random.nextInt(message.length);
--- a/node/src/test/java/tulipshed/testing/Backlog.java
+++ b/node/src/test/java/tulipshed/testing/ListenerBacklog.java
@@ -8,10 +8,10 @@
 import java.util.List;
 
 /** What the kernel keeps for a listener that accepts nothing. */
-public final class Backlog {
+public final class ListenerBacklog {
     private static final int CONNECT_MS = 300;
 
-    private Backlog() {}
+    private ListenerBacklog() {}
 
     /** Connects until the kernel takes no more for it: whoever dials it then hangs. The connections are the caller's to close. */
     public static List<Socket> fill(ServerSocket full) throws IOException {
--- a/node/src/test/java/tulipshed/testing/NodeProcess.java
+++ b/node/src/test/java/tulipshed/testing/NodeProcess.java
@@ -2,15 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,25 +13,44 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
-/** A node in a process of its own, and the line protocol's small talk with it. */
+/**
+ * A node that runs in a process of its own, with its log.
+ *
+ * <p>The process is started by the constructor and killed by {@link #close}. Its standard output and standard error are
+ * read as one log by a daemon thread; all other members are for one test thread.
+ */
 public final class NodeProcess implements AutoCloseable {
-    private static final String END = "\0";
-    private static final int LOG_S = 20;
+    private static final String END_OF_LOG = "\0";
+    private static final int LOG_TIMEOUT_S = 20;
 
-    public final Process process;
-    /** The lines of its log that were read so far. */
-    public final List<String> said = new ArrayList<>();
+    private final Process process;
+    private final List<String> readLines = new ArrayList<>();
+    private final BlockingQueue<String> unreadLines = new LinkedBlockingQueue<>();
 
-    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
-
-    /** Starts {@code serve} with these variables beside those of this process. */
+    /** Starts {@code serve} with these arguments; the environment variables are added to those of this process. */
     public NodeProcess(Map<String, String> environment, String... arguments) throws IOException {
         this(List.of(), environment, arguments);
     }
 
-    /** The same, started by a command that is given the node's own as its arguments. */
-    public NodeProcess(List<String> by, Map<String, String> environment, String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(by);
+    /**
+     * Starts {@code serve} through another command.
+     *
+     * @param launcher the words of a command that executes its remaining arguments, such as {@code sh -c 'exec "$@"' sh};
+     *     empty to start the node directly
+     * @param environment variables that are added to those of this process
+     * @param arguments arguments of {@code serve}
+     */
+    public NodeProcess(List<String> launcher, Map<String, String> environment, String... arguments) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command(launcher, arguments));
+        builder.environment().putAll(environment);
+        process = builder.redirectErrorStream(true).start();
+        Thread reader = new Thread(this::readLog, "log of " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private static List<String> command(List<String> launcher, String... arguments) {
+        List<String> command = new ArrayList<>(launcher);
         command.addAll(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "--add-exports",
@@ -48,92 +60,73 @@
                 "tulipshed.cli.Main",
                 "serve"));
         command.addAll(List.of(arguments));
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().putAll(environment);
-        process = builder.redirectErrorStream(true).start();
-        Thread reader = new Thread(
-                () -> {
-                    try {
-                        process.inputReader().lines().forEach(log::add);
-                    } catch (UncheckedIOException closed) {
-                        // Its process was ended from here.
-                    }
-                    log.add(END);
-                },
-                "log of " + process.pid());
-        reader.setDaemon(true);
-        reader.start();
+        return command;
     }
 
-    /** The next line of its log that tells of a reload, taken or rejected. */
-    public String reloadLine() throws IOException {
-        return log("INFO node: configuration reloaded", "WARN node: configuration rejected");
-    }
-
-    /** The next line of its log that starts with one of these, or null at the end or after a long silence. */
-    public String log(String... starts) throws IOException {
-        String line;
-        do {
-            try {
-                line = log.poll(LOG_S, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                throw new IOException("interrupted", e);
-            }
-            said.add(String.valueOf(line));
-        } while (line != null && !line.equals(END) && Stream.of(starts).noneMatch(line::startsWith));
-        return END.equals(line) ? null : line;
+    private void readLog() {
+        try {
+            process.inputReader().lines().forEach(unreadLines::add);
+        } catch (UncheckedIOException closed) {
+            // The process was killed by close().
+        }
+        unreadLines.add(END_OF_LOG);
     }
 
-    public void signal(String name) throws IOException, InterruptedException {
-        assertEquals(
-                0,
-                new ProcessBuilder("kill", "-" + name, "" + process.pid())
-                        .start()
-                        .waitFor());
+    /** Returns the next log line about a reload, accepted or rejected; see {@link #awaitLogLine}. */
+    public String awaitReloadLine() throws IOException {
+        return awaitLogLine("INFO node: configuration reloaded", "WARN node: configuration rejected");
     }
 
-    public boolean ended(int seconds) throws InterruptedException {
-        return process.waitFor(seconds, TimeUnit.SECONDS);
+    /**
+     * Reads the log up to the next line that starts with one of the given texts.
+     *
+     * @return that line, or null at the end of the log or when no line arrives for 20 s
+     */
+    public String awaitLogLine(String... prefixes) throws IOException {
+        String line;
+        do {
+            line = nextLine();
+            readLines.add(String.valueOf(line));
+        } while (line != null && !line.equals(END_OF_LOG) && Stream.of(prefixes).noneMatch(line::startsWith));
+        return END_OF_LOG.equals(line) ? null : line;
     }
 
-    @Override
-    public void close() {
-        process.destroyForcibly();
+    private String nextLine() throws IOException {
+        try {
+            return unreadLines.poll(LOG_TIMEOUT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted", e);
+        }
     }
 
-    /** A port on loopback that nobody listens on. */
-    public static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
+    /** Returns the log lines that were read so far. */
+    public List<String> readLines() {
+        return readLines;
     }
 
-    /** A UDP port on loopback that nobody hears on. */
-    public static int freeUdpPort() throws IOException {
-        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
+    /** Sends a signal, named without its prefix: {@code HUP}, {@code TERM}, {@code KILL}. */
+    public void sendSignal(String name) throws IOException, InterruptedException {
+        Process kill = new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start();
+        assertEquals(0, kill.waitFor());
     }
 
-    public static Socket connect(int port) throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        socket.setSoTimeout(5000);
-        return socket;
+    /** Waits for the process to exit; returns false when it still runs after so many seconds. */
+    public boolean awaitExit(int seconds) throws InterruptedException {
+        return process.waitFor(seconds, TimeUnit.SECONDS);
     }
 
-    public static BufferedReader reader(Socket socket) throws IOException {
-        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    /** Returns the exit code of a process that has exited. */
+    public int exitCode() {
+        return process.exitValue();
     }
 
-    public static void say(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    /** Returns whether the process still runs. */
+    public boolean isRunning() {
+        return process.isAlive();
     }
 
-    /** The first line that the second address answers to a call, and the body. */
-    public static String call(int port, String path) throws IOException {
-        try (Socket staff = connect(port)) {
-            say(staff, "GET " + path + " HTTP/1.1\r\nHost: n0\r\n\r\n");
-            return new String(staff.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-        }
+    @Override
+    public void close() {
+        process.destroyForcibly();
     }
 }
