--- a/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
@@ -16,7 +16,7 @@
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Declarations;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 class LineParserTest {
     private static final String OPEN_COMMAND =
@@ -39,7 +39,7 @@
         List<String> sent = lengths.stream().map(n -> "x".repeat(n) + "\r\n").toList();
         CrlfDecoder splitter = new CrlfDecoder(64);
         List<String> got = new ArrayList<>();
-        Cuts.feed(ascii(String.join("", sent)), seed, in -> {
+        InputFuzzer.feedInFragments(ascii(String.join("", sent)), seed, in -> {
             for (byte[] l = splitter.next(in); l != null; l = splitter.next(in)) {
                 got.add(new String(l, StandardCharsets.ISO_8859_1));
             }
@@ -52,7 +52,7 @@
     void preservesEveryByteOfGarbage(@ForAll @Size(max = 500) byte[] garbage, @ForAll long seed) {
         CrlfDecoder splitter = new CrlfDecoder(16);
         ByteArrayOutputStream got = new ByteArrayOutputStream();
-        Cuts.feed(garbage, seed, in -> {
+        InputFuzzer.feedInFragments(garbage, seed, in -> {
             while (in.hasRemaining()) {
                 try {
                     byte[] line = splitter.next(in);
@@ -68,7 +68,7 @@
 
     @Property(tries = 500, seed = "13")
     void parsesOrRejectsCorruptedOpenCommand(@ForAll long seed) {
-        byte[] line = Cuts.spoil(ascii(OPEN_COMMAND), seed);
+        byte[] line = InputFuzzer.corrupt(ascii(OPEN_COMMAND), seed);
         try {
             // What is let through must go on byte for byte but for its wait.
             OpenCommand read = OpenCommand.parse(line, names(), Declarations.NONE, 60_000);
--- a/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
@@ -29,7 +29,7 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -163,7 +163,7 @@
     }
 
     /** The module, with an ear on its notes. */
-    private final class RecordingModule extends ModuleDelegate {
+    private final class RecordingModule extends DelegatingBalancer {
         RecordingModule(BalancerApi to) {
             super(to);
         }
