--- a/node/src/main/java/tulipshed/proxy/ProxyCore.java
+++ b/node/src/main/java/tulipshed/proxy/ProxyCore.java
@@ -54,7 +54,13 @@
     private long lastId;
 
     public ProxyCore(
-            Clock clock, Limits limits, Settings settings, long seed, EventLoop loop, NodeLog log, BalancerFactory factory) {
+            Clock clock,
+            Limits limits,
+            Settings settings,
+            long seed,
+            EventLoop loop,
+            NodeLog log,
+            BalancerFactory factory) {
         this.clock = clock;
         this.limits = limits;
         this.settings = settings;
--- a/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
+++ b/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
@@ -32,7 +32,8 @@
     void arbitraryBytesAreParsedOrReportedAsMalformed(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(128);
         try {
-            InputFuzzer.feedInFragments(seed % 2 == 0 ? garbage : InputFuzzer.corrupt(REQUEST, seed), seed, parser::take);
+            InputFuzzer.feedInFragments(
+                    seed % 2 == 0 ? garbage : InputFuzzer.corrupt(REQUEST, seed), seed, parser::take);
         } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
