--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -1,9 +1,5 @@
 package tulipshed.lineprotocol;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import org.xnio.StreamConnection;
 import tulipshed.proxy.Attempt;
 import tulipshed.proxy.ClientConnection;
@@ -11,203 +7,168 @@
 import tulipshed.proxy.UpstreamConnector;
 import tulipshed.transport.TcpConnection;
 
-/** The client's side of one connection, and the connector of its flows to members. */
+/**
+ * One client's connection from its acceptance to its end: reads the open command, awaits the response of the core, relays
+ * to and from the endpoint, and closes. Also the connector of its request's attempts. What has arrived from the client is
+ * read before anything is decided against it. Confined to the event-loop thread.
+ */
 final class ClientSession implements ClientConnection, UpstreamConnector, TcpConnection.Listener {
-    private static final byte[] PING = "PING\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] PONG = "PONG\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] ERR = "ERR\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] MOVE = "MOVE\r\n".getBytes(StandardCharsets.US_ASCII);
-
-    private enum State {
+    /** How far the connection has come. */
+    enum State {
+        /** The open command is awaited. */
         OPENING,
-        OWED,
+        /** The request awaits its response. */
+        PENDING,
+        /** An endpoint serves the request. */
         RELAYING,
+        /** The last line is queued or written; further input is dropped. */
         CLOSING
     }
 
-    private final LineProtocolFrontend front;
-    private final TcpConnection link;
-    private final CrlfDecoder splitter;
-    private final double sinceMs;
-    private final ByteArrayOutputStream early = new ByteArrayOutputStream();
+    private final LineProtocolFrontend frontend;
+    private final FrontendContext context;
+    private final TcpConnection connection;
+    private final RequestReader requestReader;
+    private final double acceptedAtMs;
+    private final ClientLease lease;
     private State state = State.OPENING;
-    private OpenCommand line;
-    private Request transaction;
-    private UpstreamConnection member;
-    private boolean ended;
-    private boolean ownsId;
-    private boolean closed;
-    private int pings;
-
-    ClientSession(LineProtocolFrontend front, StreamConnection connection) {
-        this.front = front;
-        this.link = front.loop.register(connection, this);
-        this.splitter = new CrlfDecoder(front.limits.lineProtocol().lineBytes());
-        this.sinceMs = front.clock.nowMs();
-        front.clients(1);
+    private OpenCommand openCommand;
+    private Request request;
+    private UpstreamConnection upstream;
+    private ClientRelay relay;
+    private boolean isInputEnded;
+
+    /** Takes over an accepted connection; reads nothing before {@link #start}. */
+    ClientSession(LineProtocolFrontend frontend, StreamConnection accepted) {
+        this.frontend = frontend;
+        this.context = frontend.context();
+        this.connection = context.eventLoop().register(accepted, this);
+        this.requestReader = new RequestReader(frontend, this, connection);
+        this.acceptedAtMs = context.clock().nowMs();
+        this.lease = new ClientLease(frontend);
+    }
+
+    /** Starts reading. */
+    void start() {
+        connection.setReading(true);
+        onReadable(connection);
     }
 
-    void start() {
-        link.setReading(true);
-        onReadable(link);
+    /** How far the connection has come. */
+    State state() {
+        return state;
     }
 
-    double sinceMs() {
-        return sinceMs;
+    /** When the connection was taken over. */
+    double acceptedAtMs() {
+        return acceptedAtMs;
     }
 
-    OpenCommand line() {
-        return line;
+    /** The client's open command; null before it has arrived. */
+    OpenCommand openCommand() {
+        return openCommand;
     }
 
-    // ---- What the client does ----
+    // ---- Input of the client ----
 
     @Override
     public void onReadable(TcpConnection from) {
         if (state == State.RELAYING) {
-            relay();
-            return;
-        }
-        ByteBuffer in = front.scratch;
-        // One that sends without end must not keep the loop to itself; what it has left is told again.
-        for (int i = 0; i < front.limits.sockets().readsAtOnce() && !link.isClosed(); i++) {
-            in.clear();
-            int n = link.read(in);
-            if (n <= 0) {
-                if (n < 0) {
-                    link.setReading(false);
-                    end();
-                }
-                return;
-            }
-            in.flip();
-            take(in);
-            if (state == State.RELAYING) {
-                return;
-            }
+            StreamReader.read(connection, context.readBuffer(), StreamReader.UNLIMITED_READS, relay);
+        } else {
+            // A client that sends without end must not keep the event loop to itself; the rest is notified again.
+            int maxReads = context.limits().sockets().readsAtOnce();
+            StreamReader.read(connection, context.readBuffer(), maxReads, requestReader);
         }
     }
 
-    private void take(ByteBuffer in) {
-        while (state == State.OPENING && in.hasRemaining()) {
-            try {
-                byte[] first = splitter.next(in);
-                if (first != null) {
-                    opening(first);
-                }
-            } catch (MalformedLineException e) {
-                bad(e.getMessage());
-            }
-        }
-        if (state == State.OWED && in.hasRemaining()) {
-            // Clients wait for their answer. What one sends early goes on later if it is as much as one line; one
-            // that sends hundreds of commands at once is none of ours.
-            if (early.size() + in.remaining() > front.limits.lineProtocol().lineBytes()) {
-                front.core.clientDisconnected(transaction);
-                bad("more lines before an answer");
-                return;
-            }
-            byte[] bytes = new byte[in.remaining()];
-            in.get(bytes);
-            early.writeBytes(bytes);
+    /** Reads what has arrived and was not notified yet: the client's end, or its open command. */
+    void readAvailableInput() {
+        if (state != State.RELAYING && !connection.isClosed()) {
+            onReadable(connection);
         }
     }
 
-    /** The client sent what is not of the protocol. */
-    private void bad(String why) {
-        front.complaints.record(why);
-        fail();
-    }
-
-    private void opening(byte[] first) {
-        if (Arrays.equals(first, PING)) {
-            if (++pings > front.limits.lineProtocol().pings()) {
-                throw new MalformedLineException("too many pings");
-            }
-            if (front.ready()) {
-                link.write(PONG);
-            }
-            return;
-        }
-        line = OpenCommand.parse(
-                first,
-                front.names(),
-                front.declarations(),
-                front.limits.lineProtocol().longestWaitMs());
-        ownsId = front.takeId(line.id());
-        if (!ownsId) {
-            // Members would answer ERR, one after the other.
-            throw new MalformedLineException("the id of an open transaction");
+    /** The open command has arrived.
+     *
+     * @throws MalformedLineException if its ID is that of another open request
+     */
+    void startRequest(OpenCommand command) {
+        openCommand = command;
+        if (!lease.claimId(command.id())) {
+            // Endpoints would respond with a failure, one after the other.
+            throw new MalformedLineException("the ID of an open request");
         }
-        state = State.OWED;
-        front.unservedConnections.opened(this);
-        transaction = new Request(
+        state = State.PENDING;
+        frontend.unservedConnections().openCommandReceived(this);
+        request = new Request(
                 this,
                 this,
-                line.attributes(),
-                front.origin(link, line),
-                front.clock.nowMs(),
-                line.adoptedFrom() != null);
-        if (line.adoptedFrom() != null) {
-            front.core.adoptConnection(transaction, line.adoptedFrom());
+                command.attributes(),
+                frontend.origin(connection, command),
+                context.clock().nowMs(),
+                command.isAdopted());
+        if (command.isAdopted()) {
+            context.core().adoptConnection(request, command.adoptedFrom());
         } else {
-            front.core.requestArrived(transaction);
+            context.core().requestArrived(request);
         }
     }
 
+    /** Cancels the pending request of a client that does not follow the protocol. */
+    void cancelMalformed(String reason) {
+        context.core().clientDisconnected(request);
+        failMalformed(reason);
+    }
+
+    /** Fails a client that does not follow the protocol; the reason must not quote it. */
+    void failMalformed(String reason) {
+        context.clientErrors().record(reason);
+        fail();
+    }
+
     /** The client ended its sending. */
-    private void end() {
-        ended = true;
+    void onEndOfStream() {
+        connection.setReading(false);
+        isInputEnded = true;
         switch (state) {
-            case OPENING -> close();
-            case OWED -> {
-                // It may still listen for an answer; where it does not, this goes nowhere.
-                front.core.clientDisconnected(transaction);
+            case OPENING, CLOSING -> close();
+            case PENDING -> {
+                context.core().clientDisconnected(request);
+                // The client may have ended only its sending, and still read.
                 fail();
             }
-            case RELAYING -> member.clientFinished();
-            default -> close();
+            case RELAYING -> upstream.onClientEndOfStream();
         }
     }
 
     @Override
     public void onBroken(TcpConnection from) {
         switch (state) {
-            case OWED -> front.core.clientDisconnected(transaction);
-            case RELAYING -> member.clientBroke();
-            default -> {}
+            case PENDING -> context.core().clientDisconnected(request);
+            case RELAYING -> upstream.onClientBroken();
+            case OPENING, CLOSING -> {}
         }
         close();
     }
 
-    /** Whether its first line is still awaited, once all is read that has come by now. */
-    private boolean stillOpening() {
-        look();
-        return state == State.OPENING;
-    }
-
-    /** Reads what has come and was not told yet: the client may have gone, or its first line may have come. */
-    void look() {
-        if (state != State.RELAYING && !link.isClosed()) {
-            onReadable(link);
-        }
-    }
+    // ---- Timeouts and eviction ----
 
-    /** The first line did not come in time. */
+    /** The open command did not arrive in time. */
     void onOpenTimeout() {
-        if (stillOpening()) {
-            bad("no first line in time");
+        if (isStillOpening()) {
+            failMalformed("no open command in time");
         }
     }
 
-    /** The node takes no more first lines. */
+    /** Rejects the client unless its open command has arrived. */
     void rejectIfOpening() {
-        if (stillOpening()) {
-            reject(front.core.retryAfterMs(front.limits.sockets().overloadRetryAfterMs()));
+        if (isStillOpening()) {
+            reject(context.core().retryAfterMs(context.limits().sockets().overloadRetryAfterMs()));
         }
     }
 
-    /** Its descriptor is wanted for a client that can be served; one whose first line has just come can. */
+    /** Gives the descriptor up for a client that can be served, unless this one can: its open command may have arrived. */
     void evict() {
         rejectIfOpening();
         if (state == State.CLOSING) {
@@ -215,167 +176,146 @@
         }
     }
 
-    /** Closes a while after its last line; over what is unread a close would be a reset, and the line go with it. */
-    private void lingered() {
-        look();
-        close();
-    }
-
-    private void close() {
-        closing();
-        front.unservedConnections.closed(this);
-        link.close();
-        if (!closed) {
-            closed = true;
-            front.clients(-1);
-        }
-    }
-
-    /** Nothing more is wanted of the client; its id is free again. */
-    private void closing() {
-        state = State.CLOSING;
-        if (ownsId) {
-            front.freeId(line.id());
-            ownsId = false;
-        }
+    private boolean isStillOpening() {
+        readAvailableInput();
+        return state == State.OPENING;
     }
 
-    // ---- Answers ----
+    // ---- Final responses and closing ----
 
     @Override
     public void reject(double retryAfterMs) {
-        long ms = (long) Math.ceil(retryAfterMs);
-        last((ms > 0 ? "BUSY " + ms + "\r\n" : "BUSY\r\n").getBytes(StandardCharsets.US_ASCII));
+        sendLastLine(WireMessages.rejected(retryAfterMs));
     }
 
     @Override
     public void fail() {
-        last(ERR);
+        sendLastLine(WireMessages.FAILED);
     }
 
     @Override
     public void migrate() {
         if (state == State.RELAYING) {
-            member.drop();
-            // Only whole lines are ever queued for the client, so this stands between two of them.
-            last(MOVE);
+            upstream.abandon();
+            // Only complete lines are ever queued for the client, so this one stands between two of them.
+            sendLastLine(WireMessages.MIGRATE);
         }
     }
 
-    /** Says a last line and closes once the client has read it, or after a while. */
-    private void last(byte[] bytes) {
+    /** Sends a last line, and closes once the client has read it or the linger timeout has expired. */
+    private void sendLastLine(byte[] line) {
         if (state != State.CLOSING) {
-            closing();
-            link.write(bytes);
-            finish();
+            beginClosing();
+            connection.write(line);
+            shutdownAndLinger();
         }
     }
 
-    /** Ends the sending; the rest of what the client sends is read and dropped, so that no reset overtakes. */
-    private void finish() {
-        front.unservedConnections.answered(this);
-        link.shutdownOutput();
-        link.setReading(!ended);
-        front.loop.schedule(front.limits.sockets().lingerTimeoutMs(), this::lingered);
-        if (ended && link.queuedBytes() == 0) {
+    /** The request needs nothing more of the client; its ID is available again. */
+    private void beginClosing() {
+        state = State.CLOSING;
+        lease.releaseId();
+    }
+
+    /** Ends the sending, and reads and drops further input, so that no reset overtakes what was written. */
+    private void shutdownAndLinger() {
+        frontend.unservedConnections().lingers(this);
+        connection.shutdownOutput();
+        connection.setReading(!isInputEnded);
+        context.eventLoop().schedule(context.limits().sockets().lingerTimeoutMs(), this::onLingerTimeout);
+        if (isInputEnded && connection.queuedBytes() == 0) {
             close();
         }
     }
 
-    // ---- Relay ----
+    /** To close over unread input would send a reset, and the last line could be lost with it. */
+    private void onLingerTimeout() {
+        readAvailableInput();
+        close();
+    }
 
-    private void relay() {
-        ByteBuffer in = front.scratch;
-        while (!link.isClosed() && state == State.RELAYING) {
-            int room = front.limits.sockets().relayBytes() - member.queued();
-            if (room <= 0) {
-                link.setReading(false);
-                return;
-            }
-            in.clear().limit(Math.min(room, in.capacity()));
-            int n = link.read(in);
-            if (n <= 0) {
-                if (n < 0) {
-                    link.setReading(false);
-                    end();
-                }
-                return;
-            }
-            in.flip();
-            byte[] bytes = new byte[n];
-            in.get(bytes);
-            member.fromClient(bytes);
-        }
+    private void close() {
+        beginClosing();
+        frontend.unservedConnections().remove(this);
+        connection.close();
+        lease.release();
     }
 
-    /** The member serves: its line goes to the client, and all else both ways from now on. */
-    void joined(UpstreamConnection to, byte[] up) {
-        member = to;
-        state = State.RELAYING;
-        link.write(up);
-        if (early.size() > 0) {
-            member.fromClient(early.toByteArray());
-            early.reset();
+    @Override
+    public void onWritten(TcpConnection from) {
+        if (state == State.RELAYING) {
+            upstream.onClientWritten();
+        } else if (state == State.CLOSING && isInputEnded) {
+            close();
         }
-        link.setReading(true);
     }
 
-    void fromMember(byte[] bytes) {
-        link.write(bytes);
-    }
+    // ---- Attempts ----
 
-    int queued() {
-        return link.queuedBytes();
+    @Override
+    public void open(Attempt attempt) {
+        readAvailableInput();
+        if (state != State.PENDING) {
+            // The client has gone; the core has just been notified, and abandons the attempt.
+            return;
+        }
+        upstream = new UpstreamConnection(frontend, this, attempt);
+        upstream.connect();
     }
 
-    /** All that was queued for the member has been written. */
-    void memberDrained() {
-        if (state == State.RELAYING && !ended) {
-            link.setReading(true);
+    @Override
+    public void abandon(Attempt attempt) {
+        if (upstream != null && upstream.attempt() == attempt) {
+            upstream.abandon();
+            upstream = null;
         }
     }
 
-    /** The member ended its sending. */
-    void memberFinished() {
-        if (state == State.RELAYING) {
-            closing();
-            finish();
+    // ---- Relay ----
+
+    /** The endpoint serves the request: passes its response on, and relays both ways from now on. */
+    void onEstablished(UpstreamConnection established, byte[] response) {
+        upstream = established;
+        relay = new ClientRelay(
+                this, connection, established, context.limits().sockets().relayBytes());
+        state = State.RELAYING;
+        connection.write(response);
+        EarlyData earlyData = requestReader.earlyData();
+        if (!earlyData.isEmpty()) {
+            upstream.sendFromClient(earlyData.toByteArray());
+            earlyData.clear();
         }
+        connection.setReading(true);
     }
 
-    /** The member's connection broke. */
-    void memberBroke() {
-        link.abort();
-        close();
+    /** Passes bytes of the endpoint on. */
+    void sendFromEndpoint(byte[] bytes) {
+        connection.write(bytes);
     }
 
-    @Override
-    public void onWritten(TcpConnection from) {
-        if (state == State.RELAYING) {
-            member.clientDrained();
-        } else if (state == State.CLOSING && ended) {
-            close();
-        }
+    /** Bytes that wait to be written to the client. */
+    int queuedBytes() {
+        return connection.queuedBytes();
     }
 
-    // ---- Flows ----
-
-    @Override
-    public void open(Attempt attempt) {
-        look();
-        if (state != State.OWED) {
-            // The client has gone, and the core, told so just now, calls the flow off.
-            return;
+    /** All that was queued for the endpoint has been written. */
+    void onUpstreamWritten() {
+        if (state == State.RELAYING && !isInputEnded) {
+            connection.setReading(true);
         }
-        member = new UpstreamConnection(front, this, attempt);
-        member.dial();
     }
 
-    @Override
-    public void abandon(Attempt attempt) {
-        if (member != null && member.flow() == attempt) {
-            member.drop();
-            member = null;
+    /** The endpoint ended its sending. */
+    void onUpstreamEndOfStream() {
+        if (state == State.RELAYING) {
+            beginClosing();
+            shutdownAndLinger();
         }
     }
+
+    /** The endpoint's connection broke. */
+    void onUpstreamBroken() {
+        connection.abort();
+        close();
+    }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
+++ b/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
@@ -3,41 +3,48 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 
-/** Cuts a stream into lines that end with CRLF, keeping no more than one line of bounded length. */
+/** Splits a byte stream into lines, keeping no more than one partial line of bounded length. */
 final class CrlfDecoder {
-    private final byte[] partialBytes;
-    private int length;
+    /** The end of each line on the wire. */
+    static final String LINE_END = "\r\n";
 
-    CrlfDecoder(int longest) {
-        partialBytes = new byte[longest];
+    private final byte[] partialLine;
+    private int partialBytes;
+
+    /** A decoder of lines of at most {@code maxLineBytes}, with their end. */
+    CrlfDecoder(int maxLineBytes) {
+        partialLine = new byte[maxLineBytes];
     }
 
-    /** The next whole line with its end, or null when the input holds no more of one. */
+    /**
+     * The next complete line with its end, or null if the input holds no more of one.
+     *
+     * @throws MalformedLineException if the line is longer than allowed; it stays as the partial line
+     */
     byte[] next(ByteBuffer in) {
         while (in.hasRemaining()) {
-            if (length == partialBytes.length) {
-                throw new MalformedLineException("a line of more than " + partialBytes.length + " bytes");
+            if (partialBytes == partialLine.length) {
+                throw new MalformedLineException("a line of more than " + partialLine.length + " bytes");
             }
-            byte b = in.get();
-            partialBytes[length++] = b;
-            if (b == '\n') {
-                byte[] line = Arrays.copyOf(partialBytes, length);
-                length = 0;
-                return line;
+            byte next = in.get();
+            partialLine[partialBytes++] = next;
+            // Only the line feed is looked for here; the parsers check what stands before it.
+            if (next == '\n') {
+                return takePartialLine();
             }
         }
         return null;
     }
 
-    /** Takes out what is held of an unfinished line. */
+    /** Removes and returns what is kept of a partial line. */
     byte[] takePartialLine() {
-        byte[] rest = Arrays.copyOf(partialBytes, length);
-        length = 0;
-        return rest;
+        byte[] taken = Arrays.copyOf(partialLine, partialBytes);
+        partialBytes = 0;
+        return taken;
     }
 
-    /** Bytes held of an unfinished line. */
+    /** Bytes kept of a partial line. */
     int partialBytes() {
-        return length;
+        return partialBytes;
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnection.java
@@ -0,0 +1,188 @@
+package tulipshed.lineprotocol;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.xnio.StreamConnection;
+import tulipshed.decision.BalancerApi.LoadReport;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.proxy.Endpoint;
+import tulipshed.transport.TcpConnection;
+import tulipshed.transport.XnioEventLoop;
+
+/**
+ * The connection for the health checks of one endpoint; at most one check is in progress on it, and each is bounded in
+ * time. Confined to the event-loop thread.
+ */
+final class HealthCheckConnection implements TcpConnection.Listener {
+    private final HealthCheckConnections owner;
+    private final FrontendContext context;
+    private final String endpointId;
+    private final InetSocketAddress address;
+    private final CrlfDecoder decoder;
+    private final StreamReader.Receiver endpointInput = new EndpointInput();
+    private XnioEventLoop.PendingConnection pendingConnection;
+    private TcpConnection connection;
+    private boolean isChecking;
+    private boolean isReused;
+    private int checkNumber;
+    private double lastUsedMs;
+
+    HealthCheckConnection(HealthCheckConnections owner, FrontendContext context, Endpoint endpoint) {
+        this.owner = owner;
+        this.context = context;
+        this.endpointId = endpoint.id();
+        this.address = endpoint.address();
+        this.decoder = new CrlfDecoder(context.limits().lineProtocol().lineBytes());
+    }
+
+    /** Whether a check is in progress. */
+    boolean isChecking() {
+        return isChecking;
+    }
+
+    /** The address that the connection is made to. */
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** When the last check began. */
+    double lastUsedMs() {
+        return lastUsedMs;
+    }
+
+    /** Starts a check, on the open connection if there is one. */
+    void check() {
+        isChecking = true;
+        lastUsedMs = context.clock().nowMs();
+        isReused = connection != null;
+        checkNumber++;
+        int startedCheck = checkNumber;
+        if (isReused) {
+            connection.write(WireMessages.HEALTH_CHECK);
+        } else {
+            connect();
+        }
+        context.eventLoop()
+                .schedule(context.limits().healthChecks().responseTimeoutMs(), () -> onTimeout(startedCheck));
+    }
+
+    private void onTimeout(int timedCheck) {
+        if (isChecking && checkNumber == timedCheck) {
+            end(connection == null ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT);
+        }
+    }
+
+    private void connect() {
+        pendingConnection =
+                context.eventLoop().connect(address, this::onConnected, reason -> end(Outcome.CONNECT_FAILED));
+    }
+
+    private void onConnected(StreamConnection connected) {
+        pendingConnection = null;
+        connection = context.eventLoop().register(connected, this);
+        connection.write(WireMessages.HEALTH_CHECK);
+        connection.setReading(true);
+    }
+
+    /** Notifies the core of the check's result; the connection is kept. */
+    private void complete(Outcome outcome, LoadReport report) {
+        if (isChecking) {
+            isChecking = false;
+            context.core().healthCheckCompleted(endpointId, outcome, report);
+        }
+    }
+
+    /** Closes the connection, and ends the check if one is in progress. */
+    void end(Outcome outcome) {
+        close();
+        complete(outcome, LoadReport.NONE);
+    }
+
+    /** Closes the connection without notifying the core. */
+    void close() {
+        owner.closed(endpointId, this);
+        if (pendingConnection != null) {
+            pendingConnection.abandon();
+        }
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    @Override
+    public void onReadable(TcpConnection from) {
+        int maxReads = context.limits().sockets().readsAtOnce();
+        StreamReader.read(connection, context.readBuffer(), maxReads, endpointInput);
+    }
+
+    /** Everything that the endpoint sends. */
+    private final class EndpointInput implements StreamReader.Receiver {
+        @Override
+        public boolean isReading() {
+            return !connection.isClosed();
+        }
+
+        @Override
+        public int capacityBytes() {
+            return Integer.MAX_VALUE;
+        }
+
+        @Override
+        public void onBytes(ByteBuffer bytes) {
+            readLines(bytes);
+        }
+
+        @Override
+        public void onEndOfStream() {
+            onBroken(connection);
+        }
+    }
+
+    private void readLines(ByteBuffer in) {
+        try {
+            for (byte[] line = decoder.next(in); line != null && !connection.isClosed(); line = decoder.next(in)) {
+                handleMessage(EndpointMessage.parse(line));
+            }
+        } catch (MalformedLineException e) {
+            context.upstreamErrors().record(e.getMessage());
+            end(Outcome.ERROR);
+        }
+    }
+
+    private void handleMessage(EndpointMessage message) {
+        if (!isChecking) {
+            // On such a connection the next response could not be told from further unsolicited lines.
+            context.upstreamErrors().record("an unsolicited line");
+            close();
+            return;
+        }
+        switch (message.kind()) {
+            case HEALTHY -> complete(Outcome.OK, LoadReportParser.parse(message.arguments()));
+            case FAILED -> complete(Outcome.ERROR, LoadReport.NONE);
+            case HEALTH_CHECK_FORBIDDEN -> failMalformed("a health check that is not allowed");
+            default -> failMalformed("another word than PONG or ERR");
+        }
+    }
+
+    private void failMalformed(String reason) {
+        context.upstreamErrors().record(reason);
+        end(Outcome.ERROR);
+    }
+
+    @Override
+    public void onWritten(TcpConnection from) {}
+
+    /** The endpoint may have closed an idle connection just as it was reused: then another is opened, once. */
+    @Override
+    public void onBroken(TcpConnection from) {
+        connection.close();
+        if (isChecking && isReused) {
+            isReused = false;
+            connection = null;
+            decoder.takePartialLine();
+            connect();
+        } else {
+            end(Outcome.RESET);
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/lineprotocol/InactivityDetector.java
+++ b/node/src/main/java/tulipshed/lineprotocol/InactivityDetector.java
@@ -1,38 +1,42 @@
 package tulipshed.lineprotocol;
 
 /**
- * Whether a member that owes an answer to a client's line has gone without a word. A member that runs answers at once, so
- * silence soon says it; but a node that has itself stood still finds answers unread that came long ago. So the silence must
- * last over two looks, between which all that had come was read. Does no I/O; times are in milliseconds.
+ * Detects an endpoint that does not respond to what its client sent. A running endpoint responds at once, so a short
+ * timeout suffices; but a node that was itself suspended finds responses unread that came long ago. So the timeout must
+ * have expired at two successive checks, between which all available input was read. Does no I/O; confined to the
+ * event-loop thread.
  */
 final class InactivityDetector {
-    private final double bearableMs;
-    private double askedMs = Double.NaN;
-    private boolean suspected;
+    /** In place of a time where no response is awaited. */
+    private static final double NONE = Double.NaN;
 
-    /** One that is borne for this long, longer than a member may pause. */
-    InactivityDetector(double bearableMs) {
-        this.bearableMs = bearableMs;
+    private final double timeoutMs;
+    private double waitingSinceMs = NONE;
+    private boolean isSuspected;
+
+    /** A detector with a timeout that is longer than an endpoint may pause. */
+    InactivityDetector(double timeoutMs) {
+        this.timeoutMs = timeoutMs;
     }
 
-    /** The client sent something; what it sent before and is not answered counts from then. */
+    /** The client sent something; the timeout runs from the first message that has no response yet. */
     void requestSent(double nowMs) {
-        if (Double.isNaN(askedMs)) {
-            askedMs = nowMs;
+        if (Double.isNaN(waitingSinceMs)) {
+            waitingSinceMs = nowMs;
         }
     }
 
-    /** The member sent something. */
+    /** The endpoint sent something. */
     void responseReceived() {
-        askedMs = Double.NaN;
-        suspected = false;
+        waitingSinceMs = NONE;
+        isSuspected = false;
     }
 
-    /** A look, with turns of reading between any two: whether the member is gone. */
+    /** One check: whether this and the check before found the timeout expired. */
     boolean isUnresponsive(double nowMs) {
-        boolean silent = nowMs - askedMs > bearableMs;
-        boolean gone = silent && suspected;
-        suspected = silent;
-        return gone;
+        boolean isExpired = nowMs - waitingSinceMs > timeoutMs;
+        boolean wasSuspected = isSuspected;
+        isSuspected = isExpired;
+        return isExpired && wasSuspected;
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -1,7 +1,6 @@
 package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -17,163 +16,202 @@
 import tulipshed.transport.TcpConnection;
 import tulipshed.transport.XnioEventLoop;
 
-/** The platform's front: takes client connections, and keeps what its sessions share. */
+/**
+ * The frontend of the platform's line protocol: accepts client connections, and holds what their sessions share. Confined
+ * to the event-loop thread.
+ */
 public final class LineProtocolFrontend {
+    /** The name of this frontend in the operators' rules. */
     private static final String NAME = "line";
 
-    final Clock clock;
-    final Limits limits;
+    private final FrontendContext context;
+    private final OpenRequestIds openRequestIds;
+    private final UnservedConnections unservedConnections;
+    private final HealthCheckConnections healthCheckConnections;
+    private final Set<UpstreamConnection> establishedUpstreams = new LinkedHashSet<>();
     private NameIndex names;
-    final XnioEventLoop loop;
-    final ProxyCore core;
-    /** Read into by whoever reads; nothing stays in it from one listener to the next. */
-    final ByteBuffer scratch;
-
-    private final Set<UpstreamConnection> relays = new LinkedHashSet<>();
-    private final Set<String> openIds = new HashSet<>();
-    final UnservedConnections unservedConnections;
-    final ProtocolErrorLog complaints;
-    final ProtocolErrorLog memberComplaints;
-    /** Whether the figure of a member's LOAD line is a delay. */
-    private boolean loadTellsDelay;
-
-    private final HealthCheckConnections probes;
     private Declarations declarations;
-    private boolean ready = true;
-    private int clients;
-
+    private OpenCommandParser openCommandParser;
+    private boolean loadReportsLatency;
+    private boolean isReady = true;
+    private int clientCount;
+
+    /**
+     * A frontend that accepts whatever {@link #accept} is given, and checks the health of the core's endpoints.
+     *
+     * @param loadReportsLatency whether the value of an endpoint's {@code LOAD} line is a latency rather than a load
+     */
     public LineProtocolFrontend(
             Clock clock,
             Limits limits,
             NameIndex names,
-            boolean loadTellsDelay,
-            XnioEventLoop loop,
+            boolean loadReportsLatency,
+            XnioEventLoop eventLoop,
             ProxyCore core,
             NodeLog log) {
-        this.loadTellsDelay = loadTellsDelay;
-        this.clock = clock;
-        this.limits = limits;
-        this.names = names;
-        this.loop = loop;
-        this.core = core;
+        context = new FrontendContext(
+                clock,
+                limits,
+                eventLoop,
+                core,
+                ByteBuffer.allocateDirect(limits.sockets().readBytes()),
+                new ProtocolErrorLog("client", "clients rejected for malformed input", limits, log),
+                new ProtocolErrorLog("upstream", "malformed upstream lines ignored", limits, log));
+        openRequestIds = new OpenRequestIds(eventLoop.hotRestartState());
         unservedConnections = new UnservedConnections(limits);
-        complaints = new ProtocolErrorLog("client", "clients rejected for malformed input", limits, log);
-        memberComplaints = new ProtocolErrorLog("upstream", "malformed upstream lines ignored", limits, log);
-        scratch = ByteBuffer.allocateDirect(limits.sockets().readBytes());
-        probes = new HealthCheckConnections(this);
-        core.healthChecker(probes);
-        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
+        healthCheckConnections = new HealthCheckConnections(context);
+        reconfigure(names, loadReportsLatency);
+        core.healthChecker(healthCheckConnections);
+        scheduleSweep();
     }
 
-    /** Other names, and another meaning of LOAD, from now on; connections that are open keep their class. */
-    public void reconfigure(NameIndex changed, boolean tellsDelay) {
-        names = changed;
-        loadTellsDelay = tellsDelay;
+    // ---- Settings ----
+
+    /** Replaces the names and the meaning of {@code LOAD}; requests that are open keep their class. */
+    public void reconfigure(NameIndex changedNames, boolean changedLoadReportsLatency) {
+        names = changedNames;
+        loadReportsLatency = changedLoadReportsLatency;
+        rebuildParser();
     }
 
-    /** What the operators' rules ask of first lines from now on; null where there are no rules. */
-    public void setDeclarations(Declarations declared) {
-        declarations = declared;
+    /** Replaces what the operators' rules declare of open commands; null if there are no rules. */
+    public void setDeclarations(Declarations changed) {
+        declarations = changed;
+        rebuildParser();
     }
 
-    Declarations declarations() {
-        return declarations == null ? Declarations.NONE : declarations;
+    private void rebuildParser() {
+        openCommandParser = new OpenCommandParser(
+                names,
+                declarations == null ? Declarations.NONE : declarations,
+                context.limits().lineProtocol().longestWaitMs());
     }
 
-    /** Where a transaction came from, as far as anybody asks. */
-    Origin origin(TcpConnection client, OpenCommand line) {
-        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), line.declaredAttributes());
+    /** The parser for the current settings. */
+    OpenCommandParser openCommandParser() {
+        return openCommandParser;
     }
 
-    NameIndex names() {
-        return names;
+    /** Whether the value of an endpoint's {@code LOAD} line is a latency rather than a load. */
+    boolean loadReportsLatency() {
+        return loadReportsLatency;
     }
 
-    boolean loadTellsDelay() {
-        return loadTellsDelay;
+    /** The origin of a request for the operators' rules; unknown if there are none. */
+    Origin origin(TcpConnection client, OpenCommand command) {
+        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), command.declaredAttributes());
     }
 
+    // ---- Clients ----
+
     /** Takes one accepted connection. */
     public void accept(StreamConnection connection) {
-        // Where as many are open as may be, the next would wait in the kernel, and nobody would give way to them.
-        while ((!loop.hasCapacityForClient()
-                        || clients
-                                >= limits.clientConnections() - limits.sockets().acceptsAtOnce())
-                && unservedConnections.evictOne()) {}
-        boolean room = loop.hasCapacityForClient();
+        evictUntilClientFits();
+        boolean hasCapacity = context.eventLoop().hasCapacityForClient();
         ClientSession session = new ClientSession(this, connection);
-        if (room) {
-            unservedConnections.opens(session);
+        if (hasCapacity) {
+            unservedConnections.addOpening(session);
             session.start();
         } else {
-            session.reject(core.retryAfterMs(limits.sockets().overloadRetryAfterMs()));
+            session.reject(
+                    context.core().retryAfterMs(context.limits().sockets().overloadRetryAfterMs()));
+        }
+    }
+
+    /** If as many were open as may be, the next clients would wait in the kernel, and nothing be evicted for them. */
+    private void evictUntilClientFits() {
+        boolean isEvicting = true;
+        while (isEvicting && (!context.eventLoop().hasCapacityForClient() || isNearClientLimit())) {
+            isEvicting = unservedConnections.evictOne();
         }
     }
 
-    /** The node is leaving: fronts that ask are not answered any more. */
+    private boolean isNearClientLimit() {
+        Limits limits = context.limits();
+        return clientCount >= limits.clientConnections() - limits.sockets().acceptsAtOnce();
+    }
+
+    /** A client's connection was taken. */
+    void clientOpened() {
+        clientCount++;
+    }
+
+    /** A client's connection was closed. */
+    void clientClosed() {
+        clientCount--;
+    }
+
+    // ---- Graceful shutdown ----
+
+    /** The node begins to shut down: pings of clients are not answered any more. */
     public void startLeaving() {
-        ready = false;
+        isReady = false;
     }
 
-    /** The node is about to go: whoever has not sent a first line by now is told, and none is read any more. */
+    /** The node is about to stop: rejects the clients whose open command has not arrived. */
     public void rejectWaitingClients() {
         unservedConnections.opening().forEach(ClientSession::rejectIfOpening);
     }
 
-    /** The node takes no more clients: members are not probed any more. */
+    /** The node accepts no more clients: health checks end. */
     public void listenerClosed() {
-        probes.leave();
+        healthCheckConnections.stop();
     }
 
-    /** A client's connection was taken, or closed. */
-    void clients(int more) {
-        clients += more;
+    /** Whether pings of clients are answered. */
+    boolean isReady() {
+        return isReady;
     }
 
-    boolean ready() {
-        return ready;
+    // ---- What the sessions share ----
+
+    /** What all connections share. */
+    FrontendContext context() {
+        return context;
     }
 
-    /** An id names one open transaction of the node, in whichever process: false where it is another's already. */
-    boolean takeId(String id) {
-        if (!openIds.add(id)) {
-            return false;
-        }
-        if (!loop.hotRestartState().claimId(id)) {
-            openIds.remove(id);
-            return false;
+    /** The IDs of open requests. */
+    OpenRequestIds openRequestIds() {
+        return openRequestIds;
+    }
+
+    /** The connections that are not served. */
+    UnservedConnections unservedConnections() {
+        return unservedConnections;
+    }
+
+    /** Whether an upstream connection may take a descriptor; evicts unserved connections for it if need be. */
+    boolean ensureUpstreamCapacity() {
+        boolean isEvicting = true;
+        while (isEvicting && !context.eventLoop().hasCapacityForUpstream()) {
+            isEvicting = unservedConnections.evictOne();
         }
-        return true;
+        return context.eventLoop().hasCapacityForUpstream();
     }
 
-    void freeId(String id) {
-        openIds.remove(id);
-        loop.hotRestartState().releaseId(id);
+    /** The upstream connection is checked for inactivity from now on. */
+    void upstreamEstablished(UpstreamConnection upstream) {
+        establishedUpstreams.add(upstream);
     }
 
-    /** Whether a flow may take a descriptor; who is not served gives way to it. */
-    boolean roomForFlow() {
-        while (!loop.hasCapacityForUpstream() && unservedConnections.evictOne()) {}
-        return loop.hasCapacityForUpstream();
+    /** The upstream connection is closed, whether it was established or not. */
+    void upstreamClosed(UpstreamConnection upstream) {
+        establishedUpstreams.remove(upstream);
     }
 
-    void relaying(UpstreamConnection connection, boolean on) {
-        if (on) {
-            relays.add(connection);
-        } else {
-            relays.remove(connection);
-        }
+    // ---- Periodic checks ----
+
+    private void scheduleSweep() {
+        context.eventLoop().schedule(context.limits().sockets().sweepIntervalMs(), this::sweep);
     }
 
     private void sweep() {
-        double nowMs = clock.nowMs();
-        List.copyOf(relays).forEach(r -> r.lookAtSilence(nowMs));
-        for (ClientSession s : unservedConnections.overdue(nowMs)) {
-            s.onOpenTimeout();
-        }
-        complaints.flush(nowMs);
-        memberComplaints.flush(nowMs);
-        probes.sweep(nowMs);
-        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
+        double nowMs = context.clock().nowMs();
+        List.copyOf(establishedUpstreams).forEach(upstream -> upstream.checkInactivity(nowMs));
+        unservedConnections.overdue(nowMs).forEach(ClientSession::onOpenTimeout);
+        context.clientErrors().flush(nowMs);
+        context.upstreamErrors().flush(nowMs);
+        healthCheckConnections.closeIdle(nowMs);
+        scheduleSweep();
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/LoadReportParser.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LoadReportParser.java
@@ -5,66 +5,95 @@
 import tulipshed.decision.BalancerApi.LoadReport;
 
 /**
- * The load report at the end of a member's answer: {@code inflight=7,queue=2,util=0.61}. Fields go by the names of the
- * protocol page or by those of the settings; unknown ones are passed over.
+ * Parses the load report at the end of an endpoint's response: {@code inflight=7,queue=2,util=0.61}. Fields have the names
+ * of the protocol page or those of the settings; unknown fields are skipped.
  */
 final class LoadReportParser {
-    private static final int FIELDS = 32; // in one line, known or not
-    private static final double MOST = 1e9; // more of anything is no figure
-    private static final Map<String, Integer> PLACES = Map.ofEntries(
-            Map.entry("inflight", 0),
-            Map.entry("active", 0),
-            Map.entry("queue", 1),
-            Map.entry("waiting", 1),
-            Map.entry("util", 2),
-            Map.entry("cpu", 2),
-            Map.entry("latency_ms", 3),
-            Map.entry("avg_ms", 3),
-            Map.entry("qps", 4),
-            Map.entry("rps", 4),
-            Map.entry("eps", 5),
-            Map.entry("err_rps", 5),
-            Map.entry("x0", 6),
-            Map.entry("x1", 7));
+    private static final int MAX_FIELDS = 32; // in one report, known or not
+    private static final double MAX_VALUE = 1e9;
+
+    /** The fields that a report can have, in the order of {@link LoadReport}. */
+    private enum Field {
+        INFLIGHT,
+        QUEUE,
+        CPU,
+        LATENCY_MS,
+        REQUESTS_PER_SECOND,
+        ERRORS_PER_SECOND,
+        LOAD,
+        BACKLOG_SECONDS
+    }
+
+    /** The names on the wire. */
+    private static final Map<String, Field> FIELDS = Map.ofEntries(
+            Map.entry("inflight", Field.INFLIGHT),
+            Map.entry("active", Field.INFLIGHT),
+            Map.entry("queue", Field.QUEUE),
+            Map.entry("waiting", Field.QUEUE),
+            Map.entry("util", Field.CPU),
+            Map.entry("cpu", Field.CPU),
+            Map.entry("latency_ms", Field.LATENCY_MS),
+            Map.entry("avg_ms", Field.LATENCY_MS),
+            Map.entry("qps", Field.REQUESTS_PER_SECOND),
+            Map.entry("rps", Field.REQUESTS_PER_SECOND),
+            Map.entry("eps", Field.ERRORS_PER_SECOND),
+            Map.entry("err_rps", Field.ERRORS_PER_SECOND),
+            Map.entry("x0", Field.LOAD),
+            Map.entry("x1", Field.BACKLOG_SECONDS));
 
     private LoadReportParser() {}
 
     /**
-     * Reads what follows an answer's first word; {@link LoadReport#NONE} where nothing does.
+     * Parses what follows the first word of a response; {@link LoadReport#NONE} if nothing does. Fields that the report
+     * does not have are NaN.
      *
-     * @throws MalformedLineException if a field has no value, a value is no number from 0 to 1e9, a known field comes twice or there are
-     *     more than 32: then none of it is believed
+     * @throws MalformedLineException if a field has no value, a value is not a number from 0 to 1e9, a known field comes
+     *     twice or there are more than 32 fields
      */
     static LoadReport parse(String text) {
         if (text.isBlank()) {
             return LoadReport.NONE;
         }
-        String[] fields = text.strip().split(",", FIELDS + 1);
-        if (fields.length > FIELDS) {
-            throw new MalformedLineException("a report of more than " + FIELDS + " fields");
+        String[] fields = text.strip().split(",", MAX_FIELDS + 1);
+        if (fields.length > MAX_FIELDS) {
+            throw new MalformedLineException("a report of more than " + MAX_FIELDS + " fields");
         }
-        double[] v = new double[8];
-        Arrays.fill(v, Double.NaN);
+        double[] values = new double[Field.values().length];
+        Arrays.fill(values, Double.NaN);
         for (String field : fields) {
-            int is = field.indexOf('=');
-            if (is < 0) {
-                throw new MalformedLineException("a report with a field that has no value");
-            }
-            double value = parseValue(field.substring(is + 1));
-            Integer place = PLACES.get(field.substring(0, is));
-            if (place != null && !Double.isNaN(v[place])) {
-                throw new MalformedLineException("a report that names a field twice");
-            } else if (place != null) {
-                v[place] = value;
-            }
+            parseField(field, values);
+        }
+        return new LoadReport(
+                values[Field.INFLIGHT.ordinal()],
+                values[Field.QUEUE.ordinal()],
+                values[Field.CPU.ordinal()],
+                values[Field.LATENCY_MS.ordinal()],
+                values[Field.REQUESTS_PER_SECOND.ordinal()],
+                values[Field.ERRORS_PER_SECOND.ordinal()],
+                values[Field.LOAD.ordinal()],
+                values[Field.BACKLOG_SECONDS.ordinal()]);
+    }
+
+    private static void parseField(String field, double[] values) {
+        int equals = field.indexOf('=');
+        if (equals < 0) {
+            throw new MalformedLineException("a report with a field that has no value");
+        }
+        double value = parseValue(field.substring(equals + 1));
+        Field known = FIELDS.get(field.substring(0, equals));
+        if (known == null) {
+            return;
+        }
+        if (!Double.isNaN(values[known.ordinal()])) {
+            throw new MalformedLineException("a report that names a field twice");
         }
-        return new LoadReport(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7]);
+        values[known.ordinal()] = value;
     }
 
     /**
-     * A figure that a member tells.
+     * Parses one value that an endpoint reports.
      *
-     * @throws MalformedLineException if it is no number from 0 to 1e9
+     * @throws MalformedLineException if it is not a number from 0 to 1e9
      */
     static double parseValue(String text) {
         double value;
@@ -73,8 +102,8 @@
         } catch (NumberFormatException e) {
             value = Double.NaN;
         }
-        if (!(value >= 0 && value <= MOST)) {
-            throw new MalformedLineException("a figure that is no number from 0 to 1e9");
+        if (!(value >= 0 && value <= MAX_VALUE)) {
+            throw new MalformedLineException("a value that is not a number from 0 to 1e9");
         }
         return value;
     }
--- /dev/null
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommandBuilder.java
@@ -0,0 +1,134 @@
+package tulipshed.lineprotocol;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Pattern;
+import tulipshed.proxy.Request.Attributes;
+import tulipshed.routing.Declarations;
+
+/** Gives the fields of one open command their meaning, and checks that the command is complete. Used once. */
+final class OpenCommandBuilder {
+    // The field names of the wire.
+    private static final String CLASS_FIELD = "c";
+    private static final String TENANT_FIELD = "t";
+    private static final String TIMEOUT_FIELD = "d";
+    private static final String GROUP_FIELD = "g";
+    private static final String LOAD_HINT_FIELD = "h";
+    private static final String RETRY_FIELD = "r";
+    private static final String RECONNECTING_FIELD = "again";
+    private static final String ADOPTED_FROM_FIELD = "at";
+
+    private static final String TRUE = "1";
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
+    private static final int NO_INDEX = -1;
+    private static final double NO_TIMEOUT = -1;
+
+    private final OpenCommandParser parser;
+    private final String line;
+    private final String id;
+    private final String key;
+    private int classIndex = NO_INDEX;
+    private int tenantIndex = NO_INDEX;
+    private double timeoutMs = NO_TIMEOUT;
+    private int timeoutStart;
+    private int timeoutEnd;
+    private String group;
+    private double loadHintUsPerS;
+    private boolean isRetry;
+    private boolean isReconnecting;
+    private String adoptedFrom;
+    private Map<String, Object> declaredAttributes = Map.of();
+
+    /** A builder of the command with that line, ID and key. */
+    OpenCommandBuilder(OpenCommandParser parser, String line, String id, String key) {
+        this.parser = parser;
+        this.line = line;
+        this.id = id;
+        this.key = key;
+    }
+
+    /**
+     * Takes one field.
+     *
+     * @param valueIndex index in the line of the first character of the value
+     * @throws MalformedLineException if the value is not one that the field may have
+     */
+    void field(String name, String value, int valueIndex) {
+        switch (name) {
+            case CLASS_FIELD -> classIndex = indexOf(value, parser.names().classes, "an unknown class");
+            case TENANT_FIELD -> tenantIndex = indexOf(value, parser.names().tenants, "an unknown tenant");
+            case TIMEOUT_FIELD -> {
+                timeoutMs = number(value);
+                timeoutStart = valueIndex;
+                timeoutEnd = valueIndex + value.length();
+            }
+            case GROUP_FIELD -> group = value;
+            case LOAD_HINT_FIELD -> loadHintUsPerS = number(value);
+            case RETRY_FIELD -> isRetry = value.equals(TRUE);
+            case RECONNECTING_FIELD -> isReconnecting = value.equals(TRUE);
+            case ADOPTED_FROM_FIELD -> adoptedFrom = value;
+            default -> furtherField(name, value);
+        }
+    }
+
+    /** A field that the operators have declared is read; all others are only forwarded. */
+    private void furtherField(String name, String value) {
+        if (parser.declarations().figures().containsKey(name)) {
+            Object read = parser.declarations().read(name, value);
+            if (read == null) {
+                throw new MalformedLineException("a value that does not match its declaration");
+            }
+            declaredAttributes = declaredAttributes.isEmpty() ? new HashMap<>() : declaredAttributes;
+            declaredAttributes.put(name, read);
+        }
+    }
+
+    /**
+     * The command of all fields taken.
+     *
+     * @throws MalformedLineException if a required field is missing, or the timeout, key or group is too long
+     */
+    OpenCommand build() {
+        requireComplete();
+        requireWithinLimits();
+        Attributes attributes =
+                new Attributes(classIndex, tenantIndex, key, group, timeoutMs, loadHintUsPerS, isRetry, isReconnecting);
+        return new OpenCommand(line, id, timeoutStart, timeoutEnd, attributes, adoptedFrom, declaredAttributes);
+    }
+
+    private void requireComplete() {
+        if (classIndex < 0 || timeoutMs < 0) {
+            throw new MalformedLineException("no class or no timeout");
+        }
+        // The timeout of an adopted connection may be its lifetime: no response waits for it.
+        if (timeoutMs > parser.maxTimeoutMs() && adoptedFrom == null) {
+            throw new MalformedLineException("a timeout that is too long");
+        }
+        if (tenantIndex < 0 && !parser.names().tenants.isEmpty()) {
+            throw new MalformedLineException("no tenant");
+        }
+    }
+
+    private void requireWithinLimits() {
+        Declarations declarations = parser.declarations();
+        if (key.length() > declarations.longestKey()
+                || (group != null && group.length() > declarations.longestGroup())) {
+            throw new MalformedLineException("a key or a group that is longer than declared");
+        }
+    }
+
+    private static int indexOf(String name, Map<String, Integer> indexes, String ifUnknown) {
+        Integer index = indexes.get(name);
+        if (index == null) {
+            throw new MalformedLineException(ifUnknown);
+        }
+        return index;
+    }
+
+    private static double number(String value) {
+        if (!NUMBER.matcher(value).matches()) {
+            throw new MalformedLineException("a value that is not a number");
+        }
+        return Double.parseDouble(value);
+    }
+}
--- a/node/src/main/java/tulipshed/lineprotocol/UnservedConnections.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UnservedConnections.java
@@ -1,78 +1,72 @@
 package tulipshed.lineprotocol;
 
-import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import tulipshed.limits.Limits;
 
 /**
- * The connections that take a descriptor without being served: those whose first line has not come, and those that
- * had their answer and have not ended yet. Clients that open hundreds and say nothing must not starve the others, so
- * the oldest give way.
+ * The connections that take a descriptor without being served: those whose open command is awaited, and those that linger
+ * after their final response. The oldest are evicted where descriptors run short, so that clients that connect and send
+ * nothing cannot starve the others. Confined to the event-loop thread.
  */
 final class UnservedConnections {
     private final Limits limits;
     private final Set<ClientSession> opening = new LinkedHashSet<>();
-    private final Set<ClientSession> answered = new LinkedHashSet<>();
+    private final Set<ClientSession> lingering = new LinkedHashSet<>();
 
     UnservedConnections(Limits limits) {
         this.limits = limits;
     }
 
-    /** A connection was taken; its first line is awaited. */
-    void opens(ClientSession session) {
+    /** Adds a connection whose open command is awaited; evicts the oldest such one if there are too many. */
+    void addOpening(ClientSession session) {
         if (opening.size() >= limits.unopenedConnections()) {
-            first(opening).evict();
+            oldest(opening).evict();
         }
         opening.add(session);
     }
 
-    /** Its first line came. */
-    void opened(ClientSession session) {
+    /** The session's open command has arrived. */
+    void openCommandReceived(ClientSession session) {
         opening.remove(session);
     }
 
-    /** It had its last line and may still read it. */
-    void answered(ClientSession session) {
+    /** The session's last line was sent; its connection stays until the client has read it. */
+    void lingers(ClientSession session) {
         opening.remove(session);
-        answered.add(session);
+        lingering.add(session);
     }
 
-    void closed(ClientSession session) {
+    /** The session's connection was closed. */
+    void remove(ClientSession session) {
         opening.remove(session);
-        answered.remove(session);
+        lingering.remove(session);
     }
 
-    /** Closes the one that is missed least, if there is one. */
+    /** Evicts the oldest connection, lingering ones first; false if there is none. */
     boolean evictOne() {
-        if (answered.isEmpty() && opening.isEmpty()) {
+        if (lingering.isEmpty() && opening.isEmpty()) {
             return false;
         }
-        first(answered.isEmpty() ? opening : answered).evict();
+        oldest(lingering.isEmpty() ? opening : lingering).evict();
         return true;
     }
 
-    /** Those whose first line has not come. */
+    /** Copy of the sessions whose open command is awaited, oldest first. */
     List<ClientSession> opening() {
         return List.copyOf(opening);
     }
 
-    /** Those whose first line should have come by now. */
+    /** Copy of the sessions whose open command should have arrived by now, oldest first. */
     List<ClientSession> overdue(double nowMs) {
-        List<ClientSession> late = new ArrayList<>();
-        for (ClientSession s : opening) {
-            if (nowMs - s.sinceMs() < limits.lineProtocol().firstLineTimeoutMs()) {
-                break;
-            }
-            late.add(s);
-        }
-        return late;
+        double timeoutMs = limits.lineProtocol().firstLineTimeoutMs();
+        return opening.stream()
+                .takeWhile(session -> nowMs - session.acceptedAtMs() >= timeoutMs)
+                .toList();
     }
 
-    private static ClientSession first(Set<ClientSession> of) {
-        Iterator<ClientSession> all = of.iterator();
-        return all.next();
+    private static ClientSession oldest(Set<ClientSession> sessions) {
+        return sessions.iterator().next();
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
@@ -1,279 +1,292 @@
 package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
-import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.proxy.Attempt;
 import tulipshed.transport.TcpConnection;
 import tulipshed.transport.XnioEventLoop;
 
-/** One server-side flow on a connection of its own to a pool member. */
+/**
+ * The connection of one attempt to its endpoint: connects, forwards the open command, awaits the response, and relays once
+ * the endpoint serves the request. The core is notified of its end once. Confined to the event-loop thread.
+ */
 final class UpstreamConnection implements TcpConnection.Listener {
     private enum State {
-        DIALING,
-        WAITING,
-        STANDING,
-        OVER
+        /** The connection is being made. */
+        CONNECTING,
+        /** The open command was sent; the response is awaited. */
+        AWAITING_RESPONSE,
+        /** The endpoint serves the request. */
+        ESTABLISHED,
+        /** Ended or abandoned. */
+        CLOSED
     }
 
-    private final LineProtocolFrontend front;
+    private final LineProtocolFrontend frontend;
+    private final FrontendContext context;
     private final ClientSession client;
-    private final Attempt flow;
-    private final CrlfDecoder splitter;
-    private State state = State.DIALING;
-    private XnioEventLoop.PendingConnection dialing;
-    private TcpConnection link;
-    private String lastWord = "";
-    private LoadReport report = LoadReport.NONE;
-    private boolean clientFinished;
-    private boolean dispatched;
-    private final InactivityDetector silence;
-
-    UpstreamConnection(LineProtocolFrontend front, ClientSession client, Attempt attempt) {
-        this.front = front;
+    private final Attempt attempt;
+    private final CrlfDecoder decoder;
+    private final EndpointReports reports;
+    private final InactivityDetector inactivityDetector;
+    private final StreamReader.Receiver endpointInput = new EndpointInput();
+    private State state = State.CONNECTING;
+    private XnioEventLoop.PendingConnection pendingConnection;
+    private TcpConnection connection;
+    private boolean isForwarded;
+    private boolean isClientInputEnded;
+
+    UpstreamConnection(LineProtocolFrontend frontend, ClientSession client, Attempt attempt) {
+        this.frontend = frontend;
+        this.context = frontend.context();
         this.client = client;
-        this.flow = attempt;
-        this.splitter = new CrlfDecoder(front.limits.lineProtocol().lineBytes());
-        this.silence = new InactivityDetector(front.limits.requests().endpointTimeoutMs());
+        this.attempt = attempt;
+        this.decoder = new CrlfDecoder(context.limits().lineProtocol().lineBytes());
+        this.reports = new EndpointReports(context);
+        this.inactivityDetector =
+                new InactivityDetector(context.limits().requests().endpointTimeoutMs());
     }
 
-    Attempt flow() {
-        return flow;
+    /** The attempt that this connection serves. */
+    Attempt attempt() {
+        return attempt;
     }
 
-    void dial() {
-        if (!front.roomForFlow()) {
-            // Our own want of descriptors; it says nothing of the member.
-            over(Outcome.UNUSED);
+    // ---- Connecting and forwarding ----
+
+    /** Starts connecting. */
+    void connect() {
+        if (!frontend.ensureUpstreamCapacity()) {
+            // Descriptors of this node ran out, which says nothing of the endpoint.
+            end(Outcome.UNUSED);
             return;
         }
-        dialing = front.loop.connect(flow.endpoint().address(), this::up, why -> over(Outcome.CONNECT_FAILED));
+        pendingConnection = context.eventLoop()
+                .connect(attempt.endpoint().address(), this::onConnected, reason -> end(Outcome.CONNECT_FAILED));
     }
 
-    private void up(StreamConnection connection) {
-        link = front.loop.register(connection, this);
-        // Its end may have come with this event, and not have been told yet.
-        client.look();
-        if (state != State.DIALING || !front.core.mayForward(flow)) {
-            link.close();
-            // One whose client has gone says nothing of the member.
-            over(flow.request().isPending() ? Outcome.CONNECT_FAILED : Outcome.CANCELLED);
+    private void onConnected(StreamConnection connected) {
+        connection = context.eventLoop().register(connected, this);
+        // The client's end may have arrived together with this event, and not have been notified yet.
+        client.readAvailableInput();
+        if (state != State.CONNECTING || !context.core().mayForward(attempt)) {
+            connection.close();
+            // That the client has gone says nothing of the endpoint.
+            end(attempt.request().isPending() ? Outcome.CONNECT_FAILED : Outcome.CANCELLED);
             return;
         }
-        state = State.WAITING;
-        double nowMs = front.clock.nowMs();
-        double waitMs = client.line().adoptedFrom() == null
-                ? flow.remainingWaitMs(nowMs)
-                : flow.request().deadlineMs() - nowMs;
-        link.write(client.line().forwardedLine(waitMs));
-        link.setReading(true);
+        state = State.AWAITING_RESPONSE;
+        connection.write(client.openCommand().forwardedLine(remainingWaitMs()));
+        connection.setReading(true);
     }
 
-    /** Ends the flow without a word to the core. */
-    void drop() {
+    private double remainingWaitMs() {
+        double nowMs = context.clock().nowMs();
+        return client.openCommand().isAdopted()
+                ? attempt.request().deadlineMs() - nowMs
+                : attempt.remainingWaitMs(nowMs);
+    }
+
+    // ---- Closing ----
+
+    /** Closes without notifying the core. */
+    void abandon() {
         close();
-        if (dialing != null) {
-            dialing.abandon();
+        if (pendingConnection != null) {
+            pendingConnection.abandon();
         }
     }
 
     private void close() {
-        state = State.OVER;
-        front.relaying(this, false);
-        if (link != null) {
-            link.close();
+        state = State.CLOSED;
+        frontend.upstreamClosed(this);
+        if (connection != null) {
+            connection.close();
         }
     }
 
-    private void over(Outcome outcome) {
-        if (state != State.OVER) {
+    /** Closes and notifies the core, unless that was done. */
+    private void end(Outcome outcome) {
+        if (state != State.CLOSED) {
             close();
-            front.core.attemptEnded(flow, outcome, report);
+            context.core().attemptEnded(attempt, outcome, reports.finalReport());
         }
     }
 
-    // ---- What the member does ----
+    // ---- Input of the endpoint ----
 
     @Override
     public void onReadable(TcpConnection from) {
-        ByteBuffer in = front.scratch;
-        while (state != State.OVER) {
-            int room = front.limits.sockets().relayBytes() - client.queued();
-            if (state == State.STANDING && room <= 0) {
-                link.setReading(false);
-                return;
-            }
-            in.clear().limit(Math.min(Math.max(1, room), in.capacity()));
-            int n = link.read(in);
-            if (n <= 0) {
-                if (n < 0) {
-                    ended();
-                }
-                return;
-            }
-            in.flip();
-            take(in);
+        StreamReader.read(connection, context.readBuffer(), StreamReader.UNLIMITED_READS, endpointInput);
+    }
+
+    /** All input of the endpoint; while it serves, no more is taken than can be queued for the client. */
+    private final class EndpointInput implements StreamReader.Receiver {
+        @Override
+        public boolean isReading() {
+            return state != State.CLOSED;
+        }
+
+        @Override
+        public int capacityBytes() {
+            int capacityBytes = context.limits().sockets().relayBytes() - client.queuedBytes();
+            return state == State.ESTABLISHED ? capacityBytes : Math.max(1, capacityBytes);
+        }
+
+        @Override
+        public void onBytes(ByteBuffer bytes) {
+            readLines(bytes);
+        }
+
+        @Override
+        public void onEndOfStream() {
+            UpstreamConnection.this.onEndOfStream();
         }
     }
 
-    private void take(ByteBuffer in) {
-        silence.responseReceived();
-        while (state != State.OVER && in.hasRemaining()) {
+    private void readLines(ByteBuffer in) {
+        inactivityDetector.responseReceived();
+        while (state != State.CLOSED && in.hasRemaining()) {
             try {
-                byte[] line = splitter.next(in);
+                byte[] line = decoder.next(in);
                 if (line != null) {
-                    line(line);
+                    handleLine(line);
                 }
             } catch (MalformedLineException e) {
-                if (state != State.STANDING) {
-                    over(Outcome.ERROR);
+                if (state != State.ESTABLISHED) {
+                    end(Outcome.ERROR);
                     return;
                 }
-                // Longer than the protocol allows; it is the client's to judge.
-                client.fromMember(splitter.takePartialLine());
+                // Longer than this protocol allows; what the client and the endpoint make of it is theirs.
+                client.sendFromEndpoint(decoder.takePartialLine());
             }
         }
     }
 
-    private void line(byte[] line) {
-        String text = new String(line, StandardCharsets.ISO_8859_1).strip();
-        int space = text.indexOf(' ');
-        lastWord = space < 0 ? text : text.substring(0, space);
-        String rest = space < 0 ? "" : text.substring(space + 1);
-        if (state == State.STANDING) {
-            client.fromMember(line);
+    private void handleLine(byte[] line) {
+        EndpointMessage message = EndpointMessage.parse(line);
+        if (state == State.ESTABLISHED) {
+            client.sendFromEndpoint(line);
         }
-        try {
-            switch (lastWord) {
-                case "LOAD" -> load(rest);
-                case "BYE", "ERR", "BUSY" ->
-                    report = front.core.expectsInlineLoadReports() ? LoadReportParser.parse(rest) : LoadReport.NONE;
-                default -> {}
-            }
-        } catch (MalformedLineException e) {
-            // The line says what it says without it.
-            front.memberComplaints.record(e.getMessage());
+        reports.received(message).ifPresent(this::reportValue);
+        if (state != State.ESTABLISHED) {
+            handleResponse(message, line);
         }
-        if (state == State.STANDING) {
+    }
+
+    /** One message has two meanings: where the settings say that endpoints report latency, its value is milliseconds. */
+    private void reportValue(double value) {
+        if (state != State.ESTABLISHED) {
             return;
         }
-        switch (lastWord) {
-            case "UP" -> {
-                if (front.core.attemptEstablished(flow)) {
-                    state = State.STANDING;
-                    front.relaying(this, true);
-                    client.joined(this, line);
-                } else {
-                    close();
-                }
+        if (frontend.loadReportsLatency()) {
+            context.core().latencyReported(attempt, value);
+        } else {
+            context.core().loadReported(attempt, value);
+        }
+    }
+
+    private void handleResponse(EndpointMessage message, byte[] line) {
+        switch (message.kind()) {
+            case ESTABLISHED -> establish(line);
+            case REJECTED -> end(Outcome.FULL);
+            case FAILED -> end(Outcome.ERROR);
+            case COMPLETED, MIGRATING -> {
+                // Announces how the attempt ends; its end follows.
             }
-            case "BUSY" -> over(Outcome.FULL);
-            case "ERR" -> over(Outcome.ERROR);
-            // BYE and MOVE tell how the flow ends; its end follows.
-            case "BYE", "MOVE" -> {}
             default -> {
-                front.memberComplaints.record("a word that is no answer");
-                over(Outcome.ERROR);
+                context.upstreamErrors().record("an unexpected response");
+                end(Outcome.ERROR);
             }
         }
     }
 
-    /**
-     * One word for both notes: where members tell only of delays, its figure is milliseconds. Taken for a load it would
-     * spoil the module's count of what every member bears, as would a figure that is none.
-     */
-    private void load(String figure) {
-        double value = LoadReportParser.parseValue(figure);
-        if (state != State.STANDING) {
-            return;
-        }
-        if (front.loadTellsDelay()) {
-            front.core.latencyReported(flow, value);
+    private void establish(byte[] response) {
+        if (context.core().attemptEstablished(attempt)) {
+            state = State.ESTABLISHED;
+            frontend.upstreamEstablished(this);
+            client.onEstablished(this, response);
         } else {
-            front.core.loadReported(flow, value);
+            close();
         }
     }
 
-    private Outcome endOutcome(Outcome otherwise) {
-        return switch (lastWord) {
-            case "BYE" -> Outcome.OK;
-            case "MOVE" -> Outcome.CANCELLED;
-            default -> otherwise;
-        };
-    }
-
-    /** The member ended its sending. */
-    private void ended() {
-        link.setReading(false);
-        if (state == State.STANDING) {
-            client.fromMember(splitter.takePartialLine());
-            client.memberFinished();
+    private void onEndOfStream() {
+        connection.setReading(false);
+        if (state == State.ESTABLISHED) {
+            client.sendFromEndpoint(decoder.takePartialLine());
+            client.onUpstreamEndOfStream();
         }
-        over(endOutcome(clientFinished ? Outcome.CANCELLED : Outcome.RESET));
+        end(reports.outcomeAtEnd(isClientInputEnded ? Outcome.CANCELLED : Outcome.RESET));
     }
 
     @Override
     public void onBroken(TcpConnection from) {
-        if (state == State.STANDING) {
-            client.memberBroke();
-            over(endOutcome(Outcome.RESET));
+        if (state == State.ESTABLISHED) {
+            client.onUpstreamBroken();
+            end(reports.outcomeAtEnd(Outcome.RESET));
         } else {
-            // Without the line's last byte the member cannot have taken it.
-            over(link.queuedBytes() > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET);
+            // Without the last byte of the open command the endpoint cannot have run the request.
+            end(connection.queuedBytes() > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET);
         }
     }
 
     // ---- Relay ----
 
-    int queued() {
-        return link == null ? 0 : link.queuedBytes();
+    /** Bytes that wait to be written to the endpoint. */
+    int queuedBytes() {
+        return connection == null ? 0 : connection.queuedBytes();
     }
 
-    void fromClient(byte[] bytes) {
-        silence.requestSent(front.clock.nowMs());
-        link.write(bytes);
+    /** Passes bytes of the client on. */
+    void sendFromClient(byte[] bytes) {
+        inactivityDetector.requestSent(context.clock().nowMs());
+        connection.write(bytes);
     }
 
-    /** A member that runs answers every line of a client's at once; one that does not is gone, unannounced. */
-    void lookAtSilence(double nowMs) {
-        if (silence.isUnresponsive(nowMs)) {
-            front.core.endpointUnresponsive(flow);
+    /** Notifies the core if the endpoint does not respond any more: it may be lost without its connection's end. */
+    void checkInactivity(double nowMs) {
+        if (inactivityDetector.isUnresponsive(nowMs)) {
+            context.core().endpointUnresponsive(attempt);
         }
     }
 
     @Override
     public void onWritten(TcpConnection from) {
-        if (state == State.WAITING && !dispatched) {
-            dispatched = true;
-            front.core.attemptForwarded();
+        if (state == State.AWAITING_RESPONSE && !isForwarded) {
+            isForwarded = true;
+            context.core().attemptForwarded();
         }
-        client.memberDrained();
+        client.onUpstreamWritten();
     }
 
-    void clientDrained() {
-        if (state == State.STANDING) {
-            link.setReading(true);
+    /** All that was queued for the client has been written. */
+    void onClientWritten() {
+        if (state == State.ESTABLISHED) {
+            connection.setReading(true);
         }
     }
 
-    /** The client ended its sending: so does this side, and the member's end is awaited for a while. */
-    void clientFinished() {
-        clientFinished = true;
-        link.shutdownOutput();
-        front.loop.schedule(front.limits.sockets().lingerTimeoutMs(), () -> {
-            if (state == State.STANDING) {
-                client.memberFinished();
-                over(Outcome.CANCELLED);
-            }
-        });
+    /** The client ended its sending: so does this side, and awaits the endpoint's end until the linger timeout. */
+    void onClientEndOfStream() {
+        isClientInputEnded = true;
+        connection.shutdownOutput();
+        context.eventLoop().schedule(context.limits().sockets().lingerTimeoutMs(), this::onLingerTimeout);
+    }
+
+    private void onLingerTimeout() {
+        if (state == State.ESTABLISHED) {
+            client.onUpstreamEndOfStream();
+            end(Outcome.CANCELLED);
+        }
     }
 
-    void clientBroke() {
-        if (state == State.STANDING) {
-            link.abort();
-            over(Outcome.CANCELLED);
+    /** The client's connection broke. */
+    void onClientBroken() {
+        if (state == State.ESTABLISHED) {
+            connection.abort();
+            end(Outcome.CANCELLED);
         }
     }
 }
--- a/node/src/test/java/tulipshed/lineprotocol/AsyncApiDescriptionTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/AsyncApiDescriptionTest.java
@@ -43,8 +43,8 @@
             String line = (String) example;
             assertTrue(line.matches((String) valueAt(payload, "pattern")), line);
             NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-            OpenCommand read = OpenCommand.parse(
-                    line.getBytes(StandardCharsets.US_ASCII), config.nameIndex(), Declarations.NONE, 60_000);
+            OpenCommand read = new OpenCommandParser(config.nameIndex(), Declarations.NONE, 60_000)
+                    .parse(line.getBytes(StandardCharsets.US_ASCII));
             assertEquals(
                     line, new String(read.forwardedLine(read.attributes().timeoutMs()), StandardCharsets.US_ASCII));
         }
--- a/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineParserTest.java
@@ -71,7 +71,7 @@
         byte[] line = Cuts.spoil(ascii(OPEN_COMMAND), seed);
         try {
             // What is let through must go on byte for byte but for its wait.
-            OpenCommand read = OpenCommand.parse(line, names(), Declarations.NONE, 60_000);
+            OpenCommand read = new OpenCommandParser(names(), Declarations.NONE, 60_000).parse(line);
             String onward = new String(read.forwardedLine(read.attributes().timeoutMs()), StandardCharsets.ISO_8859_1);
             assertEquals(
                     new String(line, StandardCharsets.ISO_8859_1).replaceAll("d=[0-9.]+", ""),
@@ -83,7 +83,7 @@
 
     @Test
     void replacesOnlyTimeoutWhenForwarding() {
-        OpenCommand line = OpenCommand.parse(ascii(OPEN_COMMAND), names(), Declarations.NONE, 60_000);
+        OpenCommand line = new OpenCommandParser(names(), Declarations.NONE, 60_000).parse(ascii(OPEN_COMMAND));
         assertEquals(new Attributes(0, 3, "7f3a", "5c0f", 2000, 0, false, true), line.attributes());
         assertEquals(
                 OPEN_COMMAND.replace("d=2000", "d=1234"),
@@ -100,7 +100,8 @@
         String line = "OPEN 1 k c=chat,t=acme,d=86400000,at=s-1\r\n";
         assertEquals(
                 86_400_000,
-                OpenCommand.parse(ascii(line), names(), Declarations.NONE, 60_000)
+                new OpenCommandParser(names(), Declarations.NONE, 60_000)
+                        .parse(ascii(line))
                         .attributes()
                         .timeoutMs());
     }
@@ -123,7 +124,7 @@
                 "OPEN 1 k c=chat,t=nobody,d=5\r\n")) {
             assertThrows(
                     MalformedLineException.class,
-                    () -> OpenCommand.parse(ascii(bad), names(), Declarations.NONE, 60_000),
+                    () -> new OpenCommandParser(names(), Declarations.NONE, 60_000).parse(ascii(bad)),
                     bad);
         }
     }
--- a/node/src/test/java/tulipshed/lineprotocol/RaceConditionTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/RaceConditionTest.java
@@ -209,8 +209,8 @@
         try (LineSocket client = connectClient()) {
             client.send("PING\r\n");
             assertEquals("PONG", client.readLine());
-            holdLoopThenRun(
-                    () -> frontend.unservedConnections.overdue(Double.MAX_VALUE).forEach(ClientSession::onOpenTimeout));
+            holdLoopThenRun(() ->
+                    frontend.unservedConnections().overdue(Double.MAX_VALUE).forEach(ClientSession::onOpenTimeout));
             client.send(OPEN_COMMAND);
             releaseLoopAndAwaitDecision();
             assertServed(client);
@@ -222,7 +222,7 @@
         try (LineSocket client = connectClient()) {
             client.send("PING\r\n");
             assertEquals("PONG", client.readLine());
-            holdLoopThenRun(() -> frontend.unservedConnections.evictOne());
+            holdLoopThenRun(() -> frontend.unservedConnections().evictOne());
             client.send(OPEN_COMMAND);
             releaseLoopAndAwaitDecision();
             assertServed(client);
@@ -268,7 +268,7 @@
         try (LineSocket client = connectClient()) {
             client.send("PING\r\n");
             assertEquals("PONG", client.readLine());
-            holdLoopThenRun(() -> assertTrue(frontend.unservedConnections.evictOne()));
+            holdLoopThenRun(() -> assertTrue(frontend.unservedConnections().evictOne()));
             client.send(unread);
             releaseLoopAndAwaitDecision();
             String told = client.readLine();
@@ -283,7 +283,7 @@
         try (LineSocket client = connectClient()) {
             client.send("frob\r\n");
             assertEquals("ERR", client.readLine());
-            holdLoopThenRun(() -> assertTrue(frontend.unservedConnections.evictOne()));
+            holdLoopThenRun(() -> assertTrue(frontend.unservedConnections().evictOne()));
             client.send("OPEN and more that nobody wants\r\n");
             releaseLoopAndAwaitDecision();
             assertClosedWithoutReset(client);
@@ -333,7 +333,7 @@
             assertEquals("PONG", client.readLine());
             holdLoopThenRun(() -> {
                 frontend.rejectWaitingClients();
-                assertFalse(frontend.unservedConnections.opening().iterator().hasNext());
+                assertFalse(frontend.unservedConnections().opening().iterator().hasNext());
             });
             releaseLoopAndAwaitDecision();
             assertTrue(client.readLine().matches("BUSY [0-9]+"));
