Balancer is split into admission, placement, retries, ejection, slow start and their data

One class held every decision in a thousand lines, under names of its own. Each concern is a package-private class now, and sums and pool membership are kept by the data they belong to.

--- a/node/src/main/java/tulipshed/decision/ConnectionGroup.java
+++ b/node/src/main/java/tulipshed/decision/ConnectionGroup.java
@@ -3,18 +3,27 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Connections that share work on each server that holds any of them. */
+/** Connections that share work on each endpoint that holds any of them. Confined to the event-loop thread. */
 final class ConnectionGroup {
     final long hash;
     final DecayingCounter arrivals;
-    final List<EndpointState> members = new ArrayList<>();
-    EndpointState[] places;
-    int listVersion = -1;
+    /** The endpoint of each established connection of the group, once for each connection. */
+    final List<EndpointState> holders = new ArrayList<>();
+    /** Preferred endpoints by rank; an entry is null until it is computed. */
+    EndpointState[] preferred;
+    /** The version of the pool for which {@link #preferred} was computed. */
+    int poolVersion = -1;
 
-    /** An empty group; {@code memoryUs} is how long its arrivals are remembered, in microseconds. */
-    ConnectionGroup(String name, int places, double memoryUs) {
+    /**
+     * Creates an empty group.
+     *
+     * @param name name of the group, from which its preferred endpoints follow
+     * @param preferredCount how many preferred endpoints there is room for at first
+     * @param memoryUs time constant of the count of arrivals, in microseconds
+     */
+    ConnectionGroup(String name, int preferredCount, double memoryUs) {
         hash = Hashing.of(name);
         arrivals = new DecayingCounter(memoryUs);
-        this.places = new EndpointState[places];
+        preferred = new EndpointState[preferredCount];
     }
 }
--- a/node/src/main/java/tulipshed/decision/DecayingCounter.java
+++ b/node/src/main/java/tulipshed/decision/DecayingCounter.java
@@ -1,23 +1,26 @@
 package tulipshed.decision;
 
-/** A count of events that fades exponentially with time. */
+/** A count of events that decays exponentially with time. Confined to the event-loop thread. */
 final class DecayingCounter {
-    private final double fadeUs;
+    private final double timeConstantUs;
     private double count;
-    private long atUs;
+    private long updatedAtUs;
 
-    DecayingCounter(double fadeUs) {
-        this.fadeUs = fadeUs;
+    /** Creates a count of zero; it falls to 1/e of its value within the time constant, in microseconds. */
+    DecayingCounter(double timeConstantUs) {
+        this.timeConstantUs = timeConstantUs;
     }
 
+    /** The count at this time, in microseconds; at least 0. */
     double at(long now) {
-        if (now > atUs) {
-            count *= Math.exp((atUs - now) / fadeUs);
-            atUs = now;
+        if (now > updatedAtUs) {
+            count *= Math.exp((updatedAtUs - now) / timeConstantUs);
+            updatedAtUs = now;
         }
         return count;
     }
 
+    /** Counts one event. */
     void add(long now) {
         count = at(now) + 1;
     }
--- a/node/src/main/java/tulipshed/decision/EndpointPool.java
+++ b/node/src/main/java/tulipshed/decision/EndpointPool.java
@@ -1,95 +1,90 @@
 package tulipshed.decision;
 
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * Servers among which one is chosen, all of them or a named pool, and what a balancer must know of them together: sums
- * over those that are ready, its groups there, and the tenants' allowances there. A server counts the same in each of its
- * fleets, whichever of them a connection came by.
+ * The endpoints among which one is chosen, either all of them or those of a named pool: sums over the ready endpoints,
+ * the connection groups and the tenants' token buckets. An endpoint counts the same in each of its pools, whichever
+ * pool a connection came by. Confined to the event-loop thread.
  */
 final class EndpointPool {
-    private static final int POOLS = 5;
+    private static final int SETS_PER_POOL = 5;
+    private static final double LOAD_TOLERANCE = 1e-6;
 
     final int id;
     final IndexedSet<EndpointState> ready;
-    final IndexedSet<EndpointState> near;
+    /** Ready endpoints in the balancer's own zone. */
+    final IndexedSet<EndpointState> sameZone;
+
     final IndexedSet<EndpointState> ejected;
+    /** Ready endpoints to which slow start applies. */
     final IndexedSet<EndpointState> warming;
-    /** Ready servers that this balancer has news of. */
+    /** Ready endpoints that are ejected or hold a connection of this balancer. */
     final IndexedSet<EndpointState> known;
 
+    /** Connection groups by name. */
     final Map<String, ConnectionGroup> groups = new HashMap<>();
-    final Map<String, Balancer.TokenBucket> buckets = new HashMap<>();
+    /** Token buckets by the tenant's name. */
+    final Map<String, TokenBucket> buckets = new HashMap<>();
+
     final DecayingCounter groupArrivals;
-    /** Names of those that belong to it; not kept for the whole fleet. */
+    /** Names of the endpoints that belong to a named pool; empty for the pool of all endpoints. */
     Set<String> members = Set.of();
 
     double weight;
     double load;
     int open;
     int pending;
-    int limits;
+    /** Sum of the pending limits of the ready endpoints. */
+    int pendingLimits;
+
     int failing;
+    /** Incremented whenever the set of ready endpoints changes. */
     int version;
 
-    /** One with a number of its own, from 0 on; {@code groupMemoryUs} is how long arrivals of groups are remembered. */
+    /**
+     * Creates an empty pool.
+     *
+     * @param id a number of its own, from 0 on
+     * @param groupMemoryUs time constant of the counts of group arrivals, in microseconds
+     */
     EndpointPool(int id, double groupMemoryUs) {
         this.id = id;
-        ready = new IndexedSet<>(POOLS * id);
-        near = new IndexedSet<>(POOLS * id + 1);
-        ejected = new IndexedSet<>(POOLS * id + 2);
-        warming = new IndexedSet<>(POOLS * id + 3);
-        known = new IndexedSet<>(POOLS * id + 4);
+        ready = new IndexedSet<>(SETS_PER_POOL * id);
+        sameZone = new IndexedSet<>(SETS_PER_POOL * id + 1);
+        ejected = new IndexedSet<>(SETS_PER_POOL * id + 2);
+        warming = new IndexedSet<>(SETS_PER_POOL * id + 3);
+        known = new IndexedSet<>(SETS_PER_POOL * id + 4);
         groupArrivals = new DecayingCounter(groupMemoryUs);
     }
 
-    /** The weight of its ready servers, by what is believed of their kinds now. */
-    void weigh(Collection<MachineType> kinds) {
-        weight = kinds.stream().mapToDouble(k -> k.readySize(id) * k.speed).sum();
+    /** Computes the weight of the ready endpoints from the estimated speeds of the machine types. */
+    void updateWeight(Collection<MachineType> machineTypes) {
+        weight = machineTypes.stream()
+                .mapToDouble(machineType -> machineType.readySize(id) * machineType.speed)
+                .sum();
     }
 
-    /** What of its sums is not what counting anew over these servers gives; for tests. */
-    String miscounted(Collection<EndpointState> all) {
-        int[] counts = new int[5];
-        double sum = 0;
-        for (EndpointState endpoint : all) {
-            if (endpoint.fleets.contains(this) && ready.has(endpoint)) {
-                counts[0] += endpoint.open;
-                counts[1] += endpoint.pending;
-                counts[2] += endpoint.limit;
-                counts[3] += endpoint.failing ? 1 : 0;
-                counts[4]++;
-                sum += endpoint.openLoad;
-            }
-        }
-        boolean right = counts[0] == open
-                && counts[1] == pending
-                && counts[2] == limits
-                && counts[3] == failing
-                && counts[4] == ready.size()
-                && Math.abs(sum - load) < 1e-6 * (1 + Math.abs(sum));
-        return right
-                ? ""
-                : "fleet " + id + ": " + open + " " + pending + " " + limits + " " + failing + " " + ready.size() + " "
-                        + load + ", not " + java.util.Arrays.toString(counts) + " " + sum;
+    /** Adds an endpoint that has become ready. */
+    void addReady(EndpointState endpoint) {
+        ready.add(endpoint);
+        addToSums(endpoint, 1);
     }
 
-    /** A server is ready, or is so no more. */
-    void sum(EndpointState endpoint, int sign) {
-        endpoint.kind.ready(id, sign * endpoint.size);
-        load += sign * endpoint.openLoad;
-        pending += sign * endpoint.pending;
-        limits += sign * endpoint.limit;
-        open += sign * endpoint.open;
-        version++;
-        count(endpoint);
+    /** Removes an endpoint that is ready no more and is not ejected. */
+    void removeReady(EndpointState endpoint) {
+        ready.remove(endpoint);
+        sameZone.remove(endpoint);
+        warming.remove(endpoint);
+        addToSums(endpoint, -1);
     }
 
-    /** Whether there is news of a server may have changed. */
-    void count(EndpointState endpoint) {
+    /** Updates whether the balancer has own observations of an endpoint. */
+    void updateKnown(EndpointState endpoint) {
         if (ready.has(endpoint) && (endpoint.open > 0 || ejected.has(endpoint))) {
             known.add(endpoint);
         } else {
@@ -97,41 +92,67 @@
         }
     }
 
-    /** A server that is one of the whole fleet already belongs to this one too: it is here what it is there. */
-    void enter(EndpointState endpoint) {
-        EndpointPool whole = endpoint.fleets.get(0);
-        endpoint.fleets.add(this);
-        if (whole.ready.has(endpoint)) {
+    /** Adds an endpoint to this named pool, in the state that it has in the pool of all endpoints. */
+    void addMember(EndpointState endpoint) {
+        EndpointPool allEndpoints = endpoint.pools.get(0);
+        endpoint.pools.add(this);
+        if (allEndpoints.ready.has(endpoint)) {
             ready.add(endpoint);
-            copy(whole.near, near, endpoint);
-            copy(whole.warming, warming, endpoint);
-            copy(whole.ejected, ejected, endpoint);
+            copyMembership(allEndpoints.sameZone, sameZone, endpoint);
+            copyMembership(allEndpoints.warming, warming, endpoint);
+            copyMembership(allEndpoints.ejected, ejected, endpoint);
             failing += endpoint.failing ? 1 : 0;
-            sum(endpoint, 1);
+            addToSums(endpoint, 1);
         }
     }
 
-    private static void copy(IndexedSet<EndpointState> from, IndexedSet<EndpointState> to, EndpointState endpoint) {
+    /** Removes an endpoint from this named pool. */
+    void removeMember(EndpointState endpoint) {
+        endpoint.pools.remove(this);
+        if (ready.has(endpoint)) {
+            failing -= endpoint.failing ? 1 : 0;
+            ejected.remove(endpoint);
+            removeReady(endpoint);
+        }
+    }
+
+    private static void copyMembership(
+            IndexedSet<EndpointState> from, IndexedSet<EndpointState> to, EndpointState endpoint) {
         if (from.has(endpoint)) {
             to.add(endpoint);
         }
     }
 
-    /** A server belongs to this one no more. */
-    void leave(EndpointState endpoint) {
-        endpoint.fleets.remove(this);
-        if (ready.has(endpoint)) {
-            failing -= endpoint.failing ? 1 : 0;
-            ejected.remove(endpoint);
-            unready(endpoint);
-        }
+    private void addToSums(EndpointState endpoint, int sign) {
+        endpoint.machineType.addReadySize(id, sign * endpoint.size);
+        load += sign * endpoint.openLoad;
+        pending += sign * endpoint.pending;
+        pendingLimits += sign * endpoint.pendingLimit;
+        open += sign * endpoint.open;
+        version++;
+        updateKnown(endpoint);
     }
 
-    /** A server is not ready any more; it has been readmitted before. */
-    void unready(EndpointState endpoint) {
-        ready.remove(endpoint);
-        near.remove(endpoint);
-        warming.remove(endpoint);
-        sum(endpoint, -1);
+    /** Describes the sums that differ from a recount over the given endpoints; empty if none does. For tests. */
+    String inconsistencies(Collection<EndpointState> endpoints) {
+        int[] counts = new int[5];
+        double loadSum = 0;
+        for (EndpointState endpoint : endpoints) {
+            if (endpoint.pools.contains(this) && ready.has(endpoint)) {
+                counts[0] += endpoint.open;
+                counts[1] += endpoint.pending;
+                counts[2] += endpoint.pendingLimit;
+                counts[3] += endpoint.failing ? 1 : 0;
+                counts[4]++;
+                loadSum += endpoint.openLoad;
+            }
+        }
+        int[] kept = {open, pending, pendingLimits, failing, ready.size()};
+        boolean consistent =
+                Arrays.equals(counts, kept) && Math.abs(loadSum - load) < LOAD_TOLERANCE * (1 + Math.abs(loadSum));
+        return consistent
+                ? ""
+                : "pool " + id + ": " + Arrays.toString(kept) + " " + load + ", not " + Arrays.toString(counts) + " "
+                        + loadSum;
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/EndpointPools.java
@@ -0,0 +1,69 @@
+package tulipshed.decision;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** The pool of all endpoints and the named pools, with their members. Confined to the event-loop thread. */
+final class EndpointPools {
+    private static final int FIRST_NAMED_ID = 2;
+
+    final EndpointPool allEndpoints;
+    private final EndpointPool emptyPool;
+    private final Map<String, EndpointPool> namedPools = new LinkedHashMap<>();
+    private final double groupMemoryUs;
+
+    /** Creates the pool of all endpoints; {@code groupMemoryUs} is the time constant of the counts of group arrivals. */
+    EndpointPools(double groupMemoryUs) {
+        this.groupMemoryUs = groupMemoryUs;
+        allEndpoints = new EndpointPool(0, groupMemoryUs);
+        emptyPool = new EndpointPool(1, groupMemoryUs);
+    }
+
+    /** The pool of this name, an empty one if it does not exist, and that of all endpoints for null. */
+    EndpointPool get(String name) {
+        return name == null ? allEndpoints : namedPools.getOrDefault(name, emptyPool);
+    }
+
+    /** Replaces the named pools; {@code endpoints} are moved to the pools they belong to. */
+    void setMembers(Map<String, Set<String>> members, Collection<EndpointState> endpoints) {
+        namedPools.forEach((name, pool) -> pool.members = members.getOrDefault(name, Set.of()));
+        members.forEach((name, names) ->
+                namedPools.computeIfAbsent(name, n -> new EndpointPool(lowestUnusedId(), groupMemoryUs)).members =
+                        names);
+        endpoints.forEach(this::assign);
+        namedPools.keySet().retainAll(members.keySet());
+    }
+
+    /** Adds an endpoint to the named pools that name it, and removes it from the others. */
+    void assign(EndpointState endpoint) {
+        for (EndpointPool pool : namedPools.values()) {
+            boolean belongs = pool.members.contains(endpoint.name);
+            if (belongs && !endpoint.pools.contains(pool)) {
+                pool.addMember(endpoint);
+            } else if (!belongs && endpoint.pools.contains(pool)) {
+                pool.removeMember(endpoint);
+            }
+        }
+    }
+
+    private int lowestUnusedId() {
+        int id = FIRST_NAMED_ID;
+        while (isUsed(id)) {
+            id++;
+        }
+        return id;
+    }
+
+    private boolean isUsed(int id) {
+        return namedPools.values().stream().anyMatch(pool -> pool.id == id);
+    }
+
+    /** Describes the sums of all pools that differ from a recount; empty if none does. For tests. */
+    String inconsistencies(Collection<EndpointState> endpoints) {
+        StringBuilder found = new StringBuilder(allEndpoints.inconsistencies(endpoints));
+        namedPools.values().forEach(pool -> found.append(pool.inconsistencies(endpoints)));
+        return found.toString();
+    }
+}
--- a/node/src/main/java/tulipshed/decision/EndpointState.java
+++ b/node/src/main/java/tulipshed/decision/EndpointState.java
@@ -4,42 +4,195 @@
 import java.util.List;
 import tulipshed.decision.BalancerApi.EndpointInfo;
 
-/** One server as one balancer sees it, and the fleets that it belongs to. What follows from it is Balancer's to say. */
+/**
+ * One endpoint as one balancer sees it, with the pools it belongs to. Its mutators keep the sums and sets of all these
+ * pools consistent; what to change is decided elsewhere. Confined to the event-loop thread.
+ */
 final class EndpointState extends IndexedSet.Member {
+    private static final long NEVER_US = Long.MIN_VALUE / 2;
+
     final String name;
+    /** Hash of the name, the same in every process. */
     final long hash;
-    /** The whole fleet first, then the named ones. */
-    final List<EndpointPool> fleets = new ArrayList<>(1);
+    /** The pool of all endpoints first, then the named pools. */
+    final List<EndpointPool> pools = new ArrayList<>(1);
 
-    MachineType kind;
+    /** Null until the endpoint list names this endpoint. */
+    MachineType machineType;
+    /** Capacity by the endpoint list, before the speed of the machine type is applied. */
     double size;
-    EndpointInfo entry;
-    int limit;
+    /** The latest entry of the endpoint list; null until it names this endpoint. */
+    EndpointInfo info;
+    /** Whether the endpoint list names it no more; it is kept while connections are open. */
+    boolean removed;
+
+    /** Attempts allowed to be pending at a time, at least 1. */
+    int pendingLimit;
+    /** Attempts started and not yet established. */
     int pending;
+    /** Attempts and connections that have not ended. */
     int open;
+    /** Sum of the loads of the open connections, in microseconds of work a second or counted as 1 each. */
     double openLoad;
-    boolean stood;
-    boolean gone;
-    long ejectedUntil;
-    double credit;
-    long creditAt;
-    int ejections;
+    /** Whether a connection of this balancer was established since the process started. */
+    boolean hasEstablished;
+
+    long ejectedUntilUs;
+    int consecutiveEjections;
+    int consecutiveFailures;
+    long failedAtUs;
+    /** Whether the current ejection is due to failures. */
     boolean failing;
-    int failures;
-    long failedAt;
-    double reported;
-    long reportedAt = Long.MIN_VALUE / 2;
-    double delayMs;
-    long delayAt = Long.MIN_VALUE / 2;
-
-    EndpointState(String name, int limit, EndpointPool whole) {
+
+    /** Connections that slow start permits at present. */
+    double slowStartCredit;
+
+    long slowStartCreditAtUs;
+
+    double reportedLoad;
+    long loadReportedAtUs = NEVER_US;
+    double latencyMs;
+    long latencyReportedAtUs = NEVER_US;
+
+    EndpointState(String name, int pendingLimit, EndpointPool allEndpoints) {
         this.name = name;
-        this.limit = limit;
+        this.pendingLimit = pendingLimit;
         hash = Hashing.of(name);
-        fleets.add(whole);
+        pools.add(allEndpoints);
     }
 
+    /** Relative capacity: listed size times estimated speed. */
     double weight() {
-        return size * kind.speed;
+        return size * machineType.speed;
+    }
+
+    /** Whether the endpoint list says that it serves. */
+    boolean isReady() {
+        return pools.get(0).ready.has(this);
+    }
+
+    /** Time since the process started, in microseconds; {@code Long.MAX_VALUE} if it has run for long. */
+    long ageUs(long now) {
+        return info.startedUs() == 0 ? Long.MAX_VALUE : now - info.startedUs();
+    }
+
+    /** Forgets the reported latency. */
+    void clearLatency() {
+        latencyReportedAtUs = NEVER_US;
+    }
+
+    /** Takes another size and machine type and keeps the sizes of the ready endpoints right. */
+    void setCapacity(MachineType newMachineType, double newSize) {
+        addReadySize(-1);
+        machineType = newMachineType;
+        size = newSize;
+        addReadySize(1);
+    }
+
+    private void addReadySize(int sign) {
+        if (isReady()) {
+            for (EndpointPool pool : pools) {
+                machineType.addReadySize(pool.id, sign * size);
+            }
+        }
+    }
+
+    /** Adds it to the ready endpoints of its pools. */
+    void markReady() {
+        for (EndpointPool pool : pools) {
+            pool.addReady(this);
+        }
+    }
+
+    /** Removes it from the ready endpoints of its pools and ends its ejection. */
+    void markUnready() {
+        if (isReady()) {
+            clearEjection();
+            for (EndpointPool pool : pools) {
+                pool.removeReady(this);
+            }
+        }
+    }
+
+    /** Records that it is in the balancer's own zone. */
+    void markSameZone() {
+        for (EndpointPool pool : pools) {
+            pool.sameZone.add(this);
+        }
+    }
+
+    /** Whether slow start applies. */
+    boolean isWarming() {
+        return pools.get(0).warming.has(this);
+    }
+
+    /** Records that slow start applies. */
+    void markWarming() {
+        for (EndpointPool pool : pools) {
+            pool.warming.add(this);
+        }
+    }
+
+    /** Records that slow start applies no more. */
+    void clearWarming() {
+        for (EndpointPool pool : pools) {
+            pool.warming.remove(this);
+        }
+    }
+
+    /** Adds it to the ejected endpoints of its pools. */
+    void markEjected() {
+        for (EndpointPool pool : pools) {
+            pool.ejected.add(this);
+            pool.updateKnown(this);
+        }
+    }
+
+    /** Records that its ejection is due to failures. */
+    void markFailing() {
+        int added = failing ? 0 : 1;
+        failing = true;
+        for (EndpointPool pool : pools) {
+            pool.failing += added;
+        }
+    }
+
+    /** Ends its ejection, whatever the cause. */
+    void clearEjection() {
+        ejectedUntilUs = 0;
+        int removedFailing = failing ? 1 : 0;
+        failing = false;
+        for (EndpointPool pool : pools) {
+            pool.ejected.remove(this);
+            pool.failing -= removedFailing;
+            pool.updateKnown(this);
+        }
+    }
+
+    /** Sets how many attempts may be pending. */
+    void setPendingLimit(int limit) {
+        int added = limit - pendingLimit;
+        if (isReady()) {
+            for (EndpointPool pool : pools) {
+                pool.pendingLimits += added;
+            }
+        }
+        pendingLimit = limit;
+    }
+
+    /** Adds to its open connections, pending attempts and load, and to the sums of its pools. */
+    void adjustLoad(int addedOpen, int addedPending, double addedLoad) {
+        open += addedOpen;
+        pending += addedPending;
+        openLoad = open == 0 ? 0 : openLoad + addedLoad;
+        boolean ready = isReady();
+        for (EndpointPool pool : pools) {
+            if (ready) {
+                pool.open += addedOpen;
+                pool.pending += addedPending;
+                pool.load += addedLoad;
+            }
+            pool.updateKnown(this);
+        }
     }
 }
--- a/node/src/main/java/tulipshed/decision/IdleConnection.java
+++ b/node/src/main/java/tulipshed/decision/IdleConnection.java
@@ -1,4 +1,4 @@
 package tulipshed.decision;
 
-/** A connection to a server that stays open unused until {@code untilUs}, in microseconds. */
-record IdleConnection(EndpointState server, long untilUs) {}
+/** An unused connection to an endpoint that stays open until {@code untilUs}, in microseconds. */
+record IdleConnection(EndpointState endpoint, long untilUs) {}
--- a/node/src/main/java/tulipshed/decision/MachineType.java
+++ b/node/src/main/java/tulipshed/decision/MachineType.java
@@ -4,69 +4,76 @@
 import java.util.Collection;
 
 /**
- * One kind of machine, and what was seen of its speed. The list's share may say nothing of it, so it is
- * estimated: from how the connections already open at the start were spread, and from setup times.
+ * One machine type and an estimate of its relative speed. Listed weights need not tell the speed, so it is estimated
+ * from how adopted connections were spread over the types and from connection setup times. Confined to the event-loop
+ * thread.
  */
 final class MachineType {
-    /** Largest share listed. */
-    double size;
-    /** Sizes of the ready servers, summed for each fleet by its number. */
-    private double[] readySizes = new double[1];
-    /** Relative speed, 1 where nothing is known. */
+    /** Largest weight listed for an endpoint of this type. */
+    double largestWeight;
+    /** Relative speed, 1 where nothing was observed. */
     double speed = 1;
 
-    private double opened;
-    private double sizeThen;
+    /** Summed sizes of the ready endpoints by pool number. */
+    private double[] readySizes = new double[1];
+
+    private double adoptedConnections;
+    /** Summed size of the ready endpoints when the last adopted connection was counted. */
+    private double readySizeAtAdoption;
+
     private double setups;
     private double setupTime;
 
-    /** Sizes of the ready servers of a fleet, summed. */
-    double readySize(int fleet) {
-        return fleet < readySizes.length ? readySizes[fleet] : 0;
+    /** Summed sizes of the ready endpoints of a pool. */
+    double readySize(int poolId) {
+        return poolId < readySizes.length ? readySizes[poolId] : 0;
     }
 
-    /** That sum changes. */
-    void ready(int fleet, double size) {
-        if (fleet >= readySizes.length) {
-            readySizes = Arrays.copyOf(readySizes, fleet + 1);
+    /** Adds to the summed sizes of the ready endpoints of a pool. */
+    void addReadySize(int poolId, double size) {
+        if (poolId >= readySizes.length) {
+            readySizes = Arrays.copyOf(readySizes, poolId + 1);
         }
-        readySizes[fleet] += size;
+        readySizes[poolId] += size;
     }
 
-    /** A connection was open at the start, over all kinds as they are now: later machines bore none. */
-    void foundOpen(Collection<MachineType> all) {
-        opened++;
-        all.forEach(k -> k.sizeThen = k.readySizes[0]);
+    /** Counts a connection adopted at the start; machines that become ready later had no part in these. */
+    void recordAdoption(Collection<MachineType> all) {
+        adoptedConnections++;
+        all.forEach(type -> type.readySizeAtAdoption = type.readySizes[0]);
     }
 
-    /** A connection was set up in this multiple of the usual time. */
-    void setUp(double relativeTime) {
+    /** Records a connection setup; {@code relativeTime} is its duration as a multiple of the average of its class. */
+    void recordSetup(double relativeTime) {
         setups++;
         setupTime += relativeTime;
     }
 
     /**
-     * Estimates all speeds and returns the highest; the belief that they are equal counts as {@code prior}
-     * observations.
+     * Estimates the speeds of all types and returns the highest.
+     *
+     * @param priorObservations number of observations that the assumption of equal speeds counts as
      */
-    static double estimate(Collection<MachineType> all, double prior) {
+    static double estimateSpeeds(Collection<MachineType> all, double priorObservations) {
         double size = 0;
-        double opened = 0;
+        double adopted = 0;
         double setups = 0;
         double time = 0;
-        for (MachineType k : all) {
-            size += k.sizeThen;
-            opened += k.opened;
-            setups += k.setups;
-            time += k.setupTime;
+        for (MachineType type : all) {
+            size += type.readySizeAtAdoption;
+            adopted += type.adoptedConnections;
+            setups += type.setups;
+            time += type.setupTime;
         }
         double highest = 0;
-        for (MachineType k : all) {
-            double byOpened = k.opened > 0 ? Math.log(k.opened / opened * size / k.sizeThen) : 0;
-            double bySetups = k.setups > 0 ? Math.log(k.setups / setups * time / k.setupTime) : 0;
-            double seen = k.opened + k.setups + prior;
-            k.speed = Math.exp((k.opened * byOpened + k.setups * bySetups) / seen);
-            highest = Math.max(highest, k.speed);
+        for (MachineType type : all) {
+            double byAdoptions = type.adoptedConnections > 0
+                    ? Math.log(type.adoptedConnections / adopted * size / type.readySizeAtAdoption)
+                    : 0;
+            double bySetups = type.setups > 0 ? Math.log(type.setups / setups * time / type.setupTime) : 0;
+            double observations = type.adoptedConnections + type.setups + priorObservations;
+            type.speed = Math.exp((type.adoptedConnections * byAdoptions + type.setups * bySetups) / observations);
+            highest = Math.max(highest, type.speed);
         }
         return highest;
     }
--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/PendingLimit.java
@@ -0,0 +1,33 @@
+package tulipshed.decision;
+
+import tulipshed.decision.BalancerApi.Outcome;
+
+/** How many attempts may be pending at an endpoint: additive increase, multiplicative decrease (AIMD). */
+final class PendingLimit {
+    /** Limit of an endpoint that nothing is known of; it doubles soon. */
+    static final int INITIAL = 4;
+
+    private static final int MAX = 64; // more acceptances in a row tell nothing more
+
+    private PendingLimit() {}
+
+    /** Resets the limit to its initial value. */
+    static void reset(EndpointState endpoint) {
+        endpoint.setPendingLimit(INITIAL);
+    }
+
+    /** Raises the limit by one, as the endpoint accepted an attempt. */
+    static void increase(EndpointState endpoint) {
+        endpoint.setPendingLimit(Math.min(MAX, endpoint.pendingLimit + 1));
+    }
+
+    /** Takes the outcome of an attempt and whether it was established before. */
+    static void recordOutcome(EndpointState endpoint, Outcome outcome, boolean established) {
+        boolean rejected = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET;
+        if (outcome == Outcome.OK && !established) {
+            increase(endpoint);
+        } else if (outcome == Outcome.FULL || (rejected && !established)) {
+            endpoint.setPendingLimit(Math.max(1, endpoint.pendingLimit / 2));
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/decision/RequestState.java
+++ b/node/src/main/java/tulipshed/decision/RequestState.java
@@ -4,37 +4,64 @@
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.RequestClass;
 
-/** One request from its arrival until its client is done and its attempt has ended. */
+/** One request from its arrival until its final answer is given and its attempt has ended. Confined to the event loop. */
 final class RequestState {
-    final NewRequest in;
-    final RequestClass kind;
+    final NewRequest arrival;
+    /** The class at arrival; a reconfiguration does not change it. */
+    final RequestClass requestClass;
+
     final long deadlineUs;
-    /** Hash seed: one random number for each server, however often it is looked at. */
-    final long dice;
+    /** Seed of this request's random numbers: the same number for an endpoint however often it is evaluated. */
+    final long randomHash;
 
+    /** Load of the connection, in microseconds of work a second, estimated until it is reported. */
     double load;
+
+    /** Attempts started so far. */
     int attempts;
-    EndpointPool fleet;
-    EndpointState server;
+
+    EndpointPool pool;
+    /** The endpoint of the current attempt or established connection; null between attempts. */
+    EndpointState endpoint;
+    /** The endpoint of the previous attempt, which the next one avoids; null before the first attempt has ended. */
+    EndpointState previousEndpoint;
+    /** The group in which the established connection is counted; null if none. */
     ConnectionGroup group;
-    boolean standing;
-    boolean answered;
+    /** When the current attempt started. */
+    long sentAtUs;
+    /** Whether the current attempt is established. */
+    boolean established;
+    /** Whether the final answer was given or the client has left. */
+    boolean concluded;
+
+    /** Whether an attempt may have taken effect. */
     boolean mayHaveRun;
+    /** The endpoint of the first attempt that may have taken effect; null if none. */
     EndpointInfo ranOn;
+
     long ranAtUs;
-    long sentAtUs;
-    EndpointState avoid;
-    EndpointState first;
-    EndpointState second;
-    int awaited;
-    boolean asked;
-
-    RequestState(NewRequest in, RequestClass kind, EndpointPool fleet, long now, long luck, double usualLoad) {
-        this.in = in;
-        this.dice = Hashing.mix(in.id() ^ luck);
-        this.fleet = fleet;
-        this.kind = kind;
-        this.deadlineUs = now + in.timeoutUs();
-        this.load = in.loadHintUsPerS() > 0 ? in.loadHintUsPerS() : usualLoad;
+
+    /** The two endpoints that are compared by health checks; null while none are. */
+    EndpointState firstCandidate;
+
+    EndpointState secondCandidate;
+    /** Health checks of the candidates that have not completed. */
+    int pendingHealthChecks;
+    /** Whether health checks were used for the current attempt. */
+    boolean healthChecked;
+
+    RequestState(
+            NewRequest arrival,
+            RequestClass requestClass,
+            EndpointPool pool,
+            long now,
+            long hashSeed,
+            double averageLoad) {
+        this.arrival = arrival;
+        this.randomHash = Hashing.mix(arrival.id() ^ hashSeed);
+        this.pool = pool;
+        this.requestClass = requestClass;
+        this.deadlineUs = now + arrival.timeoutUs();
+        this.load = arrival.loadHintUsPerS() > 0 ? arrival.loadHintUsPerS() : averageLoad;
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/RetryPolicy.java
@@ -0,0 +1,77 @@
+package tulipshed.decision;
+
+import java.util.SplittableRandom;
+import tulipshed.decision.BalancerApi.DeduplicationScope;
+import tulipshed.decision.BalancerApi.Idempotency;
+import tulipshed.decision.BalancerApi.Outcome;
+
+/** Whether, where and for how long a request is attempted again, so that its effect never happens twice. */
+final class RetryPolicy {
+    private static final long MIN_ATTEMPT_US = 60_000; // with less time left an attempt is not worth its cost
+    private static final double MIN_JITTER = 0.75;
+    private static final double JITTER_RANGE = 0.25;
+
+    private final ActiveSettings settings;
+    private final SplittableRandom random;
+
+    RetryPolicy(ActiveSettings settings, SplittableRandom random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** Whether attempts, time and idempotency permit another attempt now. */
+    boolean permitsAttempt(long now, RequestState request) {
+        return request.attempts < settings.current().limits().maxAttempts()
+                && request.deadlineUs - now > 0
+                && (!request.mayHaveRun || permitsRepeat(now, request));
+    }
+
+    private static boolean permitsRepeat(long now, RequestState request) {
+        return switch (request.requestClass.idempotency()) {
+            case IDEMPOTENT -> true;
+            case WITH_KEY -> now < request.ranAtUs + request.requestClass.deduplicationWindowUs();
+            case NOT_IDEMPOTENT -> false;
+        };
+    }
+
+    /** Whether another attempt is worth its cost after one with this outcome. */
+    boolean isRetryWorthwhile(long now, RequestState request, Outcome outcome) {
+        return outcome != Outcome.UNUSED && request.deadlineUs - now >= MIN_ATTEMPT_US;
+    }
+
+    /** Whether the endpoint discards repeats of a request that may have run, as far as the request needs it. */
+    static boolean permitsEndpoint(RequestState request, EndpointState endpoint) {
+        if (!request.mayHaveRun || request.requestClass.idempotency() != Idempotency.WITH_KEY) {
+            return true;
+        }
+        return switch (request.requestClass.deduplicationScope()) {
+            case ALL -> true;
+            case ZONE -> endpoint.info.zone().equals(request.ranOn.zone());
+            case CELL -> endpoint.info.cell() == request.ranOn.cell();
+        };
+    }
+
+    /** Whether the client may repeat the request: a rejection promises that this is harmless. */
+    static boolean permitsRejection(RequestState request) {
+        return !request.mayHaveRun
+                || request.requestClass.idempotency() == Idempotency.IDEMPOTENT
+                || (request.requestClass.idempotency() == Idempotency.WITH_KEY
+                        && request.requestClass.deduplicationScope() == DeduplicationScope.ALL);
+    }
+
+    /** Time-out of the next attempt, which leaves time for another one; 0 for none. */
+    long attemptTimeoutUs(long now, RequestState request) {
+        long leftUs = request.deadlineUs - now;
+        boolean last = request.attempts + 1 >= settings.current().limits().maxAttempts();
+        return last || leftUs < 2 * MIN_ATTEMPT_US ? 0 : Math.max(leftUs / 2, MIN_ATTEMPT_US);
+    }
+
+    /** The time to give to a rejected client, within the site's limit and with jitter; 0 where none may be given. */
+    long retryAfterUs(long wantedUs) {
+        long maxUs = settings.current().limits().retryAfter()
+                ? settings.current().limits().maxRetryAfterUs()
+                : 0;
+        double jitter = MIN_JITTER + JITTER_RANGE * random.nextDouble();
+        return (long) (Math.min(wantedUs, maxUs) * jitter);
+    }
+}
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -41,7 +41,7 @@
 
     @Test
     void curveIsFreeWhileShallowThenFallsToZero() {
-        Balancer.DepthCurve curve = new Balancer.DepthCurve(8);
+        DepthCurve curve = new DepthCurve(8);
         assertEquals(Double.POSITIVE_INFINITY, curve.rateAt(0));
         assertEquals(Double.POSITIVE_INFINITY, curve.rateAt(0.2));
         double last = curve.rateAt(0.25);
@@ -56,16 +56,16 @@
 
     @Test
     void bucketGivesItsBurstThenItsRate() {
-        Balancer.TokenBucket bucket = new Balancer.TokenBucket(0);
+        TokenBucket bucket = new TokenBucket(0);
         int burst = 0;
-        while (bucket.take(0, 2)) {
+        while (bucket.tryTake(0, 2)) {
             burst++;
         }
         assertEquals(2, burst);
-        assertFalse(bucket.take(SECOND / 4, 2));
+        assertFalse(bucket.tryTake(SECOND / 4, 2));
         assertEquals(SECOND / 4, bucket.untilTokenUs(2));
-        assertTrue(bucket.take(SECOND / 2, 2));
-        assertFalse(bucket.take(SECOND / 2, 0));
+        assertTrue(bucket.tryTake(SECOND / 2, 2));
+        assertFalse(bucket.tryTake(SECOND / 2, 0));
     }
 
     @Test
@@ -79,7 +79,11 @@
         List<String> busy = recorder.take();
         assertTrue(busy.contains("refuse 30"), busy.toString());
         assertEquals(
-                1, busy.stream().filter(l -> l.startsWith("log refusing: ")).count(), "one line in ten seconds");
+                1,
+                busy.stream()
+                        .filter(l -> l.startsWith("log rejecting requests: "))
+                        .count(),
+                "one line in ten seconds");
         b.requestArrived(40_000, request(++id, 1, null, 2 * SECOND));
         assertEquals(List.of("send 31 " + name(0)), recorder.take());
     }
@@ -881,7 +885,7 @@
         b.healthCheckCompleted(2000, name(1), Outcome.OK, report(0.4));
         b.timerFired(150_000, token);
         assertEquals(List.of(), recorder.take());
-        assertEquals(0, b.requestsHeld());
+        assertEquals(0, b.trackedRequestCount());
     }
 
     @Test
