--- /dev/null
+++ b/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
@@ -0,0 +1,232 @@
+package tulipshed.discovery;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.xnio.StreamConnection;
+import tulipshed.limits.Limits;
+import tulipshed.transport.TcpConnection;
+import tulipshed.transport.XnioEventLoop;
+
+/**
+ * HTTP client of discovery that makes one call at a time, over a connection that is kept between calls.
+ *
+ * <p>Each step of a call (connect, first byte of the response, rest of the response) has a deadline of its own. A call
+ * ends with exactly one notification of the listener, or with none where {@link #close} abandons it. Confined to the
+ * event-loop thread.
+ */
+final class DiscoveryClient implements TcpConnection.Listener {
+    private final Limits limits;
+    private final XnioEventLoop loop;
+    private final Listener listener;
+    private final ByteBuffer readBuffer;
+    private InetSocketAddress address;
+    private State state = State.DISCONNECTED;
+
+    /** Null unless the state is {@code CONNECTING}. */
+    private XnioEventLoop.PendingConnection pendingConnection;
+
+    /** Null in the states {@code DISCONNECTED} and {@code CONNECTING}. */
+    private TcpConnection connection;
+
+    /** The request of the last call; null before the first. */
+    private ListRequest request;
+
+    /** Parses the response to the last call; null before the first. */
+    private HttpResponseParser parser;
+
+    /** Counts deadlines, of which only the last one is in force. */
+    private long deadlineCount;
+
+    private enum State {
+        DISCONNECTED,
+        CONNECTING,
+        /** Connected, and no call is in progress. */
+        IDLE,
+        /** The request was sent, and no byte of its response has arrived. */
+        AWAITING_RESPONSE,
+        READING_RESPONSE
+    }
+
+    /** Is notified of the end of each call. */
+    interface Listener {
+        /** The response to a call is complete. */
+        void onResponse(int status, byte[] body);
+
+        /** A call failed; its connection is closed. */
+        void onCallFailed(ListRequest request, CallFailure failure);
+
+        /**
+         * How long the first byte of a response may take beyond the wait that was requested, in milliseconds; asked for
+         * when a request is sent.
+         */
+        double responseTimeoutMs();
+    }
+
+    /** A client that is not connected yet. */
+    DiscoveryClient(InetSocketAddress address, Limits limits, XnioEventLoop loop, Listener listener) {
+        this.address = address;
+        this.limits = limits;
+        this.loop = loop;
+        this.listener = listener;
+        readBuffer = ByteBuffer.allocate(limits.sockets().readBytes());
+    }
+
+    /** The server that calls go to. */
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Abandons the call in progress, if any; further calls go to the new address. */
+    void setAddress(InetSocketAddress newAddress) {
+        close();
+        address = newAddress;
+    }
+
+    /** Whether it holds a connection, or is opening one. */
+    boolean isConnected() {
+        return state != State.DISCONNECTED;
+    }
+
+    /** Whether a call has started and not ended. */
+    boolean isCallInProgress() {
+        return state != State.DISCONNECTED && state != State.IDLE;
+    }
+
+    /** Whether a call is in progress that may wait for changes. */
+    boolean isLongPollInProgress() {
+        return isCallInProgress() && request.isLongPoll();
+    }
+
+    /** Starts a call; none may be in progress. */
+    void call(ListRequest newRequest) {
+        request = newRequest;
+        parser = new HttpResponseParser(
+                limits.discovery().headBytes(), limits.discovery().bodyBytes());
+        if (connection == null) {
+            connect();
+        } else {
+            sendRequest();
+        }
+    }
+
+    /** Closes the connection and abandons the call in progress, if any, without notifying the listener. */
+    void close() {
+        state = State.DISCONNECTED;
+        if (pendingConnection != null) {
+            pendingConnection.abandon();
+            pendingConnection = null;
+        }
+        if (connection != null) {
+            connection.close();
+            connection = null;
+        }
+    }
+
+    private void connect() {
+        state = State.CONNECTING;
+        setDeadline(limits.discovery().connectTimeoutMs(), CallFailure.CONNECT_TIMEOUT);
+        pendingConnection = loop.connect(address, this::connected, cause -> failCall(CallFailure.connectFailed(cause)));
+    }
+
+    private void connected(StreamConnection established) {
+        pendingConnection = null;
+        connection = loop.register(established, this);
+        connection.setReading(true);
+        sendRequest();
+    }
+
+    private void sendRequest() {
+        state = State.AWAITING_RESPONSE;
+        setDeadline(request.waitMs() + listener.responseTimeoutMs(), CallFailure.NO_RESPONSE);
+        String host = address.getAddress().getHostAddress() + ":" + address.getPort();
+        String head = "GET " + request.target() + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n";
+        connection.write(head.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Gives the call in progress this long for its next step, in place of the deadline before. */
+    private void setDeadline(double ms, CallFailure failure) {
+        long deadline = ++deadlineCount;
+        loop.schedule(ms, () -> {
+            if (deadline == deadlineCount) {
+                failCall(failure);
+            }
+        });
+    }
+
+    private void failCall(CallFailure failure) {
+        if (isCallInProgress()) {
+            close();
+            listener.onCallFailed(request, failure);
+        }
+    }
+
+    @Override
+    public void onReadable(TcpConnection from) {
+        while (connection == from && !from.isClosed()) {
+            readBuffer.clear();
+            int count = from.read(readBuffer);
+            if (count == 0) {
+                return;
+            }
+            if (!isCallInProgress()) {
+                close();
+            } else if (count < 0) {
+                endOfInput();
+            } else {
+                responseReceived(readBuffer.flip());
+            }
+        }
+    }
+
+    private void endOfInput() {
+        if (parser.endOfInput()) {
+            completeCall(false);
+        } else {
+            failCall(CallFailure.CONNECTION_LOST);
+        }
+    }
+
+    private void responseReceived(ByteBuffer bytes) {
+        if (state == State.AWAITING_RESPONSE) {
+            state = State.READING_RESPONSE;
+            setDeadline(limits.discovery().responseTimeoutMs(), CallFailure.INCOMPLETE_RESPONSE);
+        }
+        boolean complete;
+        try {
+            complete = parser.parse(bytes);
+        } catch (MalformedResponseException e) {
+            failCall(CallFailure.malformedResponse(e));
+            return;
+        }
+        if (complete) {
+            completeCall(!parser.closesConnection());
+        }
+    }
+
+    private void completeCall(boolean keepConnection) {
+        if (keepConnection) {
+            state = State.IDLE;
+        } else {
+            close();
+        }
+        listener.onResponse(parser.status(), parser.body());
+    }
+
+    @Override
+    public void onWritten(TcpConnection from) {
+        // Requests are short; nothing waits for them to be written.
+    }
+
+    @Override
+    public void onBroken(TcpConnection from) {
+        if (connection != from) {
+            return;
+        }
+        if (isCallInProgress()) {
+            failCall(CallFailure.CONNECTION_LOST);
+        } else {
+            close();
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/discovery/EndpointListUpdate.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointListUpdate.java
@@ -10,54 +10,70 @@
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.time.Clock;
 
-/** Discovery's list, or a change to it: its version, whether it is the whole, and its entries. */
+/**
+ * Discovery's endpoint list, or the changes to it.
+ *
+ * @param version the version of the list with these entries
+ * @param full whether the entries are the full list rather than the changes since the version requested
+ * @param entries the endpoints, or the changed ones among them
+ */
 public record EndpointListUpdate(long version, boolean full, List<EndpointListEntry> entries) {
+    private static final double DEFAULT_WEIGHT = 1;
 
-    /** Reads discovery's form; a {@link MalformedInputException} tells what is wrong with it. */
+    /**
+     * Reads discovery's JSON form, whose field names differ from those of the code: {@code servers} are the entries, and of
+     * an entry {@code addr} is the address, {@code state} the status and {@code kind} the machine type.
+     *
+     * @throws MalformedInputException if it is not of that form; the message says what is wrong
+     */
     public static EndpointListUpdate read(Map<String, Object> json) {
         if (!(json.get("version") instanceof Double version) || !(json.get("servers") instanceof List<?> servers)) {
             throw new MalformedInputException("a list without version or servers");
         }
-        List<EndpointListEntry> members = new ArrayList<>();
+        List<EndpointListEntry> entries = new ArrayList<>();
         for (Object server : servers) {
-            if (!(server instanceof Map<?, ?> entry)) {
+            if (!(server instanceof Map<?, ?> fields)) {
                 throw new MalformedInputException("a list entry that is not an object");
             }
-            members.add(member(entry));
+            entries.add(readEntry(fields));
         }
-        return new EndpointListUpdate(version.longValue(), Boolean.TRUE.equals(json.get("full")), members);
+        return new EndpointListUpdate(version.longValue(), Boolean.TRUE.equals(json.get("full")), entries);
     }
 
-    private static EndpointListEntry member(Map<?, ?> entry) {
-        EndpointStatus state = switch (String.valueOf(entry.get("state"))) {
-            case "SERVING" -> EndpointStatus.SERVING;
-            case "DRAINING" -> EndpointStatus.DRAINING;
-            case "DELETED" -> EndpointStatus.REMOVED;
-            default -> throw new MalformedInputException("unknown state " + entry.get("state"));
-        };
-        if (!(entry.get("id") instanceof String id)) {
+    private static EndpointListEntry readEntry(Map<?, ?> fields) {
+        EndpointStatus status = readStatus(fields);
+        if (!(fields.get("id") instanceof String id)) {
             throw new MalformedInputException("a list entry without id");
         }
-        String address = entry.get("addr") instanceof String a ? a : null;
-        if (address == null && state != EndpointStatus.REMOVED) {
+        String address = fields.get("addr") instanceof String text ? text : null;
+        if (address == null && status != EndpointStatus.REMOVED) {
             throw new MalformedInputException("a list entry without addr: " + id);
         }
-        EndpointInfo told = new EndpointInfo(
+        EndpointInfo info = new EndpointInfo(
                 id,
-                state,
-                text(entry, "zone"),
-                (int) number(entry, "cell", 0),
-                text(entry, "kind"),
-                number(entry, "weight", 1),
-                Clock.toMicros(number(entry, "started_ms", 0)));
-        return new EndpointListEntry(told, address == null ? null : NodeConfig.address("addr", address));
+                status,
+                text(fields, "zone"),
+                (int) number(fields, "cell", 0),
+                text(fields, "kind"),
+                number(fields, "weight", DEFAULT_WEIGHT),
+                Clock.toMicros(number(fields, "started_ms", 0)));
+        return new EndpointListEntry(info, address == null ? null : NodeConfig.address("addr", address));
+    }
+
+    private static EndpointStatus readStatus(Map<?, ?> fields) {
+        return switch (String.valueOf(fields.get("state"))) {
+            case "SERVING" -> EndpointStatus.SERVING;
+            case "DRAINING" -> EndpointStatus.DRAINING;
+            case "DELETED" -> EndpointStatus.REMOVED;
+            default -> throw new MalformedInputException("unknown state " + fields.get("state"));
+        };
     }
 
-    private static String text(Map<?, ?> entry, String key) {
-        return entry.get(key) instanceof String s ? s : "";
+    private static String text(Map<?, ?> fields, String name) {
+        return fields.get(name) instanceof String text ? text : "";
     }
 
-    private static double number(Map<?, ?> entry, String key, double otherwise) {
-        return entry.get(key) instanceof Double d ? d : otherwise;
+    private static double number(Map<?, ?> fields, String name, double defaultValue) {
+        return fields.get(name) instanceof Double number ? number : defaultValue;
     }
 }
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -1,11 +1,9 @@
 package tulipshed.discovery;
 
+import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.jboss.logging.Logger;
-import org.xnio.StreamConnection;
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
 import tulipshed.decision.BalancerApi.EndpointListKind;
@@ -13,273 +11,190 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListSource;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.transport.TcpConnection;
 import tulipshed.transport.XnioEventLoop;
 
 /**
- * Watches discovery's list: each call waits for news, and the next follows as soon as it is answered. Each step of a call
- * has a time of its own. A watch that has fallen silent is opened anew at once; any other call that fails ends the watch
- * and is told to the core, and when to ask again is the module's to say. All of that fits into the 6 s after which a change
- * counts as told, whatever became of the calls before.
+ * Watches discovery's endpoint list by long polling: each call waits for changes, and the next call follows its response.
+ *
+ * <p>A long poll of discovery whose response is late is repeated at once, without waiting. Any other failed call ends the
+ * watch and is passed to the core as a failed list; the decision module says when to call again. All of this fits into the
+ * 6 s after which a change counts as known to the node, whatever happened to earlier calls. Confined to the event-loop
+ * thread.
  */
-public final class EndpointWatch implements EndpointListSource, TcpConnection.Listener {
+public final class EndpointWatch implements EndpointListSource {
     private final Limits limits;
     private final XnioEventLoop loop;
     private final ProxyCore core;
     private final Logger log;
-    private final ByteBuffer in;
-    private InetSocketAddress discovery;
-    private long version;
-    /** Whether the next call asks for the whole list, which discovery answers without waiting for news. */
-    private boolean whole;
-
-    private boolean catchingUp;
+    private final DiscoveryClient client;
+    private final EndpointListCursor cursor;
+    private DeliveryMode mode = DeliveryMode.POLLED;
+    private Health health = Health.UNCONFIRMED;
     private boolean stopped;
-    private boolean watching;
-    private boolean setPushed;
-    private boolean failing;
-    private TcpConnection link;
-    private XnioEventLoop.PendingConnection dialing;
-    private HttpResponseParser answer;
-    private boolean calling;
-    /** How long the call that is out waits there for news. */
-    private double waitMs;
-    /** Whether the answer to it has begun. */
-    private boolean answering;
 
-    private long steps;
+    /** What the last call showed. */
+    private enum Health {
+        /** No call has succeeded since the start or since the watch was reopened. */
+        UNCONFIRMED,
+        WATCHING,
+        FAILING
+    }
 
+    /**
+     * A watch that makes no call before {@link #watch}.
+     *
+     * @param discovery the address of discovery, or of its agent on the node's machine
+     * @param version the version of the list that the node has already; 0 for none
+     */
     public EndpointWatch(
             InetSocketAddress discovery, Limits limits, XnioEventLoop loop, ProxyCore core, long version, NodeLog log) {
-        this.discovery = discovery;
         this.limits = limits;
         this.loop = loop;
         this.core = core;
-        this.version = version;
         this.log = log.logger("discovery");
-        in = ByteBuffer.allocate(limits.sockets().readBytes());
+        cursor = new EndpointListCursor(version);
+        client = new DiscoveryClient(discovery, limits, loop, new CallListener());
     }
 
+    /** Starts a call unless one is in progress or the watch has stopped. */
     @Override
     public void watch() {
-        if (!calling && !stopped) {
-            call();
+        if (!client.isCallInProgress() && !stopped) {
+            startCall();
         }
     }
 
     /**
-     * Whether lists are pushed to an agent on the node's machine: what the agent has counts as told, so it is watched by
-     * itself from now on and asked again soon after each failure. Where discovery is asked, the module says when.
+     * Sets whether lists are pushed to an agent on the node's machine. What the agent has counts as known to the node, so
+     * the agent is polled without a prompt, and again soon after each failure. Where discovery itself is polled, the
+     * decision module says when.
      */
     public void setPushed(boolean toAgent) {
-        setPushed = toAgent;
-        if (setPushed) {
+        mode = toAgent ? DeliveryMode.PUSHED_TO_AGENT : DeliveryMode.POLLED;
+        if (toAgent) {
             watch();
         }
     }
 
     /**
-     * Asks now for all that changed, without waiting for news: what another process was told binds this one. A call that
-     * is out and waits for news is given up for it.
+     * Requests all changes so far at once, without waiting for further ones, as a list that another process of the node
+     * received is binding for this one. Abandons a call in progress that waits for changes.
      */
     public void catchUp() {
-        catchingUp = true;
-        if (calling && waitMs > 0) {
-            hangUp();
+        cursor.requireCatchUp();
+        if (client.isLongPollInProgress()) {
+            client.close();
         }
         watch();
     }
 
-    /** Whether it holds a connection. */
+    /** Whether it holds a connection, or is opening one. */
     public boolean isConnected() {
-        return link != null || dialing != null;
+        return client.isConnected();
     }
 
-    /** Asks nothing more; the node ends. */
+    /** Closes the connection and makes no further call; for the end of the node. */
     public void stop() {
         stopped = true;
-        hangUp();
+        client.close();
     }
 
     /**
-     * Discovery is elsewhere from now on. What the old address still says or fails to say changes nothing, and as
-     * the new one may count its versions differently, it is asked for the whole list, at once: what it has to tell
-     * counts as told soon after the move.
+     * Changes the address of discovery. A call to the old address is abandoned without a notification. As the new address
+     * may count its versions differently, the full list is requested from it at once: its changes count as known to the
+     * node soon after the address changed. Does nothing where the address is the same.
      */
     public void setDiscoveryAddress(InetSocketAddress to) {
-        if (!to.equals(discovery)) {
-            hangUp();
-            discovery = to;
-            whole = true;
+        if (!to.equals(client.address())) {
+            client.setAddress(to);
+            cursor.requireFullList();
             watch();
         }
     }
 
-    private void call() {
-        calling = true;
-        answering = false;
-        waitMs = whole || catchingUp
-                ? 0
-                : setPushed
-                        ? limits.discovery().agentWaitMs()
-                        : limits.discovery().watchWaitMs();
-        answer = new HttpResponseParser(
-                limits.discovery().headBytes(), limits.discovery().bodyBytes());
-        if (link != null) {
-            ask();
-        } else {
-            within(limits.discovery().connectTimeoutMs(), () -> failed("connect timeout"));
-            dialing = loop.connect(discovery, this::up, this::failed);
-        }
-    }
-
-    private double silenceMs() {
-        return setPushed
-                ? limits.discovery().agentTimeoutMs()
-                : limits.discovery().watchTimeoutMs();
-    }
-
-    /** The call that is out has this long for its next step. */
-    private void within(double ms, Runnable otherwise) {
-        long step = ++steps;
-        loop.schedule(ms, () -> {
-            if (calling && step == steps) {
-                otherwise.run();
-            }
-        });
-    }
-
-    private void up(StreamConnection connection) {
-        dialing = null;
-        link = loop.register(connection, this);
-        link.setReading(true);
-        ask();
-    }
-
-    private void ask() {
-        within(waitMs + silenceMs(), () -> silent("no response in time"));
-        String host = discovery.getAddress().getHostAddress() + ":" + discovery.getPort();
-        String what = whole ? "" : "?index=" + version + "&wait=" + (long) waitMs;
-        link.write(
-                ("GET /discovery/hosts" + what + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII));
+    private void startCall() {
+        client.call(cursor.nextRequest(mode.longPollMs(limits.discovery())));
     }
 
-    /**
-     * The answer did not come, or not all of it. Where the call waited for news the watch is broken, and what it missed may
-     * be known for seconds already: it is opened anew without a pause, and asks at once. Callers do not crowd by that, as
-     * each began its watch at a time of its own.
-     */
-    private void silent(String why) {
-        if (waitMs == 0 || setPushed) {
-            failed(why);
+    private void responseReceived(int status, byte[] body) {
+        if (status != HttpURLConnection.HTTP_OK) {
+            client.close();
+            fail(CallFailure.errorStatus(status));
             return;
         }
-        log.warn("reopening watch: " + why);
-        watching = false;
-        catchUp();
-    }
-
-    @Override
-    public void onReadable(TcpConnection from) {
-        while (link == from && !from.isClosed()) {
-            in.clear();
-            int n = from.read(in);
-            if (n == 0) {
-                return;
-            }
-            if (n > 0 && calling && !answering) {
-                answering = true;
-                within(limits.discovery().responseTimeoutMs(), () -> silent("incomplete response"));
-            }
-            boolean complete;
-            try {
-                complete = n < 0 ? calling && answer.end() : calling && answer.take(in.flip());
-            } catch (HttpResponseParser.MalformedResponseException e) {
-                failed(e.getMessage());
-                return;
-            }
-            if (complete) {
-                answered(n < 0);
-            } else if (n < 0 || !calling) {
-                onBroken(from);
-                return;
-            }
-        }
-    }
-
-    private void answered(boolean ended) {
-        if (answer.status() != 200) {
-            failed("status " + answer.status());
-            return;
-        }
-        EndpointListUpdate list;
+        EndpointListUpdate update;
         try {
-            list = EndpointListUpdate.read(JsonValues.object(answer.body()));
+            update = EndpointListUpdate.read(JsonValues.object(body));
         } catch (MalformedInputException e) {
-            failed(e.getMessage());
+            client.close();
+            fail(CallFailure.malformedList(e));
             return;
         }
-        calling = false;
-        failing = false;
-        if (!watching) {
-            watching = true;
-            log.info("watching endpoint list from version " + list.version());
-        }
-        // Changes that lead back to an older version leave open what the list is there now.
-        whole = !whole && !list.full() && list.version() < version;
-        version = list.version();
-        catchingUp = false;
-        if (ended || answer.closes()) {
-            hangUp();
+        apply(update);
+    }
+
+    private void apply(EndpointListUpdate update) {
+        if (health != Health.WATCHING) {
+            log.info("watching endpoint list from version " + update.version());
         }
-        core.endpointsChanged(list.full() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES, list.entries());
-        if (setPushed && list.entries().isEmpty()) {
+        health = Health.WATCHING;
+        cursor.advance(update);
+        core.endpointsChanged(update.full() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES, update.entries());
+        if (mode == DeliveryMode.PUSHED_TO_AGENT && update.entries().isEmpty()) {
+            // Agents may respond at once although nothing changed.
             loop.schedule(limits.discovery().agentPollIntervalMs(), this::watch);
         } else {
-            call();
+            startCall();
         }
     }
 
-    private void failed(String why) {
-        if (!calling) {
-            return;
+    private void callFailed(ListRequest request, CallFailure failure) {
+        if (failure.isResponseTimeout() && request.isLongPoll() && mode == DeliveryMode.POLLED) {
+            reopen(failure);
+        } else {
+            fail(failure);
         }
-        calling = false;
-        watching = false;
-        // An agent is asked again so soon that each failure of a dark time would be a line.
-        if (!setPushed || !failing) {
-            log.warn("call failed: " + why);
+    }
+
+    /**
+     * Calls again at once, without waiting for changes: those that the late response would have reported may be seconds
+     * old. Nodes do not call in a herd by this, as each began its watch at a time of its own.
+     */
+    private void reopen(CallFailure failure) {
+        log.warn("reopening watch: " + failure.logText());
+        if (health == Health.WATCHING) {
+            health = Health.UNCONFIRMED;
+        }
+        catchUp();
+    }
+
+    private void fail(CallFailure failure) {
+        // An agent is polled so often that each failure of an outage would be a line.
+        if (mode == DeliveryMode.POLLED || health != Health.FAILING) {
+            log.warn("call failed: " + failure.logText());
         }
-        failing = true;
-        hangUp();
+        health = Health.FAILING;
         core.endpointsChanged(EndpointListKind.FAILED, List.of());
-        if (setPushed) {
+        if (mode == DeliveryMode.PUSHED_TO_AGENT) {
             loop.schedule(limits.discovery().agentRetryDelayMs(), this::watch);
         }
     }
 
-    /** Ends the call that is out, if there is one, and its connection; nothing of it is told. */
-    private void hangUp() {
-        calling = false;
-        if (dialing != null) {
-            dialing.abandon();
-            dialing = null;
+    /** Keeps the notifications of the client out of the public interface. */
+    private final class CallListener implements DiscoveryClient.Listener {
+        @Override
+        public void onResponse(int status, byte[] body) {
+            responseReceived(status, body);
         }
-        if (link != null) {
-            link.close();
-            link = null;
-        }
-    }
 
-    @Override
-    public void onWritten(TcpConnection from) {}
+        @Override
+        public void onCallFailed(ListRequest request, CallFailure failure) {
+            callFailed(request, failure);
+        }
 
-    @Override
-    public void onBroken(TcpConnection from) {
-        if (link == from) {
-            failed("connection lost");
-            hangUp();
+        @Override
+        public double responseTimeoutMs() {
+            return mode.responseTimeoutMs(limits.discovery());
         }
     }
 }
--- a/node/src/main/java/tulipshed/discovery/HttpResponseParser.java
+++ b/node/src/main/java/tulipshed/discovery/HttpResponseParser.java
@@ -3,98 +3,129 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Locale;
+import java.util.regex.Pattern;
 
-/** Reads one answer of HTTP/1.1 as it comes in, with bounds on its head and body. */
+/**
+ * Parses one HTTP/1.1 response from input that arrives in pieces, with limits on the size of its head and its body.
+ * Confined to one thread.
+ */
 final class HttpResponseParser {
-    private enum Part {
-        HEAD,
-        SIZED,
-        TO_END,
-        CHUNK_SIZE,
-        CHUNK,
-        CHUNK_END,
-        TRAILER,
-        DONE
-    }
-
-    private final int longestHead;
-    private final int longestBody;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
+    private static final int STATUS_START = "HTTP/1.1 ".length();
+    private static final int STATUS_END = STATUS_START + 3;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    /** Nine digits at most, so that a length fits into a long in either radix. */
+    private static final Pattern LENGTH = Pattern.compile("[0-9a-fA-F]{1,9}");
+
+    private static final int DECIMAL = 10;
+    private static final int HEXADECIMAL = 16;
+    private static final int UNKNOWN_LENGTH = -1;
+
+    private final int maxHeadBytes;
+    private final int maxBodyBytes;
     private final StringBuilder line = new StringBuilder();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private Part part = Part.HEAD;
-    private int headBytes;
+    private State state = State.HEAD;
+
+    /** Bytes of lines so far: of the head, or since the last chunk. */
+    private int lineBytes;
+
+    /** 0 before the status line. */
     private int status;
-    private long left = -1;
-    private boolean chunked;
-    private boolean closes;
 
-    /** Input that is not an answer of HTTP/1.1 within the bounds. */
-    static final class MalformedResponseException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
+    /** Bytes left of the body or of the chunk; {@link #UNKNOWN_LENGTH} where the head does not state a length. */
+    private long remainingBytes = UNKNOWN_LENGTH;
 
-        MalformedResponseException(String message) {
-            super(message);
-        }
+    private boolean chunked;
+    private boolean closesConnection;
+
+    /** Which part of the response comes next. */
+    private enum State {
+        HEAD,
+        SIZED_BODY,
+        BODY_UNTIL_END_OF_INPUT,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        COMPLETE
     }
 
-    HttpResponseParser(int longestHead, int longestBody) {
-        this.longestHead = longestHead;
-        this.longestBody = longestBody;
+    /** A parser of one response; larger heads and bodies than these are malformed. */
+    HttpResponseParser(int maxHeadBytes, int maxBodyBytes) {
+        this.maxHeadBytes = maxHeadBytes;
+        this.maxBodyBytes = maxBodyBytes;
     }
 
-    /** Takes what belongs to this answer; true once it is whole. */
-    boolean take(ByteBuffer in) {
-        while (part != Part.DONE && in.hasRemaining()) {
-            if (part == Part.SIZED || part == Part.CHUNK || part == Part.TO_END) {
-                copy(in);
+    /**
+     * Consumes input up to the end of the response.
+     *
+     * @return whether the response is complete
+     * @throws MalformedResponseException if this is not a response within the limits
+     */
+    boolean parse(ByteBuffer input) {
+        while (state != State.COMPLETE && input.hasRemaining()) {
+            if (state == State.SIZED_BODY || state == State.CHUNK || state == State.BODY_UNTIL_END_OF_INPUT) {
+                copyBody(input);
             } else {
-                character((char) (in.get() & 0xFF));
+                parseLineCharacter((char) (input.get() & 0xFF));
             }
         }
-        return part == Part.DONE;
+        return state == State.COMPLETE;
     }
 
-    /** The connection ended; true where that is how the answer ends. */
-    boolean end() {
-        if (part == Part.TO_END) {
-            part = Part.DONE;
+    /**
+     * The connection ended.
+     *
+     * @return whether that completes the response
+     */
+    boolean endOfInput() {
+        if (state == State.BODY_UNTIL_END_OF_INPUT) {
+            state = State.COMPLETE;
         }
-        return part == Part.DONE;
+        return state == State.COMPLETE;
     }
 
+    /** The status code; 0 before the status line. */
     int status() {
         return status;
     }
 
+    /** The body so far. */
     byte[] body() {
         return body.toByteArray();
     }
 
-    /** Whether the connection cannot be used again. */
-    boolean closes() {
-        return closes;
+    /** Whether the connection cannot be used for another call. */
+    boolean closesConnection() {
+        return closesConnection;
     }
 
-    private void copy(ByteBuffer in) {
-        int n = part == Part.TO_END ? in.remaining() : (int) Math.min(in.remaining(), left);
-        if (body.size() + n > longestBody) {
-            throw new MalformedResponseException("a body of more than " + longestBody + " bytes");
+    private void copyBody(ByteBuffer input) {
+        int count = state == State.BODY_UNTIL_END_OF_INPUT
+                ? input.remaining()
+                : (int) Math.min(input.remaining(), remainingBytes);
+        if (body.size() + count > maxBodyBytes) {
+            throw new MalformedResponseException("a body of more than " + maxBodyBytes + " bytes");
         }
-        byte[] bytes = new byte[n];
-        in.get(bytes);
+        byte[] bytes = new byte[count];
+        input.get(bytes);
         body.writeBytes(bytes);
-        left -= n;
-        if (left == 0 && part != Part.TO_END) {
-            part = part == Part.SIZED ? Part.DONE : Part.CHUNK_END;
+        remainingBytes -= count;
+        if (remainingBytes == 0 && state != State.BODY_UNTIL_END_OF_INPUT) {
+            state = state == State.SIZED_BODY ? State.COMPLETE : State.CHUNK_END;
         }
     }
 
-    private void character(char c) {
-        if (++headBytes > longestHead) {
-            throw new MalformedResponseException("a head of more than " + longestHead + " bytes");
+    private void parseLineCharacter(char next) {
+        if (++lineBytes > maxHeadBytes) {
+            throw new MalformedResponseException("a head of more than " + maxHeadBytes + " bytes");
         }
-        if (c != '\n') {
-            line.append(c);
+        if (next != '\n') {
+            line.append(next);
             return;
         }
         if (line.length() > 0 && line.charAt(line.length() - 1) == '\r') {
@@ -102,60 +133,78 @@
         }
         String text = line.toString();
         line.setLength(0);
-        switch (part) {
-            case HEAD -> head(text);
-            case CHUNK_SIZE -> chunkSize(text);
+        parseLine(text);
+    }
+
+    private void parseLine(String text) {
+        switch (state) {
+            case HEAD -> parseHeadLine(text);
+            case CHUNK_SIZE -> parseChunkSize(text);
             case CHUNK_END -> {
-                headBytes = 0;
-                part = Part.CHUNK_SIZE;
+                lineBytes = 0;
+                state = State.CHUNK_SIZE;
             }
-            default -> part = text.isEmpty() ? Part.DONE : part;
+            default -> state = text.isEmpty() ? State.COMPLETE : state;
         }
     }
 
-    private void head(String text) {
+    private void parseHeadLine(String text) {
         if (status == 0) {
-            if (!text.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
-                throw new MalformedResponseException("not an answer of HTTP/1.1");
-            }
-            status = Integer.parseInt(text.substring(9, 12));
-            closes = text.startsWith("HTTP/1.0");
+            parseStatusLine(text);
         } else if (!text.isEmpty()) {
-            field(text);
-        } else if (status < 200) {
+            parseField(text);
+        } else if (status < FIRST_FINAL_STATUS) {
+            // An interim response; the final one follows.
             status = 0;
-        } else if (chunked) {
-            part = Part.CHUNK_SIZE;
-        } else if (left == 0 || status == 204 || status == 304) {
-            part = Part.DONE;
         } else {
-            part = left > 0 ? Part.SIZED : Part.TO_END;
-            closes |= part == Part.TO_END;
+            startBody();
         }
     }
 
-    private void field(String text) {
+    private void parseStatusLine(String text) {
+        if (!STATUS_LINE.matcher(text).matches()) {
+            throw new MalformedResponseException("not an HTTP/1.1 response");
+        }
+        status = Integer.parseInt(text.substring(STATUS_START, STATUS_END));
+        closesConnection = text.startsWith("HTTP/1.0");
+    }
+
+    private void parseField(String text) {
         int colon = text.indexOf(':');
         if (colon <= 0) {
             throw new MalformedResponseException("a field without a name");
         }
         String value = text.substring(colon + 1).strip().toLowerCase(Locale.ROOT);
         switch (text.substring(0, colon).toLowerCase(Locale.ROOT)) {
-            case "content-length" -> left = figure(value, 10);
+            case "content-length" -> remainingBytes = parseLength(value, DECIMAL);
             case "transfer-encoding" -> chunked = value.endsWith("chunked");
-            case "connection" -> closes |= value.contains("close");
+            case "connection" -> closesConnection |= value.contains("close");
             default -> {}
         }
     }
 
-    private void chunkSize(String text) {
+    private void startBody() {
+        if (chunked) {
+            state = State.CHUNK_SIZE;
+        } else if (remainingBytes == 0 || status == NO_CONTENT || status == NOT_MODIFIED) {
+            state = State.COMPLETE;
+        } else if (remainingBytes > 0) {
+            state = State.SIZED_BODY;
+        } else {
+            state = State.BODY_UNTIL_END_OF_INPUT;
+            closesConnection = true;
+        }
+    }
+
+    private void parseChunkSize(String text) {
         int semicolon = text.indexOf(';');
-        left = figure((semicolon < 0 ? text : text.substring(0, semicolon)).strip(), 16);
-        part = left == 0 ? Part.TRAILER : Part.CHUNK;
+        String size = semicolon < 0 ? text : text.substring(0, semicolon);
+        remainingBytes = parseLength(size.strip(), HEXADECIMAL);
+        state = remainingBytes == 0 ? State.TRAILER : State.CHUNK;
     }
 
-    private long figure(String text, int radix) {
-        if (!text.matches("[0-9a-fA-F]{1,9}")) {
+    private static long parseLength(String text, int radix) {
+        if (!LENGTH.matcher(text).matches()) {
             throw new MalformedResponseException("not a length: " + text);
         }
         try {
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -82,7 +82,7 @@
 
     /** Where a transaction came from, as far as anybody asks. */
     Origin origin(TcpConnection client, OpenCommand line) {
-        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), line.figures());
+        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.remoteAddress(), line.figures());
     }
 
     NameIndex names() {
--- a/node/src/main/java/tulipshed/transport/HotRestartState.java
+++ b/node/src/main/java/tulipshed/transport/HotRestartState.java
@@ -158,7 +158,7 @@
     }
 
     /** Connections open in this process. */
-    void open(int connections) {
+    void publishOpenConnections(int connections) {
         if (shared != null) {
             shared.putInt(own + OPEN, connections);
         }
--- a/node/src/main/java/tulipshed/transport/TcpConnection.java
+++ b/node/src/main/java/tulipshed/transport/TcpConnection.java
@@ -52,7 +52,7 @@
     }
 
     /** The other end's address; the wildcard address where it is not known any more. */
-    public InetAddress peer() {
+    public InetAddress remoteAddress() {
         InetSocketAddress address = connection.getPeerAddress(InetSocketAddress.class);
         return address == null || address.getAddress() == null
                 ? new InetSocketAddress(0).getAddress()
--- a/node/src/main/java/tulipshed/transport/UdpSocket.java
+++ b/node/src/main/java/tulipshed/transport/UdpSocket.java
@@ -15,7 +15,7 @@
 
     /** Hears every datagram that comes in. */
     public interface Receiver {
-        void received(InetSocketAddress from, byte[] datagram);
+        void onDatagram(InetSocketAddress from, byte[] datagram);
     }
 
     UdpSocket(
@@ -46,7 +46,7 @@
             }
             byte[] datagram = new byte[scratch.flip().remaining()];
             scratch.get(datagram);
-            receiver.received((InetSocketAddress) addresses.getSourceAddress(), datagram);
+            receiver.onDatagram((InetSocketAddress) addresses.getSourceAddress(), datagram);
         }
     }
 
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -92,7 +92,7 @@
 
     private void opened(int more) {
         openConnections += more;
-        hotRestartState.open(openConnections);
+        hotRestartState.publishOpenConnections(openConnections);
     }
 
     /** The other process of this node, where there is one. */
@@ -161,7 +161,8 @@
     }
 
     /** Opens a connection; one of the two is called, on the loop, unless it is given up before. */
-    public PendingConnection connect(InetSocketAddress to, Consumer<StreamConnection> up, Consumer<String> failed) {
+    public PendingConnection connect(
+            InetSocketAddress to, Consumer<StreamConnection> up, Consumer<IOException> failed) {
         Dial dial = new Dial(up, failed);
         opened(1);
         IoFuture<StreamConnection> future =
@@ -170,9 +171,9 @@
         future.addNotifier(
                 (f, x) -> {
                     if (f.getStatus() != IoFuture.Status.DONE) {
-                        String why = f.getStatus() == IoFuture.Status.FAILED
-                                ? f.getException().getMessage()
-                                : "given up";
+                        IOException why = f.getStatus() == IoFuture.Status.FAILED
+                                ? f.getException()
+                                : new IOException("connection attempt cancelled");
                         thread.execute(() -> dial.failed(why));
                     }
                 },
@@ -183,12 +184,12 @@
     /** One dialled connection; whichever comes first of up, failed and given up is the end of it. */
     private final class Dial implements PendingConnection {
         private final Consumer<StreamConnection> up;
-        private final Consumer<String> failed;
+        private final Consumer<IOException> failed;
         private IoFuture<StreamConnection> future;
         private boolean given;
         private boolean over;
 
-        Dial(Consumer<StreamConnection> up, Consumer<String> failed) {
+        Dial(Consumer<StreamConnection> up, Consumer<IOException> failed) {
             this.up = up;
             this.failed = failed;
         }
@@ -205,7 +206,7 @@
             }
         }
 
-        void failed(String why) {
+        void failed(IOException why) {
             if (!over) {
                 over = true;
                 opened(-1);
--- a/node/src/test/java/tulipshed/discovery/WatchTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTest.java
@@ -31,16 +31,16 @@
 
 /** The watch against a stand-in discovery that answers as each test says. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
-class WatchTest {
+class EndpointWatchTest {
     private static final String ENTRY = "{\"id\":\"s-5\",\"addr\":\"127.0.0.1:9\",\"state\":\"SERVING\"}";
-    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
     private XnioEventLoop loop;
     private ServerSocket discovery;
     private EndpointWatch watch;
     private ProxyCore core;
 
     @BeforeEach
-    void start() throws IOException {
+    void startWatch() throws IOException {
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
         Limits limits = Limits.forDescriptors(1024);
         discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -57,7 +57,7 @@
                     (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
                         @Override
                         public void endpointsChanged(long at, EndpointListKind kind, List<EndpointInfo> entries) {
-                            told.add(kind + " " + entries.size());
+                            notifications.add(kind + " " + entries.size());
                         }
                     });
             watch = new EndpointWatch(
@@ -67,7 +67,7 @@
     }
 
     /** The next call that the watch makes by itself, after the first, which the module asked for, has failed. */
-    private Socket nextCall() throws IOException {
+    private Socket acceptConnection() throws IOException {
         Socket socket = discovery.accept();
         socket.setSoTimeout(5000);
         return socket;
@@ -75,51 +75,51 @@
 
     /** Seen at the second site: nobody asked the agent, so the list of the start was the only one that the node ever had. */
     @Test
-    void anAgentIsWatchedByItselfAndAskedAgainAfterEachFailure() throws Exception {
-        nextCall().close();
-        assertEquals("FAILED 0", news());
+    void pollsAgentUnpromptedAndAgainAfterEachFailure() throws Exception {
+        acceptConnection().close();
+        assertEquals("FAILED 0", nextNotification());
         loop.execute(() -> watch.setPushed(true));
         // It resets, ends without an answer, answers with an error, and says nothing at all.
-        try (Socket socket = nextCall()) {
-            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait=1000 "));
+        try (Socket socket = acceptConnection()) {
+            assertTrue(readRequest(socket).startsWith("GET /discovery/hosts?index=41&wait=1000 "));
             socket.setSoLinger(true, 0);
         }
-        assertEquals("FAILED 0", news());
-        try (Socket socket = nextCall()) {
-            call(socket);
+        assertEquals("FAILED 0", nextNotification());
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
         }
-        assertEquals("FAILED 0", news());
-        try (Socket socket = nextCall()) {
-            call(socket);
-            answer(socket, "503 Service Unavailable", "");
-            assertEquals("FAILED 0", news());
+        assertEquals("FAILED 0", nextNotification());
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+            respond(socket, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", nextNotification());
         }
-        try (Socket silent = nextCall()) {
-            call(silent);
-            assertEquals("FAILED 0", news(), "within the time in which a drain has to be known");
+        try (Socket silent = acceptConnection()) {
+            readRequest(silent);
+            assertEquals("FAILED 0", nextNotification(), "within the time in which a drain has to be known");
         }
-        try (Socket socket = nextCall()) {
-            call(socket);
-            answer(socket, "200 OK", list(42, true));
-            assertEquals("COMPLETE 1", news());
-            assertTrue(call(socket).contains("index=42&"));
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+            respond(socket, "200 OK", listJson(42, true));
+            assertEquals("COMPLETE 1", nextNotification());
+            assertTrue(readRequest(socket).contains("index=42&"));
         }
     }
 
     /** Agents may answer at once although nothing is new; the watch must neither spin nor pause for 200 ms. */
     @Test
-    void anAgentThatHasNothingNewIsNotAskedInALoop() throws Exception {
-        nextCall().close();
-        assertEquals("FAILED 0", news());
+    void pausesBetweenPollsOfAgentWithoutChanges() throws Exception {
+        acceptConnection().close();
+        assertEquals("FAILED 0", nextNotification());
         loop.execute(() -> watch.setPushed(true));
-        try (Socket socket = nextCall()) {
-            call(socket);
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
             long began = System.nanoTime();
             int calls = 20;
             for (int i = 0; i < calls; i++) {
-                answer(socket, "200 OK", "{\"version\":41,\"full\":false,\"servers\":[]}");
-                assertEquals("CHANGES 0", news());
-                call(socket);
+                respond(socket, "200 OK", "{\"version\":41,\"full\":false,\"servers\":[]}");
+                assertEquals("CHANGES 0", nextNotification());
+                readRequest(socket);
             }
             assertTrue((System.nanoTime() - began) / 1e6 >= calls * 90.0, "calls without a pause");
         }
@@ -131,7 +131,7 @@
         discovery.close();
     }
 
-    private static String call(Socket socket) throws IOException {
+    private static String readRequest(Socket socket) throws IOException {
         BufferedReader in =
                 new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
         String first = in.readLine();
@@ -139,165 +139,165 @@
         return first;
     }
 
-    private static void answer(Socket socket, String status, String body) throws IOException {
+    private static void respond(Socket socket, String status, String body) throws IOException {
         socket.getOutputStream()
                 .write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                         .getBytes(StandardCharsets.US_ASCII));
     }
 
-    private static String list(int version, boolean full) {
+    private static String listJson(int version, boolean full) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + ENTRY + "]}";
     }
 
-    private String news() throws InterruptedException {
-        return told.poll(5, TimeUnit.SECONDS);
+    private String nextNotification() throws InterruptedException {
+        return notifications.poll(5, TimeUnit.SECONDS);
     }
 
     @Test
-    void eachAnswerIsToldAndTheNextCallFollowsOnTheSameConnection() throws Exception {
+    void deliversEachResponseAndCallsAgainOnSameConnection() throws Exception {
         try (Socket socket = discovery.accept()) {
-            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait="));
-            answer(socket, "200 OK", list(42, true));
-            assertEquals("COMPLETE 1", news());
-            assertTrue(call(socket).contains("index=42&"));
-            answer(socket, "200 OK", list(43, false));
-            assertEquals("CHANGES 1", news());
-            assertTrue(call(socket).contains("index=43&"));
+            assertTrue(readRequest(socket).startsWith("GET /discovery/hosts?index=41&wait="));
+            respond(socket, "200 OK", listJson(42, true));
+            assertEquals("COMPLETE 1", nextNotification());
+            assertTrue(readRequest(socket).contains("index=42&"));
+            respond(socket, "200 OK", listJson(43, false));
+            assertEquals("CHANGES 1", nextNotification());
+            assertTrue(readRequest(socket).contains("index=43&"));
         }
-        assertEquals("FAILED 0", news());
+        assertEquals("FAILED 0", nextNotification());
     }
 
     /** Without this a process that takes over would wait for the next news before it knows the last. */
     @Test
-    void catchingUpDoesNotWaitForNews() throws Exception {
+    void catchUpRequestsImmediateResponse() throws Exception {
         try (Socket socket = discovery.accept()) {
-            call(socket);
-            answer(socket, "503 Service Unavailable", "");
-            assertEquals("FAILED 0", news());
+            readRequest(socket);
+            respond(socket, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", nextNotification());
         }
         loop.execute(watch::catchUp);
         try (Socket socket = discovery.accept()) {
-            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=41&wait=0 "));
-            answer(socket, "200 OK", list(42, false));
-            assertEquals("CHANGES 1", news());
-            assertTrue(call(socket).startsWith("GET /discovery/hosts?index=42&wait=2500 "));
+            assertTrue(readRequest(socket).startsWith("GET /discovery/hosts?index=41&wait=0 "));
+            respond(socket, "200 OK", listJson(42, false));
+            assertEquals("CHANGES 1", nextNotification());
+            assertTrue(readRequest(socket).startsWith("GET /discovery/hosts?index=42&wait=2500 "));
         }
     }
 
     /** Without this a node that has handed over its clients would stay for its watch alone. */
     @Test
-    void aWatchThatIsStoppedHangsUpAndAsksNothingMore() throws Exception {
+    void closesConnectionAndMakesNoCallAfterStop() throws Exception {
         try (Socket socket = discovery.accept()) {
-            call(socket);
+            readRequest(socket);
             loop.execute(watch::stop);
             loop.execute(watch::watch);
             assertEquals(-1, socket.getInputStream().read());
-            loop.execute(() -> told.add("open " + watch.isConnected()));
-            assertEquals("open false", news(), "and no failure is told");
+            loop.execute(() -> notifications.add("open " + watch.isConnected()));
+            assertEquals("open false", nextNotification(), "and no failure is told");
         }
     }
 
     /** A failed call is told once, and nothing is asked again until the module says so. */
     @Test
-    void failuresAreToldAndWaitForTheModule() throws Exception {
+    void reportsEachFailureOnceAndWaitsForNextWatchRequest() throws Exception {
         for (String wrong : List.of("503 Service Unavailable|", "200 OK|{", "200 OK|{\"version\":1}")) {
             try (Socket socket = discovery.accept()) {
-                call(socket);
-                answer(socket, wrong.substring(0, wrong.indexOf('|')), wrong.substring(wrong.indexOf('|') + 1));
-                assertEquals("FAILED 0", news(), wrong);
+                readRequest(socket);
+                respond(socket, wrong.substring(0, wrong.indexOf('|')), wrong.substring(wrong.indexOf('|') + 1));
+                assertEquals("FAILED 0", nextNotification(), wrong);
                 assertEquals(-1, socket.getInputStream().read(), "hung up without another call");
             }
             loop.execute(watch::watch);
         }
         try (Socket socket = discovery.accept()) {
-            call(socket);
+            readRequest(socket);
             socket.setSoLinger(true, 0);
         }
-        assertEquals("FAILED 0", news());
-        assertTrue(told.isEmpty());
+        assertEquals("FAILED 0", nextNotification());
+        assertTrue(notifications.isEmpty());
     }
 
     @Test
-    void aConnectionEndedAfterItsAnswerIsOpenedAnew() throws Exception {
+    void reconnectsAfterServerClosedConnection() throws Exception {
         try (Socket socket = discovery.accept()) {
-            call(socket);
+            readRequest(socket);
             socket.getOutputStream()
-                    .write(("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list(42, true))
+                    .write(("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + listJson(42, true))
                             .getBytes(StandardCharsets.US_ASCII));
         }
-        assertEquals("COMPLETE 1", news());
+        assertEquals("COMPLETE 1", nextNotification());
         try (Socket socket = discovery.accept()) {
-            assertTrue(call(socket).contains("index=42&"));
+            assertTrue(readRequest(socket).contains("index=42&"));
         }
     }
 
     /** Without this a reload would go on with what the old discovery says, or ask the new one for its changes only. */
     @Test
-    void aMoveAsksTheNewAddressForTheWholeListAndPassesOverTheOldOne() throws Exception {
+    void requestsFullListFromNewAddressAndIgnoresOldOne() throws Exception {
         try (ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
                 Socket old = discovery.accept()) {
             elsewhere.setSoTimeout(5000);
-            call(old);
+            readRequest(old);
             InetSocketAddress to = (InetSocketAddress) elsewhere.getLocalSocketAddress();
             loop.execute(() -> watch.setDiscoveryAddress(to));
             loop.execute(() -> watch.setDiscoveryAddress(to));
             try (Socket now = elsewhere.accept()) {
-                assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
-                answer(old, "200 OK", list(99, true));
+                assertEquals("GET /discovery/hosts HTTP/1.1", readRequest(now));
+                respond(old, "200 OK", listJson(99, true));
                 assertEquals(-1, old.getInputStream().read(), "the old call is given up");
-                answer(now, "200 OK", list(7, true));
-                assertEquals("COMPLETE 1", news());
-                assertTrue(call(now).contains("index=7&"), "one call, and the new one's versions");
-                assertTrue(told.isEmpty(), "nothing of the old one is told, nor its end as a failure");
+                respond(now, "200 OK", listJson(7, true));
+                assertEquals("COMPLETE 1", nextNotification());
+                assertTrue(readRequest(now).contains("index=7&"), "one call, and the new one's versions");
+                assertTrue(notifications.isEmpty(), "nothing of the old one is told, nor its end as a failure");
             }
         }
     }
 
     @Test
-    void aMoveFromAnAddressThatDoesNotAnswerNeedsNoWordFromTheModule() throws Exception {
+    void callsNewAddressUnpromptedAfterFailureOfOldOne() throws Exception {
         try (Socket old = discovery.accept();
                 ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            call(old);
-            answer(old, "503 Service Unavailable", "");
-            assertEquals("FAILED 0", news());
+            readRequest(old);
+            respond(old, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", nextNotification());
             elsewhere.setSoTimeout(5000);
             loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) elsewhere.getLocalSocketAddress()));
             try (Socket now = elsewhere.accept()) {
-                assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
-                answer(now, "503 Service Unavailable", "");
-                assertEquals("FAILED 0", news());
+                assertEquals("GET /discovery/hosts HTTP/1.1", readRequest(now));
+                respond(now, "503 Service Unavailable", "");
+                assertEquals("FAILED 0", nextNotification());
             }
             loop.execute(watch::watch);
             try (Socket now = elsewhere.accept()) {
-                assertEquals("GET /discovery/hosts HTTP/1.1", call(now), "still the whole list");
+                assertEquals("GET /discovery/hosts HTTP/1.1", readRequest(now), "still the whole list");
             }
         }
     }
 
     // ---- Times of the steps of a call, and calls that cross ----
 
-    private static final Limits.Discovery USUAL = Limits.forDescriptors(1024).discovery();
+    private static final Limits.Discovery DEFAULTS = Limits.forDescriptors(1024).discovery();
 
     /** A watch whose calls may take for ever but for these steps. */
-    private EndpointWatch impatient(double dialMs, double watchWaitMs, double watchSilenceMs, double answerMs)
+    private EndpointWatch useTimeouts(double dialMs, double watchWaitMs, double watchSilenceMs, double answerMs)
             throws Exception {
-        return replaced(Limits.forDescriptors(1024)
+        return replaceWatch(Limits.forDescriptors(1024)
                 .with(new Limits.Discovery(
-                        USUAL.headBytes(),
-                        USUAL.bodyBytes(),
+                        DEFAULTS.headBytes(),
+                        DEFAULTS.bodyBytes(),
                         dialMs,
                         watchWaitMs,
                         watchSilenceMs,
                         answerMs,
-                        USUAL.agentWaitMs(),
-                        USUAL.agentTimeoutMs(),
-                        USUAL.agentRetryDelayMs(),
-                        USUAL.agentPollIntervalMs())));
+                        DEFAULTS.agentWaitMs(),
+                        DEFAULTS.agentTimeoutMs(),
+                        DEFAULTS.agentRetryDelayMs(),
+                        DEFAULTS.agentPollIntervalMs())));
     }
 
-    private EndpointWatch replaced(Limits limits) throws Exception {
-        try (Socket first = nextCall()) {
-            call(first);
+    private EndpointWatch replaceWatch(Limits limits) throws Exception {
+        try (Socket first = acceptConnection()) {
+            readRequest(first);
             loop.execute(watch::stop);
             assertEquals(-1, first.getInputStream().read());
         }
@@ -313,45 +313,45 @@
 
     /** Seen on calm+brink: silence was noticed after 12 s and the call repeated a second later, so drained members were used. */
     @Test
-    void aWatchThatFallsSilentIsOpenedAnewAtOnceAndAsksWithoutWaiting() throws Exception {
-        impatient(60_000, 100, 100, 60_000);
-        try (Socket silent = nextCall()) {
-            assertTrue(call(silent).startsWith("GET /discovery/hosts?index=41&wait=100 "));
-            try (Socket anew = nextCall()) {
-                assertTrue(call(anew).startsWith("GET /discovery/hosts?index=41&wait=0 "));
+    void reopensSilentWatchAtOnceWithoutWaiting() throws Exception {
+        useTimeouts(60_000, 100, 100, 60_000);
+        try (Socket silent = acceptConnection()) {
+            assertTrue(readRequest(silent).startsWith("GET /discovery/hosts?index=41&wait=100 "));
+            try (Socket anew = acceptConnection()) {
+                assertTrue(readRequest(anew).startsWith("GET /discovery/hosts?index=41&wait=0 "));
                 assertEquals(-1, silent.getInputStream().read(), "the silent one is given up");
-                assertTrue(told.isEmpty(), "the module need not say when");
-                answer(anew, "200 OK", list(42, false));
-                assertEquals("CHANGES 1", news());
-                assertTrue(call(anew).startsWith("GET /discovery/hosts?index=42&wait=100 "));
+                assertTrue(notifications.isEmpty(), "the module need not say when");
+                respond(anew, "200 OK", listJson(42, false));
+                assertEquals("CHANGES 1", nextNotification());
+                assertTrue(readRequest(anew).startsWith("GET /discovery/hosts?index=42&wait=100 "));
             }
         }
     }
 
     /** Where the one opened anew says nothing either, discovery is in trouble, and the module spreads the calls. */
     @Test
-    void silenceTwiceIsAFailureThatTheModuleHearsOf() throws Exception {
-        impatient(60_000, 100, 100, 60_000);
-        try (Socket silent = nextCall();
-                Socket anew = nextCall()) {
-            call(silent);
-            call(anew);
-            assertEquals("FAILED 0", news());
+    void reportsFailureAfterSecondTimeoutInARow() throws Exception {
+        useTimeouts(60_000, 100, 100, 60_000);
+        try (Socket silent = acceptConnection();
+                Socket anew = acceptConnection()) {
+            readRequest(silent);
+            readRequest(anew);
+            assertEquals("FAILED 0", nextNotification());
             assertEquals(-1, anew.getInputStream().read(), "hung up");
-            loop.execute(() -> told.add("open " + watch.isConnected()));
-            assertEquals("open false", news(), "and not asked again");
+            loop.execute(() -> notifications.add("open " + watch.isConnected()));
+            assertEquals("open false", nextNotification(), "and not asked again");
         }
     }
 
     /** The whole call's time was the only one: a dial that hangs was noticed after 12 s. */
     @Test
-    void aDialThatHangsIsGivenUpInItsOwnTime() throws Exception {
-        EndpointWatch watch = impatient(200, 60_000, 60_000, 60_000);
-        try (Socket out = nextCall();
+    void abandonsConnectionAttemptAfterConnectTimeout() throws Exception {
+        EndpointWatch watch = useTimeouts(200, 60_000, 60_000, 60_000);
+        try (Socket out = acceptConnection();
                 ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             List<Socket> waiting = Backlog.fill(full);
             loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) full.getLocalSocketAddress()));
-            assertEquals("FAILED 0", news());
+            assertEquals("FAILED 0", nextNotification());
             for (Socket s : waiting) {
                 s.close();
             }
@@ -360,22 +360,22 @@
 
     /** Half an answer, and one that drips: each byte used to be as good as an answer until 12 s were over. */
     @Test
-    void anAnswerThatDoesNotEndIsGivenUpAndTheWatchOpenedAnew() throws Exception {
-        impatient(60_000, 60_000, 60_000, 200);
-        try (Socket half = nextCall()) {
-            call(half);
+    void reopensWatchAfterIncompleteResponse() throws Exception {
+        useTimeouts(60_000, 60_000, 60_000, 200);
+        try (Socket half = acceptConnection()) {
+            readRequest(half);
             half.getOutputStream()
                     .write("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{".getBytes(StandardCharsets.US_ASCII));
-            try (Socket dripping = nextCall()) {
-                assertTrue(call(dripping).contains("&wait=0 "));
-                drip(dripping);
-                assertEquals("FAILED 0", news(), "as it did not wait for news, the module is told");
+            try (Socket dripping = acceptConnection()) {
+                assertTrue(readRequest(dripping).contains("&wait=0 "));
+                sendSlowly(dripping);
+                assertEquals("FAILED 0", nextNotification(), "as it did not wait for news, the module is told");
             }
         }
     }
 
     /** A byte every few milliseconds, until the other end has had enough. */
-    private static void drip(Socket to) throws IOException {
+    private static void sendSlowly(Socket to) throws IOException {
         new Thread(() -> {
                     try {
                         for (byte b :
@@ -392,69 +392,72 @@
 
     /** The module's wait is under 2 s (BalancerTest): with these, a change is known within 6 s of any call's failure. */
     @Test
-    void theTimesOfItsStepsFitIntoSixSeconds() {
+    void timeoutsOfAllStepsFitIntoSixSeconds() {
         assertTrue(
-                USUAL.watchWaitMs() + USUAL.watchTimeoutMs() + 2_000 <= 6_000,
+                DEFAULTS.watchWaitMs() + DEFAULTS.watchTimeoutMs() + 2_000 <= 6_000,
                 "reset or refused just before it is silent");
         assertTrue(
-                USUAL.watchWaitMs() + USUAL.watchTimeoutMs() + USUAL.connectTimeoutMs() + USUAL.watchTimeoutMs()
+                DEFAULTS.watchWaitMs()
+                                + DEFAULTS.watchTimeoutMs()
+                                + DEFAULTS.connectTimeoutMs()
+                                + DEFAULTS.watchTimeoutMs()
                         <= 6_000,
                 "silent");
         assertTrue(
-                USUAL.connectTimeoutMs() + 2_000 + USUAL.connectTimeoutMs() + USUAL.watchTimeoutMs() <= 6_000,
+                DEFAULTS.connectTimeoutMs() + 2_000 + DEFAULTS.connectTimeoutMs() + DEFAULTS.watchTimeoutMs() <= 6_000,
                 "a dial that hangs");
         assertTrue(
-                USUAL.watchTimeoutMs() + USUAL.responseTimeoutMs() + 2_000 + USUAL.watchTimeoutMs() <= 6_000,
+                DEFAULTS.watchTimeoutMs() + DEFAULTS.responseTimeoutMs() + 2_000 + DEFAULTS.watchTimeoutMs() <= 6_000,
                 "drips from late on");
     }
 
     /** A process that takes over asked only once the call that was out had its answer. */
     @Test
-    void catchingUpDoesNotWaitForACallThatIsOut() throws Exception {
-        try (Socket out = nextCall()) {
-            call(out);
+    void catchUpReplacesCallInProgress() throws Exception {
+        try (Socket out = acceptConnection()) {
+            readRequest(out);
             loop.execute(watch::catchUp);
-            try (Socket now = nextCall()) {
-                assertTrue(call(now).startsWith("GET /discovery/hosts?index=41&wait=0 "));
+            try (Socket now = acceptConnection()) {
+                assertTrue(readRequest(now).startsWith("GET /discovery/hosts?index=41&wait=0 "));
                 assertEquals(-1, out.getInputStream().read(), "given up for it");
-                assertTrue(told.isEmpty());
+                assertTrue(notifications.isEmpty());
             }
         }
     }
 
     @Test
-    void changesThatLeadBackToAnOlderVersionAreFollowedByTheWholeList() throws Exception {
-        try (Socket socket = nextCall()) {
-            call(socket);
-            answer(socket, "200 OK", list(7, false));
-            assertEquals("CHANGES 1", news());
-            assertEquals("GET /discovery/hosts HTTP/1.1", call(socket));
-            answer(socket, "200 OK", list(8, true));
-            assertEquals("COMPLETE 1", news());
-            assertTrue(call(socket).contains("index=8&"));
+    void requestsFullListAfterChangesToOlderVersion() throws Exception {
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+            respond(socket, "200 OK", listJson(7, false));
+            assertEquals("CHANGES 1", nextNotification());
+            assertEquals("GET /discovery/hosts HTTP/1.1", readRequest(socket));
+            respond(socket, "200 OK", listJson(8, true));
+            assertEquals("COMPLETE 1", nextNotification());
+            assertTrue(readRequest(socket).contains("index=8&"));
         }
     }
 
     /** SIGHUP to another address beside SIGTERM. */
     @Test
-    void aMoveAfterTheStopAsksNothing() throws Exception {
-        try (Socket socket = nextCall();
+    void makesNoCallWhenAddressChangesAfterStop() throws Exception {
+        try (Socket socket = acceptConnection();
                 ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            call(socket);
+            readRequest(socket);
             loop.execute(watch::stop);
             loop.execute(() -> watch.setDiscoveryAddress((InetSocketAddress) elsewhere.getLocalSocketAddress()));
-            loop.execute(() -> told.add("open " + watch.isConnected()));
-            assertEquals("open false", news());
+            loop.execute(() -> notifications.add("open " + watch.isConnected()));
+            assertEquals("open false", nextNotification());
         }
     }
 
     /** What the answer to the old call says comes in the very turn of the move. */
     @Test
-    void anAnswerThatComesWithTheMoveChangesNothing() throws Exception {
-        try (Socket old = nextCall();
+    void ignoresOldResponseReceivedDuringAddressChange() throws Exception {
+        try (Socket old = acceptConnection();
                 ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             elsewhere.setSoTimeout(5000);
-            call(old);
+            readRequest(old);
             java.util.concurrent.CountDownLatch held = new java.util.concurrent.CountDownLatch(1);
             java.util.concurrent.CountDownLatch written = new java.util.concurrent.CountDownLatch(1);
             loop.execute(() -> {
@@ -467,11 +470,11 @@
                 watch.setDiscoveryAddress((InetSocketAddress) elsewhere.getLocalSocketAddress());
             });
             assertTrue(held.await(5, TimeUnit.SECONDS));
-            answer(old, "200 OK", list(99, true));
+            respond(old, "200 OK", listJson(99, true));
             written.countDown();
             try (Socket now = elsewhere.accept()) {
-                assertEquals("GET /discovery/hosts HTTP/1.1", call(now));
-                assertTrue(told.isEmpty());
+                assertEquals("GET /discovery/hosts HTTP/1.1", readRequest(now));
+                assertTrue(notifications.isEmpty());
             }
         }
     }
--- a/node/src/test/java/tulipshed/transport/SiblingsTest.java
+++ b/node/src/test/java/tulipshed/transport/HotRestartStateTest.java
@@ -15,40 +15,40 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.HotRestartPeer;
 
-class SiblingsTest {
+class HotRestartStateTest {
     @TempDir
     private Path folder;
 
     private Path file;
-    private HotRestartState old;
+    private HotRestartState first;
 
     @BeforeEach
-    void first() throws IOException {
+    void startFirstProcess() throws IOException {
         file = folder.resolve("share");
-        old = new HotRestartState(file, 8);
-        old.markServing();
+        first = new HotRestartState(file, 8);
+        first.markServing();
     }
 
     @Test
-    void oneAloneHasAll() {
-        assertFalse(old.hasPeer());
-        assertEquals(1, old.quotaShare());
-        assertTrue(old.claimId("a"));
+    void grantsFullQuotaWithoutPeer() {
+        assertFalse(first.hasPeer());
+        assertEquals(1, first.quotaShare());
+        assertTrue(first.claimId("a"));
     }
 
     @Test
-    void allowancesAreSharedOnlyWhileBothServe() throws IOException {
+    void splitsQuotaOnlyWhileBothProcessesServe() throws IOException {
         HotRestartState next = new HotRestartState(file, 8);
-        old.refresh();
-        assertTrue(old.hasPeer() && next.isPeerServing());
-        assertEquals(1, old.quotaShare(), "the other does not take clients yet");
+        first.refresh();
+        assertTrue(first.hasPeer() && next.isPeerServing());
+        assertEquals(1, first.quotaShare(), "the other does not take clients yet");
         next.markServing();
-        assertEquals(0.5, old.quotaShare());
+        assertEquals(0.5, first.quotaShare());
         assertEquals(0.5, next.quotaShare());
-        old.markLeaving();
-        assertEquals(0, old.quotaShare());
+        first.markLeaving();
+        assertEquals(0, first.quotaShare());
         assertEquals(1, next.quotaShare());
-        old.close();
+        first.close();
         next.refresh();
         assertFalse(next.hasPeer());
         assertThrows(
@@ -61,27 +61,27 @@
     }
 
     @Test
-    void anIdThatOneHasOpenIsNotTheOthers() throws IOException {
-        assertTrue(old.claimId("a"));
+    void rejectsIdClaimedByPeer() throws IOException {
+        assertTrue(first.claimId("a"));
         HotRestartState next = new HotRestartState(file, 8);
-        old.refresh();
+        first.refresh();
         assertFalse(next.claimId("a"));
         assertTrue(next.claimId("b"));
-        assertFalse(old.claimId("b"));
-        old.releaseId("a");
+        assertFalse(first.claimId("b"));
+        first.releaseId("a");
         assertTrue(next.claimId("a"));
         for (int i = 0; i < 100; i++) {
-            assertTrue(old.claimId("x" + i), "what finds no place is not shared");
-            old.releaseId("x" + i);
+            assertTrue(first.claimId("x" + i), "what finds no place is not shared");
+            first.releaseId("x" + i);
         }
     }
 
     /** What a dead process left in the file must not bind the next one. */
     @Test
-    void nothingIsLeftOfAProcessThatEnded() throws IOException {
-        old.claimId("a");
-        old.open(7);
-        old.close();
+    void ignoresStateOfEndedProcess() throws IOException {
+        first.claimId("a");
+        first.publishOpenConnections(7);
+        first.close();
         HotRestartState next = new HotRestartState(file, 8);
         assertFalse(next.hasPeer() || next.isPeerServing());
         assertTrue(next.claimId("a"));
@@ -89,40 +89,40 @@
     }
 
     @Test
-    void whatStandsInOneIsToldToTheOtherUntilItEnds() throws IOException {
+    void replicatesEstablishedConnectionsUntilTheyEnd() throws IOException {
         HotRestartPeer.EstablishedConnection one = new HotRestartPeer.EstablishedConnection("s-1", "desk", 0.5);
         HotRestartPeer.EstablishedConnection two = new HotRestartPeer.EstablishedConnection("s-2", null, 0);
-        int place = old.connectionEstablished(one);
-        int second = old.connectionEstablished(two);
+        int place = first.connectionEstablished(one);
+        int second = first.connectionEstablished(two);
         HotRestartState next = new HotRestartState(file, 8);
         assertEquals(Map.of(place, one, second, two), next.peerConnections());
-        assertEquals(Map.of(), old.peerConnections(), "and not to itself");
-        old.connectionEnded(place);
+        assertEquals(Map.of(), first.peerConnections(), "and not to itself");
+        first.connectionEnded(place);
         assertEquals(Map.of(second, two), next.peerConnections());
-        assertEquals(place, old.connectionEstablished(two), "its place is free again");
+        assertEquals(place, first.connectionEstablished(two), "its place is free again");
         assertEquals(
                 -1,
-                old.connectionEstablished(new HotRestartPeer.EstablishedConnection("s".repeat(40), null, 0)),
+                first.connectionEstablished(new HotRestartPeer.EstablishedConnection("s".repeat(40), null, 0)),
                 "what has no room is not told");
         for (int i = 0; i < 6; i++) {
-            assertTrue(old.connectionEstablished(one) >= 0);
+            assertTrue(first.connectionEstablished(one) >= 0);
         }
-        assertEquals(-1, old.connectionEstablished(one));
-        old.close();
+        assertEquals(-1, first.connectionEstablished(one));
+        first.close();
         next.refresh();
         assertEquals(Map.of(), next.peerConnections(), "all ends with its process");
     }
 
     @Test
-    void theDescriptorsOfBothAreThoseOfOneNode() throws IOException {
+    void countsDescriptorsOfBothProcesses() throws IOException {
         Limits limits = Limits.forDescriptors(400);
         HotRestartState next = new HotRestartState(file, 8);
         XnioEventLoop loop = new XnioEventLoop(limits, next, NodeLog.silent());
-        old.open(limits.connectionDescriptors() - 64 - 32 - 2);
+        first.publishOpenConnections(limits.connectionDescriptors() - 64 - 32 - 2);
         assertTrue(loop.hasCapacityForClient());
-        old.open(limits.connectionDescriptors() - 64 - 32 - 1);
+        first.publishOpenConnections(limits.connectionDescriptors() - 64 - 32 - 1);
         assertFalse(loop.hasCapacityForClient());
-        old.close();
+        first.close();
         next.refresh();
         assertTrue(loop.hasCapacityForClient());
         loop.stop();
--- a/node/src/test/java/tulipshed/transport/DatagramPortTest.java
+++ b/node/src/test/java/tulipshed/transport/UdpSocketTest.java
@@ -18,18 +18,19 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.limits.Limits;
 
-class DatagramPortTest {
-    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+class UdpSocketTest {
+    private static final InetSocketAddress ANY_LOOPBACK_PORT =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
     /** XNIO lets addresses be used again, by which the kernel may give one free port to two sockets: the first then hears nothing. */
     @Test
-    void noTwoSocketsAreGivenOnePort() throws IOException {
+    void bindsEachSocketToPortOfItsOwn() throws IOException {
         XnioEventLoop loop = new XnioEventLoop(Limits.forDescriptors(4096));
         List<UdpSocket> ports = new ArrayList<>();
         Set<InetSocketAddress> addresses = new HashSet<>();
         try {
             for (int i = 0; i < 1500; i++) {
-                ports.add(loop.bindUdp(ANY, ByteBuffer.allocate(8), (from, datagram) -> {}));
+                ports.add(loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(8), (from, datagram) -> {}));
                 addresses.add(ports.get(i).address());
             }
             assertEquals(ports.size(), addresses.size());
@@ -41,7 +42,7 @@
 
     /** A socket that is flooded gives the others their turn after each batch. */
     @Test
-    void aFloodedSocketDoesNotKeepTheOthersWaiting() throws Exception {
+    void servesOtherSocketsWhileOneIsFlooded() throws Exception {
         Limits limits = Limits.forDescriptors(1024);
         int batch = limits.quic().readsAtOnce();
         XnioEventLoop loop = new XnioEventLoop(limits);
@@ -59,11 +60,11 @@
                     throw new IllegalStateException(e);
                 }
             });
-            UdpSocket flooded = loop.bindUdp(ANY, ByteBuffer.allocate(64), (from, datagram) -> {
+            UdpSocket flooded = loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(64), (from, datagram) -> {
                 read.incrementAndGet();
                 all.countDown();
             });
-            UdpSocket quiet = loop.bindUdp(ANY, ByteBuffer.allocate(64), (from, datagram) -> {
+            UdpSocket quiet = loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(64), (from, datagram) -> {
                 before.set(read.get());
                 all.countDown();
             });
