--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -99,7 +99,7 @@
 
     /** The origin of a request for the operators' rules; unknown if there are none. */
     Origin origin(TcpConnection client, OpenCommand command) {
-        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.peer(), command.declaredAttributes());
+        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.remoteAddress(), command.declaredAttributes());
     }
 
     // ---- Clients ----
