--- /dev/null
+++ b/node/src/main/java/tulipshed/proxy/AttemptManager.java
@@ -0,0 +1,191 @@
+package tulipshed.proxy;
+
+import tulipshed.decision.BalancerApi.LoadReport;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.limits.Limits;
+import tulipshed.time.Clock;
+
+/**
+ * Starts, times and ends attempts. A request has one open attempt at most, and each attempt ends exactly once, with one
+ * event to the decision module. Confined to the event-loop thread.
+ */
+final class AttemptManager {
+    private final Clock clock;
+    private final Limits limits;
+    private final ActiveSettings settings;
+    private final EventBatch events;
+    private final RequestTable table;
+    private final FinalResponses responses;
+    private final EndpointRegistry endpoints;
+    private final EstablishedConnections established;
+
+    AttemptManager(
+            CoreContext context,
+            RequestTable table,
+            FinalResponses responses,
+            EndpointRegistry endpoints,
+            EstablishedConnections established) {
+        this.clock = context.clock();
+        this.limits = context.limits();
+        this.settings = context.settings();
+        this.events = context.events();
+        this.table = table;
+        this.responses = responses;
+        this.endpoints = endpoints;
+        this.established = established;
+    }
+
+    /**
+     * Starts the next attempt of a request, as decided.
+     *
+     * @param timeoutMs how long the attempt may take to be established; 0 for until shortly before the deadline
+     */
+    void start(long requestId, String endpointId, double timeoutMs) {
+        Request request = table.find(requestId);
+        if (request == null) {
+            return;
+        }
+        double nowMs = clock.nowMs();
+        Endpoint endpoint = endpoints.getOrCreate(endpointId);
+        double endsMs = attemptEndMs(request, nowMs, timeoutMs);
+        if (!mayStart(request, nowMs, endsMs)) {
+            reportUnused(request);
+            return;
+        }
+        Attempt attempt = new Attempt(request, endpoint, request.attemptCount(), nowMs, endsMs);
+        request.openAttempt(attempt);
+        if (!endpoint.isAvailable()) {
+            ended(attempt, Outcome.CONNECT_FAILED, LoadReport.NONE);
+            return;
+        }
+        attempt.setTimers(
+                events.schedule(endsMs, () -> establishmentTimedOut(attempt)),
+                events.schedule(nowMs + settings.connectTimeoutMs(), () -> connectTimedOut(attempt)));
+        request.connector().open(attempt);
+    }
+
+    private double attemptEndMs(Request request, double nowMs, double timeoutMs) {
+        double deadlineMs = request.deadlineMs() - limits.requests().responseMarginMs();
+        return timeoutMs > 0 ? Math.min(deadlineMs, nowMs + timeoutMs) : deadlineMs;
+    }
+
+    private boolean mayStart(Request request, double nowMs, double endsMs) {
+        return request.isPending()
+                && request.attempt() == null
+                && endsMs > nowMs
+                && request.attemptCount() < settings.maxAttempts();
+    }
+
+    /** Tells the decision module that an attempt which it decided on was not started. */
+    private void reportUnused(Request request) {
+        int number = request.attemptCount();
+        events.add((balancer, nowMs, nowUs) -> balancer.attemptEnded(
+                nowUs, request.id(), number, !request.isPending(), Outcome.UNUSED, LoadReport.NONE));
+    }
+
+    /**
+     * Creates the attempt of an adopted connection, to be established by {@code endsMs}; the caller opens it. There is no
+     * connect timeout, as the endpoint may still be starting.
+     */
+    Attempt createAdopted(Request request, Endpoint endpoint, double nowMs, double endsMs) {
+        Attempt attempt = new Attempt(request, endpoint, 0, nowMs, endsMs);
+        request.openAttempt(attempt);
+        attempt.setTimers(events.schedule(attempt.endsMs(), () -> establishmentTimedOut(attempt)), null);
+        return attempt;
+    }
+
+    /** See {@link ProxyCore#mayForward}. */
+    boolean mayForward(Attempt attempt) {
+        Request request = attempt.request();
+        if (!attempt.isEnded() && !request.mayForward(clock.nowMs())) {
+            ended(attempt, Outcome.UNUSED, LoadReport.NONE);
+            return false;
+        }
+        attempt.markConnected();
+        return !attempt.isEnded() && request.isPending() && endpointAccepts(attempt);
+    }
+
+    private static boolean endpointAccepts(Attempt attempt) {
+        Request request = attempt.request();
+        boolean resumesWhileDraining =
+                request.isAdopted() && !request.connector().mustLeaveDrainingEndpoint();
+        return attempt.endpoint().isServing() || resumesWhileDraining;
+    }
+
+    /** See {@link ProxyCore#attemptEstablished}. */
+    boolean established(Attempt attempt) {
+        Request request = attempt.request();
+        if (attempt.isEnded() || !request.isPending()) {
+            return false;
+        }
+        responses.established(request);
+        established.add(request, attempt.endpoint());
+        attempt.markConnected();
+        attempt.markEstablished(clock.nowMs());
+        if (!request.isAdopted()) {
+            long tookUs = Clock.toMicros(attempt.establishedMs() - attempt.startedMs());
+            events.add((balancer, nowMs, nowUs) ->
+                    balancer.attemptEstablished(nowUs, request.id(), attempt.number(), tookUs));
+        }
+        return true;
+    }
+
+    /** Ends an attempt; without effect where it has ended already. */
+    void ended(Attempt attempt, Outcome outcome, LoadReport report) {
+        if (attempt.isEnded()) {
+            return;
+        }
+        attempt.markEnded();
+        Request request = attempt.request();
+        request.closeAttempt();
+        if (!outcome.neverRan) {
+            request.recordExecution(attempt.startedMs());
+        }
+        if (request.isEstablished()) {
+            responses.complete(request);
+            established.remove(request);
+        } else if (request.isAdopted() && request.isPending()) {
+            // The decision module counts it as established and will not answer it; the client needs a response still.
+            responses.fail(request);
+        }
+        events.add((balancer, nowMs, nowUs) -> {
+            balancer.attemptEnded(nowUs, request.id(), attempt.number(), !request.isPending(), outcome, report);
+            table.removeIfFinished(request);
+        });
+    }
+
+    /** Cancels the open attempt of that request, if it has that number and is not established. */
+    void cancel(long requestId, int attemptNumber) {
+        Request request = table.find(requestId);
+        if (request != null && request.attempt() != null && request.attempt().number() == attemptNumber) {
+            cancelOpen(request);
+        }
+    }
+
+    /** Cancels the open attempt of a request, if there is one that is not established. */
+    void cancelOpen(Request request) {
+        Attempt attempt = request.attempt();
+        if (attempt != null && !request.isEstablished()) {
+            abandon(attempt, Outcome.CANCELLED);
+        }
+    }
+
+    /** Ends an attempt from this side: its connector drops it first. */
+    void abandon(Attempt attempt, Outcome outcome) {
+        attempt.request().connector().abandon(attempt);
+        ended(attempt, outcome, LoadReport.NONE);
+    }
+
+    private void establishmentTimedOut(Attempt attempt) {
+        if (!attempt.isEnded() && !attempt.request().isEstablished()) {
+            // Without a connection nothing of the request has reached the endpoint.
+            abandon(attempt, attempt.isConnected() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        }
+    }
+
+    private void connectTimedOut(Attempt attempt) {
+        if (!attempt.isEnded() && !attempt.isConnected()) {
+            abandon(attempt, Outcome.CONNECT_FAILED);
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/proxy/ClientConnection.java
+++ b/node/src/main/java/tulipshed/proxy/ClientConnection.java
@@ -1,13 +1,17 @@
 package tulipshed.proxy;
 
-/** A transaction's client, as the front that took it implements it. Called on the loop only. */
+/** The client's side of a request, implemented by its protocol frontend. Called on the event-loop thread only. */
 public interface ClientConnection {
-    /** Final answer: turned away; trying again is harmless, after that many milliseconds where above 0. */
+    /**
+     * Final response: rejected; a retry is harmless.
+     *
+     * @param retryAfterMs when to retry, in milliseconds from now; 0 where nothing is said of that
+     */
     void reject(double retryAfterMs);
 
-    /** Final answer: failed. */
+    /** Final response: failed; the request may have had an effect. */
     void fail();
 
-    /** Asks the client of a standing connection to come again, and ends the connection on both sides. */
+    /** Asks the client of an established connection to reconnect, and closes the connection on both sides. */
     void migrate();
 }
--- a/node/src/main/java/tulipshed/proxy/DecisionBuffer.java
+++ b/node/src/main/java/tulipshed/proxy/DecisionBuffer.java
@@ -5,65 +5,79 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.time.Clock;
 
-/** Keeps what the module decides until the whole batch has been handed over. */
+/**
+ * Holds back what the decision module decides until the complete batch of events has been delivered. Timers and log lines
+ * take effect at once. Confined to the event-loop thread.
+ */
 final class DecisionBuffer implements BalancerApi.Actions {
-    private final ProxyCore core;
-    private final EventBatch turns;
+    private static final String LOG_SUBJECT = "balancer";
+
+    private final Targets targets;
+    private final EventBatch events;
     private final Clock clock;
     private final Logger log;
 
-    DecisionBuffer(ProxyCore core, EventBatch turns, Clock clock, NodeLog log) {
-        this.core = core;
-        this.turns = turns;
+    /** The parts of the core that carry out the decisions. */
+    record Targets(
+            RequestLifecycle requests,
+            AttemptManager attempts,
+            ConnectionMigrator migrator,
+            HealthCheckDispatcher healthChecks,
+            PeerSender peers,
+            EndpointListSource endpointList) {}
+
+    DecisionBuffer(Targets targets, EventBatch events, Clock clock, NodeLog log) {
+        this.targets = targets;
+        this.events = events;
         this.clock = clock;
-        this.log = log.logger("balancer");
+        this.log = log.logger(LOG_SUBJECT);
     }
 
     @Override
-    public void startAttempt(long requestId, String server, long timeoutUs) {
-        turns.defer(() -> core.startAttempt(requestId, server, Clock.toMillis(timeoutUs)));
+    public void startAttempt(long requestId, String endpointId, long timeoutUs) {
+        events.defer(() -> targets.attempts().start(requestId, endpointId, Clock.toMillis(timeoutUs)));
     }
 
     @Override
-    public void cancelAttempt(long requestId, int attempt) {
-        turns.defer(() -> core.cancelAttempt(requestId, attempt));
+    public void cancelAttempt(long requestId, int attemptNumber) {
+        events.defer(() -> targets.attempts().cancel(requestId, attemptNumber));
     }
 
     @Override
     public void reject(long requestId, long retryAfterUs) {
-        turns.defer(() -> core.reject(requestId, Clock.toMillis(retryAfterUs)));
+        events.defer(() -> targets.requests().reject(requestId, Clock.toMillis(retryAfterUs)));
     }
 
     @Override
     public void fail(long requestId) {
-        turns.defer(() -> core.fail(requestId));
+        events.defer(() -> targets.requests().fail(requestId));
     }
 
     @Override
     public void migrate(long requestId) {
-        turns.defer(() -> core.migrate(requestId));
+        events.defer(() -> targets.migrator().migrate(requestId));
     }
 
     @Override
     public void scheduleTimer(long afterUs, long token) {
-        turns.schedule(
+        events.schedule(
                 clock.nowMs() + Clock.toMillis(afterUs),
-                () -> turns.add((module, ms, nowUs) -> module.timerFired(nowUs, token)));
+                () -> events.add((balancer, nowMs, nowUs) -> balancer.timerFired(nowUs, token)));
     }
 
     @Override
-    public void startHealthCheck(String server) {
-        turns.defer(() -> core.startHealthCheck(server));
+    public void startHealthCheck(String endpointId) {
+        events.defer(() -> targets.healthChecks().start(endpointId));
     }
 
     @Override
     public void sendToPeer(int peer, byte[] body) {
-        turns.defer(() -> core.sendToPeer(peer, body));
+        events.defer(() -> targets.peers().send(peer, body));
     }
 
     @Override
     public void watchEndpoints() {
-        turns.defer(core::watchEndpoints);
+        events.defer(targets.endpointList()::watch);
     }
 
     @Override
--- a/node/src/main/java/tulipshed/proxy/Endpoint.java
+++ b/node/src/main/java/tulipshed/proxy/Endpoint.java
@@ -4,48 +4,57 @@
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.EndpointStatus;
 
-/** One pool member as the list last told of it. */
+/** An endpoint as the endpoint list last described it. Confined to the event-loop thread. */
 public final class Endpoint {
     private final String id;
     private InetSocketAddress address;
-    private EndpointStatus state = EndpointStatus.REMOVED;
-    private EndpointInfo entry;
+    private EndpointStatus status = EndpointStatus.REMOVED;
+    private EndpointInfo info;
 
+    /** An endpoint that no list has named yet. */
     Endpoint(String id) {
         this.id = id;
     }
 
-    void update(EndpointInfo entry, InetSocketAddress address) {
-        this.entry = entry;
-        state = entry.status();
-        this.address = address;
+    /** Takes over what the list says; the address is null where it is not known. */
+    void update(EndpointInfo listed, InetSocketAddress listedAddress) {
+        info = listed;
+        status = listed.status();
+        address = listedAddress;
     }
 
-    void gone() {
-        state = EndpointStatus.REMOVED;
+    /** The list names this endpoint no more; connections to it may still be open. */
+    void markRemoved() {
+        status = EndpointStatus.REMOVED;
     }
 
+    /** The id by which the list names this endpoint. */
     public String id() {
         return id;
     }
 
-    /** Where it listens for this node. */
+    /** Where the endpoint accepts connections of this node; null where that is not known. */
     public InetSocketAddress address() {
         return address;
     }
 
-    /** Whether the list last named it as serving. */
+    /** Whether the list last named the endpoint as serving. */
     public boolean isServing() {
-        return state == EndpointStatus.SERVING;
+        return status == EndpointStatus.SERVING;
     }
 
-    /** What the list last told of it; null where it never did. */
-    EndpointInfo entry() {
-        return entry;
+    /** Whether a new connection can be opened: the endpoint is serving, and its address is known. */
+    boolean isAvailable() {
+        return isServing() && address != null;
     }
 
-    /** Whether the list names it, serving or draining. */
-    boolean listed() {
-        return state != EndpointStatus.REMOVED;
+    /** What the list last said of the endpoint; null where no list has named it. */
+    EndpointInfo info() {
+        return info;
+    }
+
+    /** Whether the list names the endpoint, serving or draining. */
+    boolean isListed() {
+        return status != EndpointStatus.REMOVED;
     }
 }
--- a/node/src/main/java/tulipshed/proxy/EndpointListEntry.java
+++ b/node/src/main/java/tulipshed/proxy/EndpointListEntry.java
@@ -3,5 +3,10 @@
 import java.net.InetSocketAddress;
 import tulipshed.decision.BalancerApi.EndpointInfo;
 
-/** One entry of the list of pool members: what the module is told of it, and where it listens. */
+/**
+ * One entry of the endpoint list.
+ *
+ * @param info what the decision module learns about the endpoint
+ * @param address where the endpoint accepts connections; null in an update that leaves the known address as it is
+ */
 public record EndpointListEntry(EndpointInfo info, InetSocketAddress address) {}
--- a/node/src/main/java/tulipshed/proxy/EndpointListSource.java
+++ b/node/src/main/java/tulipshed/proxy/EndpointListSource.java
@@ -1,7 +1,7 @@
 package tulipshed.proxy;
 
-/** Where the list of pool members comes from. */
+/** Where the endpoint list comes from, such as the client of the discovery service. */
 public interface EndpointListSource {
-    /** Asks for changes from now on; answered by {@link ProxyCore#endpointsChanged}. */
+    /** Starts to watch the list; its updates arrive at {@link ProxyCore#endpointsChanged}. */
     void watch();
 }
--- a/node/src/main/java/tulipshed/proxy/EndpointRegistry.java
+++ b/node/src/main/java/tulipshed/proxy/EndpointRegistry.java
@@ -9,49 +9,70 @@
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.EndpointListKind;
 
-/** The pool members that the list named, also those that it names no more but to which something may still be open. */
+/**
+ * The endpoints that the list has named, including removed ones to which connections may still be open. Confined to the
+ * event-loop thread.
+ */
 final class EndpointRegistry {
-    private final Map<String, Endpoint> byId = new HashMap<>();
-    private boolean told;
+    private final Map<String, Endpoint> endpointsById = new HashMap<>();
+    private boolean listReceived;
 
-    /** What discovery told. */
-    void update(EndpointListKind kind, List<EndpointListEntry> listed) {
-        told |= kind == EndpointListKind.COMPLETE || kind == EndpointListKind.CHANGES;
+    /** Applies an update of the list. */
+    void update(EndpointListKind kind, List<EndpointListEntry> entries) {
+        listReceived |= kind == EndpointListKind.COMPLETE || kind == EndpointListKind.CHANGES;
         if (kind == EndpointListKind.COMPLETE || kind == EndpointListKind.CACHED) {
-            Set<String> named = new HashSet<>();
-            listed.forEach(m -> named.add(m.info().id()));
-            byId.values().stream().filter(m -> !named.contains(m.id())).forEach(Endpoint::gone);
+            removeUnlisted(entries);
         }
-        for (EndpointListEntry m : listed) {
-            Endpoint endpoint = orNew(m.info().id());
-            endpoint.update(m.info(), m.address() == null ? endpoint.address() : m.address());
+        for (EndpointListEntry entry : entries) {
+            Endpoint endpoint = getOrCreate(entry.info().id());
+            endpoint.update(entry.info(), entry.address() == null ? endpoint.address() : entry.address());
         }
     }
 
-    /** The member of that id, or null. */
-    Endpoint get(String id) {
-        return byId.get(id);
+    private void removeUnlisted(List<EndpointListEntry> entries) {
+        Set<String> listedIds = new HashSet<>();
+        entries.forEach(entry -> listedIds.add(entry.info().id()));
+        endpointsById.values().stream()
+                .filter(endpoint -> !listedIds.contains(endpoint.id()))
+                .forEach(Endpoint::markRemoved);
     }
 
-    Endpoint orNew(String id) {
-        return byId.computeIfAbsent(id, Endpoint::new);
+    /** The endpoint of that id, or null where no list has named it. */
+    Endpoint find(String id) {
+        return endpointsById.get(id);
     }
 
-    /** Whether discovery has told its list since the start. */
-    boolean told() {
-        return told;
+    /** The endpoint of that id; one that no list has named is created, as removed. */
+    Endpoint getOrCreate(String id) {
+        return endpointsById.computeIfAbsent(id, Endpoint::new);
     }
 
-    /** How many the list names. */
-    long listed() {
-        return byId.values().stream().filter(Endpoint::listed).count();
+    /** Whether a connection can be opened to the endpoint of that id. */
+    boolean isAvailable(String id) {
+        Endpoint endpoint = find(id);
+        return endpoint != null && endpoint.isAvailable();
     }
 
-    /** What the list says of those that it names. */
-    Collection<EndpointInfo> entries() {
-        return byId.values().stream()
-                .filter(Endpoint::listed)
-                .map(Endpoint::entry)
+    /** Whether discovery has delivered a list since the start, other than the cached one. */
+    boolean isListReceived() {
+        return listReceived;
+    }
+
+    /** How many endpoints the list names. */
+    long listedCount() {
+        return endpointsById.values().stream().filter(Endpoint::isListed).count();
+    }
+
+    /** How many of the listed endpoints are serving. */
+    long servingCount() {
+        return endpointsById.values().stream().filter(Endpoint::isServing).count();
+    }
+
+    /** What the list says of the endpoints that it names. */
+    Collection<EndpointInfo> listedInfos() {
+        return endpointsById.values().stream()
+                .filter(Endpoint::isListed)
+                .map(Endpoint::info)
                 .toList();
     }
 }
--- a/node/src/main/java/tulipshed/proxy/EventBatch.java
+++ b/node/src/main/java/tulipshed/proxy/EventBatch.java
@@ -7,78 +7,87 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.time.Clock;
 
-/** Gathers what happens, hands all of it to the module in one turn, and then carries out what the module decided. */
+/**
+ * Collects events and delivers them to the decision module in one batch, after which the deferred actions run, the decisions
+ * among them. So a decision never precedes an event that was already known. Confined to the event-loop thread.
+ */
 final class EventBatch {
     private final Clock clock;
     private final EventLoop loop;
     private final Logger log;
-    private final TimerQueue dues = new TimerQueue();
-    private final List<Event> gathered = new ArrayList<>();
-    private final List<Runnable> decided = new ArrayList<>();
-    private BalancerApi module;
-    private boolean ahead;
+    private final TimerQueue timers = new TimerQueue();
+    private final List<Event> events = new ArrayList<>();
+    private final List<Runnable> deferredActions = new ArrayList<>();
+    private BalancerApi balancer;
+    private boolean runScheduled;
 
-    /** Something for the module. */
+    /** An event for the decision module. */
     interface Event {
-        void tell(BalancerApi module, double nowMs, long nowUs);
+        /** Delivers the event; both times are those of the batch. */
+        void deliver(BalancerApi balancer, double nowMs, long nowUs);
     }
 
     EventBatch(Clock clock, EventLoop loop, NodeLog log) {
         this.clock = clock;
         this.loop = loop;
-        this.log = log.logger("core");
+        this.log = log.logger(CoreContext.LOG_SUBJECT);
     }
 
-    /** The module may have asked for timers already, before anything was gathered. */
-    void begin(BalancerApi made) {
-        module = made;
-        wake();
+    /** Sets the decision module, which may have scheduled timers already while it was created. */
+    void start(BalancerApi created) {
+        balancer = created;
+        scheduleRun();
     }
 
+    /** Adds an event to the next batch. */
     void add(Event event) {
-        gathered.add(event);
-        wake();
+        events.add(event);
+        scheduleRun();
     }
 
-    /** To be carried out once all that was gathered has been handed over. */
+    /** Runs the action once the events of the batch have been delivered; an action that runs now may defer to the next. */
     void defer(Runnable action) {
-        decided.add(action);
+        deferredActions.add(action);
     }
 
-    /** To be looked at then, unless it is dropped before. */
-    TimerQueue.Timer schedule(double atMs, Runnable what) {
-        TimerQueue.Timer due = dues.add(atMs, what);
-        wake();
-        return due;
+    /** Runs the task at that time, unless the timer is cancelled before. */
+    TimerQueue.Timer schedule(double atMs, Runnable task) {
+        TimerQueue.Timer timer = timers.add(atMs, task);
+        scheduleRun();
+        return timer;
     }
 
-    private void wake() {
-        if (!ahead) {
-            ahead = true;
+    private void scheduleRun() {
+        if (!runScheduled) {
+            runScheduled = true;
             loop.execute(this::run);
         }
     }
 
-    /** Hands all that was gathered to the module, then carries out what it decided. */
+    /** Runs the expired timers, delivers all events, and then runs the deferred actions. */
     void run() {
-        ahead = false;
+        runScheduled = false;
         double nowMs = clock.nowMs();
-        dues.run(nowMs, this::guarded);
-        List<Event> events = List.copyOf(gathered);
-        gathered.clear();
-        for (Event e : events) {
-            guarded(() -> e.tell(module, nowMs, Clock.toMicros(nowMs)));
+        timers.runExpired(nowMs, this::runGuarded);
+        deliverEvents(nowMs);
+        List<Runnable> actions = List.copyOf(deferredActions);
+        deferredActions.clear();
+        actions.forEach(this::runGuarded);
+        timers.scheduleWakeup(nowMs, loop, this::scheduleRun);
+    }
+
+    private void deliverEvents(double nowMs) {
+        List<Event> batch = List.copyOf(events);
+        events.clear();
+        for (Event event : batch) {
+            runGuarded(() -> event.deliver(balancer, nowMs, Clock.toMicros(nowMs)));
         }
-        List<Runnable> actions = List.copyOf(decided);
-        decided.clear();
-        actions.forEach(this::guarded);
-        dues.arm(nowMs, loop, this::wake);
     }
 
-    /** One event that cannot be dealt with must not cost the others their answers. */
-    private void guarded(Runnable what) {
+    /** A defect met in one task must not cost other requests their responses. */
+    private void runGuarded(Runnable task) {
         try {
-            what.run();
+            task.run();
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
             log.error("event handler failed: " + e + " at " + (trace.length > 0 ? trace[0] : "unknown location"));
--- a/node/src/main/java/tulipshed/proxy/EventLoop.java
+++ b/node/src/main/java/tulipshed/proxy/EventLoop.java
@@ -1,10 +1,10 @@
 package tulipshed.proxy;
 
-/** The one thread on which everything runs. */
+/** The one thread on which all of a node's work runs. */
 public interface EventLoop {
-    /** Runs the task after all that is ready now has been gathered. */
+    /** Runs the task after all input that is ready now has been read. */
     void execute(Runnable task);
 
-    /** Runs the task after that many milliseconds, or a little later. */
-    void schedule(double ms, Runnable task);
+    /** Runs the task after {@code delayMs} milliseconds, or a little later. */
+    void schedule(double delayMs, Runnable task);
 }
--- a/node/src/main/java/tulipshed/proxy/HealthChecker.java
+++ b/node/src/main/java/tulipshed/proxy/HealthChecker.java
@@ -1,10 +1,11 @@
 package tulipshed.proxy;
 
-/**
- * Asks pool members how busy they are. Every probe asked for is answered once by {@link ProxyCore#healthCheckCompleted}, also
- * where it cannot be sent; probes of one member that overlap may share an answer.
- */
+/** Asks endpoints for their load. Called on the event-loop thread only. */
 public interface HealthChecker {
-    /** Asks one member, which serves and has an address. */
+    /**
+     * Checks an endpoint that is serving and has an address. Each check completes once, by {@link
+     * ProxyCore#healthCheckCompleted}, also where it cannot be sent; overlapping checks of one endpoint may share a
+     * response.
+     */
     void check(Endpoint endpoint);
 }
--- a/node/src/main/java/tulipshed/proxy/HotRestartPeer.java
+++ b/node/src/main/java/tulipshed/proxy/HotRestartPeer.java
@@ -2,17 +2,26 @@
 
 import java.util.Map;
 
-/** The other process of this node: it is told what stands here, and tells what stands there. */
+/**
+ * The other process of this node while one takes over from the other. Each publishes its established connections, by slot,
+ * to the other. Called on the event-loop thread only.
+ */
 public interface HotRestartPeer {
-    /** A connection that stands at a member; the group may be null. */
+    /**
+     * An established connection.
+     *
+     * @param endpointId the endpoint that serves it
+     * @param group its affinity group, null where there is none
+     * @param loadHintUsPerS its expected load in microseconds of work per second, 0 where unknown
+     */
     record EstablishedConnection(String endpointId, String group, double loadHintUsPerS) {}
 
-    /** Notes one that stands here; the place where it is noted, below 0 where there is none. */
-    int connectionEstablished(EstablishedConnection standing);
+    /** Publishes a connection of this process; returns its slot, below 0 where there was no room. */
+    int connectionEstablished(EstablishedConnection connection);
 
-    /** What was noted in that place has ended. */
-    void connectionEnded(int place);
+    /** Withdraws the connection that was published in that slot. */
+    void connectionEnded(int slot);
 
-    /** What stands there, by place. */
+    /** The connections of the other process, by slot. */
     Map<Integer, EstablishedConnection> peerConnections();
 }
--- a/node/src/main/java/tulipshed/proxy/NodeMetrics.java
+++ b/node/src/main/java/tulipshed/proxy/NodeMetrics.java
@@ -6,7 +6,7 @@
 import java.util.function.LongSupplier;
 import tulipshed.decision.BalancerApi.RequestClass;
 
-/** What a node has done since its start, counted where it became final. Read and written on the loop only. */
+/** Counters of one node since its start. Confined to the event-loop thread. */
 public final class NodeMetrics {
     private final Map<String, ResponseCounts> responses = new LinkedHashMap<>();
     private final Map<String, LongSupplier> frontendCounters = new LinkedHashMap<>();
@@ -15,51 +15,60 @@
     private long reloadsApplied;
     private long reloadsRejected;
 
-    /** Final answers to the transactions of one class. */
+    /** Final responses to the requests of one class. */
     public static final class ResponseCounts {
         private long established;
         private long rejected;
         private long failed;
 
+        /** How many connections were established. */
         public long established() {
             return established;
         }
 
+        /** How many requests were rejected. */
         public long rejected() {
             return rejected;
         }
 
+        /** How many requests failed. */
         public long failed() {
             return failed;
         }
     }
 
-    /** Classes appear from the moment that the settings name them, at 0; one that is dropped keeps its counts. */
-    void classes(List<RequestClass> named) {
-        named.forEach(c -> responses.computeIfAbsent(c.name(), n -> new ResponseCounts()));
+    /** Adds the classes of new settings, with counts of 0; a class that was dropped keeps its counts. */
+    void declareClasses(List<RequestClass> classes) {
+        classes.forEach(named -> responses.computeIfAbsent(named.name(), name -> new ResponseCounts()));
     }
 
-    void taken() {
+    /** Counts a request that arrived. */
+    void recordArrival() {
         activeRequests++;
     }
 
-    void ended() {
+    /** Counts a request that has ended, established ones with their connection. */
+    void recordCompletion() {
         activeRequests--;
     }
 
-    void up(Request request) {
-        responses.get(request.className()).established++;
+    /** Counts a request of that class whose connection was established. */
+    void recordEstablished(String className) {
+        responses.get(className).established++;
     }
 
-    void rejected(Request request) {
-        responses.get(request.className()).rejected++;
+    /** Counts a request of that class that was rejected. */
+    void recordRejected(String className) {
+        responses.get(className).rejected++;
     }
 
-    void failed(Request request) {
-        responses.get(request.className()).failed++;
+    /** Counts a request of that class that failed. */
+    void recordFailed(String className) {
+        responses.get(className).failed++;
     }
 
-    void dispatched() {
+    /** Counts an attempt that was forwarded completely. */
+    void recordForwarded() {
         forwardedAttempts++;
     }
 
@@ -73,35 +82,37 @@
         reloadsRejected++;
     }
 
-    /** A figure that a front counts by itself; another of the same name takes its place. */
-    public void frontendCounters(String name, LongSupplier figure) {
-        frontendCounters.put(name, figure);
+    /** Adds a counter that a frontend keeps itself; it replaces one of the same name. */
+    public void frontendCounters(String name, LongSupplier counter) {
+        frontendCounters.put(name, counter);
     }
 
-    /** Figures that fronts count by themselves. */
+    /** The counters that frontends keep themselves, by name. */
     public Map<String, LongSupplier> frontendCounters() {
         return frontendCounters;
     }
 
-    /** By the name of the class. */
+    /** The final responses, by the name of the class. */
     public Map<String, ResponseCounts> responses() {
         return responses;
     }
 
-    /** Transactions taken and not yet ended. */
+    /** Requests that have arrived and not ended yet. */
     public int activeRequests() {
         return activeRequests;
     }
 
-    /** Attempts written whole. */
+    /** Attempts that were forwarded completely. */
     public long forwardedAttempts() {
         return forwardedAttempts;
     }
 
+    /** Configuration reloads that took effect. */
     public long reloadsApplied() {
         return reloadsApplied;
     }
 
+    /** Configuration reloads that were rejected. */
     public long reloadsRejected() {
         return reloadsRejected;
     }
--- a/node/src/main/java/tulipshed/proxy/PeerSender.java
+++ b/node/src/main/java/tulipshed/proxy/PeerSender.java
@@ -1,7 +1,12 @@
 package tulipshed.proxy;
 
-/** Sends datagrams to the other nodes of the tier; they may come late or not at all, and nobody is told. */
+/** Sends datagrams to the other nodes of the tier; they may arrive late or never. Called on the event-loop thread only. */
 public interface PeerSender {
-    /** Sends 1 to 256 bytes to the node of this number, or to all others with {@code Actions.ALL_PEERS}. */
+    /**
+     * Sends a datagram.
+     *
+     * @param peer the index of the node, or {@link tulipshed.decision.BalancerApi.Actions#ALL_PEERS}
+     * @param body 1 to 256 bytes
+     */
     void send(int peer, byte[] body);
 }
--- a/node/src/main/java/tulipshed/proxy/ReplicatedConnections.java
+++ b/node/src/main/java/tulipshed/proxy/ReplicatedConnections.java
@@ -2,41 +2,75 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BiConsumer;
-import java.util.function.LongConsumer;
-import java.util.function.Predicate;
+import tulipshed.decision.BalancerApi.LoadReport;
+import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.proxy.HotRestartPeer.EstablishedConnection;
 
-/** What stands in the other process of this node, as the module here knows it: by numbers of this process. */
+/**
+ * The connections of the other process of a hot restart, as the decision module of this process knows them: adopted under
+ * ids of this process, so that it sees the load that they put on their endpoints. Confined to the event-loop thread.
+ */
 final class ReplicatedConnections {
-    private final Map<Integer, Shadow> byPlace = new HashMap<>();
-
-    private record Shadow(long id, HotRestartPeer.EstablishedConnection standing) {}
-
-    /** Tells what has ended there and what has begun to stand, the latter only at members that are known here. */
-    void look(
-            Map<Integer, HotRestartPeer.EstablishedConnection> others,
-            Predicate<String> known,
-            NextId next,
-            LongConsumer ended,
-            BiConsumer<Long, HotRestartPeer.EstablishedConnection> stands) {
-        byPlace.entrySet().removeIf(e -> {
-            boolean over = !e.getValue().standing().equals(others.get(e.getKey()));
-            if (over) {
-                ended.accept(e.getValue().id());
+    private static final int NO_TENANT = -1;
+    private static final String NO_KEY = "";
+
+    private final EventBatch events;
+    private final EndpointRegistry endpoints;
+    private final RequestTable table;
+    private final Map<Integer, Replica> replicasBySlot = new HashMap<>();
+
+    private record Replica(long id, EstablishedConnection connection) {}
+
+    ReplicatedConnections(EventBatch events, EndpointRegistry endpoints, RequestTable table) {
+        this.events = events;
+        this.endpoints = endpoints;
+        this.table = table;
+    }
+
+    /**
+     * Notifies the decision module of connections that ended in the other process since the last call, and then of those
+     * that were established there at known endpoints.
+     *
+     * @param connectionsBySlot all that the other process has now
+     */
+    void synchronize(Map<Integer, EstablishedConnection> connectionsBySlot) {
+        replicasBySlot.entrySet().removeIf(entry -> {
+            boolean ended = !entry.getValue().connection().equals(connectionsBySlot.get(entry.getKey()));
+            if (ended) {
+                notifyEnded(entry.getValue());
             }
-            return over;
+            return ended;
         });
-        others.forEach((place, there) -> {
-            if (!byPlace.containsKey(place) && known.test(there.endpointId())) {
-                Shadow shadow = new Shadow(next.next(), there);
-                byPlace.put(place, shadow);
-                stands.accept(shadow.id(), there);
+        connectionsBySlot.forEach((slot, connection) -> {
+            if (!replicasBySlot.containsKey(slot) && endpoints.find(connection.endpointId()) != null) {
+                Replica replica = new Replica(table.nextId(), connection);
+                replicasBySlot.put(slot, replica);
+                notifyEstablished(replica);
             }
         });
     }
 
-    /** Where numbers come from. */
-    interface NextId {
-        long next();
+    private void notifyEnded(Replica replica) {
+        events.add((balancer, nowMs, nowUs) ->
+                balancer.attemptEnded(nowUs, replica.id(), 0, true, Outcome.CANCELLED, LoadReport.NONE));
+    }
+
+    private void notifyEstablished(Replica replica) {
+        EstablishedConnection connection = replica.connection();
+        events.add((balancer, nowMs, nowUs) -> balancer.connectionAdopted(
+                nowUs,
+                new NewRequest(
+                        replica.id(),
+                        0,
+                        NO_TENANT,
+                        NO_KEY,
+                        connection.group(),
+                        0,
+                        connection.loadHintUsPerS(),
+                        false,
+                        false,
+                        false),
+                connection.endpointId()));
     }
 }
--- a/node/src/main/java/tulipshed/proxy/Request.java
+++ b/node/src/main/java/tulipshed/proxy/Request.java
@@ -7,32 +7,49 @@
 import tulipshed.routing.Origin;
 import tulipshed.time.Clock;
 
-/** One request of a client for a connection, from its arrival to its end. */
+/** A client's request for a connection, from its arrival to the end of the connection. Confined to the event-loop thread. */
 public final class Request {
-    /** How far it has come; the first answer is the last. */
+    private static final int NO_HOT_RESTART_SLOT = -1;
+
+    /** Progress towards the final response, of which there is one. */
     enum State {
         PENDING,
         ESTABLISHED,
-        ANSWERED
+        COMPLETED
     }
 
     private final ClientConnection client;
     private final UpstreamConnector connector;
+    private final double deadlineMs;
+    private final boolean adopted;
     private Origin origin;
     private Attributes attributes;
     private String pool;
-    private final double deadlineMs;
-    private final boolean standingBefore;
+    /** 0 until {@link #assignId}. */
     private long id;
-    private RequestClass kind;
-    private double ranAtMs = Double.NaN;
-    private int place = -1;
+
+    private RequestClass requestClass;
     private State state = State.PENDING;
     private Attempt attempt;
-    private int attempts;
-    private TimerQueue.Timer deadline;
+    private int attemptCount;
+    /** When the first attempt started that may have executed; NaN where none may have. */
+    private double executedMs = Double.NaN;
+
+    private int hotRestartSlot = NO_HOT_RESTART_SLOT;
+    private TimerQueue.Timer deadlineTimer;
 
-    /** What the client asks for, in the terms of the settings; tenant -1 where there is none. */
+    /**
+     * What the client asks for, in the terms of the settings.
+     *
+     * @param requestClass index of the class in the settings
+     * @param tenant index of the tenant in the settings, -1 where there is none
+     * @param key the idempotency key
+     * @param group the affinity group, null where there is none
+     * @param timeoutMs how long the client waits for a final response
+     * @param loadHintUsPerS expected load in microseconds of work per second, 0 where the client gave none
+     * @param retry whether the client has sent this request before
+     * @param reconnecting whether the client comes back after its connection was migrated
+     */
     public record Attributes(
             int requestClass,
             int tenant,
@@ -44,123 +61,149 @@
             boolean reconnecting) {}
 
     /**
-     * A transaction that arrived at {@code nowMs}; {@code standingBefore} marks one whose connection stood at
-     * a member before this node started, which no deadline ends.
+     * A request of unknown origin that arrives at {@code nowMs}.
+     *
+     * @param adopted whether its connection was established before this node started; no deadline ends such a request
      */
     public Request(
             ClientConnection client,
             UpstreamConnector connector,
-            Attributes arrival,
+            Attributes attributes,
             double nowMs,
-            boolean standingBefore) {
-        this(client, connector, arrival, Origin.UNKNOWN, nowMs, standingBefore);
+            boolean adopted) {
+        this(client, connector, attributes, Origin.UNKNOWN, nowMs, adopted);
     }
 
-    /** One of which it is known where it came from. */
+    /** A request of known origin; otherwise as the other constructor. */
     public Request(
             ClientConnection client,
             UpstreamConnector connector,
-            Attributes arrival,
+            Attributes attributes,
             Origin origin,
             double nowMs,
-            boolean standingBefore) {
+            boolean adopted) {
         this.origin = origin;
         this.client = client;
         this.connector = connector;
-        this.attributes = arrival;
-        this.deadlineMs = nowMs + arrival.timeoutMs();
-        this.standingBefore = standingBefore;
+        this.attributes = attributes;
+        this.deadlineMs = nowMs + attributes.timeoutMs();
+        this.adopted = adopted;
+    }
+
+    /** Sets the id by which the decision module knows this request. */
+    void assignId(long assigned) {
+        id = assigned;
     }
 
-    void number(long id) {
-        this.id = id;
+    /** The id, 0 where none has been assigned yet. */
+    long id() {
+        return id;
     }
 
+    /** Whether the decision module has been, or is about to be, notified of this request. */
+    boolean hasId() {
+        return id != 0;
+    }
+
+    /** Where the request came from; unknown once it is established. */
     Origin origin() {
         return origin;
     }
 
+    /** What the client asks for, as classified. */
     Attributes attributes() {
         return attributes;
     }
 
-    /** What the rules made of it; its deadline stays. */
-    void attributes(Attributes classified) {
+    /** Replaces the attributes by what the routing rules made of them; the deadline does not change. */
+    void setAttributes(Attributes classified) {
         attributes = classified;
     }
 
-    /** The pool that it is held to, or null. */
+    /** The pool that must serve the request, null for any endpoint. */
     String pool() {
         return pool;
     }
 
-    void pool(String held) {
-        pool = held;
+    /** Sets the pool that must serve the request, null for any endpoint. */
+    void assignPool(String assigned) {
+        pool = assigned;
     }
 
-    /** Settings that change later leave an open transaction its own class. */
-    void kind(RequestClass ofSettings) {
-        kind = ofSettings;
+    /** Index of the class in the settings under which the request arrived. */
+    int classIndex() {
+        return attributes.requestClass();
     }
 
-    /** An attempt that began then may have run. */
-    void ran(double startedMs) {
-        if (Double.isNaN(ranAtMs)) {
-            ranAtMs = startedMs;
-        }
+    /** Fixes the class; a later change of the settings leaves an open request its own. */
+    void setRequestClass(RequestClass fixed) {
+        requestClass = fixed;
     }
 
-    /** Whether an attempt's bytes may go out now, as far as those before it may have run. */
-    boolean mayRun(double nowMs) {
-        return Double.isNaN(ranAtMs)
-                || switch (kind.idempotency()) {
-                    case IDEMPOTENT -> true;
-                    case WITH_KEY -> nowMs < ranAtMs + Clock.toMillis(kind.deduplicationWindowUs());
-                    case NOT_IDEMPOTENT -> false;
-                };
+    /** The name of the class that was fixed at the arrival. */
+    String className() {
+        return requestClass.name();
     }
 
-    /** Whether its client may be told that a repeat is harmless, also while an attempt is out. */
-    boolean mayBeRefused() {
-        return kind.idempotency() == Idempotency.IDEMPOTENT
-                || (kind.idempotency() == Idempotency.WITH_KEY && kind.deduplicationScope() == DeduplicationScope.ALL)
-                || (Double.isNaN(ranAtMs) && (attempt == null || !attempt.connected()));
+    /** Records that an attempt which started then may have executed; only the first one counts. */
+    void recordExecution(double startedMs) {
+        if (Double.isNaN(executedMs)) {
+            executedMs = startedMs;
+        }
     }
 
-    /** Where the other process of the node reads of it; below 0 where nowhere. */
-    void place(int noted) {
-        place = noted;
+    private boolean mayHaveExecuted() {
+        return !Double.isNaN(executedMs);
     }
 
-    int place() {
-        return place;
+    /** Whether an attempt may be forwarded now, given that earlier ones may have executed. */
+    boolean mayForward(double nowMs) {
+        return !mayHaveExecuted()
+                || switch (requestClass.idempotency()) {
+                    case IDEMPOTENT -> true;
+                    case WITH_KEY -> nowMs < executedMs + Clock.toMillis(requestClass.deduplicationWindowUs());
+                    case NOT_IDEMPOTENT -> false;
+                };
     }
 
-    HotRestartPeer.EstablishedConnection establishedAt(String member) {
-        return new HotRestartPeer.EstablishedConnection(member, attributes.group(), attributes.loadHintUsPerS());
+    /** Whether the client may be told that a retry is harmless, also while an attempt is open. */
+    boolean mayBeRejected() {
+        return requestClass.idempotency() == Idempotency.IDEMPOTENT
+                || (requestClass.idempotency() == Idempotency.WITH_KEY
+                        && requestClass.deduplicationScope() == DeduplicationScope.ALL)
+                || (!mayHaveExecuted() && (attempt == null || !attempt.isConnected()));
     }
 
-    String className() {
-        return kind.name();
+    /** Sets the slot in which the other process of a hot restart finds this connection; below 0 for none. */
+    void setHotRestartSlot(int slot) {
+        hotRestartSlot = slot;
     }
 
-    long id() {
-        return id;
+    /** Whether the other process of a hot restart was notified of this connection. */
+    boolean hasHotRestartSlot() {
+        return hotRestartSlot >= 0;
     }
 
-    int requestClass() {
-        return attributes.requestClass();
+    /** The slot in which the other process of a hot restart finds this connection; below 0 for none. */
+    int hotRestartSlot() {
+        return hotRestartSlot;
     }
 
-    NewRequest asRequest(double nowMs, int requestClass) {
-        double left = Math.max(0, deadlineMs - nowMs);
+    /** This connection, established at that endpoint, as the other process of a hot restart is notified of it. */
+    HotRestartPeer.EstablishedConnection connectionAt(String endpointId) {
+        return new HotRestartPeer.EstablishedConnection(endpointId, attributes.group(), attributes.loadHintUsPerS());
+    }
+
+    /** The request as the decision module is notified of it at {@code nowMs}. */
+    NewRequest toNewRequest(double nowMs, int settingsClassIndex) {
+        double remainingMs = Math.max(0, deadlineMs - nowMs);
         return new NewRequest(
                 id,
-                requestClass,
+                settingsClassIndex,
                 attributes.tenant(),
                 attributes.key(),
                 attributes.group(),
-                Clock.toMicros(left),
+                Clock.toMicros(remainingMs),
                 attributes.loadHintUsPerS(),
                 attributes.retry(),
                 false,
@@ -168,72 +211,79 @@
                 pool);
     }
 
+    /** What opens the attempts of this request. */
     UpstreamConnector connector() {
         return connector;
     }
 
-    /** When the client gives up. */
+    /** The client's side of the connection. */
+    ClientConnection client() {
+        return client;
+    }
+
+    /** When the client stops waiting, on the clock of the core. */
     public double deadlineMs() {
         return deadlineMs;
     }
 
-    /** Whether its connection stood at a member before this node took it. */
+    /** Whether the connection was established at an endpoint before this node started. */
     public boolean isAdopted() {
-        return standingBefore;
+        return adopted;
     }
 
-    /** Whether a final answer is still owed. */
+    /** Whether the request has no final response yet. */
     public boolean isPending() {
         return state == State.PENDING;
     }
 
-    /** Whether its connection stands at a pool member. */
+    /** Whether the connection is established at an endpoint. */
     public boolean isEstablished() {
         return state == State.ESTABLISHED;
     }
 
-    /** Where it came from matters to rules until it stands; there are many that stand. */
-    void establish() {
-        dropDeadline();
+    /** Records that the connection is established. The origin, which only rules for arrivals use, is released. */
+    void markEstablished() {
+        cancelDeadlineTimer();
         origin = Origin.UNKNOWN;
         state = State.ESTABLISHED;
     }
 
-    /** Nothing more is owed from here on. */
-    void close() {
-        dropDeadline();
-        state = State.ANSWERED;
+    /** Records that the request has its final response, or needs none. */
+    void complete() {
+        cancelDeadlineTimer();
+        state = State.COMPLETED;
     }
 
-    /** What looks at its deadline; of no use once it is answered. */
-    void deadline(TimerQueue.Timer due) {
-        deadline = due;
+    /** Sets the timer of the deadline, which is cancelled once the request is no longer pending. */
+    void setDeadlineTimer(TimerQueue.Timer timer) {
+        deadlineTimer = timer;
     }
 
-    private void dropDeadline() {
-        if (deadline != null) {
-            deadline.cancel();
-            deadline = null;
+    private void cancelDeadlineTimer() {
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel();
+            deadlineTimer = null;
         }
     }
 
-    /** The flow that is out, or null; never more than one. */
+    /** The open attempt, or null; there is one at most. */
     Attempt attempt() {
         return attempt;
     }
 
-    void attempt(Attempt attempt) {
-        this.attempt = attempt;
-        if (attempt != null) {
-            attempts++;
-        }
+    /** Sets and counts the open attempt. */
+    void openAttempt(Attempt opened) {
+        attempt = opened;
+        attemptCount++;
     }
 
-    int attempts() {
-        return attempts;
+    /** Clears the open attempt. */
+    void closeAttempt() {
+        attempt = null;
     }
 
-    ClientConnection client() {
-        return client;
+    /** How many attempts there have been, the open one included. */
+    int attemptCount() {
+        return attemptCount;
     }
 }
--- a/node/src/main/java/tulipshed/proxy/RequestRouting.java
+++ b/node/src/main/java/tulipshed/proxy/RequestRouting.java
@@ -14,133 +14,158 @@
 import tulipshed.routing.Router;
 import tulipshed.routing.Subject;
 
-/** Holds transactions to what the operators' rules make of them, and tells the module of pools and routes. */
+/**
+ * Applies the operators' routing rules to requests, and notifies the decision module of pools and of requests that change
+ * theirs. Confined to the event-loop thread.
+ */
 final class RequestRouting {
+    private static final String LOG_SUBJECT = "route";
+
     private final Logger log;
-    private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
+    private final Map<String, Integer> classIndices = new HashMap<>();
+    private final Map<String, Integer> tenantIndices = new HashMap<>();
     private Settings settings;
+    /** Null where there are no rules. */
     private Router router;
-    private Map<String, String> spilled = Map.of();
+    /** The pool in use, by route, where that is not the preferred one. */
+    private Map<String, String> spilloverPools = Map.of();
 
     RequestRouting(Settings settings, NodeLog log) {
-        this.log = log.logger("route");
+        this.log = log.logger(LOG_SUBJECT);
         reconfigure(settings);
     }
 
+    /** Replaces the settings, whose names of classes and tenants the rules use. */
     void reconfigure(Settings changed) {
         settings = changed;
-        classes.clear();
-        tenants.clear();
-        changed.classes().forEach(c -> classes.put(c.name(), classes.size()));
-        changed.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
+        classIndices.clear();
+        tenantIndices.clear();
+        changed.classes().forEach(named -> classIndices.put(named.name(), classIndices.size()));
+        changed.tenants().forEach(named -> tenantIndices.put(named.name(), tenantIndices.size()));
     }
 
-    /** Other rules, or none; the list is what they work on from now on. */
-    void router(Router changed, Collection<EndpointInfo> listed, double nowMs) {
+    /** Replaces the rules, null for none; their pools are filled from the endpoints listed now. */
+    void setRouter(Router changed, Collection<EndpointInfo> listed, double nowMs) {
         router = changed;
-        spilled = Map.of();
+        spilloverPools = Map.of();
         if (router != null) {
             router.members(listed, nowMs);
         }
     }
 
-    /** Whether there is anything to look at now and then. */
-    boolean watches() {
+    /** Whether pools or routes may change without a change of the endpoint list. */
+    boolean needsPolling() {
         return router != null && (router.routes() || router.agesMatter());
     }
 
-    /** Gives a transaction the class, tenant and group that the rules say. */
+    /** Gives a request the class, tenant and group that the rules assign. */
     void classify(Request request) {
         if (router == null) {
             return;
         }
-        Attributes a = request.attributes();
-        Classified c = router.classify(subject(request));
-        // Names that the settings have dropped meanwhile change nothing.
-        request.attributes(new Attributes(
-                classes.getOrDefault(c.className(), a.requestClass()),
-                c.tenant() == null ? a.tenant() : tenants.getOrDefault(c.tenant(), a.tenant()),
-                a.key(),
-                c.group(),
-                a.timeoutMs(),
-                a.loadHintUsPerS(),
-                a.retry(),
-                a.reconnecting()));
-    }
-
-    /** The pool to which it is held now, or null. */
-    String pool(Request request) {
-        return router == null || !router.routes() ? null : router.pool(subject(request));
-    }
-
-    private Subject subject(Request request) {
-        Attributes a = request.attributes();
-        String className = settings.classes()
-                .get(Math.min(a.requestClass(), settings.classes().size() - 1))
-                .name();
-        String tenant = a.tenant() < 0 || a.tenant() >= settings.tenants().size()
-                ? null
-                : settings.tenants().get(a.tenant()).name();
+        Attributes attributes = request.attributes();
+        Classified classified = router.classify(subjectOf(request));
+        // A name that the settings no longer have changes nothing.
+        request.setAttributes(new Attributes(
+                classIndices.getOrDefault(classified.className(), attributes.requestClass()),
+                classified.tenant() == null
+                        ? attributes.tenant()
+                        : tenantIndices.getOrDefault(classified.tenant(), attributes.tenant()),
+                attributes.key(),
+                classified.group(),
+                attributes.timeoutMs(),
+                attributes.loadHintUsPerS(),
+                attributes.retry(),
+                attributes.reconnecting()));
+    }
+
+    /** The pool that must serve the request as routes are now, null for any endpoint. */
+    String poolOf(Request request) {
+        return hasRoutes() ? router.pool(subjectOf(request)) : null;
+    }
+
+    private Subject subjectOf(Request request) {
+        Attributes attributes = request.attributes();
         return new Subject(
-                className,
-                tenant,
-                a.key(),
-                a.group(),
-                a.timeoutMs(),
-                a.loadHintUsPerS(),
-                a.retry(),
-                a.reconnecting(),
+                classNameOf(attributes.requestClass()),
+                tenantNameOf(attributes.tenant()),
+                attributes.key(),
+                attributes.group(),
+                attributes.timeoutMs(),
+                attributes.loadHintUsPerS(),
+                attributes.retry(),
+                attributes.reconnecting(),
                 request.origin());
     }
 
-    /** The list changed, or time has passed; whether the pools are others now. */
-    boolean members(Collection<EndpointInfo> listed, double nowMs) {
+    /** The settings may have fewer classes by now than those under which the request arrived. */
+    private String classNameOf(int index) {
+        int lastIndex = settings.classes().size() - 1;
+        return settings.classes().get(Math.min(index, lastIndex)).name();
+    }
+
+    private String tenantNameOf(int index) {
+        return index < 0 || index >= settings.tenants().size()
+                ? null
+                : settings.tenants().get(index).name();
+    }
+
+    /** Fills the pools from the endpoints listed now; whether any pool changed. */
+    boolean updatePools(Collection<EndpointInfo> listed, double nowMs) {
         return router != null && router.members(listed, nowMs);
     }
 
-    /** Tells the module which pools there are. */
-    void tellPools(BalancerApi module, long nowUs) {
-        module.poolsChanged(nowUs, router == null ? Map.of() : router.pools());
+    /** Notifies the decision module of all pools. */
+    void publishPools(BalancerApi balancer, long nowUs) {
+        balancer.poolsChanged(nowUs, router == null ? Map.of() : router.pools());
     }
 
-    /** Looks at which pools the routes use; where that changes, those that wait are told to the module anew. */
-    void look(BalancerApi module, long nowUs, Collection<Request> transactions) {
-        if (router == null || !router.look(pool -> module.eligibleCount(nowUs, pool))) {
+    /** Decides which pool each route uses, by eligible endpoints; a change is logged, and pending requests are rerouted. */
+    void evaluateSpillover(BalancerApi balancer, long nowUs, Collection<Request> requests) {
+        if (router == null || !router.look(pool -> balancer.eligibleCount(nowUs, pool))) {
             return;
         }
-        Map<String, String> now = router.spilled();
-        now.forEach((route, pool) -> {
-            if (!pool.equals(spilled.get(route))) {
+        Map<String, String> changed = router.spilled();
+        logSpillover(changed);
+        spilloverPools = changed;
+        rerouteRequests(balancer, nowUs, requests);
+    }
+
+    private void logSpillover(Map<String, String> changed) {
+        changed.forEach((route, pool) -> {
+            if (!pool.equals(spilloverPools.get(route))) {
                 log.info(route + " uses pool " + pool + " instead of its preferred pool");
             }
         });
-        spilled.keySet().stream()
-                .filter(r -> !now.containsKey(r))
-                .forEach(r -> log.info(r + " uses its preferred pool again"));
-        spilled = now;
-        reroute(module, nowUs, transactions);
+        spilloverPools.keySet().stream()
+                .filter(route -> !changed.containsKey(route))
+                .forEach(route -> log.info(route + " uses its preferred pool again"));
     }
 
-    /** Those that do not stand yet are held to what the routes say now; what stands stays. */
-    void reroute(BalancerApi module, long nowUs, Collection<Request> transactions) {
-        for (Request request : transactions) {
+    /** Assigns pending requests the pool that the routes give now; established connections are left alone. */
+    void rerouteRequests(BalancerApi balancer, long nowUs, Collection<Request> requests) {
+        for (Request request : requests) {
             if (request.isPending()) {
-                String pool = pool(request);
-                if (!Objects.equals(pool, request.pool())) {
-                    request.pool(pool);
-                    module.requestRerouted(nowUs, request.id(), pool);
-                }
+                reroute(balancer, nowUs, request);
             }
         }
     }
 
-    boolean routes() {
+    private void reroute(BalancerApi balancer, long nowUs, Request request) {
+        String pool = poolOf(request);
+        if (!Objects.equals(pool, request.pool())) {
+            request.assignPool(pool);
+            balancer.requestRerouted(nowUs, request.id(), pool);
+        }
+    }
+
+    /** Whether the rules have routes. */
+    boolean hasRoutes() {
         return router != null && router.routes();
     }
 
-    /** How many routes use another pool than their first. */
-    int spilled() {
-        return spilled.size();
+    /** How many routes use another pool than their preferred one. */
+    int spilledRouteCount() {
+        return spilloverPools.size();
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/proxy/RouteMonitor.java
@@ -0,0 +1,64 @@
+package tulipshed.proxy;
+
+import tulipshed.routing.Router;
+
+/**
+ * Re-evaluates pools and routes when the endpoint list changes and, as endpoints become ineligible and grow older without
+ * any change of the list, in regular intervals. Confined to the event-loop thread.
+ */
+final class RouteMonitor {
+    private final CoreContext context;
+    private final RequestRouting routing;
+    private final EndpointRegistry endpoints;
+    private final RequestTable table;
+    private boolean pollScheduled;
+
+    RouteMonitor(CoreContext context, RequestRouting routing, EndpointRegistry endpoints, RequestTable table) {
+        this.context = context;
+        this.routing = routing;
+        this.endpoints = endpoints;
+        this.table = table;
+    }
+
+    /** Replaces the routing rules; null for none. */
+    void useRouter(Router router) {
+        routing.setRouter(router, endpoints.listedInfos(), context.clock().nowMs());
+        context.events().add((balancer, nowMs, nowUs) -> {
+            routing.publishPools(balancer, nowUs);
+            routing.evaluateSpillover(balancer, nowUs, table.all());
+            routing.rerouteRequests(balancer, nowUs, table.all());
+        });
+        schedulePoll();
+    }
+
+    /** Evaluates pools and routes against the endpoint list as it is now. */
+    void endpointsChanged() {
+        if (routing.needsPolling()) {
+            evaluate();
+        }
+    }
+
+    private void schedulePoll() {
+        if (pollScheduled || !routing.needsPolling()) {
+            return;
+        }
+        pollScheduled = true;
+        double pollMs = context.clock().nowMs() + context.limits().requests().routePollMs();
+        context.events().schedule(pollMs, () -> {
+            pollScheduled = false;
+            evaluate();
+            schedulePoll();
+        });
+    }
+
+    private void evaluate() {
+        boolean poolsChanged =
+                routing.updatePools(endpoints.listedInfos(), context.clock().nowMs());
+        context.events().add((balancer, nowMs, nowUs) -> {
+            if (poolsChanged) {
+                routing.publishPools(balancer, nowUs);
+            }
+            routing.evaluateSpillover(balancer, nowUs, table.all());
+        });
+    }
+}
--- a/node/src/main/java/tulipshed/proxy/TimerQueue.java
+++ b/node/src/main/java/tulipshed/proxy/TimerQueue.java
@@ -3,83 +3,98 @@
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
 
-/** Things to look at when their time has come, those of one time in the order asked for. */
+/**
+ * Timers in the order of their deadlines; those of one deadline run in the order in which they were added. Confined to the
+ * event-loop thread.
+ */
 final class TimerQueue {
-    private static final int WORTH_CLEARING = 1024;
-    private final PriorityQueue<Timer> dues = new PriorityQueue<>();
-    private double armedMs = Double.MAX_VALUE;
-    private long count;
-    private int dropped;
+    /** Below this many cancelled timers in the queue a sweep is not worth its cost. */
+    private static final int MIN_CANCELLED_FOR_SWEEP = 1024;
+
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private double wakeupMs = Double.MAX_VALUE;
+    private long addedCount;
+    private int cancelledCount;
 
     /**
-     * One thing to look at. Whoever needs it no more drops it: most waits end early, and what they hold, a whole transaction,
-     * would stay until their time has come, at a high rate many times what is open.
+     * A task with a deadline. Cancel those that are no longer needed: most timeouts do not expire, and until their deadline
+     * each would keep its request in memory, at a high rate many times as many as there are open requests.
      */
     final class Timer implements Comparable<Timer> {
-        private final double atMs;
-        private final long order;
-        private Runnable what;
+        private final double deadlineMs;
+        private final long sequence;
+        /** Null once the timer has run or was cancelled. */
+        private Runnable task;
 
-        private Timer(double atMs, long order, Runnable what) {
-            this.atMs = atMs;
-            this.order = order;
-            this.what = what;
+        private Timer(double deadlineMs, long sequence, Runnable task) {
+            this.deadlineMs = deadlineMs;
+            this.sequence = sequence;
+            this.task = task;
         }
 
-        /** It need not be looked at any more. */
+        /** Releases the task, which will not run; without effect where it has run or was cancelled. */
         void cancel() {
-            if (what != null) {
-                what = null;
-                dropped++;
-                if (dropped > WORTH_CLEARING && dropped > dues.size() / 2) {
-                    dues.removeIf(d -> d.what == null);
-                    dropped = 0;
-                }
+            if (task != null) {
+                task = null;
+                cancelledCount++;
+                sweepCancelled();
             }
         }
 
+        private boolean isCancelled() {
+            return task == null;
+        }
+
         @Override
         public int compareTo(Timer other) {
-            int byTime = Double.compare(atMs, other.atMs);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
+            int byDeadline = Double.compare(deadlineMs, other.deadlineMs);
+            return byDeadline != 0 ? byDeadline : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    private void sweepCancelled() {
+        if (cancelledCount > MIN_CANCELLED_FOR_SWEEP && cancelledCount > timers.size() / 2) {
+            timers.removeIf(Timer::isCancelled);
+            cancelledCount = 0;
         }
     }
 
-    Timer add(double atMs, Runnable what) {
-        Timer due = new Timer(atMs, count++, what);
-        dues.add(due);
-        return due;
+    /** Adds a task to run at the deadline. */
+    Timer add(double deadlineMs, Runnable task) {
+        Timer timer = new Timer(deadlineMs, addedCount++, task);
+        timers.add(timer);
+        return timer;
     }
 
-    /** Hands on all whose time has come, also those that come due while this goes on. */
-    void run(double nowMs, Consumer<Runnable> how) {
-        while (!dues.isEmpty() && dues.peek().atMs <= nowMs) {
-            Timer due = dues.poll();
-            if (due.what == null) {
-                dropped--;
+    /** Passes all tasks whose deadline has come to the runner, also those that expire while this goes on. */
+    void runExpired(double nowMs, Consumer<Runnable> runner) {
+        while (!timers.isEmpty() && timers.peek().deadlineMs <= nowMs) {
+            Timer timer = timers.poll();
+            if (timer.isCancelled()) {
+                cancelledCount--;
             } else {
-                Runnable what = due.what;
-                due.what = null;
-                how.accept(what);
+                Runnable task = timer.task;
+                timer.task = null;
+                runner.accept(task);
             }
         }
     }
 
-    /** Asks the loop to wake when the next is due, unless it has been asked already. */
-    void arm(double nowMs, EventLoop loop, Runnable wake) {
-        while (!dues.isEmpty() && dues.peek().what == null) {
-            dues.poll();
-            dropped--;
+    /** Has the loop run {@code wakeup} at the next deadline, unless that is scheduled already. */
+    void scheduleWakeup(double nowMs, EventLoop loop, Runnable wakeup) {
+        while (!timers.isEmpty() && timers.peek().isCancelled()) {
+            timers.poll();
+            cancelledCount--;
         }
-        if (dues.isEmpty() || (armedMs > nowMs && armedMs <= dues.peek().atMs)) {
+        if (timers.isEmpty() || (wakeupMs > nowMs && wakeupMs <= timers.peek().deadlineMs)) {
             return;
         }
-        armedMs = dues.peek().atMs;
-        loop.schedule(Math.max(0, armedMs - nowMs), wake);
+        wakeupMs = timers.peek().deadlineMs;
+        loop.schedule(Math.max(0, wakeupMs - nowMs), wakeup);
     }
 
-    /** How many are kept, with those dropped and not cleared yet. */
+    /** How many timers are held, with cancelled ones that have not been swept yet. */
     int size() {
-        return dues.size();
+        return timers.size();
     }
 }
--- a/node/src/main/java/tulipshed/proxy/UpstreamConnector.java
+++ b/node/src/main/java/tulipshed/proxy/UpstreamConnector.java
@@ -1,19 +1,19 @@
 package tulipshed.proxy;
 
 /**
- * Opens server-side flows towards pool members; each front brings its own. What becomes of a flow is told to
- * {@link ProxyCore}, also where it cannot be opened at all.
+ * Opens attempts towards endpoints; each protocol frontend has its own. The connector reports what becomes of an attempt to
+ * {@link ProxyCore}, also where it cannot be opened at all. Called on the event-loop thread only.
  */
 public interface UpstreamConnector {
-    /** Starts the flow. Before its first byte is sent, {@link ProxyCore#mayForward} must allow it. */
+    /** Opens the attempt. Before its first byte is sent, {@link ProxyCore#mayForward} must allow it. */
     void open(Attempt attempt);
 
-    /** Ends a flow of which nothing more is wanted; nothing is told of it from here on. */
+    /** Closes an attempt that is no longer needed; the connector reports nothing more of it. */
     void abandon(Attempt attempt);
 
     /**
-     * Whether flows must leave a member that drains: where each message is sent anew rather than on a
-     * connection that stands, going on would be sending something new.
+     * Whether attempts must leave an endpoint that drains: so where each message is sent anew, rather than on an established
+     * connection, and to go on would be to send something new.
      */
     default boolean mustLeaveDrainingEndpoint() {
         return false;
--- a/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
+++ b/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
@@ -40,7 +40,7 @@
             }
             if (random.nextInt(100) == 0) {
                 nowMs += random.nextInt(3000);
-                dues.run(nowMs, Runnable::run);
+                dues.runExpired(nowMs, Runnable::run);
                 while (!expected.isEmpty() && expected.firstKey() <= nowMs) {
                     wanted.addAll(expected.pollFirstEntry().getValue());
                 }
