--- a/node/src/main/java/tulipshed/cli/DemoCommand.java
+++ b/node/src/main/java/tulipshed/cli/DemoCommand.java
@@ -100,21 +100,8 @@
                             .getBytes(StandardCharsets.UTF_8),
                     read.nameIndex());
             // The list that the configuration remembers names members that are not there.
-            NodeConfig fresh = new NodeConfig(
-                    read.name(),
-                    read.listen(),
-                    null,
-                    read.discovery(),
-                    read.seed(),
-                    read.memoryMb(),
-                    read.sockets(),
-                    Map.of(),
-                    read.settings(),
-                    read.nameIndex(),
-                    read.loadReportsLatency(),
-                    null);
             return new Node(
-                    fresh,
+                    read.standalone(),
                     rules,
                     Limits.forDescriptors(DESCRIPTORS),
                     new SystemClock(),
--- a/node/src/main/java/tulipshed/cli/ExpressionCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionCommand.java
@@ -6,8 +6,8 @@
 import java.util.function.Supplier;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
+import tulipshed.config.NameIndex;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.operators.OperatorsFile;
 
 /** Work on the operators' file and on single expressions, without a node. */
--- a/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
@@ -7,7 +7,7 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 import tulipshed.config.MalformedInputException;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.operators.CaseTable;
 import tulipshed.operators.OperatorsFile;
 
--- a/node/src/main/java/tulipshed/config/NodeConfig.java
+++ b/node/src/main/java/tulipshed/config/NodeConfig.java
@@ -5,14 +5,31 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import tulipshed.decision.BalancerApi.Settings;
 
 /**
- * What a node is told at its start, from the file that PROXY_CONFIG names and the variables beside it; the second
- * address, {@code management}, is null where it is off, and so is {@code peers}.
+ * The configuration of one node: the JSON file that the environment variable PROXY_CONFIG names, and the variables beside
+ * it. Immutable, but {@code cachedEndpoints} is the map that was read.
+ *
+ * @param name the node's name; external name {@code name}
+ * @param listen the address for clients; external name {@code listen}
+ * @param management the address of the management server, null if it is off; external name {@code management}, or the
+ *     variable PROXY_MANAGEMENT
+ * @param discovery the address of the discovery service; external name {@code discovery}
+ * @param seed the seed of the random source; external name {@code seed}, hexadecimal
+ * @param memoryMb the memory that the node may use, in mebibytes; external name {@code limits.memory_mb}
+ * @param sockets the descriptors that the node may hold; external name {@code limits.sockets}
+ * @param cachedEndpoints the endpoint list to start with, in discovery's form, empty for none; external name {@code
+ *     known}
+ * @param settings the settings of the decision module; external name {@code settings}
+ * @param nameIndex the names of request classes and tenants in {@code settings}
+ * @param loadReportsLatency whether endpoints report latencies in place of loads; external names {@code
+ *     settings.FamilyInfo.TellsDelay} and {@code TellsLoad}
+ * @param peers the addresses for messages between nodes, null if there are none
  */
 public record NodeConfig(
         String name,
@@ -24,101 +41,126 @@
         int sockets,
         Map<String, Object> cachedEndpoints,
         Settings settings,
-        SettingsReader.NameIndex nameIndex,
+        NameIndex nameIndex,
         boolean loadReportsLatency,
         PeerConfig peers) {
 
-    /** Reads the configuration; a {@link MalformedInputException} tells in one line what is wrong with it. */
+    /** The environment variable that names the configuration file. */
+    private static final String FILE_VARIABLE = "PROXY_CONFIG";
+
+    /** The environment variable with the management address, for files that name none. */
+    private static final String MANAGEMENT_VARIABLE = "PROXY_MANAGEMENT";
+
+    /** Hosts are numeric, as the node resolves no names. */
+    private static final String NUMERIC_HOST = "[0-9.]+|\\[[0-9a-fA-F:]+\\]";
+
+    private static final int HEXADECIMAL = 16;
+
+    /**
+     * Reads and checks the configuration.
+     *
+     * @throws MalformedInputException with a message of one line if there is no file or it cannot be used
+     */
     public static NodeConfig load(Map<String, String> environment) {
-        String file = environment.get("PROXY_CONFIG");
+        String file = environment.get(FILE_VARIABLE);
         if (file == null || file.isEmpty()) {
-            throw new MalformedInputException("PROXY_CONFIG is not set");
+            throw new MalformedInputException(FILE_VARIABLE + " is not set");
         }
         byte[] bytes;
         try {
             bytes = Files.readAllBytes(Path.of(file));
-        } catch (IOException | java.nio.file.InvalidPathException e) {
+        } catch (IOException | InvalidPathException e) {
             throw new MalformedInputException(
                     "cannot read " + file + ": " + e.getClass().getSimpleName());
         }
         return parse(JsonValues.object(bytes), environment);
     }
 
+    /** Translates a configuration file that was read; this is the one place that knows its external names. */
     static NodeConfig parse(Map<String, Object> json, Map<String, String> environment) {
         ConfigValidator.check(json);
-        String name = text(json, "name", null);
-        InetSocketAddress listen = address("listen", text(json, "listen", null));
-        InetSocketAddress discovery = address("discovery", text(json, "discovery", null));
-        String management = text(json, "management", environment.get("PROXY_MANAGEMENT"));
-        Map<String, Object> limits = child(json, "limits");
-        SettingsReader.NameIndex names = new SettingsReader.NameIndex();
-        Map<String, Object> settings = child(json, "settings");
-        Map<String, Object> family = child(settings, "FamilyInfo");
-        Settings read = SettingsReader.read(settings, names);
+        JsonObject file = JsonObject.of(json);
+        InetSocketAddress listen = address("listen", file.string("listen", null));
+        InetSocketAddress discovery = address("discovery", file.string("discovery", null));
+        String management = management(json, environment);
+        JsonObject limits = file.object("limits");
+        JsonObject family = file.object("settings").object("FamilyInfo");
+        Settings settings = SettingsReader.read(file.object("settings").fields());
         return new NodeConfig(
-                name,
+                file.string("name", null),
                 listen,
                 management == null || management.isEmpty() ? null : address("management", management),
                 discovery,
-                seed(text(json, "seed", "0")),
-                (int) number(limits, "memory_mb", 192),
-                (int) number(limits, "sockets", 1024),
-                child(json, "known"),
-                read,
-                names,
-                Boolean.TRUE.equals(family.get("TellsDelay")) && !Boolean.TRUE.equals(family.get("TellsLoad")),
-                PeerConfig.read(json, read.limits().peerMessages(), read.nodeIndex()));
+                seed(file.string("seed", null)),
+                limits.integer("memory_mb", 0),
+                limits.integer("sockets", 0),
+                file.object("known").fields(),
+                settings,
+                NameIndex.of(settings),
+                family.flag("TellsDelay", false) && !family.flag("TellsLoad", false),
+                PeerConfig.read(json, settings.limits().peerMessages(), settings.nodeIndex()));
     }
 
-    private static long seed(String hex) {
+    /** The management address as text, or null; the file takes precedence over the environment. */
+    private static String management(Map<String, Object> json, Map<String, String> environment) {
+        Object value = json.get("management");
+        if (value != null && !(value instanceof String)) {
+            throw MalformedInputException.unexpectedValue("management", "a string");
+        }
+        return value == null ? environment.get(MANAGEMENT_VARIABLE) : (String) value;
+    }
+
+    private static long seed(String hexadecimal) {
         try {
-            return Long.parseUnsignedLong(hex, 16);
+            return Long.parseUnsignedLong(hexadecimal, HEXADECIMAL);
         } catch (NumberFormatException e) {
-            throw new MalformedInputException("seed is not a hexadecimal number: " + hex);
+            throw MalformedInputException.unexpectedValue("seed", "a hexadecimal number: " + hexadecimal);
         }
     }
 
-    /** An address of the form host:port; the host is a numeric address, as there is no DNS. */
+    /**
+     * Parses an address of the form {@code host:port} with a numeric host, as the node resolves no names.
+     *
+     * @param what names the address in the error message
+     * @param text the address; null counts as malformed
+     * @throws MalformedInputException if it has another form
+     */
     public static InetSocketAddress address(String what, String text) {
         int colon = text == null ? -1 : text.lastIndexOf(':');
-        if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+\\]")) {
-            throw new MalformedInputException(what + " is not a numeric host:port: " + text);
+        if (colon <= 0 || !text.substring(0, colon).matches(NUMERIC_HOST)) {
+            throw notAnAddress(what, text);
         }
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
         } catch (UnknownHostException | IllegalArgumentException e) {
-            throw new MalformedInputException(what + " is not a numeric host:port: " + text);
+            throw notAnAddress(what, text);
         }
     }
 
-    private static String text(Map<String, Object> json, String key, String otherwise) {
-        Object value = json.get(key);
-        if (value != null && !(value instanceof String)) {
-            throw new MalformedInputException(key + " is not a text");
-        }
-        return value == null ? otherwise : (String) value;
+    private static MalformedInputException notAnAddress(String what, String text) {
+        return MalformedInputException.unexpectedValue(what, "a numeric host:port: " + text);
     }
 
-    private static double number(Map<String, Object> json, String key, double otherwise) {
-        Object value = json.get(key);
-        if (value != null && !(value instanceof Double)) {
-            throw new MalformedInputException(key + " is not a number");
-        }
-        return value == null ? otherwise : (Double) value;
-    }
-
-    @SuppressWarnings("unchecked")
-    private static Map<String, Object> child(Map<String, Object> json, String key) {
-        Object value = json.get(key);
-        if (value != null && !(value instanceof Map)) {
-            throw new MalformedInputException(key + " is not an object");
-        }
-        return value == null ? Map.of() : (Map<String, Object>) value;
+    /** The entries of {@link #cachedEndpoints()} in discovery's form; empty if there are none. */
+    public List<?> knownServers() {
+        return cachedEndpoints.get("servers") instanceof List<?> servers ? servers : List.of();
     }
 
-    /** Listed servers in discovery's form, or an empty list. */
-    public List<?> knownServers() {
-        return cachedEndpoints.get("servers") instanceof List<?> l ? l : List.of();
+    /** This configuration without a management address, cached endpoints and peers, for a node that stands alone. */
+    public NodeConfig standalone() {
+        return new NodeConfig(
+                name,
+                listen,
+                null,
+                discovery,
+                seed,
+                memoryMb,
+                sockets,
+                Map.of(),
+                settings,
+                nameIndex,
+                loadReportsLatency,
+                null);
     }
 }
--- a/node/src/main/java/tulipshed/config/PeerConfig.java
+++ b/node/src/main/java/tulipshed/config/PeerConfig.java
@@ -7,32 +7,47 @@
 import java.util.Map;
 
 /**
- * Where this node hears other nodes, where each of them is sent to and known by, in the order of their numbers, and the
- * address that reaches all others; {@code self} is this node's own number.
+ * The addresses for messages between nodes.
+ *
+ * @param listen where this node receives; external name {@code peer_listen}
+ * @param peers where each node receives and sends from, by node index, this node included; external name {@code peers}
+ * @param broadcast an address that reaches all other nodes; external name {@code peers_all}
+ * @param nodeIndex the index of this node in {@code peers}
  */
 public record PeerConfig(
         InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress broadcast, int nodeIndex) {
 
-    /** Null where the settings allow none or no address to listen on is named. */
-    static PeerConfig read(Map<String, Object> json, boolean allowed, int self) {
+    /**
+     * Reads the addresses from the configuration file.
+     *
+     * @param allowed whether the settings permit messages between nodes
+     * @return null if they do not, or if the file names no address to listen on
+     * @throws MalformedInputException if an address is malformed or listed twice
+     */
+    static PeerConfig read(Map<String, Object> json, boolean allowed, int nodeIndex) {
         if (!allowed || json.get("peer_listen") == null) {
             return null;
         }
-        if (!(json.get("peers") instanceof List<?> listed)) {
-            throw new MalformedInputException("peers is not a list");
+        List<InetSocketAddress> peers = peers(json.get("peers"));
+        return new PeerConfig(
+                address("peer_listen", json.get("peer_listen")),
+                peers,
+                address("peers_all", json.get("peers_all")),
+                nodeIndex);
+    }
+
+    private static List<InetSocketAddress> peers(Object value) {
+        if (!(value instanceof List<?> entries)) {
+            throw MalformedInputException.unexpectedValue("peers", "a list");
         }
         List<InetSocketAddress> peers = new ArrayList<>();
-        for (Object peer : listed) {
-            peers.add(address("an entry of peers", peer));
+        for (Object entry : entries) {
+            peers.add(address("an entry of peers", entry));
         }
         if (new HashSet<>(peers).size() < peers.size()) {
             throw new MalformedInputException("peers has an address twice");
         }
-        return new PeerConfig(
-                address("peer_listen", json.get("peer_listen")),
-                List.copyOf(peers),
-                address("peers_all", json.get("peers_all")),
-                self);
+        return List.copyOf(peers);
     }
 
     private static InetSocketAddress address(String what, Object value) {
--- a/node/src/main/java/tulipshed/config/SettingsReader.java
+++ b/node/src/main/java/tulipshed/config/SettingsReader.java
@@ -1,7 +1,6 @@
 package tulipshed.config;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import tulipshed.decision.BalancerApi.DeduplicationScope;
@@ -14,160 +13,191 @@
 import tulipshed.decision.BalancerApi.SiteLimits;
 import tulipshed.decision.BalancerApi.Tenant;
 import tulipshed.decision.BalancerApi.WeightSemantics;
+import tulipshed.time.Clock;
 
-/** Turns the wire's settings into the module's; what is absent takes the value that assumes least. */
+/**
+ * Translates the external settings object, which the configuration file and the simulator share, to the settings of the
+ * decision module. This is the one place that knows the external names: each quoted key and value below is one. A field
+ * that is absent takes the default that assumes least.
+ */
 public final class SettingsReader {
-    /** Names used on the wire, by index in the module's settings. */
-    public static final class NameIndex {
-        public final Map<String, Integer> classes = new HashMap<>();
-        public final Map<String, Integer> tenants = new HashMap<>();
-    }
-
-    private final Map<String, Object> map;
-
-    private SettingsReader(Map<String, Object> map) {
-        this.map = map;
-    }
-
-    public static Settings read(Map<String, Object> wire, NameIndex names) {
-        SettingsReader top = new SettingsReader(wire);
-        SettingsReader family = top.child("FamilyInfo");
-        SettingsReader bounds = top.child("Bounds");
-        SettingsReader rules = top.child("Rules");
-        SettingsReader charges = top.child("Charges");
+    private final JsonObject settings;
+    private final JsonObject family;
+
+    private SettingsReader(JsonObject settings) {
+        this.settings = settings;
+        // External name FamilyInfo: what the site's protocol family has.
+        this.family = settings.object("FamilyInfo");
+    }
+
+    /**
+     * Reads settings.
+     *
+     * @param json the settings object, as {@link JsonValues} reads it
+     * @throws MalformedInputException if the settings have no request class
+     */
+    public static Settings read(Map<String, Object> json) {
+        return new SettingsReader(JsonObject.of(json)).read();
+    }
+
+    private Settings read() {
+        // External names Me and PeersTotal: this node's index and the number of nodes.
+        int nodeIndex = settings.integer("Me", 0);
+        int nodeCount = Math.max(1, settings.integer("PeersTotal", 1));
+        String zone = settings.string("Zone", "");
+        // External name FamilyInfo.Mode: "pass" where the node passes packets on and does not end connections.
+        boolean passthrough = "pass".equals(family.string("Mode", "proxy"));
+        // External name Discovery: "ask" where the endpoint list is polled, "push" where it is sent.
+        boolean polledDiscovery = "ask".equals(settings.string("Discovery", "push"));
+        // External name FamilyInfo.Groups: whether connections of one group belong on one endpoint.
+        boolean groupAffinity = family.flag("Groups", false);
         return new Settings(
-                (int) top.number("Me", 0),
-                Math.max(1, (int) top.number("PeersTotal", 1)),
-                top.text("Zone", ""),
-                "pass".equals(family.text("Mode", "proxy")),
-                "ask".equals(top.text("Discovery", "push")),
-                family.flag("Groups", false),
-                weights(top.text("Weights", "off")),
-                reports(top.child("LoadReport").text("How", "off")),
-                new SiteLimits(
-                        (int) bounds.number("MaxAttempts", 1),
-                        bounds.micros("MaxRetryAfterS", 0),
-                        bounds.flag("Cancel", false),
-                        bounds.flag("Probes", false),
-                        bounds.flag("Peers", false),
-                        bounds.flag("RetryAfter", false),
-                        bounds.micros("ConnectTimeoutS", 0.25),
-                        bounds.micros("ConnIdleS", 0),
-                        (int) bounds.number("StreamsPerConn", 1)),
-                new ProtocolRules(
-                        rules.micros("DrainGraceS", 0),
-                        rules.micros("AskWithinS", 10),
-                        rules.number("ColdShare", 1),
-                        rules.micros("ColdS", 0),
-                        rules.number("OverloadFactor", 1),
-                        rules.micros("FallS", 1)),
-                new Prices(
-                        charges.number("CrossZone", 0),
-                        charges.number("Handshake", 0),
-                        charges.number("Probe", 0),
-                        charges.number("Moves", 0),
-                        charges.number("Waste", 0)),
-                classes(top, family, names),
-                tenants(top, family, names));
-    }
-
-    private static List<RequestClass> classes(SettingsReader top, SettingsReader family, NameIndex names) {
-        List<Object> messageAims = family.list("MessageAimS");
-        List<RequestClass> classes = new ArrayList<>();
-        for (Object entry : top.list("Classes")) {
-            SettingsReader c = of(entry);
-            int i = classes.size();
-            double deadline = c.number("HardLimitS", 1);
-            double messageAim = i < messageAims.size() && messageAims.get(i) instanceof Double d ? d : 0;
-            names.classes.put(c.text("Name", ""), i);
-            classes.add(new RequestClass(
-                    c.text("Name", ""),
-                    c.micros("AimS", deadline),
-                    c.micros("HardLimitS", 1),
-                    c.number("Worth", 1),
-                    effect(c.text("Effect", "once")),
-                    group(c.text("Group", "cell")),
-                    c.micros("RepeatWindowS", 0),
-                    Math.round(messageAim * 1e6)));
-        }
-        if (classes.isEmpty()) {
-            throw new MalformedInputException("Settings without Classes");
-        }
-        return List.copyOf(classes);
-    }
-
-    private static List<Tenant> tenants(SettingsReader top, SettingsReader family, NameIndex names) {
-        List<Object> connections = family.list("TenantQuotaConnections");
-        List<Tenant> tenants = new ArrayList<>();
-        for (Object entry : top.list("Tenants")) {
-            SettingsReader t = of(entry);
-            int i = tenants.size();
-            names.tenants.put(t.text("Name", ""), i);
-            double quota = i < connections.size() && connections.get(i) instanceof Double d ? d : 0;
-            tenants.add(new Tenant(t.text("Name", ""), t.number("Fraction", 0), t.number("QuotaPerS", 0), quota));
-        }
-        return List.copyOf(tenants);
-    }
-
-    private static WeightSemantics weights(String word) {
-        return switch (word) {
+                nodeIndex,
+                nodeCount,
+                zone,
+                passthrough,
+                polledDiscovery,
+                groupAffinity,
+                weightSemantics(),
+                loadReportSource(),
+                siteLimits(settings.object("Bounds")),
+                protocolRules(settings.object("Rules")),
+                prices(settings.object("Charges")),
+                requestClasses(),
+                tenants());
+    }
+
+    /** External name Weights: what the weights in the endpoint list mean. */
+    private WeightSemantics weightSemantics() {
+        return switch (settings.string("Weights", "off")) {
             case "live" -> WeightSemantics.LIVE;
             case "nominal", "rough" -> WeightSemantics.SIZE;
             default -> WeightSemantics.NONE;
         };
     }
 
-    private static LoadReportSource reports(String word) {
-        return switch (word) {
+    /** External name LoadReport.How: where load reports come from. */
+    private LoadReportSource loadReportSource() {
+        return switch (settings.object("LoadReport").string("How", "off")) {
             case "inline" -> LoadReportSource.RESPONSES;
             case "on_probe" -> LoadReportSource.HEALTH_CHECKS;
             default -> LoadReportSource.NONE;
         };
     }
 
-    private static Idempotency effect(String word) {
-        return switch (word) {
+    /** External name Bounds: what the site permits. Keys that end in S are seconds. */
+    private static SiteLimits siteLimits(JsonObject bounds) {
+        int maxAttempts = bounds.integer("MaxAttempts", 1);
+        long maxRetryAfterUs = bounds.micros("MaxRetryAfterS", 0);
+        boolean cancellation = bounds.flag("Cancel", false);
+        boolean healthChecks = bounds.flag("Probes", false);
+        boolean peerMessages = bounds.flag("Peers", false);
+        boolean retryAfter = bounds.flag("RetryAfter", false);
+        long connectTimeoutUs = bounds.micros("ConnectTimeoutS", 0.25);
+        long connectionIdleUs = bounds.micros("ConnIdleS", 0);
+        int streamsPerConnection = bounds.integer("StreamsPerConn", 1);
+        return new SiteLimits(
+                maxAttempts,
+                maxRetryAfterUs,
+                cancellation,
+                healthChecks,
+                peerMessages,
+                retryAfter,
+                connectTimeoutUs,
+                connectionIdleUs,
+                streamsPerConnection);
+    }
+
+    /** External name Rules: the parameters of the site's rules. Keys that end in S are seconds. */
+    private static ProtocolRules protocolRules(JsonObject rules) {
+        long drainGraceUs = rules.micros("DrainGraceS", 0);
+        long pollWithinUs = rules.micros("AskWithinS", 10);
+        double slowStartShare = rules.number("ColdShare", 1);
+        long slowStartUs = rules.micros("ColdS", 0);
+        double overloadFactor = rules.number("OverloadFactor", 1);
+        long overloadUs = rules.micros("FallS", 1);
+        return new ProtocolRules(drainGraceUs, pollWithinUs, slowStartShare, slowStartUs, overloadFactor, overloadUs);
+    }
+
+    /** External name Charges: what each unit costs. */
+    private static Prices prices(JsonObject charges) {
+        double crossZone = charges.number("CrossZone", 0);
+        double handshake = charges.number("Handshake", 0);
+        double healthCheck = charges.number("Probe", 0);
+        double migration = charges.number("Moves", 0);
+        double waste = charges.number("Waste", 0);
+        return new Prices(crossZone, handshake, healthCheck, migration, waste);
+    }
+
+    /** External names Classes and, by the same index, FamilyInfo.MessageAimS. */
+    private List<RequestClass> requestClasses() {
+        List<Object> messageObjectivesS = family.list("MessageAimS");
+        List<RequestClass> classes = new ArrayList<>();
+        for (Object entry : settings.list("Classes")) {
+            double messageObjectiveS = numberAt(messageObjectivesS, classes.size());
+            classes.add(requestClass(JsonObject.of(entry), messageObjectiveS));
+        }
+        if (classes.isEmpty()) {
+            throw new MalformedInputException("Settings without Classes");
+        }
+        return List.copyOf(classes);
+    }
+
+    private static RequestClass requestClass(JsonObject entry, double messageObjectiveS) {
+        String name = entry.string("Name", "");
+        // External name AimS: the latency objective; HardLimitS: the deadline, which the objective defaults to.
+        long latencyObjectiveUs = entry.micros("AimS", entry.number("HardLimitS", 1));
+        long deadlineUs = entry.micros("HardLimitS", 1);
+        double priorityWeight = entry.number("Worth", 1);
+        Idempotency idempotency = idempotency(entry.string("Effect", "once"));
+        DeduplicationScope deduplicationScope = deduplicationScope(entry.string("Group", "cell"));
+        long deduplicationWindowUs = entry.micros("RepeatWindowS", 0);
+        return new RequestClass(
+                name,
+                latencyObjectiveUs,
+                deadlineUs,
+                priorityWeight,
+                idempotency,
+                deduplicationScope,
+                deduplicationWindowUs,
+                Clock.secondsToMicros(messageObjectiveS));
+    }
+
+    /** External name Effect of a class. */
+    private static Idempotency idempotency(String effect) {
+        return switch (effect) {
             case "repeatable" -> Idempotency.IDEMPOTENT;
             case "by_key" -> Idempotency.WITH_KEY;
             default -> Idempotency.NOT_IDEMPOTENT;
         };
     }
 
-    private static DeduplicationScope group(String word) {
-        return switch (word) {
+    /** External name Group of a class. */
+    private static DeduplicationScope deduplicationScope(String group) {
+        return switch (group) {
             case "all" -> DeduplicationScope.ALL;
             case "zone" -> DeduplicationScope.ZONE;
             default -> DeduplicationScope.CELL;
         };
     }
 
-    @SuppressWarnings("unchecked")
-    private static SettingsReader of(Object value) {
-        return new SettingsReader(value instanceof Map<?, ?> m ? (Map<String, Object>) m : Map.of());
-    }
-
-    private SettingsReader child(String name) {
-        return of(map.get(name));
-    }
-
-    @SuppressWarnings("unchecked")
-    private List<Object> list(String name) {
-        return map.get(name) instanceof List<?> l ? (List<Object>) l : List.of();
-    }
-
-    private double number(String name, double otherwise) {
-        return map.get(name) instanceof Double d ? d : otherwise;
-    }
-
-    private long micros(String name, double otherwiseS) {
-        return Math.round(number(name, otherwiseS) * 1e6);
-    }
-
-    private boolean flag(String name, boolean otherwise) {
-        return map.get(name) instanceof Boolean b ? b : otherwise;
+    /** External names Tenants and, by the same index, FamilyInfo.TenantQuotaConnections. */
+    private List<Tenant> tenants() {
+        List<Object> connectionQuotas = family.list("TenantQuotaConnections");
+        List<Tenant> tenants = new ArrayList<>();
+        for (Object entry : settings.list("Tenants")) {
+            JsonObject tenant = JsonObject.of(entry);
+            String name = tenant.string("Name", "");
+            double quotaShare = tenant.number("Fraction", 0);
+            double quotaPerSecond = tenant.number("QuotaPerS", 0);
+            double quotaConnections = numberAt(connectionQuotas, tenants.size());
+            tenants.add(new Tenant(name, quotaShare, quotaPerSecond, quotaConnections));
+        }
+        return List.copyOf(tenants);
     }
 
-    private String text(String name, String otherwise) {
-        return map.get(name) instanceof String s ? s : otherwise;
+    /** The number at an index, or 0 if there is none. */
+    private static double numberAt(List<Object> list, int index) {
+        return index < list.size() && list.get(index) instanceof Double number ? number : 0;
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.xnio.StreamConnection;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
--- a/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommand.java
@@ -5,7 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Declarations;
 
@@ -129,7 +129,7 @@
             if (waitMs > longestWaitMs && at == null) {
                 throw new MalformedLineException("a wait that is too long");
             }
-            if (tenant < 0 && !names.tenants.isEmpty()) {
+            if (tenant < 0 && !names.tenantNames().isEmpty()) {
                 throw new MalformedLineException("no tenant");
             }
             if (words[2].length() > declared.longestKey()
@@ -143,14 +143,14 @@
         private void take(String name, String value, int from) {
             switch (name) {
                 case "c" -> {
-                    Integer known = names.classes.get(value);
+                    Integer known = names.classIndex(value);
                     if (known == null) {
                         throw new MalformedLineException("an unknown class");
                     }
                     requestClass = known;
                 }
                 case "t" -> {
-                    Integer known = names.tenants.get(value);
+                    Integer known = names.tenantIndex(value);
                     if (known == null) {
                         throw new MalformedLineException("an unknown tenant");
                     }
--- a/node/src/main/java/tulipshed/operators/CaseTable.java
+++ b/node/src/main/java/tulipshed/operators/CaseTable.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.expression.Network;
@@ -191,10 +191,12 @@
     private static String unknown(Case c, NameIndex names, Router router) {
         Object requestClass = c.given().get("class");
         Object tenant = c.given().get("tenant");
-        if (!names.classes.containsKey(String.valueOf(requestClass))) {
+        if (!names.classNames().contains(String.valueOf(requestClass))) {
             return "the settings have no class " + requestClass;
         }
-        if (tenant == null ? !names.tenants.isEmpty() : !names.tenants.containsKey(String.valueOf(tenant))) {
+        if (tenant == null
+                ? !names.tenantNames().isEmpty()
+                : !names.tenantNames().contains(String.valueOf(tenant))) {
             return "the settings have no tenant " + tenant;
         }
         Collection<String> known = TransactionSchema.names(router == null ? Declarations.NONE : router.declarations());
--- a/node/src/main/java/tulipshed/operators/OperatorsFile.java
+++ b/node/src/main/java/tulipshed/operators/OperatorsFile.java
@@ -5,7 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import tulipshed.config.MalformedInputException;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.routing.Router;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
--- a/node/src/main/java/tulipshed/operators/QuicSection.java
+++ b/node/src/main/java/tulipshed/operators/QuicSection.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.connectionid.ServerIds;
 import tulipshed.sexpr.Form;
 import tulipshed.sexpr.Problems;
@@ -91,8 +91,9 @@
         Fields f = new Fields(new Form.Sequence(others, false, section.place()), 1, FIELDS, problems);
         InetSocketAddress listen = f.address("listen");
         InetSocketAddress preferred = f.has("preferred-address") ? f.address("preferred-address") : null;
-        String requestClass = f.oneOf("class", names.classes.keySet());
-        String tenant = names.tenants.isEmpty() && !f.has("tenant") ? null : f.oneOf("tenant", names.tenants.keySet());
+        String requestClass = f.oneOf("class", names.classNames());
+        String tenant =
+                names.tenantNames().isEmpty() && !f.has("tenant") ? null : f.oneOf("tenant", names.tenantNames());
         double deadlineMs = f.whole("deadline-ms", 1, LONGEST_DEADLINE_MS, 1);
         byte[] resetKey = f.hex("reset-key");
         if (resetKey != null && resetKey.length < KEY_BYTES) {
--- a/node/src/main/java/tulipshed/operators/RuleReader.java
+++ b/node/src/main/java/tulipshed/operators/RuleReader.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.expression.Checker;
 import tulipshed.expression.Expr;
 import tulipshed.expression.Program;
@@ -84,8 +84,8 @@
         Fields f = new Fields(s, 2, FIELDS, problems);
         Form when = f.value("when");
         Expr condition = when == null ? null : checker.expect(when, Type.BOOLEAN);
-        String className = f.has("class") ? f.oneOf("class", names.classes.keySet()) : null;
-        String tenant = f.has("tenant") ? f.oneOf("tenant", names.tenants.keySet()) : null;
+        String className = f.has("class") ? f.oneOf("class", names.classNames()) : null;
+        String tenant = f.has("tenant") ? f.oneOf("tenant", names.tenantNames()) : null;
         Form group = f.has("group") ? f.value("group") : null;
         Expr computed = group == null ? null : checker.expect(group, Type.STRING);
         if (!f.has("class") && !f.has("tenant") && !f.has("group")) {
--- a/node/src/main/java/tulipshed/operators/SectionReader.java
+++ b/node/src/main/java/tulipshed/operators/SectionReader.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.expression.Builtins;
 import tulipshed.expression.Checker;
 import tulipshed.expression.Cost;
@@ -65,7 +65,7 @@
         }
         QuicSection quic = once.containsKey("quic") ? QuicSection.read(once.get("quic"), names, problems) : null;
         TransactionSchema transactions = new TransactionSchema(
-                longest(names.classes.keySet()), longest(names.tenants.keySet()), declarations, LONGEST_LINE);
+                longest(names.classNames()), longest(names.tenantNames()), declarations, LONGEST_LINE);
         MemberSchema members = new MemberSchema();
         checkDefines(transactions.schema(), members.schema());
         Classification classification = null;
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.StatelessReset;
 import tulipshed.limits.Limits;
@@ -141,8 +141,8 @@
 
     /** What a new connection asks for, or null where the settings do not name that any more. */
     Attributes arrival(String key) {
-        Integer requestClass = names.classes.get(config.requestClass());
-        Integer tenant = config.tenant() == null ? Integer.valueOf(-1) : names.tenants.get(config.tenant());
+        Integer requestClass = names.classIndex(config.requestClass());
+        Integer tenant = config.tenant() == null ? Integer.valueOf(-1) : names.tenantIndex(config.tenant());
         return requestClass == null || tenant == null
                 ? null
                 : new Attributes(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
--- a/node/src/main/java/tulipshed/simadapter/Adapter.java
+++ b/node/src/main/java/tulipshed/simadapter/Adapter.java
@@ -8,139 +8,110 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Map;
 import tulipshed.config.MalformedInputException;
-import tulipshed.config.SettingsReader;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.Actions;
-import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Settings;
 
 /**
- * Hosts instances of the decision module behind the simulator's wire: reads batches of events, hands each
- * to its instance, writes one reply a batch. Decides nothing.
+ * Connects instances of the decision module to the simulator: reads batches of events, hands each event to its instance,
+ * and writes one reply a batch. Used by one thread.
  */
 public final class Adapter {
-    private final JsonParser in;
-    private final ReplyWriter out;
-    private final Map<String, Instance> instances = new HashMap<>();
-    private final WireEvent event = new WireEvent();
-    private final Factory factory;
+    /** The input ended after a complete batch. */
+    private static final int EXIT_OK = 0;
 
-    /** Makes the module of one instance. */
+    /** The input was malformed or could not be read. */
+    private static final int EXIT_MALFORMED_INPUT = 2;
+
+    /** The input was malformed, and standard error could not be written either. */
+    private static final int EXIT_ERROR_NOT_REPORTED = 3;
+
+    private final JsonParser parser;
+    private final ReplyWriter replies;
+    private final Instances instances;
+
+    /** Creates instances of the decision module. */
     public interface Factory {
+        /**
+         * Creates one instance.
+         *
+         * @param now the time, in microseconds
+         * @param actions receives what the instance decides
+         */
         BalancerApi create(Settings settings, long seed, long now, Actions actions);
     }
 
-    /** One running balancer. */
-    private record Instance(BalancerApi balancer, SettingsReader.NameIndex names) {}
-
     Adapter(InputStream in, OutputStream out, Factory factory) throws IOException {
-        this.factory = factory;
-        this.in = new JsonFactory().createParser(in);
-        this.out = new ReplyWriter(out);
+        parser = new JsonFactory().createParser(in);
+        replies = new ReplyWriter(out);
+        instances = new Instances(factory, replies);
     }
 
-    /** Plays all batches; the exit code is 0 at the end of the input, 2 where the input is malformed. */
+    /**
+     * Processes all batches.
+     *
+     * @param err receives one line if the input is malformed
+     * @return the exit code: 0 at the end of the input, 2 if it is malformed, 3 if that could not be written either
+     */
     public static int run(InputStream in, OutputStream out, OutputStream err, Factory factory) {
         try {
-            new Adapter(in, out, factory).loop();
-            return 0;
+            new Adapter(in, out, factory).processBatches();
+            return EXIT_OK;
+        } catch (JsonProcessingException e) {
+            return reportMalformedInput(e.getOriginalMessage(), err);
         } catch (IOException | MalformedInputException e) {
-            String what = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
-            String line = "tulipshed: malformed input: " + String.valueOf(what).replaceAll("\\s+", " ") + "\n";
-            try {
-                err.write(line.getBytes(StandardCharsets.UTF_8));
-                err.flush();
-            } catch (IOException unwritable) {
-                return 3;
-            }
-            return 2;
+            return reportMalformedInput(e.getMessage(), err);
         }
     }
 
-    private void loop() throws IOException {
-        while (true) {
-            JsonToken token = in.nextToken();
-            if (token == null) {
-                return;
-            }
-            event.read(in, token);
-            if (!"Batch".equals(event.cmd)) {
-                throw new MalformedInputException("expected Batch, got " + event.cmd);
+    private static int reportMalformedInput(String reason, OutputStream err) {
+        String line = "tulipshed: malformed input: " + String.valueOf(reason).replaceAll("\\s+", " ") + "\n";
+        try {
+            err.write(line.getBytes(StandardCharsets.UTF_8));
+            err.flush();
+            return EXIT_MALFORMED_INPUT;
+        } catch (IOException e) {
+            return EXIT_ERROR_NOT_REPORTED;
+        }
+    }
+
+    private void processBatches() throws IOException {
+        for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+            WireEvent start = WireEvent.read(parser, token);
+            if (start.type() != EventType.BATCH_START) {
+                throw new MalformedInputException("expected Batch, got " + start.typeName());
             }
-            if (Double.isNaN(event.timeS) || event.frame < 0) {
+            if (!start.hasTimeAndFrame()) {
                 throw new MalformedInputException("a Batch without TimeS or frame");
             }
-            long now = Math.round(event.timeS * 1e6);
-            long frame = event.frame;
-            batch(now);
-            out.done(frame);
+            processEvents(start.timeUs());
+            replies.endBatch(start.frame());
         }
     }
 
-    private void batch(long now) throws IOException {
-        while (true) {
-            JsonToken token = in.nextToken();
-            if (token == null) {
-                throw new MalformedInputException("input ends inside a batch");
-            }
-            event.read(in, token);
-            if ("Eob".equals(event.cmd)) {
-                return;
+    private void processEvents(long nowUs) throws IOException {
+        for (WireEvent event = nextEvent(); event.type() != EventType.BATCH_END; event = nextEvent()) {
+            if (event.instance() == null) {
+                throw new MalformedInputException("an event without Who: " + event.typeName());
             }
-            if (event.who == null) {
-                throw new MalformedInputException("an event without Who: " + event.cmd);
-            }
-            out.instance(event.who);
+            replies.selectInstance(event.instance());
             try {
-                dispatch(now);
+                instances.dispatch(event, nowUs);
             } catch (MalformedInputException e) {
                 throw e;
             } catch (RuntimeException e) {
-                out.exception(e.toString());
+                // A fault of the decision module is part of the reply; the other instances go on.
+                replies.exception(e.toString());
             }
         }
     }
 
-    private void dispatch(long now) {
-        if ("Provision".equals(event.cmd)) {
-            if (event.settings == null) {
-                throw new MalformedInputException("Provision without Settings");
-            }
-            SettingsReader.NameIndex names = new SettingsReader.NameIndex();
-            Settings settings = SettingsReader.read(event.settings, names);
-            instances.put(event.who, new Instance(factory.create(settings, event.seed, now, out), names));
-            return;
-        }
-        Instance instance = instances.get(event.who);
-        if (instance == null) {
-            throw new MalformedInputException(event.cmd + " for an instance that was not provisioned: " + event.who);
-        }
-        BalancerApi b = instance.balancer;
-        switch (event.cmd) {
-            case "Detach" -> instances.remove(event.who);
-            case "PeersKnown" -> b.endpointsChanged(now, event.listKind(), event.servers);
-            case "Incoming" -> b.requestArrived(now, event.newRequest(instance.names));
-            case "Open" -> b.connectionAdopted(now, event.newRequest(instance.names), event.server());
-            case "Started" -> b.attemptEstablished(now, event.id(), event.leg, event.tookUs);
-            case "Notice" -> {
-                if (event.sort == 1) {
-                    b.loadReported(now, event.id(), event.value);
-                } else if (event.sort == 2) {
-                    b.latencyReported(now, event.id(), event.value);
-                }
-            }
-            case "Finished" -> {
-                Outcome outcome = event.outcome();
-                b.attemptEnded(now, event.id(), event.leg, event.noMore, outcome, event.report());
-            }
-            case "Abandoned" -> b.requestCancelled(now, event.id());
-            case "Checked" -> b.healthCheckCompleted(now, event.server(), event.outcome(), event.report());
-            case "TickDue" -> b.timerFired(now, event.label);
-            case "NoteFrom" -> b.peerMessageReceived(now, event.srcPeer, event.body);
-            default -> throw new MalformedInputException("unknown event " + event.cmd);
+    private WireEvent nextEvent() throws IOException {
+        JsonToken token = parser.nextToken();
+        if (token == null) {
+            throw new MalformedInputException("input ends inside a batch");
         }
+        return WireEvent.read(parser, token);
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/simadapter/Instances.java
@@ -0,0 +1,95 @@
+package tulipshed.simadapter;
+
+import java.util.HashMap;
+import java.util.Map;
+import tulipshed.config.MalformedInputException;
+import tulipshed.config.NameIndex;
+import tulipshed.config.SettingsReader;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.Actions;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.Settings;
+
+/** The running instances of the decision module, and the dispatch of events to them. Confined to the adapter's thread. */
+final class Instances {
+    private final Adapter.Factory factory;
+    private final Actions actions;
+    private final Map<String, Instance> byName = new HashMap<>();
+
+    /** One running instance and the names in its settings. */
+    private record Instance(BalancerApi balancer, NameIndex names) {}
+
+    Instances(Adapter.Factory factory, Actions actions) {
+        this.factory = factory;
+        this.actions = actions;
+    }
+
+    /**
+     * Hands an event to its instance.
+     *
+     * @param nowUs the time of the event's batch, in microseconds
+     * @throws MalformedInputException if the event is unknown, lacks a field, or its instance does not exist
+     */
+    void dispatch(WireEvent event, long nowUs) {
+        if (event.type() == EventType.INSTANCE_CREATED) {
+            create(event, nowUs);
+            return;
+        }
+        Instance instance = byName.get(event.instance());
+        if (instance == null) {
+            throw new MalformedInputException(
+                    event.typeName() + " for an instance that was not provisioned: " + event.instance());
+        }
+        if (event.type() == null) {
+            throw unknown(event);
+        }
+        if (event.type() == EventType.INSTANCE_REMOVED) {
+            byName.remove(event.instance());
+            return;
+        }
+        deliver(event, nowUs, instance.balancer(), instance.names());
+    }
+
+    private void create(WireEvent event, long nowUs) {
+        Settings settings = SettingsReader.read(event.settings());
+        BalancerApi balancer = factory.create(settings, event.seed(), nowUs, actions);
+        byName.put(event.instance(), new Instance(balancer, NameIndex.of(settings)));
+    }
+
+    private static void deliver(WireEvent event, long nowUs, BalancerApi balancer, NameIndex names) {
+        switch (event.type()) {
+            case ENDPOINTS_CHANGED -> balancer.endpointsChanged(nowUs, event.listKind(), event.endpoints());
+            case REQUEST_ARRIVED -> balancer.requestArrived(nowUs, event.newRequest(names));
+            case CONNECTION_ADOPTED -> balancer.connectionAdopted(nowUs, event.newRequest(names), event.endpoint());
+            case ATTEMPT_ESTABLISHED ->
+                balancer.attemptEstablished(nowUs, event.requestId(), event.attempt(), event.durationUs());
+            case CONNECTION_REPORTED -> deliverReport(event, nowUs, balancer);
+            case ATTEMPT_ENDED -> deliverAttemptEnd(event, nowUs, balancer);
+            case REQUEST_CANCELLED -> balancer.requestCancelled(nowUs, event.requestId());
+            case HEALTH_CHECK_COMPLETED ->
+                balancer.healthCheckCompleted(nowUs, event.endpoint(), event.outcome(), event.loadReport());
+            case TIMER_FIRED -> balancer.timerFired(nowUs, event.timerToken());
+            case PEER_MESSAGE_RECEIVED -> balancer.peerMessageReceived(nowUs, event.sendingPeer(), event.body());
+            default -> throw unknown(event);
+        }
+    }
+
+    /** Reports of a kind that the adapter does not know are ignored. */
+    private static void deliverReport(WireEvent event, long nowUs, BalancerApi balancer) {
+        if (event.reportsLoad()) {
+            balancer.loadReported(nowUs, event.requestId(), event.reportedValue());
+        } else if (event.reportsLatency()) {
+            balancer.latencyReported(nowUs, event.requestId(), event.reportedValue());
+        }
+    }
+
+    private static void deliverAttemptEnd(WireEvent event, long nowUs, BalancerApi balancer) {
+        Outcome outcome = event.outcome();
+        balancer.attemptEnded(
+                nowUs, event.requestId(), event.attempt(), event.concluded(), outcome, event.loadReport());
+    }
+
+    private static MalformedInputException unknown(WireEvent event) {
+        return new MalformedInputException("unknown event " + event.typeName());
+    }
+}
--- a/node/src/main/java/tulipshed/simadapter/ReplyWriter.java
+++ b/node/src/main/java/tulipshed/simadapter/ReplyWriter.java
@@ -7,24 +7,31 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import tulipshed.decision.BalancerApi.Actions;
+import tulipshed.time.Clock;
 
-/** Writes the actions of all instances in the simulator's words, one line each. */
+/**
+ * Writes the actions of all instances as lines of JSON. This is the one place that knows their external names: the value
+ * of {@code cmd} and the keys quoted below. Confined to the adapter's thread; the output is flushed at each batch's end.
+ */
 final class ReplyWriter implements Actions {
+    /** The external recipient of a message to all peers. */
+    private static final String TO_ALL_PEERS = "*";
+
     private final JsonGenerator json;
-    private String who;
+    private String instance;
 
     ReplyWriter(OutputStream out) throws IOException {
         json = new JsonFactory().createGenerator(out);
         json.setPrettyPrinter(new MinimalPrettyPrinter(""));
     }
 
-    /** All actions until the next call are of this instance. */
-    void instance(String name) {
-        who = name;
+    /** Sets the instance whose actions follow. */
+    void selectInstance(String name) {
+        instance = name;
     }
 
-    /** Ends the reply to a batch. */
-    void done(long frame) throws IOException {
+    /** Ends the reply to a batch and flushes it. */
+    void endBatch(long frame) throws IOException {
         json.writeStartObject();
         json.writeStringField("cmd", "Done");
         json.writeNumberField("frame", frame);
@@ -33,24 +40,25 @@
         json.flush();
     }
 
+    /** Writes that the instance failed with an exception. */
     void exception(String message) {
-        line("Exception", () -> json.writeStringField("Msg", message));
+        writeLine("Exception", () -> json.writeStringField("Msg", message));
     }
 
     @Override
-    public void startAttempt(long requestId, String server, long timeoutUs) {
-        line("CallOut", () -> {
+    public void startAttempt(long requestId, String endpoint, long timeoutUs) {
+        writeLine("CallOut", () -> {
             json.writeNumberField("MsgId", requestId);
-            json.writeStringField("Server", server);
+            json.writeStringField("Server", endpoint);
             if (timeoutUs != 0) {
-                seconds("PatienceS", timeoutUs);
+                writeSeconds("PatienceS", timeoutUs);
             }
         });
     }
 
     @Override
     public void cancelAttempt(long requestId, int attempt) {
-        line("Recall", () -> {
+        writeLine("Recall", () -> {
             json.writeNumberField("MsgId", requestId);
             json.writeNumberField("Leg", attempt);
         });
@@ -58,42 +66,42 @@
 
     @Override
     public void reject(long requestId, long retryAfterUs) {
-        line("Decline", () -> {
+        writeLine("Decline", () -> {
             json.writeNumberField("MsgId", requestId);
             if (retryAfterUs > 0) {
-                seconds("HoldOffS", retryAfterUs);
+                writeSeconds("HoldOffS", retryAfterUs);
             }
         });
     }
 
     @Override
     public void fail(long requestId) {
-        line("Fail", () -> json.writeNumberField("MsgId", requestId));
+        writeLine("Fail", () -> json.writeNumberField("MsgId", requestId));
     }
 
     @Override
     public void migrate(long requestId) {
-        line("Move", () -> json.writeNumberField("MsgId", requestId));
+        writeLine("Move", () -> json.writeNumberField("MsgId", requestId));
     }
 
     @Override
     public void scheduleTimer(long afterUs, long token) {
-        line("Defer", () -> {
-            seconds("AfterS", afterUs);
+        writeLine("Defer", () -> {
+            writeSeconds("AfterS", afterUs);
             json.writeNumberField("Label", token);
         });
     }
 
     @Override
-    public void startHealthCheck(String server) {
-        line("Poll", () -> json.writeStringField("Server", server));
+    public void startHealthCheck(String endpoint) {
+        writeLine("Poll", () -> json.writeStringField("Server", endpoint));
     }
 
     @Override
     public void sendToPeer(int peer, byte[] body) {
-        line("WritePeer", () -> {
+        writeLine("WritePeer", () -> {
             if (peer == ALL_PEERS) {
-                json.writeStringField("To", "*");
+                json.writeStringField("To", TO_ALL_PEERS);
             } else {
                 json.writeNumberField("To", peer);
             }
@@ -103,23 +111,24 @@
 
     @Override
     public void watchEndpoints() {
-        line("StreamChanges", () -> json.writeBooleanField("On", true));
+        writeLine("StreamChanges", () -> json.writeBooleanField("On", true));
     }
 
     @Override
     public void log(String message) {
-        line("WriteLog", () -> json.writeStringField("Msg", message));
+        writeLine("WriteLog", () -> json.writeStringField("Msg", message));
     }
 
-    private interface Fields {
+    /** Writes the fields of one line that follow its type and instance. */
+    private interface FieldWriter {
         void write() throws IOException;
     }
 
-    private void line(String cmd, Fields fields) {
+    private void writeLine(String type, FieldWriter fields) {
         try {
             json.writeStartObject();
-            json.writeStringField("cmd", cmd);
-            json.writeStringField("Who", who);
+            json.writeStringField("cmd", type);
+            json.writeStringField("Who", instance);
             fields.write();
             json.writeEndObject();
             json.writeRaw('\n');
@@ -128,7 +137,7 @@
         }
     }
 
-    private void seconds(String name, long micros) throws IOException {
-        json.writeNumberField(name, micros / 1e6);
+    private void writeSeconds(String name, long micros) throws IOException {
+        json.writeNumberField(name, Clock.microsToSeconds(micros));
     }
 }
--- a/node/src/main/java/tulipshed/simadapter/WireEvent.java
+++ b/node/src/main/java/tulipshed/simadapter/WireEvent.java
@@ -3,149 +3,225 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
-import tulipshed.config.SettingsReader;
+import tulipshed.config.NameIndex;
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.EndpointListKind;
-import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.time.Clock;
 
-/** One line of input, read field by field; reused from line to line. Unknown fields are skipped. */
+/**
+ * One line of the simulator's input. This class and the readers of nested values translate the external names to the
+ * terms of the decision module; {@link #readField} lists them all. A field that is absent or null has its default, and
+ * unknown fields are skipped. Read once, not changed afterwards.
+ */
 final class WireEvent {
-    String cmd;
-    String who;
-    double timeS;
-    long frame;
-    long seed;
-    Map<String, Object> settings;
-    List<EndpointInfo> servers;
-    int leg;
-    long tookUs;
-    boolean noMore;
-    int sort;
-    double value;
-    long label;
-    int srcPeer;
-    byte[] body;
-    private long msgId;
-    private String service;
-    private String org;
-    private String subject;
-    private String team;
-    private String server;
-    private String scope;
+    /** External values of {@code Sort}: what the {@code Value} of a report on a connection is. Others are ignored. */
+    private static final int SORT_LOAD = 1;
+
+    private static final int SORT_LATENCY = 2;
+
+    private static final long NO_ID = -1;
+    private static final int NO_TENANT = -1;
+
+    private String typeName;
+    private String instance;
+    private double timeS = Double.NaN;
+    private long frame = NO_ID;
+    private long seed;
+    private Map<String, Object> settings;
+    private long requestId = NO_ID;
+    private String className;
+    private String tenantName;
+    private String key;
+    private String group;
+    private long timeoutUs;
+    private double loadHintPerS;
+    private boolean retry;
+    private boolean midFlow;
+    private boolean reconnecting;
+    private String endpoint;
+    private int attempt;
+    private long durationUs;
+    private boolean concluded;
     private String verdict;
-    private long graceUs;
-    private double hintS;
-    private boolean resent;
-    private boolean stray;
-    private boolean returned;
-    private final double[] telemetry = new double[REPORT_FIELDS.size()];
-    private boolean reported;
-
-    private static final List<String> REPORT_FIELDS =
-            List.of("active", "waiting", "cpu", "avg_ms", "rps", "err_rps", "x0", "x1");
-
-    void read(JsonParser in, JsonToken first) throws IOException {
-        clear();
+    private LoadReport loadReport = LoadReport.NONE;
+    private int reportKind;
+    private double reportedValue;
+    private long timerToken;
+    private String scope;
+    private List<EndpointInfo> endpoints = List.of();
+    private int sendingPeer;
+    private byte[] body = new byte[0];
+
+    private WireEvent() {}
+
+    /**
+     * Reads one line.
+     *
+     * @param first the parser's current token, the first of the line
+     * @throws MalformedInputException if the line is no object, has no {@code cmd}, or a field has another type
+     * @throws IOException if the input cannot be read or is not JSON
+     */
+    static WireEvent read(JsonParser parser, JsonToken first) throws IOException {
         if (first != JsonToken.START_OBJECT) {
             throw new MalformedInputException("a line that is not an object: " + first);
         }
-        for (String name = in.nextFieldName(); name != null; name = in.nextFieldName()) {
-            if (in.nextToken() == JsonToken.VALUE_NULL) {
-                continue;
+        WireEvent event = new WireEvent();
+        for (String name = parser.nextFieldName(); name != null; name = parser.nextFieldName()) {
+            if (parser.nextToken() != JsonToken.VALUE_NULL) {
+                event.readField(parser, name);
             }
-            field(in, name);
         }
-        if (in.currentToken() != JsonToken.END_OBJECT) {
+        if (parser.currentToken() != JsonToken.END_OBJECT) {
             throw new MalformedInputException("a line that does not end");
         }
-        if (cmd == null) {
+        if (event.typeName == null) {
             throw new MalformedInputException("a line without cmd");
         }
+        return event;
+    }
+
+    private void readField(JsonParser parser, String name) throws IOException {
+        switch (name) {
+            case "cmd" -> typeName = JsonTokens.string(parser, name);
+            case "Who" -> instance = JsonTokens.string(parser, name);
+            case "TimeS" -> timeS = JsonTokens.number(parser, name);
+            case "frame" -> frame = JsonTokens.integer(parser, name);
+            case "RngSeed" -> seed = JsonTokens.unsignedInteger(parser, name);
+            case "Settings" -> settings = settings(parser);
+            case "MsgId" -> requestId = JsonTokens.integer(parser, name);
+            case "Service" -> className = JsonTokens.string(parser, name);
+            case "Org" -> tenantName = parser.getValueAsString();
+            case "Subject" -> key = JsonTokens.string(parser, name);
+            case "TeamId" -> group = JsonTokens.string(parser, name);
+            case "GraceS" -> timeoutUs = JsonTokens.micros(parser, name);
+            case "SizeHintS" -> loadHintPerS = JsonTokens.number(parser, name);
+            case "Resent" -> retry = parser.getValueAsBoolean();
+            case "Stray" -> midFlow = parser.getValueAsBoolean();
+            case "Returned" -> reconnecting = parser.getValueAsBoolean();
+            case "Server" -> endpoint = JsonTokens.string(parser, name);
+            case "Leg" -> attempt = (int) JsonTokens.integer(parser, name);
+            case "TookS" -> durationUs = JsonTokens.micros(parser, name);
+            case "NoMore" -> concluded = parser.getValueAsBoolean();
+            case "Verdict" -> verdict = JsonTokens.string(parser, name);
+            case "Telemetry" -> loadReport = LoadReportReader.read(parser);
+            case "Sort" -> reportKind = (int) JsonTokens.integer(parser, name);
+            case "Value" -> reportedValue = JsonTokens.number(parser, name);
+            case "Label" -> timerToken = JsonTokens.integer(parser, name);
+            case "Scope" -> scope = JsonTokens.string(parser, name);
+            case "NodesList" -> endpoints = EndpointListReader.read(parser);
+            case "SrcPeer" -> sendingPeer = (int) JsonTokens.integer(parser, name);
+            case "Body" -> body = parser.getBinaryValue();
+            default -> parser.skipChildren();
+        }
     }
 
-    private void clear() {
-        cmd = who = service = org = subject = team = server = scope = verdict = null;
-        timeS = Double.NaN;
-        frame = msgId = -1;
-        seed = tookUs = label = graceUs = 0;
-        settings = null;
-        servers = List.of();
-        leg = sort = srcPeer = 0;
-        noMore = resent = stray = returned = reported = false;
-        value = hintS = 0;
-        body = new byte[0];
+    private static Map<String, Object> settings(JsonParser parser) throws IOException {
+        JsonTokens.expect(parser, JsonToken.START_OBJECT, "Settings");
+        return JsonValues.object(parser);
     }
 
-    private void field(JsonParser in, String name) throws IOException {
-        switch (name) {
-            case "cmd" -> cmd = text(in, name);
-            case "Who" -> who = text(in, name);
-            case "TimeS" -> timeS = number(in, name);
-            case "frame" -> frame = whole(in, name);
-            case "RngSeed" -> seed = seed(in);
-            case "Settings" -> {
-                expect(in, JsonToken.START_OBJECT, name);
-                settings = JsonValues.object(in);
-            }
-            case "MsgId" -> msgId = whole(in, name);
-            case "Service" -> service = text(in, name);
-            case "Org" -> org = in.getValueAsString();
-            case "Subject" -> subject = text(in, name);
-            case "TeamId" -> team = text(in, name);
-            case "GraceS" -> graceUs = micros(in, name);
-            case "SizeHintS" -> hintS = number(in, name);
-            case "Resent" -> resent = in.getValueAsBoolean();
-            case "Stray" -> stray = in.getValueAsBoolean();
-            case "Returned" -> returned = in.getValueAsBoolean();
-            case "Server" -> server = text(in, name);
-            case "Leg" -> leg = (int) whole(in, name);
-            case "TookS" -> tookUs = micros(in, name);
-            case "NoMore" -> noMore = in.getValueAsBoolean();
-            case "Verdict" -> verdict = text(in, name);
-            case "Telemetry" -> telemetry(in);
-            case "Sort" -> sort = (int) whole(in, name);
-            case "Value" -> value = number(in, name);
-            case "Label" -> label = whole(in, name);
-            case "Scope" -> scope = text(in, name);
-            case "NodesList" -> servers = entries(in);
-            case "SrcPeer" -> srcPeer = (int) whole(in, name);
-            case "Body" -> body = in.getBinaryValue();
-            default -> in.skipChildren();
+    /** The type, or null if it is unknown. */
+    EventType type() {
+        return EventType.of(typeName);
+    }
+
+    /** The external name of the type, for error messages. */
+    String typeName() {
+        return typeName;
+    }
+
+    /** The name of the instance that the event is for, or null. */
+    String instance() {
+        return instance;
+    }
+
+    /** Whether the time and the frame number of a batch are present. */
+    boolean hasTimeAndFrame() {
+        return !Double.isNaN(timeS) && frame >= 0;
+    }
+
+    /** The time of a batch, in microseconds. */
+    long timeUs() {
+        return Clock.secondsToMicros(timeS);
+    }
+
+    /** The number of a batch, which its reply repeats. */
+    long frame() {
+        return frame;
+    }
+
+    /** The seed of an instance's random source. */
+    long seed() {
+        return seed;
+    }
+
+    /** The settings of an instance in their external form. */
+    Map<String, Object> settings() {
+        if (settings == null) {
+            throw new MalformedInputException("Provision without Settings");
         }
+        return settings;
     }
 
-    long id() {
-        if (msgId < 0) {
-            throw new MalformedInputException(cmd + " without MsgId");
+    /** The request's ID. */
+    long requestId() {
+        if (requestId < 0) {
+            throw new MalformedInputException(typeName + " without MsgId");
         }
-        return msgId;
+        return requestId;
     }
 
-    String server() {
-        if (server == null) {
-            throw new MalformedInputException(cmd + " without Server");
+    /** The request, its class and tenant translated to indexes. */
+    NewRequest newRequest(NameIndex names) {
+        Integer requestClass = names.classIndex(className);
+        if (requestClass == null) {
+            throw new MalformedInputException("unknown Service " + className);
         }
-        return server;
+        Integer tenant = names.tenantIndex(tenantName);
+        return new NewRequest(
+                requestId(),
+                requestClass,
+                tenant == null ? NO_TENANT : tenant,
+                key,
+                group,
+                timeoutUs,
+                loadHintPerS * Clock.MICROS_PER_SECOND,
+                retry,
+                midFlow,
+                reconnecting);
     }
 
-    EndpointListKind listKind() {
-        return switch (String.valueOf(scope)) {
-            case "patch" -> EndpointListKind.CHANGES;
-            case "whole" -> EndpointListKind.COMPLETE;
-            case "stale_copy" -> EndpointListKind.CACHED;
-            case "broken" -> EndpointListKind.FAILED;
-            default -> throw new MalformedInputException("unknown Scope " + scope);
-        };
+    /** The endpoint's ID. */
+    String endpoint() {
+        if (endpoint == null) {
+            throw new MalformedInputException(typeName + " without Server");
+        }
+        return endpoint;
+    }
+
+    /** The number of the attempt within its request, from 0. */
+    int attempt() {
+        return attempt;
+    }
+
+    /** How long the attempt took, in microseconds. */
+    long durationUs() {
+        return durationUs;
+    }
+
+    /** Whether the client expects nothing more for its request. */
+    boolean concluded() {
+        return concluded;
     }
 
+    /** How an attempt or a health check ended; external name Verdict. */
     Outcome outcome() {
         return switch (String.valueOf(verdict)) {
             case "delivered" -> Outcome.OK;
@@ -160,122 +236,54 @@
         };
     }
 
-    NewRequest newRequest(SettingsReader.NameIndex names) {
-        Integer requestClass = names.classes.get(service);
-        if (requestClass == null) {
-            throw new MalformedInputException("unknown Service " + service);
-        }
-        return new NewRequest(
-                id(),
-                requestClass,
-                names.tenants.getOrDefault(org, -1),
-                subject,
-                team,
-                graceUs,
-                hintS * 1e6,
-                resent,
-                stray,
-                returned);
-    }
-
-    LoadReport report() {
-        double[] t = telemetry;
-        return reported ? new LoadReport(t[0], t[1], t[2], t[3], t[4], t[5], t[6], t[7]) : LoadReport.NONE;
-    }
-
-    private void telemetry(JsonParser in) throws IOException {
-        expect(in, JsonToken.START_OBJECT, "Telemetry");
-        java.util.Arrays.fill(telemetry, Double.NaN);
-        reported = true;
-        for (String name = in.nextFieldName(); name != null; name = in.nextFieldName()) {
-            in.nextToken();
-            int field = REPORT_FIELDS.indexOf(name);
-            if (field < 0) {
-                in.skipChildren();
-            } else {
-                telemetry[field] = number(in, name);
-            }
-        }
+    /** The endpoint's load report, {@link LoadReport#NONE} if there is none. */
+    LoadReport loadReport() {
+        return loadReport;
     }
 
-    private static List<EndpointInfo> entries(JsonParser in) throws IOException {
-        expect(in, JsonToken.START_ARRAY, "NodesList");
-        List<EndpointInfo> list = new ArrayList<>();
-        while (in.nextToken() == JsonToken.START_OBJECT) {
-            String server = null;
-            String state = null;
-            String zone = "";
-            String kind = "";
-            int cell = 0;
-            double share = 1;
-            long started = 0;
-            for (String name = in.nextFieldName(); name != null; name = in.nextFieldName()) {
-                in.nextToken();
-                switch (name) {
-                    case "Server" -> server = text(in, name);
-                    case "StageState" -> state = text(in, name);
-                    case "Zone" -> zone = text(in, name);
-                    case "Hw" -> kind = text(in, name);
-                    case "UnitGroup" -> cell = (int) whole(in, name);
-                    case "Share" -> share = number(in, name);
-                    case "SinceS" -> started = micros(in, name);
-                    default -> in.skipChildren();
-                }
-            }
-            if (server == null) {
-                throw new MalformedInputException("a list entry without Server");
-            }
-            list.add(new EndpointInfo(server, state(state), zone, cell, kind, share, started));
-        }
-        expect(in, JsonToken.END_ARRAY, "NodesList");
-        return list;
+    /** Whether {@link #reportedValue()} is a load, in microseconds of work a second. */
+    boolean reportsLoad() {
+        return reportKind == SORT_LOAD;
     }
 
-    private static EndpointStatus state(String state) {
-        return switch (String.valueOf(state)) {
-            case "SERVING" -> EndpointStatus.SERVING;
-            case "DRAINING" -> EndpointStatus.DRAINING;
-            case "DELETED" -> EndpointStatus.REMOVED;
-            default -> throw new MalformedInputException("unknown StageState " + state);
-        };
+    /** Whether {@link #reportedValue()} is a latency, in milliseconds. */
+    boolean reportsLatency() {
+        return reportKind == SORT_LATENCY;
     }
 
-    private static void expect(JsonParser in, JsonToken token, String name) {
-        if (in.currentToken() != token) {
-            throw new MalformedInputException(name + " is " + in.currentToken() + ", not " + token);
-        }
+    /** The value reported on an established connection. */
+    double reportedValue() {
+        return reportedValue;
     }
 
-    private static String text(JsonParser in, String name) throws IOException {
-        if (in.currentToken() != JsonToken.VALUE_STRING) {
-            throw new MalformedInputException(name + " is not a text");
-        }
-        return in.getText();
+    /** The token that the instance gave its timer. */
+    long timerToken() {
+        return timerToken;
     }
 
-    private static long whole(JsonParser in, String name) throws IOException {
-        if (in.currentToken() != JsonToken.VALUE_NUMBER_INT) {
-            throw new MalformedInputException(name + " is not a whole number");
-        }
-        return in.getLongValue();
+    /** What the endpoint list is; external name Scope. */
+    EndpointListKind listKind() {
+        return switch (String.valueOf(scope)) {
+            case "patch" -> EndpointListKind.CHANGES;
+            case "whole" -> EndpointListKind.COMPLETE;
+            case "stale_copy" -> EndpointListKind.CACHED;
+            case "broken" -> EndpointListKind.FAILED;
+            default -> throw new MalformedInputException("unknown Scope " + scope);
+        };
     }
 
-    private static double number(JsonParser in, String name) throws IOException {
-        if (in.currentToken() == null || !in.currentToken().isNumeric()) {
-            throw new MalformedInputException(name + " is not a number");
-        }
-        return in.getDoubleValue();
+    /** The endpoints listed, empty by default. */
+    List<EndpointInfo> endpoints() {
+        return endpoints;
     }
 
-    private static long micros(JsonParser in, String name) throws IOException {
-        return Math.round(number(in, name) * 1e6);
+    /** The index of the instance that sent a message. */
+    int sendingPeer() {
+        return sendingPeer;
     }
 
-    /** A seed may use all 64 bits. */
-    private static long seed(JsonParser in) throws IOException {
-        if (in.currentToken() != JsonToken.VALUE_NUMBER_INT) {
-            throw new MalformedInputException("RngSeed is not a whole number");
-        }
-        return in.getBigIntegerValue().longValue();
+    /** The content of a message. */
+    byte[] body() {
+        return body;
     }
 }
--- a/node/src/main/java/tulipshed/time/Clock.java
+++ b/node/src/main/java/tulipshed/time/Clock.java
@@ -1,16 +1,33 @@
 package tulipshed.time;
 
-/** The one source of time: milliseconds since the Unix epoch, with fractions, never stepping back. */
+/**
+ * A source of time. Times are milliseconds since the Unix epoch, with fractions. The decision module counts in whole
+ * microseconds, and settings and the simulator in seconds; the conversions are here.
+ */
 public interface Clock {
+    /** How many microseconds a second has. */
+    double MICROS_PER_SECOND = 1e6;
+
+    /** The present time in milliseconds since the Unix epoch; never less than at an earlier call. */
     double nowMs();
 
-    /** The decision module counts in whole microseconds; nothing else does. */
+    /** Milliseconds as whole microseconds, rounded. */
     static long toMicros(double ms) {
         return Math.round(ms * 1000);
     }
 
-    /** Back from the module's microseconds. */
+    /** Microseconds as milliseconds. */
     static double toMillis(long us) {
         return us / 1000.0;
     }
+
+    /** Seconds as whole microseconds, rounded. */
+    static long secondsToMicros(double seconds) {
+        return Math.round(seconds * MICROS_PER_SECOND);
+    }
+
+    /** Microseconds as seconds. */
+    static double microsToSeconds(long us) {
+        return us / MICROS_PER_SECOND;
+    }
 }
--- a/node/src/main/java/tulipshed/time/ManualClock.java
+++ b/node/src/main/java/tulipshed/time/ManualClock.java
@@ -1,9 +1,10 @@
 package tulipshed.time;
 
-/** A clock that stands still until it is set; for tests and for embedding. */
+/** A clock that changes only when it is advanced; for tests and for the emulator. Not safe for use by several threads. */
 public final class ManualClock implements Clock {
     private double nowMs;
 
+    /** Creates a clock that shows this time, in milliseconds since the Unix epoch. */
     public ManualClock(double nowMs) {
         this.nowMs = nowMs;
     }
@@ -13,7 +14,7 @@
         return nowMs;
     }
 
-    /** Moves on by that much; never back. */
+    /** Advances the time by this many milliseconds; a negative value counts as 0. */
     public void advance(double ms) {
         nowMs += Math.max(0, ms);
     }
--- a/node/src/test/java/tulipshed/cli/ReloadTest.java
+++ b/node/src/test/java/tulipshed/cli/ReloadTest.java
@@ -156,7 +156,8 @@
                 }
                 change(listen, member.getLocalPort(), "\"HardLimitS\": 4.8", "\"HardLimitS\": 0");
                 node.signal("HUP");
-                assertTrue(node.reloadLine().endsWith("HardLimitS of an entry of Classes is not what it should be"));
+                assertTrue(
+                        node.reloadLine().endsWith("HardLimitS of an entry of Classes is not a finite number above 0"));
                 String figures = call(management, "/status/metrics");
                 assertTrue(figures.contains("\"gate-alarm\":{\"success\":1,"), figures);
                 assertTrue(figures.contains("\"reload_success\":1,\"reload_failure\":3}"), figures);
--- a/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
+++ b/node/src/test/java/tulipshed/operators/OperatorsFileTest.java
@@ -17,8 +17,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import tulipshed.config.MalformedInputException;
+import tulipshed.config.NameIndex;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.testing.Cuts;
 
 class OperatorsFileTest {
--- a/node/src/test/java/tulipshed/quic/QuicFrontTest.java
+++ b/node/src/test/java/tulipshed/quic/QuicFrontTest.java
@@ -343,10 +343,8 @@
                 Client late = new Client(front.address(), 20)) {
             assertEquals("served", open(client).what());
             onLoop(() -> {
-                var names = new tulipshed.config.SettingsReader.NameIndex();
-                names.classes.put("slot-board", 0);
-                names.tenants.put("vltava-kontejner", 0);
-                front.reconfigure(names);
+                front.reconfigure(
+                        new tulipshed.config.NameIndex(Map.of("slot-board", 0), Map.of("vltava-kontejner", 0)));
                 return null;
             });
             assertEquals(new Heard("closed", InitialFrames.INTERNAL_ERROR), open(late));
