--- a/node/src/main/java/tulipshed/decision/EndpointEvaluator.java
+++ b/node/src/main/java/tulipshed/decision/EndpointEvaluator.java
@@ -23,8 +23,8 @@
     }
 
     /** Whether the first endpoint would be less loaded than the second. */
-    static boolean isLighter(RequestState request, EndpointState first, EndpointState second) {
-        return loadPerWeight(request, first) < loadPerWeight(request, second);
+    static boolean isLighter(RequestState request, EndpointState candidate, EndpointState other) {
+        return loadPerWeight(request, candidate) < loadPerWeight(request, other);
     }
 
     /** The part of the load of the request's pool that an endpoint would have if all were loaded evenly. */
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.xnio.StreamConnection;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
@@ -99,7 +99,9 @@
 
     /** The origin of a request for the operators' rules; unknown if there are none. */
     Origin origin(TcpConnection client, OpenCommand command) {
-        return declarations == null ? Origin.UNKNOWN : Origin.of(NAME, client.remoteAddress(), command.declaredAttributes());
+        return declarations == null
+                ? Origin.UNKNOWN
+                : Origin.of(NAME, client.remoteAddress(), command.declaredAttributes());
     }
 
     // ---- Clients ----
--- a/node/src/main/java/tulipshed/lineprotocol/OpenCommandBuilder.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommandBuilder.java
@@ -55,8 +55,8 @@
      */
     void field(String name, String value, int valueIndex) {
         switch (name) {
-            case CLASS_FIELD -> classIndex = indexOf(value, parser.names().classes, "an unknown class");
-            case TENANT_FIELD -> tenantIndex = indexOf(value, parser.names().tenants, "an unknown tenant");
+            case CLASS_FIELD -> classIndex = known(parser.names().classIndex(value), "an unknown class");
+            case TENANT_FIELD -> tenantIndex = known(parser.names().tenantIndex(value), "an unknown tenant");
             case TIMEOUT_FIELD -> {
                 timeoutMs = number(value);
                 timeoutStart = valueIndex;
@@ -104,7 +104,7 @@
         if (timeoutMs > parser.maxTimeoutMs() && adoptedFrom == null) {
             throw new MalformedLineException("a timeout that is too long");
         }
-        if (tenantIndex < 0 && !parser.names().tenants.isEmpty()) {
+        if (tenantIndex < 0 && !parser.names().tenantNames().isEmpty()) {
             throw new MalformedLineException("no tenant");
         }
     }
@@ -117,10 +117,9 @@
         }
     }
 
-    private static int indexOf(String name, Map<String, Integer> indexes, String ifUnknown) {
-        Integer index = indexes.get(name);
+    private static int known(Integer index, String otherwise) {
         if (index == null) {
-            throw new MalformedLineException(ifUnknown);
+            throw new MalformedLineException(otherwise);
         }
         return index;
     }
