--- a/node/src/main/java/tulipshed/decision/AdmissionControl.java
+++ b/node/src/main/java/tulipshed/decision/AdmissionControl.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
-import tulipshed.decision.BalancerApi.Actions;
-import tulipshed.decision.BalancerApi.Tenant;
 
 /** Admits new connections by the pool's depth, a token bucket per tenant and load shedding. Confined to the event loop. */
 final class AdmissionControl {
@@ -13,36 +11,34 @@
     private static final double CURVE_START_SHARES = 4; // equal shares of the quota at which the curve starts
     private static final double DEFAULT_QUOTA_PER_S = 1; // of a tenant, where none is stated
     private static final int EJECTION_CHECKS = 4; // random ejected endpoints a request: more than become ejected
-    private static final long LOG_INTERVAL_US = 10_000_000;
     private static final String NO_TENANT = "";
 
     private final ActiveSettings settings;
     private final EndpointPool allEndpoints;
     private final SplittableRandom random;
-    private final Actions actions;
-    private final DropRateLoadShedder loadShedder = new DropRateLoadShedder();
+    private final RejectionLog rejectionLog;
+    private final DropRateLoadShedder loadShedder;
     private DepthCurve curve;
-    private long nextLogUs = Long.MIN_VALUE;
 
-    AdmissionControl(ActiveSettings settings, EndpointPool allEndpoints, SplittableRandom random, Actions actions) {
+    AdmissionControl(
+            ActiveSettings settings,
+            EndpointPool allEndpoints,
+            DropRateLoadShedder loadShedder,
+            SplittableRandom random,
+            RejectionLog rejectionLog) {
         this.settings = settings;
         this.allEndpoints = allEndpoints;
+        this.loadShedder = loadShedder;
         this.random = random;
-        this.actions = actions;
+        this.rejectionLog = rejectionLog;
         settingsChanged();
     }
 
     /** Computes the depth curve anew; token buckets keep their tokens. */
     void settingsChanged() {
-        double quotaPerS = settings.quotaPerS();
         int tenants = Math.max(1, settings.current().tenants().size());
-        double tenantPerS = quotaPerS > 0 ? quotaPerS / settings.current().nodeCount() / tenants : DEFAULT_QUOTA_PER_S;
-        curve = new DepthCurve(tenantPerS * CURVE_START_SHARES);
-    }
-
-    /** Counts an established connection that a ready endpoint dropped. */
-    void recordDrop(long now) {
-        loadShedder.recordDrop(now);
+        double perTenant = settings.quotaPerS() / settings.current().nodeCount() / tenants;
+        curve = new DepthCurve((perTenant > 0 ? perTenant : DEFAULT_QUOTA_PER_S) * CURVE_START_SHARES);
     }
 
     /** {@link #ADMITTED}, or the time in microseconds after which the rejected client may retry. */
@@ -52,19 +48,19 @@
         }
         EndpointPool pool = request.pool;
         double ratePerS = curve.rateAt(depth(now, pool)) * settings.quotaShare;
-        TokenBucket bucket =
-                pool.buckets.computeIfAbsent(tenantName(request.arrival.tenant()), t -> new TokenBucket(now));
+        TokenBucket bucket = pool.buckets.computeIfAbsent(tenantName(request), name -> new TokenBucket(now));
         boolean shed = request.arrival.reconnecting() && isShed(now, request);
         if (!shed && bucket.tryTake(now, ratePerS)) {
             return ADMITTED;
         }
-        logRejection(now, pool);
+        rejectionLog.rejected(now, pool);
         return shed ? OutlierEjection.LATE_EJECTION_US : bucket.untilTokenUs(ratePerS);
     }
 
     /** Buckets are kept by name, as reconfiguration may change a tenant's index. */
-    private String tenantName(int tenant) {
-        List<Tenant> tenants = settings.current().tenants();
+    private String tenantName(RequestState request) {
+        List<BalancerApi.Tenant> tenants = settings.current().tenants();
+        int tenant = request.arrival.tenant();
         return tenant >= 0 && tenant < tenants.size() ? tenants.get(tenant).name() : NO_TENANT;
     }
 
@@ -73,10 +69,7 @@
         return Hashing.uniform(request.randomHash, 0, 0) < probability;
     }
 
-    /**
-     * Pending attempts over pending limits, or the ejected share of the known endpoints if that is more: endpoints
-     * overloaded by established connections alone have nothing pending. Two are added lest one known be all.
-     */
+    /** Pending share, or ejected share if more: endpoints overloaded by established connections have none pending. */
     private double depth(long now, EndpointPool pool) {
         for (int i = 0; i < EJECTION_CHECKS && !pool.ejected.isEmpty(); i++) {
             EndpointState endpoint = pool.ejected.get(random.nextInt(pool.ejected.size()));
@@ -85,14 +78,6 @@
             }
         }
         double pending = pool.pendingLimits == 0 ? 0 : (double) pool.pending / pool.pendingLimits;
-        return Math.max(pending, pool.ejected.size() / (pool.known.size() + 2.0));
-    }
-
-    private void logRejection(long now, EndpointPool pool) {
-        if (now >= nextLogUs) {
-            nextLogUs = now + LOG_INTERVAL_US;
-            actions.log("rejecting requests: " + pool.ejected.size() + " of " + pool.known.size()
-                    + " known endpoints ejected, " + pool.failing + " failing");
-        }
+        return Math.max(pending, pool.ejected.size() / (pool.known.size() + 2.0)); // 2 more, lest one known be all
     }
 }
--- a/node/src/main/java/tulipshed/decision/ConnectionGroup.java
+++ b/node/src/main/java/tulipshed/decision/ConnectionGroup.java
@@ -1,6 +1,7 @@
 package tulipshed.decision;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /** Connections that share work on each endpoint that holds any of them. Confined to the event-loop thread. */
@@ -10,9 +11,9 @@
     /** The endpoint of each established connection of the group, once for each connection. */
     final List<EndpointState> holders = new ArrayList<>();
     /** Preferred endpoints by rank; an entry is null until it is computed. */
-    EndpointState[] preferred;
-    /** The version of the pool for which {@link #preferred} was computed. */
-    int poolVersion = -1;
+    private EndpointState[] preferred;
+    /** The version of the pool for which the preferred endpoints were computed. */
+    private int preferredVersion = -1;
 
     /**
      * Creates an empty group.
@@ -26,4 +27,21 @@
         arrivals = new DecayingCounter(memoryUs);
         preferred = new EndpointState[preferredCount];
     }
+
+    /** The preferred endpoint of this rank in this version of the pool, or null if it is not computed. */
+    EndpointState preferred(int rank, int poolVersion) {
+        if (preferredVersion != poolVersion) {
+            Arrays.fill(preferred, null);
+            preferredVersion = poolVersion;
+        }
+        return rank < preferred.length ? preferred[rank] : null;
+    }
+
+    /** Keeps the preferred endpoint of this rank. */
+    void setPreferred(int rank, EndpointState endpoint) {
+        if (rank >= preferred.length) {
+            preferred = Arrays.copyOf(preferred, Math.max(rank + 1, 2 * preferred.length));
+        }
+        preferred[rank] = endpoint;
+    }
 }
--- a/node/src/main/java/tulipshed/decision/DiscoveryPolling.java
+++ b/node/src/main/java/tulipshed/decision/DiscoveryPolling.java
@@ -1,10 +1,9 @@
 package tulipshed.decision;
 
 import java.util.SplittableRandom;
-import tulipshed.decision.BalancerApi.Actions;
 
 /** When discovery is polled, where it does not push the endpoint list. */
-final class DiscoveryPolling {
+record DiscoveryPolling(ActiveSettings settings, SplittableRandom random, BalancerApi.Actions actions) {
     /** Timer token of a poll; the tokens of requests are odd. */
     static final long TIMER_TOKEN = 0;
 
@@ -12,16 +11,6 @@
     private static final long RETRY_US = 1_300_000; // mean time after a failure: changes must arrive within 6 s
     private static final double MIN_JITTER = 0.5; // keeps balancers that failed together from polling together
 
-    private final ActiveSettings settings;
-    private final SplittableRandom random;
-    private final Actions actions;
-
-    DiscoveryPolling(ActiveSettings settings, SplittableRandom random, Actions actions) {
-        this.settings = settings;
-        this.random = random;
-        this.actions = actions;
-    }
-
     /** Schedules the first poll; restarted balancers that polled at once would overload discovery. */
     void scheduleFirstPoll() {
         if (settings.current().polledDiscovery()) {
--- a/node/src/main/java/tulipshed/decision/DropRateLoadShedder.java
+++ b/node/src/main/java/tulipshed/decision/DropRateLoadShedder.java
@@ -19,8 +19,7 @@
     /** Probability of rejecting a reconnecting client; 0 with a connection per ready endpoint or more. */
     double rejectionProbability(long now, int open, int ready) {
         double recent = dropped.at(now);
-        return open < ready
-                ? Math.min(MAX_PROBABILITY, PROBABILITY_PER_DROPPED_SHARE * recent / (open + 1 + recent))
-                : 0;
+        double probability = PROBABILITY_PER_DROPPED_SHARE * recent / (open + 1 + recent);
+        return open < ready ? Math.min(MAX_PROBABILITY, probability) : 0;
     }
 }
--- a/node/src/main/java/tulipshed/decision/EndpointPool.java
+++ b/node/src/main/java/tulipshed/decision/EndpointPool.java
@@ -13,6 +13,7 @@
  */
 final class EndpointPool {
     private static final int SETS_PER_POOL = 5;
+    private static final double MIN_WEIGHT = 1e-9;
     private static final double LOAD_TOLERANCE = 1e-6;
 
     final int id;
@@ -69,6 +70,11 @@
                 .sum();
     }
 
+    /** The weight of the ready endpoints, at least a very small one, to divide by. */
+    double nonZeroWeight() {
+        return Math.max(MIN_WEIGHT, weight);
+    }
+
     /** Adds an endpoint that has become ready. */
     void addReady(EndpointState endpoint) {
         ready.add(endpoint);
--- a/node/src/main/java/tulipshed/decision/EndpointState.java
+++ b/node/src/main/java/tulipshed/decision/EndpointState.java
@@ -66,6 +66,11 @@
         return size * machineType.speed;
     }
 
+    /** Relative capacity by the latest entry of the list, which may fall with the load, times estimated speed. */
+    double listedWeight() {
+        return info.weight() * machineType.speed;
+    }
+
     /** Whether the endpoint list says that it serves. */
     boolean isReady() {
         return pools.get(0).ready.has(this);
@@ -76,11 +81,34 @@
         return info.startedUs() == 0 ? Long.MAX_VALUE : now - info.startedUs();
     }
 
-    /** Forgets the reported latency. */
-    void clearLatency() {
+    /** Forgets what was observed of the process, and sets the pending limit. */
+    void resetObservations(int limit) {
+        setPendingLimit(limit);
+        hasEstablished = info.startedUs() == 0;
+        clearEjection();
+        clearWarming();
+        consecutiveEjections = 0;
+        consecutiveFailures = 0;
         latencyReportedAtUs = NEVER_US;
     }
 
+    /** Forgets the failures, and ends an ejection due to them. */
+    void clearFailures() {
+        consecutiveEjections = 0;
+        consecutiveFailures = 0;
+        if (failing) {
+            clearEjection();
+        }
+    }
+
+    /** Takes a reported load, unless it is NaN. */
+    void setReportedLoad(long now, double load) {
+        if (!Double.isNaN(load)) {
+            reportedLoad = load;
+            loadReportedAtUs = now;
+        }
+    }
+
     /** Takes another size and machine type and keeps the sizes of the ready endpoints right. */
     void setCapacity(MachineType newMachineType, double newSize) {
         addReadySize(-1);
@@ -97,10 +125,12 @@
         }
     }
 
-    /** Adds it to the ready endpoints of its pools. */
+    /** Adds it to the ready endpoints of its pools, if it is not ready yet. */
     void markReady() {
-        for (EndpointPool pool : pools) {
-            pool.addReady(this);
+        if (!isReady()) {
+            for (EndpointPool pool : pools) {
+                pool.addReady(this);
+            }
         }
     }
 
@@ -114,6 +144,11 @@
         }
     }
 
+    /** Whether it is ready and in the balancer's own zone. */
+    boolean isInSameZone() {
+        return pools.get(0).sameZone.has(this);
+    }
+
     /** Records that it is in the balancer's own zone. */
     void markSameZone() {
         for (EndpointPool pool : pools) {
@@ -126,8 +161,10 @@
         return pools.get(0).warming.has(this);
     }
 
-    /** Records that slow start applies. */
-    void markWarming() {
+    /** Records that slow start applies, without credit yet. */
+    void markWarming(long now) {
+        slowStartCredit = 0;
+        slowStartCreditAtUs = now;
         for (EndpointPool pool : pools) {
             pool.warming.add(this);
         }
@@ -140,8 +177,9 @@
         }
     }
 
-    /** Adds it to the ejected endpoints of its pools. */
-    void markEjected() {
+    /** Adds it to the ejected endpoints of its pools, until this time or that of an earlier ejection if later. */
+    void markEjected(long untilUs) {
+        ejectedUntilUs = Math.max(ejectedUntilUs, untilUs);
         for (EndpointPool pool : pools) {
             pool.ejected.add(this);
             pool.updateKnown(this);
--- a/node/src/main/java/tulipshed/decision/EndpointTable.java
+++ b/node/src/main/java/tulipshed/decision/EndpointTable.java
@@ -9,26 +9,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.EndpointListKind;
 import tulipshed.decision.BalancerApi.EndpointStatus;
-import tulipshed.decision.BalancerApi.WeightSemantics;
 
 /** The known endpoints and machine types, by the endpoint list. Confined to the event-loop thread. */
 final class EndpointTable {
-    private static final double MIN_SIZE = 1e-6;
-
-    private final ActiveSettings settings;
     private final EndpointPools pools;
-    private final SlowStart slowStart;
+    private final EndpointUpdater updater;
+    private final int initialPendingLimit;
     private final Map<String, EndpointState> endpoints = new HashMap<>();
     private final Map<String, MachineType> machineTypes = new LinkedHashMap<>();
     private double largestWeight;
+    private double highestSpeed;
 
-    EndpointTable(ActiveSettings settings, EndpointPools pools, SlowStart slowStart) {
-        this.settings = settings;
+    /** Creates an empty table; {@code updater} decides what a list entry says of an endpoint. */
+    EndpointTable(EndpointPools pools, EndpointUpdater updater, int initialPendingLimit) {
         this.pools = pools;
-        this.slowStart = slowStart;
+        this.updater = updater;
+        this.initialPendingLimit = initialPendingLimit;
     }
 
     /** The endpoint of this name, or null if it is not known. */
@@ -40,7 +40,7 @@
     EndpointState getOrCreate(String name) {
         EndpointState endpoint = endpoints.get(name);
         if (endpoint == null) {
-            endpoint = new EndpointState(name, PendingLimit.INITIAL, pools.allEndpoints);
+            endpoint = new EndpointState(name, initialPendingLimit, pools.allEndpoints);
             endpoints.put(name, endpoint);
             pools.assign(endpoint);
         }
@@ -51,13 +51,31 @@
         return endpoints.values();
     }
 
-    Collection<MachineType> machineTypes() {
-        return machineTypes.values();
+    /** Estimates the speeds of the machine types, and with them the weights of this pool and that of all endpoints. */
+    void updateWeights(EndpointPool pool, double priorObservations) {
+        highestSpeed = MachineType.estimateSpeeds(machineTypes.values(), priorObservations);
+        pools.allEndpoints.updateWeight(machineTypes.values());
+        pool.updateWeight(machineTypes.values());
     }
 
-    /** The largest weight that the list gave to any endpoint so far. */
-    double largestWeight() {
-        return largestWeight;
+    /** A bound for the listed weights of all endpoints, with the highest estimated speed. */
+    double highestWeight() {
+        return largestWeight * highestSpeed;
+    }
+
+    /** Counts a connection that was open at the start, if the list names its endpoint. */
+    void recordAdoption(EndpointState endpoint) {
+        if (endpoint.machineType != null) {
+            endpoint.machineType.recordAdoption(machineTypes.values());
+        }
+    }
+
+    /** Counts the endpoints that are on the list and for which the condition holds. */
+    int countListed(Predicate<EndpointState> condition) {
+        return (int) endpoints.values().stream()
+                .filter(endpoint -> !endpoint.removed && endpoint.info != null)
+                .filter(condition)
+                .count();
     }
 
     /** Takes a complete list, or changes to it. */
@@ -67,13 +85,20 @@
         }
         for (EndpointInfo entry : entries) {
             if (entry.status() != EndpointStatus.REMOVED) {
-                update(now, getOrCreate(entry.id()), entry);
+                update(now, entry);
             } else if (endpoints.containsKey(entry.id())) {
                 remove(endpoints.get(entry.id()));
             }
         }
     }
 
+    private void update(long now, EndpointInfo entry) {
+        MachineType machineType = machineTypes.computeIfAbsent(entry.machineType(), name -> new MachineType());
+        machineType.largestWeight = Math.max(machineType.largestWeight, entry.weight());
+        largestWeight = Math.max(largestWeight, entry.weight());
+        updater.update(now, getOrCreate(entry.id()), machineType, entry);
+    }
+
     private void removeAbsent(List<EndpointInfo> entries) {
         Set<String> listed = new HashSet<>();
         entries.forEach(entry -> listed.add(entry.id()));
@@ -83,46 +108,6 @@
         absent.forEach(this::remove);
     }
 
-    private void update(long now, EndpointState endpoint, EndpointInfo info) {
-        boolean newProcess = endpoint.info == null || endpoint.info.startedUs() != info.startedUs();
-        endpoint.info = info;
-        endpoint.removed = false;
-        updateCapacity(endpoint, info);
-        if (newProcess) {
-            resetObservations(endpoint);
-        }
-        if (info.status() != EndpointStatus.SERVING) {
-            endpoint.markUnready();
-            return;
-        }
-        if (!endpoint.isReady()) {
-            endpoint.markReady();
-        }
-        if (info.zone().equals(settings.current().zone())) {
-            endpoint.markSameZone();
-        }
-        slowStart.beginIfRecentlyStarted(now, endpoint);
-    }
-
-    /** A live weight falls with the load, so there the largest weight seen of a machine type tells its size. */
-    private void updateCapacity(EndpointState endpoint, EndpointInfo info) {
-        MachineType machineType = machineTypes.computeIfAbsent(info.machineType(), name -> new MachineType());
-        machineType.largestWeight = Math.max(machineType.largestWeight, info.weight());
-        boolean live = settings.current().weightSemantics() == WeightSemantics.LIVE;
-        endpoint.setCapacity(machineType, Math.max(MIN_SIZE, live ? machineType.largestWeight : info.weight()));
-        largestWeight = Math.max(largestWeight, info.weight());
-    }
-
-    /** What was observed of the previous process says nothing of the new one. */
-    private static void resetObservations(EndpointState endpoint) {
-        PendingLimit.reset(endpoint);
-        endpoint.hasEstablished = endpoint.info.startedUs() == 0;
-        endpoint.clearEjection();
-        endpoint.clearWarming();
-        endpoint.consecutiveEjections = endpoint.consecutiveFailures = 0;
-        endpoint.clearLatency();
-    }
-
     private void remove(EndpointState endpoint) {
         endpoint.markUnready();
         endpoint.removed = true;
--- a/node/src/main/java/tulipshed/decision/GroupAffinity.java
+++ b/node/src/main/java/tulipshed/decision/GroupAffinity.java
@@ -1,12 +1,15 @@
 package tulipshed.decision;
 
-import java.util.Arrays;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
-/** Keeps the connections of a group together on few endpoints. Confined to the event-loop thread. */
-final class GroupAffinity {
+/** Keeps the connections of a group on few endpoints; {@code averageLoads} has reported loads by request class. */
+record GroupAffinity(
+        ActiveSettings settings,
+        OutlierEjection outlierEjection,
+        EndpointEvaluator evaluator,
+        MovingAverages averageLoads,
+        SplittableRandom random) {
     /** Time constant of the counts of group arrivals: the life of a connection or two. */
     static final double MEMORY_US = 60e6;
 
@@ -14,27 +17,7 @@
     private static final int MIN_PREFERRED = 2; // or there would be no less loaded one
     private static final double MAX_EVEN_LOADS = 2; // load up to which an endpoint attracts its groups
     private static final int MAX_GROUPS = 4096; // remembered before unused ones are forgotten
-    private static final double FORGET_BELOW_ARRIVALS = 0.1;
-
-    private final ActiveSettings settings;
-    private final OutlierEjection outlierEjection;
-    private final EndpointEvaluator evaluator;
-    private final MovingAverages averageLoads;
-    private final SplittableRandom random;
-
-    /** {@code averageLoads} holds the reported loads, by request class. */
-    GroupAffinity(
-            ActiveSettings settings,
-            OutlierEjection outlierEjection,
-            EndpointEvaluator evaluator,
-            MovingAverages averageLoads,
-            SplittableRandom random) {
-        this.settings = settings;
-        this.outlierEjection = outlierEjection;
-        this.evaluator = evaluator;
-        this.averageLoads = averageLoads;
-        this.random = random;
-    }
+    private static final double MIN_ARRIVALS = 0.1; // of a group that is remembered
 
     /** The group of a request in its pool, or null if it has none. */
     ConnectionGroup groupOf(long now, RequestState request) {
@@ -44,53 +27,31 @@
         }
         Map<String, ConnectionGroup> groups = request.pool.groups;
         if (groups.size() > MAX_GROUPS) {
-            groups.values()
-                    .removeIf(group -> group.holders.isEmpty() && group.arrivals.at(now) < FORGET_BELOW_ARRIVALS);
+            groups.values().removeIf(group -> group.holders.isEmpty() && group.arrivals.at(now) < MIN_ARRIVALS);
         }
         return groups.computeIfAbsent(name, n -> new ConnectionGroup(n, MIN_PREFERRED, MEMORY_US));
     }
 
-    /** Counts an established connection for its group. */
-    void recordEstablished(long now, RequestState request) {
-        ConnectionGroup group = groupOf(now, request);
-        if (group != null) {
-            group.holders.add(request.endpoint);
-            request.group = group;
-            group.arrivals.add(now);
-            request.pool.groupArrivals.add(now);
-        }
-    }
-
-    /** Counts the end of a connection for its group. */
-    void recordEnded(RequestState request, EndpointState endpoint) {
-        if (request.group != null) {
-            request.group.holders.remove(endpoint);
-            request.group = null;
-        }
-    }
-
-    /** An endpoint that holds connections of the group and has capacity for more, or null; lighter if loads are known. */
+    /** An endpoint that holds connections of the group and has capacity for more, or null. */
     EndpointState chooseHolder(long now, RequestState request, ConnectionGroup group) {
         if (group == null || group.holders.isEmpty()) {
             return null;
         }
-        EndpointState first = randomHolder(group.holders);
-        EndpointState second = averageLoads.isEmpty() ? first : randomHolder(group.holders);
-        boolean takesSecond = second != first
-                && hasGroupCapacity(now, request, second)
-                && EndpointEvaluator.isLighter(request, second, first);
-        EndpointState chosen = takesSecond ? second : first;
+        EndpointState first = randomHolder(group);
+        EndpointState second = averageLoads.isEmpty() ? first : randomHolder(group);
+        boolean comparesSecond = second != first && hasGroupCapacity(now, request, second);
+        EndpointState chosen = comparesSecond ? EndpointEvaluator.lighter(request, first, second) : first;
         return hasGroupCapacity(now, request, chosen) ? chosen : null;
     }
 
-    private EndpointState randomHolder(List<EndpointState> holders) {
-        return holders.get(random.nextInt(holders.size()));
+    private EndpointState randomHolder(ConnectionGroup group) {
+        return group.holders.get(random.nextInt(group.holders.size()));
     }
 
-    /** Where latencies are reported and loads are not, an endpoint attracts its groups until it is ejected as slow. */
+    /** Where latencies are reported and loads are not, an endpoint attracts its groups until it is ejected. */
     private boolean hasGroupCapacity(long now, RequestState request, EndpointState endpoint) {
         EndpointPool pool = request.pool;
-        double evenLoad = (pool.load + request.load) * endpoint.weight() / Math.max(1e-9, pool.weight);
+        double evenLoad = (pool.load + request.load) * endpoint.weight() / pool.nonZeroWeight();
         return evaluator.isUsable(now, request, endpoint)
                 && now >= endpoint.ejectedUntilUs
                 && endpoint.pending < endpoint.pendingLimit
@@ -98,10 +59,7 @@
                         || endpoint.openLoad + request.load <= MAX_EVEN_LOADS * evenLoad);
     }
 
-    /**
-     * Number of preferred endpoints, by the group's share of the arrivals. Laplace's estimate: an unseen group counted
-     * as nothing would crowd its first preferred endpoints from many balancers.
-     */
+    /** Number of preferred endpoints by Laplace's estimate of the group's share, which is not 0 for an unseen group. */
     int preferredCount(long now, EndpointPool pool, ConnectionGroup group) {
         double share = (group.arrivals.at(now) + 1) / (pool.groupArrivals.at(now) + pool.groups.size());
         int count = (int) Math.round(PREFERRED_SHARE * share * pool.ready.size());
@@ -110,21 +68,10 @@
 
     /** The preferred endpoint of this rank, by weighted rendezvous hashing, on which all balancers agree. */
     EndpointState preferred(EndpointPool pool, ConnectionGroup group, int rank) {
-        if (group.poolVersion != pool.version) {
-            Arrays.fill(group.preferred, null);
-            group.poolVersion = pool.version;
-        }
-        if (rank >= group.preferred.length) {
-            group.preferred = Arrays.copyOf(group.preferred, Math.max(rank + 1, 2 * group.preferred.length));
+        EndpointState best = group.preferred(rank, pool.version);
+        if (best != null) {
+            return best;
         }
-        if (group.preferred[rank] == null) {
-            group.preferred[rank] = highestRanked(pool, group, rank);
-        }
-        return group.preferred[rank];
-    }
-
-    private static EndpointState highestRanked(EndpointPool pool, ConnectionGroup group, int rank) {
-        EndpointState best = null;
         double lowestScore = Double.MAX_VALUE;
         for (int i = 0; i < pool.ready.size(); i++) {
             EndpointState endpoint = pool.ready.get(i);
@@ -134,6 +81,7 @@
                 best = endpoint;
             }
         }
+        group.setPreferred(rank, best);
         return best;
     }
 }
--- a/node/src/main/java/tulipshed/decision/OutlierEjection.java
+++ b/node/src/main/java/tulipshed/decision/OutlierEjection.java
@@ -3,7 +3,7 @@
 import java.util.SplittableRandom;
 import tulipshed.decision.BalancerApi.Outcome;
 
-/** Ejects endpoints that fail, are full or have late messages, and says which are eligible. Confined to the event loop. */
+/** Ejects endpoints that fail, are full or have late messages. Confined to the event-loop thread. */
 final class OutlierEjection {
     /** Ejection for late messages; the load moves back and forth between endpoints if it is shorter. */
     static final long LATE_EJECTION_US = 8_000_000;
@@ -13,7 +13,7 @@
     private static final long FULL_EJECTION_US = 500_000; // a full queue drains soon
     private static final long FIRST_FAILURE_EJECTION_US = 2_000_000; // doubled with each consecutive ejection
     private static final int MAX_DOUBLINGS = 3; // 16 s: by then the endpoint list tells of a dead endpoint
-    private static final int MIN_CONSECUTIVE_FAILURES = 2; // a single reset tells nothing
+    private static final int MIN_CONSECUTIVE_RESETS = 2; // a single reset tells nothing
     private static final long FAILURE_WINDOW_US = 5_000_000; // between failures that count as consecutive
     private static final double SLOW_SHARE_OF_OBJECTIVE = 0.34; // latency from which an endpoint is ejected
     private static final double MIN_ELIGIBLE_SHARE = 0.5; // with fewer, ejections other than for failures are ignored
@@ -34,13 +34,17 @@
         return hasLatencyReports;
     }
 
-    /** Whether an endpoint of the pool is ready and not ejected, or its ejection is ignored as most are ejected. */
+    /** Whether an endpoint is ready and not ejected, or its ejection is ignored as most are ejected. */
     boolean isEligible(long now, EndpointPool pool, EndpointState endpoint) {
         boolean ignoresEjections =
                 pool.ejected.size() - pool.failing > (pool.ready.size() - pool.failing) * (1 - MIN_ELIGIBLE_SHARE);
         return pool.ready.has(endpoint)
-                && (now >= endpoint.ejectedUntilUs
-                        || (ignoresEjections && !endpoint.failing && !isLate(now, endpoint)));
+                && (now >= endpoint.ejectedUntilUs || (ignoresEjections && isResponsive(now, endpoint)));
+    }
+
+    /** Whether an endpoint neither fails nor is late, be it ejected or not. */
+    boolean isResponsive(long now, EndpointState endpoint) {
+        return !endpoint.failing && !isLate(now, endpoint);
     }
 
     /** The number of eligible endpoints of a pool. */
@@ -71,27 +75,23 @@
     /** Takes the outcome of an attempt; an unreachable or silent endpoint is ejected at the first failure. */
     void recordOutcome(long now, EndpointState endpoint, Outcome outcome) {
         switch (outcome) {
-            case OK -> recordSuccess(endpoint);
+            case OK -> endpoint.clearFailures();
             case FULL -> eject(now, endpoint, FULL_EJECTION_US);
-            case RESET -> recordFailure(now, endpoint, MIN_CONSECUTIVE_FAILURES);
+            case RESET -> recordFailure(now, endpoint, MIN_CONSECUTIVE_RESETS);
             case CONNECT_FAILED, TIMEOUT -> recordFailure(now, endpoint, 1);
             default -> {}
         }
     }
 
-    /** Ends an ejection for failures, as the endpoint serves. */
-    void recordSuccess(EndpointState endpoint) {
-        endpoint.consecutiveEjections = endpoint.consecutiveFailures = 0;
-        if (endpoint.failing) {
-            endpoint.clearEjection();
+    /** Takes the outcome of a health check, which does not count as a failure of an attempt. */
+    void recordHealthCheck(long now, EndpointState endpoint, Outcome outcome, double load) {
+        if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT) {
+            eject(now, endpoint, FIRST_FAILURE_EJECTION_US);
+        } else {
+            endpoint.setReportedLoad(now, load);
         }
     }
 
-    /** Ejects an endpoint whose health check failed. */
-    void recordFailedHealthCheck(long now, EndpointState endpoint) {
-        eject(now, endpoint, FIRST_FAILURE_EJECTION_US);
-    }
-
     /** Failures during an ejection count as part of it: an endpoint that dies breaks many connections at once. */
     private void recordFailure(long now, EndpointState endpoint, int minFailures) {
         boolean consecutive = now - endpoint.failedAtUs < FAILURE_WINDOW_US;
@@ -107,9 +107,7 @@
 
     private void eject(long now, EndpointState endpoint, long durationUs) {
         if (endpoint.isReady()) {
-            endpoint.markEjected();
-            long jitteredUs = (long) (durationUs * (MIN_JITTER + JITTER_RANGE * random.nextDouble()));
-            endpoint.ejectedUntilUs = Math.max(endpoint.ejectedUntilUs, now + jitteredUs);
+            endpoint.markEjected(now + (long) (durationUs * (MIN_JITTER + JITTER_RANGE * random.nextDouble())));
         }
     }
 }
--- a/node/src/main/java/tulipshed/decision/PendingLimit.java
+++ b/node/src/main/java/tulipshed/decision/PendingLimit.java
@@ -11,11 +11,6 @@
 
     private PendingLimit() {}
 
-    /** Resets the limit to its initial value. */
-    static void reset(EndpointState endpoint) {
-        endpoint.setPendingLimit(INITIAL);
-    }
-
     /** Raises the limit by one, as the endpoint accepted an attempt. */
     static void increase(EndpointState endpoint) {
         endpoint.setPendingLimit(Math.min(MAX, endpoint.pendingLimit + 1));
@@ -23,10 +18,10 @@
 
     /** Takes the outcome of an attempt and whether it was established before. */
     static void recordOutcome(EndpointState endpoint, Outcome outcome, boolean established) {
-        boolean rejected = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET;
+        boolean failed = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET;
         if (outcome == Outcome.OK && !established) {
             increase(endpoint);
-        } else if (outcome == Outcome.FULL || (rejected && !established)) {
+        } else if (outcome == Outcome.FULL || (failed && !established)) {
             endpoint.setPendingLimit(Math.max(1, endpoint.pendingLimit / 2));
         }
     }
--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/RejectionLog.java
@@ -0,0 +1,22 @@
+package tulipshed.decision;
+
+/** Logs that requests are rejected, at most one line in ten seconds. Confined to the event-loop thread. */
+final class RejectionLog {
+    private static final long INTERVAL_US = 10_000_000;
+
+    private final BalancerApi.Actions actions;
+    private long nextUs = Long.MIN_VALUE;
+
+    RejectionLog(BalancerApi.Actions actions) {
+        this.actions = actions;
+    }
+
+    /** Logs the state of the pool whose request is rejected, unless the last line is recent. */
+    void rejected(long now, EndpointPool pool) {
+        if (now >= nextUs) {
+            nextUs = now + INTERVAL_US;
+            actions.log("rejecting requests: " + pool.ejected.size() + " of " + pool.known.size()
+                    + " known endpoints ejected, " + pool.failing + " failing");
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/decision/RequestState.java
+++ b/node/src/main/java/tulipshed/decision/RequestState.java
@@ -2,6 +2,7 @@
 
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.RequestClass;
 
 /** One request from its arrival until its final answer is given and its attempt has ended. Confined to the event loop. */
@@ -64,4 +65,91 @@
         this.deadlineUs = now + arrival.timeoutUs();
         this.load = arrival.loadHintUsPerS() > 0 ? arrival.loadHintUsPerS() : averageLoad;
     }
+
+    /** Whether an attempt was started that is neither established nor ended, and no final answer is given. */
+    boolean isAttemptPending() {
+        return endpoint != null && !established && !concluded;
+    }
+
+    /** Starts the next attempt at this endpoint. */
+    void startAttempt(long now, EndpointState chosen) {
+        attempts++;
+        endpoint = chosen;
+        healthChecked = false;
+        established = false;
+        sentAtUs = now;
+        chosen.slowStartCredit -= 1;
+        chosen.adjustLoad(1, 1, load);
+    }
+
+    /** Takes a connection that was established before this balancer started. */
+    void adopt(EndpointState holder) {
+        attempts = 1;
+        endpoint = holder;
+        established = true;
+        holder.hasEstablished = true;
+        holder.adjustLoad(1, 0, load);
+    }
+
+    /** Marks the current attempt as established. */
+    void establish() {
+        established = true;
+        endpoint.hasEstablished = true;
+        endpoint.adjustLoad(0, -1, 0);
+    }
+
+    /** Counts the established connection for a group, unless that is null. */
+    void joinGroup(long now, ConnectionGroup joined) {
+        if (joined != null) {
+            joined.holders.add(endpoint);
+            group = joined;
+            joined.arrivals.add(now);
+            pool.groupArrivals.add(now);
+        }
+    }
+
+    /** Replaces the load of the connection by a reported one. */
+    void setLoad(double reportedUsPerS) {
+        endpoint.adjustLoad(0, 0, reportedUsPerS - load);
+        load = reportedUsPerS;
+    }
+
+    /** Releases the endpoint of the attempt that ended, and returns it. */
+    EndpointState endAttempt(Outcome outcome) {
+        EndpointState released = endpoint;
+        endpoint = null;
+        previousEndpoint = released;
+        released.adjustLoad(-1, established ? 0 : -1, -load);
+        if (group != null) {
+            group.holders.remove(released);
+            group = null;
+        }
+        if (!outcome.neverRan && !mayHaveRun) {
+            mayHaveRun = true;
+            ranOn = released.info;
+            ranAtUs = sentAtUs;
+        }
+        return released;
+    }
+
+    /** Sets the two candidates to compare and the number of health checks started for them. */
+    void awaitHealthChecks(EndpointState first, EndpointState second, int started) {
+        healthChecked = true;
+        firstCandidate = first;
+        secondCandidate = second;
+        pendingHealthChecks = started;
+    }
+
+    /** Ends the comparison of the candidates. */
+    void clearCandidates() {
+        firstCandidate = null;
+        secondCandidate = null;
+        pendingHealthChecks = 0;
+    }
+
+    /** Counts a completed health check; returns whether this request awaited it and awaits no other one. */
+    boolean completeHealthCheck(EndpointState checked) {
+        boolean awaited = firstCandidate == checked || secondCandidate == checked;
+        return awaited && --pendingHealthChecks == 0;
+    }
 }
--- a/node/src/main/java/tulipshed/decision/RetryPolicy.java
+++ b/node/src/main/java/tulipshed/decision/RetryPolicy.java
@@ -1,24 +1,15 @@
 package tulipshed.decision;
 
 import java.util.SplittableRandom;
-import tulipshed.decision.BalancerApi.DeduplicationScope;
 import tulipshed.decision.BalancerApi.Idempotency;
 import tulipshed.decision.BalancerApi.Outcome;
 
 /** Whether, where and for how long a request is attempted again, so that its effect never happens twice. */
-final class RetryPolicy {
+record RetryPolicy(ActiveSettings settings, SplittableRandom random) {
     private static final long MIN_ATTEMPT_US = 60_000; // with less time left an attempt is not worth its cost
     private static final double MIN_JITTER = 0.75;
     private static final double JITTER_RANGE = 0.25;
 
-    private final ActiveSettings settings;
-    private final SplittableRandom random;
-
-    RetryPolicy(ActiveSettings settings, SplittableRandom random) {
-        this.settings = settings;
-        this.random = random;
-    }
-
     /** Whether attempts, time and idempotency permit another attempt now. */
     boolean permitsAttempt(long now, RequestState request) {
         return request.attempts < settings.current().limits().maxAttempts()
@@ -56,7 +47,7 @@
         return !request.mayHaveRun
                 || request.requestClass.idempotency() == Idempotency.IDEMPOTENT
                 || (request.requestClass.idempotency() == Idempotency.WITH_KEY
-                        && request.requestClass.deduplicationScope() == DeduplicationScope.ALL);
+                        && request.requestClass.deduplicationScope() == BalancerApi.DeduplicationScope.ALL);
     }
 
     /** Time-out of the next attempt, which leaves time for another one; 0 for none. */
@@ -68,10 +59,8 @@
 
     /** The time to give to a rejected client, within the site's limit and with jitter; 0 where none may be given. */
     long retryAfterUs(long wantedUs) {
-        long maxUs = settings.current().limits().retryAfter()
-                ? settings.current().limits().maxRetryAfterUs()
-                : 0;
+        BalancerApi.SiteLimits limits = settings.current().limits();
         double jitter = MIN_JITTER + JITTER_RANGE * random.nextDouble();
-        return (long) (Math.min(wantedUs, maxUs) * jitter);
+        return (long) (Math.min(wantedUs, limits.retryAfter() ? limits.maxRetryAfterUs() : 0) * jitter);
     }
 }
--- a/node/src/main/java/tulipshed/decision/TokenBucket.java
+++ b/node/src/main/java/tulipshed/decision/TokenBucket.java
@@ -17,11 +17,9 @@
         boolean unlimited = ratePerS == Double.POSITIVE_INFINITY;
         tokens = unlimited ? CAPACITY : Math.min(CAPACITY, tokens + ratePerS * (now - refilledAtUs) / 1e6);
         refilledAtUs = now;
-        if (tokens < 1) {
-            return false;
-        }
-        tokens -= 1;
-        return true;
+        boolean available = tokens >= 1;
+        tokens -= available ? 1 : 0;
+        return available;
     }
 
     /** Microseconds until there is a token at this rate; {@code Long.MAX_VALUE} if there will be none. */
--- a/node/src/test/java/tulipshed/decision/BalancerTest.java
+++ b/node/src/test/java/tulipshed/decision/BalancerTest.java
@@ -885,7 +885,7 @@
         b.healthCheckCompleted(2000, name(1), Outcome.OK, report(0.4));
         b.timerFired(150_000, token);
         assertEquals(List.of(), recorder.take());
-        assertEquals(0, b.trackedRequestCount());
+        assertEquals(0, b.parts.requests.size());
     }
 
     @Test
--- a/node/src/test/java/tulipshed/decision/EmbeddingTest.java
+++ b/node/src/test/java/tulipshed/decision/EmbeddingTest.java
@@ -30,6 +30,6 @@
         balancer.attemptEstablished(nowUs, 1, 0, 12_000);
         balancer.attemptEnded(nowUs, 1, 0, true, Outcome.OK, LoadReport.NONE);
         assertEquals(List.of(), actions.take());
-        assertEquals(0, balancer.trackedRequestCount());
+        assertEquals(0, balancer.parts.requests.size());
     }
 }
--- a/node/src/test/java/tulipshed/decision/PoolsTest.java
+++ b/node/src/test/java/tulipshed/decision/PoolsTest.java
@@ -120,7 +120,7 @@
         b.timerFired(1_700_000, Long.parseLong(timer.split(" ")[2]));
         assertEquals(List.of("refuse 2"), recorder.take(), "and can come again");
         Setup.end(b, 1_800_000, 1, 0, true, Outcome.OK);
-        assertEquals(0, b.trackedRequestCount());
+        assertEquals(0, b.parts.requests.size());
     }
 
     /** A group's places are of its pool; without that it would be sent to whoever held it elsewhere. */
@@ -220,7 +220,7 @@
                     }
                 }
             }
-            assertEquals("", b[0].inconsistencies());
+            assertEquals("", b[0].parts.inconsistencies());
         }
         assertFalse(out.isEmpty() && attempts.isEmpty());
     }
--- a/node/src/test/java/tulipshed/decision/RandomEventsTest.java
+++ b/node/src/test/java/tulipshed/decision/RandomEventsTest.java
@@ -202,7 +202,7 @@
             world.settle();
             assertTrue(world.lastId > 500);
             assertEquals(Set.of(), world.open, "requests never answered, seed " + seed);
-            assertEquals(0, world.balancer.trackedRequestCount(), "requests kept for nothing, seed " + seed);
+            assertEquals(0, world.balancer.parts.requests.size(), "requests kept for nothing, seed " + seed);
         }
     }
 
