BalancerApi and the collections of the decision package are described in plain terms

The interface was described by the words of the earlier house style, without units and ranges. NewRequest#midFlow is exemptFromAdmission.

--- a/node/src/main/java/tulipshed/decision/AdmissionControl.java
+++ b/node/src/main/java/tulipshed/decision/AdmissionControl.java
@@ -43,7 +43,7 @@
 
     /** {@link #ADMITTED}, or the time in microseconds after which the rejected client may retry. */
     long admit(long now, RequestState request) {
-        if (request.arrival.midFlow()) {
+        if (request.arrival.exemptFromAdmission()) {
             return ADMITTED;
         }
         EndpointPool pool = request.pool;
--- a/node/src/main/java/tulipshed/decision/Balancer.java
+++ b/node/src/main/java/tulipshed/decision/Balancer.java
@@ -34,8 +34,8 @@
     }
 
     @Override
-    public void quotaShareChanged(long now, double share) {
-        parts.settings.quotaShare = Math.max(MIN_QUOTA_SHARE, share);
+    public void quotaShareChanged(long now, double quotaShare) {
+        parts.settings.quotaShare = Math.max(MIN_QUOTA_SHARE, quotaShare);
     }
 
     @Override
--- a/node/src/main/java/tulipshed/decision/BalancerApi.java
+++ b/node/src/main/java/tulipshed/decision/BalancerApi.java
@@ -5,138 +5,161 @@
 import java.util.Set;
 
 /**
- * What a balancer for long-lived connections is told, and what it decides.
+ * Events and actions of the load balancer for long-lived connections.
  *
- * <p>One instance serves one balancer. Every event carries {@code now}, a clock in microseconds that starts
- * anywhere and never steps back. Calls must not overlap; decisions are handed to {@link Actions} before an
- * event method returns. Events that name a request or server no longer known are passed over.
+ * <p>One instance serves one balancer. Every event carries {@code now}, a monotonic clock in microseconds with an
+ * arbitrary origin. Calls must not overlap: an instance is confined to the thread of its event loop. Decisions are
+ * passed to {@link Actions} before the event method returns. Events that name an unknown request or endpoint are
+ * ignored.
  */
 public interface BalancerApi {
 
-    /** The discovery service's list, or a change to it. */
+    /** The endpoint list of the discovery service, a change to it, or the failure to get it. */
     void endpointsChanged(long now, EndpointListKind kind, List<EndpointInfo> entries);
 
-    /** A client's request for a connection; exactly one final answer is owed for it. */
+    /** A client requests a connection; exactly one final answer follows unless the request is cancelled. */
     void requestArrived(long now, NewRequest request);
 
-    /** A connection that already stood on {@code server} when this instance started. */
-    void connectionAdopted(long now, NewRequest request, String server);
+    /** A connection to the endpoint {@code endpointId} that was established before this instance started. */
+    void connectionAdopted(long now, NewRequest request, String endpointId);
 
-    /** First sign of service: the connection of this attempt stands. */
+    /**
+     * The connection of an attempt is established.
+     *
+     * @param attempt number of the attempt, from 0 on
+     * @param tookUs time from the start of the attempt, in microseconds
+     */
     void attemptEstablished(long now, long requestId, int attempt, long tookUs);
 
-    /** The load of a standing connection changed, in microseconds of work a second. */
+    /** The load of an established connection, in microseconds of work a second; at least 0. */
     void loadReported(long now, long requestId, double loadUsPerS);
 
-    /** Messages at this connection's server take long, in milliseconds. */
-    void latencyReported(long now, long requestId, double delayMs);
+    /** The latency of messages at the endpoint of this connection, in milliseconds; at least 0. */
+    void latencyReported(long now, long requestId, double latencyMs);
 
-    /** How an attempt ended; {@code concluded} when nothing more is owed to the client. */
+    /**
+     * An attempt ended, established or not.
+     *
+     * @param attempt number of the attempt, from 0 on
+     * @param concluded whether the client needs no further answer
+     * @param report the load report that came with the end, or {@link LoadReport#NONE}
+     */
     void attemptEnded(long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report);
 
-    /** The client left; nothing more is owed. An outstanding attempt still gets its {@code finished}. */
+    /** The client disconnected and needs no answer; {@link #attemptEnded} still follows for a started attempt. */
     void requestCancelled(long now, long requestId);
 
-    /** The answer to a probe. */
-    void healthCheckCompleted(long now, String server, Outcome outcome, LoadReport report);
+    /** A health check started through {@link Actions#startHealthCheck} completed. */
+    void healthCheckCompleted(long now, String endpointId, Outcome outcome, LoadReport report);
 
-    /** A timer asked for through {@link Actions#scheduleTimer} is due. */
+    /** A timer scheduled through {@link Actions#scheduleTimer} expired. */
     void timerFired(long now, long token);
 
-    /** A message from another balancer. */
+    /** A message of 1 to 256 bytes from the balancer with the number {@code from}. */
     void peerMessageReceived(long now, int from, byte[] body);
 
-    /** Other settings from now on; requests taken before keep their class. */
+    /** Replaces the settings; requests that arrived before keep their class. */
     void reconfigure(long now, Settings settings);
 
     /**
-     * Pools of servers, by name, that requests may be held to; all that there are from now on. They may share
-     * servers, and a name that the list does not know yet counts once it does.
+     * Replaces the named pools of endpoints that requests may be restricted to. Pools may overlap, and may name
+     * endpoints that the list does not have yet.
      */
     void poolsChanged(long now, Map<String, Set<String>> members);
 
-    /** A request that does not stand yet is held to another pool from now on, or to none where it is null. */
+    /** Restricts a request that is not established to another pool, or to none if {@code pool} is null. */
     void requestRerouted(long now, long requestId, String pool);
 
-    /** How many servers of a pool, or of all for null, are ready and in favour. */
+    /** The number of ready endpoints that are not ejected, in a pool or, for null, in total. */
     int eligibleCount(long now, String pool);
 
-    /** Of all that one balancer is allowed this instance has that share from now on; another has the rest. */
-    void quotaShareChanged(long now, double ofBalancer);
+    /** The share, from 0 to 1, that this instance has of the balancer's allowances; another process has the rest. */
+    void quotaShareChanged(long now, double quotaShare);
 
-    /** How many listed servers are sent nothing new at this time: they drain, or are out of favour. */
+    /** The number of listed endpoints that receive no new connections at present: draining or ejected ones. */
     int ineligibleCount(long now);
 
-    /** Everything decided, in the order decided. */
+    /** Receives all decisions, in the order in which they are taken. */
     interface Actions {
-        /** All other balancers of the tier. */
+        /** Number that stands for all other balancers of the tier. */
         int ALL_PEERS = -1;
 
-        /** Starts the next attempt of a request; time-out 0 means until the client gives up. */
-        void startAttempt(long requestId, String server, long timeoutUs);
+        /** Starts the next attempt of a request; a time-out of 0 microseconds means until the client gives up. */
+        void startAttempt(long requestId, String endpointId, long timeoutUs);
 
-        /** Stops waiting for an attempt. */
+        /** Cancels an attempt that is not established. */
         void cancelAttempt(long requestId, int attempt);
 
-        /** Final answer: refused, safe to try again after the given time. */
+        /** Final answer: rejected; a retry after the given time in microseconds, at least 0, is safe. */
         void reject(long requestId, long retryAfterUs);
 
-        /** Final answer: failed, with nothing promised about its effect. */
+        /** Final answer: failed; the request may have taken effect. */
         void fail(long requestId);
 
-        /** Ends a standing connection politely; its client comes again. */
+        /** Closes an established connection gracefully, so that its client reconnects. */
         void migrate(long requestId);
 
-        /** Asks for {@link BalancerApi#timerFired} after the given time. */
+        /** Schedules {@link BalancerApi#timerFired} after the given time in microseconds. */
         void scheduleTimer(long afterUs, long token);
 
-        /** Asks a server for its load report. */
-        void startHealthCheck(String server);
+        /** Requests the load report of an endpoint. */
+        void startHealthCheck(String endpointId);
 
         /**
-         * Sends a datagram of 1 to 256 bytes to another balancer by its number, or to all others with
-         * {@link #ALL_PEERS}. It may come late or not at all; where the settings allow none it goes nowhere.
+         * Sends a datagram of 1 to 256 bytes to the balancer with this number, or to all others with
+         * {@link #ALL_PEERS}. It may be late or lost; it is dropped where the settings permit no peer messages.
          */
         void sendToPeer(int peer, byte[] body);
 
-        /** Asks discovery to send the changes to the list from now on. */
+        /** Starts or renews the subscription to changes of the endpoint list. */
         void watchEndpoints();
 
-        /** A line for the operator's log. */
+        /** Writes a line to the operator's log. */
         void log(String message);
     }
 
-    /** How a list event is to be read. */
+    /** Meaning of the entries of a list event. */
     enum EndpointListKind {
         /** Changed entries only. */
         CHANGES,
-        /** Complete: a server that is absent is gone. */
+        /** Complete list: absent endpoints are removed. */
         COMPLETE,
-        /** Complete, but possibly old: the list held before a restart. */
+        /** Complete but possibly outdated list, kept from before a restart. */
         CACHED,
-        /** A call to discovery failed or the subscription broke; the list held stays valid. */
+        /** A poll failed or the subscription broke; the known list stays valid. */
         FAILED
     }
 
-    /** A server's place in its life. */
+    /** Lifecycle of an endpoint. */
     enum EndpointStatus {
+        /** Accepts new connections. */
         SERVING,
+        /** Keeps its connections and accepts no new ones. */
         DRAINING,
+        /** No longer on the list. */
         REMOVED
     }
 
-    /** How an attempt ended. */
+    /** Result of an attempt or health check. */
     enum Outcome {
+        /** Completed. */
         OK(false),
+        /** The endpoint reported an error. */
         ERROR(false),
+        /** The endpoint rejected it, as it had no capacity. */
         FULL(true),
+        /** No response in time. */
         TIMEOUT(false),
+        /** The connection could not be opened. */
         CONNECT_FAILED(true),
+        /** The connection broke. */
         RESET(false),
+        /** Cancelled by this balancer or its client. */
         CANCELLED(false),
+        /** Never sent, for a reason that says nothing of the endpoint. */
         UNUSED(true);
 
-        /** Whether this outcome proves that the attempt never ran. */
+        /** Whether this outcome proves that the attempt had no effect. */
         public final boolean neverRan;
 
         Outcome(boolean neverRan) {
@@ -144,35 +167,52 @@
         }
     }
 
-    /** Whether a request may be repeated. */
+    /** Whether a request may be retried after it may have taken effect. */
     enum Idempotency {
+        /** Always. */
         IDEMPOTENT,
+        /** Where and while its idempotency key is known. */
         WITH_KEY,
+        /** Never. */
         NOT_IDEMPOTENT
     }
 
-    /** The servers among which the repeats of a keyed request are discarded. */
+    /** The endpoints that share their idempotency keys, and so discard each other's duplicates. */
     enum DeduplicationScope {
+        /** All endpoints. */
         ALL,
+        /** Those of one zone. */
         ZONE,
+        /** Those of one cell. */
         CELL
     }
 
-    /** What a server's share in the list means. */
+    /** Meaning of the weights in the endpoint list. */
     enum WeightSemantics {
+        /** None. */
         NONE,
+        /** Capacity, which is constant. */
         SIZE,
+        /** Free capacity, which falls with the load. */
         LIVE
     }
 
-    /** Where load reports come from. */
+    /** Source of load reports. */
     enum LoadReportSource {
+        /** There are none. */
         NONE,
+        /** They come with responses. */
         RESPONSES,
+        /** They come with health checks. */
         HEALTH_CHECKS
     }
 
-    /** One server of the list; {@code startedUs} is 0 when it has run for long. */
+    /**
+     * One entry of the endpoint list.
+     *
+     * @param weight relative capacity, by the {@link WeightSemantics} of the settings; at least 0
+     * @param startedUs start of its process on the clock of the events, 0 if it has run for long
+     */
     record EndpointInfo(
             String id,
             EndpointStatus status,
@@ -182,7 +222,20 @@
             double weight,
             long startedUs) {}
 
-    /** A request: class and tenant are indices into the settings, tenant -1 where there is none. */
+    /**
+     * A request for a connection.
+     *
+     * @param requestClass index of the class in the settings
+     * @param tenant index of the tenant in the settings, -1 for none
+     * @param key idempotency key, or null
+     * @param group name of the connection group, or null
+     * @param timeoutUs time in microseconds after which the client gives up
+     * @param loadHintUsPerS expected load in microseconds of work a second, 0 if unknown
+     * @param retry whether the client repeats a rejected request
+     * @param exemptFromAdmission whether it continues earlier work and needs no token
+     * @param reconnecting whether the client had a connection that was closed or broke
+     * @param pool name of the pool it is restricted to, or null for all endpoints
+     */
     record NewRequest(
             long id,
             int requestClass,
@@ -192,26 +245,49 @@
             long timeoutUs,
             double loadHintUsPerS,
             boolean retry,
-            boolean midFlow,
+            boolean exemptFromAdmission,
             boolean reconnecting,
             String pool) {
-        /** A request that any server may take. */
+        /** Creates a request that any endpoint may take. */
+        @SuppressWarnings("checkstyle:ParameterNumber") // the components of the record
         public NewRequest(
                 long id,
                 int requestClass,
                 int tenant,
                 String key,
                 String group,
-                long graceUs,
-                double hintUsPerS,
-                boolean repeat,
-                boolean midFlow,
-                boolean returning) {
-            this(id, requestClass, tenant, key, group, graceUs, hintUsPerS, repeat, midFlow, returning, null);
+                long timeoutUs,
+                double loadHintUsPerS,
+                boolean retry,
+                boolean exemptFromAdmission,
+                boolean reconnecting) {
+            this(
+                    id,
+                    requestClass,
+                    tenant,
+                    key,
+                    group,
+                    timeoutUs,
+                    loadHintUsPerS,
+                    retry,
+                    exemptFromAdmission,
+                    reconnecting,
+                    null);
         }
     }
 
-    /** A server's load report; a value that was not reported is NaN. */
+    /**
+     * The load report of an endpoint; a value that was not reported is NaN.
+     *
+     * @param inflight requests in flight
+     * @param queue requests queued
+     * @param cpu CPU use, from 0 to 1
+     * @param latencyMs latency in milliseconds
+     * @param rps requests a second
+     * @param errorRps failed requests a second
+     * @param load load relative to capacity
+     * @param backlogS time in seconds to work off the queue
+     */
     record LoadReport(
             double inflight,
             double queue,
@@ -221,12 +297,20 @@
             double errorRps,
             double load,
             double backlogS) {
-        /** No report came. */
+        /** The report that has no value. */
         public static final LoadReport NONE = new LoadReport(
                 Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
     }
 
-    /** All that an instance knows before its first event. */
+    /**
+     * Settings of one balancer.
+     *
+     * @param nodeIndex number of this balancer in its tier, from 0 on
+     * @param nodeCount number of balancers in the tier, at least 1
+     * @param zone zone of this balancer
+     * @param polledDiscovery whether the list must be polled or subscribed to, rather than being pushed
+     * @param groupAffinity whether the connections of a group are kept together
+     */
     record Settings(
             int nodeIndex,
             int nodeCount,
@@ -242,7 +326,15 @@
             List<RequestClass> classes,
             List<Tenant> tenants) {}
 
-    /** One class of requests. */
+    /**
+     * One class of requests; times are in microseconds.
+     *
+     * @param latencyObjectiveUs objective for establishing a connection
+     * @param deadlineUs deadline for establishing a connection
+     * @param priorityWeight relative worth of a served request
+     * @param deduplicationWindowUs how long idempotency keys are kept
+     * @param messageLatencyObjectiveUs objective for messages on established connections, 0 for none
+     */
     record RequestClass(
             String name,
             long latencyObjectiveUs,
@@ -253,10 +345,24 @@
             long deduplicationWindowUs,
             long messageLatencyObjectiveUs) {}
 
-    /** One tenant; quotas are for all balancers together, 0 when not stated. */
+    /**
+     * One tenant; quotas are for all balancers together, 0 if not stated.
+     *
+     * @param quotaShare share of the capacity, from 0 to 1
+     * @param quotaPerS new connections a second
+     * @param quotaConnections open connections
+     */
     record Tenant(String name, double quotaShare, double quotaPerS, double quotaConnections) {}
 
-    /** What the site permits. */
+    /**
+     * What the site permits; times are in microseconds.
+     *
+     * @param maxAttempts attempts for one request, at least 1
+     * @param maxRetryAfterUs longest retry-after time
+     * @param cancellation whether attempts may be cancelled
+     * @param retryAfter whether rejections carry a retry-after time
+     * @param connectionIdleUs how long an unused connection stays open
+     */
     record SiteLimits(
             int maxAttempts,
             long maxRetryAfterUs,
@@ -268,7 +374,16 @@
             long connectionIdleUs,
             int streamsPerConnection) {}
 
-    /** Figures of the four rules. */
+    /**
+     * Parameters of the protocol rules; times are in microseconds.
+     *
+     * @param drainGraceUs time that a draining endpoint leaves its connections
+     * @param pollWithinUs time within which the list must be polled first
+     * @param slowStartShare share of its capacity that an endpoint has at its start, from 0 to 1
+     * @param slowStartUs time after which an endpoint has its full capacity
+     * @param overloadFactor multiple of the mean load at which an endpoint is overloaded
+     * @param overloadUs time for which it bears that
+     */
     record ProtocolRules(
             long drainGraceUs,
             long pollWithinUs,
@@ -277,6 +392,6 @@
             double overloadFactor,
             long overloadUs) {}
 
-    /** What each unit costs, as a share of the whole result. */
+    /** Price of one unit of each, as a share of the total result; 0 if it is free. */
     record Prices(double crossZone, double handshake, double healthCheck, double migration, double waste) {}
 }
--- a/node/src/main/java/tulipshed/decision/Hashing.java
+++ b/node/src/main/java/tulipshed/decision/Hashing.java
@@ -1,27 +1,31 @@
 package tulipshed.decision;
 
-/** Hashes that are the same in every process, which those of the language need not be. */
+/** Hash functions that give the same values in every process, unlike {@link Object#hashCode}. */
 final class Hashing {
+    private static final long FNV_OFFSET = 0xCBF29CE484222325L;
+    private static final long FNV_PRIME = 0x100000001B3L;
+    private static final long GOLDEN_GAMMA = 0x9E3779B97F4A7C15L;
+
     private Hashing() {}
 
-    /** FNV-1a over the characters, then mixed. */
-    static long of(String s) {
-        long h = 0xCBF29CE484222325L;
-        for (int i = 0; i < s.length(); i++) {
-            h = (h ^ s.charAt(i)) * 0x100000001B3L;
+    /** Hashes a text by FNV-1a over its characters, followed by {@link #mix}. */
+    static long of(String text) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
         }
-        return mix(h);
+        return mix(hash);
     }
 
-    /** The finishing step of SplitMix64. */
+    /** The finalizer of SplitMix64. */
     static long mix(long z) {
         z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
         z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
         return z ^ (z >>> 31);
     }
 
-    /** The i-th of a series of independent uniform numbers in (0, 1) for a pair of hashes. */
-    static double uniform(long a, long b, int i) {
-        return ((mix(mix(a + i * 0x9E3779B97F4A7C15L) ^ b) >>> 11) + 0.5) * 0x1p-53;
+    /** The {@code index}-th of a series of independent uniform numbers between 0 and 1 for a pair of hashes. */
+    static double uniform(long firstHash, long secondHash, int index) {
+        return ((mix(mix(firstHash + index * GOLDEN_GAMMA) ^ secondHash) >>> 11) + 0.5) * 0x1p-53;
     }
 }
--- a/node/src/main/java/tulipshed/decision/IndexedSet.java
+++ b/node/src/main/java/tulipshed/decision/IndexedSet.java
@@ -4,63 +4,72 @@
 import java.util.Arrays;
 import java.util.List;
 
-/** Items in no order; adding, removing and drawing one take the same time however many there are. */
+/**
+ * A set of items in no particular order, in which adding, removing and indexed access take constant time. Confined to
+ * the event-loop thread.
+ */
 final class IndexedSet<T extends IndexedSet.Member> {
+    private static final int ABSENT = -1;
+
     private final int id;
-    private final List<T> list = new ArrayList<>();
+    private final List<T> items = new ArrayList<>();
 
-    /** What can be in pools: it knows its place in each. */
+    /** Base class of the items: it keeps their index in each set. */
     abstract static class Member {
-        private int[] index = new int[0];
+        private int[] indexBySet = new int[0];
     }
 
-    /** A pool with a number of its own, best a small one: each member keeps room for all numbers up to its highest. */
+    /** Creates an empty set with a unique number, best a small one: items keep an index for each up to their highest. */
     IndexedSet(int id) {
         this.id = id;
     }
 
     boolean has(T item) {
-        int[] index = place(item);
-        return id < index.length && index[id] >= 0;
+        int[] indexBySet = indexBySet(item);
+        return id < indexBySet.length && indexBySet[id] != ABSENT;
     }
 
+    /** Adds an item at the end, unless the set has it. */
     void add(T item) {
         if (!has(item)) {
-            Member m = item;
-            int had = m.index.length;
-            if (id >= had) {
-                m.index = Arrays.copyOf(m.index, id + 1);
-                Arrays.fill(m.index, had, id + 1, -1);
+            Member member = item;
+            int oldLength = member.indexBySet.length;
+            if (id >= oldLength) {
+                member.indexBySet = Arrays.copyOf(member.indexBySet, id + 1);
+                Arrays.fill(member.indexBySet, oldLength, id + 1, ABSENT);
             }
-            m.index[id] = list.size();
-            list.add(item);
+            member.indexBySet[id] = items.size();
+            items.add(item);
         }
     }
 
+    /** Removes an item, if the set has it; the last item takes its index. */
     void remove(T item) {
         if (has(item)) {
-            T last = list.remove(list.size() - 1);
+            T last = items.remove(items.size() - 1);
+            int index = indexBySet(item)[id];
             if (last != item) {
-                list.set(place(item)[id], last);
-                place(last)[id] = place(item)[id];
+                items.set(index, last);
+                indexBySet(last)[id] = index;
             }
-            place(item)[id] = -1;
+            indexBySet(item)[id] = ABSENT;
         }
     }
 
     int size() {
-        return list.size();
+        return items.size();
     }
 
     boolean isEmpty() {
-        return list.isEmpty();
+        return items.isEmpty();
     }
 
-    T get(int i) {
-        return list.get(i);
+    /** The item at this index, from 0 to the size less one. */
+    T get(int index) {
+        return items.get(index);
     }
 
-    private static int[] place(Member item) {
-        return item.index;
+    private static int[] indexBySet(Member item) {
+        return item.indexBySet;
     }
 }
