Node is split into assembly, startup, hot restart, reload and graceful shutdown

Need: one class of 300 lines assembled the components, took over from a running process, reloaded and shut down; the dispatch of commands, the demo and expression eval each were one long method. Change: Node delegates to NodeStartup, NodeAssembly, HotRestartMonitor, ConfigurationReload and GracefulShutdown, which names its phases; NodeOptions and NodeComponents take the place of long lists; the optional QUIC frontend, peer messages and the client listener keep their own state. Main dispatches through CommandDispatcher with named exit codes; the demo's environment and session, and the attribute values of expression eval, are classes of their own. The order of operations is the same.

--- a/node/src/main/java/tulipshed/cli/AdapterCommand.java
+++ b/node/src/main/java/tulipshed/cli/AdapterCommand.java
@@ -3,7 +3,7 @@
 import tulipshed.decision.Balancer;
 import tulipshed.simadapter.Adapter;
 
-/** The decision module on the simulator's wire, over standard input and output. */
+/** {@code adapter}: runs the decision module on the simulator's wire, over standard input and output. */
 public final class AdapterCommand implements Command {
     @Override
     public String description() {
--- /dev/null
+++ b/node/src/main/java/tulipshed/cli/AttributeValues.java
@@ -0,0 +1,139 @@
+package tulipshed.cli;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import tulipshed.config.MalformedInputException;
+import tulipshed.expression.Attribute;
+import tulipshed.expression.Expr;
+import tulipshed.expression.Frame;
+import tulipshed.expression.Network;
+import tulipshed.expression.Schema;
+import tulipshed.expression.Type;
+import tulipshed.routing.Declarations;
+import tulipshed.routing.MemberSchema;
+import tulipshed.routing.TransactionSchema;
+
+/**
+ * Attribute values given on the command line as {@code NAME=VALUE}, for the evaluation of one expression. A name that
+ * is no attribute of a request or an endpoint becomes one, of the type that its value looks like.
+ */
+final class AttributeValues {
+    /** The length at most, in characters, of a string attribute. */
+    private static final int MAX_STRING_LENGTH = 256;
+
+    private static final Pattern INTEGER = Pattern.compile("-?[0-9]+");
+    private static final Pattern DECIMAL = Pattern.compile("-?[0-9]+\\.[0-9]+");
+
+    private final Map<String, String> textByName;
+    private final Schema schema;
+
+    private AttributeValues(Map<String, String> textByName) {
+        this.textByName = textByName;
+        schema = schemaWith(textByName);
+    }
+
+    /** Parses assignments; of two to the same name the later holds. */
+    static AttributeValues parse(List<String> assignments) {
+        Map<String, String> textByName = new LinkedHashMap<>();
+        for (String assignment : assignments) {
+            int equals = assignment.indexOf('=');
+            if (equals <= 0) {
+                throw new MalformedInputException("--with takes NAME=VALUE, not " + assignment);
+            }
+            textByName.put(assignment.substring(0, equals), assignment.substring(equals + 1));
+        }
+        return new AttributeValues(textByName);
+    }
+
+    /** Returns the attributes of requests and endpoints, and those that only the command line names. */
+    Schema schema() {
+        return schema;
+    }
+
+    /**
+     * Sets the values in a frame that has begun.
+     *
+     * @throws MalformedInputException when a value is not of its attribute's type, or when the expression reads a
+     *     required attribute that has no value
+     */
+    void setIn(Frame frame, Expr expression) {
+        for (Attribute attribute : schema.all()) {
+            String name = attribute.name();
+            if (textByName.containsKey(name)) {
+                set(frame, attribute, textByName.get(name));
+            } else if (!attribute.optional() && expression.asks(name)) {
+                throw new MalformedInputException(
+                        "the expression asks for " + name + ": give it, --with " + name + "=...");
+            }
+        }
+    }
+
+    private static Schema schemaWith(Map<String, String> textByName) {
+        Schema schema = new Schema();
+        Declarations none = new Declarations(Map.of(), MAX_STRING_LENGTH, MAX_STRING_LENGTH);
+        addAll(schema, new TransactionSchema(MAX_STRING_LENGTH, MAX_STRING_LENGTH, none, MAX_STRING_LENGTH).schema());
+        addAll(schema, new MemberSchema().schema());
+        textByName.forEach((name, text) -> {
+            if (schema.get(name) == null) {
+                schema.add(name, typeOf(text), true, MAX_STRING_LENGTH);
+            }
+        });
+        return schema;
+    }
+
+    private static void addAll(Schema schema, Schema added) {
+        for (Attribute attribute : added.all()) {
+            schema.add(attribute.name(), attribute.type(), attribute.optional(), attribute.longest());
+        }
+    }
+
+    private static Type typeOf(String text) {
+        if (INTEGER.matcher(text).matches()) {
+            return Type.INTEGER;
+        }
+        if (DECIMAL.matcher(text).matches()) {
+            return Type.DECIMAL;
+        }
+        return text.equals("true") || text.equals("false") ? Type.BOOLEAN : Type.STRING;
+    }
+
+    private static void set(Frame frame, Attribute attribute, String text) {
+        if (attribute.type() == Type.ADDRESS) {
+            setAddress(frame, attribute, text);
+            return;
+        }
+        Object value = declarationOf(attribute).read(attribute.name(), text);
+        if (value instanceof String string) {
+            frame.set(attribute, string);
+        } else if (value instanceof Long integer) {
+            frame.set(attribute, (long) integer);
+        } else if (value instanceof Double decimal) {
+            frame.set(attribute, (double) decimal);
+        } else if (value instanceof Boolean bool) {
+            frame.set(attribute, (boolean) bool);
+        } else {
+            throw wrongType(attribute, text);
+        }
+    }
+
+    private static void setAddress(Frame frame, Attribute attribute, String text) {
+        Network address = Network.parse(text);
+        if (address == null) {
+            throw wrongType(attribute, text);
+        }
+        frame.set(attribute, address.high(), address.low());
+    }
+
+    /** Returns the attribute as a declared one, whose values are read as those on the wire. */
+    private static Declarations declarationOf(Attribute attribute) {
+        return new Declarations(
+                Map.of(attribute.name(), new Declarations.Figure(attribute.type(), attribute.longest())), 1, 1);
+    }
+
+    private static MalformedInputException wrongType(Attribute attribute, String text) {
+        return new MalformedInputException(text + " is not what " + attribute.name() + " can be: " + attribute.type()
+                + (attribute.type() == Type.STRING ? " of at most " + attribute.longest() + " characters" : ""));
+    }
+}
--- a/node/src/main/java/tulipshed/cli/CheckCommand.java
+++ b/node/src/main/java/tulipshed/cli/CheckCommand.java
@@ -1,11 +1,12 @@
 package tulipshed.cli;
 
 import java.io.File;
+import java.util.List;
 import org.kohsuke.args4j.Option;
 import tulipshed.config.NodeConfig;
 import tulipshed.operators.OperatorsFile;
 
-/** Reads the configuration that serve would read, and says whether it is sound. */
+/** {@code check}: validates the configuration and the operators' file that {@code serve} would read. */
 public final class CheckCommand implements Command {
     @Option(name = "--operators", metaVar = "FILE", usage = "the operators' file, as serve would read it")
     private File operators;
@@ -18,16 +19,25 @@
     @Override
     public int run() {
         NodeConfig config = NodeConfig.load(System.getenv());
-        OperatorsFile file = operators == null ? null : OperatorsFile.load(operators.toPath(), config.nameIndex());
+        OperatorsFile operatorsFile =
+                operators == null ? null : OperatorsFile.load(operators.toPath(), config.nameIndex());
+        printConfiguration(config);
+        if (operatorsFile != null) {
+            printOperatorsFile(operatorsFile);
+        }
+        return ExitCode.SUCCESS;
+    }
+
+    private static void printConfiguration(NodeConfig config) {
         System.out.println("configuration of " + config.name() + " is sound: "
                 + config.settings().classes().size()
                 + " classes, " + config.settings().tenants().size() + " tenants, "
                 + config.knownServers().size() + " pool members known");
-        if (file != null) {
-            System.out.println(
-                    operators + " is sound" + (file.explanation().lines().isEmpty() ? "; it changes nothing" : ""));
-            file.explanation().lines().forEach(System.out::println);
-        }
-        return 0;
+    }
+
+    private void printOperatorsFile(OperatorsFile operatorsFile) {
+        List<String> explanation = operatorsFile.explanation().lines();
+        System.out.println(operators + " is sound" + (explanation.isEmpty() ? "; it changes nothing" : ""));
+        explanation.forEach(System.out::println);
     }
 }
--- a/node/src/main/java/tulipshed/cli/Command.java
+++ b/node/src/main/java/tulipshed/cli/Command.java
@@ -1,13 +1,18 @@
 package tulipshed.cli;
 
-/** One sub-command. */
+/** A sub-command. Its options and arguments are fields with args4j annotations, set before {@link #run}. */
 interface Command {
-    /** The program keeps running by itself. */
+    /** Returned by {@link #run} when the program keeps running on threads of its own. */
     int KEEPS_RUNNING = -1;
 
-    /** What it does, in a sentence. */
+    /** Returns what the command does, in one sentence for the usage text. */
     String description();
 
-    /** Does its work; the exit code, or {@link #KEEPS_RUNNING}. */
+    /**
+     * Runs the command.
+     *
+     * @return an exit code of {@link ExitCode}, or {@link #KEEPS_RUNNING}
+     * @throws tulipshed.config.MalformedInputException when a file or a setting is malformed
+     */
     int run();
 }
--- a/node/src/main/java/tulipshed/cli/ConfigurationReloader.java
+++ b/node/src/main/java/tulipshed/cli/ConfigurationReloader.java
@@ -7,40 +7,52 @@
 import tulipshed.operators.OperatorsFile;
 
 /**
- * Has a running node read its configuration again, once for each time that it is asked to. The whole is read and
- * checked before the node hears of it.
+ * Reads the configuration again for a running node, once for each request to reload. All of it is read and validated
+ * before the node changes anything. Safe for use by any thread.
  */
 final class ConfigurationReloader {
-    private final Supplier<NodeConfig> source;
-    private final Function<NodeConfig, OperatorsFile> operators;
+    private final Supplier<NodeConfig> configReader;
+    private final Function<NodeConfig, OperatorsFile> operatorsReader;
+
+    /** Null until the node has started. */
     private Node node;
-    private boolean early;
 
-    /** The operators' file is read against the settings that come with it: both are taken, or neither. */
-    ConfigurationReloader(Supplier<NodeConfig> source, Function<NodeConfig, OperatorsFile> operators) {
-        this.source = source;
-        this.operators = operators;
+    private boolean reloadPending;
+
+    /**
+     * Creates a reloader for a node that has yet to start.
+     *
+     * @param configReader reads the node's configuration; throws {@link MalformedInputException}
+     * @param operatorsReader reads the operators' file against the configuration that was just read, so that both
+     *     change or neither; throws {@link MalformedInputException}
+     */
+    ConfigurationReloader(Supplier<NodeConfig> configReader, Function<NodeConfig, OperatorsFile> operatorsReader) {
+        this.configReader = configReader;
+        this.operatorsReader = operatorsReader;
     }
 
-    /** The node serves; a reload that was asked for before is made up for. */
-    synchronized void serves(Node started) {
+    /** Passes the node once it serves; a reload that was requested earlier is made now. */
+    synchronized void nodeStarted(Node started) {
         node = started;
-        if (early) {
+        if (reloadPending) {
             reload();
         }
     }
 
-    /** Callers come on threads of their own; one at a time, so that the file read last is the one that holds. */
+    /**
+     * Reads and applies the configuration. Before the node has started the request is kept. Synchronized, so that of
+     * concurrent requests the file that was read last takes effect last.
+     */
     synchronized void reload() {
         if (node == null) {
-            early = true;
+            reloadPending = true;
             return;
         }
         try {
-            NodeConfig config = source.get();
-            node.reload(config, operators.apply(config));
+            NodeConfig config = configReader.get();
+            node.reload(config, operatorsReader.apply(config));
         } catch (OutOfMemoryError e) {
-            // Bounds keep it from coming so far; the node's own state has not been touched.
+            // Input bounds prevent this; the node's own state has not been touched.
             node.rejectConfiguration("no memory left to read it");
         } catch (MalformedInputException e) {
             node.rejectConfiguration(e.getMessage());
--- /dev/null
+++ b/node/src/main/java/tulipshed/cli/DemoEnvironment.java
@@ -0,0 +1,145 @@
+package tulipshed.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import tulipshed.config.NodeConfig;
+import tulipshed.demo.StubDiscovery;
+import tulipshed.demo.StubEndpoint;
+import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
+import tulipshed.operators.OperatorsFile;
+import tulipshed.time.SystemClock;
+
+/**
+ * What the demo runs on: a node, and stubs of discovery and of three endpoints, all on free ports of the loopback
+ * address. For one thread.
+ */
+final class DemoEnvironment implements AutoCloseable {
+    /** The endpoint that is of another machine type, and that alone is in the pool of the new halls. */
+    static final int NEW_HALLS_ENDPOINT = 2;
+
+    private static final int ENDPOINTS = 3;
+    private static final List<String> ZONES = List.of("decin", "usti", "decin");
+    private static final List<String> MACHINE_TYPES = List.of("std-2c", "std-2c", "std-4c");
+    private static final int DESCRIPTORS = 1024;
+
+    private final StubDiscovery discovery = new StubDiscovery();
+    private final List<StubEndpoint> endpoints = new ArrayList<>();
+    private Node node;
+
+    private DemoEnvironment() throws IOException {}
+
+    /** Starts the stubs, then the node, and prints what runs where. */
+    static DemoEnvironment start() throws IOException {
+        DemoEnvironment environment = new DemoEnvironment();
+        try {
+            environment.startEndpoints();
+            environment.startNode();
+            return environment;
+        } catch (IOException | RuntimeException e) {
+            environment.close();
+            throw e;
+        }
+    }
+
+    private void startEndpoints() throws IOException {
+        for (int i = 0; i < ENDPOINTS; i++) {
+            endpoints.add(new StubEndpoint("s-" + (i + 1)));
+            publish(i, "SERVING");
+        }
+        System.out.println(
+                "A discovery on " + discovery.address() + " names three members: s-1 and s-2 (std-2c), s-3 (std-4c).");
+    }
+
+    private void startNode() throws IOException {
+        NodeConfig config = loadConfig();
+        OperatorsFile operators = OperatorsFile.read(
+                "example/tulipshed.sexp",
+                resource("tulipshed.sexp")
+                        .replace("127.0.0.1:4433", "127.0.0.1:0")
+                        .getBytes(StandardCharsets.UTF_8),
+                config.nameIndex());
+        node = Node.start(NodeOptions.withoutHotRestart(
+                withoutCachedEndpoints(config),
+                operators,
+                Limits.forDescriptors(DESCRIPTORS),
+                new SystemClock(),
+                NodeLog.to(line -> System.out.println("  [node] " + line))));
+        System.out.println("A node serves on " + node.address() + ", with the rules of example/tulipshed.sexp.");
+    }
+
+    /** Loads the example configuration, with a free port to listen on and the stub for discovery. */
+    private NodeConfig loadConfig() throws IOException {
+        Path directory = Files.createTempDirectory("tulipshed-demo");
+        Path file = directory.resolve("node.json");
+        try {
+            Files.writeString(
+                    file,
+                    resource("node.json")
+                            .replaceAll("\"listen\": *\"[^\"]*\"", "\"listen\": \"127.0.0.1:0\"")
+                            .replaceAll(
+                                    "\"discovery\": *\"[^\"]*\"",
+                                    "\"discovery\": \"127.0.0.1:"
+                                            + discovery.address().getPort() + "\""));
+            return NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        } finally {
+            Files.deleteIfExists(file);
+            Files.delete(directory);
+        }
+    }
+
+    /** Drops the cached endpoint list, whose endpoints do not run, and turns management and peers off. */
+    private static NodeConfig withoutCachedEndpoints(NodeConfig config) {
+        return new NodeConfig(
+                config.name(),
+                config.listen(),
+                null,
+                config.discovery(),
+                config.seed(),
+                config.memoryMb(),
+                config.sockets(),
+                Map.of(),
+                config.settings(),
+                config.nameIndex(),
+                config.loadReportsLatency(),
+                null);
+    }
+
+    private static String resource(String name) throws IOException {
+        try (InputStream in = DemoEnvironment.class.getResourceAsStream("/tulipshed/demo/" + name)) {
+            if (in == null) {
+                throw new IOException(name + " is not in this program");
+            }
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Has discovery publish another state of an endpoint: SERVING, DRAINING or DELETED. */
+    void publish(int endpoint, String state) {
+        StubEndpoint stub = endpoints.get(endpoint);
+        discovery.publish(stub.id(), stub.address(), ZONES.get(endpoint), MACHINE_TYPES.get(endpoint), state);
+    }
+
+    /** Returns the node, which its user shuts down. */
+    Node node() {
+        return node;
+    }
+
+    /** Returns the address that clients connect to. */
+    InetSocketAddress address() {
+        return node.address();
+    }
+
+    /** Ends discovery; the endpoints, on daemon threads, end with the program. */
+    @Override
+    public void close() {
+        discovery.close();
+    }
+}
--- a/node/src/main/java/tulipshed/cli/ExpressionCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionCommand.java
@@ -10,7 +10,7 @@
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.operators.OperatorsFile;
 
-/** Work on the operators' file and on single expressions, without a node. */
+/** {@code expression}: checks, explains and tests the operators' file, and evaluates expressions, without a node. */
 public final class ExpressionCommand implements CommandGroup {
     @Override
     public String description() {
@@ -27,13 +27,17 @@
         return commands;
     }
 
-    /** Classes and tenants that a file may name: those of a node's configuration. */
-    static NameIndex names(File config) {
+    /**
+     * Loads the classes and tenants that an operators' file may name.
+     *
+     * @param config the node's configuration, or null for the one that PROXY_CONFIG names
+     */
+    static NameIndex loadNames(File config) {
         return NodeConfig.load(config == null ? System.getenv() : Map.of("PROXY_CONFIG", config.toString()))
                 .nameIndex();
     }
 
-    /** What is wrong with a file, or that nothing is. */
+    /** {@code expression check}: reports all problems of an operators' file. */
     public static final class Check implements Command {
         @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
         private File file;
@@ -52,13 +56,13 @@
 
         @Override
         public int run() {
-            OperatorsFile.load(file.toPath(), names(config));
+            OperatorsFile.load(file.toPath(), loadNames(config));
             System.out.println(file + " is sound");
-            return 0;
+            return ExitCode.SUCCESS;
         }
     }
 
-    /** What was understood of a file. */
+    /** {@code expression explain}: prints how an operators' file was understood. */
     public static final class Explain implements Command {
         @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
         private File file;
@@ -77,9 +81,9 @@
 
         @Override
         public int run() {
-            OperatorsFile read = OperatorsFile.load(file.toPath(), names(config));
-            read.explanation().lines().forEach(System.out::println);
-            return 0;
+            OperatorsFile operators = OperatorsFile.load(file.toPath(), loadNames(config));
+            operators.explanation().lines().forEach(System.out::println);
+            return ExitCode.SUCCESS;
         }
     }
 }
--- a/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionTestCommand.java
@@ -11,7 +11,7 @@
 import tulipshed.operators.CaseTable;
 import tulipshed.operators.OperatorsFile;
 
-/** Holds an operators' file to a table of transactions and what each must get. */
+/** {@code expression test}: checks an operators' file against a table of requests and their expected results. */
 public final class ExpressionTestCommand implements Command {
     @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
     private File file;
@@ -33,18 +33,21 @@
 
     @Override
     public int run() {
-        NameIndex names = ExpressionCommand.names(config);
-        OperatorsFile rules = OperatorsFile.load(file.toPath(), names);
-        CaseTable table;
+        NameIndex names = ExpressionCommand.loadNames(config);
+        OperatorsFile operators = OperatorsFile.load(file.toPath(), names);
+        CaseTable table = readCases();
+        List<String> failures = table.run(operators, names);
+        failures.forEach(System.out::println);
+        System.out.println(table.size() - table.failed() + " cases passed, " + table.failed() + " failed");
+        return failures.isEmpty() ? ExitCode.SUCCESS : ExitCode.FAILURE;
+    }
+
+    private CaseTable readCases() {
         try {
-            table = CaseTable.read(cases.toString(), Files.readAllBytes(cases.toPath()));
+            return CaseTable.read(cases.toString(), Files.readAllBytes(cases.toPath()));
         } catch (IOException e) {
             throw new MalformedInputException(
                     "cannot read " + cases + ": " + e.getClass().getSimpleName());
         }
-        List<String> failures = table.run(rules, names);
-        failures.forEach(System.out::println);
-        System.out.println(table.size() - table.failed() + " cases passed, " + table.failed() + " failed");
-        return failures.isEmpty() ? 0 : 1;
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/cli/HotRestartMonitor.java
@@ -0,0 +1,31 @@
+package tulipshed.cli;
+
+import tulipshed.transport.HotRestartState;
+
+/**
+ * Follows the other process of a hot restart: shares the quota with it, replicates established connections, and opens
+ * the UDP sockets once the other process has exited and their ports are free. Confined to the event-loop thread.
+ */
+final class HotRestartMonitor {
+    private final HotRestartState hotRestart;
+    private final NodeComponents components;
+    private final double intervalMs;
+
+    HotRestartMonitor(NodeOptions options, NodeComponents components) {
+        this.components = components;
+        hotRestart = options.hotRestart();
+        intervalMs = options.limits().sockets().sweepIntervalMs();
+    }
+
+    /** Checks the other process now, and again at each sweep interval for as long as the event loop runs. */
+    void check() {
+        components.loop().schedule(intervalMs, this::check);
+        hotRestart.refresh();
+        components.core().quotaShare(hotRestart.quotaShare());
+        components.core().syncHotRestartPeer();
+        if (!hotRestart.hasPeer() && !components.clientListener().isDraining()) {
+            components.peers().retryBind();
+            components.quic().openIfConfigured();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/tulipshed/cli/NodeAssembly.java
@@ -0,0 +1,105 @@
+package tulipshed.cli;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.discovery.EndpointListUpdate;
+import tulipshed.discovery.EndpointWatch;
+import tulipshed.lineprotocol.LineProtocolFrontend;
+import tulipshed.management.ManagementServer;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.quic.QuicConfig;
+import tulipshed.routing.Router;
+import tulipshed.transport.XnioEventLoop;
+
+/** Builds the components of a node in the order in which they depend on each other. Runs on the event-loop thread. */
+final class NodeAssembly {
+    /** The version to watch from when no endpoint list is cached. */
+    private static final long NO_VERSION = 0;
+
+    private final NodeOptions options;
+    private final NodeConfig config;
+    private final XnioEventLoop loop;
+    private final Logger log;
+    private final ClientListener clientListener = new ClientListener();
+
+    NodeAssembly(NodeOptions options, XnioEventLoop loop) {
+        this.options = options;
+        this.loop = loop;
+        config = options.config();
+        log = options.log().logger("node");
+    }
+
+    /**
+     * Builds the components. The management server listens from here on; the other listeners stay closed.
+     *
+     * @param quicConfig the configuration of the QUIC frontend, or null when it is off
+     * @throws IOException when the management address cannot be bound
+     */
+    NodeComponents assemble(QuicConfig quicConfig) throws IOException {
+        ProxyCore core = new ProxyCore(
+                options.clock(),
+                options.limits(),
+                config.settings(),
+                config.seed(),
+                loop,
+                options.log(),
+                Balancer::new);
+        Optional<ManagementServer> management = openManagement(core);
+        long cachedVersion = loadCachedEndpoints(core);
+        Router router = options.operators().router();
+        if (router != null) {
+            core.useRouter(router);
+        }
+        core.hotRestartPeer(options.hotRestart());
+        EndpointWatch watch = createWatch(core, cachedVersion);
+        LineProtocolFrontend frontend = createFrontend(core, router);
+        PeerMessaging peers = new PeerMessaging(options, loop, core);
+        peers.configure(config);
+        OptionalQuicFrontend quic = new OptionalQuicFrontend(options, quicConfig, loop, core);
+        return new NodeComponents(loop, core, frontend, watch, clientListener, quic, peers, management);
+    }
+
+    private Optional<ManagementServer> openManagement(ProxyCore core) throws IOException {
+        if (config.management() == null) {
+            return Optional.empty();
+        }
+        ManagementServer management = new ManagementServer(
+                config.management(), options.clock(), options.limits(), loop, core, clientListener::isReady);
+        log.info("management server listens on " + management.address());
+        return Optional.of(management);
+    }
+
+    /** Passes the cached endpoint list to the core and returns its version. */
+    private long loadCachedEndpoints(ProxyCore core) {
+        if (config.cachedEndpoints().isEmpty()) {
+            return NO_VERSION;
+        }
+        EndpointListUpdate cached = EndpointListUpdate.read(config.cachedEndpoints());
+        core.endpointsChanged(EndpointListKind.CACHED, cached.entries());
+        return cached.version();
+    }
+
+    private EndpointWatch createWatch(ProxyCore core, long cachedVersion) {
+        EndpointWatch watch =
+                new EndpointWatch(config.discovery(), options.limits(), loop, core, cachedVersion, options.log());
+        core.endpointListSource(watch);
+        return watch;
+    }
+
+    private LineProtocolFrontend createFrontend(ProxyCore core, Router router) {
+        LineProtocolFrontend frontend = new LineProtocolFrontend(
+                options.clock(),
+                options.limits(),
+                config.nameIndex(),
+                config.loadReportsLatency(),
+                loop,
+                core,
+                options.log());
+        frontend.setDeclarations(router == null ? null : router.declarations());
+        return frontend;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/tulipshed/cli/NodeStartup.java
@@ -0,0 +1,105 @@
+package tulipshed.cli;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.jboss.logging.Logger;
+import tulipshed.config.NodeConfig;
+import tulipshed.quic.QuicConfig;
+import tulipshed.transport.HotRestartState;
+import tulipshed.transport.XnioEventLoop;
+
+/**
+ * Brings a node into service. Where another process of the node serves already (a hot restart), the client listener
+ * opens only after discovery's current endpoint list has arrived, or after a timeout.
+ *
+ * <p>Confined to the event-loop thread, but for {@link #start}, which blocks the thread that starts the node.
+ */
+final class NodeStartup {
+    private static final double TAKEOVER_POLL_INTERVAL_MS = 25;
+
+    private final NodeOptions options;
+    private final NodeConfig config;
+    private final HotRestartState hotRestart;
+    private final XnioEventLoop loop;
+    private final Logger log;
+    private final CompletableFuture<NodeComponents> started = new CompletableFuture<>();
+    private NodeComponents components;
+
+    private NodeStartup(NodeOptions options, XnioEventLoop loop) {
+        this.options = options;
+        this.loop = loop;
+        config = options.config();
+        hotRestart = options.hotRestart();
+        log = options.log().logger("node");
+    }
+
+    /**
+     * Starts a node and waits until it accepts clients.
+     *
+     * @throws IOException when an address cannot be bound, or when the calling thread is interrupted
+     */
+    static NodeComponents start(NodeOptions options) throws IOException {
+        QuicConfig quicConfig = options.operators().quic() == null
+                ? null
+                : QuicConfig.of(options.operators().quic());
+        XnioEventLoop loop = new XnioEventLoop(options.limits(), options.hotRestart(), options.log());
+        NodeStartup startup = new NodeStartup(options, loop);
+        loop.execute(() -> startup.begin(quicConfig));
+        return startup.awaitStarted();
+    }
+
+    private NodeComponents awaitStarted() throws IOException {
+        try {
+            return started.get();
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted", e);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof RuntimeException unchecked) {
+                throw unchecked;
+            }
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    private void begin(QuicConfig quicConfig) {
+        try {
+            components = new NodeAssembly(options, loop).assemble(quicConfig);
+            if (hotRestart.isPeerServing()) {
+                // What discovery has notified the other process of binds this one too, so it catches up before it
+                // serves.
+                components.watch().catchUp();
+                takeOver(options.clock().nowMs() + options.limits().shutdown().takeoverListTimeoutMs());
+            } else {
+                serve();
+            }
+            components.watch().setPushed(!config.settings().polledDiscovery());
+        } catch (IOException | RuntimeException e) {
+            started.completeExceptionally(e);
+        }
+    }
+
+    private void takeOver(double deadlineMs) {
+        if (components.core().endpointListReceived() || options.clock().nowMs() >= deadlineMs) {
+            serve();
+        } else {
+            loop.schedule(TAKEOVER_POLL_INTERVAL_MS, () -> takeOver(deadlineMs));
+        }
+    }
+
+    private void serve() {
+        try {
+            components.clientListener().open(loop, config, options.limits(), components.frontend());
+            hotRestart.markServing();
+            new HotRestartMonitor(options, components).check();
+            log.info(config.name() + " serves on " + config.listen()
+                    + (hotRestart.hasPeer() ? ", alongside another process" : ""));
+            started.complete(components);
+        } catch (UncheckedIOException e) {
+            started.completeExceptionally(e.getCause());
+        } catch (IOException | RuntimeException e) {
+            started.completeExceptionally(e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/tulipshed/cli/OptionalQuicFrontend.java
@@ -0,0 +1,85 @@
+package tulipshed.cli;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.jboss.logging.Logger;
+import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.operators.OperatorsFile;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.quic.QuicConfig;
+import tulipshed.quic.QuicFront;
+import tulipshed.transport.XnioEventLoop;
+
+/**
+ * The QUIC frontend of a node: off unless the operators' file configures it at start, and closed until {@link
+ * #openIfConfigured}, as the UDP port belongs to one process of the node at a time. Confined to the event-loop thread.
+ */
+final class OptionalQuicFrontend {
+    private final NodeOptions options;
+    private final QuicConfig configAtStart;
+    private final XnioEventLoop loop;
+    private final ProxyCore core;
+    private final Logger log;
+    private NameIndex names;
+
+    /** Null until the frontend is open. */
+    private QuicFront frontend;
+
+    /**
+     * Creates a closed frontend.
+     *
+     * @param configAtStart what the frontend opens with, or null when it is off until the next restart
+     */
+    OptionalQuicFrontend(NodeOptions options, QuicConfig configAtStart, XnioEventLoop loop, ProxyCore core) {
+        this.options = options;
+        this.configAtStart = configAtStart;
+        this.loop = loop;
+        this.core = core;
+        log = options.log().logger("node");
+        names = options.config().nameIndex();
+    }
+
+    /**
+     * Opens the frontend where it is configured and not open yet.
+     *
+     * @throws UncheckedIOException when the configured address cannot be bound
+     */
+    void openIfConfigured() {
+        if (frontend != null || configAtStart == null) {
+            return;
+        }
+        try {
+            frontend =
+                    new QuicFront(options.clock(), options.limits(), configAtStart, names, loop, core, options.log());
+            log.info("QUIC frontend listens on " + frontend.address());
+        } catch (IOException e) {
+            throw new UncheckedIOException("QUIC: " + e.getMessage(), e);
+        }
+    }
+
+    /** Applies changed names and, to an open frontend, the operators' file; a file without QUIC keeps what there is. */
+    void reconfigure(NameIndex changedNames, OperatorsFile operators) {
+        names = changedNames;
+        if (frontend == null) {
+            return;
+        }
+        frontend.reconfigure(names);
+        if (operators.quic() != null) {
+            frontend.reconfigure(QuicConfig.of(operators.quic()));
+        }
+    }
+
+    /** Takes no new connections from now on. */
+    void startDraining() {
+        if (frontend != null) {
+            frontend.leaving();
+        }
+    }
+
+    /** Closes the frontend where it is open. */
+    void close() {
+        if (frontend != null) {
+            frontend.close();
+        }
+    }
+}
--- a/node/src/main/java/tulipshed/cli/ServeCommand.java
+++ b/node/src/main/java/tulipshed/cli/ServeCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
 import org.jboss.logging.Logger;
@@ -14,8 +15,11 @@
 import tulipshed.time.SystemClock;
 import tulipshed.transport.HotRestartState;
 
-/** One real node, until it is told to stop. */
+/** {@code serve}: runs one node until SIGTERM. */
 public final class ServeCommand implements Command {
+    /** Names the directory of the state that the two processes of a hot restart share; none, no hot restart. */
+    private static final String SHARED_STATE_DIRECTORY_VARIABLE = "TMPDIR";
+
     @Option(
             name = "--operators",
             metaVar = "FILE",
@@ -33,38 +37,43 @@
         Logger log = nodeLog.logger("node");
         Map<String, String> environment = System.getenv();
         NodeConfig config = NodeConfig.load(environment);
-        OperatorsFile rules = operators(config);
-        ConfigurationReloader reload = new ConfigurationReloader(() -> NodeConfig.load(environment), this::operators);
-        if (!HangupSignal.handle(reload::reload)) {
-            log.warn("SIGHUP is ignored by the parent process, the configuration cannot be reloaded;"
-                    + " start with env --default-signal=HUP");
-        }
+        OperatorsFile operatorsFile = readOperatorsFile(config);
+        ConfigurationReloader reloader =
+                new ConfigurationReloader(() -> NodeConfig.load(environment), this::readOperatorsFile);
+        reloadAtHangup(reloader, log);
         Limits limits = Limits.forDescriptors(config.sockets());
         try {
-            HotRestartState hotRestartState = hotRestartState(config, environment.get("TMPDIR"), limits, log);
-            Node node = new Node(config, rules, limits, hotRestartState, new SystemClock(), nodeLog);
-            reload.serves(node);
-            Runtime.getRuntime().addShutdownHook(new Thread(node::shutDown, "leaving"));
+            HotRestartState hotRestart =
+                    joinHotRestart(config, environment.get(SHARED_STATE_DIRECTORY_VARIABLE), limits, log);
+            Node node =
+                    Node.start(new NodeOptions(config, operatorsFile, limits, hotRestart, new SystemClock(), nodeLog));
+            reloader.nodeStarted(node);
+            Runtime.getRuntime().addShutdownHook(new Thread(node::shutDown, "shutdown"));
             return KEEPS_RUNNING;
         } catch (IOException e) {
             throw new MalformedInputException("cannot listen on " + config.listen() + ": " + e.getMessage());
         }
     }
 
-    private OperatorsFile operators(NodeConfig config) {
+    private static void reloadAtHangup(ConfigurationReloader reloader, Logger log) {
+        if (!HangupSignal.handle(reloader::reload)) {
+            log.warn("SIGHUP is ignored by the parent process, the configuration cannot be reloaded;"
+                    + " start with env --default-signal=HUP");
+        }
+    }
+
+    private OperatorsFile readOperatorsFile(NodeConfig config) {
         return operators == null ? OperatorsFile.EMPTY : OperatorsFile.load(operators.toPath(), config.nameIndex());
     }
 
-    /** The state shared by the two processes of a hot restart, in a file that the listen address names. */
-    private static HotRestartState hotRestartState(NodeConfig config, String folder, Limits limits, Logger log) {
-        if (folder == null || folder.isEmpty()) {
+    /** Joins the state that the two processes of a hot restart share, in a file that the listen address names. */
+    private static HotRestartState joinHotRestart(NodeConfig config, String directory, Limits limits, Logger log) {
+        if (directory == null || directory.isEmpty()) {
             return new HotRestartState();
         }
-        String address = config.listen().getAddress().getHostAddress() + "-"
-                + config.listen().getPort();
         try {
             return new HotRestartState(
-                    Path.of(folder, "tulipshed-" + address.replace(':', '.') + ".share"),
+                    Path.of(directory, sharedStateFileName(config.listen())),
                     limits.shutdown().sharedIds());
         } catch (IOException e) {
             log.warn("hot restart unavailable, cannot use TMPDIR: " + e);
@@ -73,4 +82,9 @@
             throw new MalformedInputException(e.getMessage());
         }
     }
+
+    private static String sharedStateFileName(InetSocketAddress listen) {
+        String address = listen.getAddress().getHostAddress() + "-" + listen.getPort();
+        return "tulipshed-" + address.replace(':', '.') + ".share";
+    }
 }
--- a/node/src/main/java/tulipshed/cli/VersionCommand.java
+++ b/node/src/main/java/tulipshed/cli/VersionCommand.java
@@ -1,6 +1,6 @@
 package tulipshed.cli;
 
-/** Says which version this is. */
+/** {@code version}: prints the version. */
 public final class VersionCommand implements Command {
     @Override
     public String description() {
@@ -11,6 +11,6 @@
     public int run() {
         String version = Main.class.getPackage().getImplementationVersion();
         System.out.println("tulipshed " + (version == null ? "of an unpacked build" : version));
-        return 0;
+        return ExitCode.SUCCESS;
     }
 }
--- a/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
+++ b/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
@@ -184,7 +184,7 @@
                 Discovery elsewhere = new Discovery(Fails.BUSY, drains.getLocalPort(), serves.getLocalPort())) {
             List<String> log = java.util.Collections.synchronizedList(new ArrayList<>());
             CountDownLatch failed = new CountDownLatch(2);
-            Node node = new Node(
+            Node node = Node.start(NodeOptions.withoutHotRestart(
                     config(how, discovery.port, drains.getLocalPort()),
                     OperatorsFile.EMPTY,
                     Limits.forDescriptors(1024),
@@ -194,7 +194,7 @@
                         if (l.startsWith("WARN discovery: ")) {
                             failed.countDown();
                         }
-                    }));
+                    })));
             Discovery sound = discovery;
             if (how == Fails.MOVED_MEANWHILE) {
                 // A call is out, and silent, as SIGHUP names another address.
--- a/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
+++ b/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tulipshed.testing.LoopbackSockets.connect;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -71,7 +72,8 @@
                         .replace(":18081", ":" + member.getLocalPort())
                         .replaceAll("(\"HardLimitS\": )[34]", "$1" + longest));
         Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
-        node = new Node(NodeConfig.load(environment), operators, limits, new SystemClock(), NodeLog.to(log::add));
+        node = Node.start(NodeOptions.withoutHotRestart(
+                NodeConfig.load(environment), operators, limits, new SystemClock(), NodeLog.to(log::add)));
     }
 
     private Socket client(String first) throws IOException {
@@ -94,8 +96,7 @@
 
     /** What the second address answers, head and body. */
     private String call(String what) throws IOException {
-        try (Socket staff = new Socket(
-                node.managementAddress().getAddress(), node.managementAddress().getPort())) {
+        try (Socket staff = connect(node.managementAddress().orElseThrow())) {
             staff.setSoTimeout(1000);
             staff.getOutputStream().write((what + " HTTP/1.1\r\nHost: n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             return new String(staff.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
