Proxy tests: one class for each class of the core, and a shared ProxyCoreFixture

Need: TransactionCoreTest held all of the core in one class, its fixture and locals in the old words. Literals and bounds as before. BalancerFactory and PeerMessages leave ProxyCore.

--- a/node/src/main/java/tulipshed/proxy/AttemptManager.java
+++ b/node/src/main/java/tulipshed/proxy/AttemptManager.java
@@ -154,6 +154,22 @@
         });
     }
 
+    /** See {@link ProxyCore#latencyReported}. */
+    void latencyReported(Attempt attempt, double latencyMs) {
+        if (!attempt.isEnded()) {
+            long requestId = attempt.request().id();
+            events.add((balancer, nowMs, nowUs) -> balancer.latencyReported(nowUs, requestId, latencyMs));
+        }
+    }
+
+    /** See {@link ProxyCore#loadReported}. */
+    void loadReported(Attempt attempt, double loadUsPerS) {
+        if (!attempt.isEnded()) {
+            long requestId = attempt.request().id();
+            events.add((balancer, nowMs, nowUs) -> balancer.loadReported(nowUs, requestId, loadUsPerS));
+        }
+    }
+
     /** Cancels the open attempt of that request, if it has that number and is not established. */
     void cancel(long requestId, int attemptNumber) {
         Request request = table.find(requestId);
--- a/node/src/main/java/tulipshed/proxy/ProxyCore.java
+++ b/node/src/main/java/tulipshed/proxy/ProxyCore.java
@@ -35,20 +35,14 @@
     private final ConnectionMigrator migrator;
     private final EndpointDrainer drainer;
     private final HealthCheckDispatcher healthChecks;
+    private final PeerMessages peerMessages;
     private final ReplicatedConnections replicatedConnections;
     private EndpointListSource endpointListSource = () -> {};
-    private PeerSender peerSender = (peer, body) -> {};
     /** Null where this node has one process only. */
     private HotRestartPeer hotRestartPeer;
 
     private double quotaShare = 1;
 
-    /** Creates the decision module of a core. */
-    public interface BalancerFactory {
-        /** Creates a decision module that hands its decisions to {@code actions}, also from within this call. */
-        BalancerApi create(Settings settings, long seed, long nowUs, BalancerApi.Actions actions);
-    }
-
     /**
      * Creates a core without endpoints, and its decision module.
      *
@@ -76,6 +70,7 @@
         migrator = new ConnectionMigrator(context, table, established, attempts);
         drainer = new EndpointDrainer(context, table, attempts, migrator);
         healthChecks = new HealthCheckDispatcher(context, endpoints);
+        peerMessages = new PeerMessages(context);
         replicatedConnections = new ReplicatedConnections(events, endpoints, table);
         balancer = factory.create(
                 initialSettings,
@@ -88,7 +83,7 @@
 
     private DecisionBuffer.Targets decisionTargets() {
         return new DecisionBuffer.Targets(
-                requests, attempts, migrator, healthChecks, this::sendToPeer, () -> endpointListSource.watch());
+                requests, attempts, migrator, healthChecks, peerMessages, () -> endpointListSource.watch());
     }
 
     // ---- Configuration ----
@@ -121,13 +116,7 @@
 
     /** Sets what sends datagrams to other nodes; without one, or where the settings allow none, they are dropped. */
     public void peerSender(PeerSender sender) {
-        peerSender = sender;
-    }
-
-    private void sendToPeer(int peer, byte[] body) {
-        if (settings.allowsPeerMessages()) {
-            peerSender.send(peer, body);
-        }
+        peerMessages.setSender(sender);
     }
 
     /** Sets the share, from 0 to 1, that this process has of the quota of the node. */
@@ -197,18 +186,12 @@
 
     /** The endpoint of an established attempt reported its message latency, in milliseconds. */
     public void latencyReported(Attempt attempt, double latencyMs) {
-        if (!attempt.isEnded()) {
-            long id = attempt.request().id();
-            events.add((balancer, nowMs, nowUs) -> balancer.latencyReported(nowUs, id, latencyMs));
-        }
+        attempts.latencyReported(attempt, latencyMs);
     }
 
     /** The load of an established connection changed, in microseconds of work per second. */
     public void loadReported(Attempt attempt, double loadUsPerS) {
-        if (!attempt.isEnded()) {
-            long id = attempt.request().id();
-            events.add((balancer, nowMs, nowUs) -> balancer.loadReported(nowUs, id, loadUsPerS));
-        }
+        attempts.loadReported(attempt, loadUsPerS);
     }
 
     // ---- Events of discovery, health checks and other nodes ----
@@ -232,7 +215,7 @@
 
     /** A datagram of another node arrived; {@code from} is the index of that node, whose identity was checked. */
     public void peerMessageReceived(int from, byte[] body) {
-        events.add((balancer, nowMs, nowUs) -> balancer.peerMessageReceived(nowUs, from, body));
+        peerMessages.received(from, body);
     }
 
     /** Notifies the decision module of what changed among the connections of the other process of this node. */
--- a/node/src/main/java/tulipshed/proxy/Request.java
+++ b/node/src/main/java/tulipshed/proxy/Request.java
@@ -166,7 +166,7 @@
                 };
     }
 
-    /** Whether the client may be told that a retry is harmless, also while an attempt is open. */
+    /** Whether a rejection, which promises that a retry is harmless, is a correct response, also while an attempt is open. */
     boolean mayBeRejected() {
         return requestClass.idempotency() == Idempotency.IDEMPOTENT
                 || (requestClass.idempotency() == Idempotency.WITH_KEY
--- a/node/src/main/java/tulipshed/proxy/RequestLifecycle.java
+++ b/node/src/main/java/tulipshed/proxy/RequestLifecycle.java
@@ -1,6 +1,7 @@
 package tulipshed.proxy;
 
 import java.util.List;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import tulipshed.limits.Limits;
 
@@ -78,18 +79,18 @@
 
     /** Rejects the request of that id, if it is still pending. */
     void reject(long requestId, double retryAfterMs) {
-        Request request = table.find(requestId);
-        if (request != null && request.isPending()) {
-            responses.reject(request, retryAfterMs);
-            table.removeIfFinished(request);
-        }
+        respond(requestId, request -> responses.reject(request, retryAfterMs));
     }
 
     /** Fails the request of that id, if it is still pending. */
     void fail(long requestId) {
+        respond(requestId, responses::fail);
+    }
+
+    private void respond(long requestId, Consumer<Request> response) {
         Request request = table.find(requestId);
         if (request != null && request.isPending()) {
-            responses.fail(request);
+            response.accept(request);
             table.removeIfFinished(request);
         }
     }
--- /dev/null
+++ b/node/src/test/java/tulipshed/proxy/AttemptTimeoutTest.java
@@ -0,0 +1,43 @@
+package tulipshed.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Timeouts of attempts, and what they prove. */
+class AttemptTimeoutTest {
+    private final ProxyCoreFixture fixture = new ProxyCoreFixture();
+
+    @Test
+    void connectTimeoutCountsAsNeverExecuted() {
+        fixture.startAttempt(2000);
+        fixture.advance(249);
+        assertEquals(List.of(), fixture.takeRecorded());
+        fixture.advance(2);
+        assertEquals(List.of("give up", "finished 0 CONNECT_FAILED"), fixture.takeRecorded());
+    }
+
+    @Test
+    void timesOutShortlyBeforeClientDeadlineAndKeepsRequestPending() {
+        Attempt attempt = fixture.startAttempt(2000);
+        assertTrue(fixture.core.mayForward(attempt));
+        fixture.advance(1950);
+        assertEquals(List.of(), fixture.takeRecorded());
+        // Shortly before the client's deadline, so that the response arrives in time.
+        fixture.advance(11);
+        assertEquals(List.of("give up", "finished 0 TIMEOUT"), fixture.takeRecorded());
+        assertFalse(fixture.core.attemptEstablished(attempt), "what comes after the timeout is not relayed");
+    }
+
+    /** Without a connection nothing was executed, also where the attempt times out before the connect timeout. */
+    @Test
+    void timeoutBeforeConnectCountsAsNeverExecuted() {
+        ProxyCoreFixture fixture = ProxyCoreFixture.nonIdempotent();
+        fixture.startAttempt(150);
+        fixture.advance(111);
+        assertEquals(List.of("give up", "finished 0 CONNECT_FAILED"), fixture.takeRecorded());
+    }
+}
--- /dev/null
+++ b/node/src/test/java/tulipshed/proxy/ConnectionAdopterTest.java
@@ -0,0 +1,63 @@
+package tulipshed.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.Outcome;
+
+/** Resumption of connections that were established before this node started. */
+class ConnectionAdopterTest {
+    private final ProxyCoreFixture fixture = new ProxyCoreFixture();
+
+    @Test
+    void adoptsConnectionOfDrainingEndpoint() {
+        fixture.updateEndpoint("s-1", EndpointStatus.DRAINING);
+        fixture.takeRecorded();
+        fixture.adoptConnection("s-1");
+        assertEquals(List.of("already open s-1", "open s-1"), fixture.takeRecorded());
+        Attempt attempt = fixture.attempts.get(0);
+        assertTrue(fixture.core.mayForward(attempt));
+        fixture.advance(5000);
+        assertTrue(fixture.core.attemptEstablished(attempt));
+        fixture.core.attemptEnded(attempt, Outcome.OK);
+        assertEquals(List.of("finished 0 OK concluded"), fixture.takeRecorded());
+    }
+
+    /** The cached list can be older than the connection. */
+    @Test
+    void adoptionWaitsForUnlistedEndpoint() {
+        Request request = fixture.adoptConnection("s-9");
+        fixture.advance(3000);
+        assertEquals(List.of(), fixture.takeRecorded());
+        fixture.updateEndpoint("s-9", EndpointStatus.SERVING);
+        fixture.advance(150);
+        assertEquals(List.of("list CHANGES", "already open s-9", "open s-9"), fixture.takeRecorded());
+        assertTrue(request.isPending());
+        // Discovery has delivered its list by now: an endpoint that it does not name is not waited for as long.
+        fixture.adoptConnection("s-10");
+        fixture.advance(900);
+        assertEquals(List.of(), fixture.takeRecorded());
+        fixture.advance(201);
+        assertEquals(List.of("client: fail"), fixture.takeRecorded());
+    }
+
+    @Test
+    void adoptionFailsAfterTimeoutWithoutEndpointList() {
+        fixture.adoptConnection("s-10");
+        fixture.advance(39_900);
+        assertEquals(List.of(), fixture.takeRecorded());
+        fixture.advance(201);
+        assertEquals(List.of("client: fail"), fixture.takeRecorded());
+    }
+
+    @Test
+    void adoptionFailsAtOnceWhenConnectionIsUnknown() {
+        fixture.adoptConnection("s-1");
+        fixture.takeRecorded();
+        fixture.core.attemptEnded(fixture.attempts.get(0), Outcome.RESET);
+        assertEquals(List.of("client: fail", "finished 0 RESET concluded"), fixture.takeRecorded());
+    }
+}
--- /dev/null
+++ b/node/src/test/java/tulipshed/proxy/EndpointRegistryTest.java
@@ -0,0 +1,53 @@
+package tulipshed.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+
+/** What the core knows of endpoints by their list. */
+class EndpointRegistryTest {
+    private final EndpointRegistry endpoints = new EndpointRegistry();
+
+    private static EndpointListEntry serving(String id) {
+        return new EndpointListEntry(new EndpointInfo(id, EndpointStatus.SERVING, "decin", 0, "std-2c", 1, 0), null);
+    }
+
+    @Test
+    void countsListedEndpointsAlsoWhileTheyDrain() {
+        ProxyCoreFixture fixture = new ProxyCoreFixture();
+        fixture.updateEndpoint("s-2", EndpointStatus.DRAINING);
+        assertEquals(2, fixture.core.listedEndpoints());
+        fixture.updateEndpoint("s-2", EndpointStatus.REMOVED);
+        assertEquals(1, fixture.core.listedEndpoints());
+    }
+
+    @Test
+    void completeListRemovesEndpointsItDoesNotName() {
+        endpoints.update(EndpointListKind.COMPLETE, List.of(serving("s-1"), serving("s-2")));
+        endpoints.update(EndpointListKind.COMPLETE, List.of(serving("s-2")));
+        assertFalse(endpoints.find("s-1").isListed());
+        assertEquals(1, endpoints.servingCount());
+    }
+
+    @Test
+    void cachedListDoesNotCountAsReceived() {
+        endpoints.update(EndpointListKind.CACHED, List.of(serving("s-1")));
+        assertFalse(endpoints.isListReceived());
+        endpoints.update(EndpointListKind.CHANGES, List.of());
+        assertTrue(endpoints.isListReceived());
+    }
+
+    @Test
+    void endpointWithoutAddressIsNotAvailable() {
+        endpoints.update(EndpointListKind.COMPLETE, List.of(serving("s-1")));
+        assertTrue(endpoints.find("s-1").isServing());
+        assertFalse(endpoints.isAvailable("s-1"));
+        assertFalse(endpoints.isAvailable("s-9"));
+    }
+}
--- a/node/src/test/java/tulipshed/proxy/ProxyCoreFixture.java
+++ b/node/src/test/java/tulipshed/proxy/ProxyCoreFixture.java
@@ -7,9 +7,11 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.BalancerApi;
 import tulipshed.decision.BalancerApi.EndpointInfo;
@@ -18,52 +20,101 @@
 import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.NewRequest;
 import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.RequestClass;
+import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.time.ManualClock;
 
-/** The core on a clock and a loop that tests drive, with a module that does what tests say and notes what it hears. */
+/**
+ * A core on a clock and an event loop that the test drives. The fixture is also the decision module, the client and the
+ * connector of all requests: it decides what the test says, and records in order all that the core does.
+ */
 final class ProxyCoreFixture implements EventLoop, ClientConnection, UpstreamConnector, BalancerApi {
+    private static final Path NODE_SETTINGS = Path.of("src/test/resources/node.json");
+
     final ManualClock clock = new ManualClock(1_000_000);
-    final List<String> heard = new ArrayList<>();
-    final List<Attempt> flows = new ArrayList<>();
-    boolean leavesDraining;
-    Actions module;
-    final ProxyCore core;
+    /** What the core did and logged, in order. */
+    final List<String> recorded = new ArrayList<>();
+    /** The attempts that the core opened, in order. */
+    final List<Attempt> attempts = new ArrayList<>();
+    /** Takes decisions; they are carried out at the end of the next batch. */
+    Actions decisions;
+    /** What this fixture, as decision module, answers for the eligible endpoints of a pool; 0 for other pools. */
+    final Map<String, Integer> eligibleByPool = new HashMap<>();
+    /** The id of the request of which the decision module was notified last. */
+    long lastRequestId;
+    /** What this fixture, as connector, answers. */
+    boolean mustLeaveDraining;
+
     final Settings settings;
+    final ProxyCore core;
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private final List<Timer> timers = new ArrayList<>();
 
     private record Timer(double atMs, Runnable task) {}
 
+    /** A core under the settings of {@code node.json}, with the serving endpoint s-1 from a cached list. */
     ProxyCoreFixture() {
         this("", "");
     }
 
-    /** With other settings in place of some, everywhere. */
-    ProxyCoreFixture(String some, String others) {
-        NodeConfig config = config(some, others);
-        settings = config.settings();
+    /** The same, with each occurrence of a text in the settings replaced by another. */
+    ProxyCoreFixture(String replaced, String replacement) {
+        settings = config(replaced, replacement).settings();
         core = new ProxyCore(
                 clock,
-                tulipshed.limits.Limits.forDescriptors(1024),
-                config.settings(),
+                Limits.forDescriptors(1024),
+                settings,
                 1,
                 this,
-                NodeLog.to(heard::add),
+                NodeLog.to(recorded::add),
                 (settings, seed, now, actions) -> {
-                    module = actions;
+                    decisions = actions;
                     return this;
                 });
-        tell(EndpointListKind.CACHED, "s-1", EndpointStatus.SERVING);
-        take();
+        updateEndpoint(EndpointListKind.CACHED, "s-1", EndpointStatus.SERVING);
+        takeRecorded();
+    }
+
+    /** A core whose requests are not idempotent. */
+    static ProxyCoreFixture nonIdempotent() {
+        return new ProxyCoreFixture("\"Effect\": \"repeatable\"", "\"Effect\": \"once\"");
+    }
+
+    /** A core whose requests have an idempotency key, by which the endpoints of one zone deduplicate them. */
+    static ProxyCoreFixture withKeyPerZone() {
+        return new ProxyCoreFixture(
+                "\"Effect\": \"repeatable\",\n    \"Group\": \"all\"",
+                "\"Effect\": \"by_key\",\n    \"Group\": \"zone\"");
+    }
+
+    /** The settings of {@code node.json}. */
+    static Settings nodeSettings() {
+        return NodeConfig.load(Map.of("PROXY_CONFIG", NODE_SETTINGS.toString())).settings();
     }
 
-    private static NodeConfig config(String some, String others) {
+    /** The settings with other classes. */
+    static Settings withClasses(Settings settings, List<RequestClass> classes) {
+        return new Settings(
+                settings.nodeIndex(),
+                settings.nodeCount(),
+                settings.zone(),
+                settings.passThrough(),
+                settings.polledDiscovery(),
+                settings.groupAffinity(),
+                settings.weightSemantics(),
+                settings.loadReportSource(),
+                settings.limits(),
+                settings.rules(),
+                settings.prices(),
+                classes,
+                settings.tenants());
+    }
+
+    private static NodeConfig config(String replaced, String replacement) {
         try {
             Path file = Files.createTempFile("node", ".json");
-            Files.writeString(
-                    file,
-                    Files.readString(Path.of("src/test/resources/node.json")).replace(some, others));
+            Files.writeString(file, Files.readString(NODE_SETTINGS).replace(replaced, replacement));
             NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
             Files.delete(file);
             return config;
@@ -72,78 +123,86 @@
         }
     }
 
-    void tell(String id, EndpointStatus state) {
-        tell(EndpointListKind.CHANGES, id, state);
+    /** Discovery reports a change of one endpoint. */
+    void updateEndpoint(String id, EndpointStatus status) {
+        updateEndpoint(EndpointListKind.CHANGES, id, status);
     }
 
-    private void tell(EndpointListKind kind, String id, EndpointStatus state) {
+    private void updateEndpoint(EndpointListKind kind, String id, EndpointStatus status) {
         core.endpointsChanged(
                 kind,
                 List.of(new EndpointListEntry(
-                        new EndpointInfo(id, state, "decin", 0, "std-2c", 1, 0),
+                        new EndpointInfo(id, status, "decin", 0, "std-2c", 1, 0),
                         new InetSocketAddress("127.0.0.1", 1))));
     }
 
-    Request arrive(double waitMs) {
-        Request request = transaction(waitMs, false);
+    /** A request arrives whose client waits that long. */
+    Request requestArrives(double timeoutMs) {
+        Request request = newRequest(timeoutMs, false);
         core.requestArrived(request);
         return request;
     }
 
-    /** A connection that stood at that member before. */
-    Request arriveAt(String member) {
-        Request request = transaction(2000, true);
-        core.adoptConnection(request, member);
+    /** A connection is resumed that was established at that endpoint before. */
+    Request adoptConnection(String endpointId) {
+        Request request = newRequest(2000, true);
+        core.adoptConnection(request, endpointId);
         return request;
     }
 
-    private Request transaction(double waitMs, boolean stoodBefore) {
+    /** A request of this fixture's client that the core does not know yet. */
+    Request newRequest(double timeoutMs, boolean adopted) {
         return new Request(
                 this,
                 this,
-                new Request.Attributes(0, 0, "k", null, waitMs, 0, false, false),
+                new Request.Attributes(0, 0, "k", null, timeoutMs, 0, false, false),
                 clock.nowMs(),
-                stoodBefore);
+                adopted);
     }
 
-    /** An arrival that the module sends to s-1 at once. */
-    Attempt sent(double waitMs) {
-        arrive(waitMs);
-        run();
-        module.startAttempt(lastRequest, "s-1", 0);
+    /** A request arrives, and an attempt at s-1 is opened for it; nothing of that stays recorded. */
+    Attempt startAttempt(double timeoutMs) {
+        requestArrives(timeoutMs);
+        runReadyTasks();
+        decisions.startAttempt(lastRequestId, "s-1", 0);
         core.runBatch();
-        run();
-        take();
-        return flows.get(flows.size() - 1);
+        runReadyTasks();
+        takeRecorded();
+        return attempts.get(attempts.size() - 1);
     }
 
-    final Map<String, Integer> inFavour = new java.util.HashMap<>();
-    long lastRequest;
+    /** The final responses to one class: how many were established, rejected and failed. */
+    String responseCounts(String requestClass) {
+        NodeMetrics.ResponseCounts counts = core.metrics().responses().get(requestClass);
+        return counts.established() + " " + counts.rejected() + " " + counts.failed();
+    }
 
-    /** Runs what is ready, and moves the clock on step by step, running what falls due. */
-    void pass(double ms) {
-        double endMs = clock.nowMs() + ms;
-        run();
+    /** Runs ready tasks, and advances the clock step by step, running the timers that expire. */
+    void advance(double durationMs) {
+        double endMs = clock.nowMs() + durationMs;
+        runReadyTasks();
         while (clock.nowMs() < endMs) {
             clock.advance(Math.min(1, endMs - clock.nowMs()));
-            List<Timer> due =
-                    timers.stream().filter(t -> t.atMs <= clock.nowMs()).toList();
-            timers.removeAll(due);
-            due.forEach(t -> t.task.run());
-            run();
+            List<Timer> expired =
+                    timers.stream().filter(timer -> timer.atMs <= clock.nowMs()).toList();
+            timers.removeAll(expired);
+            expired.forEach(timer -> timer.task.run());
+            runReadyTasks();
         }
     }
 
-    void run() {
+    /** Runs the tasks of the event loop until none is ready. */
+    void runReadyTasks() {
         while (!tasks.isEmpty()) {
             tasks.poll().run();
         }
     }
 
-    List<String> take() {
-        run();
-        List<String> taken = List.copyOf(heard);
-        heard.clear();
+    /** Runs ready tasks; returns what was recorded since the last call. */
+    List<String> takeRecorded() {
+        runReadyTasks();
+        List<String> taken = List.copyOf(recorded);
+        recorded.clear();
         return taken;
     }
 
@@ -153,123 +212,125 @@
     }
 
     @Override
-    public void schedule(double ms, Runnable task) {
-        timers.add(new Timer(clock.nowMs() + ms, task));
+    public void schedule(double delayMs, Runnable task) {
+        timers.add(new Timer(clock.nowMs() + delayMs, task));
     }
 
     @Override
     public void reject(double retryAfterMs) {
-        heard.add("client: reject " + retryAfterMs);
+        recorded.add("client: reject " + retryAfterMs);
     }
 
     @Override
     public void fail() {
-        heard.add("client: fail");
+        recorded.add("client: fail");
     }
 
     @Override
     public void migrate() {
-        heard.add("client: move");
+        recorded.add("client: move");
     }
 
     @Override
     public void open(Attempt attempt) {
-        flows.add(attempt);
-        heard.add("open " + attempt.endpoint().id());
+        attempts.add(attempt);
+        recorded.add("open " + attempt.endpoint().id());
     }
 
     @Override
     public void abandon(Attempt attempt) {
-        heard.add("give up");
+        recorded.add("give up");
     }
 
     @Override
     public boolean mustLeaveDrainingEndpoint() {
-        return leavesDraining;
+        return mustLeaveDraining;
     }
 
     @Override
-    public void endpointsChanged(long now, EndpointListKind kind, List<EndpointInfo> entries) {
-        heard.add("list " + kind);
+    public void endpointsChanged(long nowUs, EndpointListKind kind, List<EndpointInfo> entries) {
+        recorded.add("list " + kind);
     }
 
     @Override
-    public void requestArrived(long now, NewRequest request) {
-        lastRequest = request.id();
-        heard.add("request " + request.timeoutUs() / 1000 + (request.pool() == null ? "" : " in " + request.pool())
+    public void requestArrived(long nowUs, NewRequest request) {
+        lastRequestId = request.id();
+        recorded.add("request " + request.timeoutUs() / 1000 + (request.pool() == null ? "" : " in " + request.pool())
                 + (request.requestClass() == 0 ? "" : " as " + request.requestClass()));
     }
 
     @Override
-    public void connectionAdopted(long now, NewRequest request, String server) {
-        lastRequest = request.id();
-        heard.add("already open " + server);
+    public void connectionAdopted(long nowUs, NewRequest request, String endpointId) {
+        lastRequestId = request.id();
+        recorded.add("already open " + endpointId);
     }
 
     @Override
-    public void attemptEstablished(long now, long requestId, int attempt, long tookUs) {
-        heard.add("started " + attempt);
+    public void attemptEstablished(long nowUs, long requestId, int attempt, long tookUs) {
+        recorded.add("started " + attempt);
     }
 
     @Override
-    public void loadReported(long now, long requestId, double loadUsPerS) {
-        heard.add("load " + loadUsPerS);
+    public void loadReported(long nowUs, long requestId, double loadUsPerS) {
+        recorded.add("load " + loadUsPerS);
     }
 
     @Override
-    public void latencyReported(long now, long requestId, double delayMs) {
-        heard.add("delay " + delayMs);
+    public void latencyReported(long nowUs, long requestId, double latencyMs) {
+        recorded.add("delay " + latencyMs);
     }
 
     @Override
     public void attemptEnded(
-            long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
-        heard.add("finished " + attempt + " " + outcome + (concluded ? " concluded" : ""));
+            long nowUs, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
+        recorded.add("finished " + attempt + " " + outcome + (concluded ? " concluded" : ""));
     }
 
     @Override
-    public void requestCancelled(long now, long requestId) {
-        heard.add("abandoned");
+    public void requestCancelled(long nowUs, long requestId) {
+        recorded.add("abandoned");
     }
 
     @Override
-    public void healthCheckCompleted(long now, String server, Outcome outcome, LoadReport report) {}
+    public void healthCheckCompleted(long nowUs, String endpointId, Outcome outcome, LoadReport report) {
+        recorded.add("health check " + endpointId + " " + outcome);
+    }
 
     @Override
-    public void timerFired(long now, long token) {
-        heard.add("timer " + token);
+    public void timerFired(long nowUs, long token) {
+        recorded.add("timer " + token);
     }
 
     @Override
-    public void peerMessageReceived(long now, int from, byte[] body) {}
+    public void peerMessageReceived(long nowUs, int from, byte[] body) {}
 
     @Override
-    public int ineligibleCount(long now) {
+    public int ineligibleCount(long nowUs) {
         return 1;
     }
 
     @Override
-    public void quotaShareChanged(long now, double ofBalancer) {
-        heard.add("share " + ofBalancer);
+    public void quotaShareChanged(long nowUs, double shareOfNode) {
+        recorded.add("share " + shareOfNode);
     }
 
     @Override
-    public void reconfigure(long now, Settings settings) {
-        heard.add("settings " + settings.classes().size());
+    public void reconfigure(long nowUs, Settings settings) {
+        recorded.add("settings " + settings.classes().size());
     }
 
     @Override
-    public void poolsChanged(long now, Map<String, Set<String>> members) {
-        heard.add("pools " + new java.util.TreeMap<>(members));
+    public void poolsChanged(long nowUs, Map<String, Set<String>> pools) {
+        recorded.add("pools " + new TreeMap<>(pools));
     }
 
     @Override
-    public void requestRerouted(long now, long requestId, String pool) {
-        heard.add("route " + requestId + " " + pool);
+    public void requestRerouted(long nowUs, long requestId, String pool) {
+        recorded.add("route " + requestId + " " + pool);
     }
 
     @Override
-    public int eligibleCount(long now, String pool) {
-        return inFavour.getOrDefault(pool, 0);
+    public int eligibleCount(long nowUs, String pool) {
+        return eligibleByPool.getOrDefault(pool, 0);
     }
 }
--- /dev/null
+++ b/node/src/test/java/tulipshed/proxy/ReplicatedConnectionsTest.java
@@ -0,0 +1,34 @@
+package tulipshed.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tulipshed.proxy.HotRestartPeer.EstablishedConnection;
+
+/** Connections of the other process of a hot restart. */
+class ReplicatedConnectionsTest {
+    private final ProxyCoreFixture fixture = new ProxyCoreFixture();
+
+    /** Otherwise the process that takes over would distribute clients as if the endpoints had no load. */
+    @Test
+    void replicatesConnectionsOfHotRestartPeer() {
+        RecordingHotRestartPeer peer = new RecordingHotRestartPeer();
+        fixture.core.hotRestartPeer(peer);
+        peer.connections.put(3, new EstablishedConnection("s-1", "desk", 0));
+        peer.connections.put(4, new EstablishedConnection("nobody", "desk", 0));
+        fixture.core.syncHotRestartPeer();
+        fixture.core.syncHotRestartPeer();
+        assertEquals(List.of("already open s-1"), fixture.takeRecorded());
+        peer.connections.put(3, new EstablishedConnection("s-1", "gate", 0));
+        fixture.core.syncHotRestartPeer();
+        assertEquals(
+                List.of("finished 0 CANCELLED concluded", "already open s-1"),
+                fixture.takeRecorded(),
+                "another connection has the slot now");
+        peer.connections.clear();
+        fixture.core.syncHotRestartPeer();
+        assertEquals(List.of("finished 0 CANCELLED concluded"), fixture.takeRecorded());
+        assertEquals(0, fixture.core.establishedCount());
+    }
+}
--- a/node/src/test/java/tulipshed/proxy/RequestRoutingTest.java
+++ b/node/src/test/java/tulipshed/proxy/RequestRoutingTest.java
@@ -9,14 +9,15 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.routing.Router;
 
-/** What the core makes of the operators' rules. */
+/** How the operators' routing rules apply to requests. */
 class RequestRoutingTest {
     private static final String POOLS =
             "(pool a (where (in member.id [\"s-1\" \"s-2\"]))) (pool b (where (= member.id \"s-3\")))";
-    private final ProxyCoreFixture bench = new ProxyCoreFixture();
+    private final ProxyCoreFixture fixture = new ProxyCoreFixture();
 
     private static Router router(String text) {
         return OperatorsFile.read(
@@ -27,83 +28,72 @@
                 .router();
     }
 
-    private void ready(int a, int b) {
-        bench.inFavour.put("a", a);
-        bench.inFavour.put("b", b);
+    private void setEligible(int inPoolA, int inPoolB) {
+        fixture.eligibleByPool.put("a", inPoolA);
+        fixture.eligibleByPool.put("b", inPoolB);
     }
 
     @Test
     void classifiesArrivalAndAssignsItsPool() {
-        ready(1, 1);
-        bench.core.useRouter(router(POOLS + "(classify (rule r (when (= key \"k\")) (class \"slot-booking\")))"
+        setEligible(1, 1);
+        fixture.core.useRouter(router(POOLS + "(classify (rule r (when (= key \"k\")) (class \"slot-booking\")))"
                 + "(route r (when (= class \"slot-booking\")) (to b))"));
-        assertEquals(List.of("pools {a=[s-1], b=[]}"), bench.take());
-        bench.arrive(2000);
-        assertEquals(List.of("request 2000 in b as 2"), bench.take());
+        assertEquals(List.of("pools {a=[s-1], b=[]}"), fixture.takeRecorded());
+        fixture.requestArrives(2000);
+        assertEquals(List.of("request 2000 in b as 2"), fixture.takeRecorded());
     }
 
     @Test
     void reroutesPendingRequestsWhenTheirPoolBecomesIneligible() {
-        bench.tell("s-3", EndpointStatus.SERVING);
-        ready(1, 1);
-        bench.core.useRouter(router(POOLS + "(route r (to a b))"));
-        bench.arrive(2000);
-        bench.take();
-        bench.inFavour.put("a", 0);
-        bench.pass(99);
-        assertEquals(List.of(), bench.take());
-        bench.pass(2);
-        assertEquals(List.of("INFO route: r uses pool b instead of its preferred pool", "route 1 b"), bench.take());
-        bench.inFavour.put("a", 1);
-        bench.tell("s-2", EndpointStatus.SERVING);
+        fixture.updateEndpoint("s-3", EndpointStatus.SERVING);
+        setEligible(1, 1);
+        fixture.core.useRouter(router(POOLS + "(route r (to a b))"));
+        fixture.requestArrives(2000);
+        fixture.takeRecorded();
+        fixture.eligibleByPool.put("a", 0);
+        fixture.advance(99);
+        assertEquals(List.of(), fixture.takeRecorded());
+        fixture.advance(2);
+        assertEquals(
+                List.of("INFO route: r uses pool b instead of its preferred pool", "route 1 b"),
+                fixture.takeRecorded());
+        fixture.eligibleByPool.put("a", 1);
+        fixture.updateEndpoint("s-2", EndpointStatus.SERVING);
         assertEquals(
                 List.of(
                         "list CHANGES",
                         "pools {a=[s-1, s-2], b=[s-3]}",
                         "INFO route: r uses its preferred pool again",
                         "route 1 a"),
-                bench.take().stream()
-                        .map(l -> l.replace("s-2, s-1", "s-1, s-2"))
+                fixture.takeRecorded().stream()
+                        .map(line -> line.replace("s-2, s-1", "s-1, s-2"))
                         .toList());
     }
 
     @Test
     void keepsEstablishedConnectionWhenRouterIsRemoved() {
-        ready(1, 1);
-        bench.core.useRouter(router(POOLS + "(route r (to a))"));
-        Attempt attempt = bench.sent(2000);
-        assertTrue(bench.core.attemptEstablished(attempt));
-        bench.arrive(1500);
-        bench.take();
-        bench.core.useRouter(null);
-        assertEquals(List.of("pools {}", "route 2 null"), bench.take());
+        setEligible(1, 1);
+        fixture.core.useRouter(router(POOLS + "(route r (to a))"));
+        Attempt attempt = fixture.startAttempt(2000);
+        assertTrue(fixture.core.attemptEstablished(attempt));
+        fixture.requestArrives(1500);
+        fixture.takeRecorded();
+        fixture.core.useRouter(null);
+        assertEquals(List.of("pools {}", "route 2 null"), fixture.takeRecorded());
         assertTrue(attempt.request().isEstablished());
-        bench.pass(300);
-        assertEquals(List.of(), bench.take(), "nobody looks at routes any more");
+        fixture.advance(300);
+        assertEquals(List.of(), fixture.takeRecorded(), "routes are no longer polled");
     }
 
-    /** Settings may drop a class that a rule gave, before the rules are read anew. */
+    /** Settings may drop a class that a rule assigns, before the rules are reloaded. */
     @Test
     void ignoresClassThatSettingsNoLongerName() {
-        bench.core.useRouter(router("(classify (rule r (when true) (class \"slot-booking\")))"));
-        var s = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
-                .settings();
-        bench.core.reconfigure(new tulipshed.decision.BalancerApi.Settings(
-                s.nodeIndex(),
-                s.nodeCount(),
-                s.zone(),
-                s.passThrough(),
-                s.polledDiscovery(),
-                s.groupAffinity(),
-                s.weightSemantics(),
-                s.loadReportSource(),
-                s.limits(),
-                s.rules(),
-                s.prices(),
-                s.classes().subList(0, 2),
-                s.tenants()));
-        bench.take();
-        bench.arrive(1000);
-        assertEquals(List.of("request 1000"), bench.take());
+        fixture.core.useRouter(router("(classify (rule r (when true) (class \"slot-booking\")))"));
+        Settings settings = ProxyCoreFixture.nodeSettings();
+        fixture.core.reconfigure(
+                ProxyCoreFixture.withClasses(settings, settings.classes().subList(0, 2)));
+        fixture.takeRecorded();
+        fixture.requestArrives(1000);
+        assertEquals(List.of("request 1000"), fixture.takeRecorded());
     }
 }
--- a/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
+++ b/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
@@ -10,44 +10,51 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
+/** Timers by deadline, and their cancellation. */
 class TimerQueueTest {
-    /** Every due that is not dropped is looked at, in its order, and what is dropped holds no memory for long. */
+    /** Upper bound of cancelled timers that are held beyond as many as there are pending ones. */
+    private static final int MAX_UNSWEPT = 1100;
+
+    /** Each timer runs at its deadline unless it was cancelled, and cancelled ones are released soon. */
     @Property(tries = 200, seed = "95")
     void runsTimersInOrderAndReleasesCancelledOnes(@ForAll long seed) {
         Random random = new Random(seed);
-        TimerQueue dues = new TimerQueue();
-        TreeMap<Double, List<Integer>> expected = new TreeMap<>();
-        List<Integer> seen = new ArrayList<>();
-        List<Integer> wanted = new ArrayList<>();
-        List<TimerQueue.Timer> made = new ArrayList<>();
-        List<Double> times = new ArrayList<>();
+        TimerQueue queue = new TimerQueue();
+        TreeMap<Double, List<Integer>> pendingByDeadline = new TreeMap<>();
+        List<Integer> ran = new ArrayList<>();
+        List<Integer> expected = new ArrayList<>();
+        List<TimerQueue.Timer> timers = new ArrayList<>();
+        List<Double> deadlines = new ArrayList<>();
         double nowMs = 0;
-        int live = 0;
-        for (int i = 0; i < 6000; i++) {
-            double atMs = nowMs + random.nextInt(1, 100_000);
-            int number = i;
-            made.add(dues.add(atMs, () -> seen.add(number)));
-            times.add(atMs);
-            expected.computeIfAbsent(atMs, t -> new ArrayList<>()).add(i);
-            live++;
-            int other = random.nextInt(made.size());
+        int pending = 0;
+        for (int index = 0; index < 6000; index++) {
+            double deadlineMs = nowMs + random.nextInt(1, 100_000);
+            int number = index;
+            timers.add(queue.add(deadlineMs, () -> ran.add(number)));
+            deadlines.add(deadlineMs);
+            pendingByDeadline
+                    .computeIfAbsent(deadlineMs, unused -> new ArrayList<>())
+                    .add(index);
+            pending++;
+            int other = random.nextInt(timers.size());
             if (random.nextInt(20) > 0
-                    && times.get(other) > nowMs
-                    && expected.get(times.get(other)).remove((Integer) other)) {
-                made.get(other).cancel();
-                made.get(other).cancel();
-                live--;
+                    && deadlines.get(other) > nowMs
+                    && pendingByDeadline.get(deadlines.get(other)).remove((Integer) other)) {
+                timers.get(other).cancel();
+                timers.get(other).cancel();
+                pending--;
             }
             if (random.nextInt(100) == 0) {
                 nowMs += random.nextInt(3000);
-                dues.runExpired(nowMs, Runnable::run);
-                while (!expected.isEmpty() && expected.firstKey() <= nowMs) {
-                    wanted.addAll(expected.pollFirstEntry().getValue());
+                queue.runExpired(nowMs, Runnable::run);
+                while (!pendingByDeadline.isEmpty() && pendingByDeadline.firstKey() <= nowMs) {
+                    expected.addAll(pendingByDeadline.pollFirstEntry().getValue());
                 }
-                assertEquals(wanted, seen);
-                live = expected.values().stream().mapToInt(List::size).sum();
+                assertEquals(expected, ran);
+                pending =
+                        pendingByDeadline.values().stream().mapToInt(List::size).sum();
             }
-            assertTrue(dues.size() <= 2 * live + 1100, dues.size() + " kept for " + live);
+            assertTrue(queue.size() <= 2 * pending + MAX_UNSWEPT, queue.size() + " held for " + pending);
         }
     }
 }
