Line protocol tests: race conditions and parsers in classes by topic

One class held all pairs of concurrent events, one all parsers. Now one class a topic (client disconnects, endpoint changes, connection closes), with a shared fixture that holds the event loop; one test class a parser. Comments and assertion messages in ordinary terms.

--- /dev/null
+++ b/node/src/test/java/tulipshed/lineprotocol/EndpointChangeRaceTest.java
@@ -0,0 +1,80 @@
+package tulipshed.lineprotocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.Outcome;
+
+/** An endpoint that changes just as a connection to it is made, used or migrated away from. */
+class EndpointChangeRaceTest extends RaceConditionFixture {
+    @Test
+    void sendsNothingToEndpointThatStartsDrainingWhileConnecting() throws Exception {
+        beforeRequestArrived = () -> loop.execute(() -> {
+            holdLoop();
+            listFirstEndpoint(EndpointStatus.DRAINING);
+        });
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            await(loopHeld);
+            try (LineSocket server = acceptUpstream()) {
+                otherEventHappened.countDown();
+                assertNull(server.readLine(), "the endpoint receives nothing");
+            }
+            assertEquals(Outcome.CONNECT_FAILED, outcomes.poll(5, TimeUnit.SECONDS));
+        }
+    }
+
+    /** A truncated line is no response. */
+    @ParameterizedTest
+    @ValueSource(strings = {"U", "UP", "UP r1", "UP r1\r"})
+    void treatsTruncatedResponseAsReset(String cut) throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND.replace("d=4000", "d=300"));
+            try (LineSocket server = acceptUpstream()) {
+                server.readLine();
+                server.send(cut);
+                server.socket.shutdownOutput();
+                assertEquals(Outcome.RESET, outcomes.poll(5, TimeUnit.SECONDS));
+            }
+            assertTrue(client.readLine().startsWith("BUSY"), "nothing of the response reaches the client");
+        }
+    }
+
+    @Test
+    void ignoresSecondResponseAfterRejection() throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND.replace("d=4000", "d=300"));
+            try (LineSocket server = acceptUpstream()) {
+                server.readLine();
+                server.send("BUSY\r\nUP r1\r\n");
+                assertEquals(Outcome.FULL, outcomes.poll(5, TimeUnit.SECONDS));
+            }
+            assertTrue(client.readLine().matches("BUSY [0-9]+"));
+            assertNull(client.readLine());
+        }
+    }
+
+    /** The decoder holds a part of the endpoint's line as the client migrates: MOVE stands between two lines. */
+    @Test
+    void dropsPartialEndpointLineWhenClientMigrates() throws Exception {
+        try (LineSocket client = connectClient()) {
+            client.send(OPEN_COMMAND);
+            try (LineSocket server = acceptUpstream()) {
+                server.readLine();
+                server.send("UP r1\r\n");
+                assertEquals("UP r1", client.readLine());
+                holdLoopThenRun(() -> core.migrateOldest());
+                server.send("M 1 who");
+                releaseLoopAndAwaitDecision();
+                assertEquals("MOVE", client.readLine());
+                assertNull(client.readLine());
+            }
+        }
+    }
+}
