--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -77,7 +77,7 @@
             StreamReader.read(connection, context.readBuffer(), StreamReader.UNLIMITED_READS, relay);
         } else {
             // A client that sends without end must not keep the event loop to itself; the rest is notified again.
-            int maxReads = context.limits().sockets().readsAtOnce();
+            int maxReads = context.limits().sockets().maxReadsPerEvent();
             StreamReader.read(connection, context.readBuffer(), maxReads, requestReader);
         }
     }
--- a/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnection.java
@@ -111,7 +111,7 @@
 
     @Override
     public void onReadable(TcpConnection from) {
-        int maxReads = context.limits().sockets().readsAtOnce();
+        int maxReads = context.limits().sockets().maxReadsPerEvent();
         StreamReader.read(connection, context.readBuffer(), maxReads, endpointInput);
     }
 
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -128,7 +128,7 @@
 
     private boolean isNearClientLimit() {
         Limits limits = context.limits();
-        return clientCount >= limits.clientConnections() - limits.sockets().acceptsAtOnce();
+        return clientCount >= limits.clientConnections() - limits.sockets().maxAcceptsPerEvent();
     }
 
     /** A client's connection was taken. */
--- a/node/src/test/java/tulipshed/lineprotocol/ConnectionCloseRaceTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/ConnectionCloseRaceTest.java
@@ -114,8 +114,8 @@
                 s.descriptors(),
                 s.reservedDescriptors(),
                 s.backlog(),
-                s.readsAtOnce(),
-                s.acceptsAtOnce(),
+                s.maxReadsPerEvent(),
+                s.maxAcceptsPerEvent(),
                 lingerMs,
                 s.sweepIntervalMs(),
                 s.overloadRetryAfterMs())));
--- a/node/src/test/java/tulipshed/lineprotocol/CrlfDecoderTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/CrlfDecoderTest.java
@@ -11,7 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** Lines are decoded alike however the input arrives. */
 class CrlfDecoderTest {
@@ -25,7 +25,7 @@
         List<String> sent = lengths.stream().map(n -> "x".repeat(n) + "\r\n").toList();
         CrlfDecoder decoder = new CrlfDecoder(64);
         List<String> decoded = new ArrayList<>();
-        Cuts.feed(encoded(String.join("", sent)), seed, in -> {
+        InputFuzzer.feedInFragments(encoded(String.join("", sent)), seed, in -> {
             for (byte[] line = decoder.next(in); line != null; line = decoder.next(in)) {
                 decoded.add(new String(line, StandardCharsets.ISO_8859_1));
             }
@@ -38,7 +38,7 @@
     void preservesEveryByteOfGarbage(@ForAll @Size(max = 500) byte[] garbage, @ForAll long seed) {
         CrlfDecoder decoder = new CrlfDecoder(16);
         ByteArrayOutputStream decoded = new ByteArrayOutputStream();
-        Cuts.feed(garbage, seed, in -> {
+        InputFuzzer.feedInFragments(garbage, seed, in -> {
             while (in.hasRemaining()) {
                 try {
                     byte[] line = decoder.next(in);
--- a/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
@@ -29,7 +29,7 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EndpointListEntry;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -170,7 +170,7 @@
     }
 
     /** The decision module; records what it is notified of. */
-    private final class RecordingModule extends ModuleDelegate {
+    private final class RecordingModule extends DelegatingBalancer {
         RecordingModule(BalancerApi to) {
             super(to);
         }
--- a/node/src/test/java/tulipshed/lineprotocol/OpenCommandParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/OpenCommandParserTest.java
@@ -11,7 +11,7 @@
 import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Declarations;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** Open commands are parsed, or rejected as malformed. */
 class OpenCommandParserTest {
@@ -31,7 +31,7 @@
 
     @Property(tries = 500, seed = "13")
     void parsesOrRejectsCorruptedOpenCommand(@ForAll long seed) {
-        byte[] line = Cuts.spoil(encoded(OPEN_COMMAND), seed);
+        byte[] line = InputFuzzer.corrupt(encoded(OPEN_COMMAND), seed);
         try {
             // What is accepted must be forwarded byte for byte but for its timeout.
             OpenCommand command = new OpenCommandParser(names(), Declarations.NONE, 60_000).parse(line);
