Line protocol: closing of client connections is one class; health check tests use the fixture

ClientSession still held the lingering close besides its states; the tests of health checks repeated the set-up of the fixture.

--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -30,7 +30,7 @@
     private final TcpConnection connection;
     private final RequestReader requestReader;
     private final double acceptedAtMs;
-    private final ClientLease lease;
+    private final ClientCloser closer;
     private State state = State.OPENING;
     private OpenCommand openCommand;
     private Request request;
@@ -45,7 +45,7 @@
         this.connection = context.eventLoop().register(accepted, this);
         this.requestReader = new RequestReader(frontend, this, connection);
         this.acceptedAtMs = context.clock().nowMs();
-        this.lease = new ClientLease(frontend);
+        this.closer = new ClientCloser(frontend, this, connection);
     }
 
     /** Starts reading. */
@@ -59,6 +59,11 @@
         return state;
     }
 
+    /** Whether the client has ended its sending. */
+    boolean isInputEnded() {
+        return isInputEnded;
+    }
+
     /** When the connection was taken over. */
     double acceptedAtMs() {
         return acceptedAtMs;
@@ -89,13 +94,14 @@
         }
     }
 
-    /** The open command has arrived.
+    /**
+     * The open command has arrived.
      *
      * @throws MalformedLineException if its ID is that of another open request
      */
     void startRequest(OpenCommand command) {
         openCommand = command;
-        if (!lease.claimId(command.id())) {
+        if (!closer.lease().claimId(command.id())) {
             // Endpoints would respond with a failure, one after the other.
             throw new MalformedLineException("the ID of an open request");
         }
@@ -115,7 +121,7 @@
         }
     }
 
-    /** Cancels the pending request of a client that does not follow the protocol. */
+    /** Fails a client that does not follow the protocol, and cancels its pending request. */
     void cancelMalformed(String reason) {
         context.core().clientDisconnected(request);
         failMalformed(reason);
@@ -207,38 +213,20 @@
         if (state != State.CLOSING) {
             beginClosing();
             connection.write(line);
-            shutdownAndLinger();
+            closer.shutdownAndLinger();
         }
     }
 
     /** The request needs nothing more of the client; its ID is available again. */
     private void beginClosing() {
         state = State.CLOSING;
-        lease.releaseId();
-    }
-
-    /** Ends the sending, and reads and drops further input, so that no reset overtakes what was written. */
-    private void shutdownAndLinger() {
-        frontend.unservedConnections().lingers(this);
-        connection.shutdownOutput();
-        connection.setReading(!isInputEnded);
-        context.eventLoop().schedule(context.limits().sockets().lingerTimeoutMs(), this::onLingerTimeout);
-        if (isInputEnded && connection.queuedBytes() == 0) {
-            close();
-        }
+        closer.lease().releaseId();
     }
 
-    /** To close over unread input would send a reset, and the last line could be lost with it. */
-    private void onLingerTimeout() {
-        readAvailableInput();
-        close();
-    }
-
-    private void close() {
-        beginClosing();
-        frontend.unservedConnections().remove(this);
-        connection.close();
-        lease.release();
+    /** Closes at once. */
+    void close() {
+        state = State.CLOSING;
+        closer.close();
     }
 
     @Override
@@ -309,7 +297,7 @@
     void onUpstreamEndOfStream() {
         if (state == State.RELAYING) {
             beginClosing();
-            shutdownAndLinger();
+            closer.shutdownAndLinger();
         }
     }
 
--- a/node/src/test/java/tulipshed/lineprotocol/AsyncApiDescriptionTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/AsyncApiDescriptionTest.java
@@ -43,10 +43,11 @@
             String line = (String) example;
             assertTrue(line.matches((String) valueAt(payload, "pattern")), line);
             NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-            OpenCommand read = new OpenCommandParser(config.nameIndex(), Declarations.NONE, 60_000)
+            OpenCommand command = new OpenCommandParser(config.nameIndex(), Declarations.NONE, 60_000)
                     .parse(line.getBytes(StandardCharsets.US_ASCII));
             assertEquals(
-                    line, new String(read.forwardedLine(read.attributes().timeoutMs()), StandardCharsets.US_ASCII));
+                    line,
+                    new String(command.forwardedLine(command.attributes().timeoutMs()), StandardCharsets.US_ASCII));
         }
     }
 
@@ -54,21 +55,23 @@
     void resolvesEveryReference() throws IOException {
         for (String file :
                 List.of("../docs/asyncapi.yaml", "../docs/openapi-discovery.yaml", "../docs/openapi-management.yaml")) {
-            Object whole = new Yaml().load(Files.readString(Path.of(file)));
-            assertTrue(references(whole, whole) > 0, file);
+            Object document = new Yaml().load(Files.readString(Path.of(file)));
+            assertTrue(references(document, document) > 0, file);
         }
     }
 
-    private static int references(Object whole, Object part) {
-        if (part instanceof List<?> list) {
-            return list.stream().mapToInt(p -> references(whole, p)).sum();
+    private static int references(Object document, Object node) {
+        if (node instanceof List<?> list) {
+            return list.stream().mapToInt(child -> references(document, child)).sum();
         }
-        if (part instanceof Map<?, ?> map) {
+        if (node instanceof Map<?, ?> map) {
             if (map.get("$ref") instanceof String reference) {
-                valueAt(whole, reference.substring(2).split("/"));
+                valueAt(document, reference.substring(2).split("/"));
                 return 1;
             }
-            return map.values().stream().mapToInt(p -> references(whole, p)).sum();
+            return map.values().stream()
+                    .mapToInt(child -> references(document, child))
+                    .sum();
         }
         return 0;
     }
--- a/node/src/test/java/tulipshed/lineprotocol/ConnectionCloseRaceTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/ConnectionCloseRaceTest.java
@@ -105,20 +105,20 @@
     @Test
     void clientPastLingerTimeoutSeesEndOfStreamDespiteUnreadBytes() throws Exception {
         stop();
-        Limits usual = Limits.forDescriptors(1024);
-        Limits.Sockets s = usual.sockets();
+        Limits defaults = Limits.forDescriptors(1024);
+        Limits.Sockets sockets = defaults.sockets();
         long lingerMs = 300;
-        start(usual.with(new Limits.Sockets(
-                s.relayBytes(),
-                s.readBytes(),
-                s.descriptors(),
-                s.reservedDescriptors(),
-                s.backlog(),
-                s.maxReadsPerEvent(),
-                s.maxAcceptsPerEvent(),
+        start(defaults.with(new Limits.Sockets(
+                sockets.relayBytes(),
+                sockets.readBytes(),
+                sockets.descriptors(),
+                sockets.reservedDescriptors(),
+                sockets.backlog(),
+                sockets.maxReadsPerEvent(),
+                sockets.maxAcceptsPerEvent(),
                 lingerMs,
-                s.sweepIntervalMs(),
-                s.overloadRetryAfterMs())));
+                sockets.sweepIntervalMs(),
+                sockets.overloadRetryAfterMs())));
         try (LineSocket client = connectClient()) {
             client.send("frob\r\n");
             assertEquals("ERR", client.readLine());
--- a/node/src/test/java/tulipshed/lineprotocol/HealthCheckConnectionsTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/HealthCheckConnectionsTest.java
@@ -5,130 +5,51 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
 import tulipshed.decision.BalancerApi;
-import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.EndpointListKind;
-import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.decision.BalancerApi.LoadReport;
 import tulipshed.decision.BalancerApi.Outcome;
-import tulipshed.decision.BalancerApi.Settings;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
-import tulipshed.proxy.EndpointListEntry;
-import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.DelegatingBalancer;
-import tulipshed.time.SystemClock;
-import tulipshed.transport.XnioEventLoop;
 
 /** Health checks on loopback sockets, between the real core and an endpoint that the test plays line by line. */
-class HealthCheckConnectionsTest {
+class HealthCheckConnectionsTest extends LineProtocolFixture {
     private record HealthCheckResult(String endpointId, Outcome outcome, LoadReport report) {}
 
     private final BlockingQueue<HealthCheckResult> results = new LinkedBlockingQueue<>();
-    private final List<String> logLines = new CopyOnWriteArrayList<>();
-    private ServerSocket endpointListener;
-    private XnioEventLoop loop;
-    private ProxyCore core;
-    private LineProtocolFrontend frontend;
     private BalancerApi.Actions actions;
 
     @BeforeEach
+    @Override
     void start() throws Exception {
-        start(true);
+        start(Limits.forDescriptors(1024), "\"Probes\": false", "\"Probes\": true");
     }
 
-    private void start(boolean allowed) throws Exception {
-        Limits limits = Limits.forDescriptors(1024);
-        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
-        Settings s = config.settings();
-        BalancerApi.SiteLimits l = s.limits();
-        Settings settings = new Settings(
-                s.nodeIndex(),
-                s.nodeCount(),
-                s.zone(),
-                s.passThrough(),
-                s.polledDiscovery(),
-                s.groupAffinity(),
-                s.weightSemantics(),
-                s.loadReportSource(),
-                new BalancerApi.SiteLimits(
-                        l.maxAttempts(),
-                        l.maxRetryAfterUs(),
-                        l.cancellation(),
-                        allowed,
-                        l.peerMessages(),
-                        l.retryAfter(),
-                        l.connectTimeoutUs(),
-                        l.connectionIdleUs(),
-                        l.streamsPerConnection()),
-                s.rules(),
-                s.prices(),
-                s.classes(),
-                s.tenants());
-        loop = new XnioEventLoop(limits);
-        endpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        BlockingQueue<ProxyCore> made = new LinkedBlockingQueue<>();
-        loop.execute(() -> {
-            ProxyCore c = new ProxyCore(
-                    new SystemClock(),
-                    limits,
-                    settings,
-                    1,
-                    loop,
-                    NodeLog.to(logLines::add),
-                    (given, seed, now, does) -> {
-                        actions = does;
-                        return new DelegatingBalancer(new Balancer(given, seed, now, does)) {
-                            @Override
-                            public void healthCheckCompleted(
-                                    long now, String server, Outcome outcome, LoadReport report) {
-                                results.add(new HealthCheckResult(server, outcome, report));
-                            }
-                        };
-                    });
-            c.endpointsChanged(
-                    EndpointListKind.COMPLETE,
-                    List.of(new EndpointListEntry(
-                            new EndpointInfo("s-1", EndpointStatus.SERVING, "decin", 0, "std-2c", 1, 0),
-                            (InetSocketAddress) endpointListener.getLocalSocketAddress())));
-            frontend = new LineProtocolFrontend(
-                    new SystemClock(),
-                    limits,
-                    config.nameIndex(),
-                    config.loadReportsLatency(),
-                    loop,
-                    c,
-                    NodeLog.to(logLines::add));
-            made.add(c);
-        });
-        core = made.poll(10, TimeUnit.SECONDS);
+    @Override
+    NodeLog coreLog() {
+        return NodeLog.to(logLines::add);
     }
 
-    @AfterEach
-    void stop() throws IOException {
-        endpointListener.close();
-        loop.stop();
+    @Override
+    BalancerApi decisionModule(Balancer balancer, BalancerApi.Actions actionsOfCore) {
+        actions = actionsOfCore;
+        return new DelegatingBalancer(balancer) {
+            @Override
+            public void healthCheckCompleted(long now, String endpointId, Outcome outcome, LoadReport report) {
+                results.add(new HealthCheckResult(endpointId, outcome, report));
+            }
+        };
     }
 
     /** The decision module starts a health check, in an event batch of its own. */
@@ -140,34 +61,25 @@
     }
 
     private HealthCheckResult nextResult() throws InterruptedException {
-        HealthCheckResult h = results.poll(10, TimeUnit.SECONDS);
-        assertNotNull(h, "no result of a health check");
-        return h;
-    }
-
-    private static String readLine(Socket s) throws IOException {
-        s.setSoTimeout(10_000);
-        return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII), 1).readLine();
-    }
-
-    private static void sendLine(Socket s, String text) throws IOException {
-        s.getOutputStream().write((text + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        HealthCheckResult result = results.poll(10, TimeUnit.SECONDS);
+        assertNotNull(result, "no result of a health check");
+        return result;
     }
 
     @Test
     void reportsLoadAndReusesConnectionForNextHealthCheck() throws Exception {
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            assertEquals("STATS", readLine(s));
-            sendLine(s, "PONG util=0.61,queue=2,x0=0.75");
+        try (LineSocket endpoint = acceptUpstream()) {
+            assertEquals("STATS", endpoint.readLine());
+            endpoint.send("PONG util=0.61,queue=2,x0=0.75\r\n");
             HealthCheckResult first = nextResult();
             assertEquals(Outcome.OK, first.outcome());
             assertEquals(0.75, first.report().load());
             assertEquals(0.61, first.report().cpu());
             assertEquals(2, first.report().queue());
             startHealthCheck();
-            assertEquals("STATS", readLine(s));
-            sendLine(s, "PONG x0=0.25");
+            assertEquals("STATS", endpoint.readLine());
+            endpoint.send("PONG x0=0.25\r\n");
             assertEquals(0.25, nextResult().report().load());
         }
     }
@@ -176,27 +88,27 @@
     void overlappingHealthChecksShareOneResponse() throws Exception {
         startHealthCheck();
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            assertEquals("STATS", readLine(s));
-            sendLine(s, "PONG x0=0.5");
+        try (LineSocket endpoint = acceptUpstream()) {
+            assertEquals("STATS", endpoint.readLine());
+            endpoint.send("PONG x0=0.5\r\n");
             assertEquals(0.5, nextResult().report().load());
             startHealthCheck();
-            assertEquals("STATS", readLine(s), "the first line after the response is the third check's");
+            assertEquals("STATS", endpoint.readLine(), "the first line after the response is the third check's");
         }
     }
 
     @Test
     void reopensIdleConnectionClosedByEndpoint() throws Exception {
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            readLine(s);
-            sendLine(s, "PONG x0=0.5");
+        try (LineSocket endpoint = acceptUpstream()) {
+            endpoint.readLine();
+            endpoint.send("PONG x0=0.5\r\n");
             nextResult();
         }
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            assertEquals("STATS", readLine(s));
-            sendLine(s, "PONG x0=0.125");
+        try (LineSocket endpoint = acceptUpstream()) {
+            assertEquals("STATS", endpoint.readLine());
+            endpoint.send("PONG x0=0.125\r\n");
             assertEquals(0.125, nextResult().report().load());
         }
     }
@@ -204,10 +116,10 @@
     @Test
     void reportsUnresponsiveAndUnreachableEndpointInTime() throws Exception {
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            readLine(s);
+        try (LineSocket endpoint = acceptUpstream()) {
+            endpoint.readLine();
             assertEquals(Outcome.TIMEOUT, nextResult().outcome());
-            assertEquals(-1, s.getInputStream().read(), "the connection is closed");
+            assertEquals(-1, endpoint.reader.read(), "the connection is closed");
         }
         endpointListener.close();
         startHealthCheck();
@@ -230,25 +142,25 @@
             })
     void rejectsMalformedReportWithoutQuotingIt(String answer) throws Exception {
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            readLine(s);
-            sendLine(s, answer);
-            HealthCheckResult h = nextResult();
-            assertEquals(Outcome.ERROR, h.outcome());
-            assertEquals(LoadReport.NONE, h.report());
+        try (LineSocket endpoint = acceptUpstream()) {
+            endpoint.readLine();
+            endpoint.send(answer + "\r\n");
+            HealthCheckResult result = nextResult();
+            assertEquals(Outcome.ERROR, result.outcome());
+            assertEquals(LoadReport.NONE, result.report());
         }
-        assertTrue(logLines.stream().noneMatch(l -> l.contains(answer)), logLines.toString());
+        assertTrue(logLines.stream().noneMatch(logLine -> logLine.contains(answer)), logLines.toString());
     }
 
     @Test
     void closesConnectionsAndSendsNoHealthCheckAfterListenerClosed() throws Exception {
         startHealthCheck();
-        try (Socket s = endpointListener.accept()) {
-            readLine(s);
-            sendLine(s, "PONG x0=0.5");
+        try (LineSocket endpoint = acceptUpstream()) {
+            endpoint.readLine();
+            endpoint.send("PONG x0=0.5\r\n");
             nextResult();
             loop.execute(frontend::listenerClosed);
-            assertEquals(-1, s.getInputStream().read());
+            assertEquals(-1, endpoint.reader.read());
             startHealthCheck();
             assertEquals(Outcome.UNUSED, nextResult().outcome());
         }
@@ -257,7 +169,7 @@
     @Test
     void sendsNothingWhenHealthChecksAreNotAllowed() throws Exception {
         stop();
-        start(false);
+        start(Limits.forDescriptors(1024));
         startHealthCheck();
         assertEquals(Outcome.UNUSED, nextResult().outcome());
         endpointListener.setSoTimeout(100);
--- a/node/src/test/java/tulipshed/lineprotocol/InactivityDetectorTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/InactivityDetectorTest.java
@@ -16,12 +16,12 @@
     @Test
     void detectsUnresponsiveEndpointBeforeClientGivesUp() {
         detector.requestSent(1000);
-        double at = 1000;
-        while (!detector.isUnresponsive(at)) {
-            at += sweepIntervalMs;
+        double nowMs = 1000;
+        while (!detector.isUnresponsive(nowMs)) {
+            nowMs += sweepIntervalMs;
         }
-        assertTrue(at - 1000 > 600, "endpoints may pause for 600 ms");
-        assertTrue(at - 1000 < 1500, "detected after " + (at - 1000));
+        assertTrue(nowMs - 1000 > 600, "endpoints may pause for 600 ms");
+        assertTrue(nowMs - 1000 < 1500, "detected after " + (nowMs - 1000));
     }
 
     @Test
--- a/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
@@ -94,11 +94,7 @@
 
     /** Starts with the sample settings, in which one text is replaced by another. */
     void start(Limits limits, String replaced, String replacement) throws Exception {
-        Path file = Files.createTempFile("node", ".json");
-        Files.writeString(
-                file, Files.readString(Path.of("src/test/resources/node.json")).replace(replaced, replacement));
-        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
-        Files.delete(file);
+        NodeConfig config = sampleConfig(replaced, replacement);
         loop = new XnioEventLoop(limits);
         endpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         secondEndpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -107,37 +103,67 @@
         secondEndpointListener.setSoTimeout(10_000);
         BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
         loop.execute(() -> {
-            core = new ProxyCore(
-                    new SystemClock(),
-                    limits,
-                    config.settings(),
-                    1,
-                    loop,
-                    NodeLog.silent(),
-                    (settings, seed, now, actions) -> new RecordingModule(new Balancer(settings, seed, now, actions)));
-            core.endpointsChanged(
-                    EndpointListKind.COMPLETE, List.of(endpointEntry("s-1", EndpointStatus.SERVING, endpointListener)));
-            frontend = new LineProtocolFrontend(
-                    new SystemClock(),
-                    limits,
-                    config.nameIndex(),
-                    config.loadReportsLatency(),
-                    loop,
-                    core,
-                    NodeLog.to(logLines::add));
-            try {
-                listening.add(loop.listen(
-                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                                limits.clientConnections(),
-                                frontend::accept)
-                        .address());
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
+            core = startCore(limits, config);
+            frontend = startFrontend(limits, config);
+            listening.add(listen(limits));
         });
         nodeAddress = listening.poll(10, TimeUnit.SECONDS);
     }
 
+    private static NodeConfig sampleConfig(String replaced, String replacement) throws IOException {
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(
+                file, Files.readString(Path.of("src/test/resources/node.json")).replace(replaced, replacement));
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        Files.delete(file);
+        return config;
+    }
+
+    private ProxyCore startCore(Limits limits, NodeConfig config) {
+        ProxyCore started = new ProxyCore(
+                new SystemClock(),
+                limits,
+                config.settings(),
+                1,
+                loop,
+                coreLog(),
+                (settings, seed, now, actions) -> decisionModule(new Balancer(settings, seed, now, actions), actions));
+        started.endpointsChanged(
+                EndpointListKind.COMPLETE, List.of(endpointEntry("s-1", EndpointStatus.SERVING, endpointListener)));
+        return started;
+    }
+
+    private LineProtocolFrontend startFrontend(Limits limits, NodeConfig config) {
+        return new LineProtocolFrontend(
+                new SystemClock(),
+                limits,
+                config.nameIndex(),
+                config.loadReportsLatency(),
+                loop,
+                core,
+                NodeLog.to(logLines::add));
+    }
+
+    private InetSocketAddress listen(Limits limits) {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try {
+            return loop.listen(anyPort, limits.clientConnections(), frontend::accept)
+                    .address();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The log of the core; tests that check it override this. */
+    NodeLog coreLog() {
+        return NodeLog.silent();
+    }
+
+    /** The decision module in use; tests that observe more of it override this. Called on the event loop. */
+    BalancerApi decisionModule(Balancer balancer, BalancerApi.Actions actions) {
+        return new RecordingModule(balancer);
+    }
+
     /** The entry of the endpoint list for an endpoint that the test plays. */
     static EndpointListEntry endpointEntry(String id, EndpointStatus status, ServerSocket listener) {
         return new EndpointListEntry(new EndpointInfo(id, status, "decin", 0, "std-2c", 1, 0), (InetSocketAddress)
--- a/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
@@ -69,9 +69,10 @@
             try (LineSocket server = acceptUpstream()) {
                 server.send("UP r1\r\n");
                 assertEquals("UP r1", client.readLine());
-                for (String bad : List.of("NaN", "-1", "Infinity", "1e300", "", "x", "1 2", "7".repeat(400))) {
-                    server.send("LOAD " + bad + "\r\n");
-                    assertEquals(("LOAD " + bad).strip(), client.readLine().strip());
+                for (String malformed : List.of("NaN", "-1", "Infinity", "1e300", "", "x", "1 2", "7".repeat(400))) {
+                    server.send("LOAD " + malformed + "\r\n");
+                    assertEquals(
+                            ("LOAD " + malformed).strip(), client.readLine().strip());
                 }
                 server.send("LOAD\r\nLOAD 1200.5\r\n");
                 assertEquals(1200.5, loads.poll(5, TimeUnit.SECONDS));
@@ -95,13 +96,13 @@
                 "BUSY queue=1,queue=2; FULL; NaN; NaN",
                 "ERR queue; ERROR; NaN; NaN"
             })
-    void readsInlineLoadReportsWhenConfigured(String said, BalancerApi.Outcome outcome, double queue, double cpu)
+    void readsInlineLoadReportsWhenConfigured(String input, BalancerApi.Outcome outcome, double queue, double cpu)
             throws Exception {
         restart("\"How\": \"off\"", "\"How\": \"inline\"");
         try (LineSocket client = connectClient()) {
             client.send(OPEN_COMMAND);
             try (LineSocket server = acceptUpstream()) {
-                server.send(said.replace("|", "\r\n") + "\r\n");
+                server.send(input.replace("|", "\r\n") + "\r\n");
                 server.socket.shutdownOutput();
                 assertEquals(outcome, outcomes.poll(5, TimeUnit.SECONDS));
                 BalancerApi.LoadReport report = loadReports.poll(5, TimeUnit.SECONDS);
@@ -159,17 +160,17 @@
                 server.readLine();
                 server.send("UP r1\r\n");
                 client.readLine();
-                for (LineSocket[] way : new LineSocket[][] {{client, server}, {server, client}}) {
+                for (LineSocket[] direction : new LineSocket[][] {{client, server}, {server, client}}) {
                     Thread sender = new Thread(() -> {
                         try {
-                            way[0].send(text.toString());
+                            direction[0].send(text.toString());
                         } catch (IOException e) {
                             throw new java.io.UncheckedIOException(e);
                         }
                     });
                     sender.start();
                     for (String line : text.toString().split("\r\n")) {
-                        assertEquals(line, way[1].readLine());
+                        assertEquals(line, direction[1].readLine());
                     }
                     sender.join();
                 }
@@ -245,9 +246,9 @@
             try (LineSocket server = acceptUpstream()) {
                 server.send("UP r1\r\n");
                 assertEquals("UP r1", client.readLine());
-                try (LineSocket thief = connectClient()) {
-                    thief.send(OPEN_COMMAND.replace(" k ", " other "));
-                    assertEquals("ERR", thief.readLine());
+                try (LineSocket duplicate = connectClient()) {
+                    duplicate.send(OPEN_COMMAND.replace(" k ", " other "));
+                    assertEquals("ERR", duplicate.readLine());
                 }
                 client.send("M 1 x\r\n");
                 server.readLine();
@@ -268,12 +269,12 @@
     /** A client that sends nothing, only a part of its command, or only pings must not keep its connection. */
     @ParameterizedTest
     @ValueSource(strings = {"", "OPEN 9b", "PING\r\n"})
-    void failsClientWithoutOpenCommandWithinThreeSeconds(String said) throws IOException {
+    void failsClientWithoutOpenCommandWithinThreeSeconds(String input) throws IOException {
         long sinceNs = System.nanoTime();
         try (LineSocket client = connectClient()) {
-            client.send(said);
-            String heard = client.readLine();
-            assertEquals("ERR", heard.equals("PONG") ? client.readLine() : heard);
+            client.send(input);
+            String response = client.readLine();
+            assertEquals("ERR", response.equals("PONG") ? client.readLine() : response);
             assertTrue(System.nanoTime() - sinceNs < 3_000_000_000L);
         }
     }
--- a/node/src/test/java/tulipshed/lineprotocol/OpenCommandParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/OpenCommandParserTest.java
@@ -72,7 +72,7 @@
 
     @Test
     void rejectsMalformedOpenCommands() {
-        for (String bad : List.of(
+        for (String malformed : List.of(
                 "OPEN 1 k c=chat,t=acme,d=5\n",
                 "OPEN 1 k c=nope,t=acme,d=5\r\n",
                 "OPEN 1 k c=chat,t=acme\r\n",
@@ -88,8 +88,8 @@
                 "OPEN 1 k c=chat,t=nobody,d=5\r\n")) {
             assertThrows(
                     MalformedLineException.class,
-                    () -> new OpenCommandParser(names(), Declarations.NONE, 60_000).parse(encoded(bad)),
-                    bad);
+                    () -> new OpenCommandParser(names(), Declarations.NONE, 60_000).parse(encoded(malformed)),
+                    malformed);
         }
     }
 }
