--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -138,13 +138,13 @@
         connection.setReading(false);
         isInputEnded = true;
         switch (state) {
-            case OPENING, CLOSING -> close();
             case PENDING -> {
                 context.core().clientDisconnected(request);
                 // The client may have ended only its sending, and still read.
                 fail();
             }
             case RELAYING -> upstream.onClientEndOfStream();
+            default -> close();
         }
     }
 
@@ -153,7 +153,7 @@
         switch (state) {
             case PENDING -> context.core().clientDisconnected(request);
             case RELAYING -> upstream.onClientBroken();
-            case OPENING, CLOSING -> {}
+            default -> {}
         }
         close();
     }
@@ -170,7 +170,7 @@
     /** Rejects the client unless its open command has arrived. */
     void rejectIfOpening() {
         if (isStillOpening()) {
-            reject(context.core().retryAfterMs(context.limits().sockets().overloadRetryAfterMs()));
+            reject(frontend.overloadRetryAfterMs());
         }
     }
 
@@ -203,7 +203,7 @@
     public void migrate() {
         if (state == State.RELAYING) {
             upstream.abandon();
-            // Only complete lines are ever queued for the client, so this one stands between two of them.
+            // Only complete lines are ever queued for the client, so this one comes between two of them.
             sendLastLine(WireMessages.MIGRATE);
         }
     }
--- a/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
+++ b/node/src/main/java/tulipshed/lineprotocol/CrlfDecoder.java
@@ -28,7 +28,7 @@
             }
             byte next = in.get();
             partialLine[partialBytes++] = next;
-            // Only the line feed is looked for here; the parsers check what stands before it.
+            // The parsers check that a carriage return precedes the line feed.
             if (next == '\n') {
                 return takePartialLine();
             }
--- a/node/src/main/java/tulipshed/lineprotocol/EarlyData.java
+++ b/node/src/main/java/tulipshed/lineprotocol/EarlyData.java
@@ -3,11 +3,12 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 
-/** What a client sends between its open command and the response, kept for the endpoint. Bounded. */
+/** What a client sends between its open command and the response, kept for the endpoint. Bounded; confined to the event-loop thread. */
 final class EarlyData {
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private final int maxBytes;
 
+    /** Keeps {@code maxBytes} at most. */
     EarlyData(int maxBytes) {
         this.maxBytes = maxBytes;
     }
@@ -23,6 +24,7 @@
         return true;
     }
 
+    /** Whether nothing is kept. */
     boolean isEmpty() {
         return bytes.size() == 0;
     }
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -113,8 +113,7 @@
             unservedConnections.addOpening(session);
             session.start();
         } else {
-            session.reject(
-                    context.core().retryAfterMs(context.limits().sockets().overloadRetryAfterMs()));
+            session.reject(overloadRetryAfterMs());
         }
     }
 
@@ -131,6 +130,11 @@
         return clientCount >= limits.clientConnections() - limits.sockets().maxAcceptsPerEvent();
     }
 
+    /** When a client that is rejected for lack of capacity may retry; 0 if the settings allow no such delay. */
+    double overloadRetryAfterMs() {
+        return context.core().retryAfterMs(context.limits().sockets().overloadRetryAfterMs());
+    }
+
     /** A client's connection was taken. */
     void clientOpened() {
         clientCount++;
--- a/node/src/test/java/tulipshed/lineprotocol/EndpointChangeRaceTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/EndpointChangeRaceTest.java
@@ -60,7 +60,7 @@
         }
     }
 
-    /** The decoder holds a part of the endpoint's line as the client migrates: MOVE stands between two lines. */
+    /** The decoder holds a part of the endpoint's line as the client migrates: MOVE comes between two lines. */
     @Test
     void dropsPartialEndpointLineWhenClientMigrates() throws Exception {
         try (LineSocket client = connectClient()) {
--- a/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
@@ -345,7 +345,7 @@
         assertTrue(logLines.stream().noneMatch(l -> l.contains("forged")), logLines.toString());
     }
 
-    /** A shortage of descriptors must not look like an unreachable endpoint. */
+    /** A shortage of descriptors must not be taken for an unreachable endpoint. */
     @Test
     void rejectsWithoutBlamingEndpointWhenDescriptorsRunOut() throws Exception {
         stop();
