--- a/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFrontendTest.java
@@ -20,7 +20,7 @@
 import tulipshed.limits.Limits;
 import tulipshed.transport.UdpSocket;
 
-/** The platform's front: what each side hears of the other. */
+/** The line-protocol frontend as its clients and endpoints see it. */
 class LineProtocolFrontendTest extends LineProtocolFixture {
     @Test
     void relaysBothWaysUntilEndpointEndsConnection() throws IOException {
@@ -45,7 +45,7 @@
         }
     }
 
-    /** Seen on a trouble day: a LOAD line was taken for a load where the settings tell of delays only. */
+    /** Regression: the value of LOAD was taken for a load where endpoints report latency only. */
     @Test
     void readsLoadLineAsLatencyWhenConfigured() throws Exception {
         try (LineSocket client = connectClient()) {
@@ -60,7 +60,7 @@
         }
     }
 
-    /** Taken for a load, NaN would spoil all sums of the module for good; each line used to be quoted in the log. */
+    /** Regression: NaN corrupted the sums of the decision module, and each such line was quoted in the log. */
     @Test
     void relaysButIgnoresMalformedLoadLine() throws Exception {
         restart("\"TellsLoad\": false", "\"TellsLoad\": true");
@@ -69,9 +69,10 @@
             try (LineSocket server = acceptUpstream()) {
                 server.send("UP r1\r\n");
                 assertEquals("UP r1", client.readLine());
-                for (String bad : List.of("NaN", "-1", "Infinity", "1e300", "", "x", "1 2", "7".repeat(400))) {
-                    server.send("LOAD " + bad + "\r\n");
-                    assertEquals(("LOAD " + bad).strip(), client.readLine().strip());
+                for (String malformed : List.of("NaN", "-1", "Infinity", "1e300", "", "x", "1 2", "7".repeat(400))) {
+                    server.send("LOAD " + malformed + "\r\n");
+                    assertEquals(
+                            ("LOAD " + malformed).strip(), client.readLine().strip());
                 }
                 server.send("LOAD\r\nLOAD 1200.5\r\n");
                 assertEquals(1200.5, loads.poll(5, TimeUnit.SECONDS));
@@ -95,13 +96,13 @@
                 "BUSY queue=1,queue=2; FULL; NaN; NaN",
                 "ERR queue; ERROR; NaN; NaN"
             })
-    void readsInlineLoadReportsWhenConfigured(String said, BalancerApi.Outcome outcome, double queue, double cpu)
+    void readsInlineLoadReportsWhenConfigured(String input, BalancerApi.Outcome outcome, double queue, double cpu)
             throws Exception {
         restart("\"How\": \"off\"", "\"How\": \"inline\"");
         try (LineSocket client = connectClient()) {
             client.send(OPEN_COMMAND);
             try (LineSocket server = acceptUpstream()) {
-                server.send(said.replace("|", "\r\n") + "\r\n");
+                server.send(input.replace("|", "\r\n") + "\r\n");
                 server.socket.shutdownOutput();
                 assertEquals(outcome, outcomes.poll(5, TimeUnit.SECONDS));
                 BalancerApi.LoadReport report = loadReports.poll(5, TimeUnit.SECONDS);
@@ -146,7 +147,7 @@
         }
     }
 
-    /** Buffers are bounded, so a slow reader stops its peer; nothing may be lost or cut by that. */
+    /** Buffers are bounded, so a slow reader causes backpressure; nothing may be lost or truncated by that. */
     @Test
     void relaysMoreThanBuffersHoldInBothDirections() throws Exception {
         StringBuilder text = new StringBuilder();
@@ -159,17 +160,17 @@
                 server.readLine();
                 server.send("UP r1\r\n");
                 client.readLine();
-                for (LineSocket[] way : new LineSocket[][] {{client, server}, {server, client}}) {
+                for (LineSocket[] direction : new LineSocket[][] {{client, server}, {server, client}}) {
                     Thread sender = new Thread(() -> {
                         try {
-                            way[0].send(text.toString());
+                            direction[0].send(text.toString());
                         } catch (IOException e) {
                             throw new java.io.UncheckedIOException(e);
                         }
                     });
                     sender.start();
                     for (String line : text.toString().split("\r\n")) {
-                        assertEquals(line, way[1].readLine());
+                        assertEquals(line, direction[1].readLine());
                     }
                     sender.join();
                 }
@@ -177,7 +178,7 @@
         }
     }
 
-    /** What comes back from a member, then the end of its connection, and the outcome that stands for it. */
+    /** The endpoint's lines before it closes its connection, and the outcome of the attempt. */
     @ParameterizedTest
     @CsvSource({
         "'', RESET",
@@ -209,7 +210,7 @@
         }
     }
 
-    /** A machine that vanishes resets nothing: only the missing replies show it. */
+    /** A machine that fails resets nothing: only the missing responses show it. */
     @Test
     void migratesClientOfUnresponsiveEndpoint() throws Exception {
         try (LineSocket client = connectClient()) {
@@ -237,7 +238,7 @@
         }
     }
 
-    /** Seen on a rude day: members were sent the same bad request six times over, and answered ERR to each. */
+    /** Regression: endpoints were sent the same invalid request six times, and answered ERR to each. */
     @Test
     void rejectsIdOfOpenRequest() throws IOException {
         try (LineSocket client = connectClient()) {
@@ -245,13 +246,13 @@
             try (LineSocket server = acceptUpstream()) {
                 server.send("UP r1\r\n");
                 assertEquals("UP r1", client.readLine());
-                try (LineSocket thief = connectClient()) {
-                    thief.send(OPEN_COMMAND.replace(" k ", " other "));
-                    assertEquals("ERR", thief.readLine());
+                try (LineSocket duplicate = connectClient()) {
+                    duplicate.send(OPEN_COMMAND.replace(" k ", " other "));
+                    assertEquals("ERR", duplicate.readLine());
                 }
                 client.send("M 1 x\r\n");
                 server.readLine();
-                assertEquals("M 1 x", server.readLine(), "the first one stands");
+                assertEquals("M 1 x", server.readLine(), "the first one stays established");
                 server.send("BYE\r\n");
             }
             assertEquals("BYE", client.readLine());
@@ -260,20 +261,20 @@
         try (LineSocket client = connectClient()) {
             client.send(OPEN_COMMAND);
             try (LineSocket server = acceptUpstream()) {
-                assertTrue(server.readLine().startsWith("OPEN"), "free again once its transaction is over");
+                assertTrue(server.readLine().startsWith("OPEN"), "available again once its request has ended");
             }
         }
     }
 
-    /** A client that says nothing, or never all of it, or only pings, must not hold its connection. */
+    /** A client that sends nothing, only a part of its command, or only pings must not keep its connection. */
     @ParameterizedTest
     @ValueSource(strings = {"", "OPEN 9b", "PING\r\n"})
-    void failsClientWithoutOpenCommandWithinThreeSeconds(String said) throws IOException {
+    void failsClientWithoutOpenCommandWithinThreeSeconds(String input) throws IOException {
         long sinceNs = System.nanoTime();
         try (LineSocket client = connectClient()) {
-            client.send(said);
-            String heard = client.readLine();
-            assertEquals("ERR", heard.equals("PONG") ? client.readLine() : heard);
+            client.send(input);
+            String response = client.readLine();
+            assertEquals("ERR", response.equals("PONG") ? client.readLine() : response);
             assertTrue(System.nanoTime() - sinceNs < 3_000_000_000L);
         }
     }
@@ -297,7 +298,7 @@
             assertEquals("ERR", client.readLine());
             assertNull(client.readLine());
         }
-        // Whatever of it a member saw was one line of the client's, and that flow has ended.
+        // An endpoint saw one line of the client's at most, and that attempt has ended.
         endpointListener.setSoTimeout(300);
         try (LineSocket server = acceptUpstream()) {
             String first = server.readLine();
@@ -307,7 +308,7 @@
         }
     }
 
-    /** A value of 60 MB: the error comes at once, and the loop goes on serving others meanwhile. */
+    /** A value of 60 MB: the error comes at once, and the event loop serves others meanwhile. */
     @Test
     void failsUnterminatedLineImmediately() throws Exception {
         try (LineSocket client = connectClient();
@@ -328,7 +329,7 @@
         }
     }
 
-    /** Hundreds of bad lines must not fill the log, nor put into it what clients wrote. */
+    /** Hundreds of malformed lines must neither fill the log nor be quoted in it. */
     @Test
     void logsNumberOfMalformedClientsWithoutQuotingThem() throws Exception {
         for (int i = 0; i < 50; i++) {
@@ -344,7 +345,7 @@
         assertTrue(logLines.stream().noneMatch(l -> l.contains("forged")), logLines.toString());
     }
 
-    /** Without this the want of descriptors would look like a member that cannot be reached. */
+    /** A shortage of descriptors must not be taken for an unreachable endpoint. */
     @Test
     void rejectsWithoutBlamingEndpointWhenDescriptorsRunOut() throws Exception {
         stop();
