Transport: connection attempts and the descriptor budget leave the event loop

Need: XnioEventLoop counted descriptors, dialled and listened; names and comments were of the old house style. Change: ConnectionAttempt and DescriptorBudget are classes of their own, TcpConnection.flush is split, members and comments use the field's terms.

--- a/node/src/main/java/tulipshed/transport/Acceptor.java
+++ b/node/src/main/java/tulipshed/transport/Acceptor.java
@@ -11,77 +11,81 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * One address that connections are taken at. XNIO accepts on a thread of its own, ahead of the loop, and the kernel takes
- * a descriptor back only in the loop's next look at its sockets. So what was accepted is handed on a few at a time, with
- * such a look in between: else a burst would take descriptors that were given up as well as those that wait.
+ * One TCP listener. XNIO accepts on a thread of its own, ahead of the event loop, and the kernel releases the descriptor of
+ * a closed connection only at the loop's next select. So accepted connections are handled in small batches with a select
+ * in between; else a burst would take both the descriptors of connections that were closed already and those of
+ * connections that wait. Confined to the event-loop thread.
  */
 public final class Acceptor implements Closeable {
-    private static final double NEXT_LOOK_MS = 1;
+    /** Long enough for the loop to select once. */
+    private static final double BATCH_DELAY_MS = 1;
 
     private final XnioEventLoop loop;
     private final Logger log;
-    private final int atOnce;
-    private final Consumer<StreamConnection> taker;
+    private final int batchSize;
+    private final Consumer<StreamConnection> handler;
     private final ArrayDeque<StreamConnection> accepted = new ArrayDeque<>();
     private AcceptingChannel<StreamConnection> channel;
-    private boolean ahead;
+    private boolean batchScheduled;
 
-    Acceptor(XnioEventLoop loop, Logger log, int atOnce, Consumer<StreamConnection> taker) {
+    /** A listener that hands at most {@code batchSize} connections to {@code handler} between two selects. */
+    Acceptor(XnioEventLoop loop, Logger log, int batchSize, Consumer<StreamConnection> handler) {
         this.loop = loop;
         this.log = log;
-        this.atOnce = atOnce;
-        this.taker = taker;
+        this.batchSize = batchSize;
+        this.handler = handler;
     }
 
-    void starts(AcceptingChannel<StreamConnection> listening) {
+    /** Starts accepting from a channel that listens already. */
+    void start(AcceptingChannel<StreamConnection> listening) {
         channel = listening;
         channel.resumeAccepts();
     }
 
-    /** Where it listens. */
+    /** The local address. */
     public InetSocketAddress address() {
         return channel.getLocalAddress(InetSocketAddress.class);
     }
 
-    /** Something was accepted. */
-    void ready(AcceptingChannel<StreamConnection> from) {
-        gather(from);
-        if (!ahead) {
-            handOn();
+    /** Called by XNIO where connections can be accepted. */
+    void onAcceptable(AcceptingChannel<StreamConnection> from) {
+        acceptAll(from);
+        if (!batchScheduled) {
+            handleBatch();
         }
     }
 
-    private void gather(AcceptingChannel<StreamConnection> from) {
+    private void acceptAll(AcceptingChannel<StreamConnection> from) {
         try {
-            for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
-                accepted.add(c);
+            for (StreamConnection next = from.accept(); next != null; next = from.accept()) {
+                accepted.add(next);
             }
         } catch (IOException e) {
             log.error("cannot accept a connection: " + e.getMessage());
         }
     }
 
-    private void handOn() {
-        ahead = false;
-        for (int i = 0; i < atOnce && !accepted.isEmpty(); i++) {
-            taker.accept(accepted.poll());
+    private void handleBatch() {
+        batchScheduled = false;
+        for (int i = 0; i < batchSize && !accepted.isEmpty(); i++) {
+            handler.accept(accepted.poll());
         }
         if (!accepted.isEmpty()) {
-            ahead = true;
-            loop.schedule(NEXT_LOOK_MS, this::handOn);
+            batchScheduled = true;
+            loop.schedule(BATCH_DELAY_MS, this::handleBatch);
         }
     }
 
-    /** Hands on all that has been accepted, and takes nothing more. */
+    /** Hands over all connections that the kernel has accepted, then stops listening. */
     public void drainAndClose() {
-        gather(channel);
+        acceptAll(channel);
         while (!accepted.isEmpty()) {
-            taker.accept(accepted.poll());
+            handler.accept(accepted.poll());
         }
         close();
     }
 
-    /** Takes nothing more; what was accepted and not handed on is closed. */
+    /** Stops listening, and closes connections that were accepted and not handed over. */
     @Override
     public void close() {
         IoUtils.safeClose(channel);
--- a/node/src/main/java/tulipshed/transport/ProtocolErrorLog.java
+++ b/node/src/main/java/tulipshed/transport/ProtocolErrorLog.java
@@ -4,33 +4,36 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 
-/** Tells the log of others that send what cannot be used: how many, and never what they sent. */
+/**
+ * Logs protocol errors of remote parties at a limited rate: how many there were, and never what was sent. Confined to the
+ * event-loop thread.
+ */
 public final class ProtocolErrorLog {
-    private final String what;
+    private final String eventName;
     private final Limits limits;
     private final Logger log;
     private int count;
-    private String last = "";
-    private double toldMs = Double.NEGATIVE_INFINITY;
+    private String lastReason = "";
+    private double loggedAtMs = Double.NEGATIVE_INFINITY;
 
-    /** Counts events named {@code what}, and logs them under {@code subject}. */
-    public ProtocolErrorLog(String subject, String what, Limits limits, NodeLog log) {
-        this.what = what;
+    /** Counts events named {@code eventName}, and logs them under {@code subject}. */
+    public ProtocolErrorLog(String subject, String eventName, Limits limits, NodeLog log) {
+        this.eventName = eventName;
         this.limits = limits;
         this.log = log.logger(subject);
     }
 
-    /** One more; {@code why} is ours, never the sender's. */
-    public void record(String why) {
+    /** Counts one event; {@code reason} is a text of this program, never one that was received. */
+    public void record(String reason) {
         count++;
-        last = why;
+        lastReason = reason;
     }
 
-    /** One line at most for all that came since the line before, and not too often. */
+    /** Logs one line for all events since the line before, unless that line is too recent. */
     public void flush(double nowMs) {
-        if (count > 0 && nowMs - toldMs >= limits.lineProtocol().protocolErrorLogMs()) {
-            log.warn(what + ": " + count + ", last: " + last);
-            toldMs = nowMs;
+        if (count > 0 && nowMs - loggedAtMs >= limits.lineProtocol().protocolErrorLogMs()) {
+            log.warn(eventName + ": " + count + ", last: " + lastReason);
+            loggedAtMs = nowMs;
             count = 0;
         }
     }
--- a/node/src/main/java/tulipshed/transport/ReusePortProvider.java
+++ b/node/src/main/java/tulipshed/transport/ReusePortProvider.java
@@ -12,14 +12,15 @@
 import java.nio.channels.spi.SelectorProvider;
 
 /**
- * The platform's channels, of which those that listen share their port with another process of this node. XNIO opens
- * and binds a listener in one step and has no option for that. The virtual machine finds this class as a service; the
- * program's manifest opens the platform's provider to it.
+ * The platform's provider of channels, except that TCP listeners set {@code SO_REUSEPORT}, by which the two processes of a
+ * hot restart listen at one address. XNIO opens and binds a listener in one step and has no option for that.
+ *
+ * <p>The virtual machine finds this class as a service; the program's manifest opens the platform's provider to it.
  */
 public final class ReusePortProvider extends SelectorProvider {
     private final SelectorProvider platform;
 
-    /** For the virtual machine. */
+    /** Called by the virtual machine, once. */
     public ReusePortProvider() {
         try {
             platform = (SelectorProvider) Class.forName("sun.nio.ch.DefaultSelectorProvider")
--- a/node/src/main/java/tulipshed/transport/TcpConnection.java
+++ b/node/src/main/java/tulipshed/transport/TcpConnection.java
@@ -12,46 +12,50 @@
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
-/** One TCP connection: reads when asked to, queues what cannot be written yet, ends the way it is told. */
+/**
+ * One TCP connection: reads without blocking, queues what cannot be written yet, and notifies its listener. Confined to the
+ * event-loop thread.
+ */
 public final class TcpConnection {
     private final StreamConnection connection;
     private final ConduitStreamSourceChannel source;
     private final ConduitStreamSinkChannel sink;
-    private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
-    private final Listener owner;
+    private final ArrayDeque<ByteBuffer> writeQueue = new ArrayDeque<>();
+    private final Listener listener;
     private int queuedBytes;
     private boolean isShuttingDown;
-    private boolean finished;
+    private boolean isOutputShutDown;
     private boolean isClosed;
 
-    /** Hears what happens on a link; nothing after the link is closed. */
+    /** Is notified of what happens to a connection, until the connection is closed. */
     public interface Listener {
-        /** Something can be read: bytes, or the end. */
-        void onReadable(TcpConnection link);
+        /** There are bytes to read, or the end of input. */
+        void onReadable(TcpConnection connection);
 
-        /** All that was queued has been written. */
-        void onWritten(TcpConnection link);
+        /** All queued bytes have been written. */
+        void onWritten(TcpConnection connection);
 
-        /** The connection broke. */
-        void onBroken(TcpConnection link);
+        /** The connection failed and is closed. */
+        void onBroken(TcpConnection connection);
     }
 
-    public TcpConnection(StreamConnection connection, Listener owner, Runnable whenClosed) {
+    /** Takes over a connection; {@code onClosed} is run once it is closed, for whatever reason. */
+    public TcpConnection(StreamConnection connection, Listener listener, Runnable onClosed) {
         this.connection = connection;
-        this.owner = owner;
+        this.listener = listener;
         source = connection.getSourceChannel();
         sink = connection.getSinkChannel();
-        source.setReadListener(s -> {
+        source.setReadListener(readable -> {
             if (!isClosed) {
-                owner.onReadable(this);
+                listener.onReadable(this);
             }
         });
-        sink.setWriteListener(s -> flush());
-        ChannelListener<StreamConnection> closed = c -> whenClosed.run();
-        connection.setCloseListener(closed);
+        sink.setWriteListener(writable -> flush());
+        ChannelListener<StreamConnection> closeListener = closed -> onClosed.run();
+        connection.setCloseListener(closeListener);
     }
 
-    /** The other end's address; the wildcard address where it is not known any more. */
+    /** The remote address; the wildcard address where it is not known any more. */
     public InetAddress remoteAddress() {
         InetSocketAddress address = connection.getPeerAddress(InetSocketAddress.class);
         return address == null || address.getAddress() == null
@@ -59,16 +63,22 @@
                 : address.getAddress();
     }
 
-    /** Reads what is there; -1 at the end, 0 when there is nothing now. A break is told to the owner as well. */
+    /**
+     * Reads what has been received, without blocking. Where the connection fails, the listener is notified before this
+     * returns.
+     *
+     * @return the number of bytes read; 0 if there are none now, -1 at the end of input
+     */
     public int read(ByteBuffer into) {
         try {
             return isClosed ? 0 : source.read(into);
         } catch (IOException e) {
-            broken();
+            fail();
             return 0;
         }
     }
 
+    /** Sets whether the listener is notified of input; initially it is not. */
     public void setReading(boolean on) {
         if (isClosed) {
             return;
@@ -85,21 +95,22 @@
         return queuedBytes;
     }
 
+    /** Writes bytes, as {@link #write(ByteBuffer)} does. */
     public void write(byte[] bytes) {
         write(ByteBuffer.wrap(bytes));
     }
 
-    /** Takes the buffer over; what cannot be written at once is queued. */
+    /** Takes over the buffer; what cannot be written at once is queued. Ignored after a shutdown of the output. */
     public void write(ByteBuffer bytes) {
         if (isClosed || isShuttingDown || !bytes.hasRemaining()) {
             return;
         }
-        queue.add(bytes);
+        writeQueue.add(bytes);
         queuedBytes += bytes.remaining();
         flush();
     }
 
-    /** Ends this side's sending once all is written. */
+    /** Shuts down the output once all queued bytes are written; input can still be read. */
     public void shutdownOutput() {
         if (!isShuttingDown && !isClosed) {
             isShuttingDown = true;
@@ -107,52 +118,65 @@
         }
     }
 
+    /** Whether {@link #shutdownOutput} was called. */
     public boolean isShuttingDown() {
         return isShuttingDown;
     }
 
     private void flush() {
-        if (isClosed || finished) {
+        if (isClosed || isOutputShutDown) {
             return;
         }
-        boolean waited = queuedBytes > 0;
+        boolean hadQueuedBytes = queuedBytes > 0;
         try {
-            while (!queue.isEmpty()) {
-                int written = sink.write(queue.peek());
-                queuedBytes -= written;
-                if (queue.peek().hasRemaining()) {
-                    sink.resumeWrites();
-                    return;
-                }
-                queue.poll();
-            }
-            if (isShuttingDown) {
-                sink.shutdownWrites();
-                finished = sink.flush();
-            }
-            if (isShuttingDown && !finished) {
+            if (!writeQueuedBytes()) {
                 sink.resumeWrites();
-            } else {
-                sink.suspendWrites();
+                return;
             }
+            finishShutdown();
         } catch (IOException e) {
-            broken();
+            fail();
             return;
         }
-        if (waited) {
-            owner.onWritten(this);
+        if (hadQueuedBytes) {
+            listener.onWritten(this);
+        }
+    }
+
+    /** Writes as much as the kernel accepts; true once the queue is empty. */
+    private boolean writeQueuedBytes() throws IOException {
+        while (!writeQueue.isEmpty()) {
+            int written = sink.write(writeQueue.peek());
+            queuedBytes -= written;
+            if (writeQueue.peek().hasRemaining()) {
+                return false;
+            }
+            writeQueue.poll();
+        }
+        return true;
+    }
+
+    /** With the queue empty: shuts down the output if that was requested. */
+    private void finishShutdown() throws IOException {
+        if (isShuttingDown) {
+            sink.shutdownWrites();
+            isOutputShutDown = sink.flush();
+        }
+        if (isShuttingDown && !isOutputShutDown) {
+            sink.resumeWrites();
+        } else {
+            sink.suspendWrites();
         }
     }
 
-    private void broken() {
+    private void fail() {
         if (!isClosed) {
-            isClosed = true;
-            IoUtils.safeClose(connection);
-            owner.onBroken(this);
+            close();
+            listener.onBroken(this);
         }
     }
 
-    /** Closes at once; what was not read yet makes the other end see a reset. */
+    /** Closes at once. Where received bytes were not read, the remote end sees a reset. */
     public void close() {
         if (!isClosed) {
             isClosed = true;
@@ -162,18 +186,18 @@
 
     /** Closes with a reset. */
     public void abort() {
-        if (!isClosed) {
-            try {
-                connection.setOption(Options.CLOSE_ABORT, true);
-            } catch (IOException e) {
-                // Then it is closed plainly.
-                close();
-                return;
-            }
-            close();
+        if (isClosed) {
+            return;
+        }
+        try {
+            connection.setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException e) {
+            // Without the option it is closed in the ordinary way.
         }
+        close();
     }
 
+    /** Whether it is closed on this side, or has failed. */
     public boolean isClosed() {
         return isClosed;
     }
--- a/node/src/main/java/tulipshed/transport/UdpSocket.java
+++ b/node/src/main/java/tulipshed/transport/UdpSocket.java
@@ -7,41 +7,45 @@
 import org.xnio.channels.MulticastMessageChannel;
 import org.xnio.channels.SocketAddressBuffer;
 
-/** One UDP socket. What cannot be sent at once is dropped, as any hop on the way might. */
+/** One UDP socket. A datagram that cannot be sent at once is dropped. Confined to the event-loop thread. */
 public final class UdpSocket {
     private final MulticastMessageChannel channel;
-    private final Runnable whenClosed;
+    private final ByteBuffer scratch;
+    private final int batchSize;
+    private final Receiver receiver;
+    private final Runnable onClosed;
+    private final SocketAddressBuffer addresses = new SocketAddressBuffer();
     private boolean closed;
 
-    /** Hears every datagram that comes in. */
+    /** Takes the datagrams that a socket receives. */
     public interface Receiver {
+        /** A datagram was received; the array belongs to the receiver. */
         void onDatagram(InetSocketAddress from, byte[] datagram);
     }
 
+    /** A socket that reads at most {@code batchSize} datagrams each time it is readable. */
     UdpSocket(
-            MulticastMessageChannel channel,
-            ByteBuffer scratch,
-            int readsAtOnce,
-            Receiver receiver,
-            Runnable whenClosed) {
+            MulticastMessageChannel channel, ByteBuffer scratch, int batchSize, Receiver receiver, Runnable onClosed) {
         this.channel = channel;
-        this.whenClosed = whenClosed;
-        SocketAddressBuffer addresses = new SocketAddressBuffer();
-        channel.getReadSetter().set(c -> receive(scratch, readsAtOnce, addresses, receiver));
+        this.scratch = scratch;
+        this.batchSize = batchSize;
+        this.receiver = receiver;
+        this.onClosed = onClosed;
+        channel.getReadSetter().set(ready -> receiveBatch());
         channel.resumeReads();
     }
 
-    /** Reads a batch. One socket that is flooded must not keep the others waiting, so what is left comes at the next turn. */
-    private void receive(ByteBuffer scratch, int readsAtOnce, SocketAddressBuffer addresses, Receiver receiver) {
-        for (int i = 0; i < readsAtOnce && !closed; i++) {
+    /** Reads a batch; the rest waits for the loop's next iteration, so that a flooded socket does not starve the others. */
+    private void receiveBatch() {
+        for (int i = 0; i < batchSize && !closed; i++) {
             scratch.clear();
             try {
-                // XNIO says 0 both for nothing there and for an empty datagram; neither is of use here.
+                // XNIO returns 0 both where nothing is there and for an empty datagram, which is of no use here.
                 if (channel.receiveFrom(addresses, scratch) <= 0) {
                     return;
                 }
             } catch (IOException e) {
-                // An error that the network reported for an earlier datagram; the socket goes on.
+                // An error that the network reported for an earlier datagram; the socket still works.
                 return;
             }
             byte[] datagram = new byte[scratch.flip().remaining()];
@@ -50,26 +54,28 @@
         }
     }
 
-    /** Sends a datagram, or drops it where the network will not take it now. */
+    /** Sends a datagram, or drops it where the kernel does not accept it now. */
     public void send(InetSocketAddress to, byte[] datagram) {
         if (!closed) {
             try {
                 channel.sendTo(to, ByteBuffer.wrap(datagram));
             } catch (IOException e) {
-                // Dropped: whoever sent it sends again.
+                // Dropped; the protocol above retransmits.
                 return;
             }
         }
     }
 
+    /** The local address. */
     public InetSocketAddress address() {
         return channel.getLocalAddress(InetSocketAddress.class);
     }
 
+    /** Closes the socket; does nothing where it is closed. */
     public void close() {
         if (!closed) {
             closed = true;
-            whenClosed.run();
+            onClosed.run();
             IoUtils.safeClose(channel);
         }
     }
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -20,31 +20,39 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.EventLoop;
 
-/** The one I/O thread: XNIO's, which runs listeners and, after those that were ready, the tasks given to it. */
+/**
+ * The node's event loop: XNIO's one I/O thread, which runs the listeners of sockets that are ready and then the tasks that
+ * were given to it. Opens sockets and counts their descriptors.
+ *
+ * <p>{@link #execute}, {@link #schedule} and {@link #stop} may be called on any thread, all else on the I/O thread once the
+ * node runs.
+ */
 public final class XnioEventLoop implements EventLoop {
-    /** Kept, as loggers that nobody holds forget their level. */
-    private static final List<java.util.logging.Logger> LIBRARIES =
+    /** Held here, as the platform keeps only weak references to loggers and would forget their level. */
+    private static final List<java.util.logging.Logger> LIBRARY_LOGGERS =
             List.of(java.util.logging.Logger.getLogger("org.xnio"), java.util.logging.Logger.getLogger("org.jboss"));
 
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Limits limits;
     private final HotRestartState hotRestartState;
+    private final DescriptorBudget descriptors;
     private final Logger log;
-    private int openConnections;
     private volatile boolean stopped;
 
+    /** The loop of a process that has no peer in a hot restart, and that logs nothing. */
     public XnioEventLoop(Limits limits) throws IOException {
         this(limits, new HotRestartState(), NodeLog.silent());
     }
 
-    /** A loop of a process that may share its node with another one during a hot restart. */
+    /** The loop of a process that may share its node with another one during a hot restart. */
     public XnioEventLoop(Limits limits, HotRestartState hotRestartState, NodeLog log) throws IOException {
         this.limits = limits;
         this.hotRestartState = hotRestartState;
         this.log = log.logger("transport");
-        // XNIO and its threads greet with a line each, whose formatting alone costs a tenth of the start.
-        LIBRARIES.forEach(l -> l.setLevel(Level.WARNING));
+        descriptors = new DescriptorBudget(limits, hotRestartState);
+        // XNIO and its threads log a line each at the start, whose formatting alone takes a tenth of the start.
+        LIBRARY_LOGGERS.forEach(logger -> logger.setLevel(Level.WARNING));
         Xnio xnio = Xnio.getInstance("nio", XnioEventLoop.class.getClassLoader());
         worker = xnio.createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "tulipshed")
@@ -71,157 +79,107 @@
         }
     }
 
-    /** Whether two more connections, a client's and its member's, stay within the descriptors allowed. */
+    /** Whether a client's connection and its upstream connection stay within the descriptors allowed. */
     public boolean hasCapacityForClient() {
-        return openConnections + others() + 2 <= limits.connectionDescriptors();
+        return descriptors.hasCapacityForClient();
     }
 
-    /** Whether one more connection, to a member, stays within the descriptors allowed. */
+    /** Whether one more upstream connection stays within the descriptors allowed. */
     public boolean hasCapacityForUpstream() {
-        return openConnections + others() < limits.flowDescriptors();
+        return descriptors.hasCapacityForUpstream();
     }
 
-    /** What another process of this node holds: its connections, and what a process needs besides. */
-    private int others() {
-        return hotRestartState.hasPeer()
-                ? hotRestartState.peerOpenConnections()
-                        + limits.sockets().reservedDescriptors()
-                        + 2 * limits.management().connections()
-                : 0;
-    }
-
-    private void opened(int more) {
-        openConnections += more;
-        hotRestartState.publishOpenConnections(openConnections);
-    }
-
-    /** The other process of this node, where there is one. */
+    /** What this process shares with the other one of its node during a hot restart. */
     public HotRestartState hotRestartState() {
         return hotRestartState;
     }
 
-    /** Connections open now. */
+    /** Connections and UDP sockets that are open, and connections being opened; listeners do not count. */
     public int openConnections() {
-        return openConnections;
+        return descriptors.openCount();
     }
 
     /**
-     * Accepts connections at the address, and nowhere else. No more than {@code most} of them take descriptors: those that
-     * come while as many are open wait in the kernel, as accepting runs ahead of the loop.
+     * Listens for TCP connections at an address. At most {@code maxConnections} of them hold descriptors: further ones wait
+     * in the kernel's backlog, as XNIO accepts ahead of the loop.
+     *
+     * @param handler takes each connection, on the I/O thread
      */
-    public Acceptor listen(InetSocketAddress address, int most, Consumer<StreamConnection> taker) throws IOException {
-        Acceptor acceptor = new Acceptor(this, log, limits.sockets().acceptsAtOnce(), taker);
-        acceptor.starts(worker.createStreamConnectionServer(
+    public Acceptor listen(InetSocketAddress address, int maxConnections, Consumer<StreamConnection> handler)
+            throws IOException {
+        Acceptor acceptor = new Acceptor(this, log, limits.sockets().acceptsAtOnce(), handler);
+        acceptor.start(worker.createStreamConnectionServer(
                 address,
-                acceptor::ready,
+                acceptor::onAcceptable,
                 OptionMap.builder()
                         .set(Options.BACKLOG, limits.sockets().backlog())
                         .set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.CONNECTION_HIGH_WATER, most)
-                        .set(Options.CONNECTION_LOW_WATER, most)
+                        .set(Options.CONNECTION_HIGH_WATER, maxConnections)
+                        .set(Options.CONNECTION_LOW_WATER, maxConnections)
                         .set(Options.TCP_NODELAY, true)
                         .getMap()));
         return acceptor;
     }
 
-    /** Opens a UDP socket at the address; it counts among the descriptors until it is closed. */
+    /**
+     * Opens a UDP socket at an address; it counts among the descriptors until it is closed.
+     *
+     * @param scratch what datagrams are read into; may be shared by the sockets of a loop
+     */
     public UdpSocket bindUdp(InetSocketAddress address, ByteBuffer scratch, UdpSocket.Receiver receiver)
             throws IOException {
-        // XNIO would let addresses be used again, and the kernel then gives one free port to two such sockets: the
-        // first hears
-        // nothing any more.
-        MulticastMessageChannel channel = worker.createUdpServer(
-                address,
-                OptionMap.create(
-                        Options.REUSE_ADDRESSES,
-                        false,
-                        Options.RECEIVE_BUFFER,
-                        limits.quic().receiveBytes()));
-        opened(1);
-        return new UdpSocket(channel, scratch, limits.quic().readsAtOnce(), receiver, () -> opened(-1));
+        // XNIO would set SO_REUSEADDR, with which the kernel may give the same free port to two sockets: the first then
+        // receives nothing any more.
+        OptionMap options = OptionMap.create(
+                Options.REUSE_ADDRESSES,
+                false,
+                Options.RECEIVE_BUFFER,
+                limits.quic().receiveBytes());
+        MulticastMessageChannel channel = worker.createUdpServer(address, options);
+        descriptors.opened();
+        return new UdpSocket(channel, scratch, limits.quic().readsAtOnce(), receiver, descriptors::closed);
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
     public void stop() {
-        // What was ready when the thread was ended may still want to give it tasks.
+        // Listeners that are running while the thread ends may still schedule tasks, which it would reject.
         stopped = true;
         worker.shutdownNow();
     }
 
-    /** Makes a connection known to be open; it is counted until it is closed. */
-    public TcpConnection register(StreamConnection connection, TcpConnection.Listener owner) {
-        opened(1);
-        return new TcpConnection(connection, owner, () -> opened(-1));
+    /** Takes over a connection that is open; it counts among the descriptors until it is closed. */
+    public TcpConnection register(StreamConnection connection, TcpConnection.Listener listener) {
+        descriptors.opened();
+        return new TcpConnection(connection, listener, descriptors::closed);
     }
 
-    /** A connection being made. */
+    /** A connection being opened. */
     public interface PendingConnection {
-        /** Nothing more is told of it; a connection that comes up all the same is closed. */
+        /** Suppresses the notification of the result; a connection that is established all the same is closed. */
         void abandon();
     }
 
-    /** Opens a connection; one of the two is called, on the loop, unless it is given up before. */
+    /** Opens a TCP connection; one of the two consumers is called, on the I/O thread, unless it is abandoned before. */
     public PendingConnection connect(
-            InetSocketAddress to, Consumer<StreamConnection> up, Consumer<IOException> failed) {
-        Dial dial = new Dial(up, failed);
-        opened(1);
+            InetSocketAddress to, Consumer<StreamConnection> onEstablished, Consumer<IOException> onFailed) {
+        ConnectionAttempt attempt = new ConnectionAttempt(descriptors, onEstablished, onFailed);
         IoFuture<StreamConnection> future =
-                thread.openStreamConnection(to, dial::up, OptionMap.create(Options.TCP_NODELAY, true));
-        dial.future = future;
+                thread.openStreamConnection(to, attempt::established, OptionMap.create(Options.TCP_NODELAY, true));
+        attempt.setFuture(future);
         future.addNotifier(
-                (f, x) -> {
-                    if (f.getStatus() != IoFuture.Status.DONE) {
-                        IOException why = f.getStatus() == IoFuture.Status.FAILED
-                                ? f.getException()
-                                : new IOException("connection attempt cancelled");
-                        thread.execute(() -> dial.failed(why));
+                (ended, attachment) -> {
+                    if (ended.getStatus() != IoFuture.Status.DONE) {
+                        IOException cause = failureOf(ended);
+                        thread.execute(() -> attempt.failed(cause));
                     }
                 },
                 null);
-        return dial;
+        return attempt;
     }
 
-    /** One dialled connection; whichever comes first of up, failed and given up is the end of it. */
-    private final class Dial implements PendingConnection {
-        private final Consumer<StreamConnection> up;
-        private final Consumer<IOException> failed;
-        private IoFuture<StreamConnection> future;
-        private boolean given;
-        private boolean over;
-
-        Dial(Consumer<StreamConnection> up, Consumer<IOException> failed) {
-            this.up = up;
-            this.failed = failed;
-        }
-
-        void up(StreamConnection c) {
-            if (!over) {
-                over = true;
-                opened(-1);
-                if (given) {
-                    org.xnio.IoUtils.safeClose(c);
-                } else {
-                    up.accept(c);
-                }
-            }
-        }
-
-        void failed(IOException why) {
-            if (!over) {
-                over = true;
-                opened(-1);
-                if (!given) {
-                    failed.accept(why);
-                }
-            }
-        }
-
-        @Override
-        public void abandon() {
-            given = true;
-            if (future != null) {
-                future.cancel();
-            }
-        }
+    private static IOException failureOf(IoFuture<?> ended) {
+        return ended.getStatus() == IoFuture.Status.FAILED
+                ? ended.getException()
+                : new IOException("connection attempt cancelled");
     }
 }
