Tests of discovery and transport: one class a behaviour, over a shared fixture

Need: WatchTest held 18 tests of five subjects, its names and messages were of the old house style. Names and messages of UdpSocketTest and HotRestartStateTest use the field's terms.

--- a/node/src/test/java/tulipshed/discovery/DiscoveryResponseParsingTest.java
+++ b/node/src/test/java/tulipshed/discovery/DiscoveryResponseParsingTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -15,6 +16,7 @@
 import tulipshed.decision.BalancerApi.EndpointStatus;
 import tulipshed.testing.Cuts;
 
+/** The parsers of discovery's HTTP responses and of the lists in them. */
 class DiscoveryResponseParsingTest {
     private static final String LIST_JSON = "{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-5b\",\"addr\":"
             + "\"10.1.0.18:8080\",\"zone\":\"a\",\"kind\":\"m2\",\"cell\":3,\"state\":\"DRAINING\",\"weight\":1.0,"
@@ -33,7 +35,7 @@
     void parsesResponseRegardlessOfFragmentation(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(200, 1000);
         Cuts.feed(response(chunked), seed, parser::parse);
-        assertTrue(parser.parse(java.nio.ByteBuffer.allocate(0)));
+        assertTrue(parser.parse(ByteBuffer.allocate(0)));
         assertEquals(200, parser.status());
         assertEquals(LIST_JSON, new String(parser.body(), StandardCharsets.ISO_8859_1));
         EndpointListUpdate list = EndpointListUpdate.read(JsonValues.object(parser.body()));
--- /dev/null
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchAgentTest.java
@@ -0,0 +1,63 @@
+package tulipshed.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+
+/** The watch of an agent on the node's machine, which lists are pushed to. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
+class EndpointWatchAgentTest extends EndpointWatchFixture {
+    /** Regression at the second site: the agent was never polled, so the node kept the list of its start. */
+    @Test
+    void pollsAgentUnpromptedAndAgainAfterEachFailure() throws Exception {
+        acceptConnection().close();
+        assertEquals("FAILED 0", nextNotification());
+        loop.execute(() -> watch.setPushed(true));
+        // In turn: a reset, an end without a response, an error status, and no response at all.
+        try (Socket socket = acceptConnection()) {
+            assertTrue(readRequest(socket).startsWith("GET /discovery/hosts?index=41&wait=1000 "));
+            socket.setSoLinger(true, 0);
+        }
+        assertEquals("FAILED 0", nextNotification());
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+        }
+        assertEquals("FAILED 0", nextNotification());
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+            respond(socket, "503 Service Unavailable", "");
+            assertEquals("FAILED 0", nextNotification());
+        }
+        try (Socket silent = acceptConnection()) {
+            readRequest(silent);
+            assertEquals("FAILED 0", nextNotification(), "within the time in which draining has to be known");
+        }
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+            respond(socket, "200 OK", listJson(42, true));
+            assertEquals("COMPLETE 1", nextNotification());
+            assertTrue(readRequest(socket).contains("index=42&"));
+        }
+    }
+
+    /** Agents may respond at once although nothing changed; the watch must not poll in a busy loop. */
+    @Test
+    void pausesBetweenPollsOfAgentWithoutChanges() throws Exception {
+        acceptConnection().close();
+        assertEquals("FAILED 0", nextNotification());
+        loop.execute(() -> watch.setPushed(true));
+        try (Socket socket = acceptConnection()) {
+            readRequest(socket);
+            long startedNs = System.nanoTime();
+            int calls = 20;
+            for (int i = 0; i < calls; i++) {
+                respond(socket, "200 OK", "{\"version\":41,\"full\":false,\"servers\":[]}");
+                assertEquals("CHANGES 0", nextNotification());
+                readRequest(socket);
+            }
+            assertTrue((System.nanoTime() - startedNs) / 1e6 >= calls * 90.0, "calls without a pause");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchFixture.java
@@ -0,0 +1,149 @@
+package tulipshed.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.testing.ModuleDelegate;
+import tulipshed.time.SystemClock;
+import tulipshed.transport.XnioEventLoop;
+
+/**
+ * A watch at version 41, its first call, and a server in place of discovery that responds as each test says. What the
+ * decision module is notified of is collected in {@link #notifications}.
+ */
+abstract class EndpointWatchFixture {
+    /** The limits of a node with that many descriptors; tests change single timeouts of them. */
+    static final Limits.Discovery DEFAULTS = Limits.forDescriptors(1024).discovery();
+
+    private static final String ENTRY = "{\"id\":\"s-5\",\"addr\":\"127.0.0.1:9\",\"state\":\"SERVING\"}";
+
+    /** For each list: its kind and the number of its entries. */
+    final BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
+
+    XnioEventLoop loop;
+    ServerSocket discovery;
+    EndpointWatch watch;
+    private ProxyCore core;
+
+    @BeforeEach
+    void startWatch() throws IOException {
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"));
+        Limits limits = Limits.forDescriptors(1024);
+        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        discovery.setSoTimeout(5000);
+        loop = new XnioEventLoop(limits);
+        loop.execute(() -> {
+            core = new ProxyCore(
+                    new SystemClock(),
+                    limits,
+                    config.settings(),
+                    1,
+                    loop,
+                    NodeLog.silent(),
+                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
+                        @Override
+                        public void endpointsChanged(long at, EndpointListKind kind, List<EndpointInfo> entries) {
+                            notifications.add(kind + " " + entries.size());
+                        }
+                    });
+            watch = newWatch(limits);
+            watch.watch();
+        });
+    }
+
+    @AfterEach
+    void stopLoop() throws IOException {
+        loop.stop();
+        discovery.close();
+    }
+
+    private EndpointWatch newWatch(Limits limits) {
+        return new EndpointWatch(
+                (InetSocketAddress) discovery.getLocalSocketAddress(), limits, loop, core, 41, NodeLog.silent());
+    }
+
+    /** The next connection that the watch opens to discovery; reads from it time out. */
+    Socket acceptConnection() throws IOException {
+        Socket socket = discovery.accept();
+        socket.setSoTimeout(5000);
+        return socket;
+    }
+
+    /** The next notification, or null where none comes. */
+    String nextNotification() throws InterruptedException {
+        return notifications.poll(5, TimeUnit.SECONDS);
+    }
+
+    /** Reads the head of a request and returns its first line. */
+    static String readRequest(Socket socket) throws IOException {
+        BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        String requestLine = in.readLine();
+        while (!in.readLine().isEmpty()) {}
+        return requestLine;
+    }
+
+    /** Sends a response with this status and body. */
+    static void respond(Socket socket, String status, String body) throws IOException {
+        socket.getOutputStream()
+                .write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** The JSON form of a list with one entry. */
+    static String listJson(int version, boolean full) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + ENTRY + "]}";
+    }
+
+    /** Replaces the watch by one with these timeouts, and the usual ones else. */
+    EndpointWatch useTimeouts(
+            double connectTimeoutMs, double watchWaitMs, double watchTimeoutMs, double responseTimeoutMs)
+            throws Exception {
+        return replaceWatch(Limits.forDescriptors(1024)
+                .with(new Limits.Discovery(
+                        DEFAULTS.headBytes(),
+                        DEFAULTS.bodyBytes(),
+                        connectTimeoutMs,
+                        watchWaitMs,
+                        watchTimeoutMs,
+                        responseTimeoutMs,
+                        DEFAULTS.agentWaitMs(),
+                        DEFAULTS.agentTimeoutMs(),
+                        DEFAULTS.agentRetryDelayMs(),
+                        DEFAULTS.agentPollIntervalMs())));
+    }
+
+    private EndpointWatch replaceWatch(Limits limits) throws Exception {
+        try (Socket first = acceptConnection()) {
+            readRequest(first);
+            loop.execute(watch::stop);
+            assertEquals(-1, first.getInputStream().read());
+        }
+        BlockingQueue<EndpointWatch> replaced = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            watch = newWatch(limits);
+            replaced.add(watch);
+            watch.watch();
+        });
+        return replaced.poll(5, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
@@ -0,0 +1,121 @@
+package tulipshed.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tulipshed.testing.Backlog;
+
+/** The deadlines of the steps of a call. */
+@SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
+class EndpointWatchTimeoutTest extends EndpointWatchFixture {
+    /** Regression: silence was noticed after 12 s and the call repeated a second later, so draining endpoints were used. */
+    @Test
+    void reopensSilentWatchAtOnceWithoutWaiting() throws Exception {
+        useTimeouts(60_000, 100, 100, 60_000);
+        try (Socket silent = acceptConnection()) {
+            assertTrue(readRequest(silent).startsWith("GET /discovery/hosts?index=41&wait=100 "));
+            try (Socket reopened = acceptConnection()) {
+                assertTrue(readRequest(reopened).startsWith("GET /discovery/hosts?index=41&wait=0 "));
+                assertEquals(-1, silent.getInputStream().read(), "the silent one is abandoned");
+                assertTrue(notifications.isEmpty(), "without a prompt by the decision module");
+                respond(reopened, "200 OK", listJson(42, false));
+                assertEquals("CHANGES 1", nextNotification());
+                assertTrue(readRequest(reopened).startsWith("GET /discovery/hosts?index=42&wait=100 "));
+            }
+        }
+    }
+
+    /** Where the reopened watch gets no response either, discovery is faulty, and the decision module spreads the calls. */
+    @Test
+    void reportsFailureAfterSecondTimeoutInARow() throws Exception {
+        useTimeouts(60_000, 100, 100, 60_000);
+        try (Socket silent = acceptConnection();
+                Socket reopened = acceptConnection()) {
+            readRequest(silent);
+            readRequest(reopened);
+            assertEquals("FAILED 0", nextNotification());
+            assertEquals(-1, reopened.getInputStream().read(), "closed");
+            loop.execute(() -> notifications.add("open " + watch.isConnected()));
+            assertEquals("open false", nextNotification(), "and no further call");
+        }
+    }
+
+    /** Regression: with one timeout for the entire call, a connect that hangs was noticed after 12 s. */
+    @Test
+    void abandonsConnectionAttemptAfterConnectTimeout() throws Exception {
+        EndpointWatch impatientWatch = useTimeouts(200, 60_000, 60_000, 60_000);
+        try (Socket replaced = acceptConnection();
+                ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> queued = Backlog.fill(full);
+            loop.execute(() -> impatientWatch.setDiscoveryAddress((InetSocketAddress) full.getLocalSocketAddress()));
+            assertEquals("FAILED 0", nextNotification());
+            for (Socket socket : queued) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Regression: with a part of the response, or one that arrives byte by byte, the call was kept for 12 s. */
+    @Test
+    void reopensWatchAfterIncompleteResponse() throws Exception {
+        useTimeouts(60_000, 60_000, 60_000, 200);
+        try (Socket half = acceptConnection()) {
+            readRequest(half);
+            half.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{".getBytes(StandardCharsets.US_ASCII));
+            try (Socket slow = acceptConnection()) {
+                assertTrue(readRequest(slow).contains("&wait=0 "));
+                sendSlowly(slow);
+                assertEquals(
+                        "FAILED 0",
+                        nextNotification(),
+                        "as it did not wait for changes, the decision module is notified");
+            }
+        }
+    }
+
+    /** Sends a byte every few milliseconds until the remote end closes the connection. */
+    private static void sendSlowly(Socket to) throws IOException {
+        new Thread(() -> {
+                    try {
+                        for (byte b :
+                                ("HTTP/1.1 200 OK\r\nX: " + "x".repeat(2000)).getBytes(StandardCharsets.US_ASCII)) {
+                            to.getOutputStream().write(b);
+                            Thread.sleep(5);
+                        }
+                    } catch (IOException | InterruptedException ended) {
+                        return;
+                    }
+                })
+                .start();
+    }
+
+    /** The decision module waits less than 2 s (BalancerTest), so a change is known within 6 s of any failed call. */
+    @Test
+    void timeoutsOfAllStepsFitIntoSixSeconds() {
+        assertTrue(
+                DEFAULTS.watchWaitMs() + DEFAULTS.watchTimeoutMs() + 2_000 <= 6_000,
+                "reset or refused just before the timeout");
+        assertTrue(
+                DEFAULTS.watchWaitMs()
+                                + DEFAULTS.watchTimeoutMs()
+                                + DEFAULTS.connectTimeoutMs()
+                                + DEFAULTS.watchTimeoutMs()
+                        <= 6_000,
+                "no response");
+        assertTrue(
+                DEFAULTS.connectTimeoutMs() + 2_000 + DEFAULTS.connectTimeoutMs() + DEFAULTS.watchTimeoutMs() <= 6_000,
+                "a connect that hangs");
+        assertTrue(
+                DEFAULTS.watchTimeoutMs() + DEFAULTS.responseTimeoutMs() + 2_000 + DEFAULTS.watchTimeoutMs() <= 6_000,
+                "a slow response that starts late");
+    }
+}
--- a/node/src/test/java/tulipshed/transport/HotRestartStateTest.java
+++ b/node/src/test/java/tulipshed/transport/HotRestartStateTest.java
@@ -15,6 +15,7 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.HotRestartPeer;
 
+/** The state that two processes of one node share in a file, both ends in one process. */
 class HotRestartStateTest {
     @TempDir
     private Path folder;
@@ -38,92 +39,97 @@
 
     @Test
     void splitsQuotaOnlyWhileBothProcessesServe() throws IOException {
-        HotRestartState next = new HotRestartState(file, 8);
+        HotRestartState second = new HotRestartState(file, 8);
         first.refresh();
-        assertTrue(first.hasPeer() && next.isPeerServing());
-        assertEquals(1, first.quotaShare(), "the other does not take clients yet");
-        next.markServing();
+        assertTrue(first.hasPeer() && second.isPeerServing());
+        assertEquals(1, first.quotaShare(), "the other process does not accept clients yet");
+        second.markServing();
         assertEquals(0.5, first.quotaShare());
-        assertEquals(0.5, next.quotaShare());
+        assertEquals(0.5, second.quotaShare());
         first.markLeaving();
         assertEquals(0, first.quotaShare());
-        assertEquals(1, next.quotaShare());
+        assertEquals(1, second.quotaShare());
         first.close();
-        next.refresh();
-        assertFalse(next.hasPeer());
-        assertThrows(
-                IllegalStateException.class,
-                () -> {
-                    new HotRestartState(file, 8);
-                    new HotRestartState(file, 8);
-                },
-                "a third process");
+        second.refresh();
+        assertFalse(second.hasPeer());
+    }
+
+    /** The second process still runs, and a third one takes the slot of the first, which ended. */
+    @Test
+    void rejectsThirdProcess() throws IOException {
+        HotRestartState second = new HotRestartState(file, 8);
+        assertThrows(IllegalStateException.class, () -> new HotRestartState(file, 8));
+        first.close();
+        HotRestartState successor = new HotRestartState(file, 8);
+        assertThrows(IllegalStateException.class, () -> new HotRestartState(file, 8));
+        successor.close();
+        second.close();
     }
 
     @Test
     void rejectsIdClaimedByPeer() throws IOException {
         assertTrue(first.claimId("a"));
-        HotRestartState next = new HotRestartState(file, 8);
+        HotRestartState second = new HotRestartState(file, 8);
         first.refresh();
-        assertFalse(next.claimId("a"));
-        assertTrue(next.claimId("b"));
+        assertFalse(second.claimId("a"));
+        assertTrue(second.claimId("b"));
         assertFalse(first.claimId("b"));
         first.releaseId("a");
-        assertTrue(next.claimId("a"));
+        assertTrue(second.claimId("a"));
         for (int i = 0; i < 100; i++) {
-            assertTrue(first.claimId("x" + i), "what finds no place is not shared");
+            assertTrue(first.claimId("x" + i), "an id without a free entry is not shared");
             first.releaseId("x" + i);
         }
     }
 
-    /** What a dead process left in the file must not bind the next one. */
+    /** What a process that ended left in the file must not be binding for the next one. */
     @Test
     void ignoresStateOfEndedProcess() throws IOException {
         first.claimId("a");
         first.publishOpenConnections(7);
         first.close();
-        HotRestartState next = new HotRestartState(file, 8);
-        assertFalse(next.hasPeer() || next.isPeerServing());
-        assertTrue(next.claimId("a"));
-        assertEquals(0, next.peerOpenConnections());
+        HotRestartState second = new HotRestartState(file, 8);
+        assertFalse(second.hasPeer() || second.isPeerServing());
+        assertTrue(second.claimId("a"));
+        assertEquals(0, second.peerOpenConnections());
     }
 
     @Test
     void replicatesEstablishedConnectionsUntilTheyEnd() throws IOException {
-        HotRestartPeer.EstablishedConnection one = new HotRestartPeer.EstablishedConnection("s-1", "desk", 0.5);
-        HotRestartPeer.EstablishedConnection two = new HotRestartPeer.EstablishedConnection("s-2", null, 0);
-        int place = first.connectionEstablished(one);
-        int second = first.connectionEstablished(two);
-        HotRestartState next = new HotRestartState(file, 8);
-        assertEquals(Map.of(place, one, second, two), next.peerConnections());
-        assertEquals(Map.of(), first.peerConnections(), "and not to itself");
-        first.connectionEnded(place);
-        assertEquals(Map.of(second, two), next.peerConnections());
-        assertEquals(place, first.connectionEstablished(two), "its place is free again");
+        HotRestartPeer.EstablishedConnection grouped = new HotRestartPeer.EstablishedConnection("s-1", "desk", 0.5);
+        HotRestartPeer.EstablishedConnection ungrouped = new HotRestartPeer.EstablishedConnection("s-2", null, 0);
+        int groupedRecord = first.connectionEstablished(grouped);
+        int ungroupedRecord = first.connectionEstablished(ungrouped);
+        HotRestartState second = new HotRestartState(file, 8);
+        assertEquals(Map.of(groupedRecord, grouped, ungroupedRecord, ungrouped), second.peerConnections());
+        assertEquals(Map.of(), first.peerConnections(), "not its own");
+        first.connectionEnded(groupedRecord);
+        assertEquals(Map.of(ungroupedRecord, ungrouped), second.peerConnections());
+        assertEquals(groupedRecord, first.connectionEstablished(ungrouped), "its record is free again");
         assertEquals(
                 -1,
                 first.connectionEstablished(new HotRestartPeer.EstablishedConnection("s".repeat(40), null, 0)),
-                "what has no room is not told");
+                "a text that is too long is not published");
         for (int i = 0; i < 6; i++) {
-            assertTrue(first.connectionEstablished(one) >= 0);
+            assertTrue(first.connectionEstablished(grouped) >= 0);
         }
-        assertEquals(-1, first.connectionEstablished(one));
+        assertEquals(-1, first.connectionEstablished(grouped));
         first.close();
-        next.refresh();
-        assertEquals(Map.of(), next.peerConnections(), "all ends with its process");
+        second.refresh();
+        assertEquals(Map.of(), second.peerConnections(), "all end with their process");
     }
 
     @Test
     void countsDescriptorsOfBothProcesses() throws IOException {
         Limits limits = Limits.forDescriptors(400);
-        HotRestartState next = new HotRestartState(file, 8);
-        XnioEventLoop loop = new XnioEventLoop(limits, next, NodeLog.silent());
+        HotRestartState second = new HotRestartState(file, 8);
+        XnioEventLoop loop = new XnioEventLoop(limits, second, NodeLog.silent());
         first.publishOpenConnections(limits.connectionDescriptors() - 64 - 32 - 2);
         assertTrue(loop.hasCapacityForClient());
         first.publishOpenConnections(limits.connectionDescriptors() - 64 - 32 - 1);
         assertFalse(loop.hasCapacityForClient());
         first.close();
-        next.refresh();
+        second.refresh();
         assertTrue(loop.hasCapacityForClient());
         loop.stop();
     }
--- a/node/src/test/java/tulipshed/transport/UdpSocketTest.java
+++ b/node/src/test/java/tulipshed/transport/UdpSocketTest.java
@@ -18,66 +18,68 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.limits.Limits;
 
+/** UDP sockets of the event loop, on the loopback interface. */
 class UdpSocketTest {
     private static final InetSocketAddress ANY_LOOPBACK_PORT =
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
-    /** XNIO lets addresses be used again, by which the kernel may give one free port to two sockets: the first then hears nothing. */
+    /** With SO_REUSEADDR, XNIO's default, the kernel may give one free port to two sockets: the first then receives nothing. */
     @Test
     void bindsEachSocketToPortOfItsOwn() throws IOException {
         XnioEventLoop loop = new XnioEventLoop(Limits.forDescriptors(4096));
-        List<UdpSocket> ports = new ArrayList<>();
+        List<UdpSocket> sockets = new ArrayList<>();
         Set<InetSocketAddress> addresses = new HashSet<>();
         try {
             for (int i = 0; i < 1500; i++) {
-                ports.add(loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(8), (from, datagram) -> {}));
-                addresses.add(ports.get(i).address());
+                sockets.add(loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(8), (from, datagram) -> {}));
+                addresses.add(sockets.get(i).address());
             }
-            assertEquals(ports.size(), addresses.size());
+            assertEquals(sockets.size(), addresses.size());
         } finally {
-            ports.forEach(UdpSocket::close);
+            sockets.forEach(UdpSocket::close);
             loop.stop();
         }
     }
 
-    /** A socket that is flooded gives the others their turn after each batch. */
+    /** A socket that is flooded is read in batches, and the other sockets are read between two of them. */
     @Test
     void servesOtherSocketsWhileOneIsFlooded() throws Exception {
         Limits limits = Limits.forDescriptors(1024);
-        int batch = limits.quic().readsAtOnce();
+        int batchSize = limits.quic().readsAtOnce();
         XnioEventLoop loop = new XnioEventLoop(limits);
-        AtomicInteger before = new AtomicInteger(-1);
-        AtomicInteger read = new AtomicInteger();
-        CountDownLatch begun = new CountDownLatch(1);
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch all = new CountDownLatch(2 * batch + 1);
+        AtomicInteger floodedReadBeforeQuiet = new AtomicInteger(-1);
+        AtomicInteger floodedRead = new AtomicInteger();
+        CountDownLatch loopBlocked = new CountDownLatch(1);
+        CountDownLatch allSent = new CountDownLatch(1);
+        CountDownLatch allReceived = new CountDownLatch(2 * batchSize + 1);
         try (DatagramSocket sender = new DatagramSocket()) {
             loop.execute(() -> {
-                begun.countDown();
+                loopBlocked.countDown();
                 try {
-                    held.await();
+                    allSent.await();
                 } catch (InterruptedException e) {
                     throw new IllegalStateException(e);
                 }
             });
             UdpSocket flooded = loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(64), (from, datagram) -> {
-                read.incrementAndGet();
-                all.countDown();
+                floodedRead.incrementAndGet();
+                allReceived.countDown();
             });
             UdpSocket quiet = loop.bindUdp(ANY_LOOPBACK_PORT, ByteBuffer.allocate(64), (from, datagram) -> {
-                before.set(read.get());
-                all.countDown();
+                floodedReadBeforeQuiet.set(floodedRead.get());
+                allReceived.countDown();
             });
-            begun.await();
-            for (int i = 0; i < 2 * batch; i++) {
+            loopBlocked.await();
+            for (int i = 0; i < 2 * batchSize; i++) {
                 sender.send(new DatagramPacket(new byte[] {1}, 1, flooded.address()));
             }
             sender.send(new DatagramPacket(new byte[] {1}, 1, quiet.address()));
-            held.countDown();
-            all.await();
+            allSent.countDown();
+            allReceived.await();
             assertTrue(
-                    before.get() <= batch,
-                    before.get() + " datagrams of the flood came before the one of the other socket");
+                    floodedReadBeforeQuiet.get() <= batchSize,
+                    floodedReadBeforeQuiet.get()
+                            + " datagrams of the flooded socket were read before the one of the other socket");
             flooded.close();
             quiet.close();
         } finally {
