--- a/node/src/test/java/tulipshed/discovery/DiscoveryResponseParsingTest.java
+++ b/node/src/test/java/tulipshed/discovery/DiscoveryResponseParsingTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -13,8 +14,9 @@
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
 import tulipshed.decision.BalancerApi.EndpointStatus;
-import tulipshed.testing.InputFuzzer;
+import tulipshed.testing.Cuts;
 
+/** The parsers of discovery's HTTP responses and of the lists in them. */
 class DiscoveryResponseParsingTest {
     private static final String LIST_JSON = "{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-5b\",\"addr\":"
             + "\"10.1.0.18:8080\",\"zone\":\"a\",\"kind\":\"m2\",\"cell\":3,\"state\":\"DRAINING\",\"weight\":1.0,"
@@ -32,8 +34,8 @@
     @Property(tries = 300, seed = "21")
     void parsesResponseRegardlessOfFragmentation(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(200, 1000);
-        InputFuzzer.feedInFragments(response(chunked), seed, parser::parse);
-        assertTrue(parser.parse(java.nio.ByteBuffer.allocate(0)));
+        Cuts.feed(response(chunked), seed, parser::parse);
+        assertTrue(parser.parse(ByteBuffer.allocate(0)));
         assertEquals(200, parser.status());
         assertEquals(LIST_JSON, new String(parser.body(), StandardCharsets.ISO_8859_1));
         EndpointListUpdate list = EndpointListUpdate.read(JsonValues.object(parser.body()));
@@ -46,7 +48,7 @@
     void acceptsOrRejectsCorruptedResponse(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(200, 1000);
         try {
-            InputFuzzer.feedInFragments(InputFuzzer.corrupt(response(chunked), seed), seed, parser::parse);
+            Cuts.feed(Cuts.spoil(response(chunked), seed), seed, parser::parse);
             if (parser.endOfInput()) {
                 EndpointListUpdate.read(JsonValues.object(parser.body()));
             }
@@ -59,7 +61,7 @@
     void boundsMemoryForArbitraryInput(@ForAll @Size(max = 600) byte[] garbage, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(50, 100);
         try {
-            InputFuzzer.feedInFragments(garbage, seed, parser::parse);
+            Cuts.feed(garbage, seed, parser::parse);
         } catch (MalformedResponseException expected) {
             assertFalse(expected.getMessage().isEmpty());
         }
