--- a/node/src/test/java/tulipshed/discovery/DiscoveryResponseParsingTest.java
+++ b/node/src/test/java/tulipshed/discovery/DiscoveryResponseParsingTest.java
@@ -14,7 +14,7 @@
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
 import tulipshed.decision.BalancerApi.EndpointStatus;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** The parsers of discovery's HTTP responses and of the lists in them. */
 class DiscoveryResponseParsingTest {
@@ -34,7 +34,7 @@
     @Property(tries = 300, seed = "21")
     void parsesResponseRegardlessOfFragmentation(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(200, 1000);
-        Cuts.feed(response(chunked), seed, parser::parse);
+        InputFuzzer.feedInFragments(response(chunked), seed, parser::parse);
         assertTrue(parser.parse(ByteBuffer.allocate(0)));
         assertEquals(200, parser.status());
         assertEquals(LIST_JSON, new String(parser.body(), StandardCharsets.ISO_8859_1));
@@ -48,7 +48,7 @@
     void acceptsOrRejectsCorruptedResponse(@ForAll boolean chunked, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(200, 1000);
         try {
-            Cuts.feed(Cuts.spoil(response(chunked), seed), seed, parser::parse);
+            InputFuzzer.feedInFragments(InputFuzzer.corrupt(response(chunked), seed), seed, parser::parse);
             if (parser.endOfInput()) {
                 EndpointListUpdate.read(JsonValues.object(parser.body()));
             }
@@ -61,7 +61,7 @@
     void boundsMemoryForArbitraryInput(@ForAll @Size(max = 600) byte[] garbage, @ForAll long seed) {
         HttpResponseParser parser = new HttpResponseParser(50, 100);
         try {
-            Cuts.feed(garbage, seed, parser::parse);
+            InputFuzzer.feedInFragments(garbage, seed, parser::parse);
         } catch (MalformedResponseException expected) {
             assertFalse(expected.getMessage().isEmpty());
         }
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchFixture.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchFixture.java
@@ -22,7 +22,7 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
+import tulipshed.testing.DelegatingBalancer;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -59,12 +59,14 @@
                     1,
                     loop,
                     NodeLog.silent(),
-                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
-                        @Override
-                        public void endpointsChanged(long at, EndpointListKind kind, List<EndpointInfo> entries) {
-                            notifications.add(kind + " " + entries.size());
-                        }
-                    });
+                    (settings, seed, now, actions) ->
+                            new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
+                                @Override
+                                public void endpointsChanged(
+                                        long at, EndpointListKind kind, List<EndpointInfo> entries) {
+                                    notifications.add(kind + " " + entries.size());
+                                }
+                            });
             watch = newWatch(limits);
             watch.watch();
         });
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
@@ -11,7 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import tulipshed.testing.Backlog;
+import tulipshed.testing.ListenerBacklog;
 
 /** The deadlines of the steps of a call. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
@@ -54,7 +54,7 @@
         EndpointWatch impatientWatch = useTimeouts(200, 60_000, 60_000, 60_000);
         try (Socket replaced = acceptConnection();
                 ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            List<Socket> queued = Backlog.fill(full);
+            List<Socket> queued = ListenerBacklog.fill(full);
             loop.execute(() -> impatientWatch.setDiscoveryAddress((InetSocketAddress) full.getLocalSocketAddress()));
             assertEquals("FAILED 0", nextNotification());
             for (Socket socket : queued) {
--- a/node/src/test/java/tulipshed/lineprotocol/OpenCommandParserTest.java
+++ b/node/src/test/java/tulipshed/lineprotocol/OpenCommandParserTest.java
@@ -5,10 +5,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.proxy.Request.Attributes;
 import tulipshed.routing.Declarations;
 import tulipshed.testing.InputFuzzer;
@@ -19,10 +20,7 @@
             "OPEN 9b1f03aa5c7e2d41 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1,zz=9\r\n";
 
     private static NameIndex names() {
-        NameIndex names = new NameIndex();
-        names.classes.put("chat", 0);
-        names.tenants.put("acme", 3);
-        return names;
+        return new NameIndex(Map.of("chat", 0), Map.of("acme", 3));
     }
 
     private static byte[] encoded(String text) {
