--- a/node/src/main/java/tulipshed/cli/ConfigurationReload.java
+++ b/node/src/main/java/tulipshed/cli/ConfigurationReload.java
@@ -44,7 +44,7 @@
         components.peers().configure(changed);
         components.watch().setDiscoveryAddress(changed.discovery());
         components.watch().setPushed(!changed.settings().polledDiscovery());
-        core.metrics().reloaded(true);
+        core.metrics().recordReloadApplied();
         // Logged last: whoever waits for the line may rely on the new settings at once.
         log.info("configuration reloaded, discovery at " + changed.discovery()
                 + (needsRestart ? "; the other changes need a restart" : ""));
@@ -61,7 +61,7 @@
 
     /** Counts and logs a configuration that could not be read; it changes nothing. */
     void reject(String reason) {
-        components.core().metrics().reloaded(false);
+        components.core().metrics().recordReloadRejected();
         log.warn("configuration rejected, the current one stays: " + reason.replaceAll("\\s+", " "));
     }
 }
--- a/node/src/main/java/tulipshed/cli/Node.java
+++ b/node/src/main/java/tulipshed/cli/Node.java
@@ -48,7 +48,7 @@
     /** Returns how many endpoints are listed as serving, after all events before this call are processed. */
     long servingEndpointCount() {
         CompletableFuture<Long> count = new CompletableFuture<>();
-        loop.execute(() -> count.complete(components.core().serving()));
+        loop.execute(() -> count.complete(components.core().servingEndpoints()));
         return count.join();
     }
 
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -78,7 +78,7 @@
 
     /** Whether one more connection, to a member, stays within the descriptors allowed. */
     public boolean hasCapacityForUpstream() {
-        return openConnections + others() < limits.flowDescriptors();
+        return openConnections + others() < limits.attemptDescriptors();
     }
 
     /** What another process of this node holds: its connections, and what a process needs besides. */
@@ -92,7 +92,7 @@
 
     private void opened(int more) {
         openConnections += more;
-        hotRestartState.open(openConnections);
+        hotRestartState.publishOpenConnections(openConnections);
     }
 
     /** The other process of this node, where there is one. */
@@ -110,7 +110,7 @@
      * come while as many are open wait in the kernel, as accepting runs ahead of the loop.
      */
     public Acceptor listen(InetSocketAddress address, int most, Consumer<StreamConnection> taker) throws IOException {
-        Acceptor acceptor = new Acceptor(this, log, limits.sockets().acceptsAtOnce(), taker);
+        Acceptor acceptor = new Acceptor(this, log, limits.sockets().maxAcceptsPerEvent(), taker);
         acceptor.starts(worker.createStreamConnectionServer(
                 address,
                 acceptor::ready,
@@ -136,9 +136,9 @@
                         Options.REUSE_ADDRESSES,
                         false,
                         Options.RECEIVE_BUFFER,
-                        limits.quic().receiveBytes()));
+                        limits.quic().receiveBufferBytes()));
         opened(1);
-        return new UdpSocket(channel, scratch, limits.quic().readsAtOnce(), receiver, () -> opened(-1));
+        return new UdpSocket(channel, scratch, limits.quic().maxReadsPerEvent(), receiver, () -> opened(-1));
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
@@ -161,7 +161,8 @@
     }
 
     /** Opens a connection; one of the two is called, on the loop, unless it is given up before. */
-    public PendingConnection connect(InetSocketAddress to, Consumer<StreamConnection> up, Consumer<String> failed) {
+    public PendingConnection connect(
+            InetSocketAddress to, Consumer<StreamConnection> up, Consumer<IOException> failed) {
         Dial dial = new Dial(up, failed);
         opened(1);
         IoFuture<StreamConnection> future =
@@ -170,9 +171,9 @@
         future.addNotifier(
                 (f, x) -> {
                     if (f.getStatus() != IoFuture.Status.DONE) {
-                        String why = f.getStatus() == IoFuture.Status.FAILED
-                                ? f.getException().getMessage()
-                                : "given up";
+                        IOException why = f.getStatus() == IoFuture.Status.FAILED
+                                ? f.getException()
+                                : new IOException("connection attempt cancelled");
                         thread.execute(() -> dial.failed(why));
                     }
                 },
@@ -183,12 +184,12 @@
     /** One dialled connection; whichever comes first of up, failed and given up is the end of it. */
     private final class Dial implements PendingConnection {
         private final Consumer<StreamConnection> up;
-        private final Consumer<String> failed;
+        private final Consumer<IOException> failed;
         private IoFuture<StreamConnection> future;
         private boolean given;
         private boolean over;
 
-        Dial(Consumer<StreamConnection> up, Consumer<String> failed) {
+        Dial(Consumer<StreamConnection> up, Consumer<IOException> failed) {
             this.up = up;
             this.failed = failed;
         }
@@ -205,7 +206,7 @@
             }
         }
 
-        void failed(String why) {
+        void failed(IOException why) {
             if (!over) {
                 over = true;
                 opened(-1);
