--- a/node/src/main/java/tulipshed/cli/DemoEnvironment.java
+++ b/node/src/main/java/tulipshed/cli/DemoEnvironment.java
@@ -67,7 +67,7 @@
                         .getBytes(StandardCharsets.UTF_8),
                 config.nameIndex());
         node = Node.start(NodeOptions.withoutHotRestart(
-                withoutCachedEndpoints(config),
+                config.standalone(),
                 operators,
                 Limits.forDescriptors(DESCRIPTORS),
                 new SystemClock(),
@@ -95,23 +95,6 @@
         }
     }
 
-    /** Drops the cached endpoint list, whose endpoints do not run, and turns management and peers off. */
-    private static NodeConfig withoutCachedEndpoints(NodeConfig config) {
-        return new NodeConfig(
-                config.name(),
-                config.listen(),
-                null,
-                config.discovery(),
-                config.seed(),
-                config.memoryMb(),
-                config.sockets(),
-                Map.of(),
-                config.settings(),
-                config.nameIndex(),
-                config.loadReportsLatency(),
-                null);
-    }
-
     private static String resource(String name) throws IOException {
         try (InputStream in = DemoEnvironment.class.getResourceAsStream("/tulipshed/demo/" + name)) {
             if (in == null) {
--- a/node/src/main/java/tulipshed/cli/OptionalQuicFrontend.java
+++ b/node/src/main/java/tulipshed/cli/OptionalQuicFrontend.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import org.jboss.logging.Logger;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.quic.QuicConfig;
--- a/node/src/main/java/tulipshed/lineprotocol/OpenCommandParser.java
+++ b/node/src/main/java/tulipshed/lineprotocol/OpenCommandParser.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.routing.Declarations;
 
 /**
