--- a/node/src/test/java/tulipshed/cli/CrashRestartTest.java
+++ b/node/src/test/java/tulipshed/cli/CrashRestartTest.java
@@ -4,11 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tulipshed.testing.LoopbackSockets.connect;
 import static tulipshed.testing.LoopbackSockets.freeTcpPort;
+import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
 import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.ConnectException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -21,102 +22,102 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.testing.NodeProcess;
 
-/** Restarted processes serve with the list that they remember, whatever discovery does: none waits for it. */
+/** A process that is started again after a crash serves with its cached endpoint list and does not wait for discovery. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class CrashRestartTest {
-    private static final long READY_NS = 10_000_000_000L;
+    private static final long READY_TIMEOUT_NS = 10_000_000_000L;
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
-    /** What discovery does with the calls of a node that comes up. */
-    enum Discovery {
-        DARK,
-        SLOW,
-        CROWDED,
-        DRIPS
+    /** How discovery treats the requests of a node that starts. */
+    enum DiscoveryFault {
+        CONNECTION_REFUSED,
+        NO_RESPONSE,
+        OVERLOADED,
+        INCOMPLETE_RESPONSE
     }
 
-    private NodeProcess start(int listen, int discovery, String folderOf) throws IOException {
-        Path own = Files.createDirectories(folder.resolve(folderOf));
-        Path file = Files.writeString(
-                own.resolve("node.json"),
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replace(":18080", ":" + listen)
-                        .replace(":18500", ":" + discovery));
-        return new NodeProcess(Map.of("PROXY_CONFIG", file.toString(), "TMPDIR", own.toString()));
+    private NodeProcess start(int listenPort, int discoveryPort, String name) throws IOException {
+        Path nodeDirectory = Files.createDirectories(directory.resolve(name));
+        Path config = NodeConfigFile.fromTemplate()
+                .listenPort(listenPort)
+                .discoveryPort(discoveryPort)
+                .writeTo(nodeDirectory);
+        return new NodeProcess(Map.of("PROXY_CONFIG", config.toString(), "TMPDIR", nodeDirectory.toString()));
     }
 
-    /** Asks as the front layer does, until it is answered. */
-    private static void untilReady(int listen, long sinceNs) throws IOException, InterruptedException {
+    /** Polls the node as the front layer does, until it responds. */
+    private static void awaitReady(int listenPort, long sinceNs) throws IOException, InterruptedException {
         while (true) {
-            try (Socket front = connect(listen)) {
-                send(front, "PING\r\n");
-                String answer = reader(front).readLine();
-                assertTrue(System.nanoTime() - sinceNs < READY_NS, "ready within 10 s");
+            try (Socket client = connect(listenPort)) {
+                send(client, "PING\r\n");
+                String answer = reader(client).readLine();
+                assertTrue(System.nanoTime() - sinceNs < READY_TIMEOUT_NS, "ready within 10 s");
                 assertEquals("PONG", answer);
                 return;
-            } catch (java.net.ConnectException notYet) {
-                assertTrue(System.nanoTime() - sinceNs < READY_NS, "ready within 10 s");
+            } catch (ConnectException notYet) {
+                assertTrue(System.nanoTime() - sinceNs < READY_TIMEOUT_NS, "ready within 10 s");
                 Thread.sleep(20);
             }
         }
     }
 
-    private static void discovery(ServerSocket at, Discovery as, List<Socket> calls) {
-        Thread answers = new Thread(() -> {
+    private static void startDiscovery(ServerSocket listener, DiscoveryFault fault, List<Socket> connections) {
+        Thread responder = new Thread(() -> {
             try {
                 while (true) {
-                    Socket call = at.accept();
-                    calls.add(call);
-                    if (as == Discovery.CROWDED) {
-                        send(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-                    } else if (as == Discovery.DRIPS) {
-                        send(call, "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{");
+                    Socket connection = listener.accept();
+                    connections.add(connection);
+                    if (fault == DiscoveryFault.OVERLOADED) {
+                        send(connection, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                    } else if (fault == DiscoveryFault.INCOMPLETE_RESPONSE) {
+                        send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{");
                     }
                 }
             } catch (IOException closed) {
                 return;
             }
         });
-        answers.setDaemon(true);
-        answers.start();
+        responder.setDaemon(true);
+        responder.start();
     }
 
     @ParameterizedTest
-    @EnumSource(Discovery.class)
-    void aKilledProcessIsReadyAgainWhateverDiscoveryDoes(Discovery as) throws Exception {
-        int listen = freeTcpPort();
-        List<Socket> calls = new CopyOnWriteArrayList<>();
-        try (ServerSocket at = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            int port = at.getLocalPort();
-            if (as == Discovery.DARK) {
-                at.close();
+    @EnumSource(DiscoveryFault.class)
+    void killedProcessIsReadyAgainInTimeDespiteDiscoveryFault(DiscoveryFault fault) throws Exception {
+        int listenPort = freeTcpPort();
+        List<Socket> connections = new CopyOnWriteArrayList<>();
+        try (ServerSocket listener = listen(50)) {
+            int discoveryPort = listener.getLocalPort();
+            if (fault == DiscoveryFault.CONNECTION_REFUSED) {
+                listener.close();
             } else {
-                discovery(at, as, calls);
+                startDiscovery(listener, fault, connections);
             }
-            try (NodeProcess first = start(listen, port, "n")) {
-                untilReady(listen, System.nanoTime());
+            try (NodeProcess first = start(listenPort, discoveryPort, "n")) {
+                awaitReady(listenPort, System.nanoTime());
                 first.sendSignal("KILL");
                 assertTrue(first.awaitExit(5));
             }
             long sinceNs = System.nanoTime();
-            try (NodeProcess again = start(listen, port, "n")) {
-                untilReady(listen, sinceNs);
-                assertTrue(again.isRunning());
+            try (NodeProcess second = start(listenPort, discoveryPort, "n")) {
+                awaitReady(listenPort, sinceNs);
+                assertTrue(second.isRunning());
             }
         } finally {
-            for (Socket s : calls) {
-                s.close();
+            for (Socket connection : connections) {
+                connection.close();
             }
         }
     }
 
-    /** Seven of ten killed at one moment, and all of them started at one moment on this machine. */
+    /** All nodes of a tier that start at one moment on one machine. */
     @Test
-    void manyRestartedAtOnceAreReadyInTime() throws Exception {
+    void manyProcessesStartedAtOnceAreReadyInTime() throws Exception {
         int nodes = 10;
         List<Integer> ports = new ArrayList<>();
         List<NodeProcess> running = new ArrayList<>();
@@ -124,13 +125,13 @@
             for (int i = 0; i < nodes; i++) {
                 ports.add(freeTcpPort());
             }
-            int dark = freeTcpPort();
+            int closedPort = freeTcpPort();
             long sinceNs = System.nanoTime();
             for (int i = 0; i < nodes; i++) {
-                running.add(start(ports.get(i), dark, "n" + i));
+                running.add(start(ports.get(i), closedPort, "n" + i));
             }
             for (int port : ports) {
-                untilReady(port, sinceNs);
+                awaitReady(port, sinceNs);
             }
         } finally {
             running.forEach(NodeProcess::close);
--- a/node/src/test/java/tulipshed/cli/HotRestartTest.java
+++ b/node/src/test/java/tulipshed/cli/HotRestartTest.java
@@ -6,15 +6,14 @@
 import static tulipshed.testing.LoopbackSockets.connect;
 import static tulipshed.testing.LoopbackSockets.freeTcpPort;
 import static tulipshed.testing.LoopbackSockets.httpGet;
+import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
 import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,54 +21,54 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.testing.NodeProcess;
 
-/** A second process of one node takes over from the first. */
+/** Hot restart: a second process of one node takes over from the first. */
 @Timeout(60)
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class HotRestartTest {
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
-    private final int listen = freeTcpPort();
-    private final ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final int listenPort = freeTcpPort();
+    private final ServerSocket endpoint = listen(50);
 
     HotRestartTest() throws IOException {}
 
-    private NodeProcess start(int management) throws IOException {
-        Path file = Files.writeString(
-                folder.resolve("node.json"),
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replace(":18080", ":" + listen)
-                        .replace(":18081", ":" + member.getLocalPort()));
+    private NodeProcess start(int managementPort) throws IOException {
+        Path config = NodeConfigFile.fromTemplate()
+                .listenPort(listenPort)
+                .endpointPort(endpoint.getLocalPort())
+                .writeTo(directory);
         return new NodeProcess(Map.of(
                 "PROXY_CONFIG",
-                file.toString(),
+                config.toString(),
                 "TMPDIR",
-                folder.toString(),
+                directory.toString(),
                 "PROXY_MANAGEMENT",
-                "127.0.0.1:" + management));
+                "127.0.0.1:" + managementPort));
     }
 
-    private Socket open(String id) throws IOException {
-        Socket client = connect(listen);
+    private Socket openRequest(String id) throws IOException {
+        Socket client = connect(listenPort);
         send(client, OPEN.replace("ID", id));
         return client;
     }
 
-    private Socket serve() throws IOException {
-        Socket server = member.accept();
+    private Socket acceptUpstream() throws IOException {
+        Socket server = endpoint.accept();
         assertTrue(reader(server).readLine().startsWith("OPEN"));
         send(server, "UP r\r\n");
         return server;
     }
 
-    private static void untilYes(int management) throws Exception {
+    private static void awaitReady(int managementPort) throws Exception {
         while (true) {
             try {
-                if (httpGet(management, "/status").startsWith("HTTP/1.1 200 ")) {
+                if (httpGet(managementPort, "/status").startsWith("HTTP/1.1 200 ")) {
                     return;
                 }
             } catch (IOException notYet) {
@@ -79,49 +78,51 @@
         }
     }
 
-    /** Without a shared port the second process cannot start; without shared ids it serves one id twice. */
+    /** Without a shared port the second process cannot start; without shared IDs it accepts one ID twice. */
     @Test
-    void theSecondProcessTakesTheClientsAndTheFirstMovesItsOwn() throws Exception {
-        int first = freeTcpPort();
-        int second = freeTcpPort();
-        try (NodeProcess old = start(first)) {
-            untilYes(first);
-            try (Socket standing = open("9b1");
-                    Socket server = serve()) {
-                BufferedReader in = reader(standing);
+    void secondProcessTakesOverAndFirstMigratesItsClients() throws Exception {
+        int firstManagement = freeTcpPort();
+        int secondManagement = freeTcpPort();
+        try (NodeProcess first = start(firstManagement)) {
+            awaitReady(firstManagement);
+            try (Socket established = openRequest("9b1");
+                    Socket server = acceptUpstream()) {
+                BufferedReader in = reader(established);
                 assertEquals("UP r", in.readLine());
-                try (NodeProcess next = start(second)) {
-                    untilYes(second);
+                try (NodeProcess second = start(secondManagement)) {
+                    awaitReady(secondManagement);
                     List<Socket> pings = new ArrayList<>();
                     for (int i = 0; i < 20; i++) {
-                        pings.add(connect(listen));
+                        pings.add(connect(listenPort));
                         send(pings.get(i), "PING\r\n");
-                        assertEquals("PONG", reader(pings.get(i)).readLine(), "let in by either process");
-                        try (Socket twice = open("9b1")) {
-                            assertEquals("ERR", reader(twice).readLine(), "open in one process, so open");
+                        assertEquals("PONG", reader(pings.get(i)).readLine(), "admitted by either process");
+                        try (Socket duplicate = openRequest("9b1")) {
+                            assertEquals(
+                                    "ERR", reader(duplicate).readLine(), "open in one process, so rejected by both");
                         }
                     }
-                    old.sendSignal("TERM");
-                    assertTrue(old.awaitLogLine("INFO node: shutting down, handing over to another process") != null);
-                    assertTrue(httpGet(first, "/status").startsWith("HTTP/1.1 503 "));
+                    first.sendSignal("TERM");
+                    assertTrue(first.awaitLogLine("INFO node: shutting down, handing over to another process") != null);
+                    assertTrue(httpGet(firstManagement, "/status").startsWith("HTTP/1.1 503 "));
                     for (int i = 0; i < 20; i++) {
-                        try (Socket late = connect(listen)) {
+                        try (Socket late = connect(listenPort)) {
                             send(late, "PING\r\n");
-                            assertEquals("PONG", reader(late).readLine(), "none ends at the door");
+                            assertEquals("PONG", reader(late).readLine(), "no new connection is lost");
                         }
                     }
                     assertEquals("MOVE", in.readLine());
                     assertNull(in.readLine());
-                    try (Socket again = open("9b1");
-                            Socket its = serve()) {
-                        assertEquals("UP r", reader(again).readLine(), "served by the new process");
-                        for (Socket s : pings) {
-                            s.close();
+                    try (Socket reconnected = openRequest("9b1");
+                            Socket upstream = acceptUpstream()) {
+                        assertEquals("UP r", reader(reconnected).readLine(), "served by the new process");
+                        for (Socket ping : pings) {
+                            ping.close();
                         }
-                        assertTrue(old.awaitExit(5));
-                        send(again, "hello\r\n");
-                        assertEquals("hello", reader(its).readLine());
-                        assertTrue(httpGet(second, "/status/metrics").contains("\"concurrent\":1,\"dispatches\":1,"));
+                        assertTrue(first.awaitExit(5));
+                        send(reconnected, "hello\r\n");
+                        assertEquals("hello", reader(upstream).readLine());
+                        assertTrue(httpGet(secondManagement, "/status/metrics")
+                                .contains("\"concurrent\":1,\"dispatches\":1,"));
                     }
                 }
             }
--- a/node/src/test/java/tulipshed/testing/DelegatingBalancer.java
+++ b/node/src/test/java/tulipshed/testing/DelegatingBalancer.java
@@ -5,10 +5,11 @@
 import java.util.Set;
 import tulipshed.decision.BalancerApi;
 
-/** Passes every event on; tests override what they listen to. */
+/** A balancer that passes every event to another one; tests override the events that they observe. */
 public class DelegatingBalancer implements BalancerApi {
     private final BalancerApi delegate;
 
+    /** Creates a balancer in front of another one. */
     public DelegatingBalancer(BalancerApi to) {
         this.delegate = to;
     }
--- a/node/src/test/java/tulipshed/testing/ListenerBacklog.java
+++ b/node/src/test/java/tulipshed/testing/ListenerBacklog.java
@@ -7,23 +7,27 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What the kernel keeps for a listener that accepts nothing. */
+/** The kernel's queue of connections to a listener that accepts none. */
 public final class ListenerBacklog {
-    private static final int CONNECT_MS = 300;
+    private static final int CONNECT_TIMEOUT_MS = 300;
 
     private ListenerBacklog() {}
 
-    /** Connects until the kernel takes no more for it: whoever dials it then hangs. The connections are the caller's to close. */
-    public static List<Socket> fill(ServerSocket full) throws IOException {
-        List<Socket> waiting = new ArrayList<>();
+    /**
+     * Connects until the queue is full, so that any further connection attempt hangs.
+     *
+     * @return the queued connections, which the caller closes
+     */
+    public static List<Socket> fill(ServerSocket listener) throws IOException {
+        List<Socket> queued = new ArrayList<>();
         while (true) {
             Socket next = new Socket();
             try {
-                next.connect(full.getLocalSocketAddress(), CONNECT_MS);
-                waiting.add(next);
-            } catch (SocketTimeoutException takesNoMore) {
+                next.connect(listener.getLocalSocketAddress(), CONNECT_TIMEOUT_MS);
+                queued.add(next);
+            } catch (SocketTimeoutException full) {
                 next.close();
-                return waiting;
+                return queued;
             }
         }
     }
--- /dev/null
+++ b/node/src/test/java/tulipshed/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fixtures that tests of several packages share: processes, sockets, configuration files, malformed input. */
+package tulipshed.testing;
