--- a/node/src/test/java/tulipshed/cli/ConfigurationReloadTest.java
+++ b/node/src/test/java/tulipshed/cli/ConfigurationReloadTest.java
@@ -5,6 +5,7 @@
 import static tulipshed.testing.LoopbackSockets.connect;
 import static tulipshed.testing.LoopbackSockets.freeTcpPort;
 import static tulipshed.testing.LoopbackSockets.httpGet;
+import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
 import static tulipshed.testing.LoopbackSockets.send;
 
@@ -21,19 +22,23 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tulipshed.demo.StubDiscovery;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.testing.NodeProcess;
 
-/** SIGHUP, given to a node in a process of its own. */
+/** Reload of the configuration and the operators' file at SIGHUP, with a node in a process of its own. */
 class ConfigurationReloadTest {
+    /** A port of loopback that nobody listens on. */
+    private static final int UNUSED_PORT = 9;
+
     @TempDir
-    private Path folder;
+    private Path directory;
+
+    private Path configure(int listenPort, int discoveryPort) throws IOException {
+        return config(listenPort, discoveryPort).writeTo(directory);
+    }
 
-    private Path configure(int listen, int discovery) throws IOException {
-        return Files.writeString(
-                folder.resolve("node.json"),
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replaceAll("\"discovery\": *\"[^\"]*\"", "\"discovery\": \"127.0.0.1:" + discovery + "\"")
-                        .replace(":18080", ":" + listen));
+    private static NodeConfigFile config(int listenPort, int discoveryPort) throws IOException {
+        return NodeConfigFile.fromTemplate().listenPort(listenPort).discoveryPort(discoveryPort);
     }
 
     private static String ping(Socket client, BufferedReader in) throws IOException {
@@ -41,33 +46,33 @@
         return in.readLine();
     }
 
-    /** Without a handler the virtual machine ends on SIGHUP, and all connections with it. */
+    /** Without a handler the virtual machine exits at SIGHUP, and all connections close. */
     @Test
-    void aNodeReadsItsConfigurationAgainAndGoesOnAsItIsWhereItCannot() throws Exception {
-        int listen = freeTcpPort();
-        try (ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+    void appliesValidConfigurationAndKeepsCurrentOneOtherwise() throws Exception {
+        int listenPort = freeTcpPort();
+        try (ServerSocket discovery = listen(50)) {
             discovery.setSoTimeout(10_000);
-            try (NodeProcess node =
-                    new NodeProcess(Map.of("PROXY_CONFIG", configure(listen, 9).toString()))) {
+            try (NodeProcess node = new NodeProcess(
+                    Map.of("PROXY_CONFIG", configure(listenPort, UNUSED_PORT).toString()))) {
                 node.awaitLogLine("INFO node: n0 serves");
-                try (Socket client = connect(listen)) {
+                try (Socket client = connect(listenPort)) {
                     BufferedReader in = reader(client);
                     assertEquals("PONG", ping(client, in));
-                    Files.writeString(folder.resolve("node.json"), "{");
+                    Files.writeString(directory.resolve("node.json"), "{");
                     node.sendSignal("HUP");
                     assertTrue(node.awaitReloadLine()
                             .startsWith("WARN node: configuration rejected, the current one stays"));
-                    configure(listen, discovery.getLocalPort());
+                    configure(listenPort, discovery.getLocalPort());
                     node.sendSignal("HUP");
                     assertEquals(
                             "INFO node: configuration reloaded, discovery at /127.0.0.1:" + discovery.getLocalPort(),
                             node.awaitReloadLine());
-                    try (Socket call = discovery.accept()) {
+                    try (Socket request = discovery.accept()) {
                         assertEquals(
-                                "GET /discovery/hosts HTTP/1.1", reader(call).readLine());
+                                "GET /discovery/hosts HTTP/1.1", reader(request).readLine());
                     }
                     node.sendSignal("HUP");
-                    assertTrue(node.awaitReloadLine() != null, "once more does no harm");
+                    assertTrue(node.awaitReloadLine() != null, "a further reload");
                     assertEquals("PONG", ping(client, in), "the connection has stayed");
                 }
                 node.sendSignal("TERM");
@@ -80,19 +85,19 @@
     }
 
     /**
-     * Seen on the bench: days with SIGHUP played 0.3 or 0.98, by whether what had started the bench ignored the signal. A process
-     * inherits that, and the virtual machine installs no handler for a signal that is ignored.
+     * A process inherits that a signal is ignored, and the virtual machine installs no handler for such a signal: without
+     * the command of the deployment file, reloads would depend on what started the node.
      */
     @Test
-    void aNodeThatWasStartedWithSighupIgnoredSaysSoAndTheDeployFilesCommandUndoesIt() throws Exception {
+    void warnsOfIgnoredSighupAndDeploymentCommandRestoresIt() throws Exception {
         String ignoring = "trap '' HUP; exec \"$@\"";
         Map<String, String> environment =
-                Map.of("PROXY_CONFIG", configure(freeTcpPort(), 9).toString());
+                Map.of("PROXY_CONFIG", configure(freeTcpPort(), UNUSED_PORT).toString());
         try (NodeProcess node = new NodeProcess(List.of("sh", "-c", ignoring, "sh"), environment)) {
             assertTrue(node.awaitLogLine("WARN node: SIGHUP is ignored") != null);
         }
         String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
-                .filter(l -> l.startsWith("run = "))
+                .filter(line -> line.startsWith("run = "))
                 .findFirst()
                 .orElseThrow();
         assertTrue(run.startsWith("run = \"exec env --default-signal=HUP java "), run);
@@ -104,121 +109,121 @@
         }
     }
 
-    private void change(int listen, int member, String... replacements) throws IOException {
-        configure(listen, 9);
-        Path file = folder.resolve("node.json");
-        String text = Files.readString(file).replace(":18081", ":" + member);
+    private void configureWithEndpoint(int listenPort, int endpointPort, String... replacements) throws IOException {
+        NodeConfigFile config = config(listenPort, UNUSED_PORT).endpointPort(endpointPort);
         for (int i = 0; i < replacements.length; i += 2) {
-            assertTrue(text.contains(replacements[i]));
-            text = text.replace(replacements[i], replacements[i + 1]);
+            config.replace(replacements[i], replacements[i + 1]);
         }
-        Files.writeString(file, text);
+        config.writeTo(directory);
     }
 
-    private static String answer(int listen, String id, String requestClass) throws IOException {
-        try (Socket client = connect(listen)) {
+    private static String openRequest(int listenPort, String id, String requestClass) throws IOException {
+        try (Socket client = connect(listenPort)) {
             send(client, "OPEN " + id + " k c=" + requestClass + ",t=melnik-terminal,d=2000\r\n");
             return reader(client).readLine();
         }
     }
 
-    /** Seen on a retune day: the new class was unknown, and a file without deadlines was taken. */
+    /** A new class is known at once, and a file without deadlines is rejected. */
     @Test
-    void newSettingsHoldAtOnceAndABrokenFileChangesNothing() throws Exception {
-        int listen = freeTcpPort();
-        int management = freeTcpPort();
-        try (ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            member.setSoTimeout(10_000);
-            change(listen, member.getLocalPort());
+    void appliesNewSettingsAtOnceAndRejectsMalformedFiles() throws Exception {
+        int listenPort = freeTcpPort();
+        int managementPort = freeTcpPort();
+        try (ServerSocket endpoint = listen(50)) {
+            endpoint.setSoTimeout(10_000);
+            configureWithEndpoint(listenPort, endpoint.getLocalPort());
             try (NodeProcess node = new NodeProcess(Map.of(
                     "PROXY_CONFIG",
-                    folder.resolve("node.json").toString(),
+                    directory.resolve("node.json").toString(),
                     "PROXY_MANAGEMENT",
-                    "127.0.0.1:" + management))) {
+                    "127.0.0.1:" + managementPort))) {
                 node.awaitLogLine("INFO node: n0 serves");
-                assertEquals("ERR", answer(listen, "1", "gate-alarm"));
-                change(listen, member.getLocalPort(), "\"gate-status\"", "\"gate-alarm\"");
+                assertEquals("ERR", openRequest(listenPort, "1", "gate-alarm"));
+                configureWithEndpoint(listenPort, endpoint.getLocalPort(), "\"gate-status\"", "\"gate-alarm\"");
                 node.sendSignal("HUP");
                 node.awaitLogLine("INFO node: configuration reloaded, discovery");
-                assertEquals("ERR", answer(listen, "2", "gate-status"), "dropped, so unknown");
-                try (Socket client = connect(listen)) {
+                assertEquals("ERR", openRequest(listenPort, "2", "gate-status"), "dropped, so unknown");
+                try (Socket client = connect(listenPort)) {
                     send(client, "OPEN 3 k c=gate-alarm,t=melnik-terminal,d=2000\r\n");
-                    try (Socket server = member.accept()) {
-                        send(server, "UP r\r\n");
+                    try (Socket upstream = endpoint.accept()) {
+                        send(upstream, "UP r\r\n");
                         assertEquals("UP r", reader(client).readLine());
                     }
                 }
-                for (String broken : List.of("", "{\"name\": \"n0\"}")) {
-                    Files.writeString(folder.resolve("node.json"), broken);
+                for (String malformed : List.of("", "{\"name\": \"n0\"}")) {
+                    Files.writeString(directory.resolve("node.json"), malformed);
                     node.sendSignal("HUP");
                     assertTrue(node.awaitReloadLine()
                             .startsWith("WARN node: configuration rejected, the current one stays"));
                 }
-                change(listen, member.getLocalPort(), "\"HardLimitS\": 4.8", "\"HardLimitS\": 0");
+                configureWithEndpoint(listenPort, endpoint.getLocalPort(), "\"HardLimitS\": 4.8", "\"HardLimitS\": 0");
                 node.sendSignal("HUP");
                 assertTrue(
-                        node.awaitReloadLine().endsWith("HardLimitS of an entry of Classes is not what it should be"));
-                String figures = httpGet(management, "/status/metrics");
-                assertTrue(figures.contains("\"gate-alarm\":{\"success\":1,"), figures);
-                assertTrue(figures.contains("\"reload_success\":1,\"reload_failure\":3}"), figures);
+                        node.awaitReloadLine().endsWith("HardLimitS of an entry of Classes is not a finite number above 0"));
+                String metrics = httpGet(managementPort, "/status/metrics");
+                assertTrue(metrics.contains("\"gate-alarm\":{\"success\":1,"), metrics);
+                assertTrue(metrics.contains("\"reload_success\":1,\"reload_failure\":3}"), metrics);
             }
         }
     }
 
-    /** The rules change with the settings that they name, and a file with any fault changes neither. */
+    /** The rules change together with the settings that they name, and a file with any problem changes neither. */
     @Test
-    void theOperatorsFileIsReadAgainWholeOrNotAtAll() throws Exception {
-        int listen = freeTcpPort();
-        int management = freeTcpPort();
-        Path rules = folder.resolve("tulipshed.sexp");
-        try (ServerSocket member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            member.setSoTimeout(10_000);
-            change(listen, member.getLocalPort());
-            String sound = "(attributes (berth string 4))\n(pool s (where (= member.id \"s-1\")))\n"
+    void reloadsOperatorsFileCompletelyOrNotAtAll() throws Exception {
+        int listenPort = freeTcpPort();
+        int managementPort = freeTcpPort();
+        Path rules = directory.resolve("tulipshed.sexp");
+        try (ServerSocket endpoint = listen(50)) {
+            endpoint.setSoTimeout(10_000);
+            configureWithEndpoint(listenPort, endpoint.getLocalPort());
+            String valid = "(attributes (berth string 4))\n(pool s (where (= member.id \"s-1\")))\n"
                     + "(pool none (where (= member.id \"s-9\")))\n(route here (when (= (default berth \"\") \"b1\")) (to s))\n";
-            Files.writeString(rules, sound);
+            Files.writeString(rules, valid);
             try (NodeProcess node = new NodeProcess(
                     Map.of(
                             "PROXY_CONFIG",
-                            folder.resolve("node.json").toString(),
+                            directory.resolve("node.json").toString(),
                             "PROXY_MANAGEMENT",
-                            "127.0.0.1:" + management),
+                            "127.0.0.1:" + managementPort),
                     "--operators",
                     rules.toString())) {
                 node.awaitLogLine("INFO node: n0 serves");
-                assertEquals("ERR", answer(listen, "1", "gate-status,berth=b1234"), "longer than declared");
-                try (Socket standing = connect(listen)) {
-                    send(standing, "OPEN 2 k c=gate-status,t=melnik-terminal,d=2000,berth=b1\r\n");
-                    Socket server = member.accept();
-                    send(server, "UP r\r\n");
-                    BufferedReader in = reader(standing);
+                assertEquals("ERR", openRequest(listenPort, "1", "gate-status,berth=b1234"), "longer than declared");
+                try (Socket established = connect(listenPort)) {
+                    send(established, "OPEN 2 k c=gate-status,t=melnik-terminal,d=2000,berth=b1\r\n");
+                    Socket upstream = endpoint.accept();
+                    send(upstream, "UP r\r\n");
+                    BufferedReader in = reader(established);
                     assertEquals("UP r", in.readLine());
-                    Files.writeString(rules, sound.replace("(to s)", "(to noone)") + "(route");
+                    Files.writeString(rules, valid.replace("(to s)", "(to noone)") + "(route");
                     node.sendSignal("HUP");
-                    String down = node.awaitReloadLine();
+                    String rejection = node.awaitReloadLine();
                     assertTrue(
-                            down.startsWith("WARN node: configuration rejected, the current one stays: " + rules
+                            rejection.startsWith("WARN node: configuration rejected, the current one stays: " + rules
                                     + ":5:1: this ( is never closed"),
-                            down);
-                    Files.writeString(rules, sound.replace("(to s)", "(to none)"));
+                            rejection);
+                    Files.writeString(rules, valid.replace("(to s)", "(to none)"));
                     node.sendSignal("HUP");
                     node.awaitLogLine("INFO node: configuration reloaded, discovery");
                     assertTrue(
-                            answer(listen, "3", "gate-status,berth=b1").startsWith("BUSY"), "its pool has no member");
-                    send(standing, "still here\r\n");
-                    BufferedReader there = reader(server);
-                    assertTrue(there.readLine().startsWith("OPEN"));
-                    assertEquals("still here", there.readLine(), "what stands goes on");
-                    String figures = httpGet(management, "/status/metrics");
+                            openRequest(listenPort, "3", "gate-status,berth=b1").startsWith("BUSY"),
+                            "its pool has no endpoint");
+                    send(established, "still here\r\n");
+                    BufferedReader upstreamIn = reader(upstream);
+                    assertTrue(upstreamIn.readLine().startsWith("OPEN"));
+                    assertEquals("still here", upstreamIn.readLine(), "the established connection stays open");
+                    String metrics = httpGet(managementPort, "/status/metrics");
                     assertTrue(
-                            figures.contains("\"reload_success\":1,\"reload_failure\":1,\"routes_spilled\":0}"),
-                            figures);
-                    server.close();
+                            metrics.contains("\"reload_success\":1,\"reload_failure\":1,\"routes_spilled\":0}"),
+                            metrics);
+                    upstream.close();
                 }
             }
             Files.writeString(rules, "(pool a (where tru))");
             try (NodeProcess node = new NodeProcess(
-                    Map.of("PROXY_CONFIG", folder.resolve("node.json").toString()), "--operators", rules.toString())) {
+                    Map.of("PROXY_CONFIG", directory.resolve("node.json").toString()),
+                    "--operators",
+                    rules.toString())) {
                 assertEquals(
                         "tulipshed: bad configuration: " + rules + ":1:16: unknown name tru; did you mean true?",
                         node.awaitLogLine("tulipshed"));
@@ -228,40 +233,40 @@
         }
     }
 
-    /** Where lists are pushed, the node's agent is the only one who knows: it is asked from the start and after each dark time. */
+    /** With pushed lists the node's agent alone has the list: the node watches it from the start and after each outage. */
     @Test
-    void aNodeToWhoseAgentListsArePushedHearsOfMembersFromTheStartAndAfterADarkTime() throws Exception {
-        int listen = freeTcpPort();
-        int staff = freeTcpPort();
+    void watchesPushedListsFromTheStartAndAfterAnOutage() throws Exception {
+        int listenPort = freeTcpPort();
+        int managementPort = freeTcpPort();
         try (StubDiscovery agent = new StubDiscovery()) {
-            Path file = configure(listen, agent.address().getPort());
-            Files.writeString(
-                    file, Files.readString(file).replace("\"Discovery\": \"ask\"", "\"Discovery\": \"push\""));
-            InetSocketAddress member = new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
-            agent.publish("s-1", member, "decin", "std-2c", "SERVING");
-            agent.publish("s-2", member, "decin", "std-2c", "SERVING");
+            Path file = config(listenPort, agent.address().getPort())
+                    .replace("\"Discovery\": \"ask\"", "\"Discovery\": \"push\"")
+                    .writeTo(directory);
+            InetSocketAddress endpoint = new InetSocketAddress(InetAddress.getLoopbackAddress(), UNUSED_PORT);
+            agent.publish("s-1", endpoint, "decin", "std-2c", "SERVING");
+            agent.publish("s-2", endpoint, "decin", "std-2c", "SERVING");
             try (NodeProcess node = new NodeProcess(
-                    Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:" + staff))) {
+                    Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:" + managementPort))) {
                 node.awaitLogLine("INFO node: n0 serves");
-                targets(staff, 2);
-                agent.publish("s-3", member, "usti", "std-2c", "SERVING");
-                targets(staff, 3);
+                awaitTargets(managementPort, 2);
+                agent.publish("s-3", endpoint, "usti", "std-2c", "SERVING");
+                awaitTargets(managementPort, 3);
                 agent.setUnavailable(true);
-                agent.publish("s-4", member, "usti", "std-2c", "SERVING");
+                agent.publish("s-4", endpoint, "usti", "std-2c", "SERVING");
                 node.awaitLogLine("INFO discovery: ", "WARN discovery: ");
                 agent.setUnavailable(false);
-                targets(staff, 4);
-                agent.publish("s-4", member, "usti", "std-2c", "DELETED");
-                targets(staff, 3);
+                awaitTargets(managementPort, 4);
+                agent.publish("s-4", endpoint, "usti", "std-2c", "DELETED");
+                awaitTargets(managementPort, 3);
             }
         }
     }
 
-    private static void targets(int staff, int wanted) throws IOException {
+    private static void awaitTargets(int managementPort, int expected) throws IOException {
         long untilNanos = System.nanoTime() + 10_000_000_000L;
-        String found = "\"targets\":" + wanted + ",";
-        while (!httpGet(staff, "/status/metrics").contains(found)) {
-            assertTrue(System.nanoTime() < untilNanos, "the node did not hear of " + wanted);
+        String metric = "\"targets\":" + expected + ",";
+        while (!httpGet(managementPort, "/status/metrics").contains(metric)) {
+            assertTrue(System.nanoTime() < untilNanos, "the node was not notified of " + expected);
         }
     }
 }
--- a/node/src/test/java/tulipshed/cli/DescriptorExhaustionTest.java
+++ b/node/src/test/java/tulipshed/cli/DescriptorExhaustionTest.java
@@ -7,6 +7,7 @@
 import static tulipshed.testing.LoopbackSockets.connect;
 import static tulipshed.testing.LoopbackSockets.freeTcpPort;
 import static tulipshed.testing.LoopbackSockets.httpGet;
+import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
 import static tulipshed.testing.LoopbackSockets.send;
 
@@ -17,7 +18,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.file.Files;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,173 +26,173 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.testing.NodeProcess;
 
-/** A node in a process that the kernel allows few descriptors, all of them wanted at once while discovery is down. */
+/** A node in a process with a low descriptor limit, under more clients than that and with discovery unreachable. */
 class DescriptorExhaustionTest {
-    private static final int SOCKETS = 256;
-    private static final List<String> LIMITED = List.of("sh", "-c", "ulimit -n " + SOCKETS + "; exec \"$@\"", "sh");
+    private static final int DESCRIPTOR_LIMIT = 256;
+    private static final List<String> LIMITING_LAUNCHER =
+            List.of("sh", "-c", "ulimit -n " + DESCRIPTOR_LIMIT + "; exec \"$@\"", "sh");
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
-    private final int listen = freeTcpPort();
-    private final int management = freeTcpPort();
-    private final int discovery = freeTcpPort();
-    private final ServerSocket member = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
-    private final ServerSocket second = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    private final int listenPort = freeTcpPort();
+    private final int managementPort = freeTcpPort();
+    private final int discoveryPort = freeTcpPort();
+    private final ServerSocket endpoint = listen(200);
+    private final ServerSocket secondEndpoint = listen(200);
     private final List<Socket> open = new ArrayList<>();
-    private int ids;
+    private int nextId;
 
     DescriptorExhaustionTest() throws IOException {}
 
     @AfterEach
     void close() throws IOException {
-        for (Socket s : open) {
-            s.close();
+        for (Socket socket : open) {
+            socket.close();
         }
-        member.close();
-        second.close();
+        endpoint.close();
+        secondEndpoint.close();
     }
 
-    private NodeProcess start() throws Exception {
-        Path file = Files.writeString(
-                folder.resolve("node.json"),
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replace(":18080", ":" + listen)
-                        .replace(":18081", ":" + member.getLocalPort())
-                        .replace(":18500", ":" + discovery)
-                        .replace("\"sockets\": 1024", "\"sockets\": " + SOCKETS));
+    private NodeProcess startNode() throws Exception {
+        Path file = NodeConfigFile.fromTemplate()
+                .listenPort(listenPort)
+                .endpointPort(endpoint.getLocalPort())
+                .discoveryPort(discoveryPort)
+                .replace("\"sockets\": 1024", "\"sockets\": " + DESCRIPTOR_LIMIT)
+                .writeTo(directory);
         NodeProcess node = new NodeProcess(
-                LIMITED,
+                LIMITING_LAUNCHER,
                 Map.of(
                         "PROXY_CONFIG",
                         file.toString(),
                         "TMPDIR",
-                        folder.toString(),
+                        directory.toString(),
                         "PROXY_MANAGEMENT",
-                        "127.0.0.1:" + management));
+                        "127.0.0.1:" + managementPort));
         assertNotNull(node.awaitLogLine("INFO node: n0 serves"));
         return node;
     }
 
-    private Socket client(String first) throws IOException {
-        Socket socket = connect(listen);
+    private Socket connectClient(String firstLine) throws IOException {
+        Socket socket = connect(listenPort);
         open.add(socket);
-        send(socket, first.replace("ID", "9b" + ids++));
+        send(socket, firstLine.replace("ID", "9b" + nextId++));
         return socket;
     }
 
-    /** One client that stands at that member; what the node answers where it has no room. */
-    private String served(ServerSocket by) throws IOException {
-        Socket client = client(OPEN);
-        by.setSoTimeout(1000);
+    /** Opens a request and returns the reply, that of the endpoint or, without capacity, that of the node. */
+    private String openRequest(ServerSocket expectedEndpoint) throws IOException {
+        Socket client = connectClient(OPEN);
+        expectedEndpoint.setSoTimeout(1000);
         try {
-            Socket server = by.accept();
-            open.add(server);
-            assertTrue(reader(server).readLine().startsWith("OPEN"));
-            send(server, "UP r\r\n");
-        } catch (java.net.SocketTimeoutException notAsked) {
+            Socket upstream = expectedEndpoint.accept();
+            open.add(upstream);
+            assertTrue(reader(upstream).readLine().startsWith("OPEN"));
+            send(upstream, "UP r\r\n");
+        } catch (SocketTimeoutException noAttempt) {
             return reader(client).readLine();
         }
         return reader(client).readLine();
     }
 
-    /** The same for one that comes again when it is told to, as a busy machine may keep a connection from coming up in time. */
-    private String servedInTheEnd(ServerSocket by) throws IOException {
-        String answer = served(by);
-        for (int i = 0; i < 10 && answer.matches("BUSY [0-9]+"); i++) {
-            answer = served(by);
+    /** Opens a request and retries it when it is rejected, as on a busy machine an attempt may not succeed in time. */
+    private String openRequestWithRetries(ServerSocket expectedEndpoint) throws IOException {
+        String reply = openRequest(expectedEndpoint);
+        for (int i = 0; i < 10 && reply.matches("BUSY [0-9]+"); i++) {
+            reply = openRequest(expectedEndpoint);
         }
-        return answer;
+        return reply;
     }
 
-    /** All that others want of the node goes on. */
-    private void goesOn(NodeProcess node) throws Exception {
-        assertTrue(httpGet(management, "/status").startsWith("HTTP/1.1 200 "), "the second address");
+    /** Asserts that management, reloads and discovery still get descriptors. */
+    private void assertOtherServicesContinue(NodeProcess node) throws Exception {
+        assertTrue(httpGet(managementPort, "/status").startsWith("HTTP/1.1 200 "), "the management server");
         node.sendSignal("HUP");
         assertNotNull(node.awaitReloadLine(), "a reload");
-        // Discovery is back, and tells of another member.
-        try (ServerSocket back = new ServerSocket()) {
-            back.setReuseAddress(true);
-            back.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), discovery), 50);
-            back.setSoTimeout(6000);
-            Socket call = back.accept();
-            open.add(call);
-            assertTrue(reader(call).readLine().startsWith("GET /discovery/hosts"), "the call to discovery");
+        // Discovery is reachable again, and lists another endpoint.
+        try (ServerSocket listener = new ServerSocket()) {
+            listener.setReuseAddress(true);
+            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), discoveryPort), 50);
+            listener.setSoTimeout(6000);
+            Socket connection = listener.accept();
+            open.add(connection);
+            assertTrue(reader(connection).readLine().startsWith("GET /discovery/hosts"), "the request to discovery");
             String list = "{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"s-2\",\"addr\":\"127.0.0.1:"
-                    + second.getLocalPort()
-                    + "\",\"state\":\"SERVING\"},{\"id\":\"s-1\",\"addr\":\"127.0.0.1:" + member.getLocalPort()
+                    + secondEndpoint.getLocalPort()
+                    + "\",\"state\":\"SERVING\"},{\"id\":\"s-1\",\"addr\":\"127.0.0.1:" + endpoint.getLocalPort()
                     + "\",\"state\":\"DRAINING\"}]}";
-            send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            send(connection, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
             assertNotNull(node.awaitLogLine("INFO discovery: watching endpoint list from version 9"), "the list");
         }
     }
 
-    private static void leaves(NodeProcess node) throws Exception {
+    private static void assertShutsDownCleanly(NodeProcess node) throws Exception {
         node.sendSignal("TERM");
         assertNotNull(node.awaitLogLine("INFO node: shutting down"), "SIGTERM");
         assertTrue(node.awaitExit(8));
         assertNull(node.awaitLogLine("the end of its log"));
-        // Seen with 1,024 at once: accepting ran ahead, and dials to members and discovery failed for want of
-        // descriptors.
+        // When accepting ran ahead, connections to endpoints and discovery failed for want of descriptors.
         assertTrue(
-                node.readLines().stream().noneMatch(l -> l.contains("Too many open files")),
+                node.readLines().stream().noneMatch(line -> line.contains("Too many open files")),
                 node.readLines()::toString);
     }
 
-    /** Four times as many as there are descriptors, all at once, half of them with half a line. */
+    /** Four times as many clients as descriptors, all at once, half of them with an incomplete line. */
     @Test
-    void clientsThatSayNothingFillNothingThatOthersNeed() throws Exception {
-        try (NodeProcess node = start()) {
+    void silentClientsDoNotExhaustDescriptorsOfOthers() throws Exception {
+        try (NodeProcess node = startNode()) {
             List<Socket> idle = new ArrayList<>();
-            for (int i = 0; i < 4 * SOCKETS; i++) {
-                idle.add(client(i % 2 == 0 ? "" : "OPEN half"));
+            for (int i = 0; i < 4 * DESCRIPTOR_LIMIT; i++) {
+                idle.add(connectClient(i % 2 == 0 ? "" : "OPEN half"));
             }
-            assertEquals("UP r", servedInTheEnd(member), "idle ones give way to one that is served");
-            goesOn(node);
-            assertEquals("UP r", servedInTheEnd(second));
-            // The first had to go: it was told, and sees an end.
-            String told = String.valueOf(reader(idle.get(0)).readLine());
-            assertTrue(told.matches("BUSY [0-9]+|ERR|null"), told);
-            leaves(node);
+            assertEquals("UP r", openRequestWithRetries(endpoint), "idle clients are evicted for one with a request");
+            assertOtherServicesContinue(node);
+            assertEquals("UP r", openRequestWithRetries(secondEndpoint));
+            // The first was evicted, with a reply or none, and its connection ends.
+            String reply = String.valueOf(reader(idle.get(0)).readLine());
+            assertTrue(reply.matches("BUSY [0-9]+|ERR|null"), reply);
+            assertShutsDownCleanly(node);
         }
     }
 
-    /** Standing clients hold all that clients may hold; who comes then is told to come again, and is served once there is room. */
+    /** Established clients hold all of the clients' capacity; others are rejected until there is capacity again. */
     @Test
-    void standingClientsFillNothingThatOthersNeed() throws Exception {
-        try (NodeProcess node = start()) {
-            List<Socket> standing = new ArrayList<>();
-            String answer = served(member);
-            while (answer.equals("UP r")) {
-                standing.add(open.get(open.size() - 2));
-                answer = served(member);
+    void establishedClientsDoNotExhaustDescriptorsOfOthers() throws Exception {
+        try (NodeProcess node = startNode()) {
+            List<Socket> established = new ArrayList<>();
+            String reply = openRequest(endpoint);
+            while (reply.equals("UP r")) {
+                established.add(open.get(open.size() - 2));
+                reply = openRequest(endpoint);
             }
-            assertTrue(standing.size() > 50, standing.size() + " stand");
-            assertTrue(answer.matches("BUSY [0-9]+"), answer);
-            List<BufferedReader> more = new ArrayList<>();
-            for (int i = 0; i < SOCKETS; i++) {
-                more.add(reader(client(i % 2 == 0 ? "" : OPEN)));
+            assertTrue(established.size() > 50, established.size() + " established");
+            assertTrue(reply.matches("BUSY [0-9]+"), reply);
+            List<BufferedReader> rejected = new ArrayList<>();
+            for (int i = 0; i < DESCRIPTOR_LIMIT; i++) {
+                rejected.add(reader(connectClient(i % 2 == 0 ? "" : OPEN)));
             }
-            for (BufferedReader in : more) {
-                turnedAway(in);
+            for (BufferedReader in : rejected) {
+                assertRejected(in);
             }
-            goesOn(node);
-            for (Socket s : standing) {
-                s.close();
+            assertOtherServicesContinue(node);
+            for (Socket client : established) {
+                client.close();
             }
-            assertEquals("UP r", servedInTheEnd(second), "service returns by itself");
-            leaves(node);
+            assertEquals("UP r", openRequestWithRetries(secondEndpoint), "service returns by itself");
+            assertShutsDownCleanly(node);
         }
     }
 
-    private static void turnedAway(BufferedReader in) throws IOException {
+    private static void assertRejected(BufferedReader in) throws IOException {
         try {
-            String told = in.readLine();
-            assertTrue(told == null || told.matches("BUSY [0-9]+"), told);
-            assertNull(told == null ? null : in.readLine());
+            String reply = in.readLine();
+            assertTrue(reply == null || reply.matches("BUSY [0-9]+"), reply);
+            assertNull(reply == null ? null : in.readLine());
         } catch (SocketException reset) {
             throw new AssertionError("BUSY or a clean close", reset);
         }
--- a/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
+++ b/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tulipshed.testing.LoopbackSockets.connect;
+import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
 import static tulipshed.testing.LoopbackSockets.send;
 
@@ -14,6 +16,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -30,51 +33,54 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.testing.ListenerBacklog;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.time.SystemClock;
 
 /**
- * Whatever became of the calls before, a change counts as told 6 s after discovery has it and can be reached. Each kind of failing
- * call is met by a whole node; then discovery is sound and one member drains. All kinds at once, as each takes seconds.
+ * A change of the endpoint list counts as notified 6 s after discovery has it and is reachable, whatever fault its
+ * requests met before. For each fault a node runs against a faulty discovery, which then recovers and lists one endpoint
+ * as draining. All faults run at once, as each takes seconds.
  */
 class DrainNotificationTest {
-    private static final double TOLD_MS = 6_000;
+    private static final double NOTIFICATION_LIMIT_MS = 6_000;
 
     @TempDir
-    private Path folder;
-
-    /** What becomes of the node's calls until discovery is sound. */
-    private enum Fails {
-        REFUSED,
-        DIAL_HANGS,
-        BUSY,
-        RESET,
-        SILENT,
-        DRIPS,
-        HALF,
-        MOVED_MEANWHILE
+    private Path directory;
+
+    /** What the node's requests meet until discovery recovers. */
+    private enum DiscoveryFault {
+        CONNECTION_REFUSED,
+        CONNECT_HANGS,
+        OVERLOADED,
+        CONNECTION_RESET,
+        NO_RESPONSE,
+        SLOW_HEADERS,
+        INCOMPLETE_BODY,
+        ADDRESS_CHANGED
     }
 
-    /** A stand-in that fails its callers until it is sound, and notes when it first told of the drain. */
-    private static final class Discovery implements AutoCloseable {
-        private final Fails how;
+    /** A stub that fails its clients until it recovers, and records when it first listed the draining endpoint. */
+    private static final class FaultyDiscovery implements AutoCloseable {
+        private final DiscoveryFault fault;
         private final String list;
-        private final ConcurrentLinkedQueue<Socket> calls = new ConcurrentLinkedQueue<>();
-        private final List<Socket> filling = new ArrayList<>();
-        private final CountDownLatch called = new CountDownLatch(1);
+        private final ConcurrentLinkedQueue<Socket> connections = new ConcurrentLinkedQueue<>();
+        private final List<Socket> backlog = new ArrayList<>();
+        private final CountDownLatch requested = new CountDownLatch(1);
         private final int port;
-        private final CountDownLatch told = new CountDownLatch(1);
+        private final CountDownLatch notified = new CountDownLatch(1);
         private ServerSocket socket;
-        private volatile boolean sound;
+        private volatile boolean recovered;
 
-        Discovery(Fails how, int draining, int serving) throws IOException {
-            this.how = how;
+        FaultyDiscovery(DiscoveryFault fault, int draining, int serving) throws IOException {
+            this.fault = fault;
             list = "{\"version\":9,\"full\":true,\"servers\":[" + entry("s-1", draining, "DRAINING") + ","
                     + entry("s-2", serving, "SERVING") + "]}";
-            socket = new ServerSocket(0, how == Fails.DIAL_HANGS ? 1 : 50, InetAddress.getLoopbackAddress());
+            socket = new ServerSocket(
+                    0, fault == DiscoveryFault.CONNECT_HANGS ? 1 : 50, InetAddress.getLoopbackAddress());
             port = socket.getLocalPort();
-            switch (how) {
-                case REFUSED -> socket.close();
-                case DIAL_HANGS -> filling.addAll(ListenerBacklog.fill(socket));
+            switch (fault) {
+                case CONNECTION_REFUSED -> socket.close();
+                case CONNECT_HANGS -> backlog.addAll(ListenerBacklog.fill(socket));
                 default -> serve();
             }
         }
@@ -84,53 +90,53 @@
         }
 
         private void serve() {
-            Thread t = new Thread(() -> {
+            Thread acceptor = new Thread(() -> {
                 try {
                     while (true) {
-                        Socket call = socket.accept();
-                        calls.add(call);
-                        Thread each = new Thread(() -> answer(call));
-                        each.setDaemon(true);
-                        each.start();
+                        Socket connection = socket.accept();
+                        connections.add(connection);
+                        Thread responder = new Thread(() -> respond(connection));
+                        responder.setDaemon(true);
+                        responder.start();
                     }
                 } catch (IOException closed) {
                     return;
                 }
             });
-            t.setDaemon(true);
-            t.start();
+            acceptor.setDaemon(true);
+            acceptor.start();
         }
 
-        private void answer(Socket call) {
+        private void respond(Socket connection) {
             try {
-                BufferedReader in = reader(call);
+                BufferedReader in = reader(connection);
                 while (in.readLine() != null) {
                     while (!in.readLine().isEmpty()) {}
-                    if (sound) {
-                        send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
-                        told.countDown();
+                    if (recovered) {
+                        send(connection, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                        notified.countDown();
                         in.readLine();
                         return;
                     }
-                    called.countDown();
-                    fail(call);
+                    requested.countDown();
+                    fail(connection);
                 }
             } catch (IOException | InterruptedException over) {
                 return;
             }
         }
 
-        private void fail(Socket call) throws IOException, InterruptedException {
-            switch (how) {
-                case BUSY -> send(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-                case RESET -> {
-                    call.setSoLinger(true, 0);
-                    call.close();
+        private void fail(Socket connection) throws IOException, InterruptedException {
+            switch (fault) {
+                case OVERLOADED -> send(connection, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                case CONNECTION_RESET -> {
+                    connection.setSoLinger(true, 0);
+                    connection.close();
                 }
-                case HALF -> send(call, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
-                case DRIPS -> {
+                case INCOMPLETE_BODY -> send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{");
+                case SLOW_HEADERS -> {
                     for (char c : ("HTTP/1.1 200 OK\r\nX: " + "x".repeat(4000)).toCharArray()) {
-                        send(call, String.valueOf(c));
+                        send(connection, String.valueOf(c));
                         Thread.sleep(10);
                     }
                 }
@@ -138,15 +144,15 @@
             }
         }
 
-        /** From now on it can be reached, and has the drain. */
-        void becomeSound() throws IOException {
-            sound = true;
-            if (how == Fails.REFUSED) {
+        /** Becomes reachable and lists the draining endpoint. */
+        void recover() throws IOException {
+            recovered = true;
+            if (fault == DiscoveryFault.CONNECTION_REFUSED) {
                 socket = new ServerSocket();
                 socket.setReuseAddress(true);
                 socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
             }
-            if (how == Fails.REFUSED || how == Fails.DIAL_HANGS) {
+            if (fault == DiscoveryFault.CONNECTION_REFUSED || fault == DiscoveryFault.CONNECT_HANGS) {
                 serve();
             }
         }
@@ -154,68 +160,66 @@
         @Override
         public void close() throws IOException {
             socket.close();
-            for (Socket s : calls) {
-                s.close();
+            for (Socket connection : connections) {
+                connection.close();
             }
-            for (Socket s : filling) {
-                s.close();
+            for (Socket connection : backlog) {
+                connection.close();
             }
         }
     }
 
-    private NodeConfig config(Fails how, int discovery, int member) throws IOException {
-        Path file = folder.resolve(how + "-" + discovery + ".json");
-        // Asked within 0.1 s, so that each node has failed before long.
-        Files.writeString(
-                file,
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replace(":18080", ":0")
-                        .replace(":18081", ":" + member)
-                        .replace(":18500", ":" + discovery)
-                        .replace("\"AskWithinS\": 10.0", "\"AskWithinS\": 0.25"));
+    private NodeConfig config(DiscoveryFault fault, int discoveryPort, int endpointPort) throws IOException {
+        // A short poll interval, so that each node soon has a failed request.
+        Path file = NodeConfigFile.fromTemplate()
+                .listenPort(0)
+                .endpointPort(endpointPort)
+                .discoveryPort(discoveryPort)
+                .replace("\"AskWithinS\": 10.0", "\"AskWithinS\": 0.25")
+                .writeTo(Files.createDirectories(directory.resolve(fault + "-" + discoveryPort)));
         return NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
     }
 
-    /** How long after discovery was sound the node had its list; and nothing new goes to the member that drains. */
-    private double toldAfterMs(Fails how) throws Exception {
-        try (ServerSocket drains = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                ServerSocket serves = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                Discovery discovery = new Discovery(how, drains.getLocalPort(), serves.getLocalPort());
-                Discovery elsewhere = new Discovery(Fails.BUSY, drains.getLocalPort(), serves.getLocalPort())) {
-            List<String> log = java.util.Collections.synchronizedList(new ArrayList<>());
+    /** Returns how long after discovery's recovery the node had the list; asserts that the draining endpoint gets no request. */
+    private double notificationMs(DiscoveryFault fault) throws Exception {
+        try (ServerSocket draining = listen(50);
+                ServerSocket serving = listen(50);
+                FaultyDiscovery discovery =
+                        new FaultyDiscovery(fault, draining.getLocalPort(), serving.getLocalPort());
+                FaultyDiscovery newAddress = new FaultyDiscovery(
+                        DiscoveryFault.OVERLOADED, draining.getLocalPort(), serving.getLocalPort())) {
+            List<String> log = Collections.synchronizedList(new ArrayList<>());
             CountDownLatch failed = new CountDownLatch(2);
             Node node = Node.start(NodeOptions.withoutHotRestart(
-                    config(how, discovery.port, drains.getLocalPort()),
+                    config(fault, discovery.port, draining.getLocalPort()),
                     OperatorsFile.EMPTY,
                     Limits.forDescriptors(1024),
                     new SystemClock(),
-                    NodeLog.to(l -> {
-                        log.add(l);
-                        if (l.startsWith("WARN discovery: ")) {
+                    NodeLog.to(line -> {
+                        log.add(line);
+                        if (line.startsWith("WARN discovery: ")) {
                             failed.countDown();
                         }
                     })));
-            Discovery sound = discovery;
-            if (how == Fails.MOVED_MEANWHILE) {
-                // A call is out, and silent, as SIGHUP names another address.
-                assertTrue(discovery.called.await(20, TimeUnit.SECONDS));
-                elsewhere.becomeSound();
-                sound = elsewhere;
-                node.reload(config(how, elsewhere.port, drains.getLocalPort()), OperatorsFile.EMPTY);
+            FaultyDiscovery recovered = discovery;
+            if (fault == DiscoveryFault.ADDRESS_CHANGED) {
+                // A request has no response yet when a reload changes the address.
+                assertTrue(discovery.requested.await(20, TimeUnit.SECONDS));
+                newAddress.recover();
+                recovered = newAddress;
+                node.reload(config(fault, newAddress.port, draining.getLocalPort()), OperatorsFile.EMPTY);
             } else {
-                assertTrue(failed.await(20, TimeUnit.SECONDS), how + ": " + log);
-                discovery.becomeSound();
+                assertTrue(failed.await(20, TimeUnit.SECONDS), fault + ": " + log);
+                discovery.recover();
             }
             long sinceNs = System.nanoTime();
-            assertTrue(sound.told.await(20, TimeUnit.SECONDS), how + ": " + log);
+            assertTrue(recovered.notified.await(20, TimeUnit.SECONDS), fault + ": " + log);
             double tookMs = (System.nanoTime() - sinceNs) / 1e6;
             for (int i = 0; i < 5; i++) {
-                try (Socket client =
-                        new Socket(node.address().getAddress(), node.address().getPort())) {
-                    client.setSoTimeout(5000);
-                    send(client, "OPEN " + how + i + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
-                    serves.setSoTimeout(5000);
-                    try (Socket server = serves.accept()) {
+                try (Socket client = connect(node.address())) {
+                    send(client, "OPEN " + fault + i + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
+                    serving.setSoTimeout(5000);
+                    try (Socket server = serving.accept()) {
                         assertTrue(reader(server).readLine().startsWith("OPEN"));
                         send(server, "UP r\r\n");
                         assertEquals("UP r", reader(client).readLine());
@@ -227,19 +231,19 @@
     }
 
     @Test
-    void aDrainIsKnownInTimeWhateverBecameOfTheCallsBefore() throws Exception {
-        Map<Fails, Future<Double>> took = new EnumMap<>(Fails.class);
-        ExecutorService all = Executors.newFixedThreadPool(Fails.values().length);
+    void notifiesOfDrainingEndpointInTimeAfterEveryDiscoveryFault() throws Exception {
+        Map<DiscoveryFault, Future<Double>> notificationMs = new EnumMap<>(DiscoveryFault.class);
+        ExecutorService executor = Executors.newFixedThreadPool(DiscoveryFault.values().length);
         try {
-            for (Fails how : Fails.values()) {
-                took.put(how, all.submit(() -> toldAfterMs(how)));
+            for (DiscoveryFault fault : DiscoveryFault.values()) {
+                notificationMs.put(fault, executor.submit(() -> notificationMs(fault)));
             }
-            for (Fails how : Fails.values()) {
-                double ms = took.get(how).get();
-                assertTrue(ms < TOLD_MS, how + ": told " + ms + " ms after discovery had it");
+            for (DiscoveryFault fault : DiscoveryFault.values()) {
+                double ms = notificationMs.get(fault).get();
+                assertTrue(ms < NOTIFICATION_LIMIT_MS, fault + ": notified " + ms + " ms after discovery had it");
             }
         } finally {
-            all.shutdownNow();
+            executor.shutdownNow();
         }
     }
 }
--- a/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
+++ b/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
@@ -5,11 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tulipshed.testing.LoopbackSockets.connect;
+import static tulipshed.testing.LoopbackSockets.listen;
+import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -29,276 +30,280 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.time.SystemClock;
 
-/** A whole node on loopback: how it leaves, and what it does when it has no descriptors left. */
+/** A node in this process: metrics, graceful shutdown, and admission when descriptors run out. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class NodeLifecycleTest {
     private static final String OPEN = "OPEN ID k c=slot-board,t=melnik-terminal,d=4000\r\n";
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
     private final List<String> log = new CopyOnWriteArrayList<>();
-    private int ids;
-    private int longest = 4;
-    private ServerSocket member;
+    private int nextId;
+    private int longestDeadlineS = 4;
+    private ServerSocket endpoint;
     private Node node;
 
     @BeforeEach
-    void start() throws IOException {
-        member = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    void openEndpoint() throws IOException {
+        endpoint = listen(50);
     }
 
     @AfterEach
-    void stop() throws IOException {
-        member.close();
+    void closeEndpoint() throws IOException {
+        endpoint.close();
     }
 
-    private void node(int descriptors) throws IOException {
-        node(descriptors, OperatorsFile.EMPTY);
+    private void startNode(int descriptors) throws IOException {
+        startNode(descriptors, OperatorsFile.EMPTY);
     }
 
-    private void node(int descriptors, OperatorsFile operators) throws IOException {
-        node(Limits.forDescriptors(descriptors), operators);
+    private void startNode(int descriptors, OperatorsFile operators) throws IOException {
+        startNode(Limits.forDescriptors(descriptors), operators);
     }
 
-    private void node(Limits limits, OperatorsFile operators) throws IOException {
-        Path file = folder.resolve("node.json");
-        Files.writeString(
-                file,
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replace(":18080", ":0")
-                        .replace(":18081", ":" + member.getLocalPort())
-                        .replaceAll("(\"HardLimitS\": )[34]", "$1" + longest));
-        Map<String, String> environment = Map.of("PROXY_CONFIG", file.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
+    private void startNode(Limits limits, OperatorsFile operators) throws IOException {
+        Path config = NodeConfigFile.fromTemplate()
+                .listenPort(0)
+                .endpointPort(endpoint.getLocalPort())
+                .replaceAll("(\"HardLimitS\": )[34]", "$1" + longestDeadlineS)
+                .writeTo(directory);
+        Map<String, String> environment = Map.of("PROXY_CONFIG", config.toString(), "PROXY_MANAGEMENT", "127.0.0.1:0");
         node = Node.start(NodeOptions.withoutHotRestart(
                 NodeConfig.load(environment), operators, limits, new SystemClock(), NodeLog.to(log::add)));
     }
 
-    private Socket client(String first) throws IOException {
-        Socket socket = new Socket(node.address().getAddress(), node.address().getPort());
-        socket.setSoTimeout(5000);
-        socket.getOutputStream().write(first.replace("ID", "9b" + ids++).getBytes(StandardCharsets.US_ASCII));
+    private Socket connectClient(String firstLines) throws IOException {
+        Socket socket = connect(node.address());
+        send(socket, firstLines.replace("ID", "9b" + nextId++));
         return socket;
     }
 
-    private static BufferedReader reader(Socket socket) throws IOException {
-        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-    }
-
-    private Socket serve() throws IOException {
-        Socket server = member.accept();
+    private Socket acceptUpstream() throws IOException {
+        Socket server = endpoint.accept();
         assertTrue(reader(server).readLine().startsWith("OPEN"));
-        server.getOutputStream().write("UP r\r\n".getBytes(StandardCharsets.US_ASCII));
+        send(server, "UP r\r\n");
         return server;
     }
 
-    /** What the second address answers, head and body. */
-    private String call(String what) throws IOException {
-        try (Socket staff = connect(node.managementAddress().orElseThrow())) {
-            staff.setSoTimeout(1000);
-            staff.getOutputStream().write((what + " HTTP/1.1\r\nHost: n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(staff.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    /** Returns the management server's response, head and body. */
+    private String requestManagement(String request) throws IOException {
+        try (Socket client = connect(node.managementAddress().orElseThrow())) {
+            client.setSoTimeout(1000);
+            send(client, request + " HTTP/1.1\r\nHost: n0\r\n\r\n");
+            return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         }
     }
 
     @Test
-    void theFiguresSayWhatTheNodeDoesAlsoWhileItLeaves() throws Exception {
-        node(1024);
-        assertTrue(call("GET /status").startsWith("HTTP/1.1 200 "));
-        assertTrue(call("GET /status/metrics")
+    void idleNodeReportsItselfReadyAndAllMetrics() throws Exception {
+        startNode(1024);
+        assertTrue(requestManagement("GET /status").startsWith("HTTP/1.1 200 "));
+        assertTrue(requestManagement("GET /status/metrics")
                 .endsWith("{\"replies\":{"
                         + "\"slot-board\":{\"success\":0,\"overload\":0,\"error\":0},"
                         + "\"gate-status\":{\"success\":0,\"overload\":0,\"error\":0},"
                         + "\"slot-booking\":{\"success\":0,\"overload\":0,\"error\":0}},"
                         + "\"concurrent\":0,\"dispatches\":0,\"targets\":1,\"targets_disabled\":0,"
                         + "\"reload_success\":0,\"reload_failure\":0}"));
-        try (Socket one = client(OPEN);
-                Socket first = serve()) {
+    }
+
+    @Test
+    void metricsAreThoseOfTheInterfaceDescription() throws Exception {
+        startNode(1024);
+        String metrics = requestManagement("GET /status/metrics");
+        Map<String, Object> described = new Yaml().load(Files.readString(Path.of("../docs/openapi-management.yaml")));
+        assertTrue(
+                described
+                        .toString()
+                        .contains("required=["
+                                + String.join(
+                                        ", ",
+                                        JsonValues.object(metrics.substring(metrics.indexOf('{'))
+                                                        .getBytes(StandardCharsets.US_ASCII))
+                                                .keySet())
+                                + "]"),
+                "the description names all metrics");
+    }
+
+    @Test
+    void reportsNotReadyAndItsMetricsDuringShutdown() throws Exception {
+        startNode(1024);
+        try (Socket one = connectClient(OPEN);
+                Socket first = acceptUpstream()) {
             assertEquals("UP r", reader(one).readLine());
-            String figures = call("GET /status/metrics");
-            Map<String, Object> described =
-                    new Yaml().load(Files.readString(Path.of("../docs/openapi-management.yaml")));
-            assertTrue(
-                    described
-                            .toString()
-                            .contains("required=["
-                                    + String.join(
-                                            ", ",
-                                            JsonValues.object(figures.substring(figures.indexOf('{'))
-                                                            .getBytes(StandardCharsets.US_ASCII))
-                                                    .keySet())
-                                    + "]"),
-                    "the description names all figures");
-            assertTrue(figures.contains("\"slot-board\":{\"success\":1,\"overload\":0,\"error\":0}"), figures);
-            assertTrue(figures.contains("\"concurrent\":1,\"dispatches\":1,"), figures);
-            Thread leaving = new Thread(node::shutDown);
-            leaving.start();
+            String metrics = requestManagement("GET /status/metrics");
+            assertTrue(metrics.contains("\"slot-board\":{\"success\":1,\"overload\":0,\"error\":0}"), metrics);
+            assertTrue(metrics.contains("\"concurrent\":1,\"dispatches\":1,"), metrics);
+            Thread shutdown = new Thread(node::shutDown);
+            shutdown.start();
             while (!node.isShuttingDown()) {
                 Thread.onSpinWait();
             }
-            assertTrue(call("GET /status").startsWith("HTTP/1.1 503 "), "from the signal on");
-            assertTrue(call("GET /status/metrics").contains("\"concurrent\":1,"));
+            assertTrue(requestManagement("GET /status").startsWith("HTTP/1.1 503 "), "from the signal on");
+            assertTrue(requestManagement("GET /status/metrics").contains("\"concurrent\":1,"));
             assertEquals("MOVE", reader(one).readLine());
-            leaving.join(5000);
+            shutdown.join(5000);
         }
     }
 
-    /** The clients' descriptors are one thing, those of the second address another. */
+    /** The descriptors of clients and those of the management server are reserved separately. */
     @Test
-    void aNodeWithoutDescriptorsForClientsStillAnswersItsStaff() throws IOException {
-        node(64 + 32 + 4);
+    void managementServerRespondsWithoutDescriptorsForClients() throws IOException {
+        startNode(64 + 32 + 4);
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
-            clients.add(client(OPEN));
-            clients.add(serve());
+            clients.add(connectClient(OPEN));
+            clients.add(acceptUpstream());
         }
-        assertTrue(call("GET /status").startsWith("HTTP/1.1 200 "));
-        assertTrue(call("GET /status/metrics").contains("\"concurrent\":2,"));
-        for (Socket s : clients) {
-            s.close();
+        assertTrue(requestManagement("GET /status").startsWith("HTTP/1.1 200 "));
+        assertTrue(requestManagement("GET /status/metrics").contains("\"concurrent\":2,"));
+        for (Socket client : clients) {
+            client.close();
         }
     }
 
     @Test
-    void aNodeThatLeavesTakesWhatStillComesAnswersAllAndMovesItsClients() throws Exception {
-        node(1024);
-        try (Socket standing = client(OPEN);
-                Socket first = serve()) {
-            BufferedReader standingIn = reader(standing);
-            assertEquals("UP r", standingIn.readLine());
-            Thread leaving = new Thread(node::shutDown);
-            leaving.start();
+    void shutdownAcceptsLateClientsRespondsToAllAndMigratesEstablishedOnes() throws Exception {
+        startNode(1024);
+        try (Socket established = connectClient(OPEN);
+                Socket first = acceptUpstream()) {
+            BufferedReader establishedIn = reader(established);
+            assertEquals("UP r", establishedIn.readLine());
+            Thread shutdown = new Thread(node::shutDown);
+            shutdown.start();
             while (!node.isShuttingDown()) {
                 Thread.onSpinWait();
             }
-            try (Socket late = client("PING\r\n" + OPEN);
-                    Socket second = serve();
-                    Socket owed = client(OPEN);
-                    Socket silent = member.accept()) {
+            try (Socket late = connectClient("PING\r\n" + OPEN);
+                    Socket second = acceptUpstream();
+                    Socket pending = connectClient(OPEN);
+                    Socket unresponsive = endpoint.accept()) {
                 BufferedReader lateIn = reader(late);
-                assertEquals("UP r", lateIn.readLine(), "taken, and the ping before it not answered");
+                assertEquals("UP r", lateIn.readLine(), "accepted, and the ping before it not answered");
                 long sinceNs = System.nanoTime();
-                assertEquals("MOVE", standingIn.readLine());
-                // A neighbour that left just before is not back yet: whoever moves early finds nobody.
+                assertEquals("MOVE", establishedIn.readLine());
+                // A neighbour that shut down just before is not back yet: a client that reconnects early finds no node.
                 assertTrue(System.nanoTime() - sinceNs > 1_000_000_000L, "served for as long as there is time");
-                assertNull(standingIn.readLine());
+                assertNull(establishedIn.readLine());
                 assertEquals("MOVE", lateIn.readLine());
-                assertTrue(reader(owed).readLine().startsWith("BUSY"), "owed an answer until the end");
-                leaving.join(5000);
-                assertFalse(leaving.isAlive());
+                assertTrue(reader(pending).readLine().startsWith("BUSY"), "a response is pending until the end");
+                shutdown.join(5000);
+                assertFalse(shutdown.isAlive());
             }
         }
     }
 
-    /** Some rest until the node ends them: the end of its process would close them without a word, perhaps over a request. */
+    /** The exit of the process would close idle connections without a response, perhaps with a request under way. */
     @Test
-    void aRestingClientIsToldBeforeTheNodeEnds() throws IOException {
-        longest = 1;
-        Limits usual = Limits.forDescriptors(1024);
-        node(
-                usual.with(new Limits.LineProtocol(
-                        usual.lineProtocol().lineBytes(),
+    void shutdownRejectsClientsThatHaveNotOpenedARequest() throws IOException {
+        longestDeadlineS = 1;
+        Limits defaults = Limits.forDescriptors(1024);
+        startNode(
+                defaults.with(new Limits.LineProtocol(
+                        defaults.lineProtocol().lineBytes(),
                         60_000,
-                        usual.lineProtocol().pings(),
-                        usual.lineProtocol().longestWaitMs(),
-                        usual.lineProtocol().protocolErrorLogMs())),
+                        defaults.lineProtocol().pings(),
+                        defaults.lineProtocol().longestWaitMs(),
+                        defaults.lineProtocol().protocolErrorLogMs())),
                 OperatorsFile.EMPTY);
-        try (Socket resting = client("PING\r\n");
-                Socket half = client("OPEN ha")) {
-            BufferedReader in = reader(resting);
+        try (Socket idle = connectClient("PING\r\n");
+                Socket incomplete = connectClient("OPEN ha")) {
+            BufferedReader in = reader(idle);
             assertEquals("PONG", in.readLine());
             node.shutDown();
-            for (BufferedReader each : List.of(in, reader(half))) {
+            for (BufferedReader each : List.of(in, reader(incomplete))) {
                 assertTrue(each.readLine().matches("BUSY [0-9]+"));
                 assertNull(each.readLine());
             }
         }
     }
 
-    /** SIGKILL comes 0.7 s after the longest deadline, which settings may make shorter than usual. */
+    /** SIGKILL comes 0.7 s after the longest deadline, which settings may make shorter than defaults. */
     @Test
-    void whereNobodyWaitsLongANodeLeavesSooner() throws IOException {
-        longest = 1;
-        node(1024);
-        try (Socket standing = client(OPEN);
-                Socket server = serve()) {
-            assertEquals("UP r", reader(standing).readLine());
+    void shutdownIsShorterWithShorterDeadlines() throws IOException {
+        longestDeadlineS = 1;
+        startNode(1024);
+        try (Socket established = connectClient(OPEN);
+                Socket server = acceptUpstream()) {
+            assertEquals("UP r", reader(established).readLine());
             long sinceNs = System.nanoTime();
             node.shutDown();
             // The deadlines are 1.0 to 1.8 s here.
             assertTrue(System.nanoTime() - sinceNs < 2_500_000_000L);
-            assertEquals("MOVE", reader(standing).readLine());
+            assertEquals("MOVE", reader(established).readLine());
         }
     }
 
     @Test
-    void theSecondFrontListensWhereItsFileSaysAndNotOnThePlatform() throws IOException {
-        Path file = folder.resolve("tulipshed.sexp");
+    void quicFrontendListensOnlyWhereTheOperatorsFileConfiguresIt() throws IOException {
+        Path file = directory.resolve("tulipshed.sexp");
         Files.writeString(
                 file, Files.readString(Path.of("../example/tulipshed.sexp")).replace(":4433", ":0"));
         var names = NodeConfig.load(Map.of("PROXY_CONFIG", "src/test/resources/node.json"))
                 .nameIndex();
-        node(1024, OperatorsFile.load(file, names));
+        startNode(1024, OperatorsFile.load(file, names));
         assertTrue(
-                log.stream().anyMatch(l -> l.startsWith("INFO node: QUIC frontend listens on /127.0.0.1:")),
+                log.stream().anyMatch(line -> line.startsWith("INFO node: QUIC frontend listens on /127.0.0.1:")),
                 log.toString());
         node.shutDown();
         log.clear();
-        node(1024, OperatorsFile.load(Path.of("../deploy/tulipshed.sexp"), names));
-        assertFalse(log.stream().anyMatch(l -> l.contains("QUIC")), log.toString());
+        startNode(1024, OperatorsFile.load(Path.of("../deploy/tulipshed.sexp"), names));
+        assertFalse(log.stream().anyMatch(line -> line.contains("QUIC")), log.toString());
     }
 
-    /** Without this a node at its limit would take clients that it cannot connect onwards, or not take any. */
+    /** Otherwise a node at its limit would accept clients that it cannot connect upstream, or accept none. */
     @Test
-    void aNodeWithoutDescriptorsTurnsAwayCleanlyAndGoesOn() throws IOException {
-        node(64 + 32 + 4);
-        try (Socket one = client(OPEN);
-                Socket first = serve()) {
+    void rejectsClientsWithoutDescriptorsAndRecovers() throws IOException {
+        startNode(64 + 32 + 4);
+        try (Socket one = connectClient(OPEN);
+                Socket first = acceptUpstream()) {
             assertEquals("UP r", reader(one).readLine());
-            Socket two = client(OPEN);
-            Socket second = serve();
+            Socket two = connectClient(OPEN);
+            Socket second = acceptUpstream();
             assertEquals("UP r", reader(two).readLine());
-            try (Socket three = client(OPEN)) {
+            try (Socket three = connectClient(OPEN)) {
                 BufferedReader in = reader(three);
-                assertTrue(in.readLine().matches("BUSY [0-9]+"), "and told when to come again");
+                assertTrue(in.readLine().matches("BUSY [0-9]+"), "with the time to retry after");
                 assertNull(in.readLine());
             }
             second.close();
             assertNull(reader(two).readLine());
             two.close();
-            assertEquals("UP r", again());
+            assertEquals("UP r", retryUntilServed());
         }
     }
 
-    /** Seen on a rude day: hundreds that say nothing took the descriptors, and 957 others were turned away. */
+    /** Otherwise hundreds of silent clients take all descriptors, and the node rejects all others. */
     @Test
-    void clientsThatSayNothingGiveWayToOthers() throws IOException {
-        node(64 + 32 + 16);
+    void evictsSilentClientsForOthers() throws IOException {
+        startNode(64 + 32 + 16);
         List<Socket> silent = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
-            silent.add(client(i % 2 == 0 ? "" : "frob\r\n"));
+            silent.add(connectClient(i % 2 == 0 ? "" : "frob\r\n"));
         }
         for (int i = 0; i < 3; i++) {
-            try (Socket one = client(OPEN);
-                    Socket server = serve()) {
+            try (Socket one = connectClient(OPEN);
+                    Socket server = acceptUpstream()) {
                 assertEquals("UP r", reader(one).readLine());
             }
         }
         String first = reader(silent.get(0)).readLine();
         assertTrue(first != null && first.matches("BUSY [0-9]+"), first);
-        for (Socket s : silent) {
-            s.close();
+        for (Socket client : silent) {
+            client.close();
         }
     }
 
-    /** Tries until the node has noticed what was closed. */
-    private String again() throws IOException {
+    /** Retries until the node has noticed that connections were closed. */
+    private String retryUntilServed() throws IOException {
         while (true) {
-            Socket socket = client(OPEN);
-            member.setSoTimeout(200);
-            try (Socket server = serve()) {
+            Socket socket = connectClient(OPEN);
+            endpoint.setSoTimeout(200);
+            try (Socket server = acceptUpstream()) {
                 return reader(socket).readLine();
             } catch (java.net.SocketTimeoutException e) {
                 socket.close();
--- a/node/src/test/java/tulipshed/cli/PeerDatagramTest.java
+++ b/node/src/test/java/tulipshed/cli/PeerDatagramTest.java
@@ -12,7 +12,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -22,135 +21,138 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import tulipshed.testing.NodeConfigFile;
 import tulipshed.testing.NodeProcess;
 
-/** Datagrams to nodes in processes of their own, from another node's address and from strangers. */
+/** Datagrams to a node in a process of its own, from a configured peer's address and from an unknown one. */
 @SuppressWarnings("try") // some sockets are only held open, or closed at a point that the test needs
 class PeerDatagramTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
     private DatagramSocket peer;
-    private DatagramSocket stranger;
-    private int hears;
-    private int staff;
+    private DatagramSocket unknownSender;
+    private int peerPort;
+    private int managementPort;
 
     @BeforeEach
     void open() throws IOException {
         peer = new DatagramSocket(0, LOOPBACK);
-        stranger = new DatagramSocket(0, LOOPBACK);
-        hears = freeUdpPort();
-        staff = freeTcpPort();
+        unknownSender = new DatagramSocket(0, LOOPBACK);
+        peerPort = freeUdpPort();
+        managementPort = freeTcpPort();
     }
 
     @AfterEach
     void close() {
         peer.close();
-        stranger.close();
+        unknownSender.close();
     }
 
-    /** A node that is number 0 of two; number 1 is ours. */
-    private NodeProcess node(boolean allowed) throws IOException {
-        Path file = configure(allowed);
+    /** Starts a node that is number 0 of two; number 1 is this test's socket. */
+    private NodeProcess startNode(boolean peersEnabled) throws IOException {
+        Path file = conmetric(peersEnabled);
         NodeProcess node = new NodeProcess(Map.of(
                 "PROXY_CONFIG",
                 file.toString(),
                 "PROXY_MANAGEMENT",
-                "127.0.0.1:" + staff,
+                "127.0.0.1:" + managementPort,
                 "TMPDIR",
-                folder.toString()));
+                directory.toString()));
         node.awaitLogLine("INFO node: n0 serves");
         return node;
     }
 
-    private Path configure(boolean allowed) throws IOException {
-        return Files.writeString(
-                folder.resolve("node.json"),
-                Files.readString(Path.of("src/test/resources/node.json"))
-                        .replace(
-                                "\"127.0.0.1:18080\",",
-                                "\"127.0.0.1:" + freeTcpPort() + "\", \"peer_listen\": \"127.0.0.1:" + hears
-                                        + "\", \"peers\": [\"127.0.0.1:" + hears + "\", \"127.0.0.1:"
-                                        + peer.getLocalPort()
-                                        + "\"], \"peers_all\": \"127.0.0.1:" + peer.getLocalPort() + "\",")
-                        .replace("\"Peers\": false", "\"Peers\": " + allowed));
+    private Path conmetric(boolean peersEnabled) throws IOException {
+        return NodeConfigFile.fromTemplate()
+                .replace("\"127.0.0.1:18080\",", addresses())
+                .replace("\"Peers\": false", "\"Peers\": " + peersEnabled)
+                .writeTo(directory);
+    }
+
+    private String addresses() throws IOException {
+        String node = "\"127.0.0.1:" + peerPort + "\"";
+        String other = "\"127.0.0.1:" + peer.getLocalPort() + "\"";
+        return "\"127.0.0.1:" + freeTcpPort() + "\", \"peer_listen\": " + node + ", \"peers\": [" + node + ", " + other
+                + "], \"peers_all\": " + other + ",";
     }
 
     private void send(DatagramSocket from, int bytes) throws IOException {
-        from.send(new DatagramPacket(new byte[bytes], bytes, new InetSocketAddress(LOOPBACK, hears)));
+        from.send(new DatagramPacket(new byte[bytes], bytes, new InetSocketAddress(LOOPBACK, peerPort)));
     }
 
-    private long figure(String name) throws IOException {
-        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(httpGet(staff, "/status/metrics"));
-        return m.find() ? Long.parseLong(m.group(1)) : -1;
+    private long metric(String name) throws IOException {
+        Matcher matcher =
+                Pattern.compile("\"" + name + "\":(\\d+)").matcher(httpGet(managementPort, "/status/metrics"));
+        return matcher.find() ? Long.parseLong(matcher.group(1)) : -1;
     }
 
-    /** Waits until the figures account for so many datagrams; on loopback none that fits the buffer is lost. */
-    private void heard(long all) throws IOException {
+    /** Waits until the metrics account for so many datagrams; on loopback none that fits the buffer is lost. */
+    private void awaitDatagrams(long total) throws IOException {
         long untilNanos = System.nanoTime() + 10_000_000_000L;
-        while (figure("peers_received") + figure("peers_dropped") < all && System.nanoTime() < untilNanos) {
+        while (metric("peers_received") + metric("peers_dropped") < total && System.nanoTime() < untilNanos) {
             Thread.onSpinWait();
         }
-        assertEquals(all, figure("peers_received") + figure("peers_dropped"));
+        assertEquals(total, metric("peers_received") + metric("peers_dropped"));
     }
 
     @Test
-    void onlyWhatComesFromAnotherNodeAndFitsIsTaken() throws Exception {
-        try (NodeProcess node = node(true)) {
+    void acceptsOnlyDatagramsOfPeersWithinSizeAndRate() throws Exception {
+        try (NodeProcess node = startNode(true)) {
             for (int bytes : List.of(1, 100, 256, 257, 1400)) {
                 send(peer, bytes);
-                send(stranger, bytes);
+                send(unknownSender, bytes);
             }
-            heard(10);
-            assertEquals(3, figure("peers_received"));
+            awaitDatagrams(10);
+            assertEquals(3, metric("peers_received"));
             for (int i = 0; i < 600; i++) {
                 send(peer, 8);
             }
-            heard(610);
-            // What is sent at once falls into two of its seconds at most.
-            assertTrue(figure("peers_received") <= 2 * 200, "of 600 at once: " + figure("peers_received"));
-            assertEquals(0, figure("peers_sent"), "nothing is sent until something gains by it");
+            awaitDatagrams(610);
+            // A burst falls into two of the rate limit's seconds at most.
+            assertTrue(metric("peers_received") <= 2 * 200, "of 600 at once: " + metric("peers_received"));
+            assertEquals(0, metric("peers_sent"), "nothing is sent by itself");
             assertTrue(node.isRunning());
         }
     }
 
     @Test
-    void whereTheSettingsAllowNoneThereIsNoSocketUntilAReloadAllowsThem() throws Exception {
-        try (NodeProcess node = node(false)) {
-            new DatagramSocket(hears, LOOPBACK).close();
-            assertEquals(-1, figure("peers_received"), "no figure either");
-            configure(true);
+    void bindsNoSocketUntilAReloadEnablesPeers() throws Exception {
+        try (NodeProcess node = startNode(false)) {
+            new DatagramSocket(peerPort, LOOPBACK).close();
+            assertEquals(-1, metric("peers_received"), "no metric either");
+            conmetric(true);
             node.sendSignal("HUP");
             assertFalse(node.awaitReloadLine().contains("rejected"));
-            // A restart of the other node's address is no matter; its datagrams are heard once the socket is open.
+            // Datagrams arrive once the socket is open; earlier ones are lost.
             long untilNanos = System.nanoTime() + 10_000_000_000L;
-            while (figure("peers_received") < 1 && System.nanoTime() < untilNanos) {
+            while (metric("peers_received") < 1 && System.nanoTime() < untilNanos) {
                 send(peer, 8);
             }
-            assertTrue(figure("peers_received") >= 1);
-            configure(false);
+            assertTrue(metric("peers_received") >= 1);
+            conmetric(false);
             node.sendSignal("HUP");
             node.awaitReloadLine();
-            new DatagramSocket(hears, LOOPBACK).close();
+            new DatagramSocket(peerPort, LOOPBACK).close();
         }
     }
 
-    /** Talk only adds: a node whose address for it is taken serves all the same, and hears once it is free. */
+    /** Peer messages are optional: a node whose address for them is in use serves without and retries to bind. */
     @Test
-    void aNodeWhoseAddressIsTakenServesWithoutAndHearsOnceItIsFree() throws Exception {
-        DatagramSocket taken = new DatagramSocket(hears, LOOPBACK);
-        try (NodeProcess node = node(true)) {
-            assertEquals(0, figure("peers_received"));
-            taken.close();
+    void servesWhilePeerAddressIsInUseAndBindsItOnceFree() throws Exception {
+        DatagramSocket other = new DatagramSocket(peerPort, LOOPBACK);
+        try (NodeProcess node = startNode(true)) {
+            assertEquals(0, metric("peers_received"));
+            other.close();
             long untilNanos = System.nanoTime() + 10_000_000_000L;
-            while (figure("peers_received") < 1 && System.nanoTime() < untilNanos) {
+            while (metric("peers_received") < 1 && System.nanoTime() < untilNanos) {
                 send(peer, 8);
             }
-            assertTrue(figure("peers_received") >= 1);
+            assertTrue(metric("peers_received") >= 1);
         } finally {
-            taken.close();
+            other.close();
         }
     }
 }
