NameIndex keeps the order in which names are suggested

Need: the copied maps had another capacity than before, and so another order of iteration, which decides between equally near suggestions for a misspelled name. Change: names are copied entry by entry.

--- a/node/src/main/java/tulipshed/config/NameIndex.java
+++ b/node/src/main/java/tulipshed/config/NameIndex.java
@@ -16,8 +16,16 @@
 
     /** An index of these names; the maps are copied. */
     public NameIndex(Map<String, Integer> classes, Map<String, Integer> tenants) {
-        this.classes = Collections.unmodifiableMap(new HashMap<>(classes));
-        this.tenants = Collections.unmodifiableMap(new HashMap<>(tenants));
+        this.classes = copy(classes);
+        this.tenants = copy(tenants);
+    }
+
+    private static Map<String, Integer> copy(Map<String, Integer> indexes) {
+        // Entry by entry, as the copy constructor would choose another capacity and so another order of iteration, in
+        // which the names are tried as suggestions for a misspelled one.
+        Map<String, Integer> copy = new HashMap<>();
+        indexes.forEach(copy::put);
+        return Collections.unmodifiableMap(copy);
     }
 
     /** The index of the names in these settings; of equal names the last one counts. */
