--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -1,8 +1,8 @@
 package tulipshed.limits;
 
 /**
- * Every size, count and time of the node that is not a setting of the site, by concern. Filled once at start and handed
- * down; times are in milliseconds, sizes in bytes.
+ * Every size, count and timeout of the node that is not a setting of its site, by concern. Created once at the start and
+ * passed to all parts. Immutable; names that end in {@code Ms} are milliseconds, those that end in {@code Bytes} bytes.
  */
 public record Limits(
         Sockets sockets,
@@ -15,234 +15,237 @@
         HealthChecks healthChecks,
         Peers peers) {
 
-    /** Sockets and buffers, whichever front they belong to. */
+    /**
+     * Sockets and buffers of all protocol frontends.
+     *
+     * @param relayBytes the bytes buffered for one direction of one relayed connection
+     * @param readBytes the most bytes that one read takes from a socket
+     * @param descriptors the file descriptors that the process may hold
+     * @param reservedDescriptors the descriptors set aside for the virtual machine, the listeners and discovery
+     * @param backlog the connections that may wait in the kernel to be accepted
+     * @param maxReadsPerEvent the reads of one connection before other connections have their turn
+     * @param maxAcceptsPerEvent the connections accepted before descriptors of closed connections are released
+     * @param lingerTimeoutMs how long a connection may remain after one side has ended it
+     * @param sweepIntervalMs how often connections are checked for expired timeouts
+     * @param overloadRetryAfterMs the Retry-After given to clients that are rejected for lack of descriptors
+     */
     public record Sockets(
-            /** What a relay holds for one direction of one connection. */
             int relayBytes,
-            /** What one read takes from a socket at most. */
             int readBytes,
-            /** Descriptors that the process may hold. */
             int descriptors,
-            /** Descriptors kept for the virtual machine, the listener and discovery. */
             int reservedDescriptors,
-            /** Connections waiting in the kernel to be accepted. */
             int backlog,
-            /** Reads of one connection before the others have their turn. */
             int maxReadsPerEvent,
-            /** Accepted connections that are looked at before the descriptors of those closed are given back. */
             int maxAcceptsPerEvent,
-            /** How long a connection may linger once one side has ended it. */
             double lingerTimeoutMs,
-            /** How often what may have become too old is looked at. */
             double sweepIntervalMs,
-            /** When a client that was turned away for want of descriptors should come again. */
             double overloadRetryAfterMs) {}
 
-    /** The platform's line protocol. */
+    /**
+     * The platform's line protocol.
+     *
+     * @param lineBytes the length of the longest line, its end included
+     * @param firstLineTimeoutMs how long the first line may take to be complete
+     * @param pings the pings that a connection may send before its first line
+     * @param longestWaitMs the longest time that a client may say it waits
+     * @param protocolErrorLogMs the time between two log lines about malformed input
+     */
     public record LineProtocol(
-            /** Longest line, with its end. */
-            int lineBytes,
-            /** A first line must be complete within this time. */
-            double firstLineTimeoutMs,
-            /** Pings that a connection may send before its first line. */
-            int pings,
-            /** The longest time that a client may say it waits. */
-            double longestWaitMs,
-            /** Between two lines of the log on what clients sent that cannot be used. */
-            double protocolErrorLogMs) {}
-
-    /** Calls to discovery. */
+            int lineBytes, double firstLineTimeoutMs, int pings, double longestWaitMs, double protocolErrorLogMs) {}
+
+    /**
+     * Requests to the discovery service and to its agents.
+     *
+     * @param headBytes the length of the longest response head
+     * @param bodyBytes the length of the longest response body
+     * @param connectTimeoutMs how long a connection may take to be established
+     * @param watchWaitMs how long a watch request waits at the service for a change
+     * @param watchTimeoutMs how long after that wait a missing response counts as a failure; failure and next request
+     *     must fit into 6 s
+     * @param responseTimeoutMs how long a response may take from its first byte until it is complete
+     * @param agentWaitMs how long a request waits at an agent, which receives lists by push; such requests cost nothing,
+     *     and short ones reveal an unresponsive agent soon
+     * @param agentTimeoutMs how long after that wait a missing response of an agent counts as a failure
+     * @param agentRetryDelayMs the delay after a failed request to an agent
+     * @param agentPollIntervalMs the time between two requests to an agent that has no change and answers at once; under
+     *     200 ms, or the watch would end
+     */
     public record Discovery(
-            /** Longest head of an answer. */
             int headBytes,
-            /** Longest body of an answer. */
             int bodyBytes,
-            /** A connection that is not up within this time is given up. */
             double connectTimeoutMs,
-            /** How long a watch waits there for something new. */
             double watchWaitMs,
-            /** How long after that wait silence counts as a failed call; with it and the next call within 6 s. */
             double watchTimeoutMs,
-            /** An answer must be whole within this time of its first byte. */
             double responseTimeoutMs,
-            /** How long a call to an agent waits there that lists are pushed to: calls are free, and a silent one shows soon. */
             double agentWaitMs,
-            /** How long after that wait its silence counts as a failed call. */
             double agentTimeoutMs,
-            /** After a failed call to an agent, until the next. */
             double agentRetryDelayMs,
-            /** Between two calls to an agent that has nothing new and answers at once; under 200 ms, or the watch would end. */
             double agentPollIntervalMs) {}
 
-    /** What the core waits for. */
+    /**
+     * Timeouts of requests, whichever the protocol.
+     *
+     * @param responseMarginMs how long before the client's deadline the final response is sent, so that it arrives in time
+     * @param endpointTimeoutMs how long an endpoint may send nothing after a client's message before it counts as
+     *     unresponsive; usual pauses are shorter
+     * @param adoptionTimeoutMs how long connections that were established before the start may take to reconnect
+     * @param unknownEndpointPollMs how often the endpoint list is checked for the endpoint of such a connection
+     * @param unlistedEndpointTimeoutMs how long that endpoint is awaited once discovery has sent a list since the start
+     * @param routePollMs how often routes are checked for a change of pool
+     */
     public record Requests(
-            /** Final answers are due this much before the client gives up, so that they arrive in time. */
             double responseMarginMs,
-            /** A member that returned nothing for this long after a client's line counts as silent; pauses are shorter. */
             double endpointTimeoutMs,
-            /** How long connections that stood before the start may take to come up again. */
             double adoptionTimeoutMs,
-            /** How often the list is looked at for the member of such a connection. */
             double unknownEndpointPollMs,
-            /** How long that member is waited for where discovery has told its list since the start. */
             double unlistedEndpointTimeoutMs,
-            /** How often it is looked at whether routes should use other pools. */
             double routePollMs) {}
 
-    /** Taking a process out of service. */
+    /**
+     * Graceful shutdown and hot restart.
+     *
+     * @param acceptMs how long after SIGTERM new connections are accepted
+     * @param migrateAfterMs how long after SIGTERM clients are first asked to migrate; the other nodes may be restarting
+     *     until then
+     * @param maxDeadlineMs the longest deadline of a request that the shutdown waits for
+     * @param endMarginMs how long the process remains once all requests are answered and all connections migrated
+     * @param takeoverListTimeoutMs how long a process that takes over waits for discovery's list before it uses its own
+     * @param sharedIds the most connection IDs that a process publishes to the other process of its node
+     */
     public record Shutdown(
-            /** After SIGTERM: how long new connections are taken. */
             double acceptMs,
-            /** From when on clients are asked to move; until then the others may still be coming back. */
             double migrateAfterMs,
-            /** The longest that a deadline counts. */
             double maxDeadlineMs,
-            /** How long after it all is answered and moved. */
             double endMarginMs,
-            /** How long the process that takes over waits for discovery's list before it serves with its own. */
             double takeoverListTimeoutMs,
-            /** Open ids that a process shows to the other process of its node. */
             int sharedIds) {}
 
-    /** The second address. */
-    public record Management(
-            /** Connections at a time; as many again may be accepted until the oldest have given way. */
-            int connections,
-            /** Longest head of a call. */
-            int headBytes,
-            /** A call must be whole within this time, and its answer read within this time. */
-            double requestTimeoutMs) {}
+    /**
+     * The management server.
+     *
+     * @param connections the connections served at a time; as many again may be accepted until the oldest are closed
+     * @param headBytes the length of the longest request head
+     * @param requestTimeoutMs how long a request may take to be complete, and its response to be read
+     */
+    public record Management(int connections, int headBytes, double requestTimeoutMs) {}
 
-    /** The front for connection ids of QUIC. */
+    /**
+     * The frontend for QUIC.
+     *
+     * @param datagramBytes the length of the longest datagram that is accepted
+     * @param maxConnections the connections tracked at a time
+     * @param maxIdsPerConnection the connection IDs learned for one connection; the oldest is dropped first
+     * @param retainedFirstDatagrams the first datagrams of a client that are retained for a retry
+     * @param idleTimeoutMs how long a connection may be idle before it is dropped
+     * @param finalResponseRepeatMs how long a final response is repeated to a client that sends its first packet again
+     * @param unresponsiveAfterDatagrams the datagrams without a reply after which an endpoint may count as unresponsive
+     * @param unresponsiveTimeoutMs the time without a reply that is needed besides, as datagrams may be lost
+     * @param maxClientHelloBytes the length of the longest TLS ClientHello
+     * @param clientHelloTimeoutMs how long an incomplete ClientHello is awaited
+     * @param maxPendingClientHellos the connections with an incomplete ClientHello at a time; each buffers its first
+     *     datagrams and the part of the ClientHello received
+     * @param maxPathsPerConnection the network paths of one client that are open at a time
+     * @param pathIdleTimeoutMs how long a path other than the client's latest may be idle before its slot on the upstream
+     *     socket is released
+     * @param upstreamSocketReuseDelayMs how long a released slot on an upstream socket is not assigned again
+     * @param maxReadsPerEvent the datagrams read from one socket before other sockets have their turn
+     * @param maxUnknownDatagrams the datagrams with an unknown connection ID that wait until those of known connections
+     *     are forwarded
+     * @param unknownDatagramSliceMs how long such datagrams are processed before sockets are read again
+     * @param maxUnconfirmedConnections the connections adopted by their ID alone that no endpoint has confirmed; the
+     *     oldest is evicted
+     * @param receiveBufferBytes the kernel's receive buffer of a socket, if the kernel allows that much
+     */
     public record Quic(
-            /** Largest datagram taken. */
             int datagramBytes,
-            /** Connections kept at most. */
             int maxConnections,
-            /** Ids learned of one connection at most; the oldest learned goes first. */
             int maxIdsPerConnection,
-            /** First datagrams of a client kept for a further attempt. */
             int retainedFirstDatagrams,
-            /** A connection on which nothing came for this long is forgotten. */
             double idleTimeoutMs,
-            /** How long a final answer is repeated to a client that sends its first packet again. */
             double finalResponseRepeatMs,
-            /** A member counts as silent only after this many datagrams without one in return. */
             int unresponsiveAfterDatagrams,
-            /** And after this long without one: datagrams may be lost on the way. */
             double unresponsiveTimeoutMs,
-            /** Longest client hello. */
             int maxClientHelloBytes,
-            /** How long one that is not whole is waited for. */
             double clientHelloTimeoutMs,
-            /** Connections whose hello is waited for at most; each holds its first datagrams and what it has of the hello. */
             int maxPendingClientHellos,
-            /** Networks in which one client is at a time. */
             int maxPathsPerConnection,
-            /** After so long without a word a path that is not the client's last gives back its place at the member. */
             double pathIdleTimeoutMs,
-            /** A place on a socket towards a member is not given to another flow before so long. */
             double upstreamSocketReuseDelayMs,
-            /** Datagrams read of one socket before the others have their turn. */
             int maxReadsPerEvent,
-            /** Datagrams of which nothing is known that wait until those of known connections have been passed on. */
             int maxUnknownDatagrams,
-            /** How long such datagrams are looked at before the sockets have their turn again. */
             double unknownDatagramSliceMs,
-            /** Connections carried on by their id alone that no member has answered yet; the oldest gives way. */
             int maxUnconfirmedConnections,
-            /** What the kernel may hold of datagrams that wait to be read, where it allows that much. */
             int receiveBufferBytes) {}
 
-    /** Probes of pool members. */
-    public record HealthChecks(
-            /** Connections kept for them, one a member. */
-            int connections,
-            /** How long an answer is waited for, from the probe on, with the way there. */
-            double responseTimeoutMs,
-            /** How long a connection is kept unused. */
-            double idleTimeoutMs) {}
+    /**
+     * Health checks of endpoints.
+     *
+     * @param connections the connections kept for them, one for an endpoint
+     * @param responseTimeoutMs how long a response may take, from the decision to check on and connecting included
+     * @param idleTimeoutMs how long an unused connection is kept
+     */
+    public record HealthChecks(int connections, double responseTimeoutMs, double idleTimeoutMs) {}
 
-    /** Datagrams between nodes. */
-    public record Peers(
-            /** Largest body, which the protocol sets. */
-            int maxBodyBytes,
-            /** Datagrams of one sender that are taken in a second; more are dropped. */
-            int maxPerSenderPerSecond) {}
+    /**
+     * Messages between nodes.
+     *
+     * @param maxBodyBytes the length of the longest message, which the protocol sets
+     * @param maxPerSenderPerSecond the messages accepted from one sender in a second; more are dropped
+     */
+    public record Peers(int maxBodyBytes, int maxPerSenderPerSecond) {}
 
-    /** The limits of a node that may hold this many descriptors. */
+    /** The default limits of a node that may hold this many file descriptors. */
     public static Limits forDescriptors(int descriptors) {
-        return new Limits(
-                new Sockets(16 * 1024, 16 * 1024, descriptors, 64, 1024, 4, 8, 900, 250, 500),
-                new LineProtocol(4096, 2_000, 16, 120_000, 10_000),
-                new Discovery(8 * 1024, 4 * 1024 * 1024, 500, 2_500, 1_500, 1_000, 1_000, 500, 200, 100),
-                new Requests(40, 800, 40_000, 100, 1_000, 100),
-                new Shutdown(500, 1_500, 3_000, 200, 1_500, 4096),
-                new Management(16, 4 * 1024, 2_000),
-                new Quic(
-                        2048,
-                        4096,
-                        8,
-                        8,
-                        30_000,
-                        5_000,
-                        3,
-                        2_500,
-                        8 * 1024,
-                        1_000,
-                        256,
-                        4,
-                        10_000,
-                        5_000,
-                        64,
-                        256,
-                        1,
-                        512,
-                        4 * 1024 * 1024),
-                new HealthChecks(64, 500, 5_000),
-                new Peers(256, 200));
+        return DefaultLimits.forDescriptors(descriptors);
     }
 
-    /** The same but for these. */
+    /** These limits with other ones for sockets. */
     public Limits with(Sockets changed) {
         return new Limits(changed, lineProtocol, discovery, requests, shutdown, management, quic, healthChecks, peers);
     }
 
-    /** The same but for these. */
+    /** These limits with other ones for the line protocol. */
     public Limits with(LineProtocol changed) {
         return new Limits(sockets, changed, discovery, requests, shutdown, management, quic, healthChecks, peers);
     }
 
-    /** The same but for these. */
+    /** These limits with other ones for discovery. */
     public Limits with(Discovery changed) {
         return new Limits(sockets, lineProtocol, changed, requests, shutdown, management, quic, healthChecks, peers);
     }
 
-    /** The same but for these. */
+    /** These limits with other ones for QUIC. */
     public Limits with(Quic changed) {
         return new Limits(
                 sockets, lineProtocol, discovery, requests, shutdown, management, changed, healthChecks, peers);
     }
 
-    /** How many descriptors connections may take together when a new one is taken. */
+    /** The descriptors that all connections together may hold when a client connection is accepted. */
     public int connectionDescriptors() {
-        return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() - 2 * management.connections());
+        return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() - managementDescriptors());
     }
 
-    /** How many they may take when a flow is opened: clients taken at the same time must not starve each other. */
+    /**
+     * The descriptors that all connections together may hold when an attempt opens its upstream connection. It is higher
+     * than that for client connections, so that clients accepted at the same time do not starve each other.
+     */
     public int attemptDescriptors() {
-        return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() / 2 - 2 * management.connections());
+        return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() / 2 - managementDescriptors());
+    }
+
+    private int managementDescriptors() {
+        return 2 * management.connections();
     }
 
     /**
-     * How many clients' connections may be open or wait to be looked at: half of what connections may take, as each may have
-     * a flow, and those that are looked at next.
+     * The client connections that may be open or wait to be processed: half of the descriptors for connections, as each
+     * may need an upstream connection, and those of the next accept events.
      */
     public int clientConnections() {
         return Math.max(2, connectionDescriptors() / 2) + 2 * sockets.maxAcceptsPerEvent();
     }
 
-    /** Connections without a whole first line at a time; a client that means it sends its line at once. */
+    /** The client connections without a complete first line at a time; clients send that line at once. */
     public int unopenedConnections() {
         return Math.max(1, connectionDescriptors() / 4);
     }
--- /dev/null
+++ b/node/src/main/java/tulipshed/limits/package-info.java
@@ -0,0 +1,2 @@
+/** The sizes, counts and timeouts of a node that are no settings of its site: their meaning and their default values. */
+package tulipshed.limits;
--- a/node/src/main/java/tulipshed/management/HttpRequestParser.java
+++ b/node/src/main/java/tulipshed/management/HttpRequestParser.java
@@ -1,64 +1,84 @@
 package tulipshed.management;
 
 import java.nio.ByteBuffer;
+import java.util.regex.Pattern;
 
-/** Reads the head of one call as it comes in, and keeps no more of it than its method, its path and one line. */
+/**
+ * Parses the head of one HTTP/1.1 request as its bytes arrive. It keeps the method, the path and the present line only.
+ * Confined to the event-loop thread.
+ */
 final class HttpRequestParser {
-    private static final String NAME = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
-    private final int longestHead;
+    /** A token of HTTP: the name of a method or of a header field. */
+    private static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
+
+    private static final Pattern REQUEST_LINE = Pattern.compile(TOKEN + " /[!-~]* HTTP/1\\.[01]");
+    private static final Pattern HEADER_FIELD = Pattern.compile(TOKEN + ":[ -~\t\u0080-\u00ff]*");
+
+    private final int maxHeadBytes;
     private final StringBuilder line = new StringBuilder();
-    private int bytes;
+    private int headBytes;
     private String method;
     private String path;
 
-    HttpRequestParser(int longestHead) {
-        this.longestHead = longestHead;
+    /** Creates a parser that accepts a head of at most this length. */
+    HttpRequestParser(int maxHeadBytes) {
+        this.maxHeadBytes = maxHeadBytes;
     }
 
-    /** Takes what belongs to the head; true once it is whole. */
-    boolean take(ByteBuffer in) {
-        while (in.hasRemaining()) {
-            if (++bytes > longestHead) {
-                throw new MalformedRequestException("a head of more than " + longestHead + " bytes");
+    /**
+     * Consumes bytes up to the end of the head.
+     *
+     * @return whether the head is complete
+     * @throws MalformedRequestException if it is malformed or too long
+     */
+    boolean parse(ByteBuffer bytes) {
+        while (bytes.hasRemaining()) {
+            if (++headBytes > maxHeadBytes) {
+                throw new MalformedRequestException("a head of more than " + maxHeadBytes + " bytes");
             }
-            char c = (char) (in.get() & 0xFF);
-            if (c != '\n') {
-                line.append(c);
-            } else if (whole()) {
+            char next = (char) (bytes.get() & 0xFF);
+            if (next != '\n') {
+                line.append(next);
+            } else if (endLine()) {
                 return true;
             }
         }
         return false;
     }
 
+    /** The method, null until the request line is complete. */
     String method() {
         return method;
     }
 
-    /** Without what may follow a question mark. */
+    /** The path without the query, null until the request line is complete. */
     String path() {
         return path;
     }
 
-    /** A line has ended; true where it was the empty one after the head. */
-    private boolean whole() {
+    /** Processes a complete line; returns whether it is the empty line that ends the head. */
+    private boolean endLine() {
         if (line.length() > 0 && line.charAt(line.length() - 1) == '\r') {
             line.setLength(line.length() - 1);
         }
         String text = line.toString();
         line.setLength(0);
         if (method == null) {
-            if (!text.matches(NAME + " /[!-~]* HTTP/1\\.[01]")) {
-                throw new MalformedRequestException("not a call of HTTP/1.1");
-            }
-            String[] words = text.split(" ");
-            method = words[0];
-            path = words[1].replaceFirst("\\?.*", "");
-        } else if (text.isEmpty()) {
-            return true;
-        } else if (!text.matches(NAME + ":[ -~\t\u0080-\u00ff]*")) {
+            parseRequestLine(text);
+            return false;
+        }
+        if (!text.isEmpty() && !HEADER_FIELD.matcher(text).matches()) {
             throw new MalformedRequestException("a field without a name");
         }
-        return false;
+        return text.isEmpty();
+    }
+
+    private void parseRequestLine(String text) {
+        if (!REQUEST_LINE.matcher(text).matches()) {
+            throw new MalformedRequestException("not a call of HTTP/1.1");
+        }
+        String[] words = text.split(" ");
+        method = words[0];
+        path = words[1].replaceFirst("\\?.*", "");
     }
 }
--- a/node/src/main/java/tulipshed/management/MalformedRequestException.java
+++ b/node/src/main/java/tulipshed/management/MalformedRequestException.java
@@ -1,6 +1,6 @@
 package tulipshed.management;
 
-/** Bytes that are not a call of HTTP/1.1 within the bounds. */
+/** Bytes that are no request of HTTP/1.1, or a head that is too long. The message is the body of the response. */
 final class MalformedRequestException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
--- a/node/src/main/java/tulipshed/management/ManagementServer.java
+++ b/node/src/main/java/tulipshed/management/ManagementServer.java
@@ -9,97 +9,122 @@
 import java.util.function.BooleanSupplier;
 import org.xnio.StreamConnection;
 import tulipshed.limits.Limits;
-import tulipshed.management.ManagementSession.Answer;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.Clock;
 import tulipshed.transport.Acceptor;
 import tulipshed.transport.XnioEventLoop;
 
 /**
- * The second address, for staff and their tools. Its connections are few, short and apart from the clients': when
- * there are too many, the oldest give way, those that have their answer first.
+ * The HTTP server for operators and their tools, on an address of its own. Its connections are few, short and separate
+ * from those of clients: when there are too many, the oldest is closed, first those that have their response. Confined to
+ * the event-loop thread.
  */
 public final class ManagementServer {
-    final Clock clock;
-    final Limits limits;
-    final ByteBuffer scratch;
+    /** External paths. */
+    private static final String STATUS_PATH = "/status";
+
+    private static final String METRICS_PATH = "/status/metrics";
+
+    private final Clock clock;
+    private final Limits limits;
     private final XnioEventLoop loop;
     private final ProxyCore core;
-    private final BooleanSupplier serves;
-    private final Set<ManagementSession> calling = new LinkedHashSet<>();
-    private final Set<ManagementSession> answered = new LinkedHashSet<>();
-    private final Acceptor server;
+    private final BooleanSupplier serving;
+    private final ByteBuffer readBuffer;
+    /** Sessions without a response and those with one, each in the order of their age. */
+    private final Set<ManagementSession> awaitingRequest = new LinkedHashSet<>();
 
-    /** Listens at once; {@code serves} says whether this process takes clients now. */
+    private final Set<ManagementSession> responded = new LinkedHashSet<>();
+    private final Acceptor acceptor;
+
+    /**
+     * Creates a server that listens at once.
+     *
+     * @param serving whether this process accepts clients now
+     * @throws IOException if the address cannot be bound
+     */
     public ManagementServer(
             InetSocketAddress address,
             Clock clock,
             Limits limits,
             XnioEventLoop loop,
             ProxyCore core,
-            BooleanSupplier serves)
+            BooleanSupplier serving)
             throws IOException {
         this.clock = clock;
         this.limits = limits;
         this.loop = loop;
         this.core = core;
-        this.serves = serves;
-        scratch = ByteBuffer.allocate(limits.management().headBytes());
-        // As many again as are kept, so that there is always one that makes the oldest give way.
-        server = loop.listen(address, 2 * limits.management().connections(), this::accepted);
-        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
+        this.serving = serving;
+        readBuffer = ByteBuffer.allocate(limits.management().headBytes());
+        // Twice as many as are kept, so that a new connection can always be accepted and the oldest be closed for it.
+        acceptor = loop.listen(address, 2 * limits.management().connections(), this::onAccepted);
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::closeExpired);
     }
 
-    /** Where it listens. */
+    /** The address that the server listens on. */
     public InetSocketAddress address() {
-        return server.address();
+        return acceptor.address();
     }
 
-    /** Ends its listening and what is open. */
+    /** Stops listening and closes all connections. */
     public void close() {
-        server.close();
-        List.copyOf(calling).forEach(ManagementSession::close);
-        List.copyOf(answered).forEach(ManagementSession::close);
+        acceptor.close();
+        List.copyOf(awaitingRequest).forEach(ManagementSession::close);
+        List.copyOf(responded).forEach(ManagementSession::close);
     }
 
-    private void accepted(StreamConnection connection) {
-        if (calling.size() + answered.size() >= limits.management().connections()) {
-            (answered.isEmpty() ? calling : answered).iterator().next().close();
+    private void onAccepted(StreamConnection connection) {
+        if (awaitingRequest.size() + responded.size() >= limits.management().connections()) {
+            evictOldest();
         }
-        ManagementSession session = new ManagementSession(this, connection);
-        calling.add(session);
+        ManagementSession session = new ManagementSession(this, connection, limits, readBuffer, clock.nowMs());
+        awaitingRequest.add(session);
         session.start();
     }
 
-    void answered(ManagementSession session) {
-        calling.remove(session);
-        answered.add(session);
+    private void evictOldest() {
+        Set<ManagementSession> candidates = responded.isEmpty() ? awaitingRequest : responded;
+        candidates.iterator().next().close();
+    }
+
+    /** A session has written its response. */
+    void onResponded(ManagementSession session) {
+        awaitingRequest.remove(session);
+        responded.add(session);
     }
 
-    void closed(ManagementSession session) {
-        calling.remove(session);
-        answered.remove(session);
+    /** A session is closing its connection. */
+    void onClosed(ManagementSession session) {
+        awaitingRequest.remove(session);
+        responded.remove(session);
     }
 
-    Answer answer(String method, String path) {
-        boolean metrics = path.equals("/status/metrics");
-        if (!metrics && !path.equals("/status")) {
-            return Answer.plain(404, "Not Found", "there are /status and /status/metrics");
-        } else if (!method.equals("GET")) {
-            return Answer.plain(405, "Method Not Allowed", "only GET");
-        } else if (metrics) {
-            return new Answer(200, "OK", "application/json", "", MetricsWriter.json(core));
+    /** The response to a request. */
+    HttpResponse handle(String method, String path) {
+        boolean metrics = path.equals(METRICS_PATH);
+        if (!metrics && !path.equals(STATUS_PATH)) {
+            return HttpResponse.text(404, "Not Found", "there are /status and /status/metrics");
+        }
+        if (!method.equals("GET")) {
+            return HttpResponse.methodNotAllowed();
         }
-        return serves.getAsBoolean()
-                ? Answer.plain(200, "OK", "serves")
-                : Answer.plain(503, "Service Unavailable", "does not serve");
+        return metrics ? HttpResponse.json(MetricsWriter.json(core)) : status();
+    }
+
+    private HttpResponse status() {
+        return serving.getAsBoolean()
+                ? HttpResponse.text(200, "OK", "serves")
+                : HttpResponse.text(503, "Service Unavailable", "does not serve");
     }
 
-    private void sweep() {
-        double longAgoMs = clock.nowMs() - limits.management().requestTimeoutMs();
-        for (Set<ManagementSession> some : List.of(calling, answered)) {
-            List.copyOf(some).stream().filter(s -> s.sinceMs() < longAgoMs).forEach(ManagementSession::late);
+    private void closeExpired() {
+        double expiredMs = clock.nowMs() - limits.management().requestTimeoutMs();
+        for (Set<ManagementSession> sessions : List.of(awaitingRequest, responded)) {
+            List.copyOf(sessions).stream()
+                    .filter(session -> session.startedMs() < expiredMs)
+                    .forEach(ManagementSession::onTimeout);
         }
-        loop.schedule(limits.sockets().sweepIntervalMs(), this::sweep);
+        loop.schedule(limits.sockets().sweepIntervalMs(), this::closeExpired);
     }
 }
--- a/node/src/main/java/tulipshed/management/ManagementSession.java
+++ b/node/src/main/java/tulipshed/management/ManagementSession.java
@@ -1,117 +1,114 @@
 package tulipshed.management;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import org.xnio.StreamConnection;
+import tulipshed.limits.Limits;
 import tulipshed.transport.TcpConnection;
 
-/** One connection of the second address: one call, one answer, and its end. */
+/** One connection of the management server: one request and one response. Confined to the event-loop thread. */
 final class ManagementSession implements TcpConnection.Listener {
-    private final ManagementServer front;
-    private final TcpConnection link;
+    private final ManagementServer server;
+    private final TcpConnection connection;
     private final HttpRequestParser parser;
-    private final double sinceMs;
-    private boolean answered;
+    private final ByteBuffer readBuffer;
+    private final int maxReadsPerEvent;
+    private final double startedMs;
+    private boolean responded;
 
-    ManagementSession(ManagementServer front, StreamConnection connection) {
-        this.front = front;
-        // Not counted by the loop: these descriptors are set aside, and clients have none of them.
-        this.link = new TcpConnection(connection, this, () -> {});
-        this.parser = new HttpRequestParser(front.limits.management().headBytes());
-        this.sinceMs = front.clock.nowMs();
+    /**
+     * Wraps an accepted connection; {@link #start} begins to read it.
+     *
+     * @param readBuffer the server's buffer, which sessions use in turn
+     * @param nowMs the present time, in milliseconds
+     */
+    ManagementSession(
+            ManagementServer server, StreamConnection accepted, Limits limits, ByteBuffer readBuffer, double nowMs) {
+        this.server = server;
+        // Not counted by the event loop: these descriptors are reserved, and client connections have no share in them.
+        this.connection = new TcpConnection(accepted, this, () -> {});
+        this.parser = new HttpRequestParser(limits.management().headBytes());
+        this.readBuffer = readBuffer;
+        this.maxReadsPerEvent = limits.sockets().maxReadsPerEvent();
+        this.startedMs = nowMs;
     }
 
+    /** Begins to read, at once with what has arrived. */
     void start() {
-        link.setReading(true);
-        onReadable(link);
+        connection.setReading(true);
+        onReadable(connection);
     }
 
-    double sinceMs() {
-        return sinceMs;
+    /** When the connection was accepted, in milliseconds. */
+    double startedMs() {
+        return startedMs;
     }
 
     @Override
     public void onReadable(TcpConnection from) {
-        ByteBuffer in = front.scratch;
-        for (int i = 0; i < front.limits.sockets().maxReadsPerEvent() && !link.isClosed(); i++) {
-            in.clear();
-            int n = link.read(in);
-            if (n < 0) {
-                if (!answered || link.queuedBytes() == 0) {
-                    close();
-                } else {
-                    link.setReading(false);
-                }
+        for (int reads = 0; reads < maxReadsPerEvent && !connection.isClosed(); reads++) {
+            readBuffer.clear();
+            int count = connection.read(readBuffer);
+            if (count < 0) {
+                endOfInput();
             }
-            if (n <= 0) {
+            if (count <= 0) {
                 return;
             }
-            if (!answered) {
-                take(in.flip());
+            if (!responded) {
+                parse(readBuffer.flip());
             }
         }
     }
 
-    private void take(ByteBuffer in) {
+    private void endOfInput() {
+        if (!responded || connection.queuedBytes() == 0) {
+            close();
+        } else {
+            connection.setReading(false);
+        }
+    }
+
+    private void parse(ByteBuffer bytes) {
         try {
-            if (parser.take(in)) {
-                answer(front.answer(parser.method(), parser.path()));
+            if (parser.parse(bytes)) {
+                respond(server.handle(parser.method(), parser.path()));
             }
         } catch (MalformedRequestException e) {
-            answer(Answer.plain(400, "Bad Request", e.getMessage()));
+            respond(HttpResponse.text(400, "Bad Request", e.getMessage()));
         }
     }
 
-    /** The call did not become whole in time, or its answer was not read. */
-    void late() {
-        if (answered) {
+    /** The request was not complete in time, or its response was not read in time. */
+    void onTimeout() {
+        if (responded) {
             close();
         } else {
-            answer(Answer.plain(408, "Request Timeout", "no whole call in time"));
+            respond(HttpResponse.text(408, "Request Timeout", "no whole call in time"));
         }
     }
 
-    private void answer(Answer answer) {
-        answered = true;
-        front.answered(this);
-        link.write(answer.bytes());
-        link.shutdownOutput();
-        // What else is sent is read and dropped until the caller ends, so that no reset overtakes the answer.
-        link.setReading(true);
+    private void respond(HttpResponse response) {
+        responded = true;
+        server.onResponded(this);
+        connection.write(response.bytes());
+        connection.shutdownOutput();
+        // Further input is read and dropped until the client closes, so that no reset overtakes the response.
+        connection.setReading(true);
     }
 
+    /** Closes the connection. */
     void close() {
-        front.closed(this);
-        link.close();
+        server.onClosed(this);
+        connection.close();
     }
 
     @Override
-    public void onWritten(TcpConnection from) {}
+    public void onWritten(TcpConnection from) {
+        // The session waits for the client to close, or for its timeout.
+    }
 
     @Override
     public void onBroken(TcpConnection from) {
         close();
     }
-
-    /** An answer of HTTP/1.1 after which the connection ends. */
-    record Answer(int status, String reason, String type, String more, byte[] body) {
-        static Answer plain(int status, String reason, String text) {
-            return new Answer(
-                    status,
-                    reason,
-                    "text/plain",
-                    status == 405 ? "Allow: GET\r\n" : "",
-                    (text + "\n").getBytes(StandardCharsets.US_ASCII));
-        }
-
-        byte[] bytes() {
-            byte[] head = ("HTTP/1.1 " + status + " " + reason + "\r\nContent-Type: " + type + "\r\nContent-Length: "
-                            + body.length + "\r\n" + more + "Connection: close\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII);
-            return ByteBuffer.allocate(head.length + body.length)
-                    .put(head)
-                    .put(body)
-                    .array();
-        }
-    }
 }
--- a/node/src/main/java/tulipshed/management/MetricsWriter.java
+++ b/node/src/main/java/tulipshed/management/MetricsWriter.java
@@ -10,44 +10,61 @@
 import tulipshed.proxy.NodeMetrics;
 import tulipshed.proxy.ProxyCore;
 
-/** Writes the figures of a node as one JSON object. */
+/**
+ * Writes the metrics of a node as one JSON object, the body of {@code /status/metrics}. The quoted keys are the external
+ * names of the metrics; those of the frontends are their keys in {@link NodeMetrics#frontendCounters()}.
+ */
 final class MetricsWriter {
     private static final JsonFactory FACTORY = new JsonFactory();
 
     private MetricsWriter() {}
 
+    /** The present metrics in UTF-8. */
     static byte[] json(ProxyCore core) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator json = FACTORY.createGenerator(out)) {
-            NodeMetrics figures = core.metrics();
+            NodeMetrics metrics = core.metrics();
             json.writeStartObject();
-            json.writeObjectFieldStart("replies");
-            for (Map.Entry<String, NodeMetrics.ResponseCounts> entry :
-                    figures.responses().entrySet()) {
-                json.writeObjectFieldStart(entry.getKey());
-                json.writeNumberField("success", entry.getValue().established());
-                json.writeNumberField("overload", entry.getValue().rejected());
-                json.writeNumberField("error", entry.getValue().failed());
-                json.writeEndObject();
-            }
-            json.writeEndObject();
-            json.writeNumberField("concurrent", figures.activeRequests());
-            json.writeNumberField("dispatches", figures.forwardedAttempts());
-            json.writeNumberField("targets", core.listedEndpoints());
-            json.writeNumberField("targets_disabled", core.ineligibleEndpoints());
-            json.writeNumberField("reload_success", figures.reloadsApplied());
-            json.writeNumberField("reload_failure", figures.reloadsRejected());
-            for (Map.Entry<String, LongSupplier> entry :
-                    figures.frontendCounters().entrySet()) {
-                json.writeNumberField(entry.getKey(), entry.getValue().getAsLong());
-            }
+            writeResponses(json, metrics);
+            writeCounters(json, core, metrics);
+            writeFrontendCounters(json, metrics);
             if (core.hasRoutes()) {
                 json.writeNumberField("routes_spilled", core.spilledRoutes());
             }
             json.writeEndObject();
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new UncheckedIOException("writing to memory", e);
         }
         return out.toByteArray();
     }
+
+    /** The final responses to clients, by request class. */
+    private static void writeResponses(JsonGenerator json, NodeMetrics metrics) throws IOException {
+        json.writeObjectFieldStart("replies");
+        for (Map.Entry<String, NodeMetrics.ResponseCounts> entry :
+                metrics.responses().entrySet()) {
+            NodeMetrics.ResponseCounts counts = entry.getValue();
+            json.writeObjectFieldStart(entry.getKey());
+            json.writeNumberField("success", counts.established());
+            json.writeNumberField("overload", counts.rejected());
+            json.writeNumberField("error", counts.failed());
+            json.writeEndObject();
+        }
+        json.writeEndObject();
+    }
+
+    private static void writeCounters(JsonGenerator json, ProxyCore core, NodeMetrics metrics) throws IOException {
+        json.writeNumberField("concurrent", metrics.activeRequests());
+        json.writeNumberField("dispatches", metrics.forwardedAttempts());
+        json.writeNumberField("targets", core.listedEndpoints());
+        json.writeNumberField("targets_disabled", core.ineligibleEndpoints());
+        json.writeNumberField("reload_success", metrics.reloadsApplied());
+        json.writeNumberField("reload_failure", metrics.reloadsRejected());
+    }
+
+    private static void writeFrontendCounters(JsonGenerator json, NodeMetrics metrics) throws IOException {
+        for (Map.Entry<String, LongSupplier> entry : metrics.frontendCounters().entrySet()) {
+            json.writeNumberField(entry.getKey(), entry.getValue().getAsLong());
+        }
+    }
 }
--- a/node/src/main/java/tulipshed/peer/PeerSocket.java
+++ b/node/src/main/java/tulipshed/peer/PeerSocket.java
@@ -10,6 +10,7 @@
 import tulipshed.decision.BalancerApi.Actions;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
+import tulipshed.proxy.NodeMetrics;
 import tulipshed.proxy.PeerSender;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.Clock;
@@ -18,137 +19,149 @@
 import tulipshed.transport.XnioEventLoop;
 
 /**
- * Datagrams between the nodes of a tier: transport alone. Open only while the configuration names an address and the
- * settings allow it; else there is no socket and nothing is sent. A datagram is taken where it comes from the address
- * that the configuration gives for another node, is 1 to 256 bytes long, and is not one too many of that node's second;
- * any other is dropped and counted. Lost, late and repeated ones are the receiver's to bear. Used on the loop only.
+ * The transport of messages between the nodes of a tier, one UDP datagram a message.
+ *
+ * <p>The socket is open only while the configuration names an address; without it nothing is sent. A datagram is accepted
+ * if it comes from the address that the configuration gives for another node, is 1 to 256 bytes long, and is within its
+ * sender's quota; any other is dropped and counted. Lost, delayed and duplicated messages are for the receiver to handle.
+ * Confined to the event-loop thread.
  */
 public final class PeerSocket implements PeerSender {
-    private static final double SECOND_MS = 1000;
-
     private final Clock clock;
-    private final Limits limits;
+    private final Limits.Peers limits;
     private final XnioEventLoop loop;
     private final ProxyCore core;
-    private final ProtocolErrorLog complaints;
-    private final ByteBuffer scratch;
+    private final ProtocolErrorLog errors;
+    private final ByteBuffer readBuffer;
+
+    /** Null while messages are off. */
     private PeerConfig config;
-    private Map<InetSocketAddress, Sender> senders = Map.of();
-    private UdpSocket port;
-    private long sent;
-    private long unsent;
-    private long taken;
-    private long dropped;
 
-    /** Another node, by its number, and what was taken of it since its second began. */
-    private static final class Sender {
-        private final int number;
-        private double sinceMs = Double.NEGATIVE_INFINITY;
-        private int count;
+    private Map<InetSocketAddress, SenderQuota> senders = Map.of();
 
-        Sender(int number) {
-            this.number = number;
-        }
+    /** Null while closed. */
+    private UdpSocket socket;
 
-        boolean tooMany(double nowMs, int perSecond) {
-            if (nowMs >= sinceMs + SECOND_MS) {
-                sinceMs = nowMs;
-                count = 0;
-            }
-            return ++count > perSecond;
-        }
-    }
+    private long sent;
+    private long notSent;
+    private long received;
+    private long dropped;
 
-    /** A port that is off until {@link #configure} and {@link #retryBind}. */
+    /** Creates a socket that is closed until {@link #configure} and {@link #retryBind}. */
     public PeerSocket(Clock clock, Limits limits, XnioEventLoop loop, ProxyCore core, NodeLog log) {
         this.clock = clock;
-        this.limits = limits;
+        this.limits = limits.peers();
         this.loop = loop;
         this.core = core;
-        complaints = new ProtocolErrorLog("peer", "peer datagrams dropped", limits, log);
-        // One byte more, by which a datagram that is too long shows.
-        scratch = ByteBuffer.allocateDirect(limits.peers().maxBodyBytes() + 1);
+        errors = new ProtocolErrorLog("peer", "peer datagrams dropped", limits, log);
+        // One byte more than is accepted, which reveals a datagram that is too long.
+        readBuffer = ByteBuffer.allocateDirect(this.limits.maxBodyBytes() + 1);
         core.peerSender(this);
-        core.metrics().frontendCounters("peers_sent", () -> sent);
-        core.metrics().frontendCounters("peers_not_sent", () -> unsent);
-        core.metrics().frontendCounters("peers_received", () -> taken);
-        core.metrics().frontendCounters("peers_dropped", () -> dropped);
+        publishCounters(core.metrics());
+    }
+
+    /** Publishes the counters under their external names in the metrics. */
+    private void publishCounters(NodeMetrics metrics) {
+        metrics.frontendCounters("peers_sent", () -> sent);
+        metrics.frontendCounters("peers_not_sent", () -> notSent);
+        metrics.frontendCounters("peers_received", () -> received);
+        metrics.frontendCounters("peers_dropped", () -> dropped);
     }
 
-    /** Other addresses from now on, or null for none; a socket that is not wanted any more is closed at once. */
+    /**
+     * Replaces the addresses. A socket whose address is no longer configured is closed at once; {@link #retryBind} opens
+     * the next.
+     *
+     * @param changed the addresses, null to turn messages off
+     */
     public void configure(PeerConfig changed) {
-        if (port != null && (changed == null || !changed.listen().equals(config.listen()))) {
+        if (socket != null && (changed == null || !changed.listen().equals(config.listen()))) {
             close();
         }
         if (!Objects.equals(changed, config)) {
             config = changed;
-            senders = new HashMap<>();
-            for (int i = 0; changed != null && i < changed.peers().size(); i++) {
-                if (i != changed.nodeIndex()) {
-                    senders.put(changed.peers().get(i), new Sender(i));
-                }
+            senders = changed == null ? Map.of() : senders(changed);
+        }
+    }
+
+    private static Map<InetSocketAddress, SenderQuota> senders(PeerConfig config) {
+        Map<InetSocketAddress, SenderQuota> senders = new HashMap<>();
+        for (int i = 0; i < config.peers().size(); i++) {
+            if (i != config.nodeIndex()) {
+                senders.put(config.peers().get(i), new SenderQuota(i));
             }
         }
+        return senders;
     }
 
-    /** Opens the socket where it is wanted and the address is free; tells the log of what was dropped. */
+    /** Opens the socket if it is configured, closed, and its address is free; logs dropped datagrams. */
     public void retryBind() {
-        if (config != null && port == null) {
+        if (config != null && socket == null) {
             try {
-                port = loop.bindUdp(config.listen(), scratch, this::received);
+                socket = loop.bindUdp(config.listen(), readBuffer, this::onDatagram);
             } catch (IOException e) {
-                // Another process of this node may hold it still; talk only adds, so the node serves without.
-                complaints.record("an address that cannot be listened on");
+                // The other process of a hot restart may still hold the address. The node serves without messages.
+                errors.record("cannot bind the address");
             }
         }
-        complaints.flush(clock.nowMs());
+        errors.flush(clock.nowMs());
     }
 
-    /** Whether other nodes can be heard. */
+    /** Whether the socket is open. */
     public boolean isOpen() {
-        return port != null;
+        return socket != null;
     }
 
-    /** Ends it; {@link #retryBind} opens it again. */
+    /** Closes the socket; {@link #retryBind} opens it again. */
     public void close() {
-        if (port != null) {
-            port.close();
-            port = null;
+        if (socket != null) {
+            socket.close();
+            socket = null;
         }
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>A message that cannot be sent is counted and dropped: one to an unknown node, an empty or too long one, or any
+     * while the socket is closed.
+     */
     @Override
     public void send(int peer, byte[] body) {
-        boolean all = peer == Actions.ALL_PEERS;
-        boolean known =
-                config != null && (all || (peer >= 0 && peer < config.peers().size() && peer != config.nodeIndex()));
-        if (port == null
-                || !known
-                || body.length == 0
-                || body.length > limits.peers().maxBodyBytes()) {
-            unsent++;
+        if (socket == null || !isRecipient(peer) || body.length == 0 || body.length > limits.maxBodyBytes()) {
+            notSent++;
             return;
         }
         sent++;
-        port.send(all ? config.broadcast() : config.peers().get(peer), body);
+        socket.send(
+                peer == Actions.ALL_PEERS ? config.broadcast() : config.peers().get(peer), body);
+    }
+
+    /** Whether a node index is that of another node, or stands for all of them. */
+    private boolean isRecipient(int peer) {
+        if (config == null) {
+            return false;
+        }
+        boolean otherNode = peer >= 0 && peer < config.peers().size() && peer != config.nodeIndex();
+        return otherNode || peer == Actions.ALL_PEERS;
     }
 
-    private void received(InetSocketAddress from, byte[] datagram) {
-        Sender sender = senders.get(from);
+    private void onDatagram(InetSocketAddress from, byte[] datagram) {
+        SenderQuota sender = senders.get(from);
         if (sender == null) {
-            drop("a stranger");
-        } else if (datagram.length > limits.peers().maxBodyBytes()) {
-            drop("one that is too long");
-        } else if (sender.tooMany(clock.nowMs(), limits.peers().maxPerSenderPerSecond())) {
-            drop("one too many of a second");
+            drop("unknown sender");
+        } else if (datagram.length > limits.maxBodyBytes()) {
+            drop("datagram too long");
+        } else if (!sender.tryAcquire(clock.nowMs(), limits.maxPerSenderPerSecond())) {
+            drop("sender over its quota");
         } else {
-            taken++;
-            core.peerMessageReceived(sender.number, datagram);
+            received++;
+            core.peerMessageReceived(sender.nodeIndex(), datagram);
         }
     }
 
-    private void drop(String why) {
+    private void drop(String reason) {
         dropped++;
-        complaints.record(why);
+        errors.record(reason);
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the nodes of one tier, as UDP datagrams. */
+package tulipshed.peer;
--- a/node/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/node/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import tulipshed.testing.Cuts;
 
+/** Tests of the configuration with the documented file and variants of it. */
 class NodeConfigTest {
     private static final Path FILE = Path.of("src/test/resources/node.json");
 
@@ -69,11 +70,11 @@
                 "\"DrainGraceS\" | \"Grace\"",
                 "\"gate-status\" | \"slot-board\""
             })
-    void rejectsInvalidConfigurationWithOneLineMessage(String right, String wrong) throws IOException {
-        byte[] bytes = Files.readString(FILE).replace(right, wrong).getBytes(StandardCharsets.UTF_8);
-        MalformedInputException e =
+    void rejectsInvalidConfigurationWithOneLineMessage(String valid, String invalid) throws IOException {
+        byte[] bytes = Files.readString(FILE).replace(valid, invalid).getBytes(StandardCharsets.UTF_8);
+        MalformedInputException exception =
                 assertThrows(MalformedInputException.class, () -> NodeConfig.parse(JsonValues.object(bytes), Map.of()));
-        assertFalse(e.getMessage().isBlank() || e.getMessage().contains("\n"));
+        assertFalse(exception.getMessage().isBlank() || exception.getMessage().contains("\n"));
     }
 
     @ParameterizedTest
@@ -87,22 +88,22 @@
                 "[\"n1:1\"] | 127.0.0.1:3 | an entry of peers is not a numeric host:port: n1:1",
                 "[] | 127.0.0.1 | peers_all is not a numeric host:port: 127.0.0.1"
             })
-    void readsPeerAddressesOnlyIfSettingsAllowPeers(String peers, String all, String wrong) throws IOException {
+    void readsPeerAddressesOnlyIfSettingsAllowPeers(String peers, String broadcast, String error) throws IOException {
         String text = Files.readString(FILE)
                 .replace(
                         "\"seed\":",
-                        "\"peer_listen\": \"127.0.0.1:9\", \"peers\": " + peers + ", \"peers_all\": \"" + all
+                        "\"peer_listen\": \"127.0.0.1:9\", \"peers\": " + peers + ", \"peers_all\": \"" + broadcast
                                 + "\", \"seed\":");
         assertNull(NodeConfig.parse(JsonValues.object(text.getBytes(StandardCharsets.UTF_8)), Map.of())
                 .peers());
         byte[] allowed = text.replace("\"Peers\": false", "\"Peers\": true").getBytes(StandardCharsets.UTF_8);
-        if (wrong == null) {
+        if (error == null) {
             PeerConfig read =
                     NodeConfig.parse(JsonValues.object(allowed), Map.of()).peers();
             assertEquals("[/127.0.0.1:1, /127.0.0.1:2] /127.0.0.1:3", read.peers() + " " + read.broadcast());
         } else {
             assertEquals(
-                    wrong,
+                    error,
                     assertThrows(
                                     MalformedInputException.class,
                                     () -> NodeConfig.parse(JsonValues.object(allowed), Map.of()))
--- a/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
+++ b/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.testing.Cuts;
 
+/** Tests of the request parser with fragmented, corrupted and endless input. */
 class HttpRequestParserTest {
     private static final byte[] REQUEST = ascii("GET /status?x=1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nAccept: */*\r\n\r\n");
 
@@ -22,9 +23,9 @@
     @Property(tries = 200, seed = "51")
     void fragmentationDoesNotChangeParsedRequest(@ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(4096);
-        boolean[] whole = new boolean[1];
-        Cuts.feed(REQUEST, seed, in -> whole[0] |= parser.take(in));
-        assertTrue(whole[0]);
+        boolean[] complete = new boolean[1];
+        Cuts.feed(REQUEST, seed, in -> complete[0] |= parser.parse(in));
+        assertTrue(complete[0]);
         assertEquals("GET /status", parser.method() + " " + parser.path());
     }
 
@@ -32,7 +33,7 @@
     void arbitraryBytesAreParsedOrReportedAsMalformed(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(128);
         try {
-            Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(REQUEST, seed), seed, parser::take);
+            Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(REQUEST, seed), seed, parser::parse);
         } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
@@ -42,6 +43,6 @@
     void rejectsHeadLongerThanLimit() {
         HttpRequestParser parser = new HttpRequestParser(64);
         assertThrows(
-                MalformedRequestException.class, () -> parser.take(ByteBuffer.wrap(ascii("GET /" + "x".repeat(100)))));
+                MalformedRequestException.class, () -> parser.parse(ByteBuffer.wrap(ascii("GET /" + "x".repeat(100)))));
     }
 }
--- a/node/src/test/java/tulipshed/management/ManagementServerTest.java
+++ b/node/src/test/java/tulipshed/management/ManagementServerTest.java
@@ -25,7 +25,7 @@
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
-/** The second address between plain sockets on loopback. */
+/** Tests of the management server with plain sockets on loopback. */
 class ManagementServerTest {
     private volatile boolean serving = true;
     private XnioEventLoop loop;
@@ -61,10 +61,10 @@
         loop.stop();
     }
 
-    private Socket connect(String says) throws IOException {
+    private Socket connect(String request) throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(5000);
-        socket.getOutputStream().write(says.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         return socket;
     }
 
@@ -72,8 +72,8 @@
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
 
-    private String exchange(String says) throws IOException {
-        try (Socket socket = connect(says)) {
+    private String exchange(String request) throws IOException {
+        try (Socket socket = connect(request)) {
             return readToEnd(socket);
         }
     }
@@ -90,11 +90,11 @@
         "GET status,400",
         "frob,400"
     })
-    void respondsWithStatusOfRequestLine(String call, int status) throws IOException {
-        String answer = exchange(call + " HTTP/1.1\r\nHost: n0\r\n\r\n");
-        assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
-        int body = answer.indexOf("\r\n\r\n") + 4;
-        assertTrue(answer.contains("\r\nContent-Length: " + (answer.length() - body) + "\r\n"), answer);
+    void respondsWithStatusOfRequestLine(String requestLine, int status) throws IOException {
+        String response = exchange(requestLine + " HTTP/1.1\r\nHost: n0\r\n\r\n");
+        assertTrue(response.startsWith("HTTP/1.1 " + status + " "), response);
+        int bodyStart = response.indexOf("\r\n\r\n") + 4;
+        assertTrue(response.contains("\r\nContent-Length: " + (response.length() - bodyStart) + "\r\n"), response);
     }
 
     @Test
@@ -112,24 +112,27 @@
         return new java.io.File("/proc/self/fd").list().length;
     }
 
-    /** Without a bound of their own these would hold the answer back from whoever calls in earnest. */
+    /** Connections that never complete a request must not use up those that complete ones need. */
     @Test
     void incompleteRequestsDoNotDelayCompleteOnesAndTimeOut() throws IOException {
-        long before = openDescriptors();
-        List<Socket> half = new ArrayList<>();
+        long descriptorsBefore = openDescriptors();
+        List<Socket> incomplete = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
-            half.add(connect(i % 2 == 0 ? "" : "GET /status HT"));
+            incomplete.add(connect(i % 2 == 0 ? "" : "GET /status HT"));
         }
-        long sinceNs = System.nanoTime();
+        long startNs = System.nanoTime();
         assertTrue(exchange("GET /status HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 200 "));
-        assertTrue(System.nanoTime() - sinceNs < 1_000_000_000L);
-        assertEquals("", readToEnd(half.get(0)), "the oldest gave way");
+        assertTrue(System.nanoTime() - startNs < 1_000_000_000L);
+        assertEquals("", readToEnd(incomplete.get(0)), "the oldest connection is evicted");
         assertTrue(
-                openDescriptors() - before < 100 + 2 * 16 + 10, "the callers' own, and those that the node may take");
-        assertTrue(readToEnd(half.get(99)).startsWith("HTTP/1.1 408 "), "the youngest had its time");
-        assertTrue(System.nanoTime() - sinceNs < 4_000_000_000L);
-        for (Socket s : half) {
-            s.close();
+                openDescriptors() - descriptorsBefore < 100 + 2 * 16 + 10,
+                "at most the descriptors of the clients and of the management server");
+        assertTrue(
+                readToEnd(incomplete.get(99)).startsWith("HTTP/1.1 408 "),
+                "the latest connection has its full timeout");
+        assertTrue(System.nanoTime() - startNs < 4_000_000_000L);
+        for (Socket socket : incomplete) {
+            socket.close();
         }
     }
 }
--- a/node/src/test/java/tulipshed/peer/PeerSocketTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerSocketTest.java
@@ -33,7 +33,7 @@
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
-/** The port under a real core whose module answers each datagram, with plain sockets as the other nodes. */
+/** Tests of the peer socket under a real core whose decision module replies to messages, with plain sockets as peers. */
 class PeerSocketTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
@@ -65,8 +65,8 @@
         loop.stop();
     }
 
-    /** Number 0 is this node, 1 is {@code one}; {@code answer} is what its module does with each datagram. */
-    private void start(boolean allowed, MessageHandler answer) throws Exception {
+    /** Starts node 0, whose peer is node 1; {@code handler} is what its decision module does with each message. */
+    private void start(boolean allowed, MessageHandler handler) throws Exception {
         Path file = Files.writeString(
                 folder.resolve("node.json"),
                 Files.readString(Path.of("src/test/resources/node.json"))
@@ -84,7 +84,7 @@
                         @Override
                         public void peerMessageReceived(long at, int from, byte[] body) {
                             received.add(from + ":" + new String(body, UTF_8));
-                            answer.handle(actions, from);
+                            handler.handle(actions, from);
                         }
                     });
             peerSocket = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
@@ -97,15 +97,16 @@
         });
     }
 
+    /** Reacts to a message in place of the decision module. */
     private interface MessageHandler {
         void handle(BalancerApi.Actions actions, int from);
     }
 
-    private void onLoop(Runnable what) throws Exception {
+    private void onLoop(Runnable task) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
             try {
-                what.run();
+                task.run();
                 done.complete(null);
             } catch (RuntimeException e) {
                 done.completeExceptionally(e);
@@ -118,10 +119,10 @@
         peer.send(new DatagramPacket(text.getBytes(UTF_8), text.length(), nodeAddress));
     }
 
-    private static String receive(DatagramSocket at) throws IOException {
-        DatagramPacket p = new DatagramPacket(new byte[2000], 2000);
-        at.receive(p);
-        return new String(p.getData(), 0, p.getLength(), UTF_8);
+    private static String receive(DatagramSocket socket) throws IOException {
+        DatagramPacket packet = new DatagramPacket(new byte[2000], 2000);
+        socket.receive(packet);
+        return new String(packet.getData(), 0, packet.getLength(), UTF_8);
     }
 
     private long counter(String name) throws Exception {
@@ -142,10 +143,10 @@
         assertEquals("to you", receive(peer));
         assertEquals("to all", receive(broadcast));
         assertEquals("1:a", received.poll(5, TimeUnit.SECONDS));
-        assertEquals("1:a", received.poll(5, TimeUnit.SECONDS), "a repeat is the module's to know");
+        assertEquals("1:a", received.poll(5, TimeUnit.SECONDS), "duplicates are delivered, too");
     }
 
-    /** A datagram of over 256 bytes voids a run; one to a node that is not there would go nowhere. */
+    /** The protocol allows messages of 1 to 256 bytes, and only to other nodes of the configuration. */
     @Test
     void countsInvalidMessagesAsNotSent() throws Exception {
         start(true, (actions, from) -> {
@@ -157,7 +158,7 @@
             actions.sendToPeer(1, "x".repeat(256).getBytes(UTF_8));
         });
         sendFromPeer("a");
-        assertEquals(256, receive(peer).length(), "the last of seven is the first that goes out");
+        assertEquals(256, receive(peer).length(), "only the last of seven messages is sent");
         assertEquals(6, counter("peers_not_sent"));
         assertEquals(1, counter("peers_sent"));
     }
@@ -167,7 +168,7 @@
         start(false, (actions, from) -> actions.sendToPeer(1, "x".getBytes(UTF_8)));
         sendFromPeer("a");
         assertEquals("1:a", received.poll(5, TimeUnit.SECONDS));
-        assertEquals(0, counter("peers_sent") + counter("peers_not_sent"), "not even handed to the port");
+        assertEquals(0, counter("peers_sent") + counter("peers_not_sent"), "the core does not pass the message on");
     }
 
     @Test
--- a/node/src/test/java/tulipshed/simadapter/AdapterTest.java
+++ b/node/src/test/java/tulipshed/simadapter/AdapterTest.java
@@ -16,6 +16,7 @@
 import tulipshed.decision.BalancerApi.Actions;
 import tulipshed.testing.ModuleDelegate;
 
+/** Tests of the adapter with recorded input and output lines. */
 class AdapterTest {
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
@@ -30,6 +31,11 @@
         }
     }
 
+    /** The start of a batch and the creation of its instance. */
+    private static String batchStart() throws IOException {
+        return resource("exchange.jsonl").lines().limit(2).reduce("", (text, line) -> text + line + "\n");
+    }
+
     @Test
     void repliesToEachBatch() throws IOException {
         assertEquals(0, run(resource("exchange.jsonl")));
@@ -57,8 +63,7 @@
 
     @Test
     void exceptionOfDecisionModuleIsWrittenAsExceptionLine() throws IOException {
-        String start = resource("exchange.jsonl").lines().limit(2).reduce("", (a, b) -> a + b + "\n");
-        String input = start + "{\"cmd\":\"Eob\"}\n";
+        String input = batchStart() + "{\"cmd\":\"Eob\"}\n";
         int code = Adapter.run(
                 new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
                 out,
@@ -76,9 +81,8 @@
 
     @Test
     void peerMessagesAreWrittenWithRecipientAndBody() throws IOException {
-        String start = resource("exchange.jsonl").lines().limit(2).reduce("", (a, b) -> a + b + "\n");
         Adapter.run(
-                new ByteArrayInputStream((start + "{\"cmd\":\"NoteFrom\",\"Who\":\"balancer_0\",\"SrcPeer\":2,"
+                new ByteArrayInputStream((batchStart() + "{\"cmd\":\"NoteFrom\",\"Who\":\"balancer_0\",\"SrcPeer\":2,"
                                 + "\"Body\":\"aGkgNw==\"}\n{\"cmd\":\"Eob\"}\n")
                         .getBytes(StandardCharsets.UTF_8)),
                 out,
