--- /dev/null
+++ b/node/src/test/java/tulipshed/decision/DiscoveryPollingTest.java
@@ -0,0 +1,38 @@
+package tulipshed.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tulipshed.decision.BalancerSetup.SECOND;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+
+/** Polls of the discovery service. */
+class DiscoveryPollingTest {
+    private final BalancerSetup setup = new BalancerSetup();
+    private final RecordingActions recorder = setup.recorder;
+
+    /** A change must arrive within 6 s of discovery having it, whatever failed before. */
+    @Test
+    void pollsWithinTimeAllowedAndSoonAfterAnyNumberOfFailures() {
+        setup.polledDiscovery = true;
+        Balancer balancer = setup.balancer(5);
+        String[] timer = recorder.take().get(0).split(" ");
+        assertTrue(Long.parseLong(timer[1]) <= 10 * SECOND);
+        List<Long> waits = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            balancer.timerFired(0, Long.parseLong(timer[2]));
+            assertEquals(List.of("watch"), recorder.take());
+            balancer.endpointsChanged(0, EndpointListKind.FAILED, List.of());
+            timer = recorder.take().get(0).split(" ");
+            waits.add(Long.parseLong(timer[1]));
+        }
+        assertTrue(waits.stream().allMatch(w -> w >= SECOND / 2 && w < 2 * SECOND), waits.toString());
+        // By chance, so that those who failed together do not come again together.
+        assertTrue(waits.stream().mapToLong(w -> w).max().getAsLong()
+                        - waits.stream().mapToLong(w -> w).min().getAsLong()
+                > SECOND);
+    }
+}
--- a/node/src/test/java/tulipshed/decision/EmbeddingTest.java
+++ b/node/src/test/java/tulipshed/decision/EmbeddingExampleTest.java
@@ -12,12 +12,12 @@
 import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.Settings;
 
-/** The README's example, run. */
-class EmbeddingTest {
+/** The embedding example of the README. */
+class EmbeddingExampleTest {
     @Test
-    void theExampleOfTheReadmeWorks() {
-        Settings settings = new Setup().settings();
-        Recorder actions = new Recorder();
+    void exampleOfReadmeWorks() {
+        Settings settings = new BalancerSetup().settings();
+        RecordingActions actions = new RecordingActions();
         long seed = 7;
         long nowUs = 1_000_000;
         List<EndpointInfo> entries =
@@ -26,7 +26,7 @@
         Balancer balancer = new Balancer(settings, seed, nowUs, actions);
         balancer.endpointsChanged(nowUs, EndpointListKind.COMPLETE, entries);
         balancer.requestArrived(nowUs, new NewRequest(1, 0, 0, "key", null, 2_000_000, 0, false, false, false));
-        assertEquals(List.of("send 1 10.0.0.1:80"), actions.take());
+        assertEquals(List.of("start 1 10.0.0.1:80"), actions.take());
         balancer.attemptEstablished(nowUs, 1, 0, 12_000);
         balancer.attemptEnded(nowUs, 1, 0, true, Outcome.OK, LoadReport.NONE);
         assertEquals(List.of(), actions.take());
--- a/node/src/test/java/tulipshed/decision/RandomEventsTest.java
+++ b/node/src/test/java/tulipshed/decision/RandomEventSequenceTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
-import static tulipshed.decision.Setup.SECOND;
+import static tulipshed.decision.BalancerSetup.SECOND;
+import static tulipshed.decision.BalancerSetup.end;
+import static tulipshed.decision.BalancerSetup.endpointName;
+import static tulipshed.decision.BalancerSetup.playRequest;
+import static tulipshed.decision.BalancerSetup.request;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,17 +25,17 @@
 import tulipshed.decision.BalancerApi.Idempotency;
 import tulipshed.decision.BalancerApi.Outcome;
 
-/** Long random sequences of legal events; the rules are checked after each action. */
-class RandomEventsTest {
+/** Long random sequences of legal events; invariants are checked after each action. */
+class RandomEventSequenceTest {
 
-    /** Plays the world's part by chance and checks the rules that one instance can break. */
-    private static final class World extends DelegateActions {
-        final Recorder recorder = new Recorder();
-        final Setup setup = new Setup();
+    /** Simulates clients, endpoints and timers at random, and checks the invariants of the actions. */
+    private static final class Simulation extends ForwardingActions {
+        final RecordingActions recorder = new RecordingActions();
+        final BalancerSetup setup = new BalancerSetup();
         final Random random;
         final Balancer balancer;
         final Map<Long, Integer> outstanding = new HashMap<>();
-        final Map<Long, Boolean> standing = new HashMap<>();
+        final Map<Long, Boolean> established = new HashMap<>();
         final Map<Long, Integer> attempts = new HashMap<>();
         final Map<Long, Boolean> mayHaveRun = new HashMap<>();
         final Set<Long> open = new HashSet<>();
@@ -40,35 +44,37 @@
         long now = 1;
         long lastId;
 
-        World(long seed, Idempotency effect) {
-            super(new Recorder());
+        Simulation(long seed, Idempotency idempotency) {
+            super(new RecordingActions());
             random = new Random(seed);
-            setup.effect = effect;
-            setup.groups = seed % 2 == 0;
+            setup.idempotency = idempotency;
+            setup.groupAffinity = seed % 2 == 0;
             balancer = new Balancer(setup.settings(), seed, now, this);
         }
 
         @Override
-        public void startAttempt(long requestId, String server, long timeoutUs) {
-            recorder.startAttempt(requestId, server, timeoutUs);
-            assertTrue(open.contains(requestId), "sent after its answer: " + requestId);
-            assertTrue(ready.contains(server), "sent to a server that is not ready: " + server);
+        public void startAttempt(long requestId, String endpointId, long timeoutUs) {
+            recorder.startAttempt(requestId, endpointId, timeoutUs);
+            assertTrue(open.contains(requestId), "attempt after the final answer: " + requestId);
+            assertTrue(ready.contains(endpointId), "attempt at an endpoint that is not ready: " + endpointId);
             assertTrue(!outstanding.containsKey(requestId), "two attempts at once: " + requestId);
-            if (setup.effect == Idempotency.NOT_IDEMPOTENT) {
+            if (setup.idempotency == Idempotency.NOT_IDEMPOTENT) {
                 assertTrue(!mayHaveRun.getOrDefault(requestId, false), "effect twice: " + requestId);
             }
             int attempt = attempts.merge(requestId, 1, Integer::sum);
             assertTrue(attempt <= setup.maxAttempts, "too many attempts");
             outstanding.put(requestId, attempt - 1);
-            standing.put(requestId, false);
+            established.put(requestId, false);
         }
 
         @Override
         public void reject(long requestId, long retryAfterUs) {
             recorder.reject(requestId, retryAfterUs);
             answer(requestId);
-            if (setup.effect == Idempotency.NOT_IDEMPOTENT) {
-                assertTrue(!mayHaveRun.getOrDefault(requestId, false), "refused what may have run: " + requestId);
+            if (setup.idempotency == Idempotency.NOT_IDEMPOTENT) {
+                assertTrue(
+                        !mayHaveRun.getOrDefault(requestId, false),
+                        "rejected a request that may have run: " + requestId);
             }
         }
 
@@ -81,7 +87,7 @@
         @Override
         public void migrate(long requestId) {
             recorder.migrate(requestId);
-            assertTrue(standing.getOrDefault(requestId, false), "moved what does not stand");
+            assertTrue(established.getOrDefault(requestId, false), "migrated a connection that is not established");
             answer(requestId);
         }
 
@@ -110,41 +116,44 @@
                     open.add(id);
                     balancer.requestArrived(
                             now,
-                            Setup.request(
-                                    id, random.nextInt(2), setup.groups ? "g" + random.nextInt(5) : null, 2 * SECOND));
+                            request(
+                                    id,
+                                    random.nextInt(2),
+                                    setup.groupAffinity ? "g" + random.nextInt(5) : null,
+                                    2 * SECOND));
                 }
-                case 3 -> list();
+                case 3 -> changeEndpointList();
                 case 4 -> {
-                    Long id = any();
+                    Long id = randomRequestWithAttempt();
                     if (id != null && open.remove(id)) {
                         balancer.requestCancelled(now, id);
                     }
                 }
                 case 5 -> {
-                    Long id = any();
-                    if (id != null && standing.get(id)) {
+                    Long id = randomRequestWithAttempt();
+                    if (id != null && established.get(id)) {
                         balancer.latencyReported(now, id, random.nextInt(400));
                         balancer.loadReported(now, id, random.nextInt(9000));
                     }
                 }
                 case 6, 7 -> {
-                    Long id = any();
-                    if (id != null && !standing.get(id) && open.contains(id)) {
-                        standing.put(id, true);
+                    Long id = randomRequestWithAttempt();
+                    if (id != null && !established.get(id) && open.contains(id)) {
+                        established.put(id, true);
                         mayHaveRun.put(id, true);
                         balancer.attemptEstablished(now, id, outstanding.get(id), 1 + random.nextInt(50_000));
                     }
                 }
                 default -> {
-                    Long id = any();
+                    Long id = randomRequestWithAttempt();
                     if (id != null) {
-                        finish(id);
+                        endAttempt(id);
                     }
                 }
             }
         }
 
-        private Long any() {
+        private Long randomRequestWithAttempt() {
             int n = outstanding.size();
             return n == 0
                     ? null
@@ -155,79 +164,79 @@
                             .orElseThrow();
         }
 
-        void finish(long id) {
+        void endAttempt(long id) {
             Outcome[] all = Outcome.values();
-            Outcome outcome = standing.get(id) ? Outcome.RESET : all[random.nextInt(all.length)];
+            Outcome outcome = established.get(id) ? Outcome.RESET : all[random.nextInt(all.length)];
             int attempt = outstanding.remove(id);
-            boolean concluded = !open.contains(id) || outcome == Outcome.OK || standing.get(id);
+            boolean concluded = !open.contains(id) || outcome == Outcome.OK || established.get(id);
             open.removeAll(concluded ? Set.of(id) : Set.of());
             if (!outcome.neverRan) {
                 mayHaveRun.put(id, true);
             }
-            Setup.end(balancer, now, id, attempt, concluded, outcome);
+            end(balancer, now, id, attempt, concluded, outcome);
         }
 
-        private void list() {
+        private void changeEndpointList() {
             int i = random.nextInt(12);
             EndpointStatus state = EndpointStatus.values()[random.nextInt(5) % 3];
             if (state == EndpointStatus.SERVING) {
-                ready.add(Setup.name(i));
+                ready.add(endpointName(i));
             } else {
-                ready.remove(Setup.name(i));
+                ready.remove(endpointName(i));
             }
             balancer.endpointsChanged(
-                    now, EndpointListKind.CHANGES, List.of(setup.server(i, state, random.nextBoolean() ? now : 0)));
+                    now, EndpointListKind.CHANGES, List.of(setup.endpoint(i, state, random.nextBoolean() ? now : 0)));
         }
 
-        /** Ends all that is open, long after; whatever was held must have been answered by then. */
-        void settle() {
+        /** Lets all timers expire and all attempts end, long after the last arrival. */
+        void endAll() {
             now += 10 * SECOND;
             while (!timers.isEmpty()) {
                 balancer.timerFired(now, timers.remove(0)[1]);
             }
             while (!outstanding.isEmpty()) {
-                finish(outstanding.keySet().iterator().next());
+                endAttempt(outstanding.keySet().iterator().next());
             }
         }
     }
 
     @ParameterizedTest
     @EnumSource(Idempotency.class)
-    void theRulesHoldUnderAnyOrderOfEvents(Idempotency effect) {
+    void invariantsHoldForRandomEventSequences(Idempotency idempotency) {
         for (long seed = 0; seed < 20; seed++) {
-            World world = new World(seed, effect);
+            Simulation simulation = new Simulation(seed, idempotency);
             for (int i = 0; i < 4000; i++) {
-                world.step();
+                simulation.step();
             }
-            world.settle();
-            assertTrue(world.lastId > 500);
-            assertEquals(Set.of(), world.open, "requests never answered, seed " + seed);
-            assertEquals(0, world.balancer.parts.requests.size(), "requests kept for nothing, seed " + seed);
+            simulation.endAll();
+            assertTrue(simulation.lastId > 500);
+            assertEquals(Set.of(), simulation.open, "requests never answered, seed " + seed);
+            assertEquals(0, simulation.balancer.parts.requests.size(), "requests still tracked, seed " + seed);
         }
     }
 
     @Test
-    void theChecksCanFail() {
-        World world = new World(1, Idempotency.NOT_IDEMPOTENT);
-        world.open.add(1L);
-        world.ready.add("s");
-        world.startAttempt(1, "s", 0);
-        for (Runnable wrong : List.<Runnable>of(
-                () -> world.startAttempt(1, "s", 0),
-                () -> world.startAttempt(2, "s", 0),
-                () -> world.reject(3, 0),
-                () -> world.migrate(1))) {
+    void invariantChecksDetectViolations() {
+        Simulation simulation = new Simulation(1, Idempotency.NOT_IDEMPOTENT);
+        simulation.open.add(1L);
+        simulation.ready.add("s");
+        simulation.startAttempt(1, "s", 0);
+        for (Runnable violation : List.<Runnable>of(
+                () -> simulation.startAttempt(1, "s", 0),
+                () -> simulation.startAttempt(2, "s", 0),
+                () -> simulation.reject(3, 0),
+                () -> simulation.migrate(1))) {
             try {
-                wrong.run();
-            } catch (AssertionError seen) {
+                violation.run();
+            } catch (AssertionError expected) {
                 continue;
             }
-            fail("a broken rule went unseen");
+            fail("a violation was not detected");
         }
     }
 
     @Test
-    void theSameEventsGiveTheSameActionsAndNamesDoNotMatter() {
+    void sameSeedAndEventsGiveSameActionsWhateverTheNames() {
         List<String> first = play(3, "");
         assertTrue(first.size() > 300);
         assertEquals(first, play(3, ""));
@@ -236,19 +245,18 @@
     }
 
     private static List<String> play(long seed, String prefix) {
-        Recorder recorder = new Recorder();
-        Setup setup = new Setup();
-        setup.prefix = prefix;
-        setup.groups = true;
-        Balancer b = setup.balancer(recorder, seed);
-        setup.list(b, 0, 15);
+        BalancerSetup setup = new BalancerSetup();
+        setup.namePrefix = prefix;
+        setup.groupAffinity = true;
+        Balancer balancer = setup.balancer(seed);
+        setup.listEndpoints(balancer, 0, 15);
         for (long id = 1; id <= 400; id++) {
             long now = id * 5000;
-            Setup.round(b, now, id);
+            playRequest(balancer, now, id);
             if (id % 11 == 0) {
-                b.latencyReported(now, id - 1, 180);
+                balancer.latencyReported(now, id - 1, 180);
             }
         }
-        return recorder.take();
+        return setup.recorder.take();
     }
 }
--- a/node/src/test/java/tulipshed/decision/Recorder.java
+++ b/node/src/test/java/tulipshed/decision/RecordingActions.java
@@ -3,13 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Keeps what was decided, as plain lines. */
-final class Recorder implements BalancerApi.Actions {
+/** Records all actions as lines of text. */
+final class RecordingActions implements BalancerApi.Actions {
     final List<String> lines = new ArrayList<>();
 
     @Override
-    public void startAttempt(long requestId, String server, long timeoutUs) {
-        lines.add("send " + requestId + " " + server);
+    public void startAttempt(long requestId, String endpointId, long timeoutUs) {
+        lines.add("start " + requestId + " " + endpointId);
     }
 
     @Override
@@ -19,7 +19,7 @@
 
     @Override
     public void reject(long requestId, long retryAfterUs) {
-        lines.add("refuse " + requestId);
+        lines.add("reject " + requestId);
     }
 
     @Override
@@ -29,7 +29,7 @@
 
     @Override
     public void migrate(long requestId) {
-        lines.add("move " + requestId);
+        lines.add("migrate " + requestId);
     }
 
     @Override
@@ -38,13 +38,13 @@
     }
 
     @Override
-    public void startHealthCheck(String server) {
-        lines.add("probe " + server);
+    public void startHealthCheck(String endpointId) {
+        lines.add("check " + endpointId);
     }
 
     @Override
     public void sendToPeer(int peer, byte[] body) {
-        lines.add("tell " + peer + " " + body.length);
+        lines.add("peer " + peer + " " + body.length);
     }
 
     @Override
@@ -57,19 +57,20 @@
         lines.add("log " + message);
     }
 
-    /** Takes the lines recorded since the last call. */
+    /** Returns the lines recorded since the last call. */
     List<String> take() {
         List<String> taken = List.copyOf(lines);
         lines.clear();
         return taken;
     }
 
-    /** The server of the only send since the last call. */
-    String sentTo() {
-        List<String> sends = take().stream().filter(l -> l.startsWith("send ")).toList();
-        if (sends.size() != 1) {
-            throw new AssertionError("expected one send, got " + sends);
+    /** The endpoint of the only attempt started since the last call. */
+    String attemptedEndpoint() {
+        List<String> attempts =
+                take().stream().filter(l -> l.startsWith("start ")).toList();
+        if (attempts.size() != 1) {
+            throw new AssertionError("expected one attempt, got " + attempts);
         }
-        return sends.get(0).split(" ")[2];
+        return attempts.get(0).split(" ")[2];
     }
 }
