--- a/node/src/main/java/tulipshed/logging/NodeLog.java
+++ b/node/src/main/java/tulipshed/logging/NodeLog.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.Level;
+import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import org.jboss.logging.Logger;
 
@@ -18,14 +19,12 @@
     private static final AtomicInteger COUNT = new AtomicInteger();
     private static final NodeLog SILENT = new NodeLog("silent", Level.OFF, line -> {});
 
-    /** Held here, as the platform keeps only weak references to loggers and would forget the handler. */
-    private final java.util.logging.Logger root;
+    /** Held here, as the platform keeps only weak references to loggers. */
+    private final RootLogger root;
 
     private NodeLog(String name, Level level, Consumer<String> sink) {
-        root = java.util.logging.Logger.getLogger(name);
-        root.setUseParentHandlers(false);
-        root.setLevel(level);
-        root.addHandler(new LineHandler(sink));
+        root = new RootLogger(name, level, new LineHandler(sink));
+        LogManager.getLogManager().addLogger(root);
     }
 
     /** A log whose lines, of level INFO and above, go to {@code sink}. */
@@ -52,6 +51,26 @@
         return Logger.getLogger(root.getName() + '.' + subject);
     }
 
+    /**
+     * The root of one tree. It keeps its handler, also when the platform removes all handlers as the virtual machine
+     * begins to shut down: what a node logs while it shuts down must not be lost.
+     */
+    private static final class RootLogger extends java.util.logging.Logger {
+        private final Handler handler;
+
+        RootLogger(String name, Level level, Handler handler) {
+            super(name, null);
+            this.handler = handler;
+            setUseParentHandlers(false);
+            setLevel(level);
+        }
+
+        @Override
+        public Handler[] getHandlers() {
+            return new Handler[] {handler};
+        }
+    }
+
     /** Formats records as lines and hands them on. */
     private static final class LineHandler extends Handler {
         private final Consumer<String> sink;
