--- a/node/src/main/java/tulipshed/cli/ExpressionCommand.java
+++ b/node/src/main/java/tulipshed/cli/ExpressionCommand.java
@@ -6,14 +6,14 @@
 import java.util.function.Supplier;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
+import tulipshed.config.NameIndex;
 import tulipshed.config.NodeConfig;
-import tulipshed.config.SettingsReader.NameIndex;
 import tulipshed.operators.OperatorsFile;
 
-/** Work on the operators' file and on single expressions, without a node. */
+/** {@code expression}: checks, explains and tests the operators' file, and evaluates expressions, without a node. */
 public final class ExpressionCommand implements CommandGroup {
     @Override
-    public String about() {
+    public String description() {
         return "checks, explains and tests the operators' file; tries an expression";
     }
 
@@ -27,13 +27,17 @@
         return commands;
     }
 
-    /** Classes and tenants that a file may name: those of a node's configuration. */
-    static NameIndex names(File config) {
+    /**
+     * Loads the classes and tenants that an operators' file may name.
+     *
+     * @param config the node's configuration, or null for the one that PROXY_CONFIG names
+     */
+    static NameIndex loadNames(File config) {
         return NodeConfig.load(config == null ? System.getenv() : Map.of("PROXY_CONFIG", config.toString()))
                 .nameIndex();
     }
 
-    /** What is wrong with a file, or that nothing is. */
+    /** {@code expression check}: reports all problems of an operators' file. */
     public static final class Check implements Command {
         @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
         private File file;
@@ -46,19 +50,19 @@
         private File config;
 
         @Override
-        public String about() {
+        public String description() {
             return "says all that is wrong with an operators' file, with its places; exit code 2 where anything is";
         }
 
         @Override
         public int run() {
-            OperatorsFile.load(file.toPath(), names(config));
+            OperatorsFile.load(file.toPath(), loadNames(config));
             System.out.println(file + " is sound");
-            return 0;
+            return ExitCode.SUCCESS;
         }
     }
 
-    /** What was understood of a file. */
+    /** {@code expression explain}: prints how an operators' file was understood. */
     public static final class Explain implements Command {
         @Argument(required = true, metaVar = "FILE", usage = "the operators' file")
         private File file;
@@ -70,16 +74,16 @@
         private File config;
 
         @Override
-        public String about() {
+        public String description() {
             return "prints what was understood of an operators' file: types, the most that each rule costs, and how rules "
                     + "are found";
         }
 
         @Override
         public int run() {
-            OperatorsFile read = OperatorsFile.load(file.toPath(), names(config));
-            read.explanation().lines().forEach(System.out::println);
-            return 0;
+            OperatorsFile operators = OperatorsFile.load(file.toPath(), loadNames(config));
+            operators.explanation().lines().forEach(System.out::println);
+            return ExitCode.SUCCESS;
         }
     }
 }
--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/AdmissionControl.java
@@ -0,0 +1,83 @@
+package tulipshed.decision;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Admits new connections by the pool's depth, a token bucket per tenant and load shedding. Confined to the event loop. */
+final class AdmissionControl {
+    /** Result for an admitted request; any other result is the time after which to retry. */
+    static final long ADMITTED = -1;
+
+    private static final double CURVE_START_SHARES = 4; // equal shares of the quota at which the curve starts
+    private static final double DEFAULT_QUOTA_PER_S = 1; // of a tenant, where none is stated
+    private static final int EJECTION_CHECKS = 4; // random ejected endpoints a request: more than become ejected
+    private static final String NO_TENANT = "";
+
+    private final ActiveSettings settings;
+    private final EndpointPool allEndpoints;
+    private final SplittableRandom random;
+    private final RejectionLog rejectionLog;
+    private final DropRateLoadShedder loadShedder;
+    private DepthCurve curve;
+
+    AdmissionControl(
+            ActiveSettings settings,
+            EndpointPool allEndpoints,
+            DropRateLoadShedder loadShedder,
+            SplittableRandom random,
+            RejectionLog rejectionLog) {
+        this.settings = settings;
+        this.allEndpoints = allEndpoints;
+        this.loadShedder = loadShedder;
+        this.random = random;
+        this.rejectionLog = rejectionLog;
+        settingsChanged();
+    }
+
+    /** Computes the depth curve anew; token buckets keep their tokens. */
+    void settingsChanged() {
+        int tenants = Math.max(1, settings.current().tenants().size());
+        double perTenant = settings.quotaPerS() / settings.current().nodeCount() / tenants;
+        curve = new DepthCurve((perTenant > 0 ? perTenant : DEFAULT_QUOTA_PER_S) * CURVE_START_SHARES);
+    }
+
+    /** {@link #ADMITTED}, or the time in microseconds after which the rejected client may retry. */
+    long admit(long now, RequestState request) {
+        if (request.arrival.exemptFromAdmission()) {
+            return ADMITTED;
+        }
+        EndpointPool pool = request.pool;
+        double ratePerS = curve.rateAt(depth(now, pool)) * settings.quotaShare;
+        TokenBucket bucket = pool.buckets.computeIfAbsent(tenantName(request), name -> new TokenBucket(now));
+        boolean shed = request.arrival.reconnecting() && isShed(now, request);
+        if (!shed && bucket.tryTake(now, ratePerS)) {
+            return ADMITTED;
+        }
+        rejectionLog.rejected(now, pool);
+        return shed ? OutlierEjection.LATE_EJECTION_US : bucket.untilTokenUs(ratePerS);
+    }
+
+    /** Buckets are kept by name, as reconfiguration may change a tenant's index. */
+    private String tenantName(RequestState request) {
+        List<BalancerApi.Tenant> tenants = settings.current().tenants();
+        int tenant = request.arrival.tenant();
+        return tenant >= 0 && tenant < tenants.size() ? tenants.get(tenant).name() : NO_TENANT;
+    }
+
+    private boolean isShed(long now, RequestState request) {
+        double probability = loadShedder.rejectionProbability(now, allEndpoints.open, allEndpoints.ready.size());
+        return Hashing.uniform(request.randomHash, 0, 0) < probability;
+    }
+
+    /** Pending share, or ejected share if more: endpoints overloaded by established connections have none pending. */
+    private double depth(long now, EndpointPool pool) {
+        for (int i = 0; i < EJECTION_CHECKS && !pool.ejected.isEmpty(); i++) {
+            EndpointState endpoint = pool.ejected.get(random.nextInt(pool.ejected.size()));
+            if (now >= endpoint.ejectedUntilUs) {
+                endpoint.clearEjection();
+            }
+        }
+        double pending = pool.pendingLimits == 0 ? 0 : (double) pool.pending / pool.pendingLimits;
+        return Math.max(pending, pool.ejected.size() / (pool.known.size() + 2.0)); // 2 more, lest one known be all
+    }
+}
--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/GroupAffinity.java
@@ -0,0 +1,87 @@
+package tulipshed.decision;
+
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Keeps the connections of a group on few endpoints; {@code averageLoads} has reported loads by request class. */
+record GroupAffinity(
+        ActiveSettings settings,
+        OutlierEjection outlierEjection,
+        EndpointEvaluator evaluator,
+        MovingAverages averageLoads,
+        SplittableRandom random) {
+    /** Time constant of the counts of group arrivals: the life of a connection or two. */
+    static final double MEMORY_US = 60e6;
+
+    private static final double PREFERRED_SHARE = 1; // preferred endpoints in proportion to the share of arrivals
+    private static final int MIN_PREFERRED = 2; // or there would be no less loaded one
+    private static final double MAX_EVEN_LOADS = 2; // load up to which an endpoint attracts its groups
+    private static final int MAX_GROUPS = 4096; // remembered before unused ones are forgotten
+    private static final double MIN_ARRIVALS = 0.1; // of a group that is remembered
+
+    /** The group of a request in its pool, or null if it has none. */
+    ConnectionGroup groupOf(long now, RequestState request) {
+        String name = request.arrival.group();
+        if (!settings.current().groupAffinity() || name == null) {
+            return null;
+        }
+        Map<String, ConnectionGroup> groups = request.pool.groups;
+        if (groups.size() > MAX_GROUPS) {
+            groups.values().removeIf(group -> group.holders.isEmpty() && group.arrivals.at(now) < MIN_ARRIVALS);
+        }
+        return groups.computeIfAbsent(name, n -> new ConnectionGroup(n, MIN_PREFERRED, MEMORY_US));
+    }
+
+    /** An endpoint that holds connections of the group and has capacity for more, or null. */
+    EndpointState chooseHolder(long now, RequestState request, ConnectionGroup group) {
+        if (group == null || group.holders.isEmpty()) {
+            return null;
+        }
+        EndpointState first = randomHolder(group);
+        EndpointState second = averageLoads.isEmpty() ? first : randomHolder(group);
+        boolean comparesSecond = second != first && hasGroupCapacity(now, request, second);
+        EndpointState chosen = comparesSecond ? EndpointEvaluator.lighter(request, first, second) : first;
+        return hasGroupCapacity(now, request, chosen) ? chosen : null;
+    }
+
+    private EndpointState randomHolder(ConnectionGroup group) {
+        return group.holders.get(random.nextInt(group.holders.size()));
+    }
+
+    /** Where latencies are reported and loads are not, an endpoint attracts its groups until it is ejected. */
+    private boolean hasGroupCapacity(long now, RequestState request, EndpointState endpoint) {
+        EndpointPool pool = request.pool;
+        double evenLoad = (pool.load + request.load) * endpoint.weight() / pool.nonZeroWeight();
+        return evaluator.isUsable(now, request, endpoint)
+                && now >= endpoint.ejectedUntilUs
+                && endpoint.pending < endpoint.pendingLimit
+                && ((outlierEjection.hasLatencyReports() && averageLoads.isEmpty())
+                        || endpoint.openLoad + request.load <= MAX_EVEN_LOADS * evenLoad);
+    }
+
+    /** Number of preferred endpoints by Laplace's estimate of the group's share, which is not 0 for an unseen group. */
+    int preferredCount(long now, EndpointPool pool, ConnectionGroup group) {
+        double share = (group.arrivals.at(now) + 1) / (pool.groupArrivals.at(now) + pool.groups.size());
+        int count = (int) Math.round(PREFERRED_SHARE * share * pool.ready.size());
+        return Math.max(MIN_PREFERRED, Math.min(pool.ready.size(), count));
+    }
+
+    /** The preferred endpoint of this rank, by weighted rendezvous hashing, on which all balancers agree. */
+    EndpointState preferred(EndpointPool pool, ConnectionGroup group, int rank) {
+        EndpointState best = group.preferred(rank, pool.version);
+        if (best != null) {
+            return best;
+        }
+        double lowestScore = Double.MAX_VALUE;
+        for (int i = 0; i < pool.ready.size(); i++) {
+            EndpointState endpoint = pool.ready.get(i);
+            double score = -Math.log(Hashing.uniform(group.hash, endpoint.hash, rank)) / endpoint.weight();
+            if (score < lowestScore) {
+                lowestScore = score;
+                best = endpoint;
+            }
+        }
+        group.setPreferred(rank, best);
+        return best;
+    }
+}
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import tulipshed.config.SettingsReader.NameIndex;
+import tulipshed.config.NameIndex;
 import tulipshed.connectionid.ConnectionId;
 import tulipshed.connectionid.StatelessReset;
 import tulipshed.limits.Limits;
@@ -60,6 +60,11 @@
     private int openings;
     private boolean leaving;
 
+    /**
+     * Opens the sockets of the frontend; call it on the event-loop thread.
+     *
+     * @throws IOException if an address cannot be bound
+     */
     public QuicFront(
             Clock clock,
             Limits limits,
@@ -76,13 +81,13 @@
         this.loop = loop;
         this.core = core;
         scratch = ByteBuffer.allocateDirect(limits.quic().datagramBytes());
-        strangers = new Strangers(limits.quic().strangers());
+        strangers = new Strangers(limits.quic().maxUnknownDatagrams());
         sockets = new FlowSockets(
                 loop,
                 config.listen().getAddress(),
                 scratch,
                 counted,
-                limits.quic().seatQuietMs(),
+                limits.quic().upstreamSocketReuseDelayMs(),
                 log);
         for (Figure f : Figure.values()) {
             core.metrics().frontendCounters(f.written(), () -> counted.get(f));
@@ -141,8 +146,8 @@
 
     /** What a new connection asks for, or null where the settings do not name that any more. */
     Attributes arrival(String key) {
-        Integer requestClass = names.classes.get(config.requestClass());
-        Integer tenant = config.tenant() == null ? Integer.valueOf(-1) : names.tenants.get(config.tenant());
+        Integer requestClass = names.classIndex(config.requestClass());
+        Integer tenant = config.tenant() == null ? Integer.valueOf(-1) : names.tenantIndex(config.tenant());
         return requestClass == null || tenant == null
                 ? null
                 : new Attributes(requestClass, tenant, key, null, config.deadlineMs(), 0, false, false);
@@ -250,7 +255,7 @@
     /** Whoever is known has been heard; now strangers, for a while, and then the others again. */
     private void hearStrangers() {
         try {
-            double untilMs = clock.nowMs() + limits.quic().strangersMs();
+            double untilMs = clock.nowMs() + limits.quic().unknownDatagramSliceMs();
             Strangers.Datagram d;
             while (clock.nowMs() < untilMs && (d = strangers.poll()) != null) {
                 // One of those before it may have opened its connection.
@@ -291,7 +296,7 @@
             counted.count(Figure.DROPPED_SMALL);
             return;
         }
-        Opening opening = new Opening(initial.destination(), limits.quic().helloBytes());
+        Opening opening = new Opening(initial.destination(), limits.quic().maxClientHelloBytes());
         try {
             if (!opening.take(packets) || opening.closes()) {
                 counted.count(Figure.DROPPED_MALFORMED);
@@ -315,7 +320,7 @@
             return;
         }
         boolean waits = opening.hello() == null;
-        if (full() || leaving || (waits && openings >= limits.quic().openings())) {
+        if (full() || leaving || (waits && openings >= limits.quic().maxPendingClientHellos())) {
             // Turned away without keeping anything of it.
             listener.send(
                     from,
@@ -357,7 +362,7 @@
 
     /** Whether there is no room for one more connection; one more at a member may find a place on a socket that is open. */
     private boolean full() {
-        return all.size() >= limits.quic().sessions() || (sockets.count() == 0 && !loop.hasCapacityForClient());
+        return all.size() >= limits.quic().maxConnections() || (sockets.count() == 0 && !loop.hasCapacityForClient());
     }
 
     /**
@@ -427,7 +432,7 @@
             counted.count(Figure.DROPPED_UNKNOWN_ID);
             return;
         }
-        if (!core.serving(place.member()) || arrival("") == null || full() || leaving) {
+        if (!core.isServing(place.member()) || arrival("") == null || full() || leaving) {
             counted.count(Figure.RESETS_SENT);
             d.listener().send(d.from(), config.reset().datagram(id, d.bytes().length, random));
             return;
@@ -438,7 +443,7 @@
         counted.count(Figure.CARRIED_ON);
         // Ids in the clear can be forged, so those that no member has answered may not fill the table.
         unanswered.add(session);
-        if (unanswered.size() > limits.quic().carriedOn()) {
+        if (unanswered.size() > limits.quic().maxUnconfirmedConnections()) {
             QuicSession oldest = unanswered.iterator().next();
             unanswered.remove(oldest);
             counted.count(Figure.GAVE_WAY);
--- a/node/src/main/java/tulipshed/transport/DescriptorBudget.java
+++ b/node/src/main/java/tulipshed/transport/DescriptorBudget.java
@@ -45,7 +45,7 @@
 
     /** Whether there is a descriptor for an upstream connection. */
     boolean hasCapacityForUpstream() {
-        return openCount + usedByPeer() < limits.flowDescriptors();
+        return openCount + usedByPeer() < limits.attemptDescriptors();
     }
 
     private void add(int change) {
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -107,7 +107,7 @@
      */
     public Acceptor listen(InetSocketAddress address, int maxConnections, Consumer<StreamConnection> handler)
             throws IOException {
-        Acceptor acceptor = new Acceptor(this, log, limits.sockets().acceptsAtOnce(), handler);
+        Acceptor acceptor = new Acceptor(this, log, limits.sockets().maxAcceptsPerEvent(), handler);
         acceptor.start(worker.createStreamConnectionServer(
                 address,
                 acceptor::onAcceptable,
@@ -134,10 +134,10 @@
                 Options.REUSE_ADDRESSES,
                 false,
                 Options.RECEIVE_BUFFER,
-                limits.quic().receiveBytes());
+                limits.quic().receiveBufferBytes());
         MulticastMessageChannel channel = worker.createUdpServer(address, options);
         descriptors.opened();
-        return new UdpSocket(channel, scratch, limits.quic().readsAtOnce(), receiver, descriptors::closed);
+        return new UdpSocket(channel, scratch, limits.quic().maxReadsPerEvent(), receiver, descriptors::closed);
     }
 
     /** Ends the I/O thread; for tests and for programs that embed a node. */
--- a/node/src/test/java/tulipshed/transport/UdpSocketTest.java
+++ b/node/src/test/java/tulipshed/transport/UdpSocketTest.java
@@ -45,7 +45,7 @@
     @Test
     void servesOtherSocketsWhileOneIsFlooded() throws Exception {
         Limits limits = Limits.forDescriptors(1024);
-        int batchSize = limits.quic().readsAtOnce();
+        int batchSize = limits.quic().maxReadsPerEvent();
         XnioEventLoop loop = new XnioEventLoop(limits);
         AtomicInteger floodedReadBeforeQuiet = new AtomicInteger(-1);
         AtomicInteger floodedRead = new AtomicInteger();
