--- a/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
+++ b/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
@@ -33,7 +33,8 @@
     void arbitraryBytesAreParsedOrReportedAsMalformed(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(128);
         try {
-            InputFuzzer.feedInFragments(seed % 2 == 0 ? garbage : InputFuzzer.corrupt(REQUEST, seed), seed, parser::parse);
+            InputFuzzer.feedInFragments(
+                    seed % 2 == 0 ? garbage : InputFuzzer.corrupt(REQUEST, seed), seed, parser::parse);
         } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
--- a/node/src/test/java/tulipshed/peer/PeerSocketTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerSocketTest.java
@@ -29,7 +29,7 @@
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.testing.DelegatingBalancer;
-import tulipshed.testing.NodeProcess;
+import tulipshed.testing.LoopbackSockets;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -80,13 +80,14 @@
                     1,
                     loop,
                     NodeLog.silent(),
-                    (settings, seed, now, actions) -> new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
-                        @Override
-                        public void peerMessageReceived(long at, int from, byte[] body) {
-                            received.add(from + ":" + new String(body, UTF_8));
-                            handler.handle(actions, from);
-                        }
-                    });
+                    (settings, seed, now, actions) ->
+                            new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
+                                @Override
+                                public void peerMessageReceived(long at, int from, byte[] body) {
+                                    received.add(from + ":" + new String(body, UTF_8));
+                                    handler.handle(actions, from);
+                                }
+                            });
             peerSocket = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
             peerSocket.configure(new PeerConfig(
                     nodeAddress,
