Discovery: CallFailure takes the list's own exception type

Need: a parameter was wider than its one caller, and a comment did not say why the timeout is read late. Change: its type, the comment. Result: both modules compile without a finding; tests of discovery, transport and peer passed.

--- a/node/src/main/java/tulipshed/discovery/CallFailure.java
+++ b/node/src/main/java/tulipshed/discovery/CallFailure.java
@@ -1,6 +1,7 @@
 package tulipshed.discovery;
 
 import java.io.IOException;
+import tulipshed.config.MalformedInputException;
 
 /**
  * Why a call to discovery failed.
@@ -48,7 +49,7 @@
     }
 
     /** The body of the response is not an endpoint list. */
-    static CallFailure malformedList(RuntimeException cause) {
+    static CallFailure malformedList(MalformedInputException cause) {
         return new CallFailure(Reason.MALFORMED_LIST, cause.getMessage());
     }
 
--- a/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
+++ b/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
@@ -57,8 +57,8 @@
         void onCallFailed(ListRequest request, CallFailure failure);
 
         /**
-         * How long the first byte of a response may take beyond the wait that was requested, in milliseconds; asked for
-         * when a request is sent.
+         * How long the first byte of a response may take beyond the wait that was requested, in milliseconds; read when
+         * a request is sent, as it may change while the connection is being opened.
          */
         double responseTimeoutMs();
     }
