--- a/node/src/main/java/tulipshed/demo/StubDiscovery.java
+++ b/node/src/main/java/tulipshed/demo/StubDiscovery.java
@@ -12,125 +12,141 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** A discovery on loopback that names the members it is told, and answers watches as soon as there is news. */
+/**
+ * A discovery server on loopback that lists the endpoints published to it and responds to a watch at the next change.
+ * Safe for use by any thread; each request is handled on a daemon thread of its own.
+ */
 public final class StubDiscovery implements AutoCloseable {
-    private static final Pattern WATCH = Pattern.compile("index=([0-9]{1,9})&wait=([0-9]{1,6})");
+    private static final Pattern WATCH_QUERY = Pattern.compile("index=([0-9]{1,9})&wait=([0-9]{1,6})");
+    private static final String DELETED = "DELETED";
+    private static final int BACKLOG = 50;
+    private static final int OK = 200;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int NO_BODY = -1;
+
+    /** An index before all versions. */
+    private static final long BEFORE_ALL = -1;
 
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool(StubDiscovery::daemon);
-    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, PublishedEndpoint> endpoints = new LinkedHashMap<>();
     private long version;
-    private volatile boolean setUnavailable;
+    private volatile boolean unavailable;
 
-    private Consumer<Map<String, String>> told = entries -> {};
+    private Consumer<Map<String, String>> notificationListener = states -> {};
 
-    private record Entry(long version, String state, String json) {}
+    /** The last state of an endpoint, and the version of the list that brought it. */
+    private record PublishedEndpoint(long version, String state, String json) {}
 
     /** Listens on a free port. */
     public StubDiscovery() throws IOException {
-        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         server.setExecutor(threads);
-        server.createContext("/discovery/hosts", this::answer);
+        server.createContext("/discovery/hosts", this::handle);
         server.start();
     }
 
     static Thread daemon(Runnable task) {
-        Thread t = new Thread(task, "stand-in");
-        t.setDaemon(true);
-        return t;
+        Thread thread = new Thread(task, "stub");
+        thread.setDaemon(true);
+        return thread;
     }
 
-    /** Where it listens. */
+    /** Returns the address that it listens on. */
     public InetSocketAddress address() {
         return server.getAddress();
     }
 
-    /** Names a member that has long run, or another state of it: SERVING, DRAINING or DELETED. */
+    /** Publishes an endpoint that started long ago, or another state of it: SERVING, DRAINING or DELETED. */
     public void publish(String id, InetSocketAddress at, String zone, String kind, String state) {
         publish(id, at, zone, kind, state, 1, 0);
     }
 
     /**
-     * Names a member, or another state of it.
+     * Publishes an endpoint, or another state of it.
      *
-     * @param weight its size among the others
+     * @param kind its machine type
+     * @param weight its capacity relative to the others
      * @param startedMs when it started, as Unix time in milliseconds, or 0 for long ago
      */
     public synchronized void publish(
             String id, InetSocketAddress at, String zone, String kind, String state, double weight, long startedMs) {
         version++;
-        entries.put(
-                id,
-                new Entry(
-                        version,
-                        state,
-                        "{\"id\":\"" + id + "\",\"addr\":\"" + at.getAddress().getHostAddress() + ":"
-                                + at.getPort() + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind
-                                + "\",\"cell\":0,\"state\":\"" + state
-                                + "\",\"weight\":" + weight + ",\"started_ms\":" + startedMs + "}"));
+        String json = "{\"id\":\"" + id + "\",\"addr\":\"" + at.getAddress().getHostAddress() + ":" + at.getPort()
+                + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
+                + "\",\"weight\":" + weight + ",\"started_ms\":" + startedMs + "}";
+        endpoints.put(id, new PublishedEndpoint(version, state, json));
         notifyAll();
     }
 
-    /** Has somebody hear what each answer told, the state of each member by its name; called on a thread of its own. */
+    /** Sets who is called, on the request's thread, with the states by endpoint ID of each response that was sent. */
     public synchronized void onNotified(Consumer<Map<String, String>> listener) {
-        told = listener;
+        notificationListener = listener;
     }
 
-    /** From now on, or no more, every call fails and every watch is broken off. */
+    /** While unavailable, every request fails with status 503 and every pending watch ends so. */
     public synchronized void setUnavailable(boolean now) {
-        setUnavailable = now;
+        unavailable = now;
         notifyAll();
     }
 
-    private void answer(HttpExchange call) throws IOException {
-        Matcher watch = WATCH.matcher(String.valueOf(call.getRequestURI().getQuery()));
+    private void handle(HttpExchange exchange) throws IOException {
+        Matcher watch =
+                WATCH_QUERY.matcher(String.valueOf(exchange.getRequestURI().getQuery()));
         Map<String, String> states = new LinkedHashMap<>();
-        byte[] body = (watch.matches()
-                        ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), states)
-                        : list(true, -1, states))
-                .getBytes(StandardCharsets.UTF_8);
-        if (setUnavailable) {
-            call.sendResponseHeaders(503, -1);
-            call.close();
+        String list = watch.matches()
+                ? awaitChanges(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), states)
+                : fullList(states);
+        byte[] body = list.getBytes(StandardCharsets.UTF_8);
+        if (unavailable) {
+            exchange.sendResponseHeaders(SERVICE_UNAVAILABLE, NO_BODY);
+            exchange.close();
             return;
         }
-        call.sendResponseHeaders(200, body.length);
-        call.getResponseBody().write(body);
-        call.close();
-        listener().accept(states);
+        exchange.sendResponseHeaders(OK, body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+        notificationListener().accept(states);
     }
 
-    private synchronized Consumer<Map<String, String>> listener() {
-        return told;
+    private synchronized Consumer<Map<String, String>> notificationListener() {
+        return notificationListener;
     }
 
-    private synchronized String changes(long since, long waitMs, Map<String, String> states) {
-        long untilNs = System.nanoTime() + waitMs * 1_000_000;
+    /** Waits for a version after {@code index}, then returns the changes since, of which there may be none. */
+    private synchronized String awaitChanges(long index, long waitMs, Map<String, String> states) {
+        long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
         try {
-            for (long left = waitMs;
-                    version <= since && left > 0 && !setUnavailable;
-                    left = (untilNs - System.nanoTime()) / 1_000_000) {
-                wait(left);
+            for (long remainingMs = waitMs;
+                    version <= index && remainingMs > 0 && !unavailable;
+                    remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime())) {
+                wait(remainingMs);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return list(false, since, states);
+        return list(false, index, states);
+    }
+
+    private synchronized String fullList(Map<String, String> states) {
+        return list(true, BEFORE_ALL, states);
     }
 
-    private synchronized String list(boolean whole, long since, Map<String, String> states) {
-        List<String> named = new ArrayList<>();
-        entries.forEach((id, e) -> {
-            if (e.version() > since && !(whole && e.state().equals("DELETED"))) {
-                named.add(e.json());
-                states.put(id, e.state());
+    /** Returns a list in discovery's form and adds the states in it; a full list leaves out deleted endpoints. */
+    private synchronized String list(boolean full, long index, Map<String, String> states) {
+        List<String> listed = new ArrayList<>();
+        endpoints.forEach((id, endpoint) -> {
+            if (endpoint.version() > index && !(full && endpoint.state().equals(DELETED))) {
+                listed.add(endpoint.json());
+                states.put(id, endpoint.state());
             }
         });
-        return "{\"version\":" + version + ",\"full\":" + whole + ",\"servers\":[" + String.join(",", named) + "]}";
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", listed) + "]}";
     }
 
     @Override
--- a/node/src/main/java/tulipshed/demo/StubEndpoint.java
+++ b/node/src/main/java/tulipshed/demo/StubEndpoint.java
@@ -11,68 +11,77 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A pool member on loopback that serves every first line and returns every further one. */
+/**
+ * An endpoint on loopback that accepts every request and echoes the lines after it. Each connection has a daemon thread
+ * of its own.
+ */
 public final class StubEndpoint implements AutoCloseable {
+    private static final int BACKLOG = 50;
+
     private final String id;
-    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-    /** Listens on a free port. */
+    /**
+     * Listens on a free port.
+     *
+     * @param id its ID in the endpoint list
+     */
     public StubEndpoint(String id) throws IOException {
         this.id = id;
-        StubDiscovery.daemon(this::accept).start();
+        StubDiscovery.daemon(this::acceptConnections).start();
     }
 
-    /** What the list calls it. */
+    /** Returns its ID in the endpoint list. */
     public String id() {
         return id;
     }
 
-    /** Where it listens. */
+    /** Returns the address that it listens on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
-    private void accept() {
+    private void acceptConnections() {
         try {
             while (true) {
-                Socket socket = listener.accept();
-                StubDiscovery.daemon(() -> serve(socket)).start();
+                Socket connection = listener.accept();
+                StubDiscovery.daemon(() -> serve(connection)).start();
             }
         } catch (IOException e) {
-            // It was closed.
+            // The listener was closed.
             return;
         }
     }
 
-    private void serve(Socket socket) {
-        open.add(socket);
-        try (socket;
-                BufferedReader in =
-                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))) {
+    private void serve(Socket connection) {
+        connections.add(connection);
+        try (connection;
+                BufferedReader in = new BufferedReader(
+                        new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII))) {
             String first = in.readLine();
-            boolean sound = first != null && first.startsWith("OPEN ");
-            say(socket, sound ? "UP " + id : "SYNTAX");
-            for (String line = sound ? in.readLine() : null; line != null; line = in.readLine()) {
-                say(socket, line);
+            boolean valid = first != null && first.startsWith("OPEN ");
+            sendLine(connection, valid ? "UP " + id : "SYNTAX");
+            for (String line = valid ? in.readLine() : null; line != null; line = in.readLine()) {
+                sendLine(connection, line);
             }
         } catch (IOException e) {
-            // The client or the node has gone.
+            // The client or the node closed the connection.
             return;
         } finally {
-            open.remove(socket);
+            connections.remove(connection);
         }
     }
 
-    private static void say(Socket socket, String line) throws IOException {
-        socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.US_ASCII));
+    private static void sendLine(Socket connection, String line) throws IOException {
+        connection.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
     @Override
     public void close() throws IOException {
         listener.close();
-        for (Socket s : open) {
-            s.close();
+        for (Socket connection : connections) {
+            connection.close();
         }
     }
 }
--- a/node/src/main/java/tulipshed/demo/package-info.java
+++ b/node/src/main/java/tulipshed/demo/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for endpoints and for discovery, with which {@code demo} shows a node at work. */
+/** Stubs of discovery and of an endpoint on loopback, for the demo, the emulator's load tests and the node's tests. */
 package tulipshed.demo;
--- a/node/src/test/java/tulipshed/cli/ConfigurationReloadTest.java
+++ b/node/src/test/java/tulipshed/cli/ConfigurationReloadTest.java
@@ -158,8 +158,8 @@
                 }
                 configureWithEndpoint(listenPort, endpoint.getLocalPort(), "\"HardLimitS\": 4.8", "\"HardLimitS\": 0");
                 node.sendSignal("HUP");
-                assertTrue(
-                        node.awaitReloadLine().endsWith("HardLimitS of an entry of Classes is not a finite number above 0"));
+                assertTrue(node.awaitReloadLine()
+                        .endsWith("HardLimitS of an entry of Classes is not a finite number above 0"));
                 String metrics = httpGet(managementPort, "/status/metrics");
                 assertTrue(metrics.contains("\"gate-alarm\":{\"success\":1,"), metrics);
                 assertTrue(metrics.contains("\"reload_success\":1,\"reload_failure\":3}"), metrics);
