--- /dev/null
+++ b/node/src/main/java/tulipshed/decision/EndpointEvaluator.java
@@ -0,0 +1,32 @@
+package tulipshed.decision;
+
+/** Whether an endpoint may be sent a request, and how loaded it would be with it. */
+record EndpointEvaluator(OutlierEjection outlierEjection, SlowStart slowStart) {
+    /** Whether an endpoint is eligible and may be sent this request. */
+    boolean isUsable(long now, RequestState request, EndpointState endpoint) {
+        return outlierEjection.isEligible(now, request.pool, endpoint) && isPermitted(now, request, endpoint);
+    }
+
+    /** Whether an endpoint may be sent this request, be it ejected or not. */
+    boolean isPermitted(long now, RequestState request, EndpointState endpoint) {
+        return endpoint != request.previousEndpoint
+                && RetryPolicy.permitsEndpoint(request, endpoint)
+                && !slowStart.isLimitedBySlowStart(now, request, endpoint);
+    }
+
+    /** The endpoint that would be less loaded with the request; the first if both are equal. */
+    static EndpointState lighter(RequestState request, EndpointState first, EndpointState second) {
+        return loadPerWeight(request, second) < loadPerWeight(request, first) ? second : first;
+    }
+
+    /** The request counts for no more than an even load: large endpoints would win nearly always at low load. */
+    private static double loadPerWeight(RequestState request, EndpointState endpoint) {
+        if (endpoint.pending >= endpoint.pendingLimit) {
+            return Double.MAX_VALUE;
+        }
+        double evenLoad = endpoint.weight() * request.pool.load / request.pool.nonZeroWeight();
+        // A new endpoint counts as evenly loaded, as all balancers would otherwise send to it at once.
+        double load = endpoint.hasEstablished ? endpoint.openLoad : Math.max(endpoint.openLoad, evenLoad);
+        return (load + Math.min(request.load, evenLoad)) / endpoint.weight();
+    }
+}
--- a/node/src/main/java/tulipshed/decision/RequestState.java
+++ b/node/src/main/java/tulipshed/decision/RequestState.java
@@ -2,39 +2,154 @@
 
 import tulipshed.decision.BalancerApi.EndpointInfo;
 import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
 import tulipshed.decision.BalancerApi.RequestClass;
 
-/** One request from its arrival until its client is done and its attempt has ended. */
+/** One request from its arrival until its final answer is given and its attempt has ended. Confined to the event loop. */
 final class RequestState {
-    final NewRequest in;
-    final RequestClass kind;
+    final NewRequest arrival;
+    /** The class at arrival; a reconfiguration does not change it. */
+    final RequestClass requestClass;
+
     final long deadlineUs;
-    /** Hash seed: one random number for each server, however often it is looked at. */
-    final long dice;
+    /** Seed of this request's random numbers: the same number for an endpoint however often it is evaluated. */
+    final long randomHash;
 
+    /** Load of the connection, in microseconds of work a second, estimated until it is reported. */
     double load;
+
+    /** Attempts started so far. */
     int attempts;
-    EndpointPool fleet;
-    EndpointState server;
+
+    EndpointPool pool;
+    /** The endpoint of the current attempt or established connection; null between attempts. */
+    EndpointState endpoint;
+    /** The endpoint of the previous attempt, which the next one avoids; null before the first attempt has ended. */
+    EndpointState previousEndpoint;
+    /** The group in which the established connection is counted; null if none. */
     ConnectionGroup group;
-    boolean standing;
-    boolean answered;
+    /** When the current attempt started. */
+    long sentAtUs;
+    /** Whether the current attempt is established. */
+    boolean established;
+    /** Whether the final answer was given or the client has left. */
+    boolean concluded;
+
+    /** Whether an attempt may have taken effect. */
     boolean mayHaveRun;
+    /** The endpoint of the first attempt that may have taken effect; null if none. */
     EndpointInfo ranOn;
+
     long ranAtUs;
-    long sentAtUs;
-    EndpointState avoid;
-    EndpointState first;
-    EndpointState second;
-    int awaited;
-    boolean asked;
-
-    RequestState(NewRequest in, RequestClass kind, EndpointPool fleet, long now, long luck, double usualLoad) {
-        this.in = in;
-        this.dice = Hashing.mix(in.id() ^ luck);
-        this.fleet = fleet;
-        this.kind = kind;
-        this.deadlineUs = now + in.timeoutUs();
-        this.load = in.loadHintUsPerS() > 0 ? in.loadHintUsPerS() : usualLoad;
+
+    /** The two endpoints that are compared by health checks; null while none are. */
+    EndpointState firstCandidate;
+
+    EndpointState secondCandidate;
+    /** Health checks of the candidates that have not completed. */
+    int pendingHealthChecks;
+    /** Whether health checks were used for the current attempt. */
+    boolean healthChecked;
+
+    RequestState(
+            NewRequest arrival,
+            RequestClass requestClass,
+            EndpointPool pool,
+            long now,
+            long hashSeed,
+            double averageLoad) {
+        this.arrival = arrival;
+        this.randomHash = Hashing.mix(arrival.id() ^ hashSeed);
+        this.pool = pool;
+        this.requestClass = requestClass;
+        this.deadlineUs = now + arrival.timeoutUs();
+        this.load = arrival.loadHintUsPerS() > 0 ? arrival.loadHintUsPerS() : averageLoad;
+    }
+
+    /** Whether an attempt was started that is neither established nor ended, and no final answer is given. */
+    boolean isAttemptPending() {
+        return endpoint != null && !established && !concluded;
+    }
+
+    /** Starts the next attempt at this endpoint. */
+    void startAttempt(long now, EndpointState chosen) {
+        attempts++;
+        endpoint = chosen;
+        healthChecked = false;
+        established = false;
+        sentAtUs = now;
+        chosen.slowStartCredit -= 1;
+        chosen.adjustLoad(1, 1, load);
+    }
+
+    /** Takes a connection that was established before this balancer started. */
+    void adopt(EndpointState holder) {
+        attempts = 1;
+        endpoint = holder;
+        established = true;
+        holder.hasEstablished = true;
+        holder.adjustLoad(1, 0, load);
+    }
+
+    /** Marks the current attempt as established. */
+    void establish() {
+        established = true;
+        endpoint.hasEstablished = true;
+        endpoint.adjustLoad(0, -1, 0);
+    }
+
+    /** Counts the established connection for a group, unless that is null. */
+    void joinGroup(long now, ConnectionGroup joined) {
+        if (joined != null) {
+            joined.holders.add(endpoint);
+            group = joined;
+            joined.arrivals.add(now);
+            pool.groupArrivals.add(now);
+        }
+    }
+
+    /** Replaces the load of the connection by a reported one. */
+    void setLoad(double reportedUsPerS) {
+        endpoint.adjustLoad(0, 0, reportedUsPerS - load);
+        load = reportedUsPerS;
+    }
+
+    /** Releases the endpoint of the attempt that ended, and returns it. */
+    EndpointState endAttempt(Outcome outcome) {
+        EndpointState released = endpoint;
+        endpoint = null;
+        previousEndpoint = released;
+        released.adjustLoad(-1, established ? 0 : -1, -load);
+        if (group != null) {
+            group.holders.remove(released);
+            group = null;
+        }
+        if (!outcome.neverRan && !mayHaveRun) {
+            mayHaveRun = true;
+            ranOn = released.info;
+            ranAtUs = sentAtUs;
+        }
+        return released;
+    }
+
+    /** Sets the two candidates to compare and the number of health checks started for them. */
+    void awaitHealthChecks(EndpointState first, EndpointState second, int started) {
+        healthChecked = true;
+        firstCandidate = first;
+        secondCandidate = second;
+        pendingHealthChecks = started;
+    }
+
+    /** Ends the comparison of the candidates. */
+    void clearCandidates() {
+        firstCandidate = null;
+        secondCandidate = null;
+        pendingHealthChecks = 0;
+    }
+
+    /** Counts a completed health check; returns whether this request awaited it and awaits no other one. */
+    boolean completeHealthCheck(EndpointState checked) {
+        boolean awaited = firstCandidate == checked || secondCandidate == checked;
+        return awaited && --pendingHealthChecks == 0;
     }
 }
--- a/node/src/main/java/tulipshed/quic/QuicFront.java
+++ b/node/src/main/java/tulipshed/quic/QuicFront.java
@@ -60,6 +60,11 @@
     private int openings;
     private boolean leaving;
 
+    /**
+     * Opens the sockets of the frontend; call it on the event-loop thread.
+     *
+     * @throws IOException if an address cannot be bound
+     */
     public QuicFront(
             Clock clock,
             Limits limits,
@@ -427,7 +432,7 @@
             counted.count(Figure.DROPPED_UNKNOWN_ID);
             return;
         }
-        if (!core.serving(place.member()) || arrival("") == null || full() || leaving) {
+        if (!core.isServing(place.member()) || arrival("") == null || full() || leaving) {
             counted.count(Figure.RESETS_SENT);
             d.listener().send(d.from(), config.reset().datagram(id, d.bytes().length, random));
             return;
--- a/node/src/test/java/tulipshed/config/NodeConfigTest.java
+++ b/node/src/test/java/tulipshed/config/NodeConfigTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** Tests of the configuration with the documented file and variants of it. */
 class NodeConfigTest {
@@ -114,7 +114,7 @@
     @Property(tries = 200, seed = "41")
     void corruptedConfigurationIsParsedOrReportedAsMalformed(@ForAll long seed) throws IOException {
         try {
-            NodeConfig.parse(JsonValues.object(Cuts.spoil(Files.readAllBytes(FILE), seed)), Map.of());
+            NodeConfig.parse(JsonValues.object(InputFuzzer.corrupt(Files.readAllBytes(FILE), seed)), Map.of());
         } catch (MalformedInputException expected) {
             assertFalse(expected.getMessage().isBlank());
         }
--- /dev/null
+++ b/node/src/test/java/tulipshed/lineprotocol/LineProtocolFixture.java
@@ -0,0 +1,248 @@
+package tulipshed.lineprotocol;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.Balancer;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
+import tulipshed.proxy.EndpointListEntry;
+import tulipshed.proxy.ProxyCore;
+import tulipshed.testing.DelegatingBalancer;
+import tulipshed.time.SystemClock;
+import tulipshed.transport.XnioEventLoop;
+
+/**
+ * Runs the line-protocol frontend with the real core and decision module between plain sockets on loopback: the tests play
+ * the clients and the endpoints.
+ */
+abstract class LineProtocolFixture {
+    static final String OPEN_COMMAND = "OPEN 9b1f k c=slot-board,t=melnik-terminal,d=4000\r\n";
+    final BlockingQueue<Double> latencies = new LinkedBlockingQueue<>();
+    final BlockingQueue<Double> loads = new LinkedBlockingQueue<>();
+    final BlockingQueue<BalancerApi.Outcome> outcomes = new LinkedBlockingQueue<>();
+    final BlockingQueue<BalancerApi.LoadReport> loadReports = new LinkedBlockingQueue<>();
+    final List<String> logLines = new CopyOnWriteArrayList<>();
+    XnioEventLoop loop;
+    ProxyCore core;
+    LineProtocolFrontend frontend;
+    ServerSocket endpointListener;
+    /** In the endpoint list from {@link #addSecondEndpoint} on. */
+    ServerSocket secondEndpointListener;
+    /** Runs on the event loop before the decision module is notified of a new request. */
+    volatile Runnable beforeRequestArrived = () -> {};
+
+    /** Runs on the event loop before the decision module is notified of the end of an attempt. */
+    volatile Runnable beforeAttemptEnded = () -> {};
+
+    private InetSocketAddress nodeAddress;
+
+    /** One end of a connection, read line by line. */
+    static final class LineSocket implements AutoCloseable {
+        final Socket socket;
+        final BufferedReader reader;
+
+        LineSocket(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(5000);
+            reader = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        }
+
+        void send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        String readLine() throws IOException {
+            return reader.readLine();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        start(Limits.forDescriptors(1024));
+    }
+
+    void start(Limits limits) throws Exception {
+        start(limits, "", "");
+    }
+
+    /** Starts with the sample settings, in which one text is replaced by another. */
+    void start(Limits limits, String replaced, String replacement) throws Exception {
+        NodeConfig config = sampleConfig(replaced, replacement);
+        loop = new XnioEventLoop(limits);
+        endpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        secondEndpointListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        // An endpoint that is never connected to fails its test rather than block it.
+        endpointListener.setSoTimeout(10_000);
+        secondEndpointListener.setSoTimeout(10_000);
+        BlockingQueue<InetSocketAddress> listening = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            core = startCore(limits, config);
+            frontend = startFrontend(limits, config);
+            listening.add(listen(limits));
+        });
+        nodeAddress = listening.poll(10, TimeUnit.SECONDS);
+    }
+
+    private static NodeConfig sampleConfig(String replaced, String replacement) throws IOException {
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(
+                file, Files.readString(Path.of("src/test/resources/node.json")).replace(replaced, replacement));
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        Files.delete(file);
+        return config;
+    }
+
+    private ProxyCore startCore(Limits limits, NodeConfig config) {
+        ProxyCore started = new ProxyCore(
+                new SystemClock(),
+                limits,
+                config.settings(),
+                1,
+                loop,
+                coreLog(),
+                (settings, seed, now, actions) -> decisionModule(new Balancer(settings, seed, now, actions), actions));
+        started.endpointsChanged(
+                EndpointListKind.COMPLETE, List.of(endpointEntry("s-1", EndpointStatus.SERVING, endpointListener)));
+        return started;
+    }
+
+    private LineProtocolFrontend startFrontend(Limits limits, NodeConfig config) {
+        return new LineProtocolFrontend(
+                new SystemClock(),
+                limits,
+                config.nameIndex(),
+                config.loadReportsLatency(),
+                loop,
+                core,
+                NodeLog.to(logLines::add));
+    }
+
+    private InetSocketAddress listen(Limits limits) {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try {
+            return loop.listen(anyPort, limits.clientConnections(), frontend::accept)
+                    .address();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The log of the core; tests that check it override this. */
+    NodeLog coreLog() {
+        return NodeLog.silent();
+    }
+
+    /** The decision module in use; tests that observe more of it override this. Called on the event loop. */
+    BalancerApi decisionModule(Balancer balancer, BalancerApi.Actions actions) {
+        return new RecordingModule(balancer);
+    }
+
+    /** The entry of the endpoint list for an endpoint that the test plays. */
+    static EndpointListEntry endpointEntry(String id, EndpointStatus status, ServerSocket listener) {
+        return new EndpointListEntry(new EndpointInfo(id, status, "decin", 0, "std-2c", 1, 0), (InetSocketAddress)
+                listener.getLocalSocketAddress());
+    }
+
+    /** Adds the second endpoint to the list, serving. */
+    void addSecondEndpoint() throws Exception {
+        CountDownLatch notified = new CountDownLatch(1);
+        loop.execute(() -> {
+            core.endpointsChanged(
+                    EndpointListKind.CHANGES,
+                    List.of(endpointEntry("s-2", EndpointStatus.SERVING, secondEndpointListener)));
+            notified.countDown();
+        });
+        await(notified);
+    }
+
+    /** Starts anew with the sample settings, in which one text is replaced by another. */
+    void restart(String replaced, String replacement) throws Exception {
+        stop();
+        start(Limits.forDescriptors(1024), replaced, replacement);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        endpointListener.close();
+        secondEndpointListener.close();
+        loop.stop();
+    }
+
+    /** The decision module; records what it is notified of. */
+    private final class RecordingModule extends DelegatingBalancer {
+        RecordingModule(BalancerApi to) {
+            super(to);
+        }
+
+        @Override
+        public void requestArrived(long now, NewRequest request) {
+            beforeRequestArrived.run();
+            super.requestArrived(now, request);
+        }
+
+        @Override
+        public void latencyReported(long now, long requestId, double delayMs) {
+            latencies.add(delayMs);
+        }
+
+        @Override
+        public void attemptEnded(
+                long now, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
+            beforeAttemptEnded.run();
+            outcomes.add(outcome);
+            loadReports.add(report);
+            super.attemptEnded(now, requestId, attempt, concluded, outcome, report);
+        }
+
+        @Override
+        public void loadReported(long now, long requestId, double loadUsPerS) {
+            loads.add(loadUsPerS);
+        }
+    }
+
+    LineSocket connectClient() throws IOException {
+        return new LineSocket(new Socket(nodeAddress.getAddress(), nodeAddress.getPort()));
+    }
+
+    LineSocket acceptUpstream() throws IOException {
+        return new LineSocket(endpointListener.accept());
+    }
+
+    /** Waits for a bounded time; for any thread, the event loop's included. */
+    static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(10, TimeUnit.SECONDS)) {
+                throw new IllegalStateException("timed out");
+            }
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
+++ b/node/src/test/java/tulipshed/management/HttpRequestParserTest.java
@@ -10,7 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
-import tulipshed.testing.Cuts;
+import tulipshed.testing.InputFuzzer;
 
 /** Tests of the request parser with fragmented, corrupted and endless input. */
 class HttpRequestParserTest {
@@ -24,7 +24,7 @@
     void fragmentationDoesNotChangeParsedRequest(@ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(4096);
         boolean[] complete = new boolean[1];
-        Cuts.feed(REQUEST, seed, in -> complete[0] |= parser.parse(in));
+        InputFuzzer.feedInFragments(REQUEST, seed, in -> complete[0] |= parser.parse(in));
         assertTrue(complete[0]);
         assertEquals("GET /status", parser.method() + " " + parser.path());
     }
@@ -33,7 +33,8 @@
     void arbitraryBytesAreParsedOrReportedAsMalformed(@ForAll @Size(max = 300) byte[] garbage, @ForAll long seed) {
         HttpRequestParser parser = new HttpRequestParser(128);
         try {
-            Cuts.feed(seed % 2 == 0 ? garbage : Cuts.spoil(REQUEST, seed), seed, parser::parse);
+            InputFuzzer.feedInFragments(
+                    seed % 2 == 0 ? garbage : InputFuzzer.corrupt(REQUEST, seed), seed, parser::parse);
         } catch (MalformedRequestException expected) {
             assertTrue(!expected.getMessage().isBlank());
         }
--- a/node/src/test/java/tulipshed/peer/PeerSocketTest.java
+++ b/node/src/test/java/tulipshed/peer/PeerSocketTest.java
@@ -28,8 +28,8 @@
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.ProxyCore;
-import tulipshed.testing.ModuleDelegate;
-import tulipshed.testing.NodeProcess;
+import tulipshed.testing.DelegatingBalancer;
+import tulipshed.testing.LoopbackSockets;
 import tulipshed.time.SystemClock;
 import tulipshed.transport.XnioEventLoop;
 
@@ -54,7 +54,7 @@
         broadcast = new DatagramSocket(0, LOOPBACK);
         peer.setSoTimeout(5000);
         broadcast.setSoTimeout(5000);
-        nodeAddress = new InetSocketAddress(LOOPBACK, NodeProcess.freeUdpPort());
+        nodeAddress = new InetSocketAddress(LOOPBACK, LoopbackSockets.freeUdpPort());
         loop = new XnioEventLoop(Limits.forDescriptors(1024));
     }
 
@@ -80,13 +80,14 @@
                     1,
                     loop,
                     NodeLog.silent(),
-                    (settings, seed, now, actions) -> new ModuleDelegate(new Balancer(settings, seed, now, actions)) {
-                        @Override
-                        public void peerMessageReceived(long at, int from, byte[] body) {
-                            received.add(from + ":" + new String(body, UTF_8));
-                            handler.handle(actions, from);
-                        }
-                    });
+                    (settings, seed, now, actions) ->
+                            new DelegatingBalancer(new Balancer(settings, seed, now, actions)) {
+                                @Override
+                                public void peerMessageReceived(long at, int from, byte[] body) {
+                                    received.add(from + ":" + new String(body, UTF_8));
+                                    handler.handle(actions, from);
+                                }
+                            });
             peerSocket = new PeerSocket(new SystemClock(), Limits.forDescriptors(1024), loop, core, NodeLog.silent());
             peerSocket.configure(new PeerConfig(
                     nodeAddress,
--- /dev/null
+++ b/node/src/test/java/tulipshed/proxy/ProxyCoreFixture.java
@@ -0,0 +1,336 @@
+package tulipshed.proxy;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import tulipshed.config.NodeConfig;
+import tulipshed.decision.BalancerApi;
+import tulipshed.decision.BalancerApi.EndpointInfo;
+import tulipshed.decision.BalancerApi.EndpointListKind;
+import tulipshed.decision.BalancerApi.EndpointStatus;
+import tulipshed.decision.BalancerApi.LoadReport;
+import tulipshed.decision.BalancerApi.NewRequest;
+import tulipshed.decision.BalancerApi.Outcome;
+import tulipshed.decision.BalancerApi.RequestClass;
+import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
+import tulipshed.time.ManualClock;
+
+/**
+ * A core on a clock and an event loop that the test drives. The fixture is also the decision module, the client and the
+ * connector of all requests: it decides what the test says, and records in order all that the core does.
+ */
+final class ProxyCoreFixture implements EventLoop, ClientConnection, UpstreamConnector, BalancerApi {
+    private static final Path NODE_SETTINGS = Path.of("src/test/resources/node.json");
+
+    final ManualClock clock = new ManualClock(1_000_000);
+    /** What the core did and logged, in order. */
+    final List<String> recorded = new ArrayList<>();
+    /** The attempts that the core opened, in order. */
+    final List<Attempt> attempts = new ArrayList<>();
+    /** Takes decisions; they are carried out at the end of the next batch. */
+    Actions decisions;
+    /** What this fixture, as decision module, answers for the eligible endpoints of a pool; 0 for other pools. */
+    final Map<String, Integer> eligibleByPool = new HashMap<>();
+    /** The id of the request of which the decision module was notified last. */
+    long lastRequestId;
+    /** What this fixture, as connector, answers. */
+    boolean mustLeaveDraining;
+
+    final Settings settings;
+    final ProxyCore core;
+    private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
+    private final List<Timer> timers = new ArrayList<>();
+
+    private record Timer(double atMs, Runnable task) {}
+
+    /** A core under the settings of {@code node.json}, with the serving endpoint s-1 from a cached list. */
+    ProxyCoreFixture() {
+        this("", "");
+    }
+
+    /** The same, with each occurrence of a text in the settings replaced by another. */
+    ProxyCoreFixture(String replaced, String replacement) {
+        settings = config(replaced, replacement).settings();
+        core = new ProxyCore(
+                clock,
+                Limits.forDescriptors(1024),
+                settings,
+                1,
+                this,
+                NodeLog.to(recorded::add),
+                (settings, seed, now, actions) -> {
+                    decisions = actions;
+                    return this;
+                });
+        updateEndpoint(EndpointListKind.CACHED, "s-1", EndpointStatus.SERVING);
+        takeRecorded();
+    }
+
+    /** A core whose requests are not idempotent. */
+    static ProxyCoreFixture nonIdempotent() {
+        return new ProxyCoreFixture("\"Effect\": \"repeatable\"", "\"Effect\": \"once\"");
+    }
+
+    /** A core whose requests have an idempotency key, by which the endpoints of one zone deduplicate them. */
+    static ProxyCoreFixture withKeyPerZone() {
+        return new ProxyCoreFixture(
+                "\"Effect\": \"repeatable\",\n    \"Group\": \"all\"",
+                "\"Effect\": \"by_key\",\n    \"Group\": \"zone\"");
+    }
+
+    /** The settings of {@code node.json}. */
+    static Settings nodeSettings() {
+        return NodeConfig.load(Map.of("PROXY_CONFIG", NODE_SETTINGS.toString())).settings();
+    }
+
+    /** The settings with other classes. */
+    static Settings withClasses(Settings settings, List<RequestClass> classes) {
+        return new Settings(
+                settings.nodeIndex(),
+                settings.nodeCount(),
+                settings.zone(),
+                settings.passThrough(),
+                settings.polledDiscovery(),
+                settings.groupAffinity(),
+                settings.weightSemantics(),
+                settings.loadReportSource(),
+                settings.limits(),
+                settings.rules(),
+                settings.prices(),
+                classes,
+                settings.tenants());
+    }
+
+    private static NodeConfig config(String replaced, String replacement) {
+        try {
+            Path file = Files.createTempFile("node", ".json");
+            Files.writeString(file, Files.readString(NODE_SETTINGS).replace(replaced, replacement));
+            NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+            Files.delete(file);
+            return config;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Discovery reports a change of one endpoint. */
+    void updateEndpoint(String id, EndpointStatus status) {
+        updateEndpoint(EndpointListKind.CHANGES, id, status);
+    }
+
+    private void updateEndpoint(EndpointListKind kind, String id, EndpointStatus status) {
+        core.endpointsChanged(
+                kind,
+                List.of(new EndpointListEntry(
+                        new EndpointInfo(id, status, "decin", 0, "std-2c", 1, 0),
+                        new InetSocketAddress("127.0.0.1", 1))));
+    }
+
+    /** A request arrives whose client waits that long. */
+    Request requestArrives(double timeoutMs) {
+        Request request = newRequest(timeoutMs, false);
+        core.requestArrived(request);
+        return request;
+    }
+
+    /** A connection is resumed that was established at that endpoint before. */
+    Request adoptConnection(String endpointId) {
+        Request request = newRequest(2000, true);
+        core.adoptConnection(request, endpointId);
+        return request;
+    }
+
+    /** A request of this fixture's client that the core does not know yet. */
+    Request newRequest(double timeoutMs, boolean adopted) {
+        return new Request(
+                this,
+                this,
+                new Request.Attributes(0, 0, "k", null, timeoutMs, 0, false, false),
+                clock.nowMs(),
+                adopted);
+    }
+
+    /** A request arrives, and an attempt at s-1 is opened for it; nothing of that stays recorded. */
+    Attempt startAttempt(double timeoutMs) {
+        requestArrives(timeoutMs);
+        runReadyTasks();
+        decisions.startAttempt(lastRequestId, "s-1", 0);
+        core.runBatch();
+        runReadyTasks();
+        takeRecorded();
+        return attempts.get(attempts.size() - 1);
+    }
+
+    /** The final responses to one class: how many were established, rejected and failed. */
+    String responseCounts(String requestClass) {
+        NodeMetrics.ResponseCounts counts = core.metrics().responses().get(requestClass);
+        return counts.established() + " " + counts.rejected() + " " + counts.failed();
+    }
+
+    /** Runs ready tasks, and advances the clock step by step, running the timers that expire. */
+    void advance(double durationMs) {
+        double endMs = clock.nowMs() + durationMs;
+        runReadyTasks();
+        while (clock.nowMs() < endMs) {
+            clock.advance(Math.min(1, endMs - clock.nowMs()));
+            List<Timer> expired =
+                    timers.stream().filter(timer -> timer.atMs <= clock.nowMs()).toList();
+            timers.removeAll(expired);
+            expired.forEach(timer -> timer.task.run());
+            runReadyTasks();
+        }
+    }
+
+    /** Runs the tasks of the event loop until none is ready. */
+    void runReadyTasks() {
+        while (!tasks.isEmpty()) {
+            tasks.poll().run();
+        }
+    }
+
+    /** Runs ready tasks; returns what was recorded since the last call. */
+    List<String> takeRecorded() {
+        runReadyTasks();
+        List<String> taken = List.copyOf(recorded);
+        recorded.clear();
+        return taken;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+    }
+
+    @Override
+    public void schedule(double delayMs, Runnable task) {
+        timers.add(new Timer(clock.nowMs() + delayMs, task));
+    }
+
+    @Override
+    public void reject(double retryAfterMs) {
+        recorded.add("client: reject " + retryAfterMs);
+    }
+
+    @Override
+    public void fail() {
+        recorded.add("client: fail");
+    }
+
+    @Override
+    public void migrate() {
+        recorded.add("client: move");
+    }
+
+    @Override
+    public void open(Attempt attempt) {
+        attempts.add(attempt);
+        recorded.add("open " + attempt.endpoint().id());
+    }
+
+    @Override
+    public void abandon(Attempt attempt) {
+        recorded.add("give up");
+    }
+
+    @Override
+    public boolean mustLeaveDrainingEndpoint() {
+        return mustLeaveDraining;
+    }
+
+    @Override
+    public void endpointsChanged(long nowUs, EndpointListKind kind, List<EndpointInfo> entries) {
+        recorded.add("list " + kind);
+    }
+
+    @Override
+    public void requestArrived(long nowUs, NewRequest request) {
+        lastRequestId = request.id();
+        recorded.add("request " + request.timeoutUs() / 1000 + (request.pool() == null ? "" : " in " + request.pool())
+                + (request.requestClass() == 0 ? "" : " as " + request.requestClass()));
+    }
+
+    @Override
+    public void connectionAdopted(long nowUs, NewRequest request, String endpointId) {
+        lastRequestId = request.id();
+        recorded.add("already open " + endpointId);
+    }
+
+    @Override
+    public void attemptEstablished(long nowUs, long requestId, int attempt, long tookUs) {
+        recorded.add("started " + attempt);
+    }
+
+    @Override
+    public void loadReported(long nowUs, long requestId, double loadUsPerS) {
+        recorded.add("load " + loadUsPerS);
+    }
+
+    @Override
+    public void latencyReported(long nowUs, long requestId, double latencyMs) {
+        recorded.add("delay " + latencyMs);
+    }
+
+    @Override
+    public void attemptEnded(
+            long nowUs, long requestId, int attempt, boolean concluded, Outcome outcome, LoadReport report) {
+        recorded.add("finished " + attempt + " " + outcome + (concluded ? " concluded" : ""));
+    }
+
+    @Override
+    public void requestCancelled(long nowUs, long requestId) {
+        recorded.add("abandoned");
+    }
+
+    @Override
+    public void healthCheckCompleted(long nowUs, String endpointId, Outcome outcome, LoadReport report) {
+        recorded.add("health check " + endpointId + " " + outcome);
+    }
+
+    @Override
+    public void timerFired(long nowUs, long token) {
+        recorded.add("timer " + token);
+    }
+
+    @Override
+    public void peerMessageReceived(long nowUs, int from, byte[] body) {}
+
+    @Override
+    public int ineligibleCount(long nowUs) {
+        return 1;
+    }
+
+    @Override
+    public void quotaShareChanged(long nowUs, double shareOfNode) {
+        recorded.add("share " + shareOfNode);
+    }
+
+    @Override
+    public void reconfigure(long nowUs, Settings settings) {
+        recorded.add("settings " + settings.classes().size());
+    }
+
+    @Override
+    public void poolsChanged(long nowUs, Map<String, Set<String>> pools) {
+        recorded.add("pools " + new TreeMap<>(pools));
+    }
+
+    @Override
+    public void requestRerouted(long nowUs, long requestId, String pool) {
+        recorded.add("route " + requestId + " " + pool);
+    }
+
+    @Override
+    public int eligibleCount(long nowUs, String pool) {
+        return eligibleByPool.getOrDefault(pool, 0);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
@@ -0,0 +1,60 @@
+package tulipshed.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Timers by deadline, and their cancellation. */
+class TimerQueueTest {
+    /** Upper bound of cancelled timers that are held beyond as many as there are pending ones. */
+    private static final int MAX_UNSWEPT = 1100;
+
+    /** Each timer runs at its deadline unless it was cancelled, and cancelled ones are released soon. */
+    @Property(tries = 200, seed = "95")
+    void runsTimersInOrderAndReleasesCancelledOnes(@ForAll long seed) {
+        Random random = new Random(seed);
+        TimerQueue queue = new TimerQueue();
+        TreeMap<Double, List<Integer>> pendingByDeadline = new TreeMap<>();
+        List<Integer> ran = new ArrayList<>();
+        List<Integer> expected = new ArrayList<>();
+        List<TimerQueue.Timer> timers = new ArrayList<>();
+        List<Double> deadlines = new ArrayList<>();
+        double nowMs = 0;
+        int pending = 0;
+        for (int index = 0; index < 6000; index++) {
+            double deadlineMs = nowMs + random.nextInt(1, 100_000);
+            int number = index;
+            timers.add(queue.add(deadlineMs, () -> ran.add(number)));
+            deadlines.add(deadlineMs);
+            pendingByDeadline
+                    .computeIfAbsent(deadlineMs, unused -> new ArrayList<>())
+                    .add(index);
+            pending++;
+            int other = random.nextInt(timers.size());
+            if (random.nextInt(20) > 0
+                    && deadlines.get(other) > nowMs
+                    && pendingByDeadline.get(deadlines.get(other)).remove((Integer) other)) {
+                timers.get(other).cancel();
+                timers.get(other).cancel();
+                pending--;
+            }
+            if (random.nextInt(100) == 0) {
+                nowMs += random.nextInt(3000);
+                queue.runExpired(nowMs, Runnable::run);
+                while (!pendingByDeadline.isEmpty() && pendingByDeadline.firstKey() <= nowMs) {
+                    expected.addAll(pendingByDeadline.pollFirstEntry().getValue());
+                }
+                assertEquals(expected, ran);
+                pending =
+                        pendingByDeadline.values().stream().mapToInt(List::size).sum();
+            }
+            assertTrue(queue.size() <= 2 * pending + MAX_UNSWEPT, queue.size() + " held for " + pending);
+        }
+    }
+}
