--- a/node/src/main/java/tulipshed/config/ConfigValidator.java
+++ b/node/src/main/java/tulipshed/config/ConfigValidator.java
@@ -13,7 +13,7 @@
     private ConfigValidator() {}
 
     /**
-     * Checks a whole configuration file.
+     * Checks a complete configuration file.
      *
      * @throws MalformedInputException for the first field that is missing or invalid
      */
--- a/node/src/main/java/tulipshed/config/NodeConfig.java
+++ b/node/src/main/java/tulipshed/config/NodeConfig.java
@@ -147,7 +147,7 @@
         return cachedEndpoints.get("servers") instanceof List<?> servers ? servers : List.of();
     }
 
-    /** This configuration without a management address, cached endpoints and peers, for a node that stands alone. */
+    /** This configuration without a management address, cached endpoints and peers, for a node that runs without others. */
     public NodeConfig standalone() {
         return new NodeConfig(
                 name,
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -47,7 +47,7 @@
      * @param lineBytes the length of the longest line, its end included
      * @param firstLineTimeoutMs how long the first line may take to be complete
      * @param pings the pings that a connection may send before its first line
-     * @param longestWaitMs the longest time that a client may say it waits
+     * @param longestWaitMs the longest timeout that a client may declare
      * @param protocolErrorLogMs the time between two log lines about malformed input
      */
     public record LineProtocol(
--- a/node/src/main/java/tulipshed/peer/PeerSocket.java
+++ b/node/src/main/java/tulipshed/peer/PeerSocket.java
@@ -137,7 +137,7 @@
                 peer == Actions.ALL_PEERS ? config.broadcast() : config.peers().get(peer), body);
     }
 
-    /** Whether a node index is that of another node, or stands for all of them. */
+    /** Whether a node index is that of another node, or the constant for all of them. */
     private boolean isRecipient(int peer) {
         if (config == null) {
             return false;
--- a/node/src/main/java/tulipshed/time/Clock.java
+++ b/node/src/main/java/tulipshed/time/Clock.java
@@ -1,7 +1,7 @@
 package tulipshed.time;
 
 /**
- * A source of time. Times are milliseconds since the Unix epoch, with fractions. The decision module counts in whole
+ * A source of time. Times are milliseconds since the Unix epoch, with fractions. The decision module counts in integral
  * microseconds, and settings and the simulator in seconds; the conversions are here.
  */
 public interface Clock {
@@ -11,7 +11,7 @@
     /** The present time in milliseconds since the Unix epoch; never less than at an earlier call. */
     double nowMs();
 
-    /** Milliseconds as whole microseconds, rounded. */
+    /** Milliseconds as microseconds, rounded. */
     static long toMicros(double ms) {
         return Math.round(ms * 1000);
     }
@@ -21,7 +21,7 @@
         return us / 1000.0;
     }
 
-    /** Seconds as whole microseconds, rounded. */
+    /** Seconds as microseconds, rounded. */
     static long secondsToMicros(double seconds) {
         return Math.round(seconds * MICROS_PER_SECOND);
     }
