--- a/node/src/test/java/tulipshed/cli/ConfigurationReloadTest.java
+++ b/node/src/test/java/tulipshed/cli/ConfigurationReloadTest.java
@@ -167,6 +167,14 @@
         }
     }
 
+    private static void assertRejectsUnclosedRule(NodeProcess node, Path rules) throws IOException {
+        String rejection = node.awaitReloadLine();
+        assertTrue(
+                rejection.startsWith("WARN node: configuration rejected, the current one stays: " + rules
+                        + ":5:1: this ( is never closed"),
+                rejection);
+    }
+
     /** The rules change together with the settings that they name, and a file with any problem changes neither. */
     @Test
     void reloadsOperatorsFileCompletelyOrNotAtAll() throws Exception {
@@ -179,14 +187,12 @@
             String valid = "(attributes (berth string 4))\n(pool s (where (= member.id \"s-1\")))\n"
                     + "(pool none (where (= member.id \"s-9\")))\n(route here (when (= (default berth \"\") \"b1\")) (to s))\n";
             Files.writeString(rules, valid);
-            try (NodeProcess node = new NodeProcess(
-                    Map.of(
-                            "PROXY_CONFIG",
-                            directory.resolve("node.json").toString(),
-                            "PROXY_MANAGEMENT",
-                            "127.0.0.1:" + managementPort),
-                    "--operators",
-                    rules.toString())) {
+            Map<String, String> environment = Map.of(
+                    "PROXY_CONFIG",
+                    directory.resolve("node.json").toString(),
+                    "PROXY_MANAGEMENT",
+                    "127.0.0.1:" + managementPort);
+            try (NodeProcess node = new NodeProcess(environment, "--operators", rules.toString())) {
                 node.awaitLogLine("INFO node: n0 serves");
                 assertEquals("ERR", openRequest(listenPort, "1", "gate-status,berth=b1234"), "longer than declared");
                 try (Socket established = connect(listenPort)) {
@@ -197,11 +203,7 @@
                     assertEquals("UP r", in.readLine());
                     Files.writeString(rules, valid.replace("(to s)", "(to noone)") + "(route");
                     node.sendSignal("HUP");
-                    String rejection = node.awaitReloadLine();
-                    assertTrue(
-                            rejection.startsWith("WARN node: configuration rejected, the current one stays: " + rules
-                                    + ":5:1: this ( is never closed"),
-                            rejection);
+                    assertRejectsUnclosedRule(node, rules);
                     Files.writeString(rules, valid.replace("(to s)", "(to none)"));
                     node.sendSignal("HUP");
                     node.awaitLogLine("INFO node: configuration reloaded, discovery");
@@ -212,24 +214,29 @@
                     BufferedReader upstreamIn = reader(upstream);
                     assertTrue(upstreamIn.readLine().startsWith("OPEN"));
                     assertEquals("still here", upstreamIn.readLine(), "the established connection stays open");
-                    String metrics = httpGet(managementPort, "/status/metrics");
-                    assertTrue(
-                            metrics.contains("\"reload_success\":1,\"reload_failure\":1,\"routes_spilled\":0}"),
-                            metrics);
+                    assertMetricsContain(
+                            managementPort, "\"reload_success\":1,\"reload_failure\":1,\"routes_spilled\":0}");
                     upstream.close();
                 }
             }
-            Files.writeString(rules, "(pool a (where tru))");
-            try (NodeProcess node = new NodeProcess(
-                    Map.of("PROXY_CONFIG", directory.resolve("node.json").toString()),
-                    "--operators",
-                    rules.toString())) {
-                assertEquals(
-                        "tulipshed: bad configuration: " + rules + ":1:16: unknown name tru; did you mean true?",
-                        node.awaitLogLine("tulipshed"));
-                assertTrue(node.awaitExit(10));
-                assertEquals(2, node.exitCode());
-            }
+            assertMalformedRulesEndTheStart(rules);
+        }
+    }
+
+    private static void assertMetricsContain(int managementPort, String expected) throws IOException {
+        String metrics = httpGet(managementPort, "/status/metrics");
+        assertTrue(metrics.contains(expected), metrics);
+    }
+
+    private void assertMalformedRulesEndTheStart(Path rules) throws Exception {
+        Files.writeString(rules, "(pool a (where tru))");
+        String config = directory.resolve("node.json").toString();
+        try (NodeProcess node = new NodeProcess(Map.of("PROXY_CONFIG", config), "--operators", rules.toString())) {
+            assertEquals(
+                    "tulipshed: bad configuration: " + rules + ":1:16: unknown name tru; did you mean true?",
+                    node.awaitLogLine("tulipshed"));
+            assertTrue(node.awaitExit(10));
+            assertEquals(2, node.exitCode());
         }
     }
 
--- a/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
+++ b/node/src/test/java/tulipshed/cli/DrainNotificationTest.java
@@ -215,18 +215,23 @@
             long sinceNs = System.nanoTime();
             assertTrue(recovered.notified.await(20, TimeUnit.SECONDS), fault + ": " + log);
             double tookMs = (System.nanoTime() - sinceNs) / 1e6;
-            for (int i = 0; i < 5; i++) {
-                try (Socket client = connect(node.address())) {
-                    send(client, "OPEN " + fault + i + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
-                    serving.setSoTimeout(5000);
-                    try (Socket server = serving.accept()) {
-                        assertTrue(reader(server).readLine().startsWith("OPEN"));
-                        send(server, "UP r\r\n");
-                        assertEquals("UP r", reader(client).readLine());
-                    }
+            assertRequestsGoToServingEndpoint(node, serving, fault);
+            return tookMs;
+        }
+    }
+
+    private static void assertRequestsGoToServingEndpoint(Node node, ServerSocket serving, DiscoveryFault fault)
+            throws IOException {
+        for (int i = 0; i < 5; i++) {
+            try (Socket client = connect(node.address())) {
+                send(client, "OPEN " + fault + i + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
+                serving.setSoTimeout(5000);
+                try (Socket server = serving.accept()) {
+                    assertTrue(reader(server).readLine().startsWith("OPEN"));
+                    send(server, "UP r\r\n");
+                    assertEquals("UP r", reader(client).readLine());
                 }
             }
-            return tookMs;
         }
     }
 
--- a/node/src/test/java/tulipshed/cli/HotRestartTest.java
+++ b/node/src/test/java/tulipshed/cli/HotRestartTest.java
@@ -78,6 +78,20 @@
         }
     }
 
+    /** Opens connections that either process may accept, and asserts that both reject a request ID that is open. */
+    private List<Socket> pingBothProcesses(String openId) throws IOException {
+        List<Socket> pings = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            pings.add(connect(listenPort));
+            send(pings.get(i), "PING\r\n");
+            assertEquals("PONG", reader(pings.get(i)).readLine(), "admitted by either process");
+            try (Socket duplicate = openRequest(openId)) {
+                assertEquals("ERR", reader(duplicate).readLine(), "open in one process, so rejected by both");
+            }
+        }
+        return pings;
+    }
+
     /** Without a shared port the second process cannot start; without shared IDs it accepts one ID twice. */
     @Test
     void secondProcessTakesOverAndFirstMigratesItsClients() throws Exception {
@@ -91,16 +105,7 @@
                 assertEquals("UP r", in.readLine());
                 try (NodeProcess second = start(secondManagement)) {
                     awaitReady(secondManagement);
-                    List<Socket> pings = new ArrayList<>();
-                    for (int i = 0; i < 20; i++) {
-                        pings.add(connect(listenPort));
-                        send(pings.get(i), "PING\r\n");
-                        assertEquals("PONG", reader(pings.get(i)).readLine(), "admitted by either process");
-                        try (Socket duplicate = openRequest("9b1")) {
-                            assertEquals(
-                                    "ERR", reader(duplicate).readLine(), "open in one process, so rejected by both");
-                        }
-                    }
+                    List<Socket> pings = pingBothProcesses("9b1");
                     first.sendSignal("TERM");
                     assertTrue(first.awaitLogLine("INFO node: shutting down, handing over to another process") != null);
                     assertTrue(httpGet(firstManagement, "/status").startsWith("HTTP/1.1 503 "));
--- a/node/src/test/java/tulipshed/decision/EndpointPoolTest.java
+++ b/node/src/test/java/tulipshed/decision/EndpointPoolTest.java
@@ -148,81 +148,101 @@
     /** Every sum over a pool equals a recount after any sequence of events. */
     @Property(tries = 60, seed = "51", shrinking = ShrinkingMode.OFF)
     void attemptsStayInTheirPoolAndSumsAreConsistent(@ForAll long seed) {
-        Random random = new Random(seed);
-        Map<Long, String> poolOf = new HashMap<>();
-        Map<String, Set<String>> pools = new HashMap<>();
-        Set<String> serving = new HashSet<>();
-        Map<Long, Integer> out = new HashMap<>();
-        Map<Long, Integer> attempts = new HashMap<>();
-        Balancer balancer = new Balancer(setup.settings(), seed, 0, new ForwardingActions(new RecordingActions()) {
-            @Override
-            public void startAttempt(long requestId, String endpointId, long timeoutUs) {
-                assertTrue(serving.contains(endpointId), endpointId + " does not serve");
-                String pool = poolOf.get(requestId);
-                assertTrue(
-                        pool == null || pools.getOrDefault(pool, Set.of()).contains(endpointId),
-                        endpointId + " is not of " + pool);
-                out.put(requestId, attempts.merge(requestId, 1, Integer::sum) - 1);
-            }
-        });
-        long now = 0;
+        PoolEvents events = new PoolEvents(seed);
         for (long id = 1; id < 1500; id++) {
+            events.step(id);
+            assertEquals("", events.balancer.parts.inconsistencies());
+        }
+        assertFalse(events.openAttempts.isEmpty() && events.attempts.isEmpty());
+    }
+
+    /** A random sequence of events; asserts that each attempt goes to a serving endpoint of its request's pool. */
+    private final class PoolEvents {
+        private static final List<String> POOL_NAMES = List.of("p", "q", "r");
+        private final Random random;
+        private final Map<Long, String> poolOf = new HashMap<>();
+        private final Map<String, Set<String>> pools = new HashMap<>();
+        private final Set<String> serving = new HashSet<>();
+        private final Map<Long, Integer> openAttempts = new HashMap<>();
+        private final Map<Long, Integer> attempts = new HashMap<>();
+        private final Balancer balancer;
+        private long now;
+
+        PoolEvents(long seed) {
+            random = new Random(seed);
+            balancer = new Balancer(setup.settings(), seed, 0, new ForwardingActions(new RecordingActions()) {
+                @Override
+                public void startAttempt(long requestId, String endpointId, long timeoutUs) {
+                    assertTrue(serving.contains(endpointId), endpointId + " does not serve");
+                    String pool = poolOf.get(requestId);
+                    assertTrue(
+                            pool == null || pools.getOrDefault(pool, Set.of()).contains(endpointId),
+                            endpointId + " is not of " + pool);
+                    openAttempts.put(requestId, attempts.merge(requestId, 1, Integer::sum) - 1);
+                }
+            });
+        }
+
+        void step(long id) {
             now += random.nextInt(20_000);
             switch (random.nextInt(8)) {
-                case 0 -> {
-                    int i = random.nextInt(10);
-                    EndpointStatus state = EndpointStatus.values()[random.nextInt(5) % 3];
-                    if (state == EndpointStatus.SERVING) {
-                        serving.add(endpointName(i));
-                    } else {
-                        serving.remove(endpointName(i));
-                    }
-                    balancer.endpointsChanged(
-                            now,
-                            EndpointListKind.CHANGES,
-                            List.of(setup.endpoint(i, state, random.nextBoolean() ? now : 0)));
-                }
-                case 1 -> {
-                    if (random.nextInt(3) == 0) {
-                        pools.clear();
-                        for (String p : List.of("p", "q", "r")) {
-                            Set<String> members = new HashSet<>();
-                            for (int i = 0; i < 10; i++) {
-                                members.addAll(random.nextInt(3) == 0 ? Set.of(endpointName(i)) : Set.of());
-                            }
-                            if (random.nextInt(4) > 0) {
-                                pools.put(p, members);
-                            }
-                        }
-                        balancer.poolsChanged(now, Map.copyOf(pools));
-                    }
+                case 0 -> changeStatus();
+                case 1 -> changePools();
+                case 2, 3 -> continueAttempts();
+                default -> sendRequest(id);
+            }
+        }
+
+        private void changeStatus() {
+            int i = random.nextInt(10);
+            EndpointStatus status = EndpointStatus.values()[random.nextInt(5) % 3];
+            if (status == EndpointStatus.SERVING) {
+                serving.add(endpointName(i));
+            } else {
+                serving.remove(endpointName(i));
+            }
+            balancer.endpointsChanged(
+                    now, EndpointListKind.CHANGES, List.of(setup.endpoint(i, status, random.nextBoolean() ? now : 0)));
+        }
+
+        private void changePools() {
+            if (random.nextInt(3) != 0) {
+                return;
+            }
+            pools.clear();
+            for (String pool : POOL_NAMES) {
+                Set<String> endpoints = new HashSet<>();
+                for (int i = 0; i < 10; i++) {
+                    endpoints.addAll(random.nextInt(3) == 0 ? Set.of(endpointName(i)) : Set.of());
                 }
-                case 2, 3 -> {
-                    for (Long open : List.copyOf(out.keySet())) {
-                        int attempt = out.get(open);
-                        if (random.nextInt(3) == 0) {
-                            balancer.attemptEstablished(now, open, attempt, 100);
-                            balancer.latencyReported(now, open, random.nextInt(300));
-                        } else if (random.nextInt(2) == 0) {
-                            out.remove(open);
-                            end(balancer, now, open, attempt, true, Outcome.values()[random.nextInt(8)]);
-                        }
-                    }
+                if (random.nextInt(4) > 0) {
+                    pools.put(pool, endpoints);
                 }
-                default -> {
-                    String pool = random.nextInt(3) == 0
-                            ? null
-                            : List.of("p", "q", "r").get(random.nextInt(3));
-                    poolOf.put(id, pool);
-                    balancer.requestArrived(now, restricted(id, pool));
-                    if (random.nextInt(5) == 0) {
-                        poolOf.put(id, "q");
-                        balancer.requestRerouted(now, id, "q");
-                    }
+            }
+            balancer.poolsChanged(now, Map.copyOf(pools));
+        }
+
+        private void continueAttempts() {
+            for (Long requestId : List.copyOf(openAttempts.keySet())) {
+                int attempt = openAttempts.get(requestId);
+                if (random.nextInt(3) == 0) {
+                    balancer.attemptEstablished(now, requestId, attempt, 100);
+                    balancer.latencyReported(now, requestId, random.nextInt(300));
+                } else if (random.nextInt(2) == 0) {
+                    openAttempts.remove(requestId);
+                    end(balancer, now, requestId, attempt, true, Outcome.values()[random.nextInt(8)]);
                 }
             }
-            assertEquals("", balancer.parts.inconsistencies());
         }
-        assertFalse(out.isEmpty() && attempts.isEmpty());
+
+        private void sendRequest(long id) {
+            String pool = random.nextInt(3) == 0 ? null : POOL_NAMES.get(random.nextInt(3));
+            poolOf.put(id, pool);
+            balancer.requestArrived(now, restricted(id, pool));
+            if (random.nextInt(5) == 0) {
+                poolOf.put(id, "q");
+                balancer.requestRerouted(now, id, "q");
+            }
+        }
     }
 }
--- a/node/src/test/java/tulipshed/decision/RandomEventSequenceTest.java
+++ b/node/src/test/java/tulipshed/decision/RandomEventSequenceTest.java
@@ -105,23 +105,9 @@
 
         void step() {
             now += random.nextInt(20_000);
-            for (int i = timers.size() - 1; i >= 0; i--) {
-                if (timers.get(i)[0] <= now) {
-                    balancer.timerFired(now, timers.remove(i)[1]);
-                }
-            }
+            fireTimers();
             switch (random.nextInt(10)) {
-                case 0, 1, 2 -> {
-                    long id = ++lastId;
-                    open.add(id);
-                    balancer.requestArrived(
-                            now,
-                            request(
-                                    id,
-                                    random.nextInt(2),
-                                    setup.groupAffinity ? "g" + random.nextInt(5) : null,
-                                    2 * SECOND));
-                }
+                case 0, 1, 2 -> sendRequest();
                 case 3 -> changeEndpointList();
                 case 4 -> {
                     Long id = randomRequestWithAttempt();
@@ -153,6 +139,22 @@
             }
         }
 
+        private void fireTimers() {
+            for (int i = timers.size() - 1; i >= 0; i--) {
+                if (timers.get(i)[0] <= now) {
+                    balancer.timerFired(now, timers.remove(i)[1]);
+                }
+            }
+        }
+
+        private void sendRequest() {
+            long id = ++lastId;
+            open.add(id);
+            int requestClass = random.nextInt(2);
+            String group = setup.groupAffinity ? "g" + random.nextInt(5) : null;
+            balancer.requestArrived(now, request(id, requestClass, group, 2 * SECOND));
+        }
+
         private Long randomRequestWithAttempt() {
             int n = outstanding.size();
             return n == 0
