Connection reuse takes the oldest of equal idle connections again

Need: the split of Balancer turned the queue of idle connections round; of connections to one endpoint that expire at one moment another was taken than before. Change: the last occurrence is removed, which is the oldest, as before.

--- a/node/src/main/java/tulipshed/decision/ConnectionReuse.java
+++ b/node/src/main/java/tulipshed/decision/ConnectionReuse.java
@@ -46,7 +46,7 @@
                 found = candidate;
             }
         }
-        latestFirst.remove(found);
+        latestFirst.removeLastOccurrence(found); // the oldest of equal ones
         return found == null ? null : found.endpoint();
     }
 }
