--- a/node/src/test/java/tulipshed/decision/PlacementTest.java
+++ b/node/src/test/java/tulipshed/decision/PlacementTest.java
@@ -103,6 +103,26 @@
         assertEquals(endpoint, recorder.attemptedEndpoint());
     }
 
+    /** Of equal idle connections the oldest is taken, so that their endpoint stays the latest one. */
+    @Test
+    void reusesEndpointOfLatestIdleConnectionAgainWhileItHasAnother() {
+        setup.prices = new BalancerApi.Prices(0, 0.1, 0, 0, 0);
+        Balancer balancer = setup.balancerWithEndpoints(3);
+        for (long id = 10; id < 40; id++) {
+            balancer.connectionAdopted(0, request(id), endpointName(2));
+        }
+        balancer.connectionAdopted(0, request(1), endpointName(0));
+        balancer.connectionAdopted(0, request(2), endpointName(1));
+        balancer.connectionAdopted(0, request(3), endpointName(0));
+        for (long id = 1; id <= 3; id++) {
+            end(balancer, 0, id, 0, true, Outcome.OK);
+        }
+        for (long id = 100; id <= 101; id++) {
+            balancer.requestArrived(1, request(id));
+            assertEquals(endpointName(0), recorder.attemptedEndpoint());
+        }
+    }
+
     @Test
     void sendsNothingToDrainingOrRemovedEndpoints() {
         Balancer balancer = setup.balancerWithEndpoints(4);
