--- a/node/src/test/java/tulipshed/KnownRedTest.java
+++ b/node/src/test/java/tulipshed/KnownRedTest.java
@@ -15,7 +15,10 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-/** CI passes over the tests that KNOWN-RED.txt names, and over no other: an entry and a tag belong together. */
+/**
+ * CI passes over the tests that KNOWN-RED.txt names, and over no other: an entry and a tag belong together. An entry of a
+ * command names one that exists.
+ */
 class KnownRedTest {
     private static final Path KNOWN_RED = Path.of("../KNOWN-RED.txt");
     private static final Path BUILD = Path.of("../pom.xml");
@@ -23,6 +26,16 @@
             List.of(Path.of("src/test/java"), Path.of("../emulator/src/test/java"));
     private static final List<String> FIELDS = List.of("case", "command", "seed", "seen", "issue");
 
+    private static final String CASE = "case: ";
+    private static final String TEST = "test ";
+    private static final String BENCH = "bench ";
+    private static final String EMULATOR_COMMAND = "command ";
+    /** How the entries abbreviate the start of the emulator. */
+    private static final String EMULATOR_CALL = "command: J ";
+
+    private static final Path EMULATOR_COMMANDS = Path.of("../emulator/src/main/java/tulipshed/emulator/cli");
+    private static final Pattern COMMAND_NAME = Pattern.compile("@Command\\(\\s*name = \"([\\w-]+)\"");
+
     private static final String TAG = "@Tag(\"known-red\")";
     private static final Pattern TAGGED_METHOD = Pattern.compile(Pattern.quote(TAG) + "[^{};]*?\\bvoid (\\w+)\\(");
     private static final Pattern EXCLUDED_GROUPS = Pattern.compile("<excludedGroups>([^<]*)</excludedGroups>");
@@ -43,16 +56,34 @@
     void eachEntryOfATestHasItsTagAndEachTagItsEntry() throws IOException {
         Set<String> listed = new TreeSet<>();
         for (List<String> entry : entries()) {
-            String name = entry.get(0).substring("case: ".length());
-            if (name.startsWith("test ")) {
-                listed.add(name.substring("test ".length()));
+            String name = nameOf(entry);
+            if (name.startsWith(TEST)) {
+                listed.add(name.substring(TEST.length()));
             } else {
-                assertTrue(name.startsWith("bench "), name);
+                assertTrue(name.startsWith(BENCH) || name.startsWith(EMULATOR_COMMAND), name);
             }
         }
         assertEquals(listed, taggedTests());
     }
 
+    @Test
+    void eachEntryOfACommandNamesOneThatExistsAndIsTheOneOfItsCase() throws IOException {
+        Set<String> commands = emulatorCommands();
+        assertTrue(commands.contains("acceptance"), "commands found: " + commands);
+        for (List<String> entry : entries()) {
+            if (nameOf(entry).startsWith(EMULATOR_COMMAND)) {
+                String command = entry.get(1);
+                assertTrue(command.startsWith(EMULATOR_CALL), command);
+                String[] words = command.substring(EMULATOR_CALL.length()).split(" ");
+                assertTrue(commands.contains(words[0]), command);
+                assertTrue(nameOf(entry).startsWith(EMULATOR_COMMAND + words[0]), command);
+                for (String word : words) {
+                    assertTrue(!word.endsWith(".sexp") || Files.exists(Path.of("..", word)), command);
+                }
+            }
+        }
+    }
+
     @Test
     void theBuildPassesOverThatTagAlone() throws IOException {
         Matcher groups = EXCLUDED_GROUPS.matcher(Files.readString(BUILD));
@@ -61,13 +92,30 @@
         assertTrue(!groups.find(), "the build excludes groups in a second place");
     }
 
+    private static String nameOf(List<String> entry) {
+        return entry.get(0).substring(CASE.length());
+    }
+
+    private static Set<String> emulatorCommands() throws IOException {
+        Set<String> commands = new TreeSet<>();
+        try (Stream<Path> files = Files.list(EMULATOR_COMMANDS)) {
+            for (Path file : files.toList()) {
+                Matcher name = COMMAND_NAME.matcher(Files.readString(file));
+                while (name.find()) {
+                    commands.add(name.group(1));
+                }
+            }
+        }
+        return commands;
+    }
+
     private static List<List<String>> entries() throws IOException {
         List<List<String>> entries = new ArrayList<>();
         for (String line : Files.readAllLines(KNOWN_RED)) {
             if (line.isEmpty() || line.startsWith("#")) {
                 continue;
             }
-            if (line.startsWith("case: ")) {
+            if (line.startsWith(CASE)) {
                 entries.add(new ArrayList<>());
             }
             entries.get(entries.size() - 1).add(line);
