A timer is not lost when its wakeup comes a rounding error early

Cause: TimerQueue.scheduleWakeup took the wakeup that had just run, before its time by a rounding error, for one that was still to come, and asked for no other; nothing ran until the node's next event. Change: a wakeup that has come is never one to come. The same looked for in all other tasks of the loop and in QUIC, whose timers are in this queue. TimerQueueTest.asksForAnotherWakeupAfterOneThatCameEarly failed before (expected a second wakeup, got none), passes now.

--- a/node/src/main/java/tulipshed/proxy/TimerQueue.java
+++ b/node/src/main/java/tulipshed/proxy/TimerQueue.java
@@ -11,8 +11,13 @@
     /** Below this many cancelled timers in the queue a sweep is not worth its cost. */
     private static final int MIN_CANCELLED_FOR_SWEEP = 1024;
 
+    /** Later than any deadline. */
+    private static final double NO_WAKEUP_MS = Double.MAX_VALUE;
+
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
-    private double wakeupMs = Double.MAX_VALUE;
+    /** The time of the wakeup to come. */
+    private double wakeupMs = NO_WAKEUP_MS;
+
     private long addedCount;
     private int cancelledCount;
 
@@ -89,8 +94,19 @@
         if (timers.isEmpty() || (wakeupMs > nowMs && wakeupMs <= timers.peek().deadlineMs)) {
             return;
         }
-        wakeupMs = timers.peek().deadlineMs;
-        loop.schedule(Math.max(0, wakeupMs - nowMs), wakeup);
+        double atMs = timers.peek().deadlineMs;
+        wakeupMs = atMs;
+        loop.schedule(Math.max(0, atMs - nowMs), () -> {
+            wakeupCame(atMs);
+            wakeup.run();
+        });
+    }
+
+    /** A wakeup that came, also before its time as timers of the loop may, is not one to come. */
+    private void wakeupCame(double scheduledMs) {
+        if (wakeupMs == scheduledMs) {
+            wakeupMs = NO_WAKEUP_MS;
+        }
     }
 
     /** How many timers are held, with cancelled ones that have not been swept yet. */
--- a/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
+++ b/node/src/test/java/tulipshed/proxy/TimerQueueTest.java
@@ -9,12 +9,66 @@
 import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 
 /** Timers by deadline, and their cancellation. */
 class TimerQueueTest {
     /** Upper bound of cancelled timers that are held beyond as many as there are pending ones. */
     private static final int MAX_UNSWEPT = 1100;
 
+    /** Regression: a timer was lost whose wakeup the loop ran early, as rounding makes it, and its request was answered late. */
+    @Test
+    void asksForAnotherWakeupAfterOneThatCameEarly() {
+        TimerQueue queue = new TimerQueue();
+        WakeupRecorder loop = new WakeupRecorder();
+        List<Double> ranAtMs = new ArrayList<>();
+        double deadlineMs = 100;
+        queue.add(deadlineMs, () -> ranAtMs.add(deadlineMs));
+        queue.scheduleWakeup(0, loop, () -> {});
+        double earlyMs = Math.nextDown(deadlineMs);
+        loop.runNext();
+        queue.runExpired(earlyMs, Runnable::run);
+        queue.scheduleWakeup(earlyMs, loop, () -> {});
+        assertEquals(List.of(), ranAtMs);
+        assertEquals(List.of(deadlineMs - earlyMs), loop.delaysMs);
+        loop.runNext();
+        queue.runExpired(deadlineMs, Runnable::run);
+        assertEquals(List.of(deadlineMs), ranAtMs);
+    }
+
+    /** One wakeup to come is enough: a batch that runs before it asks for no second one. */
+    @Test
+    void asksForNoSecondWakeupWhileOneIsToCome() {
+        TimerQueue queue = new TimerQueue();
+        WakeupRecorder loop = new WakeupRecorder();
+        queue.add(100, () -> {});
+        queue.scheduleWakeup(0, loop, () -> {});
+        queue.scheduleWakeup(50, loop, () -> {});
+        assertEquals(List.of(100.0), loop.delaysMs);
+    }
+
+    /** A loop whose tasks run when the test says. */
+    private static final class WakeupRecorder implements EventLoop {
+        final List<Double> delaysMs = new ArrayList<>();
+        private final List<Runnable> tasks = new ArrayList<>();
+
+        @Override
+        public void execute(Runnable task) {
+            schedule(0, task);
+        }
+
+        @Override
+        public void schedule(double ms, Runnable task) {
+            delaysMs.add(ms);
+            tasks.add(task);
+        }
+
+        void runNext() {
+            delaysMs.remove(0);
+            tasks.remove(0).run();
+        }
+    }
+
     /** Each timer runs at its deadline unless it was cancelled, and cancelled ones are released soon. */
     @Property(tries = 200, seed = "95")
     void runsTimersInOrderAndReleasesCancelledOnes(@ForAll long seed) {
