A bounded trace of discovery calls, lists and first bytes, off by default

PROXY_TRACE_LINES=N: up to N lines of level TRACE (call begun, connected, written, first byte, list with its changes, whether an attempt may be forwarded, first bytes sent), and the monotonic time at the end of every line. Bad values end the start with one line.

--- a/node/src/main/java/tulipshed/cli/ServeCommand.java
+++ b/node/src/main/java/tulipshed/cli/ServeCommand.java
@@ -21,6 +21,9 @@
     /** Names the directory of the state that the two processes of a hot restart share; none, no hot restart. */
     private static final String SHARED_STATE_DIRECTORY_VARIABLE = "TMPDIR";
 
+    /** How many lines of level TRACE the process may log; none where it is not set. */
+    private static final String TRACE_LINES_VARIABLE = "PROXY_TRACE_LINES";
+
     @Option(
             name = "--operators",
             metaVar = "FILE",
@@ -34,9 +37,10 @@
 
     @Override
     public int run() {
-        NodeLog nodeLog = NodeLog.to(System.out::println);
-        Logger log = nodeLog.logger("node");
         Map<String, String> environment = System.getenv();
+        SystemClock clock = new SystemClock();
+        NodeLog nodeLog = createLog(environment.get(TRACE_LINES_VARIABLE), clock);
+        Logger log = nodeLog.logger("node");
         NodeConfig config = NodeConfig.load(environment);
         OperatorsFile operatorsFile = readOperatorsFile(config);
         ConfigurationReloader reloader =
@@ -46,8 +50,7 @@
         try {
             HotRestartState hotRestart =
                     joinHotRestart(config, environment.get(SHARED_STATE_DIRECTORY_VARIABLE), limits, nodeLog);
-            Node node =
-                    Node.start(new NodeOptions(config, operatorsFile, limits, hotRestart, new SystemClock(), nodeLog));
+            Node node = Node.start(new NodeOptions(config, operatorsFile, limits, hotRestart, clock, nodeLog));
             reloader.nodeStarted(node);
             Runtime.getRuntime().addShutdownHook(new Thread(node::shutDown, "shutdown"));
             return KEEPS_RUNNING;
@@ -60,6 +63,17 @@
         }
     }
 
+    private static NodeLog createLog(String maxTraceLines, SystemClock clock) {
+        if (maxTraceLines == null || maxTraceLines.isEmpty()) {
+            return NodeLog.to(System.out::println);
+        }
+        try {
+            return NodeLog.tracingTo(System.out::println, clock::nowMs, Integer.parseUnsignedInt(maxTraceLines));
+        } catch (NumberFormatException e) {
+            throw new MalformedInputException(TRACE_LINES_VARIABLE + " is not a number of lines");
+        }
+    }
+
     private static void reloadAtHangup(ConfigurationReloader reloader, Logger log) {
         if (!HangupSignal.handle(reloader::reload)) {
             log.warn("SIGHUP is ignored by the parent process, the configuration cannot be reloaded;"
--- a/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
+++ b/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import org.jboss.logging.Logger;
 import org.xnio.StreamConnection;
 import tulipshed.limits.Limits;
 import tulipshed.transport.TcpConnection;
@@ -19,6 +20,7 @@
     private final Limits limits;
     private final XnioEventLoop loop;
     private final Listener listener;
+    private final Logger log;
     private final ByteBuffer readBuffer;
     private InetSocketAddress address;
     private State state = State.DISCONNECTED;
@@ -64,10 +66,11 @@
     }
 
     /** A client that is not connected yet. */
-    DiscoveryClient(InetSocketAddress address, Limits limits, XnioEventLoop loop, Listener listener) {
+    DiscoveryClient(InetSocketAddress address, Limits limits, XnioEventLoop loop, Logger log, Listener listener) {
         this.address = address;
         this.limits = limits;
         this.loop = loop;
+        this.log = log;
         this.listener = listener;
         readBuffer = ByteBuffer.allocate(limits.sockets().readBytes());
     }
@@ -108,6 +111,7 @@
         request = newRequest;
         parser = new HttpResponseParser(
                 limits.discovery().headBytes(), limits.discovery().bodyBytes());
+        log.tracef("call starts, connected: %s", connection != null);
         if (connection == null) {
             connect();
         } else {
@@ -135,6 +139,7 @@
     }
 
     private void connected(StreamConnection established) {
+        log.trace("connected");
         pendingConnection = null;
         connection = loop.register(established, this);
         connection.setReading(true);
@@ -147,6 +152,7 @@
         String host = address.getAddress().getHostAddress() + ":" + address.getPort();
         String head = "GET " + request.target() + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n";
         connection.write(head.getBytes(StandardCharsets.US_ASCII));
+        log.tracef("request sent: %s, bytes queued: %d", request.target(), connection.queuedBytes());
     }
 
     /** Gives the call in progress this long for its next step, in place of the deadline before. */
@@ -161,6 +167,7 @@
 
     private void failCall(CallFailure failure) {
         if (isCallInProgress()) {
+            log.tracef("call fails in state %s: %s", state, failure.logText());
             close();
             listener.onCallFailed(request, failure);
         }
@@ -194,6 +201,7 @@
 
     private void responseReceived(ByteBuffer bytes) {
         if (state == State.AWAITING_RESPONSE) {
+            log.tracef("response begins, %d bytes", bytes.remaining());
             state = State.READING_RESPONSE;
             setDeadline(limits.discovery().responseTimeoutMs(), CallFailure.INCOMPLETE_RESPONSE);
         }
@@ -215,6 +223,7 @@
         } else {
             close();
         }
+        log.tracef("response complete, status %d, %d bytes", parser.status(), parser.body().length);
         listener.onResponse(parser.status(), parser.body());
     }
 
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -3,6 +3,7 @@
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
@@ -68,7 +69,7 @@
         this.clock = clock;
         this.log = log.logger("discovery");
         startTimes = new EndpointStartTimes(clock);
-        client = new DiscoveryClient(discovery, limits, loop, new CallListener());
+        client = new DiscoveryClient(discovery, limits, loop, this.log, new CallListener());
     }
 
     /** Passes the list that the node has already to the core, and goes on from its version; before the first call. */
@@ -184,6 +185,7 @@
         }
         health = Health.WATCHING;
         boolean nothingChanged = update.entries().isEmpty() || update.version() == cursor.version();
+        traceList(update);
         cursor.advance(update);
         notifyCore(update.full() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES, update);
         if (nothingChanged && (mode == DeliveryMode.PUSHED_TO_AGENT || isAnsweredAtOnce())) {
@@ -193,6 +195,15 @@
         }
     }
 
+    private void traceList(EndpointListUpdate update) {
+        if (log.isTraceEnabled()) {
+            String entries = update.entries().stream()
+                    .map(entry -> entry.id() + " " + entry.status())
+                    .collect(Collectors.joining(", "));
+            log.trace("list version " + update.version() + ": " + entries);
+        }
+    }
+
     /**
      * Whether the response to a long poll came before there was time to wait for a change. Agents, and a discovery that
      * cannot hold calls, may respond so although nothing changed.
--- a/node/src/main/java/tulipshed/lineprotocol/FrontendContext.java
+++ b/node/src/main/java/tulipshed/lineprotocol/FrontendContext.java
@@ -1,6 +1,7 @@
 package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
+import org.jboss.logging.Logger;
 import tulipshed.limits.Limits;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.Clock;
@@ -14,6 +15,7 @@
  * @param clientErrors counts clients that are rejected for malformed input
  * @param upstreamErrors counts malformed lines of endpoints
  * @param defects counts connections that were ended because of a defect of this program
+ * @param upstreamLog the log of what passes between the node and its endpoints
  */
 record FrontendContext(
         Clock clock,
@@ -23,7 +25,8 @@
         ByteBuffer readBuffer,
         ProtocolErrorLog clientErrors,
         ProtocolErrorLog upstreamErrors,
-        ProtocolErrorLog defects) {
+        ProtocolErrorLog defects,
+        Logger upstreamLog) {
 
     /** Counts a defect of this program that was met while one connection was served; quotes no input. */
     void recordDefect(RuntimeException defect) {
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -57,7 +57,8 @@
                 ByteBuffer.allocateDirect(limits.sockets().readBytes()),
                 new ProtocolErrorLog("client", "clients rejected for malformed input", limits, log),
                 new ProtocolErrorLog("upstream", "malformed upstream lines ignored", limits, log),
-                new ProtocolErrorLog("client", "connections ended by a defect", limits, log));
+                new ProtocolErrorLog("client", "connections ended by a defect", limits, log),
+                log.logger("upstream"));
         openRequestIds = new OpenRequestIds(eventLoop.hotRestartState());
         unservedConnections = new UnservedConnections(limits);
         healthCheckConnections = new HealthCheckConnections(context);
--- a/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
@@ -80,6 +80,10 @@
         }
         state = UpstreamState.AWAITING_RESPONSE;
         connection.write(handshake.forwardedLine());
+        context.upstreamLog()
+                .tracef(
+                        "open command sent to %s, bytes queued: %d",
+                        attempt.endpoint().id(), connection.queuedBytes());
         connection.setReading(true);
     }
 
--- a/node/src/main/java/tulipshed/logging/NodeLog.java
+++ b/node/src/main/java/tulipshed/logging/NodeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -17,6 +18,9 @@
  */
 public final class NodeLog {
     private static final AtomicInteger COUNT = new AtomicInteger();
+    /** The platform's level of what is logged by {@link Logger#trace(Object)}. */
+    private static final Level TRACE_LEVEL = Level.FINER;
+
     private static final NodeLog SILENT = new NodeLog("silent", Level.OFF, line -> {});
 
     /** Held here, as the platform keeps only weak references to loggers. */
@@ -32,6 +36,17 @@
         return new NodeLog("tulipshed" + COUNT.incrementAndGet(), Level.INFO, sink);
     }
 
+    /**
+     * A log whose lines of all levels go to {@code sink}. Each line ends with the monotonic time at which it was logged, and
+     * after {@code maxTraceLines} of level TRACE no more of them are written.
+     *
+     * @param nowMs the monotonic time, in milliseconds
+     */
+    public static NodeLog tracingTo(Consumer<String> sink, DoubleSupplier nowMs, int maxTraceLines) {
+        return new NodeLog(
+                "tulipshed" + COUNT.incrementAndGet(), TRACE_LEVEL, new TraceLimiter(sink, nowMs, maxTraceLines));
+    }
+
     /** A log of which only lines of level ERROR go to {@code sink}. */
     public static NodeLog errorsTo(Consumer<String> sink) {
         return new NodeLog("tulipshed" + COUNT.incrementAndGet(), Level.SEVERE, sink);
--- a/node/src/main/java/tulipshed/proxy/AttemptManager.java
+++ b/node/src/main/java/tulipshed/proxy/AttemptManager.java
@@ -1,5 +1,6 @@
 package tulipshed.proxy;
 
+import org.jboss.logging.Logger;
 import tulipshed.decision.api.LoadReport;
 import tulipshed.decision.api.Outcome;
 import tulipshed.limits.Limits;
@@ -10,6 +11,7 @@
  * event to the decision module. Confined to the event-loop thread.
  */
 final class AttemptManager {
+    private final Logger log;
     private final Clock clock;
     private final Limits limits;
     private final ActiveSettings settings;
@@ -25,6 +27,7 @@
             FinalResponses responses,
             EndpointRegistry endpoints,
             EstablishedConnections established) {
+        this.log = context.log().logger(CoreContext.LOG_SUBJECT);
         this.clock = context.clock();
         this.limits = context.limits();
         this.settings = context.settings();
@@ -104,7 +107,11 @@
             return false;
         }
         attempt.markConnected();
-        return !attempt.isEnded() && request.isPending() && endpointAccepts(attempt);
+        boolean forwards = !attempt.isEnded() && request.isPending() && endpointAccepts(attempt);
+        log.tracef(
+                "attempt %d of request %d to %s may be forwarded: %s",
+                attempt.number(), request.id(), attempt.endpoint().id(), forwards);
+        return forwards;
     }
 
     private static boolean endpointAccepts(Attempt attempt) {
