A process that starts asks discovery for the list before it accepts clients

Cause: a restarted process served at once by its cached list and made its first call to discovery within 4 s of its start; changes count as notified 6 s after discovery had them. Mend: NodeStartup waits for the list, at most 1.5 s, not past a failed call. StartupListTest failed before (served, asked with wait=2500), passes now.

--- a/node/src/main/java/tulipshed/cli/NodeStartup.java
+++ b/node/src/main/java/tulipshed/cli/NodeStartup.java
@@ -12,13 +12,14 @@
 import tulipshed.transport.XnioEventLoop;
 
 /**
- * Brings a node into service. Where another process of the node serves already (a hot restart), the client listener
- * opens only after discovery's current endpoint list has arrived, or after a timeout.
+ * Brings a node into service. The client listener opens only after discovery's current endpoint list has arrived: the
+ * cached one may name endpoints that another process of the node, killed or still serving, was notified to leave. Where
+ * discovery fails or is late, the node serves by the cached list.
  *
  * <p>Confined to the event-loop thread, but for {@link #start}, which blocks the thread that starts the node.
  */
 final class NodeStartup {
-    private static final double TAKEOVER_POLL_INTERVAL_MS = 25;
+    private static final double LIST_POLL_INTERVAL_MS = 25;
 
     private final NodeOptions options;
     private final NodeConfig config;
@@ -68,15 +69,13 @@
     private void begin(QuicConfig quicConfig) {
         try {
             components = assemble(quicConfig);
-            if (hotRestart.isPeerServing()) {
-                // What discovery has notified the other process of binds this one too, so it catches up before it
-                // serves.
-                components.watch().catchUp();
-                takeOver(options.clock().nowMs() + options.limits().shutdown().takeoverListTimeoutMs());
-            } else {
-                serve();
-            }
+            // What discovery has notified another process of this node of, one that serves or one that was killed,
+            // binds
+            // this one too. So it catches up before it serves.
+            components.watch().catchUp();
             components.watch().setPushed(!config.settings().polledDiscovery());
+            serveOnceListIsCurrent(
+                    options.clock().nowMs() + options.limits().discovery().startTimeoutMs());
         } catch (RuntimeException e) {
             started.completeExceptionally(e);
         }
@@ -92,14 +91,20 @@
         }
     }
 
-    private void takeOver(double deadlineMs) {
-        if (components.core().endpointListReceived() || options.clock().nowMs() >= deadlineMs) {
+    private void serveOnceListIsCurrent(double deadlineMs) {
+        if (isListCurrent() || options.clock().nowMs() >= deadlineMs) {
             serve();
         } else {
-            loop.schedule(TAKEOVER_POLL_INTERVAL_MS, () -> takeOver(deadlineMs));
+            loop.schedule(LIST_POLL_INTERVAL_MS, () -> serveOnceListIsCurrent(deadlineMs));
         }
     }
 
+    /** Without another process that serves, a node whose discovery fails is better than none. */
+    private boolean isListCurrent() {
+        return components.core().endpointListReceived()
+                || (!hotRestart.isPeerServing() && !components.watch().isCallInProgress());
+    }
+
     private void serve() {
         try {
             components.clientListener().open(loop, config, options.limits(), components.frontend());
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -113,6 +113,11 @@
         callUnlessInProgress(false);
     }
 
+    /** Whether a call has started and not ended. */
+    public boolean isCallInProgress() {
+        return client.isCallInProgress();
+    }
+
     /** Whether it holds a connection, or is opening one. */
     public boolean isConnected() {
         return client.isConnected();
--- a/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
+++ b/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
@@ -16,6 +16,7 @@
  * @param agentRetryDelayMs the delay after a failed request to an agent
  * @param agentPollIntervalMs the time between two requests to an agent that has no change and answers at once; under
  *     200 ms, or the watch would end
+ * @param startTimeoutMs how long a process that starts waits for the list before it serves by the cached one
  */
 public record DiscoveryLimits(
         int headBytes,
@@ -27,7 +28,8 @@
         double agentWaitMs,
         double agentTimeoutMs,
         double agentRetryDelayMs,
-        double agentPollIntervalMs) {
+        double agentPollIntervalMs,
+        double startTimeoutMs) {
     private static final int KIBIBYTE = 1024;
     private static final int MEBIBYTE = 1024 * 1024;
 
@@ -43,6 +45,7 @@
                 /* agentWaitMs= */ 1_000,
                 /* agentTimeoutMs= */ 500,
                 /* agentRetryDelayMs= */ 200,
-                /* agentPollIntervalMs= */ 100);
+                /* agentPollIntervalMs= */ 100,
+                /* startTimeoutMs= */ 1_500);
     }
 }
--- a/node/src/main/java/tulipshed/limits/ShutdownLimits.java
+++ b/node/src/main/java/tulipshed/limits/ShutdownLimits.java
@@ -14,7 +14,6 @@
  * @param lingerMs how long connections that end without a request may take to be closed by their clients
  * @param responseLingerMs the same for those that get their final response last
  * @param minLingerMs the same at least, with the shortest deadlines
- * @param takeoverListTimeoutMs how long a process that takes over waits for discovery's list before it uses its own
  * @param sharedIds the most connection IDs that a process publishes to the other process of its node
  */
 public record ShutdownLimits(
@@ -28,7 +27,6 @@
         double lingerMs,
         double responseLingerMs,
         double minLingerMs,
-        double takeoverListTimeoutMs,
         int sharedIds) {
     /** The default limits. */
     static ShutdownLimits defaults() {
@@ -43,7 +41,6 @@
                 /* lingerMs= */ 300,
                 /* responseLingerMs= */ 100,
                 /* minLingerMs= */ 50,
-                /* takeoverListTimeoutMs= */ 1_500,
                 /* sharedIds= */ 4096);
     }
 }
--- /dev/null
+++ b/node/src/test/java/tulipshed/cli/StartupListTest.java
@@ -0,0 +1,129 @@
+package tulipshed.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tulipshed.testing.LoopbackSockets.connect;
+import static tulipshed.testing.LoopbackSockets.freeTcpPort;
+import static tulipshed.testing.LoopbackSockets.listen;
+import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tulipshed.config.NodeConfig;
+import tulipshed.limits.DiscoveryLimits;
+import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
+import tulipshed.operators.OperatorsFile;
+import tulipshed.testing.NodeConfigFile;
+import tulipshed.time.SystemClock;
+
+/** What a process that starts does before it has discovery's list. */
+class StartupListTest {
+    private static final int REQUESTS = 5;
+
+    @TempDir
+    private Path directory;
+
+    private final ExecutorService executor = Executors.newSingleThreadExecutor();
+
+    private Future<Node> start(int listenPort, int discoveryPort, int endpointPort) throws IOException {
+        Path file = NodeConfigFile.fromTemplate()
+                .listenPort(listenPort)
+                .endpointPort(endpointPort)
+                .discoveryPort(discoveryPort)
+                .writeTo(directory);
+        NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
+        return executor.submit(() -> Node.start(NodeOptions.withoutHotRestart(
+                config, OperatorsFile.EMPTY, patientLimits(), new SystemClock(), NodeLog.silent())));
+    }
+
+    /** Limits by which a slow machine does not end the wait for the list. */
+    private static Limits patientLimits() {
+        Limits limits = Limits.forDescriptors(1024);
+        DiscoveryLimits defaults = limits.discovery();
+        double patienceMs = 60_000;
+        return limits.with(new DiscoveryLimits(
+                defaults.headBytes(),
+                defaults.bodyBytes(),
+                patienceMs,
+                defaults.watchWaitMs(),
+                patienceMs,
+                patienceMs,
+                defaults.agentWaitMs(),
+                patienceMs,
+                defaults.agentRetryDelayMs(),
+                defaults.agentPollIntervalMs(),
+                patienceMs));
+    }
+
+    /** Regression: a restarted node sent requests by its cached list to endpoints that were removed long before. */
+    @Test
+    void processAsksForTheListBeforeItServes() throws Exception {
+        int listenPort = freeTcpPort();
+        try (ServerSocket discovery = listen(50);
+                ServerSocket removed = listen(50);
+                ServerSocket serving = listen(50)) {
+            Future<Node> starting = start(listenPort, discovery.getLocalPort(), removed.getLocalPort());
+            try (Socket call = discovery.accept()) {
+                assertEquals(
+                        "GET /discovery/hosts?index=1&wait=0 HTTP/1.1",
+                        reader(call).readLine());
+                assertThrows(ConnectException.class, () -> connect(listenPort), "not before the list is there");
+                respond(call, serving.getLocalPort());
+                assertTrue(starting.get(10, TimeUnit.SECONDS) != null);
+                for (int request = 0; request < REQUESTS; request++) {
+                    assertServedBy(serving, listenPort, request);
+                }
+            }
+            removed.setSoTimeout(1);
+            assertThrows(SocketTimeoutException.class, removed::accept, "nothing was sent there");
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    /** A node whose discovery is down serves by what it knows. */
+    @Test
+    void processServesByItsCachedListWhereDiscoveryFails() throws Exception {
+        int listenPort = freeTcpPort();
+        try (ServerSocket cached = listen(50)) {
+            start(listenPort, freeTcpPort(), cached.getLocalPort()).get(10, TimeUnit.SECONDS);
+            assertServedBy(cached, listenPort, 0);
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    private static void respond(Socket call, int servingPort) throws IOException {
+        String list = "{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"s-2\",\"addr\":\"127.0.0.1:" + servingPort
+                + "\",\"state\":\"SERVING\"}]}";
+        send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+    }
+
+    private static void assertServedBy(ServerSocket endpoint, int listenPort, int request) throws IOException {
+        try (Socket client = connect(listenPort)) {
+            send(client, "OPEN r" + request + " k c=slot-board,t=melnik-terminal,d=4000\r\n");
+            endpoint.setSoTimeout(5000);
+            try (Socket connection = endpoint.accept()) {
+                BufferedReader in = reader(connection);
+                assertTrue(in.readLine().startsWith("OPEN"));
+                send(connection, "UP r\r\n");
+                assertEquals("UP r", reader(client).readLine());
+            }
+        }
+    }
+}
