Fault injection: a response to a killed process does not notify the next one

Cause, in the tool: the discovery stub answers the watch of a process that was killed at the next change, and LoadTestRun booked that as notified to the process that the node has by then. What is left is listed: answers 60 to 160 ms late at processes that have just started.

--- a/emulator/src/main/java/tulipshed/emulator/loadtest/DiscoveryStubs.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/DiscoveryStubs.java
@@ -21,10 +21,16 @@
     /**
      * A response to a node, written by a stub's thread.
      *
+     * @param requestedAtMs when its request came, in milliseconds of the run
      * @param sentAtMs when it was written, in milliseconds of the run
      * @param statusById the external status of each endpoint that the response names
      */
-    record ListNotification(int node, double sentAtMs, Map<String, String> statusById) {}
+    record ListNotification(int node, double requestedAtMs, double sentAtMs, Map<String, String> statusById) {
+        /** Whether the request is one of the process that started then, or of a later one: an earlier one is gone. */
+        boolean isForProcessStartedAt(double startedMs) {
+            return requestedAtMs >= startedMs;
+        }
+    }
 
     DiscoveryStubs(RunClock clock) {
         this.clock = clock;
@@ -34,7 +40,8 @@
     void addNode() throws IOException {
         int node = stubs.size();
         StubDiscovery stub = new StubDiscovery();
-        stub.onNotified(statusById -> notifications.add(new ListNotification(node, clock.elapsedMs(), statusById)));
+        stub.onNotified((receivedNanoTime, statusById) -> notifications.add(
+                new ListNotification(node, clock.toRunMs(receivedNanoTime), clock.elapsedMs(), statusById)));
         stubs.add(stub);
     }
 
@@ -53,6 +60,11 @@
                 .publish(info.id(), address, info.zone(), info.machineType(), status, info.weight(), startedEpochMs);
     }
 
+    /** Whether a request of a node is received and not answered. */
+    boolean isRequestPending(int node) {
+        return stubs.get(node).pendingRequests() > 0;
+    }
+
     /** The next response in the order in which they were written, or null. */
     ListNotification pollNotification() {
         return notifications.poll();
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
@@ -233,6 +233,9 @@
     private void handleNotification(DiscoveryStubs.ListNotification notification) {
         double notifiedMs = receivableAtMs(notification.node(), notification.sentAtMs());
         SocketNode node = nodes.get(notification.node());
+        if (!notification.isForProcessStartedAt(node.processStartedMs())) {
+            return;
+        }
         notification
                 .statusById()
                 .forEach((id, status) ->
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/SocketNode.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/SocketNode.java
@@ -28,6 +28,7 @@
     private static final double LISTENS_ON_MS = 300; // after a refusal, for a second answer
     private static final double STILL_CHECK_MS = 50;
     private NodeInvariants rules;
+    private double processStartedMs = Double.NEGATIVE_INFINITY;
     private long lastTry;
     private long served;
     private long endpointConnections;
@@ -58,6 +59,11 @@
         return rules;
     }
 
+    /** When the present process was started, in milliseconds of the run; that of the first one is before the run. */
+    double processStartedMs() {
+        return processStartedMs;
+    }
+
     @Override
     protected void begin(EndpointListDelivery list) {
         rules = newRules(SOCKETS_MS);
@@ -362,6 +368,7 @@
             // Another process, which knows what its file says until it is told.
             rules.processStarted();
             pauses.end(run.nowMs());
+            processStartedMs = run.nowMs();
             process.start();
         }
     }
--- a/node/src/main/java/tulipshed/demo/StubDiscovery.java
+++ b/node/src/main/java/tulipshed/demo/StubDiscovery.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -39,8 +39,20 @@
     private long version;
     private volatile boolean unavailable;
     private final AtomicLong listBytes = new AtomicLong();
-
-    private Consumer<Map<String, String>> notificationListener = states -> {};
+    private final AtomicInteger pendingRequests = new AtomicInteger();
+
+    private NotificationListener notificationListener = (receivedNanoTime, states) -> {};
+
+    /** Is notified of each response with a list. */
+    public interface NotificationListener {
+        /**
+         * A response was written.
+         *
+         * @param receivedNanoTime when its request was received, as {@link System#nanoTime} shows it
+         * @param statesById the external state of each endpoint that the response names
+         */
+        void onNotified(long receivedNanoTime, Map<String, String> statesById);
+    }
 
     /** The last state of an endpoint, and the version of the list that brought it. */
     private record PublishedEndpoint(long version, String state, String json) {}
@@ -91,8 +103,13 @@
         return listBytes.get();
     }
 
-    /** Sets who is called, on the request's thread, with the states by endpoint ID of each response that was sent. */
-    public synchronized void onNotified(Consumer<Map<String, String>> listener) {
+    /** Returns how many requests are received and not answered. */
+    public int pendingRequests() {
+        return pendingRequests.get();
+    }
+
+    /** Sets who is called, on the request's thread, after each response with a list. */
+    public synchronized void onNotified(NotificationListener listener) {
         notificationListener = listener;
     }
 
@@ -103,6 +120,16 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        long receivedNanoTime = System.nanoTime();
+        pendingRequests.incrementAndGet();
+        try {
+            respond(exchange, receivedNanoTime);
+        } finally {
+            pendingRequests.decrementAndGet();
+        }
+    }
+
+    private void respond(HttpExchange exchange, long receivedNanoTime) throws IOException {
         Matcher watch =
                 WATCH_QUERY.matcher(String.valueOf(exchange.getRequestURI().getQuery()));
         Map<String, String> states = new LinkedHashMap<>();
@@ -119,10 +146,10 @@
         exchange.getResponseBody().write(body);
         listBytes.addAndGet(body.length);
         exchange.close();
-        notificationListener().accept(states);
+        notificationListener().onNotified(receivedNanoTime, states);
     }
 
-    private synchronized Consumer<Map<String, String>> notificationListener() {
+    private synchronized NotificationListener notificationListener() {
         return notificationListener;
     }
 
