The first call to discovery waits its turn for 2.5 s, so that starting crowds get the list

Cause: discovery answers about 30 calls a second in turn, and who gives up asks again. Change: EndpointWatch.requestInitialList waits startTimeoutMs, 2.5 s; all other calls keep their limits.

--- a/node/src/main/java/tulipshed/cli/NodeStartup.java
+++ b/node/src/main/java/tulipshed/cli/NodeStartup.java
@@ -72,7 +72,7 @@
             // What discovery has notified another process of this node of, one that serves or one that was killed,
             // binds
             // this one too. So it catches up before it serves.
-            components.watch().catchUp();
+            components.watch().requestInitialList();
             components.watch().setPushed(!config.settings().polledDiscovery());
             serveOnceListIsCurrent(
                     options.clock().nowMs() + options.limits().discovery().startTimeoutMs());
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -45,6 +45,9 @@
     /** Whether the decision module caused the last call. */
     private boolean isCallPrompted;
 
+    /** Whether the call in progress is the one for the initial list. */
+    private boolean isInitialCall;
+
     private boolean stopped;
 
     /** What the last call showed. */
@@ -113,6 +116,15 @@
         callUnlessInProgress(false);
     }
 
+    /**
+     * Requests all changes since the cached list, before the node accepts clients. Many nodes may do so at one moment, and
+     * discovery answers them in turn, so this call may take longer than others.
+     */
+    public void requestInitialList() {
+        isInitialCall = true;
+        catchUp();
+    }
+
     /** Whether a call has started and not ended. */
     public boolean isCallInProgress() {
         return client.isCallInProgress();
@@ -136,6 +148,7 @@
      */
     public void setDiscoveryAddress(InetSocketAddress to) {
         if (!to.equals(client.address())) {
+            isInitialCall = false;
             client.setAddress(to);
             cursor.requireFullList();
             callUnlessInProgress(false);
@@ -265,17 +278,19 @@
     private final class CallListener implements DiscoveryClient.Listener {
         @Override
         public void onResponse(int status, byte[] body) {
+            isInitialCall = false;
             responseReceived(status, body);
         }
 
         @Override
         public void onCallFailed(ListRequest request, CallFailure failure) {
+            isInitialCall = false;
             callFailed(request, failure);
         }
 
         @Override
         public double responseTimeoutMs() {
-            return mode.responseTimeoutMs(limits.discovery());
+            return isInitialCall ? limits.discovery().startTimeoutMs() : mode.responseTimeoutMs(limits.discovery());
         }
     }
 }
--- a/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
+++ b/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
@@ -46,6 +46,6 @@
                 /* agentTimeoutMs= */ 500,
                 /* agentRetryDelayMs= */ 200,
                 /* agentPollIntervalMs= */ 100,
-                /* startTimeoutMs= */ 1_500);
+                /* startTimeoutMs= */ 2_500);
     }
 }
