An Error in one event does not lose the rest of its batch

Cause: EventBatch.runGuarded and ClientSession caught RuntimeException alone. Evidence: EventBatchTest.deliversTheRestOfABatchAfterAnErrorInOneEvent on the code as it was ends with the StackOverflowError of its first event. Change: Errors are caught, logged and the batch goes on; a client whose own input meets one gets ERR. Measured: EventBatchTest and ClientCloseResponseTest pass.

--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -76,7 +76,7 @@
             } else {
                 requestReader.readSome();
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             onDefect(e);
         }
     }
@@ -88,13 +88,13 @@
         }
         try {
             requestReader.readAvailable();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             onDefect(e);
         }
     }
 
-    /** Ends this connection alone after a defect of this program, with a response where one is owed. */
-    private void onDefect(RuntimeException defect) {
+    /** Ends this connection alone after a defect of this program or a lack of memory, with a response where one is owed. */
+    private void onDefect(Throwable defect) {
         context.recordDefect(defect);
         switch (state) {
             case OPENING, PENDING -> {
--- a/node/src/main/java/tulipshed/lineprotocol/FrontendContext.java
+++ b/node/src/main/java/tulipshed/lineprotocol/FrontendContext.java
@@ -29,7 +29,7 @@
         Logger upstreamLog) {
 
     /** Counts a defect of this program that was met while one connection was served; quotes no input. */
-    void recordDefect(RuntimeException defect) {
+    void recordDefect(Throwable defect) {
         StackTraceElement[] trace = defect.getStackTrace();
         String location = trace.length > 0 ? trace[0].toString() : "unknown location";
         defects.record(defect.getClass().getName() + " at " + location);
--- a/node/src/main/java/tulipshed/proxy/EventBatch.java
+++ b/node/src/main/java/tulipshed/proxy/EventBatch.java
@@ -84,13 +84,21 @@
         }
     }
 
-    /** A defect met in one task must not cost other requests their responses. */
+    /** A defect met in one task, or memory that ran out there, must not cost other requests their responses. */
     private void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            log.error("event handler failed: " + e + " at " + (trace.length > 0 ? trace[0] : "unknown location"));
+        } catch (RuntimeException | Error e) {
+            logFailure(e);
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        try {
+            StackTraceElement[] trace = failure.getStackTrace();
+            log.error("event handler failed: " + failure + " at " + (trace.length > 0 ? trace[0] : "unknown location"));
+        } catch (Error outOfMemory) {
+            // Without memory for the line, the batch goes on all the same.
         }
     }
 }
