The stand-in node answers by its own clock when its endpoint says nothing

Cause, traced: node 1, request 93 came 65 ms before the end of the scenario; emulated endpoints answer nothing after it, and the stand-in waited for its endpoint without a limit (asked until 10735, last attempt 8974.8, no answer at 10806). Change: it waits until 50 ms before the client's deadline and answers ERR then. The checks are as they were.

--- a/emulator/src/test/java/tulipshed/emulator/faultinjection/StandInNode.java
+++ b/emulator/src/test/java/tulipshed/emulator/faultinjection/StandInNode.java
@@ -20,6 +20,8 @@
 import java.util.jar.Attributes;
 import java.util.jar.JarOutputStream;
 import java.util.jar.Manifest;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * The plainest node there is, in a process of its own: any member by chance, one flow a client, what its list says. One of its
@@ -30,6 +32,9 @@
     private static final int TICK_MS = 20;
     private static final long STOPPED_NS = 500_000_000; // a longer gap between ticks was a stop
     private static final long SILENT_NS = 300_000_000; // after it
+    private static final long ANSWER_MARGIN_MS = 50; // before the client's deadline
+    private static final long LONGEST_WAIT_MS = 10_000;
+    private static final Pattern DEADLINE = Pattern.compile("[ ,]d=(\\d+)");
     private final String fault;
     private final int discovery;
     private final Random random = new Random(5);
@@ -186,6 +191,7 @@
         client.setTcpNoDelay(true);
         BufferedReader in = reader(client);
         String line = in.readLine();
+        long receivedNs = System.nanoTime();
         boolean silentAtEnd = fault.equals("silent-at-the-end") && runs(8200);
         if (line == null || silentAtEnd || forgets() || (fault.equals("silence") && now(0.2))) {
             Thread.sleep(60_000);
@@ -207,9 +213,11 @@
         try {
             member = open(line);
             back = reader(member);
+            member.setSoTimeout(remainingMs(line, receivedNs));
             answer = back.readLine();
+            member.setSoTimeout(0);
         } catch (IOException e) {
-            // Its member has gone; the client is told so below.
+            // Its member has gone or says nothing; the client is told so below.
             answer = null;
         }
         if (fault.equals("late-answer") && now(0.2)) {
@@ -237,6 +245,14 @@
         }
     }
 
+    /** How long a member's answer is waited for, so that the client still hears in time that none came. */
+    private static int remainingMs(String line, long receivedNs) {
+        Matcher deadline = DEADLINE.matcher(line);
+        long allowedMs = deadline.find() ? Long.parseLong(deadline.group(1)) - ANSWER_MARGIN_MS : LONGEST_WAIT_MS;
+        long spentMs = (System.nanoTime() - receivedNs) / 1_000_000;
+        return (int) Math.max(1, allowedMs - spentMs);
+    }
+
     private static void close(Socket member) throws IOException {
         if (member != null) {
             member.close();
