--- /dev/null
+++ b/emulator/scenarios/soak.sexp
@@ -0,0 +1,15 @@
+; A fleet of real processes for `emulator fault-injection` that is shut down and killed again and again, while clients keep using their connections: each node
+; gets signals in series (reloads, SIGTERM, more of both) and SIGKILL at the earliest moment that the platform allows.
+(seconds 30)
+(settle-s 2)
+(network (sites 2) (within-ms 0.5) (between-ms 2))
+(nodes (count 4) (restart-ms 300) (max-attempts 5))
+(members new-4core (count 6) (cores 4) (speed 1.5))
+(members old-4core (count 6) (cores 4) (speed 1))
+(class truck-feed (share 59) (aim-ms 300) (deadline-ms 1800) (worth 5) (message-aim-ms 100) (life-s 12) (load 0.05))
+(class tank-feed (share 41) (aim-ms 300) (deadline-ms 1200) (worth 1) (message-aim-ms 60) (life-s 8) (load 0.15))
+(clients (per-second 15) (standing 150) (come-at-first 1) (groups 11) (grouped 1) (tries 3) (return-ms 485))
+(discovery (lag-ms 100) (calls-per-s 1000))
+(member-model (group-load 0.1) (warm-ms 6000) (cold-share 0.4) (fall-factor 3) (fall-ms 3000) (drain-ms 2500) (message-ms 1) (tells-delay 0))
+(trouble signal-nodes (at-s 5) (over-s 4) (count 4))
+(trouble signal-nodes (at-s 13) (over-s 4) (count 4))
--- a/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionEvaluation.java
+++ b/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionEvaluation.java
@@ -88,6 +88,9 @@
 
     private void checkProcesses() {
         run.crashed().forEach(node -> breaches.add("the process of node " + node + " ended by itself"));
+        if (run.lostAtShutdown() > 0) {
+            breaches.add(run.lostAtShutdown() + " connections lost in a shutdown, cut off or held until the kill");
+        }
         if (run.strangers() > 0) {
             breaches.add(run.strangers() + " first lines at members that no client had sent");
         }
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
@@ -340,6 +340,11 @@
         return maxTurnMs;
     }
 
+    /** Connections that nodes cut off without asking their clients to move as they shut down, or held until they were killed. */
+    public long lostAtShutdown() {
+        return nodes.stream().mapToLong(SocketNode::lostAtShutdown).sum();
+    }
+
     /** How many first lines at endpoints belong to no request that a client has sent. */
     public long strangers() {
         return unknownFirstLines;
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcess.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcess.java
@@ -116,8 +116,22 @@
 
     /** Suspends the process (SIGSTOP), or resumes it (SIGCONT). */
     void setSuspended(boolean suspended) {
+        sendSignal(suspended ? "STOP" : "CONT");
+    }
+
+    /** Has the process reload its configuration (SIGHUP). */
+    void reload() {
+        sendSignal("HUP");
+    }
+
+    /** Whether it was told to end. */
+    boolean stopped() {
+        return stopped;
+    }
+
+    private void sendSignal(String name) {
         try {
-            new ProcessBuilder("kill", suspended ? "-STOP" : "-CONT", Long.toString(process.pid()))
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                     .start()
                     .waitFor();
         } catch (IOException e) {
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/SocketNode.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/SocketNode.java
@@ -12,6 +12,7 @@
 import tulipshed.emulator.model.NodeActor;
 import tulipshed.emulator.model.NodeTimer;
 import tulipshed.emulator.model.ProcessMessage;
+import tulipshed.emulator.model.ProcessSignal;
 import tulipshed.emulator.model.World;
 import tulipshed.emulator.policy.ClientDemand;
 import tulipshed.emulator.policy.ClientRequest;
@@ -29,6 +30,7 @@
     private static final double STILL_CHECK_MS = 50;
     private NodeInvariants rules;
     private double processStartedMs = Double.NEGATIVE_INFINITY;
+    private long lostAtShutdown;
     private long lastTry;
     private long served;
     private long endpointConnections;
@@ -139,6 +141,9 @@
             now();
             drop();
             if (t.established) {
+                if (process.stopped() && !process.killed() && (t.attempt == null || !t.attempt.ended)) {
+                    lostAtShutdown++;
+                }
                 if (process.killed()) {
                     // Its members count all other resets.
                     count(tally().resets);
@@ -360,6 +365,24 @@
         schedule(nowMs + world.scenario().nodes().restartMs(), new ProcessMessage.StartProcess());
     }
 
+    @Override
+    protected void onSignal(ProcessSignal signal) {
+        if (signal == ProcessSignal.KILL) {
+            lostAtShutdown += process.alive() ? standing.size() : 0;
+            process.stop(false);
+            schedule(nowMs + world.scenario().nodes().restartMs(), new ProcessMessage.StartProcess());
+        } else if (process.alive() && signal == ProcessSignal.HUP) {
+            process.reload();
+        } else if (process.alive()) {
+            process.stop(true);
+        }
+    }
+
+    /** Connections that a process cut off without a word as it ended, or still held when it was killed after its time. */
+    long lostAtShutdown() {
+        return lostAtShutdown;
+    }
+
     @Override
     protected void onStartProcess() {
         if (process.alive()) {
--- a/emulator/src/main/java/tulipshed/emulator/model/FaultKinds.java
+++ b/emulator/src/main/java/tulipshed/emulator/model/FaultKinds.java
@@ -26,6 +26,7 @@
             Map.entry("deploy-nodes", new StopNodesFault(true)),
             Map.entry("kill-nodes", new StopNodesFault(false)),
             Map.entry("roll-nodes", new RollingRestartFault()),
+            Map.entry("signal-nodes", new SignalSeriesFault()),
             Map.entry("hot-restart-nodes", new HotRestartFault()),
             Map.entry("hold-up-nodes", new StallNodesFault()),
             Map.entry("node-clocks", new NodeClockFault()),
--- a/emulator/src/main/java/tulipshed/emulator/model/FaultPlan.java
+++ b/emulator/src/main/java/tulipshed/emulator/model/FaultPlan.java
@@ -172,6 +172,16 @@
         return trouble.atMs() + trouble.durationMs() * random.nextDouble();
     }
 
+    /** A random number from 0 to {@code bound - 1}. */
+    int randomInt(int bound) {
+        return random.nextInt(bound);
+    }
+
+    /** A random time span from 0 to a limit, in milliseconds. */
+    double randomUpTo(double limitMs) {
+        return limitMs * random.nextDouble();
+    }
+
     <P extends Payload> void send(double deliveryMs, Actor<P> receiver, P payload) {
         planner.plan(deliveryMs, receiver, payload);
     }
--- a/emulator/src/main/java/tulipshed/emulator/model/NodeActor.java
+++ b/emulator/src/main/java/tulipshed/emulator/model/NodeActor.java
@@ -164,6 +164,11 @@
         throw unsupported("StallOver");
     }
 
+    /** The process gets a signal. */
+    protected void onSignal(ProcessSignal signal) {
+        throw unsupported("signal-nodes");
+    }
+
     /** The process hands over to a new one. */
     protected void onHotRestart() {
         throw unsupported("HotRestart");
--- a/emulator/src/main/java/tulipshed/emulator/model/ProcessMessage.java
+++ b/emulator/src/main/java/tulipshed/emulator/model/ProcessMessage.java
@@ -43,6 +43,19 @@
         }
     }
 
+    /** The process gets a signal; only one that is real does. */
+    record SignalSent(ProcessSignal signal) implements ProcessMessage {
+        @Override
+        public int traceCode() {
+            return 26;
+        }
+
+        @Override
+        public void deliverTo(NodeActor node) {
+            node.onSignal(signal);
+        }
+    }
+
     /** To itself: the next process starts. */
     record StartProcess() implements ProcessMessage {
         @Override
--- a/emulator/src/main/java/tulipshed/emulator/scenario/FaultKinds.java
+++ b/emulator/src/main/java/tulipshed/emulator/scenario/FaultKinds.java
@@ -37,18 +37,22 @@
             "early-clients",
             "shift");
 
-    /** Faults between processes, which only {@code emulator fault-injection} injects. */
+    /** Faults of links and of processes between them, which only {@code emulator fault-injection} injects. */
     public static final List<String> LINK_FAULTS =
             List.of("cut-links", "slow-links", "reset-links", "deaf-links", "mute-discovery", "stop-nodes");
 
+    /** Faults that the world injects into nodes which are real processes, and into no others. */
+    private static final List<String> PROCESS_FAULTS = List.of("signal-nodes");
+
     /** Faults that links inject where nodes are real processes, so that the emulated world must not inject them as well. */
     public static final List<String> INJECTED_BY_LINKS = Stream.concat(
                     LINK_FAULTS.stream(), Stream.of("partition", "silence-members"))
             .toList();
 
     /** All kinds, first those of the emulated world. */
-    static final List<String> ALL =
-            Stream.concat(EMULATED.stream(), LINK_FAULTS.stream()).toList();
+    static final List<String> ALL = Stream.of(EMULATED, PROCESS_FAULTS, LINK_FAULTS)
+            .flatMap(List::stream)
+            .toList();
 
     private FaultKinds() {}
 }
