--- a/emulator/src/main/java/tulipshed/emulator/loadtest/SocketNode.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/SocketNode.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Set;
 import tulipshed.decision.api.Outcome;
 import tulipshed.emulator.invariants.NodeInvariants;
@@ -35,7 +34,7 @@
     private long served;
     private long endpointConnections;
     private final Set<Client> standing = new HashSet<>();
-    private final ProcessPauses pauses = new ProcessPauses();
+    private final AnswerDeadlines deadlines = new AnswerDeadlines(SLACK_MS + SOCKETS_MS);
 
     SocketNode(int id, int number, World world, LoadTestRun run, NodeProcess process) {
         super(id, number, world);
@@ -123,14 +122,14 @@
                 t.established = true;
                 standing.add(this);
                 schedule(nowMs + SAYS_MS * random.nextDouble(), new ClientLineDue(this));
-                judgeAnswer(t, "served");
+                deadlines.judge(rules, nowMs, t, "served");
                 goOn(() -> clients.served(nowMs, t));
                 schedule(Math.max(nowMs, t.demand.wantedUntilMs), new ClientConnectionExpired(this));
                 return;
             }
             schedule(nowMs + LISTENS_ON_MS, new ClientConnectionExpired(this));
             boolean busy = word.equals("BUSY");
-            judgeAnswer(t, busy ? "refused" : "failed");
+            deadlines.judge(rules, nowMs, t, busy ? "refused" : "failed");
             count(busy ? tally().refused : tally().failed);
             double retryAfterMs = busy && line.length() > 5 ? Double.parseDouble(line.substring(5)) : 0;
             goOn(() -> clients.refused(nowMs, t, retryAfterMs));
@@ -211,25 +210,6 @@
         }
     }
 
-    /**
-     * Judges a first answer. While its process was stopped a node could do nothing: its answer is owed all the same, by as
-     * much later as it was stopped.
-     */
-    private void judgeAnswer(ClientRequest t, String how) {
-        rules.allowStall(Double.POSITIVE_INFINITY, dueMs(t) - latestMs(t));
-        rules.answered(nowMs, t.observed, how);
-        rules.allowStall(0, 0);
-    }
-
-    private static double latestMs(ClientRequest t) {
-        return t.deadlineMs + SLACK_MS + SOCKETS_MS;
-    }
-
-    /** When the answer to a client is owed at the latest; infinite while the process is stopped. */
-    private double dueMs(ClientRequest t) {
-        return pauses.dueMs(t.arrivalMs, latestMs(t));
-    }
-
     @Override
     protected void asked(ClientDemand w, double graceMs) {
         ClientRequest t = new ClientRequest(
@@ -249,18 +229,8 @@
             throw new UncheckedIOException("the tool cannot open a client's connection", e);
         }
         String id = run.requests().add(t);
-        var s = world.scenario();
-        c.wire.say(String.format(
-                Locale.ROOT,
-                "OPEN %s k%s c=%s,t=%s,d=%d%s%s",
-                id,
-                id,
-                s.requestClasses().get(w.requestClass).name(),
-                s.tenants().get(w.tenant).name(),
-                Math.round(graceMs),
-                w.group < 0 ? "" : ",g=g" + w.group,
-                w.reconnecting ? ",again=1" : ""));
-        schedule(latestMs(t) + 1, new ClientMessage.AnswerDue(t));
+        c.wire.say(OpenCommandLine.of(world.scenario(), id, w, graceMs));
+        schedule(deadlines.latestMs(t) + 1, new ClientMessage.AnswerDue(t));
     }
 
     @Override
@@ -268,7 +238,7 @@
         if (!t.answerPending) {
             return false;
         }
-        double due = dueMs(t);
+        double due = deadlines.dueMs(t);
         if (due >= nowMs) {
             schedule(Math.min(due + 1, nowMs + STILL_CHECK_MS), new ClientMessage.AnswerDue(t));
             return false;
@@ -286,7 +256,7 @@
     /** After the day's end: judges a client whose answer is overdue. */
     void judgeOverdue(ClientRequest t) {
         now();
-        if (t.answerPending && dueMs(t) < nowMs) {
+        if (t.answerPending && deadlines.dueMs(t) < nowMs) {
             waitedInVain(t);
         }
     }
@@ -328,11 +298,11 @@
     /** Suspends its process, or resumes it. */
     void setSuspended(boolean suspended) {
         if (suspended) {
-            pauses.begin(run.nowMs());
+            deadlines.suspended(run.nowMs());
             process.setSuspended(true);
         } else {
             process.setSuspended(false);
-            pauses.end(run.nowMs());
+            deadlines.resumed(run.nowMs());
         }
     }
 
@@ -390,7 +360,7 @@
         } else {
             // Another process, which knows what its file says until it is told.
             rules.processStarted();
-            pauses.end(run.nowMs());
+            deadlines.resumed(run.nowMs());
             processStartedMs = run.nowMs();
             process.start();
         }
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -24,9 +24,6 @@
  * thread.
  */
 public final class EndpointWatch implements EndpointListSource {
-    /** How often in a row a call without a response is repeated at once. */
-    static final int MAX_REPEATS = 2;
-
     private final Limits limits;
     private final XnioEventLoop loop;
     private final ProxyCore core;
@@ -34,6 +31,7 @@
     private final Logger log;
     private final DiscoveryClient client;
     private final EndpointListCursor cursor = new EndpointListCursor();
+    private final ImmediateRepeats repeats = new ImmediateRepeats();
     private final EndpointStartTimes startTimes;
     private DeliveryMode mode = DeliveryMode.POLLED;
     private Health health = Health.UNCONFIRMED;
@@ -51,9 +49,6 @@
     /** Whether the call in progress is the one for the initial list. */
     private boolean isInitialCall;
 
-    /** How many calls in a row were repeated at once since the last response or reported failure. */
-    private int repeatCount;
-
     private boolean stopped;
 
     /** What the last call showed. */
@@ -208,7 +203,7 @@
             log.info("watching endpoint list from version " + update.version());
         }
         health = Health.WATCHING;
-        repeatCount = 0;
+        repeats.reset();
         boolean nothingChanged = update.entries().isEmpty() || update.version() == cursor.version();
         traceList(update);
         cursor.advance(update);
@@ -243,31 +238,20 @@
     }
 
     private void callFailed(ListRequest request, CallFailure failure) {
-        if (mode == DeliveryMode.POLLED && isRepeatedAtOnce(request, failure)) {
+        if (mode == DeliveryMode.POLLED && repeats.permits(request, failure)) {
             reopen(failure);
         } else {
             fail(failure);
         }
     }
 
-    /**
-     * Whether a call is repeated without a pause: a long poll whose response is late, and once more where the call that
-     * replaced it got no response either. A silent call has lasted as long as a pause would, and after two of them a pause
-     * would not fit into the 6 s.
-     */
-    private boolean isRepeatedAtOnce(ListRequest request, CallFailure failure) {
-        return request.isLongPoll()
-                ? failure.isResponseTimeout()
-                : failure.equals(CallFailure.NO_RESPONSE) && repeatCount > 0 && repeatCount < MAX_REPEATS;
-    }
-
     /**
      * Calls again at once, without waiting for changes: those that the late response would have reported may be seconds
      * old. Nodes do not call in a herd by this, as each began its watch at a time of its own.
      */
     private void reopen(CallFailure failure) {
         log.warn("reopening watch: " + failure.logText());
-        repeatCount++;
+        repeats.increment();
         if (health == Health.WATCHING) {
             health = Health.UNCONFIRMED;
         }
@@ -275,7 +259,7 @@
     }
 
     private void fail(CallFailure failure) {
-        repeatCount = 0;
+        repeats.reset();
         // An agent is polled so often that each failure of an outage would be a line.
         if (mode == DeliveryMode.POLLED || health != Health.FAILING) {
             log.warn("call failed: " + failure.logText());
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
@@ -142,7 +142,7 @@
                 "no response");
         assertTrue(
                 DEFAULTS.watchWaitMs()
-                                + (1 + EndpointWatch.MAX_REPEATS) * DEFAULTS.watchTimeoutMs()
+                                + (1 + ImmediateRepeats.MAX_REPEATS) * DEFAULTS.watchTimeoutMs()
                                 - DEFAULTS.watchTimeoutMs()
                         < 6_000,
                 "the last repeated call begins in time after two without a response");
