RapidReloadTest's first discovery answers the call of a node that starts

Cause, by reading and the limits: a node asks before it serves now; the test's discovery never answers, so that call ends after 2.5 s, the node serves, and the decision module has it call the first address again (0.65 to 1.95 s later, or at its first poll) if the reloads have not begun by then. That is what the node shall do; the test left out how a node starts. Change: the first address answers that one call, and the call held there is the watch that follows on the same connection. Every assertion stays as it was.

--- a/node/src/test/java/tulipshed/cli/RapidReloadTest.java
+++ b/node/src/test/java/tulipshed/cli/RapidReloadTest.java
@@ -5,7 +5,9 @@
 import static tulipshed.testing.LoopbackSockets.httpGet;
 import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.send;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
@@ -34,10 +36,14 @@
 import tulipshed.testing.NodeConfigFile;
 import tulipshed.time.SystemClock;
 
-/** Reloads in a row, faster than discovery answers: its calls are held open and never answered. */
+/**
+ * Reloads in a row, faster than discovery answers: its calls are held open and never answered, but for the one of a node that
+ * starts.
+ */
 @Timeout(60)
 class RapidReloadTest {
     private static final int RELOADS = 10;
+    private static final String NO_CHANGES = "{\"version\":1,\"full\":false,\"servers\":[]}";
 
     @TempDir
     private Path directory;
@@ -73,7 +79,8 @@
             while (true) {
                 Socket call = discovery.accept();
                 synchronized (ends) {
-                    ends.add(threads.submit(() -> readToEnd(call)));
+                    boolean isOfStart = discovery == discoveries.get(0) && ends.isEmpty();
+                    ends.add(threads.submit(() -> readToEnd(call, isOfStart)));
                 }
             }
         } catch (IOException closed) {
@@ -81,10 +88,15 @@
         }
     }
 
-    /** Returns what was requested, once the node has ended the call. */
-    private static String readToEnd(Socket call) throws IOException {
+    /** Returns what was requested, once the node has ended the connection; the call of a node that starts is answered. */
+    private static String readToEnd(Socket call, boolean isOfStart) throws IOException {
         try (call) {
-            return reader(call).lines().collect(Collectors.joining("\n"));
+            BufferedReader in = reader(call);
+            if (isOfStart) {
+                while (!in.readLine().isEmpty()) {}
+                send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + NO_CHANGES.length() + "\r\n\r\n" + NO_CHANGES);
+            }
+            return in.lines().collect(Collectors.joining("\n"));
         } catch (UncheckedIOException | SocketException reset) {
             return "reset";
         }
