One comment of NodeStartup and one bound of a test read plainly

A line comment that the formatter had broken, and (1 + n) * t - t written as n * t: the same bound. No behaviour changes.

--- a/node/src/main/java/tulipshed/cli/NodeStartup.java
+++ b/node/src/main/java/tulipshed/cli/NodeStartup.java
@@ -69,9 +69,7 @@
     private void begin(QuicConfig quicConfig) {
         try {
             components = assemble(quicConfig);
-            // What discovery has notified another process of this node of, one that serves or one that was killed,
-            // binds
-            // this one too. So it catches up before it serves.
+            // What another process of this node was notified of, serving or killed, binds this one too.
             components.watch().requestInitialList();
             components.watch().setPushed(!config.settings().polledDiscovery());
             serveOnceListIsCurrent(
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
@@ -141,10 +141,7 @@
                         <= 6_000,
                 "no response");
         assertTrue(
-                DEFAULTS.watchWaitMs()
-                                + (1 + ImmediateRepeats.MAX_REPEATS) * DEFAULTS.watchTimeoutMs()
-                                - DEFAULTS.watchTimeoutMs()
-                        < 6_000,
+                DEFAULTS.watchWaitMs() + ImmediateRepeats.MAX_REPEATS * DEFAULTS.watchTimeoutMs() < 6_000,
                 "the last repeated call begins in time after two without a response");
         assertTrue(
                 DEFAULTS.connectTimeoutMs() + 2_000 + DEFAULTS.connectTimeoutMs() + DEFAULTS.watchTimeoutMs() <= 6_000,
