--- a/node/src/test/java/tulipshed/testing/LoopbackSockets.java
+++ b/node/src/test/java/tulipshed/testing/LoopbackSockets.java
@@ -30,6 +30,11 @@
         }
     }
 
+    /** Returns an address at which nobody listens at the moment of the call. */
+    public static InetSocketAddress closedAddress() throws IOException {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), freeTcpPort());
+    }
+
     /** Opens a listener on a free port, with this backlog. */
     public static ServerSocket listen(int backlog) throws IOException {
         return new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
