The fault-injection and load-test tools start the node as the deployment does

What callers saw: nothing; whoever read the tools' results saw late first answers of a program that nobody runs.

Cause: NodeProcess had a list of flags of its own, without the class archive, the signal setting and the operators' file of `run`.

--- a/emulator/src/main/java/tulipshed/emulator/cli/FaultInjectionCommand.java
+++ b/emulator/src/main/java/tulipshed/emulator/cli/FaultInjectionCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -12,6 +11,7 @@
 import picocli.CommandLine.Spec;
 import tulipshed.emulator.faultinjection.FaultInjectionResult;
 import tulipshed.emulator.faultinjection.FaultInjectionRun;
+import tulipshed.emulator.loadtest.NodeCommand;
 import tulipshed.emulator.scenario.Scenario;
 
 /** Plays a scenario with real nodes whose links to members and discovery fail as it says, and judges what came of it. */
@@ -33,7 +33,7 @@
     ScenarioOptions options;
 
     @Mixin
-    NodeJar node;
+    NodeOptions node;
 
     @Option(
             names = "--seeds",
@@ -61,12 +61,12 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        Path jar = node.path();
+        NodeCommand command = node.command();
         Scenario s = options.scenario(options.overrides());
         PrintWriter out = spec.commandLine().getOut();
         int worst = 0;
         for (long seed = options.seed; seed < options.seed + seeds; seed++) {
-            try (FaultInjectionRun trial = new FaultInjectionRun(s, seed, jar)) {
+            try (FaultInjectionRun trial = new FaultInjectionRun(s, seed, command)) {
                 FaultInjectionResult v = trial.play(new FaultInjectionResult.Bounds(attempts, 1000 * wholeS, whole));
                 tell(out, s, seed, v);
                 if (v.breachMs() >= 0) {
--- a/emulator/src/main/java/tulipshed/emulator/cli/LoadTestCommand.java
+++ b/emulator/src/main/java/tulipshed/emulator/cli/LoadTestCommand.java
@@ -14,6 +14,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 import tulipshed.emulator.loadtest.LoadTestRun;
+import tulipshed.emulator.loadtest.NodeCommand;
 import tulipshed.emulator.loadtest.NodeUsage;
 import tulipshed.emulator.model.RunResult;
 import tulipshed.emulator.results.Results;
@@ -35,17 +36,17 @@
     ScenarioOptions options;
 
     @Mixin
-    NodeJar node;
+    NodeOptions node;
 
     @Option(names = "--out", description = "A folder of results to add this run to, under the policy's name sockets.")
     Path out;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        Path jar = node.path();
+        NodeCommand command = node.command();
         Overrides overrides = options.overrides();
         Scenario scenario = options.scenario(overrides);
-        try (LoadTestRun run = new LoadTestRun(scenario, options.seed, jar)) {
+        try (LoadTestRun run = new LoadTestRun(scenario, options.seed, command)) {
             RunResult o = run.run().as("sockets");
             PrintWriter w = spec.commandLine().getOut();
             w.printf(
--- a/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionRun.java
+++ b/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionRun.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import tulipshed.emulator.loadtest.LinkObserver;
 import tulipshed.emulator.loadtest.LoadTestRun;
 import tulipshed.emulator.loadtest.NetworkPaths;
+import tulipshed.emulator.loadtest.NodeCommand;
 import tulipshed.emulator.model.RandomStreams;
 import tulipshed.emulator.model.RunResult;
 import tulipshed.emulator.scenario.EndpointType;
@@ -40,15 +40,16 @@
     /**
      * Sets up the run of a scenario, with the faults that its seed draws.
      *
-     * @param jar the jar of the node
+     * @param command what starts the process of a node
      * @throws IOException if sockets or processes cannot be set up
      * @throws IllegalArgumentException if the scenario is too large for the sockets of one machine
      */
-    public FaultInjectionRun(Scenario scenario, long seed, Path jar) throws IOException {
-        this(scenario, seed, jar, drawSchedule(scenario, seed));
+    public FaultInjectionRun(Scenario scenario, long seed, NodeCommand command) throws IOException {
+        this(scenario, seed, command, drawSchedule(scenario, seed));
     }
 
-    FaultInjectionRun(Scenario scenario, long seed, Path jar, LinkFaultSchedule schedule) throws IOException {
+    FaultInjectionRun(Scenario scenario, long seed, NodeCommand command, LinkFaultSchedule schedule)
+            throws IOException {
         this.schedule = schedule;
         changesMs = schedule.changesMs();
         for (int node = 0; node < scenario.nodes().count(); node++) {
@@ -56,7 +57,7 @@
         }
         proxy = new FaultInjectionProxy(RandomStreams.random(seed, JITTER_STREAM, 0));
         try {
-            run = new LoadTestRun(LinkFaultSchedule.withoutLinkFaults(scenario), seed, jar, this);
+            run = new LoadTestRun(LinkFaultSchedule.withoutLinkFaults(scenario), seed, command, this);
         } catch (IOException | RuntimeException e) {
             proxy.close();
             throw e;
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
@@ -5,7 +5,6 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -61,23 +60,23 @@
     private long acceptedConnections;
 
     /** Sets up a run whose nodes reach endpoints and discovery directly; otherwise as the other constructor. */
-    public LoadTestRun(Scenario scenario, long seed, Path jar) throws IOException {
-        this(scenario, seed, jar, null);
+    public LoadTestRun(Scenario scenario, long seed, NodeCommand command) throws IOException {
+        this(scenario, seed, command, null);
     }
 
     /**
      * Sets up everything but starts no node.
      *
-     * @param jar the jar of the node
+     * @param command what starts the process of a node
      * @param paths the links of nodes to endpoints and discovery; null for direct connections
      * @throws IllegalArgumentException if the scenario is too large for the sockets of one machine
      * @throws IOException if sockets or files cannot be created
      */
-    public LoadTestRun(Scenario scenario, long seed, Path jar, NetworkPaths paths) throws IOException {
+    public LoadTestRun(Scenario scenario, long seed, NodeCommand command, NetworkPaths paths) throws IOException {
         this.paths = paths;
         LoadTestLimits.check(scenario);
         requests = new OpenRequests(paths != null);
-        processes = new NodeProcesses(jar);
+        processes = new NodeProcesses(command);
         world = new World(scenario, seed, 1, (id, number, emulatedWorld) -> {
             SocketNode node = new SocketNode(id, number, emulatedWorld, this, processes.add());
             nodes.add(node);
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcess.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcess.java
@@ -17,7 +17,7 @@
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS = 10_000;
     private static final AtomicInteger STARTED = new AtomicInteger();
-    private final Path jar;
+    private final NodeCommand command;
     private final Path config;
     private final Path temporary;
     private Process process;
@@ -32,7 +32,7 @@
     record Line(long atNs, String text) {}
 
     /** A node that its configuration has listen on an address of its own. */
-    NodeProcess(Path jar, Path config, Path temporary) throws IOException {
+    NodeProcess(NodeCommand command, Path config, Path temporary) throws IOException {
         // A free port that the kernel names may be somebody else's by the time that the node has started, another run's
         // too: its
         // clients would come to the wrong fleet. So the address is this process's own, the port below those the kernel
@@ -43,7 +43,7 @@
                     127, (byte) (1 + pid / 250 / 250 % 250), (byte) (1 + pid / 250 % 250), (byte) (1 + pid % 250)
                 }),
                 FIRST_PORT + STARTED.getAndIncrement() % PORTS);
-        this.jar = jar;
+        this.command = command;
         this.config = config;
         this.temporary = temporary;
     }
@@ -53,21 +53,8 @@
         serves = false;
         killed = false;
         stopped = false;
-        ProcessBuilder b = new ProcessBuilder(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-XX:-UsePerfData",
-                "-Xms16m",
-                "-Xmx64m",
-                "-Xss512k",
-                "-XX:MaxMetaspaceSize=40m",
-                "-XX:ReservedCodeCacheSize=24m",
-                "-XX:MaxDirectMemorySize=8m",
-                "-Djava.io.tmpdir=" + temporary,
-                "-jar",
-                jar.toString(),
-                "serve"));
+        ProcessBuilder b = new ProcessBuilder(command.words())
+                .directory(command.directory().toFile());
         b.environment().put("PROXY_CONFIG", config.toString());
         b.environment().put("TMPDIR", temporary.toString());
         try {
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcesses.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcesses.java
@@ -18,20 +18,20 @@
     private static final long POLL_MS = 20;
     private static final double NANOS_PER_MILLI = 1e6;
 
-    private final Path jar;
+    private final NodeCommand command;
     private final Path folder = Files.createTempDirectory("tulipshed-load");
     private final List<NodeProcess> processes = new ArrayList<>();
 
-    /** No processes yet; all run this jar of the node. */
-    NodeProcesses(Path jar) throws IOException {
-        this.jar = jar;
+    /** No processes yet; all are started by this command. */
+    NodeProcesses(NodeCommand command) throws IOException {
+        this.command = command;
     }
 
     /** Adds the process of the next node; it is not started. */
     NodeProcess add() {
         try {
             int node = processes.size();
-            NodeProcess process = new NodeProcess(jar, configurationFile(node), temporaryFolder(node));
+            NodeProcess process = new NodeProcess(command, configurationFile(node), temporaryFolder(node));
             processes.add(process);
             return process;
         } catch (IOException e) {
--- a/emulator/src/test/java/tulipshed/emulator/LoadTest.java
+++ b/emulator/src/test/java/tulipshed/emulator/LoadTest.java
@@ -11,13 +11,14 @@
 import org.junit.jupiter.api.Test;
 import tulipshed.emulator.invariants.Invariant;
 import tulipshed.emulator.loadtest.LoadTestRun;
+import tulipshed.emulator.loadtest.NodeCommand;
 import tulipshed.emulator.loadtest.NodeUsage;
 import tulipshed.emulator.model.RunResult;
 import tulipshed.emulator.scenario.Scenario;
 
 /** Real nodes in an emulated world. */
 class LoadTest {
-    private static final Path JAR = Path.of("../node/target/tulipshed.jar");
+    private static final NodeCommand NODE = NodeCommand.ofDeployment(Path.of("../deploy/balancer.toml"));
     private static final String DAY = "(seconds 8)(settle-s 1)(nodes (count 2)(restart-ms 300))"
             + "(members std (count 4)(cores 2))(class c (deadline-ms 30000)(life-s 4)(load 0.02)(message-aim-ms 1000))"
             + "(clients (per-second 12)(standing 40)(come-at-first 1)(groups 4))(discovery (lag-ms 100)(calls-per-s 1000))"
@@ -28,9 +29,9 @@
     /** What the checkers see is what was on the wire: of drains, crashes and a killed node. */
     @Test
     void aRealNodeKeepsTheRulesThroughDrainsCrashesAndAKill() throws Exception {
-        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
+        Assumptions.assumeTrue(Files.exists(NODE.jar()), "the node's jar is made by package");
         Scenario s = Worlds.text(DAY);
-        try (LoadTestRun run = new LoadTestRun(s, 4, JAR)) {
+        try (LoadTestRun run = new LoadTestRun(s, 4, NODE)) {
             RunResult o = run.run();
             assertTrue(o.rules().checkCount() > 150, "" + o.rules().checkCount());
             for (Invariant r : new Invariant[] {
@@ -67,9 +68,9 @@
             {"clients.come-at-first=0"}
         }) {
             Scenario s = Worlds.text(DAY, too);
-            assertThrows(IllegalArgumentException.class, () -> new LoadTestRun(s, 1, JAR).close(), too[0]);
+            assertThrows(IllegalArgumentException.class, () -> new LoadTestRun(s, 1, NODE).close(), too[0]);
         }
         Scenario clocks = Worlds.text(DAY + "(trouble node-clocks (share 0.5)(factor 7200))");
-        assertThrows(IllegalArgumentException.class, () -> new LoadTestRun(clocks, 1, JAR).close(), "node-clocks");
+        assertThrows(IllegalArgumentException.class, () -> new LoadTestRun(clocks, 1, NODE).close(), "node-clocks");
     }
 }
--- a/emulator/src/test/java/tulipshed/emulator/faultinjection/TrialTest.java
+++ b/emulator/src/test/java/tulipshed/emulator/faultinjection/TrialTest.java
@@ -21,13 +21,14 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import tulipshed.emulator.loadtest.NodeCommand;
 import tulipshed.emulator.scenario.Overrides;
 import tulipshed.emulator.scenario.Scenario;
 import tulipshed.emulator.scenario.ScenarioReader;
 
 /** Real processes under faults, and stand-ins whose faults the checkers find. */
 class TrialTest {
-    private static final Path JAR = Path.of("../node/target/tulipshed.jar");
+    private static final NodeCommand NODE = NodeCommand.ofDeployment(Path.of("../deploy/balancer.toml"));
     private static final String FLEET = "(settle-s 1)(network (sites 2)(within-ms 0.5)(between-ms 2))"
             + "(members std (count 6)(cores 4))(class c (deadline-ms 1800)(aim-ms 300)(life-s 5)(load 0.02)(message-aim-ms 100))"
             + "(clients (per-second 12)(standing 40)(come-at-first 1)(groups 6)(give-up-share 0))"
@@ -49,9 +50,9 @@
         return ScenarioReader.read("t", (FLEET + more).getBytes(StandardCharsets.UTF_8), new Overrides(figures));
     }
 
-    private static FaultInjectionResult play(String more, Path jar, String... set)
+    private static FaultInjectionResult play(String more, NodeCommand node, String... set)
             throws IOException, InterruptedException {
-        try (FaultInjectionRun trial = new FaultInjectionRun(scenario(more, set), 4, jar)) {
+        try (FaultInjectionRun trial = new FaultInjectionRun(scenario(more, set), 4, node)) {
             return trial.play(BOUNDS);
         }
     }
@@ -60,11 +61,11 @@
      * Plays until a run is valid: one in which the tool itself was too slow says nothing of the node. The output of the
      * build says how many were void; where all are, the test fails.
      */
-    private static FaultInjectionResult playUntilValid(String more, Path jar, String... set)
+    private static FaultInjectionResult playUntilValid(String more, NodeCommand node, String... set)
             throws IOException, InterruptedException {
         List<List<String>> voids = new ArrayList<>();
         while (voids.size() < MAX_PLAYS) {
-            FaultInjectionResult result = play(more, jar, set);
+            FaultInjectionResult result = play(more, node, set);
             if (result.voids().isEmpty()) {
                 System.out.println("fault-injection runs that were void: " + voids.size() + " " + voids);
                 return result;
@@ -77,13 +78,13 @@
     /** Four processes: a site is cut off, links between single nodes and members hold one way, one node stands still. */
     @Test
     void theNodeKeepsTheRulesWhileLinksFail() throws Exception {
-        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
+        Assumptions.assumeTrue(Files.exists(NODE.jar()), "the node's jar is made by package");
         FaultInjectionResult v = playUntilValid(
                 "(seconds 19)(nodes (count 4))(trouble partition (at-s 3)(over-s 2)(count 1))"
                         + "(trouble cut-links (at-s 6)(over-s 2)(share 0.3)(count 1))(trouble cut-links (at-s 8)(over-s 1)(share 0.3)(count 2))"
                         + "(trouble stop-nodes (at-s 9)(over-s 2)(share 0.25))(trouble reset-links (at-s 10)(share 0.5)(count 1))"
                         + "(trouble deploy-members (at-s 4)(share 0.3)(over-s 2))",
-                JAR);
+                NODE);
         assertEquals(List.of(), v.breaches(), v::toString);
         assertTrue(
                 v.outcome().rules().checkCount() > 300, () -> "" + v.outcome().rules());
@@ -92,12 +93,12 @@
     /** A node that does not ask its agent lives on the list of its start, and sends to what has long been drained. */
     @Test
     void whereListsArePushedTheNodeKeepsToThemThroughDarkTimesAndMuteLinks() throws Exception {
-        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
+        Assumptions.assumeTrue(Files.exists(NODE.jar()), "the node's jar is made by package");
         FaultInjectionResult v = playUntilValid(
                 "(seconds 16)(nodes (count 3))(trouble deploy-members (at-s 3)(share 0.5)(over-s 3))"
                         + "(trouble dark-list (at-s 4)(over-s 2))(trouble mute-discovery (at-s 7)(over-s 2)(share 0.5))"
                         + "(trouble remove-members (at-s 7)(share 0.3)(over-s 2))",
-                JAR,
+                NODE,
                 "discovery.pushed=1",
                 "member-model.drain-grace-ms=2500");
         assertEquals(List.of(), v.breaches(), v::toString);
@@ -110,8 +111,8 @@
     @Test
     @Tag("known-red")
     void theNodeKeepsTheRulesThroughSignalsInSeriesAndEarliestKills() throws Exception {
-        Assumptions.assumeTrue(Files.exists(JAR), "the node's jar is made by package");
-        FaultInjectionResult result = playUntilValid("(seconds 24)(nodes (count 4)(restart-ms 300))" + SIGNALS, JAR);
+        Assumptions.assumeTrue(Files.exists(NODE.jar()), "the node's jar is made by package");
+        FaultInjectionResult result = playUntilValid("(seconds 24)(nodes (count 4)(restart-ms 300))" + SIGNALS, NODE);
         assertEquals(List.of(), result.breaches(), result::toString);
     }
 
@@ -119,8 +120,8 @@
     @Test
     void aNodeThatCutsItsConnectionsOffAsItEndsIsFound() throws Exception {
         Path jar = StandInNode.jar(folder, "sound");
-        List<String> breaches =
-                play("(seconds 12)(nodes (count 2))" + SIGNALS, jar).breaches();
+        List<String> breaches = play("(seconds 12)(nodes (count 2))" + SIGNALS, NODE.withJar(jar))
+                .breaches();
         assertTrue(breaches.stream().anyMatch(b -> b.contains("connections lost in a shutdown")), breaches::toString);
     }
 
@@ -161,7 +162,8 @@
             Map<String, Future<FaultInjectionResult>> verdicts = new LinkedHashMap<>();
             for (String fault : faults.keySet()) {
                 Path jar = StandInNode.jar(folder, fault);
-                verdicts.put(fault, pool.submit(() -> play("(seconds 9)(nodes (count 2))" + troubles, jar)));
+                verdicts.put(
+                        fault, pool.submit(() -> play("(seconds 9)(nodes (count 2))" + troubles, NODE.withJar(jar))));
             }
             for (Map.Entry<String, String> f : faults.entrySet()) {
                 List<String> breaches = verdicts.get(f.getKey()).get().breaches();
@@ -190,7 +192,7 @@
         try {
             Set<String> addresses = new HashSet<>();
             for (int i = 0; i < 20; i++) {
-                trials.add(new FaultInjectionRun(scenario("(seconds 9)(nodes (count 16))"), i, JAR));
+                trials.add(new FaultInjectionRun(scenario("(seconds 9)(nodes (count 16))"), i, NODE));
                 addresses.addAll(trials.get(i).nodes());
             }
             assertEquals(320, addresses.size());
