Fault injection tells a machine without a free processor from a slow program

Change: the tool samples the run and wait time of each node's I/O thread (schedstat, every 20 ms) and prints both, for the second before, next to the first breach of each rule; a wait over 40 ms makes the run void too. A run with a breach stays failed, a run without one is judged as before. The sampler of usage takes any samples now.

--- a/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionEvaluation.java
+++ b/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionEvaluation.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import tulipshed.emulator.invariants.Invariant;
 import tulipshed.emulator.invariants.InvariantReport;
 import tulipshed.emulator.loadtest.LoadTestRun;
+import tulipshed.emulator.loadtest.ThreadSchedule;
 import tulipshed.emulator.model.RunResult;
 
 /** Judges one fault-injection run by the invariants, by the bounds, and by how late the tool itself was. */
@@ -15,6 +17,9 @@
 
     private static final double MAX_TOOL_LATENESS_MS = 250;
 
+    /** The longest time in a second that a node may have waited for a processor where its breach counts as its own. */
+    private static final double MAX_PROCESSOR_WAIT_MS = 40;
+
     /** The last second of a run is not judged: its connections may still be starting. */
     private static final double UNJUDGED_END_MS = 1000;
 
@@ -77,15 +82,37 @@
                 firstBreachMs = firstBreachMs < 0 ? atMs : Math.min(firstBreachMs, atMs);
                 breaches.add(String.format(
                         Locale.ROOT,
-                        "rule %s broken %d times, first at %.0f ms: %s",
+                        "rule %s broken %d times, first at %.0f ms: %s%s",
                         invariant.label(),
                         report.violations(invariant),
                         atMs,
-                        report.firstViolation(invariant).what()));
+                        report.firstViolation(invariant).what(),
+                        invariant == Invariant.SLOW_START_LIMIT
+                                ? ""
+                                : scheduleBefore(
+                                        report.firstViolation(invariant).where(), atMs)));
             }
         }
     }
 
+    /** Tells a machine without a free processor from a slow program; the run is void too where it was the machine. */
+    private String scheduleBefore(int node, double atMs) {
+        Optional<ThreadSchedule.Share> share = run.scheduleOf(node, atMs - MILLIS_PER_SECOND, atMs);
+        share.filter(schedule -> schedule.waitedMs() > MAX_PROCESSOR_WAIT_MS)
+                .ifPresent(schedule -> voids.add(String.format(
+                        Locale.ROOT,
+                        "node %d waited %.0f ms for a processor in the second before %.0f ms",
+                        node,
+                        schedule.waitedMs(),
+                        atMs)));
+        return share.map(schedule -> String.format(
+                        Locale.ROOT,
+                        "; in the second before, its I/O thread ran %.0f ms and waited %.0f ms for a processor",
+                        schedule.ranMs(),
+                        schedule.waitedMs()))
+                .orElse("");
+    }
+
     private void checkProcesses() {
         run.crashed().forEach(node -> breaches.add("the process of node " + node + " ended by itself"));
         if (run.lostAtShutdown() > 0) {
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
@@ -10,6 +10,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import tulipshed.emulator.model.RunResult;
 import tulipshed.emulator.model.World;
@@ -176,11 +177,13 @@
      */
     public RunResult run() throws IOException, InterruptedException {
         processes.startAll();
-        UsageSampler sampler = new UsageSampler(processes.usage());
+        PeriodicSampler usage = processes.sampleUsage();
+        PeriodicSampler schedules = processes.sampleSchedules();
         try {
             return runScenario();
         } finally {
-            sampler.close();
+            usage.close();
+            schedules.close();
         }
     }
 
@@ -324,6 +327,14 @@
         return processes.logged(fromMs, toMs, clock);
     }
 
+    /**
+     * Returns how long the I/O thread of a node ran, and waited for a processor, between two moments of the run in
+     * milliseconds; empty where the system does not tell.
+     */
+    public Optional<ThreadSchedule.Share> scheduleOf(int node, double fromMs, double untilMs) {
+        return processes.get(node).schedule().between(fromMs, untilMs, clock::toRunMs);
+    }
+
     /** The addresses at which the nodes listen. */
     public List<String> nodes() {
         return processes.addresses();
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcess.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcess.java
@@ -24,6 +24,7 @@
     private final InetSocketAddress address;
     private final Deque<Line> said = new ArrayDeque<>();
     private final ProcessUsage usage = new ProcessUsage();
+    private final ThreadSchedule schedule = new ThreadSchedule();
     private volatile boolean serves;
     private boolean killed;
     private boolean stopped;
@@ -63,6 +64,7 @@
             throw new UncheckedIOException(e);
         }
         usage.follow(process.toHandle());
+        schedule.follow(process.pid());
         Process mine = process;
         Thread reader = new Thread(() -> read(mine), "node-log");
         reader.setDaemon(true);
@@ -146,6 +148,11 @@
         return usage;
     }
 
+    /** How the I/O threads of its processes were scheduled so far. */
+    ThreadSchedule schedule() {
+        return schedule;
+    }
+
     InetSocketAddress address() {
         return address;
     }
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcesses.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/NodeProcesses.java
@@ -16,6 +16,8 @@
 final class NodeProcesses {
     private static final double MAX_START_MS = 30_000;
     private static final long POLL_MS = 20;
+    private static final long USAGE_INTERVAL_MS = 200;
+    private static final long SCHEDULE_INTERVAL_MS = 20;
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final NodeCommand command;
@@ -63,9 +65,24 @@
         processes.forEach(NodeProcess::start);
     }
 
-    /** What each process uses. */
-    List<ProcessUsage> usage() {
-        return processes.stream().map(NodeProcess::usage).toList();
+    /** Samples what each process uses, until it is closed. */
+    PeriodicSampler sampleUsage() {
+        return new PeriodicSampler(
+                "usage",
+                USAGE_INTERVAL_MS,
+                processes.stream()
+                        .<Runnable>map(process -> process.usage()::sample)
+                        .toList());
+    }
+
+    /** Samples how the I/O thread of each process is scheduled, until it is closed. */
+    PeriodicSampler sampleSchedules() {
+        return new PeriodicSampler(
+                "schedules",
+                SCHEDULE_INTERVAL_MS,
+                processes.stream()
+                        .<Runnable>map(process -> process.schedule()::sample)
+                        .toList());
     }
 
     /**
