A change is known in 6 s whatever two calls to discovery in a row fail by

A request could reach an endpoint up to 2 s after the node counted as notified of its drain.

Cause: after a failure other than silence a pause of up to 1.95 s followed, also where a repeat had gone before it or most of the 6 s was over; a call after that pause waited 2.5 s for changes, so that its silence was noticed 4 s later.

Evidence: EndpointWatchSweepTest plays the node's watch on a stepped clock against a discovery that is silent, incomplete, resets, refuses at once or late, is slow, hangs or is away, with hot restarts and reloads drawn.

EndpointWatch takes its calls by an interface, so that it runs on a stepped clock.

Left: a process whose first call is refused pauses before the second; three failures in a row.

--- a/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
+++ b/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
@@ -16,7 +16,7 @@
  * ends with exactly one notification of the listener, or with none where {@link #close} abandons it. Confined to the
  * event-loop thread.
  */
-final class DiscoveryClient implements TcpConnection.Listener {
+final class DiscoveryClient implements DiscoveryCalls, TcpConnection.Listener {
     private final Limits limits;
     private final XnioEventLoop loop;
     private final Listener listener;
@@ -50,21 +50,6 @@
         READING_RESPONSE
     }
 
-    /** Is notified of the end of each call. */
-    interface Listener {
-        /** The response to a call is complete. */
-        void onResponse(int status, byte[] body);
-
-        /** A call failed; its connection is closed. */
-        void onCallFailed(ListRequest request, CallFailure failure);
-
-        /**
-         * How long the first byte of a response may take beyond the wait that was requested, in milliseconds; read when
-         * a request is sent, as it may change while the connection is being opened.
-         */
-        double responseTimeoutMs();
-    }
-
     /** A client that is not connected yet. */
     DiscoveryClient(InetSocketAddress address, Limits limits, XnioEventLoop loop, Logger log, Listener listener) {
         this.address = address;
@@ -75,39 +60,34 @@
         readBuffer = ByteBuffer.allocate(limits.sockets().readBytes());
     }
 
-    /** The server that calls go to. */
-    InetSocketAddress address() {
+    @Override
+    public InetSocketAddress address() {
         return address;
     }
 
-    /** Abandons the call in progress, if any; further calls go to the new address. */
-    void setAddress(InetSocketAddress newAddress) {
+    @Override
+    public void setAddress(InetSocketAddress newAddress) {
         close();
         address = newAddress;
     }
 
-    /** Whether it holds a connection, or is opening one. */
-    boolean isConnected() {
+    @Override
+    public boolean isConnected() {
         return state != State.DISCONNECTED;
     }
 
-    /** Whether a call has started and not ended. */
-    boolean isCallInProgress() {
+    @Override
+    public boolean isCallInProgress() {
         return state != State.DISCONNECTED && state != State.IDLE;
     }
 
-    /** Whether a call is in progress that may wait for changes. */
-    boolean isLongPollInProgress() {
-        return isCallInProgress() && isLastRequestLongPoll();
-    }
-
-    /** Whether the last call, which may be in progress or not, was one that may wait for changes. */
-    boolean isLastRequestLongPoll() {
+    @Override
+    public boolean isLastRequestLongPoll() {
         return request.isLongPoll();
     }
 
-    /** Starts a call; none may be in progress. */
-    void call(ListRequest newRequest) {
+    @Override
+    public void call(ListRequest newRequest) {
         request = newRequest;
         parser = new HttpResponseParser(
                 limits.discovery().headBytes(), limits.discovery().bodyBytes());
@@ -119,8 +99,8 @@
         }
     }
 
-    /** Closes the connection and abandons the call in progress, if any, without notifying the listener. */
-    void close() {
+    @Override
+    public void close() {
         state = State.DISCONNECTED;
         if (pendingConnection != null) {
             pendingConnection.abandon();
@@ -169,7 +149,7 @@
         if (isCallInProgress()) {
             log.tracef("call fails in state %s: %s", state, failure.logText());
             close();
-            listener.onCallFailed(request, failure);
+            listener.onCallFailed(failure);
         }
     }
 
--- /dev/null
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchSweepTest.java
@@ -0,0 +1,122 @@
+package tulipshed.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import tulipshed.decision.api.EndpointListKind;
+import tulipshed.limits.Limits;
+import tulipshed.logging.NodeLog;
+
+/** A change is known in time whatever fails between discovery and the node, in every order and at every phase. */
+class EndpointWatchSweepTest {
+    private static final int RUNS = 10_000;
+    private static final double RUN_MS = 90_000;
+    private static final double MEAN_CHANGE_INTERVAL_MS = 1500;
+    private static final double ALLOWED_MS = 6000;
+
+    /** As the decision module pauses after a failure, which DiscoveryPollingTest holds it to. */
+    private static final double MIN_PAUSE_MS = 650;
+
+    private static final double MAX_PAUSE_MS = 1950;
+    private static final double MAX_FIRST_POLL_MS = 4000;
+    private static final Limits LIMITS = Limits.forDescriptors(1024);
+
+    /** A process with its watch, and when it knew of each version. */
+    private static final class WatchingNode {
+        private final SteppedLoop loop = new SteppedLoop();
+        private final SplittableRandom random;
+        private final FaultyDiscovery discovery;
+        private final EndpointWatch watch;
+        private final List<Double> lists = new ArrayList<>();
+        private double lastListMs;
+
+        WatchingNode(long seed, List<FaultyDiscovery.Fault> faults) {
+            random = new SplittableRandom(seed);
+            discovery = new FaultyDiscovery(loop, LIMITS.discovery(), random, faults);
+            watch = new EndpointWatch(
+                    discovery::notifying, LIMITS, loop, (kind, entries) -> received(kind), loop, NodeLog.silent());
+        }
+
+        /** An update brings all changes up to now: what a response says is read when it is written. */
+        private void received(EndpointListKind kind) {
+            if (kind == EndpointListKind.FAILED) {
+                double pauseMs = MIN_PAUSE_MS + random.nextDouble() * (MAX_PAUSE_MS - MIN_PAUSE_MS);
+                loop.schedule(pauseMs, watch::watch);
+                return;
+            }
+            while (lists.size() < discovery.changesMs().size()) {
+                lists.add(loop.nowMs());
+            }
+            lastListMs = loop.nowMs();
+        }
+
+        private void play() {
+            for (double atMs = 0; atMs < RUN_MS; atMs += 2 * MEAN_CHANGE_INTERVAL_MS * random.nextDouble()) {
+                discovery.changeAt(atMs);
+            }
+            drawOutages();
+            drawRestartsAndReloads();
+            watch.requestInitialList();
+            watch.setPushed(false);
+            loop.schedule(MAX_FIRST_POLL_MS * random.nextDouble(), watch::watch);
+            loop.runUntil(RUN_MS);
+        }
+
+        private void drawOutages() {
+            double atMs = 0;
+            while (atMs < RUN_MS) {
+                double fromMs = atMs + RUN_MS / 3 * random.nextDouble();
+                atMs = fromMs + 8000 * random.nextDouble();
+                discovery.addOutage(new FaultyDiscovery.Outage(fromMs, atMs, random.nextBoolean()));
+            }
+        }
+
+        /** The other process of a hot restart has a newer list; a reload names another address of discovery. */
+        private void drawRestartsAndReloads() {
+            for (int i = 0; i < random.nextInt(4); i++) {
+                loop.schedule(RUN_MS * random.nextDouble(), watch::catchUp);
+            }
+            for (int i = 0; i < random.nextInt(3); i++) {
+                InetSocketAddress other = InetSocketAddress.createUnresolved("discovery", 2 + i);
+                loop.schedule(RUN_MS * random.nextDouble(), () -> watch.setDiscoveryAddress(other));
+            }
+        }
+
+        /** The first change that was not known in time, or none. */
+        private List<String> lateChange(long seed) {
+            for (int i = 0; i < discovery.changesMs().size(); i++) {
+                double changedMs = discovery.changesMs().get(i);
+                double dueMs = discovery.dueMs(changedMs, ALLOWED_MS);
+                double knownMs = i < lists.size() ? lists.get(i) : Double.POSITIVE_INFINITY;
+                if (dueMs < RUN_MS && knownMs > dueMs) {
+                    return List.of(String.format(
+                            "seed %d: changed at %.0f ms, known at %.0f, due at %.0f; calls: %s",
+                            seed, changedMs, knownMs, dueMs, discovery.history()));
+                }
+            }
+            return List.of();
+        }
+    }
+
+    private static void assertKnownInTime(List<FaultyDiscovery.Fault> faults) {
+        List<String> late = new ArrayList<>();
+        for (long seed = 1; seed <= RUNS; seed++) {
+            WatchingNode node = new WatchingNode(seed, faults);
+            node.play();
+            assertTrue(node.lastListMs > 0, "a run without a list shows nothing");
+            late.addAll(node.lateChange(seed));
+        }
+        assertEquals(List.of(), late.subList(0, Math.min(1, late.size())), () -> late.size() + " runs");
+    }
+
+    /** Regression: a silent call and an incomplete or refused one in a row, and a pause after them, took over 6 s. */
+    @Test
+    void changesAreKnownInTimeWhateverFails() {
+        assertKnownInTime(List.of(FaultyDiscovery.Fault.values()));
+    }
+}
