Fault injection prints the first of the first lines that no client has sent

The tool counted them only, so nothing told whose they are. Another test's node that calls a port it knew as closed is a guess.

Change: UnknownFirstLines keeps the first one, and the breach shows it.

--- a/emulator/src/main/java/tulipshed/emulator/cli/LoadTestCommand.java
+++ b/emulator/src/main/java/tulipshed/emulator/cli/LoadTestCommand.java
@@ -56,7 +56,7 @@
                     options.seed,
                     scenario.durationMs() / 1000,
                     run.behindMs(),
-                    run.strangers());
+                    run.unknownFirstLines().count());
             o.figures().forEach((name, value) -> w.printf(Locale.ROOT, "  %-24s %s%n", name, RunCommand.plain(value)));
             w.print(o.rules());
             List<NodeUsage> usage = run.usage();
--- a/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionEvaluation.java
+++ b/emulator/src/main/java/tulipshed/emulator/faultinjection/FaultInjectionEvaluation.java
@@ -118,9 +118,10 @@
         if (run.lostAtShutdown() > 0) {
             breaches.add(run.lostAtShutdown() + " connections lost in a shutdown, cut off or held until the kill");
         }
-        if (run.strangers() > 0) {
-            breaches.add(run.strangers() + " first lines at members that no client had sent");
-        }
+        run.unknownFirstLines()
+                .first()
+                .ifPresent(line -> breaches.add(run.unknownFirstLines().count()
+                        + " first lines at members that no client had sent, the first: " + line));
     }
 
     private void checkAttempts() {
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/LoadTestRun.java
@@ -57,7 +57,7 @@
     private final World world;
     private double maxTurnMs;
     private boolean isScenarioOver;
-    private long unknownFirstLines;
+    private final UnknownFirstLines unknownFirstLines = new UnknownFirstLines();
     private long acceptedConnections;
 
     /** Sets up a run whose nodes reach endpoints and discovery directly; otherwise as the other constructor. */
@@ -268,7 +268,7 @@
             requestByConnection.put(event.connection(), request);
             nodeOf(request).rules().attemptStarted(event.atMs(), request.observed, event.endpoint());
         } else if (words.length < 2 || !requests.isClosed(words[1])) {
-            countUnknownFirstLine();
+            unknownFirstLines.add(event.firstLine());
         }
     }
 
@@ -355,8 +355,8 @@
         return nodes.stream().mapToLong(SocketNode::lostAtShutdown).sum();
     }
 
-    /** How many first lines at endpoints belong to no request that a client has sent. */
-    public long strangers() {
+    /** First lines at endpoints that belong to no request that a client has sent. */
+    public UnknownFirstLines unknownFirstLines() {
         return unknownFirstLines;
     }
 
@@ -414,11 +414,6 @@
         acceptedConnections++;
     }
 
-    /** Counts a first line that belongs to no request. */
-    void countUnknownFirstLine() {
-        unknownFirstLines++;
-    }
-
     @Override
     public void close() throws IOException {
         processes.stopAll();
--- a/emulator/src/main/java/tulipshed/emulator/loadtest/SocketEndpoint.java
+++ b/emulator/src/main/java/tulipshed/emulator/loadtest/SocketEndpoint.java
@@ -65,7 +65,7 @@
                 return;
             }
             if (t == null) {
-                run.countUnknownFirstLine();
+                run.unknownFirstLines().add(line);
                 wire.sayAndClose("SYNTAX");
                 return;
             }
--- a/emulator/src/test/java/tulipshed/emulator/LoadTest.java
+++ b/emulator/src/test/java/tulipshed/emulator/LoadTest.java
@@ -39,7 +39,7 @@
             }) {
                 assertEquals(0, o.rules().violations(r), () -> "" + o.rules());
             }
-            assertEquals(0, run.strangers(), "nothing came that no client had sent");
+            assertEquals(0, run.unknownFirstLines().count(), "nothing came that no client had sent");
             assertTrue(o.figure("resets") > 0 && o.figure("moves") > 0, () -> "" + o.figures());
             assertTrue(o.figure("service") > 0.5, () -> "" + o.figures());
             assertUsage(run.usage());
