--- a/node/src/main/java/tulipshed/discovery/EndpointListUpdate.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointListUpdate.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import tulipshed.config.MalformedInputException;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.api.EndpointStatus;
@@ -39,6 +40,13 @@
         return new EndpointListUpdate(version.longValue(), Boolean.TRUE.equals(json.get("full")), entries);
     }
 
+    /** Returns its version and what each entry says of its endpoint, for the log. */
+    String traceText() {
+        return entries.stream()
+                .map(entry -> entry.id() + " " + entry.status())
+                .collect(Collectors.joining(", ", "list version " + version + ": ", ""));
+    }
+
     private static ListedEndpoint readEntry(Map<?, ?> fields) {
         EndpointStatus status = readStatus(fields);
         if (!(fields.get("id") instanceof String id)) {
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import tulipshed.config.JsonValues;
 import tulipshed.config.MalformedInputException;
@@ -31,18 +30,14 @@
     private final Limits limits;
     private final EventLoop loop;
     private final EndpointListListener listener;
-    private final Clock clock;
     private final Logger log;
     private final DiscoveryCalls client;
     private final EndpointListCursor cursor = new EndpointListCursor();
     private final ImmediateRepeats repeats = new ImmediateRepeats();
     private final EndpointStartTimes startTimes;
+    private final CallTimes times;
     private DeliveryMode mode = DeliveryMode.POLLED;
     private Health health = Health.UNCONFIRMED;
-    private double callStartedMs;
-
-    /** When the last list arrived, or the initial one was requested; NaN before that. */
-    private double respondedMs = Double.NaN;
 
     /** Counts calls that started or were put off, of which only the last one counts. */
     private long delayedCallCount;
@@ -94,9 +89,9 @@
         this.limits = limits;
         this.loop = loop;
         this.listener = listener;
-        this.clock = clock;
         this.log = log.logger(LOG_SUBJECT);
         startTimes = new EndpointStartTimes(clock);
+        times = new CallTimes(clock);
         client = calls.apply(new CallListener());
     }
 
@@ -147,7 +142,7 @@
      */
     public void requestInitialList() {
         isInitialCall = true;
-        respondedMs = clock.nowMs();
+        times.listArrived();
         catchUp();
     }
 
@@ -190,19 +185,14 @@
 
     private void startCall(double longPollMs) {
         delayedCallCount++;
-        callStartedMs = clock.nowMs();
+        times.callStarts();
         client.call(cursor.nextRequest(longPollMs));
     }
 
     /** Where discovery itself is polled, the 6 s leave less time to wait the longer the last response is ago. */
     private double longPollMs() {
         double waitMs = mode.longPollMs(limits.discovery());
-        boolean isLate = mode == DeliveryMode.POLLED && health != Health.WATCHING && !Double.isNaN(respondedMs);
-        return isLate ? Math.max(0, waitMs - sinceResponseMs()) : waitMs;
-    }
-
-    private double sinceResponseMs() {
-        return clock.nowMs() - respondedMs;
+        return mode == DeliveryMode.POLLED && health != Health.WATCHING ? times.remainingMs(waitMs) : waitMs;
     }
 
     /** Starts a call after a delay, unless one starts before; there is never more than one call to come. */
@@ -240,10 +230,12 @@
             log.info("watching endpoint list from version " + update.version());
         }
         health = Health.WATCHING;
-        respondedMs = clock.nowMs();
+        times.listArrived();
         repeats.reset();
         boolean nothingChanged = update.entries().isEmpty() || update.version() == cursor.version();
-        traceList(update);
+        if (log.isTraceEnabled()) {
+            log.trace(update.traceText());
+        }
         cursor.advance(update);
         notifyCore(update.full() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES, update);
         if (nothingChanged && (mode == DeliveryMode.PUSHED_TO_AGENT || isAnsweredAtOnce())) {
@@ -253,22 +245,13 @@
         }
     }
 
-    private void traceList(EndpointListUpdate update) {
-        if (log.isTraceEnabled()) {
-            String entries = update.entries().stream()
-                    .map(entry -> entry.id() + " " + entry.status())
-                    .collect(Collectors.joining(", "));
-            log.trace("list version " + update.version() + ": " + entries);
-        }
-    }
-
     /**
      * Whether the response to a long poll came before there was time to wait for a change. Agents, and a discovery that
      * cannot hold calls, may respond so although nothing changed.
      */
     private boolean isAnsweredAtOnce() {
         return client.isLastRequestLongPoll()
-                && clock.nowMs() - callStartedMs < limits.discovery().agentPollIntervalMs();
+                && times.lastedMs() < limits.discovery().agentPollIntervalMs();
     }
 
     private void notifyCore(EndpointListKind kind, EndpointListUpdate update) {
@@ -286,7 +269,7 @@
     }
 
     private boolean isRepeatedAtOnce(CallFailure failure) {
-        return repeats.permits(failure, health != Health.FAILING, clock.nowMs() - callStartedMs, sinceResponseMs());
+        return repeats.permits(failure, health != Health.FAILING, times.lastedMs(), times.sinceListMs());
     }
 
     /**
