Refused and cut off calls to discovery are met with a pause again

Change: only a long poll with a late response, and the late call that replaced it, are repeated at once; the wait that shrinks with the time since the last response stays, and so does the repeat after a second incomplete response.

--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -269,7 +269,7 @@
     }
 
     private boolean isRepeatedAtOnce(CallFailure failure) {
-        return repeats.permits(failure, health != Health.FAILING, times.lastedMs(), times.sinceListMs());
+        return repeats.permits(failure, client.isLastRequestLongPoll());
     }
 
     /**
