--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -21,8 +21,8 @@
  *
  * <p>A failed call is repeated at once where {@link ImmediateRepeats} says so. Any other ends the watch and is passed to the
  * core as a failed list; the decision module says when to call again. The longer the last response is ago, the shorter a
- * call waits for changes. So what two calls in a row lose, however they fail, is known within the 6 s after which a change
- * counts as known to the node. Confined to the event-loop thread.
+ * call waits for changes. So two late responses to a long poll and its repeat still leave the change known within 6 s; other
+ * failures in a row may not. Confined to the event-loop thread.
  */
 public final class EndpointWatch implements EndpointListSource {
     private static final String LOG_SUBJECT = "discovery";
