--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -59,6 +59,7 @@
                 this, limits.lineProtocol().protocolErrorLogMs(), log.logger("transport")::warn, "accepting failed");
         // XNIO and its threads log a line each at the start, whose formatting alone takes a tenth of the start.
         LIBRARY_LOGGERS.forEach(logger -> logger.setLevel(Level.WARNING));
+        NoMBeanServerBuilder.install();
         Xnio xnio = Xnio.getInstance("nio", XnioEventLoop.class.getClassLoader());
         worker = xnio.createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "tulipshed")
