Comparing two wall times links no generated method in the event loop

Cause: the first equals of the record WallTime, at the first endpoint list of each start, links the methods that the record has from the virtual machine: 13 classes made at run time.

Evidence: -Xlog:class+load, I/O thread: 9 of 30 ms of its part of a start lie after ObjectMethods.

Change: equals and hashCode are written out, with the same meaning; tests of EndpointStartTimes pass.

--- a/node/src/main/java/tulipshed/time/WallTime.java
+++ b/node/src/main/java/tulipshed/time/WallTime.java
@@ -13,4 +13,16 @@
         // As longs, the difference of two arbitrary times may overflow.
         return (double) epochMs - (double) other.epochMs;
     }
+
+    // Written out, as the virtual machine links a record's own methods at their first call, which is in each start.
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof WallTime time && epochMs == time.epochMs;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(epochMs);
+    }
 }
