A silent call that catches up with the other process is repeated at once

What callers saw: nothing yet. During a hot restart a drain could be known more than 6 s after discovery had it, after a single silent call.

Cause: catching up abandons a long poll that may have waited for seconds; silence of the call in its place is noticed after 1.5 s and was met with a pause, as only a long poll and its repeats were repeated at once.

Change: the silence of a call that watches the list is met as that of a long poll. Calls after a failure are met as before, so a crowded discovery gets no more of them.

The new test of EndpointWatchTimeoutTest failed before.

--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -269,7 +269,7 @@
     }
 
     private boolean isRepeatedAtOnce(CallFailure failure) {
-        return repeats.permits(failure, client.isLastRequestLongPoll());
+        return repeats.permits(failure, client.isLastRequestLongPoll() || health == Health.WATCHING);
     }
 
     /**
--- a/node/src/main/java/tulipshed/discovery/ImmediateRepeats.java
+++ b/node/src/main/java/tulipshed/discovery/ImmediateRepeats.java
@@ -1,10 +1,10 @@
 package tulipshed.discovery;
 
 /**
- * Which failed calls are repeated without a pause: a long poll whose response is late or incomplete, and the call that
- * replaced it where that one's is too. Such a call has lasted as long as a pause would, and after two of them a pause would
- * not fit into the 6 s after which a change counts as known. A call that is refused or cut off is met with a pause always:
- * in a crowd or an outage that is what all nodes' calls meet. Confined to the event-loop thread.
+ * Which failed calls are repeated without a pause: one that watches the list and whose response is late or incomplete, and
+ * the call that replaced it where that one's is too. Such a call has lasted as long as a pause would, and after two of them a
+ * pause would not fit into the 6 s after which a change counts as known. A call that is refused or cut off is met with a
+ * pause always: in a crowd or an outage that is what all nodes' calls meet. Confined to the event-loop thread.
  */
 final class ImmediateRepeats {
     /** How often in a row a failed call is repeated at once. */
@@ -16,10 +16,10 @@
     /**
      * Whether the call that failed may be repeated at once.
      *
-     * @param isLongPoll whether the call might wait for changes
+     * @param isWatching whether the call might wait for changes, or caught up with a list that was being watched
      */
-    boolean permits(CallFailure failure, boolean isLongPoll) {
-        return failure.isResponseTimeout() && (isLongPoll || count > 0) && count < MAX_REPEATS;
+    boolean permits(CallFailure failure, boolean isWatching) {
+        return failure.isResponseTimeout() && (isWatching || count > 0) && count < MAX_REPEATS;
     }
 
     /** A call is repeated. */
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchSweepTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchSweepTest.java
@@ -115,6 +115,12 @@
         assertEquals(List.of(), late.subList(0, Math.min(1, late.size())), () -> late.size() + " runs");
     }
 
+    /** A discovery under load that responds late, or refuses two calls in a row at once, leaves changes known in time. */
+    @Test
+    void changesAreKnownInTimeThroughRefusedAndSlowCalls() {
+        assertKnownInTime(List.of(FaultyDiscovery.Fault.REFUSED, FaultyDiscovery.Fault.SLOW));
+    }
+
     /** Two failed calls in a row, of any kind, with a pause after each, take over 6 s. */
     @Test
     @Tag("known-red")
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
@@ -77,6 +77,29 @@
         }
     }
 
+    /**
+     * Regression: a call that replaced a long poll to catch up with the other process of a hot restart was followed by a pause
+     * where it was silent, although the long poll had waited for seconds before it.
+     */
+    @Test
+    void repeatsSilentCatchUpOfAWatchAtOnce() throws Exception {
+        EndpointWatch impatientWatch = useTimeouts(60_000, 60_000, 300, 60_000);
+        try (Socket first = acceptConnection()) {
+            readRequest(first);
+            respond(first, "200 OK", listJson(42, false));
+            assertEquals("CHANGES 1", nextNotification());
+            assertTrue(readRequest(first).contains("index=42&wait=60000 "));
+            loop.execute(impatientWatch::catchUp);
+            try (Socket silent = acceptConnection()) {
+                assertTrue(readRequest(silent).contains("index=42&wait=0 "));
+                try (Socket repeated = acceptConnection()) {
+                    assertTrue(readRequest(repeated).contains("index=42&wait=0 "));
+                    assertTrue(notifications.isEmpty(), "without a prompt by the decision module");
+                }
+            }
+        }
+    }
+
     /** Regression: with one timeout for the entire call, a connect that hangs was noticed after 12 s. */
     @Test
     void abandonsConnectionAttemptAfterConnectTimeout() throws Exception {
