Tests that name a closed port keep it bound, so that nobody else is given it

Cause, as far as shown: tests bound a port, closed it and named it as closed to nodes, which then called whoever the kernel gave it to.

Change: LoopbackSockets.reserveClosedPort binds without listening; CrashRestartTest, ConnectFailuresTest and the traffic of the class archive use it. Connections are refused as before, the assertions are the same.

--- a/node/src/test/java/tulipshed/archive/Traffic.java
+++ b/node/src/test/java/tulipshed/archive/Traffic.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -152,12 +153,14 @@
 
     /** Lists an endpoint at which nobody listens, and opens connections until each endpoint was likely chosen once. */
     private void refuseConnection() throws IOException {
-        InetSocketAddress closed = LoopbackSockets.closedAddress();
-        discovery.publish("s-closed", closed, ZONES.get(0), "std-2c", "SERVING");
-        for (int i = 0; i < 2 * ENDPOINTS; i++) {
-            openAndEcho("refused" + i, "");
+        try (Socket reserved = LoopbackSockets.reserveClosedPort()) {
+            InetSocketAddress closed = (InetSocketAddress) reserved.getLocalSocketAddress();
+            discovery.publish("s-closed", closed, ZONES.get(0), "std-2c", "SERVING");
+            for (int i = 0; i < 2 * ENDPOINTS; i++) {
+                openAndEcho("refused" + i, "");
+            }
+            discovery.publish("s-closed", closed, ZONES.get(0), "std-2c", "DELETED");
         }
-        discovery.publish("s-closed", closed, ZONES.get(0), "std-2c", "DELETED");
     }
 
     /** Drains all endpoints but one while a client is connected, and opens a connection at the one that remains. */
--- a/node/src/test/java/tulipshed/cli/CrashRestartTest.java
+++ b/node/src/test/java/tulipshed/cli/CrashRestartTest.java
@@ -6,6 +6,7 @@
 import static tulipshed.testing.LoopbackSockets.freeTcpPort;
 import static tulipshed.testing.LoopbackSockets.listen;
 import static tulipshed.testing.LoopbackSockets.reader;
+import static tulipshed.testing.LoopbackSockets.reserveClosedPort;
 import static tulipshed.testing.LoopbackSockets.send;
 
 import java.io.IOException;
@@ -91,11 +92,11 @@
     void killedProcessIsReadyAgainInTimeDespiteDiscoveryFault(DiscoveryFault fault) throws Exception {
         int listenPort = freeTcpPort();
         List<Socket> connections = new CopyOnWriteArrayList<>();
-        try (ServerSocket listener = listen(50)) {
-            int discoveryPort = listener.getLocalPort();
-            if (fault == DiscoveryFault.CONNECTION_REFUSED) {
-                listener.close();
-            } else {
+        try (ServerSocket listener = listen(50);
+                Socket closedPort = reserveClosedPort()) {
+            boolean isRefused = fault == DiscoveryFault.CONNECTION_REFUSED;
+            int discoveryPort = isRefused ? closedPort.getLocalPort() : listener.getLocalPort();
+            if (!isRefused) {
                 startDiscovery(listener, fault, connections);
             }
             try (NodeProcess first = start(listenPort, discoveryPort, "n")) {
@@ -121,14 +122,13 @@
         int nodes = 10;
         List<Integer> ports = new ArrayList<>();
         List<NodeProcess> running = new ArrayList<>();
-        try {
+        try (Socket closedPort = reserveClosedPort()) {
             for (int i = 0; i < nodes; i++) {
                 ports.add(freeTcpPort());
             }
-            int closedPort = freeTcpPort();
             long sinceNs = System.nanoTime();
             for (int i = 0; i < nodes; i++) {
-                running.add(start(ports.get(i), closedPort, "n" + i));
+                running.add(start(ports.get(i), closedPort.getLocalPort(), "n" + i));
             }
             for (int port : ports) {
                 awaitReady(port, sinceNs);
--- a/node/src/test/java/tulipshed/testing/LoopbackSockets.java
+++ b/node/src/test/java/tulipshed/testing/LoopbackSockets.java
@@ -30,9 +30,14 @@
         }
     }
 
-    /** Returns an address at which nobody listens at the moment of the call. */
-    public static InetSocketAddress closedAddress() throws IOException {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), freeTcpPort());
+    /**
+     * Binds a TCP port and does not listen: connections to it are refused, and no other program is given the port, until the
+     * socket is closed.
+     */
+    public static Socket reserveClosedPort() throws IOException {
+        Socket reserved = new Socket();
+        reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return reserved;
     }
 
     /** Opens a listener on a free port, with this backlog. */
--- a/node/src/test/java/tulipshed/transport/ConnectFailuresTest.java
+++ b/node/src/test/java/tulipshed/transport/ConnectFailuresTest.java
@@ -6,9 +6,9 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
+import java.net.Socket;
 import java.net.SocketException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -65,8 +65,9 @@
     void tellsRealFailuresApart() throws Exception {
         IOException unreachable = failureOf(new InetSocketAddress("224.0.0.1", 80));
         assertTrue(ConnectFailures.isLocal(unreachable), unreachable::toString);
-        IOException refused =
-                failureOf(new InetSocketAddress(InetAddress.getLoopbackAddress(), LoopbackSockets.freeTcpPort()));
-        assertFalse(ConnectFailures.isLocal(refused), refused::toString);
+        try (Socket closed = LoopbackSockets.reserveClosedPort()) {
+            IOException refused = failureOf((InetSocketAddress) closed.getLocalSocketAddress());
+            assertFalse(ConnectFailures.isLocal(refused), refused::toString);
+        }
     }
 }
