EndpointWatch gives up its prompts and its delayed call to classes of their own

Change: CallPrompts says who caused a call and whether a prompt to come repeats it, DelayedCall keeps the one call that is put off.

--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -28,26 +28,18 @@
     private static final String LOG_SUBJECT = "discovery";
 
     private final Limits limits;
-    private final EventLoop loop;
     private final EndpointListListener listener;
     private final Logger log;
     private final DiscoveryCalls client;
     private final EndpointListCursor cursor = new EndpointListCursor();
     private final ImmediateRepeats repeats = new ImmediateRepeats();
+    private final CallPrompts prompts = new CallPrompts();
+    private final DelayedCall delayedCall;
     private final EndpointStartTimes startTimes;
     private final CallTimes times;
     private DeliveryMode mode = DeliveryMode.POLLED;
     private Health health = Health.UNCONFIRMED;
 
-    /** Counts calls that started or were put off, of which only the last one counts. */
-    private long delayedCallCount;
-
-    /** How often the decision module was notified of a failure and has not called {@link #watch} for it yet. */
-    private int promptsAwaited;
-
-    /** Whether the decision module caused the last call. */
-    private boolean isCallPrompted;
-
     /** Whether the call in progress is the one for the initial list. */
     private boolean isInitialCall;
 
@@ -87,8 +79,8 @@
             Clock clock,
             NodeLog log) {
         this.limits = limits;
-        this.loop = loop;
         this.listener = listener;
+        delayedCall = new DelayedCall(loop);
         this.log = log.logger(LOG_SUBJECT);
         startTimes = new EndpointStartTimes(clock);
         times = new CallTimes(clock);
@@ -104,7 +96,7 @@
     /** Starts a call unless one is in progress or the watch has stopped; the decision module calls this. */
     @Override
     public void watch() {
-        promptsAwaited = Math.max(0, promptsAwaited - 1);
+        prompts.arrived();
         callUnlessInProgress(true);
     }
 
@@ -117,7 +109,7 @@
         DeliveryMode changed = toAgent ? DeliveryMode.PUSHED_TO_AGENT : DeliveryMode.POLLED;
         if (changed != mode) {
             mode = changed;
-            promptsAwaited = 0;
+            prompts.forget();
         }
         if (toAgent) {
             callUnlessInProgress(false);
@@ -178,13 +170,13 @@
 
     private void callUnlessInProgress(boolean prompted) {
         if (!client.isCallInProgress() && !stopped) {
-            isCallPrompted = prompted;
-            startCall(longPollMs());
+            startCall(longPollMs(), prompted);
         }
     }
 
-    private void startCall(double longPollMs) {
-        delayedCallCount++;
+    private void startCall(double longPollMs, boolean prompted) {
+        delayedCall.cancel();
+        prompts.callStarts(prompted);
         times.callStarts();
         client.call(cursor.nextRequest(longPollMs));
     }
@@ -197,12 +189,11 @@
 
     /** Starts a call after a delay, unless one starts before; there is never more than one call to come. */
     private void startCallAfter(double delayMs) {
-        long delayedCall = ++delayedCallCount;
-        loop.schedule(delayMs, () -> {
-            if (delayedCall == delayedCallCount && !stopped) {
-                isCallPrompted = false;
+        delayedCall.schedule(delayMs, () -> {
+            if (!stopped) {
                 // The 6 s leave no room for a delay where discovery itself is polled, so the wait is shorter by it.
-                startCall(mode.longPollMs(limits.discovery()) - (mode == DeliveryMode.POLLED ? delayMs : 0));
+                double shorterMs = mode == DeliveryMode.POLLED ? delayMs : 0;
+                startCall(mode.longPollMs(limits.discovery()) - shorterMs, false);
             }
         });
     }
@@ -294,13 +285,12 @@
         health = Health.FAILING;
         if (mode == DeliveryMode.PUSHED_TO_AGENT) {
             startCallAfter(limits.discovery().agentRetryDelayMs());
-        } else if (isCallPrompted && promptsAwaited > 0) {
-            // A prompt that is still to come repeats this call too. Each notification leads to a prompt, so with one
-            // here
-            // every call that a reload started in an outage would lead to a series of calls of its own.
+        } else if (prompts.willRepeatLastCall()) {
+            // With a notification here, every call that a reload started in an outage would lead to a series of its
+            // own.
             return;
         } else {
-            promptsAwaited++;
+            prompts.failureReported();
         }
         listener.endpointsChanged(EndpointListKind.FAILED, List.of());
     }
