Only a catch-up that replaced a long poll is repeated at once, not a first call elsewhere

Change: the watch notes that a catch-up replaced a long poll with no failure before it, and forgets it at the next answer, failure or change of address.

The test of the catch-up passes, and failed before.

--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -43,6 +43,9 @@
     /** Whether the call in progress is the one for the initial list. */
     private boolean isInitialCall;
 
+    /** Whether the call in progress replaced a long poll in order to catch up, with no failure before it. */
+    private boolean isLongPollReplaced;
+
     private boolean stopped;
 
     /** What the last call showed. */
@@ -124,6 +127,7 @@
         cursor.requireCatchUp();
         if (client.isCallInProgress() && client.isLastRequestLongPoll()) {
             client.close();
+            isLongPollReplaced = health == Health.WATCHING;
         }
         callUnlessInProgress(false);
     }
@@ -162,6 +166,7 @@
     public void setDiscoveryAddress(InetSocketAddress to) {
         if (!to.equals(client.address())) {
             isInitialCall = false;
+            isLongPollReplaced = false;
             client.setAddress(to);
             cursor.requireFullList();
             callUnlessInProgress(false);
@@ -217,6 +222,7 @@
 
     private void apply(EndpointListUpdate update) {
         isInitialCall = false;
+        isLongPollReplaced = false;
         if (health != Health.WATCHING) {
             log.info("watching endpoint list from version " + update.version());
         }
@@ -252,6 +258,7 @@
     private void callFailed(CallFailure failure) {
         boolean isRepeated = mode == DeliveryMode.POLLED && !isInitialCall && isRepeatedAtOnce(failure);
         isInitialCall = false;
+        isLongPollReplaced = false;
         if (isRepeated) {
             reopen(failure);
         } else {
@@ -260,7 +267,7 @@
     }
 
     private boolean isRepeatedAtOnce(CallFailure failure) {
-        return repeats.permits(failure, client.isLastRequestLongPoll() || health == Health.WATCHING);
+        return repeats.permits(failure, client.isLastRequestLongPoll() || isLongPollReplaced);
     }
 
     /**
@@ -286,8 +293,7 @@
         if (mode == DeliveryMode.PUSHED_TO_AGENT) {
             startCallAfter(limits.discovery().agentRetryDelayMs());
         } else if (prompts.willRepeatLastCall()) {
-            // With a notification here, every call that a reload started in an outage would lead to a series of its
-            // own.
+            // With a notification here, each call that a reload started in an outage would lead to a series of calls.
             return;
         } else {
             prompts.failureReported();
