A process plays its own exchanges before it accepts clients, until they are in time

Cause: the code of a request is interpreted and unlinked in its first hundreds of times, so a request asks for five to seven times the processor that it asks for later, while neighbours that start take the processor too.

Evidence: processor time of the I/O thread, one request after the other, once each: first 18.5 ms, 2nd to 10th 3.1, 51st to 100th 1.5; now 4.8, 0.7 and 0.4. 200 clients with 160 ms each at a process that has just started, two processors shared with two busy processes: 58, 88, 58, 43, 58, 41 of 200 in time; now 178, 147, 179, 200, 200.

Change: Warmup plays bursts of exchanges between scripted clients, a frontend, core and decision module that are discarded, and scripted endpoints, in memory and in virtual time, on the main thread while the list is asked for. The node listens once five bursts in a row took 8 ms at most, or after 1.5 s. ConnectionLoop is what a frontend needs of XnioEventLoop, so that it runs on the loop in memory too.

Why it works: what the bursts run is compiled when the first client comes, and a process whose neighbours' starts leave it no processor waits until they do.

A lower compile threshold for socket packages and compiled reflection: no gain. Price: a start takes 590 to 670 ms of processor, 397 before.

--- a/node/src/main/java/tulipshed/cli/NodeStartup.java
+++ b/node/src/main/java/tulipshed/cli/NodeStartup.java
@@ -10,16 +10,18 @@
 import tulipshed.time.SystemWallClock;
 import tulipshed.transport.HotRestartState;
 import tulipshed.transport.XnioEventLoop;
+import tulipshed.warmup.Warmup;
 
 /**
  * Brings a node into service. The client listener opens only after discovery's current endpoint list has arrived: the
  * cached one may name endpoints that another process of the node, killed or still serving, was notified to leave. Where
- * discovery fails or is late, the node serves by the cached list.
+ * discovery fails or is late, the node serves by the cached list. Nor does it open before the {@link Warmup} has ended, so that
+ * the first clients do not wait for code that is not compiled yet.
  *
  * <p>Confined to the event-loop thread, but for {@link #start}, which blocks the thread that starts the node.
  */
 final class NodeStartup {
-    private static final double LIST_POLL_INTERVAL_MS = 25;
+    private static final double READINESS_POLL_INTERVAL_MS = 25;
 
     private final NodeOptions options;
     private final NodeConfig config;
@@ -28,6 +30,7 @@
     private final Logger log;
     private final CompletableFuture<NodeComponents> started = new CompletableFuture<>();
     private NodeComponents components;
+    private boolean isWarm;
 
     private NodeStartup(NodeOptions options, XnioEventLoop loop) {
         this.options = options;
@@ -50,9 +53,24 @@
         XnioEventLoop loop = new XnioEventLoop(options.limits(), options.hotRestart(), options.log());
         NodeStartup startup = new NodeStartup(options, loop);
         loop.execute(() -> startup.begin(quicConfig));
+        startup.warmUp();
         return startup.awaitStarted();
     }
 
+    /** Meanwhile discovery is asked; the node serves once both are done. */
+    private void warmUp() {
+        try {
+            boolean isInTime = new Warmup(config, options.limits(), options.clock()).run();
+            if (!isInTime) {
+                log.info("warm-up ended at its timeout");
+            }
+        } catch (RuntimeException | Error e) {
+            log.warn("warm-up failed: " + e);
+        } finally {
+            loop.execute(() -> isWarm = true);
+        }
+    }
+
     private NodeComponents awaitStarted() throws IOException {
         try {
             return started.get();
@@ -72,7 +90,7 @@
             // What another process of this node was notified of, serving or killed, binds this one too.
             components.watch().requestInitialList();
             components.watch().setPushed(!config.settings().polledDiscovery());
-            serveOnceListIsCurrent(
+            serveOnceReady(
                     options.clock().nowMs() + options.limits().discovery().startTimeoutMs());
         } catch (RuntimeException e) {
             started.completeExceptionally(e);
@@ -89,11 +107,11 @@
         }
     }
 
-    private void serveOnceListIsCurrent(double deadlineMs) {
-        if (isListCurrent() || options.clock().nowMs() >= deadlineMs) {
+    private void serveOnceReady(double deadlineMs) {
+        if (isWarm && (isListCurrent() || options.clock().nowMs() >= deadlineMs)) {
             serve();
         } else {
-            loop.schedule(LIST_POLL_INTERVAL_MS, () -> serveOnceListIsCurrent(deadlineMs));
+            loop.schedule(READINESS_POLL_INTERVAL_MS, () -> serveOnceReady(deadlineMs));
         }
     }
 
--- a/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
+++ b/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
@@ -6,6 +6,7 @@
 import org.jboss.logging.Logger;
 import org.xnio.StreamConnection;
 import tulipshed.limits.Limits;
+import tulipshed.transport.ConnectionLoop;
 import tulipshed.transport.TcpConnection;
 import tulipshed.transport.XnioEventLoop;
 
@@ -26,7 +27,7 @@
     private State state = State.DISCONNECTED;
 
     /** Null unless the state is {@code CONNECTING}. */
-    private XnioEventLoop.PendingConnection pendingConnection;
+    private ConnectionLoop.PendingConnection pendingConnection;
 
     /** Null in the states {@code DISCONNECTED} and {@code CONNECTING}. */
     private TcpConnection connection;
--- a/node/src/main/java/tulipshed/limits/Limits.java
+++ b/node/src/main/java/tulipshed/limits/Limits.java
@@ -13,7 +13,8 @@
         ManagementLimits management,
         QuicLimits quic,
         HealthCheckLimits healthChecks,
-        PeerLimits peers) {
+        PeerLimits peers,
+        WarmupLimits warmup) {
 
     /** The default limits of a node that may hold this many file descriptors. */
     public static Limits forDescriptors(int descriptors) {
@@ -26,28 +27,32 @@
                 ManagementLimits.defaults(),
                 QuicLimits.defaults(),
                 HealthCheckLimits.defaults(),
-                PeerLimits.defaults());
+                PeerLimits.defaults(),
+                WarmupLimits.defaults());
     }
 
     /** These limits with other ones for sockets. */
     public Limits with(SocketLimits changed) {
-        return new Limits(changed, lineProtocol, discovery, requests, shutdown, management, quic, healthChecks, peers);
+        return new Limits(
+                changed, lineProtocol, discovery, requests, shutdown, management, quic, healthChecks, peers, warmup);
     }
 
     /** These limits with other ones for the line protocol. */
     public Limits with(LineProtocolLimits changed) {
-        return new Limits(sockets, changed, discovery, requests, shutdown, management, quic, healthChecks, peers);
+        return new Limits(
+                sockets, changed, discovery, requests, shutdown, management, quic, healthChecks, peers, warmup);
     }
 
     /** These limits with other ones for discovery. */
     public Limits with(DiscoveryLimits changed) {
-        return new Limits(sockets, lineProtocol, changed, requests, shutdown, management, quic, healthChecks, peers);
+        return new Limits(
+                sockets, lineProtocol, changed, requests, shutdown, management, quic, healthChecks, peers, warmup);
     }
 
     /** These limits with other ones for QUIC. */
     public Limits with(QuicLimits changed) {
         return new Limits(
-                sockets, lineProtocol, discovery, requests, shutdown, management, changed, healthChecks, peers);
+                sockets, lineProtocol, discovery, requests, shutdown, management, changed, healthChecks, peers, warmup);
     }
 
     /** The descriptors that all connections together may hold when a client connection is accepted. */
@@ -63,6 +68,12 @@
         return Math.max(2, sockets.descriptors() - sockets.reservedDescriptors() / 2 - managementDescriptors());
     }
 
+    /** These limits with other ones for the warm-up. */
+    public Limits with(WarmupLimits changed) {
+        return new Limits(
+                sockets, lineProtocol, discovery, requests, shutdown, management, quic, healthChecks, peers, changed);
+    }
+
     private int managementDescriptors() {
         return 2 * management.connections();
     }
--- a/node/src/main/java/tulipshed/lineprotocol/FrontendContext.java
+++ b/node/src/main/java/tulipshed/lineprotocol/FrontendContext.java
@@ -5,8 +5,8 @@
 import tulipshed.limits.Limits;
 import tulipshed.proxy.ProxyCore;
 import tulipshed.time.Clock;
+import tulipshed.transport.ConnectionLoop;
 import tulipshed.transport.ProtocolErrorLog;
-import tulipshed.transport.XnioEventLoop;
 
 /**
  * What all connections of one frontend share.
@@ -20,7 +20,7 @@
 record FrontendContext(
         Clock clock,
         Limits limits,
-        XnioEventLoop eventLoop,
+        ConnectionLoop eventLoop,
         ProxyCore core,
         ByteBuffer readBuffer,
         ProtocolErrorLog clientErrors,
--- a/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/HealthCheckConnection.java
@@ -8,8 +8,8 @@
 import tulipshed.decision.api.Outcome;
 import tulipshed.proxy.Endpoint;
 import tulipshed.transport.ConnectFailures;
+import tulipshed.transport.ConnectionLoop;
 import tulipshed.transport.TcpConnection;
-import tulipshed.transport.XnioEventLoop;
 
 /**
  * The connection for the health checks of one endpoint; at most one check is in progress on it, and each is bounded in
@@ -22,7 +22,7 @@
     private final InetSocketAddress address;
     private final CrlfDecoder decoder;
     private final StreamReader.Receiver endpointInput = new EndpointInput();
-    private XnioEventLoop.PendingConnection pendingConnection;
+    private ConnectionLoop.PendingConnection pendingConnection;
     private TcpConnection connection;
     private boolean isChecking;
     private boolean isReused;
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -12,9 +12,9 @@
 import tulipshed.routing.AttributeDeclarations;
 import tulipshed.routing.RequestOrigin;
 import tulipshed.time.Clock;
+import tulipshed.transport.ConnectionLoop;
 import tulipshed.transport.ProtocolErrorLog;
 import tulipshed.transport.TcpConnection;
-import tulipshed.transport.XnioEventLoop;
 
 /**
  * The frontend of the platform's line protocol: accepts client connections, and holds what their sessions share. Confined
@@ -46,7 +46,7 @@
             Limits limits,
             NameIndex names,
             boolean loadReportsLatency,
-            XnioEventLoop eventLoop,
+            ConnectionLoop eventLoop,
             ProxyCore core,
             NodeLog log) {
         context = new FrontendContext(
--- a/node/src/main/java/tulipshed/lineprotocol/UpstreamDialer.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamDialer.java
@@ -5,7 +5,7 @@
 import tulipshed.decision.api.Outcome;
 import tulipshed.proxy.Attempt;
 import tulipshed.transport.ConnectFailures;
-import tulipshed.transport.XnioEventLoop;
+import tulipshed.transport.ConnectionLoop;
 
 /**
  * Makes the connection of one attempt, dialing again where this machine itself could not begin to connect. Confined to the
@@ -18,7 +18,7 @@
     private final UpstreamConnection upstream;
     private final Attempt attempt;
     private final RedialBackoff redialBackoff;
-    private XnioEventLoop.PendingConnection pendingConnection;
+    private ConnectionLoop.PendingConnection pendingConnection;
 
     /** A dialer that reports to {@code upstream} what becomes of its attempt. */
     UpstreamDialer(LineProtocolFrontend frontend, ClientSession client, UpstreamConnection upstream) {
--- a/node/src/main/java/tulipshed/transport/ConnectionAttempt.java
+++ b/node/src/main/java/tulipshed/transport/ConnectionAttempt.java
@@ -10,7 +10,7 @@
  * One attempt to open a TCP connection. It counts among the descriptors until it ends, which it does once: established,
  * failed, or either of these after it was abandoned. Confined to the event-loop thread.
  */
-final class ConnectionAttempt implements XnioEventLoop.PendingConnection {
+final class ConnectionAttempt implements ConnectionLoop.PendingConnection {
     private final DescriptorBudget descriptors;
     private final Consumer<StreamConnection> onEstablished;
     private final Consumer<IOException> onFailed;
--- a/node/src/main/java/tulipshed/transport/XnioEventLoop.java
+++ b/node/src/main/java/tulipshed/transport/XnioEventLoop.java
@@ -22,7 +22,6 @@
 import org.xnio.channels.MulticastMessageChannel;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
-import tulipshed.proxy.EventLoop;
 
 /**
  * The node's event loop: XNIO's one I/O thread, which runs the listeners of sockets that are ready and then the tasks that
@@ -31,7 +30,7 @@
  * <p>{@link #execute}, {@link #schedule} and {@link #stop} may be called on any thread, all else on the I/O thread once the
  * node runs.
  */
-public final class XnioEventLoop implements EventLoop {
+public final class XnioEventLoop implements ConnectionLoop {
     /** Held here, as the platform keeps only weak references to loggers and would forget their level. */
     private static final List<java.util.logging.Logger> LIBRARY_LOGGERS =
             List.of(java.util.logging.Logger.getLogger("org.xnio"), java.util.logging.Logger.getLogger("org.jboss"));
@@ -86,17 +85,17 @@
         }
     }
 
-    /** Whether a client's connection and its upstream connection stay within the descriptors allowed. */
+    @Override
     public boolean hasCapacityForClient() {
         return descriptors.hasCapacityForClient();
     }
 
-    /** Whether one more upstream connection stays within the descriptors allowed. */
+    @Override
     public boolean hasCapacityForUpstream() {
         return descriptors.hasCapacityForUpstream();
     }
 
-    /** What this process shares with the other one of its node during a hot restart. */
+    @Override
     public HotRestartState hotRestartState() {
         return hotRestartState;
     }
@@ -159,19 +158,13 @@
         worker.shutdownNow();
     }
 
-    /** Takes over a connection that is open; it counts among the descriptors until it is closed. */
+    @Override
     public TcpConnection register(StreamConnection connection, TcpConnection.Listener listener) {
         descriptors.opened();
         return new TcpConnection(connection, listener, descriptors::closed);
     }
 
-    /** A connection being opened. */
-    public interface PendingConnection {
-        /** Suppresses the notification of the result; a connection that is established all the same is closed. */
-        void abandon();
-    }
-
-    /** Opens a TCP connection; one of the two consumers is called, on the I/O thread, unless it is abandoned before. */
+    @Override
     public PendingConnection connect(
             InetSocketAddress to, Consumer<StreamConnection> onEstablished, Consumer<IOException> onFailed) {
         ConnectionAttempt attempt = new ConnectionAttempt(descriptors, onEstablished, onFailed);
--- /dev/null
+++ b/node/src/main/java/tulipshed/warmup/InMemoryConnection.java
@@ -0,0 +1,129 @@
+package tulipshed.warmup;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.xnio.ChannelListeners;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * A connection in memory between the node and a {@link RemoteEnd}. Readiness is notified as a task of the loop, for as long as
+ * there is something to read. Confined to the thread of the loop.
+ */
+final class InMemoryConnection extends StreamConnection {
+    private static final SocketAddress ADDRESS = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private final InMemoryEventLoop loop;
+    private final RemoteEnd remote;
+    private final ArrayDeque<ByteBuffer> input = new ArrayDeque<>();
+    private boolean isInputEnded;
+    private boolean isEndRead;
+    private boolean isReading;
+    private boolean isNotificationDue;
+    private boolean isOutputEnded;
+
+    InMemoryConnection(InMemoryEventLoop loop, RemoteEnd remote) {
+        super(null);
+        this.loop = loop;
+        this.remote = remote;
+        setSourceConduit(new InMemorySource(this));
+        setSinkConduit(new InMemorySink(this));
+    }
+
+    // ---- The remote end ----
+
+    /** Sends bytes to the node. */
+    void send(byte[] bytes) {
+        input.add(ByteBuffer.wrap(bytes));
+        notifyIfReadable();
+    }
+
+    /** Ends the sending to the node. */
+    void endSending() {
+        isInputEnded = true;
+        notifyIfReadable();
+    }
+
+    // ---- The node's end ----
+
+    /** Sets whether the node is notified of input. */
+    void setReading(boolean on) {
+        isReading = on;
+        notifyIfReadable();
+    }
+
+    /** Whether the node is notified of input. */
+    boolean isReading() {
+        return isReading;
+    }
+
+    /** Reads what one write of the remote end left; 0 if there is nothing now, -1 at the end of input. */
+    int read(ByteBuffer into) {
+        ByteBuffer next = input.peek();
+        if (next == null) {
+            isEndRead = isInputEnded;
+            return isInputEnded ? -1 : 0;
+        }
+        int bytes = Math.min(next.remaining(), into.remaining());
+        into.put(into.position(), next, next.position(), bytes).position(into.position() + bytes);
+        next.position(next.position() + bytes);
+        if (!next.hasRemaining()) {
+            input.poll();
+        }
+        return bytes;
+    }
+
+    /** Passes all bytes on to the remote end. */
+    int write(ByteBuffer bytes) {
+        int count = bytes.remaining();
+        remote.onBytes(this, bytes);
+        return count;
+    }
+
+    /** Ends the sending of the node. */
+    void endOutput() {
+        if (!isOutputEnded) {
+            isOutputEnded = true;
+            remote.onEnd(this);
+        }
+    }
+
+    @Override
+    protected void closeAction() {
+        isReading = false;
+        endOutput();
+    }
+
+    @Override
+    public SocketAddress getPeerAddress() {
+        return ADDRESS;
+    }
+
+    @Override
+    public SocketAddress getLocalAddress() {
+        return ADDRESS;
+    }
+
+    private void notifyIfReadable() {
+        if (isReadable() && !isNotificationDue) {
+            isNotificationDue = true;
+            loop.execute(this::notifyReadable);
+        }
+    }
+
+    private boolean isReadable() {
+        return isReading && (!input.isEmpty() || (isInputEnded && !isEndRead));
+    }
+
+    private void notifyReadable() {
+        isNotificationDue = false;
+        if (isReadable()) {
+            ConduitStreamSourceChannel source = getSourceChannel();
+            ChannelListeners.invokeChannelListener(source, source.getReadListener());
+            notifyIfReadable();
+        }
+    }
+}
--- a/node/src/test/java/tulipshed/cli/StartupListTest.java
+++ b/node/src/test/java/tulipshed/cli/StartupListTest.java
@@ -26,12 +26,14 @@
 import tulipshed.config.NodeConfig;
 import tulipshed.limits.DiscoveryLimits;
 import tulipshed.limits.Limits;
+import tulipshed.limits.WarmupLimits;
 import tulipshed.logging.NodeLog;
 import tulipshed.operators.OperatorsFile;
 import tulipshed.testing.NodeConfigFile;
+import tulipshed.time.Clock;
 import tulipshed.time.SystemClock;
 
-/** What a process that starts does before it has discovery's list. */
+/** What a process that starts does before it accepts clients. */
 class StartupListTest {
     private static final int REQUESTS = 5;
 
@@ -41,6 +43,10 @@
     private final ExecutorService executor = Executors.newSingleThreadExecutor();
 
     private Future<Node> start(int listenPort, int discoveryPort, int endpointPort) throws IOException {
+        return start(listenPort, discoveryPort, endpointPort, patientLimits());
+    }
+
+    private Future<Node> start(int listenPort, int discoveryPort, int endpointPort, Limits limits) throws IOException {
         Path file = NodeConfigFile.fromTemplate()
                 .listenPort(listenPort)
                 .endpointPort(endpointPort)
@@ -48,7 +54,7 @@
                 .writeTo(directory);
         NodeConfig config = NodeConfig.load(Map.of("PROXY_CONFIG", file.toString()));
         return executor.submit(() -> Node.start(NodeOptions.withoutHotRestart(
-                config, OperatorsFile.EMPTY, patientLimits(), new SystemClock(), NodeLog.silent())));
+                config, OperatorsFile.EMPTY, limits, new SystemClock(), NodeLog.silent())));
     }
 
     /** Limits by which a slow machine does not end the wait for the list. */
@@ -108,6 +114,20 @@
         }
     }
 
+    @Test
+    void processServesOnceItsWarmUpHasEnded() throws Exception {
+        double timeoutMs = 500;
+        Limits limits = patientLimits().with(new WarmupLimits(1, -1, 1, 0, timeoutMs));
+        Clock clock = new SystemClock();
+        try {
+            double startMs = clock.nowMs();
+            start(freeTcpPort(), freeTcpPort(), freeTcpPort(), limits).get(10, TimeUnit.SECONDS);
+            assertTrue(clock.nowMs() - startMs >= timeoutMs);
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
     private static void respond(Socket call, int servingPort) throws IOException {
         String list = "{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"s-2\",\"addr\":\"127.0.0.1:" + servingPort
                 + "\",\"state\":\"SERVING\"}]}";
