Discovery that answers every call late is heard: response timeouts adapt

Cause: a call was given up 1.5 s (agent: 0.5 s) after its wait, whatever had come of the calls before, so that where responses always came later no list was ever heard. The same held for the first call to another address and for an agent.

Change: ResponseTimeouts lengthens the timeout after a call without a wait that gets no response (2 s, then 3 s) and after a late response (1.25 times its lateness), and sets it back after one in time. A long poll waits by as much shorter, so silence is noticed after 4.0 s as before. Two log lines say when it changes.

--- a/node/src/main/java/tulipshed/discovery/CallFailure.java
+++ b/node/src/main/java/tulipshed/discovery/CallFailure.java
@@ -17,17 +17,18 @@
     static final CallFailure CONNECTION_LOST = new CallFailure(Reason.CONNECTION_LOST, "connection lost");
 
     /** No byte of the response arrived within its timeout. */
-    static final CallFailure NO_RESPONSE = new CallFailure(Reason.RESPONSE_TIMEOUT, "no response in time");
+    static final CallFailure NO_RESPONSE = new CallFailure(Reason.NO_RESPONSE, "no response in time");
 
     /** The response started, but was not complete within its timeout. */
-    static final CallFailure INCOMPLETE_RESPONSE = new CallFailure(Reason.RESPONSE_TIMEOUT, "incomplete response");
+    static final CallFailure INCOMPLETE_RESPONSE = new CallFailure(Reason.INCOMPLETE_RESPONSE, "incomplete response");
 
     /** Categories of failures. */
     enum Reason {
         CONNECT_TIMEOUT,
         CONNECT_FAILED,
         CONNECTION_LOST,
-        RESPONSE_TIMEOUT,
+        NO_RESPONSE,
+        INCOMPLETE_RESPONSE,
         ERROR_STATUS,
         MALFORMED_RESPONSE,
         MALFORMED_LIST
@@ -55,6 +56,11 @@
 
     /** Whether the response did not begin or was not complete within its timeout. */
     boolean isResponseTimeout() {
-        return reason == Reason.RESPONSE_TIMEOUT;
+        return isResponseMissing() || reason == Reason.INCOMPLETE_RESPONSE;
+    }
+
+    /** Whether the response did not begin within its timeout. */
+    boolean isResponseMissing() {
+        return reason == Reason.NO_RESPONSE;
     }
 }
--- a/node/src/main/java/tulipshed/discovery/CallTimes.java
+++ b/node/src/main/java/tulipshed/discovery/CallTimes.java
@@ -9,6 +9,7 @@
 final class CallTimes {
     private final Clock clock;
     private double callStartedMs;
+    private double requestedWaitMs;
 
     /** Time at which the last list arrived or the initial list was requested; NaN before that. */
     private double lastListMs = Double.NaN;
@@ -17,9 +18,15 @@
         this.clock = clock;
     }
 
-    /** Records the start of a call. */
-    void callStarted() {
+    /** Records the start of a call that asks discovery to wait up to {@code waitMs} milliseconds for changes. */
+    void callStarted(double waitMs) {
         callStartedMs = clock.nowMs();
+        requestedWaitMs = waitMs;
+    }
+
+    /** Requested wait of the last call, in milliseconds. */
+    double requestedWaitMs() {
+        return requestedWaitMs;
     }
 
     /** Restarts the time since the last list; called when a list arrives or the initial list is requested. */
--- a/node/src/main/java/tulipshed/discovery/DeliveryMode.java
+++ b/node/src/main/java/tulipshed/discovery/DeliveryMode.java
@@ -17,8 +17,16 @@
         return this == PUSHED_TO_AGENT ? limits.agentWaitMs() : limits.watchWaitMs();
     }
 
-    /** Longest time that the first byte of the response may take beyond the requested wait, in milliseconds. */
+    /**
+     * Longest time that the first byte of the response may take beyond the requested wait while the server responds in
+     * time, in milliseconds.
+     */
     double responseTimeoutMs(DiscoveryLimits limits) {
         return this == PUSHED_TO_AGENT ? limits.agentTimeoutMs() : limits.watchTimeoutMs();
     }
+
+    /** Longest timeout for a server that responds late, in milliseconds. */
+    double maxResponseTimeoutMs(DiscoveryLimits limits) {
+        return this == PUSHED_TO_AGENT ? limits.lateResponseTimeoutMs() : limits.maxWatchTimeoutMs();
+    }
 }
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -25,7 +25,8 @@
  * itself is not reported while a request of the decision module is expected that will retry the call. An agent is
  * called again after {@code agentRetryDelayMs} in any case. After a failure, the wait of a call becomes shorter as the
  * time since the last list grows. So a change is known within 6 s even if the response to a long poll and the response
- * to its retry are both late; after other consecutive failures it may take longer. Confined to the event-loop thread.
+ * to its retry are both late; after other consecutive failures it may take longer. The
+ * timeouts of calls adapt to a server that responds late ({@link ResponseTimeouts}). Confined to the event-loop thread.
  */
 public final class EndpointWatch implements EndpointListSource {
     private static final String LOG_SUBJECT = "discovery";
@@ -40,6 +41,7 @@
     private final DelayedCall delayedCall;
     private final EndpointStartTimes startTimes;
     private final CallTimes times;
+    private final ResponseTimeouts timeouts;
     private DeliveryMode mode = DeliveryMode.POLLED;
     private Health health = Health.UNCONFIRMED;
 
@@ -49,6 +51,9 @@
     /** Whether the call in progress is a catch-up that replaced a long poll of a watch without failures. */
     private boolean replacedLongPoll;
 
+    /** Whether the call in progress is the first to another address of discovery. */
+    private boolean isFirstCallToAddress;
+
     private boolean stopped;
 
     /** Result of the last call. */
@@ -90,6 +95,7 @@
         this.log = log.logger(LOG_SUBJECT);
         startTimes = new EndpointStartTimes(clock);
         times = new CallTimes(clock);
+        timeouts = new ResponseTimeouts(limits.discovery(), this.log);
         client = calls.apply(new CallListener());
     }
 
@@ -170,6 +176,7 @@
         if (!newAddress.equals(client.address())) {
             isInitialCall = false;
             replacedLongPoll = false;
+            isFirstCallToAddress = true;
             client.setAddress(newAddress);
             cursor.requireFullList();
             callUnlessInProgress(false);
@@ -185,8 +192,9 @@
     private void startCall(double longPollMs, boolean requested) {
         delayedCall.cancel();
         watchRequests.callStarted(requested);
-        times.callStarted();
-        client.call(cursor.nextRequest(longPollMs));
+        ListRequest request = cursor.nextRequest(longPollMs);
+        times.callStarted(request.waitMs());
+        client.call(request);
     }
 
     /**
@@ -194,7 +202,7 @@
      * list grows.
      */
     private double longPollMs() {
-        double waitMs = mode.longPollMs(limits.discovery());
+        double waitMs = timeouts.longPollMs(mode);
         return mode == DeliveryMode.POLLED && health != Health.WATCHING ? times.remainingMs(waitMs) : waitMs;
     }
 
@@ -205,7 +213,7 @@
                 // If discovery itself is polled, the 6 s limit leaves no time for a delay, so the wait is reduced by
                 // it.
                 double reductionMs = mode == DeliveryMode.POLLED ? delayMs : 0;
-                startCall(mode.longPollMs(limits.discovery()) - reductionMs, false);
+                startCall(Math.max(0, timeouts.longPollMs(mode) - reductionMs), false);
             }
         });
     }
@@ -228,8 +236,7 @@
     }
 
     private void apply(EndpointListUpdate update) {
-        isInitialCall = false;
-        replacedLongPoll = false;
+        callEnded();
         if (health != Health.WATCHING) {
             log.info("watching endpoint list from version " + update.version());
         }
@@ -237,6 +244,8 @@
         times.restartListTimer();
         retries.reset();
         boolean nothingChanged = update.entries().isEmpty() || update.version() == cursor.version();
+        boolean mayHaveEndedWait = update.version() != cursor.version();
+        timeouts.responseReceived(mode, times.requestedWaitMs(), times.callDurationMs(), mayHaveEndedWait);
         if (log.isTraceEnabled()) {
             log.trace(update.traceText());
         }
@@ -249,6 +258,12 @@
         }
     }
 
+    private void callEnded() {
+        isInitialCall = false;
+        isFirstCallToAddress = false;
+        replacedLongPoll = false;
+    }
+
     /**
      * Whether the response to a long poll arrived sooner than the poll interval. Agents, and a discovery that cannot
      * hold calls, may respond at once although nothing has changed.
@@ -263,9 +278,12 @@
     }
 
     private void callFailed(CallFailure failure) {
+        if (failure.isResponseMissing()) {
+            timeouts.responseMissed(mode, client.isLastRequestLongPoll());
+            cursor.requireCatchUp();
+        }
         boolean isRetried = mode == DeliveryMode.POLLED && !isInitialCall && isRetriedAtOnce(failure);
-        isInitialCall = false;
-        replacedLongPoll = false;
+        callEnded();
         if (isRetried) {
             retryAtOnce(failure);
         } else {
@@ -323,7 +341,11 @@
 
         @Override
         public double responseTimeoutMs() {
-            return isInitialCall ? limits.discovery().startTimeoutMs() : mode.responseTimeoutMs(limits.discovery());
+            if (isInitialCall) {
+                return limits.discovery().startTimeoutMs();
+            }
+            // The list of another address has to be known soon after the reload, so its first response may be late.
+            return isFirstCallToAddress ? timeouts.lateTimeoutMs(mode) : timeouts.timeoutMs(mode);
         }
     }
 }
--- a/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
+++ b/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
@@ -10,6 +10,10 @@
  * @param watchTimeoutMs the time after that wait at which a missing response counts as a failure; the failure and the
  *     next request must fit into 6 s, in which a node must receive a change of the list after any failed request
  *     (see EndpointWatchTimeoutTest)
+ * @param lateResponseTimeoutMs the time after its wait by which a late response may begin: the timeout after a call without
+ *     a response, and the longest one of an agent
+ * @param maxWatchTimeoutMs the longest timeout for the start of a response of a service that responds late; two late
+ *     responses in a row must fit into 6 s
  * @param responseTimeoutMs the timeout for the rest of a response after its first byte
  * @param agentWaitMs how long an agent, which receives lists by push, holds a request; the agent runs on the
  *     node's machine, so the requests cost nothing, and a short wait detects an unresponsive agent early
@@ -25,6 +29,8 @@
         double connectTimeoutMs,
         double watchWaitMs,
         double watchTimeoutMs,
+        double lateResponseTimeoutMs,
+        double maxWatchTimeoutMs,
         double responseTimeoutMs,
         double agentWaitMs,
         double agentTimeoutMs,
@@ -42,6 +48,8 @@
                 /* connectTimeoutMs= */ 500,
                 /* watchWaitMs= */ 2_500,
                 /* watchTimeoutMs= */ 1_500,
+                /* lateResponseTimeoutMs= */ 2_000,
+                /* maxWatchTimeoutMs= */ 3_000,
                 /* responseTimeoutMs= */ 1_000,
                 /* agentWaitMs= */ 1_000,
                 /* agentTimeoutMs= */ 500,
--- a/node/src/test/java/tulipshed/cli/StartupListTest.java
+++ b/node/src/test/java/tulipshed/cli/StartupListTest.java
@@ -69,8 +69,10 @@
                 defaults.watchWaitMs(),
                 longTimeoutMs,
                 longTimeoutMs,
+                longTimeoutMs,
                 defaults.agentWaitMs(),
                 longTimeoutMs,
+                longTimeoutMs,
                 defaults.agentRetryDelayMs(),
                 defaults.agentPollIntervalMs(),
                 longTimeoutMs));
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchFixture.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchFixture.java
@@ -149,6 +149,8 @@
                         connectTimeoutMs,
                         watchWaitMs,
                         watchTimeoutMs,
+                        2 * watchTimeoutMs,
+                        2 * watchTimeoutMs,
                         responseTimeoutMs,
                         DEFAULTS.agentWaitMs(),
                         DEFAULTS.agentTimeoutMs(),
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchSweepTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchSweepTest.java
@@ -7,8 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import tulipshed.decision.api.EndpointListKind;
 import tulipshed.limits.Limits;
 import tulipshed.logging.NodeLog;
@@ -22,12 +25,19 @@
     private static final double RUN_MS = 90_000;
     private static final double MEAN_CHANGE_INTERVAL_MS = 1500;
     private static final double ALLOWED_MS = 6000;
+    private static final double ALLOWED_AFTER_RELOAD_MS = 4000;
+    private static final double RELOAD_MS = 8000;
 
     /** Pauses of the decision module after a failure, which DiscoveryPollingTest checks. */
     private static final double MIN_PAUSE_MS = 650;
 
     private static final double MAX_PAUSE_MS = 1950;
     private static final double MAX_FIRST_POLL_MS = 4000;
+
+    /** Time after its wait by which a response may be late, less the latency of the call. */
+    private static final double MAX_LATENESS_MS = 1960;
+
+    private static final InetSocketAddress OTHER_ADDRESS = InetSocketAddress.createUnresolved("discovery", 2);
     private static final Limits LIMITS = Limits.forDescriptors(1024);
 
     /** A node process with its watch, which records when it knew of each version. */
@@ -46,27 +56,65 @@
                     discovery::notifying, LIMITS, loop, (kind, entries) -> received(kind), loop, NodeLog.silent());
         }
 
-        /** An update contains all changes up to now, as the content of a response is read when it is sent. */
         private void received(EndpointListKind kind) {
             if (kind == EndpointListKind.FAILED) {
                 double pauseMs = MIN_PAUSE_MS + random.nextDouble() * (MAX_PAUSE_MS - MIN_PAUSE_MS);
                 loop.schedule(pauseMs, watch::watch);
                 return;
             }
-            while (knownAtMs.size() < discovery.changesMs().size()) {
+            while (knownAtMs.size() < discovery.respondedVersion()) {
                 knownAtMs.add(loop.nowMs());
             }
             lastListMs = loop.nowMs();
         }
 
-        private void simulate() {
+        private void simulateFaults() {
+            simulate(false, () -> {
+                scheduleOutages();
+                scheduleRestarts();
+                scheduleReloads();
+            });
+        }
+
+        private void simulateResponsesThatBecomeLate(boolean pushed) {
+            simulate(pushed, () -> respondLateFrom(RUN_MS / 2 * random.nextDouble()));
+        }
+
+        private void simulateLateResponsesAndRestarts(boolean pushed) {
+            simulate(pushed, () -> {
+                respondLateFrom(0);
+                scheduleRestarts();
+            });
+        }
+
+        private void simulateResponsesThatBecomeLateDuringReloads() {
+            simulate(false, () -> {
+                respondLateFrom(RUN_MS / 2 * random.nextDouble());
+                scheduleRestarts();
+                scheduleReloads();
+            });
+        }
+
+        private void simulateReloadToSlowDiscovery(boolean pushed) {
+            respondLateFrom(RELOAD_MS);
+            discovery.changeAt(RELOAD_MS);
+            loop.schedule(RELOAD_MS, () -> watch.setDiscoveryAddress(OTHER_ADDRESS));
+            watch.setPushed(pushed);
+            watch.watch();
+            loop.runUntil(RUN_MS);
+        }
+
+        private void respondLateFrom(double fromMs) {
+            discovery.respondLate(fromMs, MAX_LATENESS_MS * random.nextDouble(), random.nextBoolean());
+        }
+
+        private void simulate(boolean pushed, Runnable disruptions) {
             for (double atMs = 0; atMs < RUN_MS; atMs += 2 * MEAN_CHANGE_INTERVAL_MS * random.nextDouble()) {
                 discovery.changeAt(atMs);
             }
-            scheduleOutages();
-            scheduleRestartsAndReloads();
+            disruptions.run();
             watch.requestInitialList();
-            watch.setPushed(false);
+            watch.setPushed(pushed);
             loop.schedule(MAX_FIRST_POLL_MS * random.nextDouble(), watch::watch);
             loop.runUntil(RUN_MS);
         }
@@ -80,14 +128,15 @@
             }
         }
 
-        /**
-         * Schedules calls to catch up with a newer list of the other process of a hot restart, and reloads that change
-         * the address of discovery.
-         */
-        private void scheduleRestartsAndReloads() {
+        /** Schedules calls to catch up with a newer list of the other process of a hot restart. */
+        private void scheduleRestarts() {
             for (int i = 0; i < random.nextInt(4); i++) {
                 loop.schedule(RUN_MS * random.nextDouble(), watch::catchUp);
             }
+        }
+
+        /** Schedules reloads that change the address of discovery. */
+        private void scheduleReloads() {
             for (int i = 0; i < random.nextInt(3); i++) {
                 InetSocketAddress other = InetSocketAddress.createUnresolved("discovery", 2 + i);
                 loop.schedule(RUN_MS * random.nextDouble(), () -> watch.setDiscoveryAddress(other));
@@ -111,10 +160,14 @@
     }
 
     private static void assertKnownInTime(List<FaultyDiscovery.Fault> faults) {
+        assertKnownInTime(faults, WatchingNode::simulateFaults);
+    }
+
+    private static void assertKnownInTime(List<FaultyDiscovery.Fault> faults, Consumer<WatchingNode> simulation) {
         List<String> lateChanges = new ArrayList<>();
         for (long seed = 1; seed <= RUNS; seed++) {
             WatchingNode node = new WatchingNode(seed, faults);
-            node.simulate();
+            simulation.accept(node);
             assertTrue(node.lastListMs > 0, "a run without a list checks nothing");
             lateChanges.addAll(node.lateChange(seed));
         }
@@ -130,6 +183,65 @@
         assertKnownInTime(List.of(FaultyDiscovery.Fault.REFUSED, FaultyDiscovery.Fault.SLOW));
     }
 
+    /**
+     * Regression: each call was given up after a fixed time, so a drain was never known while discovery, or the agent,
+     * responded to every call later than that.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void changesAreKnownInTimeThoughResponsesBecomeLate(boolean pushed) {
+        assertKnownInTime(List.of(), node -> node.simulateResponsesThatBecomeLate(pushed));
+    }
+
+    /** Regression: as above, for a process that starts while discovery is slow, and during hot restarts. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void changesAreKnownInTimeThoughAllResponsesAreLate(boolean pushed) {
+        assertKnownInTime(List.of(), node -> node.simulateLateResponsesAndRestarts(pushed));
+    }
+
+    /** Regression: as above, if another address of discovery responds late from the reload on. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void listOfAnotherAddressIsKnownInTimeThoughItRespondsLate(boolean pushed) {
+        for (long seed = 1; seed <= RUNS; seed++) {
+            WatchingNode node = new WatchingNode(seed, List.of());
+            node.simulateReloadToSlowDiscovery(pushed);
+            double knownMs = node.knownAtMs.isEmpty() ? Double.POSITIVE_INFINITY : node.knownAtMs.get(0);
+            assertTrue(knownMs <= RELOAD_MS + ALLOWED_AFTER_RELOAD_MS, "seed " + seed + ", known at " + knownMs);
+        }
+    }
+
+    /** A reload or hot restart within seconds after discovery has become slow abandons a call whose response is due. */
+    @Test
+    @Tag("known-red")
+    void changesAreKnownInTimeThoughResponsesBecomeLateDuringReloads() {
+        assertKnownInTime(List.of(), WatchingNode::simulateResponsesThatBecomeLateDuringReloads);
+    }
+
+    /** A slow discovery may be overloaded, so it must not be called more often than one that responds in time. */
+    @Test
+    void lateResponsesLeadToNoMoreCalls() {
+        for (double lateMs = 0; lateMs <= MAX_LATENESS_MS; lateMs += MAX_LATENESS_MS / 20) {
+            long callsInTime = 0;
+            long callsWhileLate = 0;
+            for (long seed = 1; seed <= RUNS / 100; seed++) {
+                callsInTime += callsWithoutChanges(seed, 0);
+                callsWhileLate += callsWithoutChanges(seed, lateMs);
+            }
+            assertTrue(
+                    callsWhileLate <= callsInTime, callsWhileLate + " calls for " + callsInTime + ", late " + lateMs);
+        }
+    }
+
+    private static long callsWithoutChanges(long seed, double lateMs) {
+        WatchingNode node = new WatchingNode(seed, List.of());
+        node.discovery.respondLate(0, lateMs, true);
+        node.watch.watch();
+        node.loop.runUntil(RUN_MS);
+        return node.discovery.callCount();
+    }
+
     /** Two failed calls in a row, of any kind and with a pause after each, can take more than 6 s. */
     @Test
     @Tag("known-red")
--- a/node/src/test/java/tulipshed/discovery/FaultyDiscovery.java
+++ b/node/src/test/java/tulipshed/discovery/FaultyDiscovery.java
@@ -32,6 +32,16 @@
     private final List<Outage> outages = new ArrayList<>();
     private final List<String> history = new ArrayList<>();
     private Listener listener;
+
+    /** Time from which each response is late, in milliseconds. */
+    private double lateFromMs = Double.POSITIVE_INFINITY;
+
+    private double latenessMs;
+
+    /** Whether a late response holds the list as it was when it should have been sent, and not when it is sent. */
+    private boolean isReadWhenDue;
+
+    private int respondedVersion;
     private InetSocketAddress address = InetSocketAddress.createUnresolved("discovery", 1);
     private ListRequest request;
     private boolean inProgress;
@@ -101,6 +111,23 @@
         });
     }
 
+    /** Makes each response from {@code fromMs} on late by {@code lateMs} milliseconds. */
+    void respondLate(double fromMs, double lateMs, boolean readWhenDue) {
+        lateFromMs = fromMs;
+        latenessMs = lateMs;
+        isReadWhenDue = readWhenDue;
+    }
+
+    /** Number of calls so far. */
+    long callCount() {
+        return callCount;
+    }
+
+    /** Version of the list in the last response. */
+    int respondedVersion() {
+        return respondedVersion;
+    }
+
     /**
      * Returns the time by which a node must know of a change, in milliseconds: {@code allowedMs} after discovery had
      * the change and was reachable.
@@ -134,11 +161,14 @@
     @Override
     public void call(ListRequest newRequest) {
         request = newRequest;
+        history.add(String.format("%.0f %s", loop.nowMs(), request.target().replace("/discovery/hosts", "call")));
         inProgress = true;
         onChange = null;
         long call = ++callCount;
         Outage outage = currentOutage();
-        boolean faulty = consecutiveFaults < MAX_CONSECUTIVE_FAULTS && random.nextDouble() < FAULT_PROBABILITY;
+        boolean faulty = !allowedFaults.isEmpty()
+                && consecutiveFaults < MAX_CONSECUTIVE_FAULTS
+                && random.nextDouble() < FAULT_PROBABILITY;
         if (outage != null && outage.isHanging()) {
             scheduleForCall(call, limits.connectTimeoutMs(), () -> fail(CallFailure.CONNECT_TIMEOUT));
         } else if (outage != null) {
@@ -148,10 +178,23 @@
             startFaultyCall(call, allowedFaults.get(random.nextInt(allowedFaults.size())));
         } else {
             consecutiveFaults = 0;
-            scheduleForCall(call, latencyMs(), () -> awaitChange(call, this::respond));
+            scheduleForCall(call, latencyMs(), () -> awaitChange(call, () -> respondOrDelay(call)));
+            if (lateFromMs < Double.POSITIVE_INFINITY) {
+                scheduleForCall(
+                        call, request.waitMs() + listener.responseTimeoutMs(), () -> fail(CallFailure.NO_RESPONSE));
+            }
         }
     }
 
+    private void respondOrDelay(long call) {
+        if (loop.nowMs() < lateFromMs) {
+            respond();
+            return;
+        }
+        int dueVersion = changesMs.size();
+        scheduleForCall(call, latenessMs, () -> respond(isReadWhenDue ? dueVersion : changesMs.size()));
+    }
+
     private void startFaultyCall(long call, Fault fault) {
         history.add(String.format("%.0f %s", loop.nowMs(), fault));
         switch (fault) {
@@ -203,10 +246,14 @@
     }
 
     private void respond() {
+        respond(changesMs.size());
+    }
+
+    private void respond(int version) {
+        respondedVersion = version;
         complete(
                 OK,
-                "{\"version\":" + changesMs.size() + ",\"full\":"
-                        + !request.target().contains("index=") + ",\"servers\":[]}");
+                "{\"version\":" + version + ",\"full\":" + !request.target().contains("index=") + ",\"servers\":[]}");
     }
 
     private double latencyMs() {
