Connect and body timeouts of discovery calls adapt to a slow discovery too

A discovery whose connections come up later than 0.5 s (as with a full accept queue, where the platform asks again after 1 s), or whose responses take longer than 1 s to arrive after their first byte, was never heard while that lasted.

Cause: the same as of the late responses, a timeout that stays as it is however often it expires. An agent was also asked with a wait again after an incomplete response, which is no evidence of a slow server.

Change: AdaptiveTimeout for both steps in DiscoveryClient, up to 1.25 s and 2 s. An incomplete response to a long poll lengthens nothing, so that it and two retries fit into 6 s.

Measured: the two new tests in EndpointWatchTimeoutTest fail without the growth and pass with it (60 other tests of discovery and pages pass).

--- a/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
+++ b/node/src/main/java/tulipshed/discovery/DiscoveryClient.java
@@ -6,6 +6,7 @@
 import org.jboss.logging.Logger;
 import org.xnio.StreamConnection;
 import tulipshed.limits.Limits;
+import tulipshed.time.Clock;
 import tulipshed.transport.ConnectionLoop;
 import tulipshed.transport.TcpConnection;
 import tulipshed.transport.XnioEventLoop;
@@ -13,9 +14,9 @@
 /**
  * HTTP client of discovery that makes one call at a time, over a connection that stays open between calls.
  *
- * <p>Each step of a call (connect, first byte of the response, rest of the response) has a deadline of its own. A call
- * ends with exactly one notification of the listener, or with none if {@link #close} or {@link #setAddress} abandons
- * it. Confined to the event-loop thread.
+ * <p>Each step of a call (connect, first byte of the response, rest of the response) has a deadline of its own, which
+ * adapts to a slow server. A call ends with exactly one notification of the listener, or with none if {@link #close} or
+ * {@link #setAddress} abandons it. Confined to the event-loop thread.
  */
 final class DiscoveryClient implements DiscoveryCalls, TcpConnection.Listener {
     private final Limits limits;
@@ -23,6 +24,12 @@
     private final Listener listener;
     private final Logger log;
     private final ByteBuffer readBuffer;
+    private final Clock clock;
+    private final AdaptiveTimeout connectTimeout;
+
+    /** Timeout for the rest of a response after its first byte. */
+    private final AdaptiveTimeout responseTimeout;
+
     private InetSocketAddress address;
     private State state = State.DISCONNECTED;
 
@@ -38,6 +45,9 @@
     /** Parses the response to the last call; null before the first. */
     private HttpResponseParser parser;
 
+    /** Time at which the deadline of the current step was set. */
+    private double stepStartedMs;
+
     /** Number of the last deadline set; earlier ones are ignored when they expire. */
     private long deadlineCount;
 
@@ -52,13 +62,21 @@
     }
 
     /** Creates a client that is not connected yet. */
-    DiscoveryClient(InetSocketAddress address, Limits limits, XnioEventLoop loop, Logger log, Listener listener) {
+    DiscoveryClient(
+            InetSocketAddress address, Limits limits, XnioEventLoop loop, Clock clock, Logger log, Listener listener) {
         this.address = address;
         this.limits = limits;
         this.loop = loop;
+        this.clock = clock;
         this.log = log;
         this.listener = listener;
         readBuffer = ByteBuffer.allocate(limits.sockets().readBytes());
+        double connectMs = limits.discovery().connectTimeoutMs();
+        double maxConnectMs = limits.discovery().maxConnectTimeoutMs();
+        connectTimeout = new AdaptiveTimeout(connectMs, maxConnectMs, maxConnectMs);
+        double responseMs = limits.discovery().responseTimeoutMs();
+        double maxResponseMs = limits.discovery().maxResponseTimeoutMs();
+        responseTimeout = new AdaptiveTimeout(responseMs, maxResponseMs, maxResponseMs);
     }
 
     @Override
@@ -115,13 +133,14 @@
 
     private void connect() {
         state = State.CONNECTING;
-        setDeadline(limits.discovery().connectTimeoutMs(), CallFailure.CONNECT_TIMEOUT);
+        setDeadline(connectTimeout.currentMs(), CallFailure.CONNECT_TIMEOUT);
         pendingConnection =
                 loop.connect(address, this::connectionOpened, cause -> failCall(CallFailure.connectFailed(cause)));
     }
 
     private void connectionOpened(StreamConnection established) {
         log.trace("connected");
+        connectTimeout.completed(stepDurationMs());
         pendingConnection = null;
         connection = loop.register(established, this);
         connection.setReading(true);
@@ -140,13 +159,31 @@
     /** Sets the deadline for the next step of the call in progress, in place of the previous deadline. */
     private void setDeadline(double ms, CallFailure failure) {
         long deadline = ++deadlineCount;
+        stepStartedMs = clock.nowMs();
         loop.schedule(ms, () -> {
-            if (deadline == deadlineCount) {
+            if (deadline == deadlineCount && isCallInProgress()) {
+                stepExpired();
                 failCall(failure);
             }
         });
     }
 
+    /**
+     * Lengthens the timeout of a step that expired. An incomplete response to a long poll leaves it as it is, so that
+     * the call and its retries fit into the time within which a change has to be known.
+     */
+    private void stepExpired() {
+        if (state == State.CONNECTING) {
+            connectTimeout.expired();
+        } else if (state == State.READING_RESPONSE && !request.isLongPoll()) {
+            responseTimeout.expired();
+        }
+    }
+
+    private double stepDurationMs() {
+        return clock.nowMs() - stepStartedMs;
+    }
+
     private void failCall(CallFailure failure) {
         if (isCallInProgress()) {
             log.tracef("call fails in state %s: %s", state, failure.logText());
@@ -185,7 +222,7 @@
         if (state == State.AWAITING_RESPONSE) {
             log.tracef("response begins, %d bytes", bytes.remaining());
             state = State.READING_RESPONSE;
-            setDeadline(limits.discovery().responseTimeoutMs(), CallFailure.INCOMPLETE_RESPONSE);
+            setDeadline(responseTimeout.currentMs(), CallFailure.INCOMPLETE_RESPONSE);
         }
         boolean complete;
         try {
@@ -200,6 +237,7 @@
     }
 
     private void completeCall(boolean keepConnection) {
+        responseTimeout.completed(stepDurationMs());
         if (keepConnection) {
             state = State.IDLE;
         } else {
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -73,7 +73,7 @@
     public EndpointWatch(
             InetSocketAddress discovery, Limits limits, XnioEventLoop loop, ProxyCore core, Clock clock, NodeLog log) {
         this(
-                listener -> new DiscoveryClient(discovery, limits, loop, log.logger(LOG_SUBJECT), listener),
+                listener -> new DiscoveryClient(discovery, limits, loop, clock, log.logger(LOG_SUBJECT), listener),
                 limits,
                 loop,
                 core::endpointsChanged,
@@ -280,6 +280,8 @@
     private void callFailed(CallFailure failure) {
         if (failure.isResponseMissing()) {
             timeouts.responseMissed(mode, client.isLastRequestLongPoll());
+        }
+        if (failure.isResponseTimeout()) {
             cursor.requireCatchUp();
         }
         boolean isRetried = mode == DeliveryMode.POLLED && !isInitialCall && isRetriedAtOnce(failure);
--- a/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
+++ b/node/src/main/java/tulipshed/limits/DiscoveryLimits.java
@@ -6,6 +6,8 @@
  * @param maxHeadBytes the maximum length of a response head
  * @param maxBodyBytes the maximum length of a response body
  * @param connectTimeoutMs the timeout for establishing a connection
+ * @param maxConnectTimeoutMs the longest timeout for a service that accepts connections late; long enough for the
+ *     platform to send its request for a connection again after 1 s
  * @param watchWaitMs how long the service holds a watch request (long poll) until the list changes
  * @param watchTimeoutMs the time after that wait at which a missing response counts as a failure; the failure and the
  *     next request must fit into 6 s, in which a node must receive a change of the list after any failed request
@@ -15,6 +17,7 @@
  * @param maxWatchTimeoutMs the longest timeout for the start of a response of a service that responds late; two late
  *     responses in a row must fit into 6 s
  * @param responseTimeoutMs the timeout for the rest of a response after its first byte
+ * @param maxResponseTimeoutMs the longest such timeout for a service whose responses take long to arrive
  * @param agentWaitMs how long an agent, which receives lists by push, holds a request; the agent runs on the
  *     node's machine, so the requests cost nothing, and a short wait detects an unresponsive agent early
  * @param agentTimeoutMs the time after that wait at which a missing response of an agent counts as a failure
@@ -27,11 +30,13 @@
         int maxHeadBytes,
         int maxBodyBytes,
         double connectTimeoutMs,
+        double maxConnectTimeoutMs,
         double watchWaitMs,
         double watchTimeoutMs,
         double lateResponseTimeoutMs,
         double maxWatchTimeoutMs,
         double responseTimeoutMs,
+        double maxResponseTimeoutMs,
         double agentWaitMs,
         double agentTimeoutMs,
         double agentRetryDelayMs,
@@ -46,11 +51,13 @@
                 /* maxHeadBytes= */ 8 * KIBIBYTE,
                 /* maxBodyBytes= */ 4 * MEBIBYTE,
                 /* connectTimeoutMs= */ 500,
+                /* maxConnectTimeoutMs= */ 1_250,
                 /* watchWaitMs= */ 2_500,
                 /* watchTimeoutMs= */ 1_500,
                 /* lateResponseTimeoutMs= */ 2_000,
                 /* maxWatchTimeoutMs= */ 3_000,
                 /* responseTimeoutMs= */ 1_000,
+                /* maxResponseTimeoutMs= */ 2_000,
                 /* agentWaitMs= */ 1_000,
                 /* agentTimeoutMs= */ 500,
                 /* agentRetryDelayMs= */ 200,
--- a/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
+++ b/node/src/test/java/tulipshed/discovery/EndpointWatchTimeoutTest.java
@@ -144,6 +144,46 @@
         }
     }
 
+    /** Regression: a discovery whose connections come up later than the timeout was never reached. */
+    @Test
+    void waitsLongerForConnectionAfterConnectTimeout() throws Exception {
+        EndpointWatch shortTimeoutWatch = useTimeouts(200, 60_000, 60_000, 60_000);
+        try (Socket replaced = acceptConnection();
+                ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> queued = ListenerBacklog.fill(full);
+            loop.execute(() -> shortTimeoutWatch.setDiscoveryAddress((InetSocketAddress) full.getLocalSocketAddress()));
+            assertEquals("FAILED 0", nextNotification());
+            long startedNs = System.nanoTime();
+            loop.execute(shortTimeoutWatch::watch);
+            assertEquals("FAILED 0", nextNotification());
+            assertTrue(System.nanoTime() - startedNs >= 390_000_000, "400 ms after one connect timeout of 200 ms");
+            for (Socket socket : queued) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Regression: a discovery whose responses take longer to arrive than the timeout was never heard. */
+    @Test
+    void waitsLongerForTheRestOfAResponseAfterAnIncompleteOne() throws Exception {
+        useTimeouts(60_000, 60_000, 60_000, 200);
+        try (Socket watch = acceptConnection()) {
+            readRequest(watch);
+            sendSlowly(watch);
+            try (Socket retry = acceptConnection()) {
+                readRequest(retry);
+                sendSlowly(retry);
+                try (Socket longer = acceptConnection()) {
+                    readRequest(longer);
+                    long startedNs = System.nanoTime();
+                    sendSlowly(longer);
+                    assertEquals("FAILED 0", nextNotification());
+                    assertTrue(System.nanoTime() - startedNs >= 390_000_000, "400 ms after a timeout of 200 ms");
+                }
+            }
+        }
+    }
+
     /** Sends a byte every few milliseconds until the remote end closes the connection. */
     private static void sendSlowly(Socket receiver) throws IOException {
         new Thread(() -> {
@@ -182,6 +222,9 @@
         assertTrue(
                 DEFAULTS.connectTimeoutMs() + 2_000 + DEFAULTS.connectTimeoutMs() + DEFAULTS.watchTimeoutMs() <= 6_000,
                 "a hanging connect");
+        assertTrue(
+                DEFAULTS.maxConnectTimeoutMs() + 2_000 + DEFAULTS.lateResponseTimeoutMs() <= 6_000,
+                "a hanging connect, and then a late response");
         assertTrue(
                 DEFAULTS.watchTimeoutMs() + DEFAULTS.responseTimeoutMs() + 2_000 + DEFAULTS.watchTimeoutMs() <= 6_000,
                 "a slow response that starts late");
