Review cases renumbered, gravest first; the case of an upgrade is dropped

Cause: review/2 shows already that a new process sends to a draining slot server while the list is out of reach. Result: no script changed but for its number.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec java -cp review/src-2/target cases.UpgradeWhileListIsDark review/8
+cd "$(dirname "$0")/../.." && exec java -cp review/src-2/target cases.UnendedAnswer review/8
