--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec java -cp review/src-2/target cases.DrainWithoutMove review/9
+cd "$(dirname "$0")/../.." && exec java -cp review/src-2/target cases.SilentWatchThenCrowd review/9
--- a/review/src-2/standin/Discovery.java
+++ b/review/src-2/standin/Discovery.java
@@ -41,6 +41,32 @@
     private long version = 1;
     private volatile Listener written = (atMs, states) -> {};
 
+    private volatile int crowdedCalls;
+    private volatile int crowdedWaitMs;
+
+    /** All open watches fall silent: they answer nothing more. Calls that come later are answered. */
+    public synchronized void silenceOpenWatches() {
+        record.line("open watches fall silent");
+        generation++;
+        notifyAll();
+    }
+
+    private long generation;
+    private long watchesOpened;
+
+    /** Waits until a node opens or continues a watch. */
+    public synchronized void awaitNextWatch() throws InterruptedException {
+        for (long before = watchesOpened; watchesOpened == before; ) {
+            wait();
+        }
+    }
+
+    /** The next calls that do not wait, this many, wait in turn for so long and then end in 503. */
+    public void crowd(int calls, int waitMs) {
+        crowdedWaitMs = waitMs;
+        crowdedCalls = calls;
+    }
+
     public Discovery(Record record) throws IOException {
         this.record = record;
         listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -92,13 +118,19 @@
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", listed) + "]}";
     }
 
+    /** The answer to a watch; null if it has fallen silent. */
     private synchronized String awaitChanges(long index, long waitMs, Map<String, String> states)
             throws InterruptedException {
+        long opened = generation;
+        if (waitMs > 0) {
+            watchesOpened++;
+            notifyAll();
+        }
         long endNs = System.nanoTime() + waitMs * 1_000_000;
-        for (long leftMs = waitMs; version <= index && leftMs > 0; leftMs = (endNs - System.nanoTime()) / 1_000_000) {
+        for (long leftMs = waitMs; version <= index && leftMs > 0 && opened == generation; leftMs = (endNs - System.nanoTime()) / 1_000_000) {
             wait(leftMs);
         }
-        return list(false, index, states);
+        return opened == generation ? list(false, index, states) : null;
     }
 
     /** Discovery goes down: connections are reset, new ones are refused. */
@@ -150,7 +182,20 @@
         Matcher watch = WATCH.matcher(line);
         String body;
         if (watch.matches()) {
+            if (watch.group(2).equals("0") && crowdedCalls > 0) {
+                crowdedCalls--;
+                record.line("a call waits in turn");
+                Threads.sleepMs(crowdedWaitMs);
+                record.line("it has waited too long: 503");
+                out.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                return;
+            }
             body = awaitChanges(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), states);
+            if (body == null) {
+                Threads.sleepMs(600_000);
+                return;
+            }
         } else if (WHOLE.matcher(line).matches()) {
             synchronized (this) {
                 body = list(true, -1, states);
