Hand the endpoint list over to the other process of a hot restart

Cause: a process that discovery does not answer served by the list of its configuration after 2.5 s. The file that both processes share had no list, so what the node was told ended with the old process.

Hypotheses held: (1) the old process sends while it leaves: ruled out, the sends go on for 16 s after its log ended; (2) the new process heard an older list: ruled out, each of its calls ended in 503; (3) the drain was applied and undone: ruled out, the old process sent nothing for 3 s before; (4) the new process serves by its configuration: in the record it calls with index=44 to the end of the outage, the old one with 45, the version with the drain.

Change: while both live, each process publishes its full list behind the slots of the shared file (whose layout stays) and uses the other's if it is newer. A starting process looks before it serves. A response in flight that is older than the list in use is ignored.

--- a/node/src/main/java/tulipshed/cli/NodeAssembly.java
+++ b/node/src/main/java/tulipshed/cli/NodeAssembly.java
@@ -5,6 +5,7 @@
 import org.jboss.logging.Logger;
 import tulipshed.config.NodeConfig;
 import tulipshed.decision.Balancer;
+import tulipshed.discovery.EndpointListSharing;
 import tulipshed.discovery.EndpointListUpdate;
 import tulipshed.discovery.EndpointWatch;
 import tulipshed.lineprotocol.LineProtocolFrontend;
@@ -55,7 +56,8 @@
         PeerMessaging peers = new PeerMessaging(options, loop, core);
         peers.configure(config);
         OptionalQuicFrontend quic = new OptionalQuicFrontend(options, quicConfig, loop, core);
-        return new NodeComponents(loop, core, frontend, watch, clientListener, quic, peers, management);
+        EndpointListSharing listSharing = new EndpointListSharing(options.hotRestart(), watch, options.log());
+        return new NodeComponents(loop, core, frontend, watch, listSharing, clientListener, quic, peers, management);
     }
 
     private Optional<ManagementServer> openManagement(ProxyCore core) throws IOException {
--- a/node/src/main/java/tulipshed/cli/NodeComponents.java
+++ b/node/src/main/java/tulipshed/cli/NodeComponents.java
@@ -1,6 +1,7 @@
 package tulipshed.cli;
 
 import java.util.Optional;
+import tulipshed.discovery.EndpointListSharing;
 import tulipshed.discovery.EndpointWatch;
 import tulipshed.lineprotocol.LineProtocolFrontend;
 import tulipshed.management.ManagementServer;
@@ -15,6 +16,7 @@
  * @param core the request lifecycle and the load-balancing decisions
  * @param frontend the line-protocol frontend
  * @param watch the watch of the endpoint list in discovery
+ * @param listSharing the exchange of the endpoint list with the other process of a hot restart
  * @param clientListener the listener for line-protocol clients
  * @param quic the QUIC frontend, which may be disabled
  * @param peers the peer messages, which may be disabled
@@ -25,6 +27,7 @@
         ProxyCore core,
         LineProtocolFrontend frontend,
         EndpointWatch watch,
+        EndpointListSharing listSharing,
         ClientListener clientListener,
         OptionalQuicFrontend quic,
         PeerMessaging peers,
--- a/node/src/main/java/tulipshed/cli/NodeStartup.java
+++ b/node/src/main/java/tulipshed/cli/NodeStartup.java
@@ -15,8 +15,9 @@
 /**
  * Brings a node into service. The client listener waits for discovery's current endpoint list: the cached list may
  * contain endpoints that are draining or removed, of which an earlier or still serving process of the node was already
- * notified. Without the list, the listener opens with the cached one after the start timeout, or as soon as the request
- * to discovery fails if no other process of the node serves. In every case the listener also waits for the {@link
+ * notified. If discovery does not deliver it, the list of the other process replaces the cached one. Without either, the
+ * listener opens with the cached list after the start timeout, or as soon as the request to discovery fails if no other
+ * process of the node serves. In every case the listener also waits for the {@link
  * Warmup} to end, so that the first clients do not wait for code that is not compiled yet.
  *
  * <p>Confined to the event-loop thread, except for {@link #start}, which blocks the calling thread.
@@ -109,6 +110,7 @@
     }
 
     private void serveOnceReady(double deadlineMs) {
+        components.listSharing().adoptPeerList();
         if (isWarm && (isListWaitOver() || options.clock().nowMs() >= deadlineMs)) {
             serve();
         } else {
@@ -117,12 +119,14 @@
     }
 
     /**
-     * Returns whether to stop waiting for the endpoint list: it has arrived, or the request failed and no other process
-     * of the node serves, in which case a node with the cached list is better than none.
+     * Returns whether to stop waiting for the endpoint list: it has arrived, or the request failed and either the list of
+     * the other process is known or no other process of the node serves, in which case a node with the cached list is
+     * better than none.
      */
     private boolean isListWaitOver() {
+        boolean isWaitForPeerOver = components.listSharing().isPeerListKnown() || !hotRestart.isPeerServing();
         return components.core().endpointListReceived()
-                || (!hotRestart.isPeerServing() && !components.watch().isCallInProgress());
+                || (isWaitForPeerOver && !components.watch().isCallInProgress());
     }
 
     private void serve() {
--- a/node/src/main/java/tulipshed/discovery/EndpointListCursor.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointListCursor.java
@@ -8,6 +8,10 @@
     private static final String LIST_PATH = "/discovery/hosts";
 
     private long version;
+
+    /** Version that the last request asked for the changes since, or that was current when it asked for the full list. */
+    private long requestedVersion;
+
     private boolean fullListRequired;
     private boolean catchUpRequired;
 
@@ -31,6 +35,7 @@
      * is required.
      */
     ListRequest nextRequest(double longPollMs) {
+        requestedVersion = version;
         if (fullListRequired) {
             return new ListRequest(LIST_PATH, 0);
         }
@@ -38,6 +43,20 @@
         return new ListRequest(LIST_PATH + "?index=" + version + "&wait=" + (long) waitMs, waitMs);
     }
 
+    /**
+     * Advances to the version of a list that another process of the node received. The next request asks for the changes
+     * since, without waiting for further ones.
+     */
+    void advanceToPeer(long peerVersion) {
+        version = peerVersion;
+        catchUpRequired = true;
+    }
+
+    /** Whether a response is older than a list of another process that was used since the request was sent. */
+    boolean isSuperseded(EndpointListUpdate response) {
+        return response.version() >= requestedVersion && response.version() < version;
+    }
+
     /** Advances to the version of a list that was received, or that was cached before the start. */
     void advance(EndpointListUpdate update) {
         // Changes to an older version do not define the full content of the list at that version.
--- a/node/src/main/java/tulipshed/discovery/EndpointWatch.java
+++ b/node/src/main/java/tulipshed/discovery/EndpointWatch.java
@@ -30,13 +30,14 @@
  * ResponseTimeouts}). Confined to the event-loop thread.
  */
 public final class EndpointWatch implements EndpointListSource {
-    private static final String LOG_SUBJECT = "discovery";
+    static final String LOG_SUBJECT = "discovery";
 
     private final Limits limits;
     private final EndpointListListener listener;
     private final Logger log;
     private final DiscoveryCalls client;
     private final EndpointListCursor cursor = new EndpointListCursor();
+    private final KnownEndpointList knownList = new KnownEndpointList();
     private final ImmediateRetries retries = new ImmediateRetries();
     private final WatchRequests watchRequests = new WatchRequests();
     private final DelayedCall delayedCall;
@@ -103,9 +104,47 @@
     /** Passes the cached list to the core and continues from its version; must precede the first call. */
     public void startFromCachedList(EndpointListUpdate cached) {
         cursor.advance(cached);
+        knownList.apply(cached, false);
         notifyCore(EndpointListKind.CACHED, cached);
     }
 
+    /**
+     * Uses the list of the other process of this node if it is newer, and continues from its version.
+     *
+     * @return whether the list is used
+     */
+    boolean adopt(SharedEndpointList peerList) {
+        if (!knownList.isOlderThan(peerList, client.address())) {
+            return false;
+        }
+        cursor.advanceToPeer(peerList.list().version());
+        knownList.apply(peerList.list(), peerList.isReceived());
+        notifyCore(EndpointListKind.CACHED, peerList.list());
+        if (!peerList.isFrom(client.address())) {
+            requestFullListAgain();
+        }
+        return true;
+    }
+
+    /** Replaces a call in progress, whose response may contain the changes to another list than the known one. */
+    private void requestFullListAgain() {
+        cursor.requireFullList();
+        if (client.isCallInProgress()) {
+            client.close();
+            callUnlessInProgress(false);
+        }
+    }
+
+    /** A number that increases with each change of the known list; 0 if there is no list. */
+    long listRevision() {
+        return knownList.revision();
+    }
+
+    /** The known list, for the other process of this node. */
+    byte[] sharedListDocument() {
+        return SharedEndpointListFormat.write(knownList.toShared(client.address()));
+    }
+
     /** Starts a call unless one is in progress or the watch has stopped; called by the decision module. */
     @Override
     public void watch() {
@@ -250,7 +289,12 @@
         if (log.isTraceEnabled()) {
             log.trace(update.traceText());
         }
+        if (cursor.isSuperseded(update)) {
+            callUnlessInProgress(false);
+            return;
+        }
         cursor.advance(update);
+        knownList.apply(update, true);
         notifyCore(update.full() ? EndpointListKind.COMPLETE : EndpointListKind.CHANGES, update);
         if (nothingChanged && (mode == DeliveryMode.PUSHED_TO_AGENT || isImmediateResponse())) {
             startCallAfter(limits.discovery().agentPollIntervalMs());
--- a/node/src/main/java/tulipshed/limits/ShutdownLimits.java
+++ b/node/src/main/java/tulipshed/limits/ShutdownLimits.java
@@ -17,6 +17,8 @@
  * @param responseLingerMs the time that clients have to close the connections that get their final response last
  * @param minLingerMs the minimum time from the end of accepting connections to the closing of all connections, which shortens
  *     the time of accepting if deadlines are very short
+ * @param listSharingIntervalMs the interval at which the two processes of a node exchange their endpoint lists; a change that
+ *     one of them learns must reach the other well within the 300 ms grace of a drain
  * @param maxSharedIds the maximum number of connection IDs that a process publishes to the other process of its node
  */
 public record ShutdownLimits(
@@ -30,6 +32,7 @@
         double lingerMs,
         double responseLingerMs,
         double minLingerMs,
+        double listSharingIntervalMs,
         int maxSharedIds) {
     /** The default limits. */
     static ShutdownLimits defaults() {
@@ -44,6 +47,7 @@
                 /* lingerMs= */ 300,
                 /* responseLingerMs= */ 100,
                 /* minLingerMs= */ 50,
+                /* listSharingIntervalMs= */ 50,
                 /* maxSharedIds= */ 4096);
     }
 }
--- a/node/src/main/java/tulipshed/transport/HotRestartFile.java
+++ b/node/src/main/java/tulipshed/transport/HotRestartFile.java
@@ -11,7 +11,8 @@
 /**
  * File shared by the two processes of a node, and the locks on its slots. The lock of slot {@code n} covers byte {@code
  * n} of the file. The kernel releases the lock of a process however the process ends, so the lock alone shows whether
- * the process is alive.
+ * the process is alive. In the same way, the lock on the byte {@code SLOT_COUNT + n} shows whether the endpoint-list area
+ * of slot {@code n} was written by the process that holds the slot now, rather than by an earlier one.
  *
  * <p>The file is read and written at positions, and not mapped. With a mapping, access to a page that a full file
  * system cannot back, or that was truncated, terminates the process with SIGBUS; here it causes an {@link IOException},
@@ -29,6 +30,9 @@
     private final int slotBytes;
     private final FileLock ownLock;
 
+    /** Lock of this process's endpoint-list area, null while the process publishes no list. */
+    private FileLock ownListLock;
+
     private HotRestartFile(FileChannel channel, int slotBytes, FileLock ownLock) {
         this.channel = channel;
         this.slotBytes = slotBytes;
@@ -92,6 +96,40 @@
         }
     }
 
+    @Override
+    public boolean writeOwnList(int offset, ByteBuffer bytes) throws IOException {
+        if (ownListLock == null) {
+            ownListLock = tryLock(channel, listLockPosition(ownSlot()));
+        }
+        if (ownListLock == null) {
+            return false;
+        }
+        writeFully(listAreaStart(ownSlot()) + offset, bytes);
+        return true;
+    }
+
+    @Override
+    public boolean readPeerList(int offset, ByteBuffer into) throws IOException {
+        try (FileLock unpublished = tryLock(channel, listLockPosition(peerSlot()))) {
+            if (unpublished != null) {
+                return false;
+            }
+        }
+        readFully(listAreaStart(peerSlot()) + offset, into);
+        return true;
+    }
+
+    @Override
+    public void discardOwnList() throws IOException {
+        if (ownListLock != null) {
+            ownListLock.release();
+            ownListLock = null;
+        }
+        if (!isPeerAlive() && channel.size() > listAreaStart(0)) {
+            channel.truncate(listAreaStart(0));
+        }
+    }
+
     /** Releases the slot. */
     @Override
     public void close() throws IOException {
@@ -106,6 +144,14 @@
         return HotRestartLayout.SLOT_COUNT - 1 - ownSlot();
     }
 
+    private static int listLockPosition(int slot) {
+        return HotRestartLayout.SLOT_COUNT + slot;
+    }
+
+    private long listAreaStart(int slot) {
+        return (long) HotRestartLayout.SLOT_COUNT * slotBytes + (long) slot * HotRestartLayout.LIST_AREA_BYTES;
+    }
+
     /** Reads the content of the file, and zeros beyond its end. */
     private void readFully(long start, ByteBuffer into) throws IOException {
         long position = start;
@@ -157,10 +203,10 @@
         }
     }
 
-    /** Returns the lock of a slot, or null if a process holds it. */
-    private static FileLock tryLock(FileChannel channel, int slot) throws IOException {
+    /** Returns the lock on one byte of the file, or null if a process holds it. */
+    private static FileLock tryLock(FileChannel channel, int position) throws IOException {
         try {
-            return channel.tryLock(slot, LOCK_BYTES, false);
+            return channel.tryLock(position, LOCK_BYTES, false);
         } catch (OverlappingFileLockException heldByThisProcess) {
             return null;
         }
--- a/node/src/main/java/tulipshed/transport/HotRestartLayout.java
+++ b/node/src/main/java/tulipshed/transport/HotRestartLayout.java
@@ -25,6 +25,16 @@
  *  56         1 + 39  group: its length in bytes, 0 for none, then UTF-8
  * </pre>
  *
+ * <p>The slots of all processes are followed by one endpoint-list area for each slot, of {@link #LIST_AREA_BYTES} bytes.
+ * Earlier versions neither read nor write the areas. An area contains:
+ *
+ * <pre>
+ *  offset       size  content
+ *  0               4  length of the document, 0 for none
+ *  4               4  CRC-32 of the document
+ *  8               -  the document
+ * </pre>
+ *
  * <p>Only the process that holds the lock of a slot writes it; the other process may read it at any time. A record is written
  * before it is marked as established, and an entry or a record before the number of used ones is increased, so that
  * partially written content is not read.
@@ -47,6 +57,14 @@
     static final int GROUP_OFFSET = 56;
     static final int MAX_TEXT_BYTES = 39;
 
+    /** Size of an endpoint-list area; the file is sparse, so that an area takes only the space that was written. */
+    static final int LIST_AREA_BYTES = 4 * 1024 * 1024;
+
+    static final int LIST_LENGTH_OFFSET = 0;
+    static final int LIST_CHECKSUM_OFFSET = 4;
+    static final int LIST_HEADER_BYTES = 8;
+    static final int MAX_LIST_BYTES = LIST_AREA_BYTES - LIST_HEADER_BYTES;
+
     static final long ESTABLISHED = 1;
     static final long NOT_ESTABLISHED = 0;
     static final long NO_ID = 0;
--- a/node/src/main/java/tulipshed/transport/HotRestartState.java
+++ b/node/src/main/java/tulipshed/transport/HotRestartState.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Optional;
 import tulipshed.logging.NodeLog;
 import tulipshed.proxy.HotRestartPeer;
 
@@ -28,9 +29,12 @@
     private final PublishedConnections publishedConnections;
     private final PeerProcess peer;
 
-    /** Null while this process holds no slot of the file. */
+    /** Null while this process holds no slot of the file, as are {@link #ownList} and {@link #peerList}. */
     private HotRestartStorage storage;
 
+    private OwnEndpointList ownList;
+    private PeerEndpointList peerList;
+
     private int refreshesUntilJoin = REFRESHES_PER_JOIN;
     private boolean isClosed;
 
@@ -101,6 +105,8 @@
     private void join(boolean mayWait) {
         try {
             storage = opener.open(mayWait);
+            ownList = new OwnEndpointList(storage);
+            peerList = new PeerEndpointList(storage);
             peer.attach(storage, own.capacity());
             own.writeAll(storage);
         } catch (IOException e) {
@@ -183,6 +189,52 @@
         claimedIds.release(id);
     }
 
+    /**
+     * Publishes the endpoint list of this process to the other one, in place of an earlier one.
+     *
+     * @param document the list in a format that both processes know
+     * @return whether the list was published; false if that failed and may be repeated
+     */
+    public boolean publishEndpointList(byte[] document) {
+        if (storage == null || isClosed) {
+            return false;
+        }
+        try {
+            return ownList.write(document);
+        } catch (IOException e) {
+            failures.record(e);
+            return false;
+        }
+    }
+
+    /** Withdraws the published endpoint list. */
+    public void withdrawEndpointList() {
+        if (storage == null || isClosed) {
+            return;
+        }
+        try {
+            storage.discardOwnList();
+        } catch (IOException e) {
+            failures.record(e);
+        }
+    }
+
+    /**
+     * Returns the endpoint list that the other process publishes, as passed to {@link #publishEndpointList}; empty if
+     * there is none or if this method has returned it before.
+     */
+    public Optional<byte[]> changedPeerEndpointList() {
+        if (storage == null || isClosed) {
+            return Optional.empty();
+        }
+        try {
+            return peerList.readIfChanged();
+        } catch (IOException e) {
+            failures.record(e);
+            return Optional.empty();
+        }
+    }
+
     @Override
     public int connectionEstablished(EstablishedConnection connection) {
         return publishedConnections.publish(connection);
--- a/node/src/main/java/tulipshed/transport/HotRestartStorage.java
+++ b/node/src/main/java/tulipshed/transport/HotRestartStorage.java
@@ -21,6 +21,24 @@
     /** Whether a process holds the other slot. */
     boolean isPeerAlive() throws IOException;
 
+    /**
+     * Writes all remaining bytes of {@code bytes} to this process's endpoint-list area, which {@link #readPeerList}
+     * finds from then on.
+     *
+     * @return false if nothing was written because another process checks the area at this moment
+     */
+    boolean writeOwnList(int offset, ByteBuffer bytes) throws IOException;
+
+    /**
+     * Fills {@code into} from the other process's endpoint-list area.
+     *
+     * @return false if the process that holds the other slot has written no list; {@code into} is unchanged then
+     */
+    boolean readPeerList(int offset, ByteBuffer into) throws IOException;
+
+    /** Discards the endpoint-list area of this process, and its space if no other process is alive. */
+    void discardOwnList() throws IOException;
+
     /** Opens a storage and takes a free slot in it. */
     interface Opener {
         /**
--- a/node/src/test/java/tulipshed/transport/InMemorySlots.java
+++ b/node/src/test/java/tulipshed/transport/InMemorySlots.java
@@ -20,6 +20,9 @@
 
     private final byte[][] slots;
 
+    /** Endpoint-list area of each process, null if it has published none. */
+    private final ByteBuffer[] lists = new ByteBuffer[HotRestartLayout.SLOT_COUNT];
+
     /** A write to a slot. */
     record Write(int offset, byte[] content) {}
 
@@ -34,52 +37,87 @@
 
     /** Returns the storage of the first or second process, to which the other process always appears alive. */
     HotRestartStorage storage(int process) {
-        return new HotRestartStorage() {
-            @Override
-            public void writeOwn(int offset, ByteBuffer bytes) throws IOException {
-                throwConfiguredFailure();
-                byte[] content = new byte[bytes.remaining()];
-                bytes.get(content);
-                System.arraycopy(content, 0, slots[process], offset, content.length);
-                if (process == 0) {
-                    writes.add(new Write(offset, content));
-                }
-            }
+        return new Storage(process);
+    }
 
-            @Override
-            public void allocatePeer() throws IOException {
-                throwConfiguredFailure();
-            }
+    private void throwConfiguredFailure() throws IOException {
+        if (failure != null) {
+            throw failure;
+        }
+    }
 
-            @Override
-            public void readPeer(int offset, ByteBuffer into) throws IOException {
-                throwConfiguredFailure();
-                into.put(slots[1 - process], offset, into.remaining());
-                afterRead.run();
-            }
+    /** The storage as one of the processes sees it. */
+    private final class Storage implements HotRestartStorage {
+        private final int process;
+
+        Storage(int process) {
+            this.process = process;
+        }
 
-            @Override
-            public void readOwn(int offset, ByteBuffer into) throws IOException {
-                throwConfiguredFailure();
-                into.put(slots[process], offset, into.remaining());
+        @Override
+        public void writeOwn(int offset, ByteBuffer bytes) throws IOException {
+            throwConfiguredFailure();
+            byte[] content = new byte[bytes.remaining()];
+            bytes.get(content);
+            System.arraycopy(content, 0, slots[process], offset, content.length);
+            if (process == 0) {
+                writes.add(new Write(offset, content));
             }
+        }
+
+        @Override
+        public void allocatePeer() throws IOException {
+            throwConfiguredFailure();
+        }
 
-            @Override
-            public boolean isPeerAlive() throws IOException {
-                throwConfiguredFailure();
-                return true;
+        @Override
+        public void readPeer(int offset, ByteBuffer into) throws IOException {
+            throwConfiguredFailure();
+            into.put(slots[1 - process], offset, into.remaining());
+            afterRead.run();
+        }
+
+        @Override
+        public void readOwn(int offset, ByteBuffer into) throws IOException {
+            throwConfiguredFailure();
+            into.put(slots[process], offset, into.remaining());
+        }
+
+        @Override
+        public boolean writeOwnList(int offset, ByteBuffer bytes) throws IOException {
+            throwConfiguredFailure();
+            if (lists[process] == null) {
+                lists[process] = ByteBuffer.allocate(HotRestartLayout.LIST_AREA_BYTES);
             }
+            lists[process].slice(offset, bytes.remaining()).put(bytes);
+            return true;
+        }
 
-            @Override
-            public void close() {
-                // There is nothing to release.
+        @Override
+        public boolean readPeerList(int offset, ByteBuffer into) throws IOException {
+            throwConfiguredFailure();
+            if (lists[1 - process] == null) {
+                return false;
             }
-        };
-    }
+            into.put(lists[1 - process].slice(offset, into.remaining()));
+            return true;
+        }
 
-    private void throwConfiguredFailure() throws IOException {
-        if (failure != null) {
-            throw failure;
+        @Override
+        public void discardOwnList() throws IOException {
+            throwConfiguredFailure();
+            lists[process] = null;
+        }
+
+        @Override
+        public boolean isPeerAlive() throws IOException {
+            throwConfiguredFailure();
+            return true;
+        }
+
+        @Override
+        public void close() {
+            // There is nothing to release.
         }
     }
 }
