Bound what a relay reads and writes in one event of the loop

Cause: a relay read until its socket was empty, which never comes about while the sender keeps up; and each line of an endpoint was a write of its own, 8,192 for one read of 16 KiB.

Change: relays read at most maxReadsPerEvent times an event, as other connections do; the lines of one event of an endpoint are written together.

No rate of a served client is bounded.

--- a/node/src/main/java/tulipshed/lineprotocol/ClientRelay.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientRelay.java
@@ -1,6 +1,7 @@
 package tulipshed.lineprotocol;
 
 import java.nio.ByteBuffer;
+import tulipshed.limits.SocketLimits;
 import tulipshed.transport.TcpConnection;
 
 /**
@@ -12,13 +13,15 @@
     private final TcpConnection connection;
     private final UpstreamConnection upstream;
     private final int maxQueuedBytes;
+    private final int maxReads;
 
-    /** Creates a relay that queues at most {@code maxQueuedBytes} for the endpoint. */
-    ClientRelay(ClientSession session, TcpConnection connection, UpstreamConnection upstream, int maxQueuedBytes) {
+    /** Creates a relay within the limits of relayed connections. */
+    ClientRelay(ClientSession session, TcpConnection connection, UpstreamConnection upstream, SocketLimits limits) {
         this.session = session;
         this.connection = connection;
         this.upstream = upstream;
-        this.maxQueuedBytes = maxQueuedBytes;
+        this.maxQueuedBytes = limits.relayBytes();
+        this.maxReads = limits.maxReadsPerEvent();
     }
 
     /** Forwards the endpoint's response to the client and the client's early data to the endpoint. */
@@ -31,9 +34,12 @@
         connection.setReading(true);
     }
 
-    /** Reads the available input of the client, up to the bytes that may be queued for the endpoint. */
+    /**
+     * Reads the input of one event: no more than may be queued for the endpoint, and in a bounded number of reads, so that a
+     * client that sends continuously cannot monopolize the event loop.
+     */
     void read(ByteBuffer buffer) {
-        StreamReader.read(connection, buffer, StreamReader.UNLIMITED_READS, this);
+        StreamReader.read(connection, buffer, maxReads, this);
     }
 
     @Override
--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -213,8 +213,7 @@
     /** Forwards the response of the endpoint that serves the request and starts relaying in both directions. */
     void onEstablished(UpstreamConnection established, byte[] response) {
         request.setEstablished(established);
-        relay = new ClientRelay(
-                this, connection, established, context.limits().sockets().relayBytes());
+        relay = new ClientRelay(this, connection, established, context.limits().sockets());
         state = ClientState.RELAYING;
         relay.start(response, requestReader.earlyData());
     }
--- a/node/src/main/java/tulipshed/lineprotocol/EndpointReader.java
+++ b/node/src/main/java/tulipshed/lineprotocol/EndpointReader.java
@@ -42,6 +42,11 @@
     @Override
     public void onBytes(ByteBuffer bytes) {
         upstream.relay().onEndpointInput();
+        readLines(bytes);
+        upstream.relay().flushToClient();
+    }
+
+    private void readLines(ByteBuffer bytes) {
         while (isReading() && bytes.hasRemaining()) {
             try {
                 byte[] line = nextLine(bytes);
@@ -56,7 +61,7 @@
                 }
                 // The line exceeds the limit: the bytes read so far are forwarded without being interpreted, and the
                 // rest is decoded as a line of its own.
-                client.sendFromEndpoint(decoder.takePartialLine());
+                upstream.relay().relayToClient(decoder.takePartialLine());
             }
         }
     }
--- a/node/src/main/java/tulipshed/lineprotocol/StreamReader.java
+++ b/node/src/main/java/tulipshed/lineprotocol/StreamReader.java
@@ -5,9 +5,6 @@
 
 /** The read loop of all connections of this package: reads into a shared buffer up to the receiver's capacity. */
 final class StreamReader {
-    /** No limit on the number of reads; for relays, which are bounded by the capacity of the other connection. */
-    static final int UNLIMITED_READS = Integer.MAX_VALUE;
-
     /** Receives the input of one connection. */
     interface Receiver {
         /** Whether to continue reading; checked before each read. */
--- a/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamConnection.java
@@ -111,7 +111,8 @@
             // The request of a disconnected client must not become established, nor may its early data be forwarded.
             client.readAvailableInput();
         }
-        StreamReader.read(connection, context.readBuffer(), StreamReader.UNLIMITED_READS, endpointReader);
+        int maxReads = context.limits().sockets().maxReadsPerEvent();
+        StreamReader.read(connection, context.readBuffer(), maxReads, endpointReader);
     }
 
     /** Handles one line: the response to the open command, or a line to relay once the connection is established. */
@@ -119,7 +120,7 @@
         EndpointMessage message = EndpointMessage.parse(line);
         OptionalDouble value = reports.processMessage(message);
         if (state == UpstreamState.ESTABLISHED) {
-            relay.sendToClient(line, value);
+            relay.relayToClient(line, value);
         } else {
             handshake.onResponse(message, line);
         }
--- a/node/src/main/java/tulipshed/lineprotocol/UpstreamRelay.java
+++ b/node/src/main/java/tulipshed/lineprotocol/UpstreamRelay.java
@@ -1,5 +1,6 @@
 package tulipshed.lineprotocol;
 
+import java.io.ByteArrayOutputStream;
 import java.util.OptionalDouble;
 import tulipshed.decision.api.Outcome;
 import tulipshed.proxy.Attempt;
@@ -17,6 +18,9 @@
     private final InactivityDetector inactivityDetector;
     private boolean isClientInputEnded;
 
+    /** Bytes of the endpoint that were read in this event and not forwarded yet; null if there are none. */
+    private ByteArrayOutputStream unflushed;
+
     /** Null until the client has ended its output. */
     private LingerTimeouts.Timeout lingerTimeout;
 
@@ -40,11 +44,33 @@
         inactivityDetector.onEndpointInput();
     }
 
-    /** Forwards a line of the endpoint to the client and the value of a {@code LOAD} line, if present, to the core. */
-    void sendToClient(byte[] line, OptionalDouble value) {
+    /**
+     * Adds a line of the endpoint to those that {@link #flushToClient} forwards to the client, and reports the value of a
+     * {@code LOAD} line, if present, to the core.
+     */
+    void relayToClient(byte[] line, OptionalDouble value) {
         value.ifPresent(this::reportValue);
-        // Last, since this ends the attempt if the client's connection fails.
-        client.sendFromEndpoint(line);
+        relayToClient(line);
+    }
+
+    /** Adds bytes of the endpoint to those that {@link #flushToClient} forwards to the client. */
+    void relayToClient(byte[] bytes) {
+        if (unflushed == null) {
+            unflushed = new ByteArrayOutputStream();
+        }
+        unflushed.writeBytes(bytes);
+    }
+
+    /**
+     * Forwards the added bytes in one write: a system call for each line would let an endpoint, or a client whose lines it
+     * returns, occupy the event loop with very short lines. Ends the attempt if the client's connection fails.
+     */
+    void flushToClient() {
+        if (unflushed != null) {
+            byte[] bytes = unflushed.toByteArray();
+            unflushed = null;
+            client.sendFromEndpoint(bytes);
+        }
     }
 
     /** Reports the value of a {@code LOAD} line: a latency in milliseconds if the settings say so, otherwise a load. */
