Keep the IDs of requests that may have executed from being executed again

Cause: an ID was released with its connection, although its request may have executed, and the claims of a process that has ended were not read.

Hypotheses held: (1) the attempt goes on after its client left: ruled out, no command reached an endpoint over 100 ms after that; (2) a retry of the node: ruled out, each second command followed a new connection; (3) the check of open IDs fails: ruled out, repeats read before the first connection's end got ERR; (4) IDs are released too early: RepeatedIdTest.

Change: the ID of a request that may have executed and is not idempotent stays claimed for 60 s, at most 2,048 of them, in the shared file too; a process keeps the claims of one that has ended for as long. Such a repeat gets ERR.

Failed before: 3 of 4 cases of RepeatedIdTest, HotRestartStateTest. rejectsIdClaimedByPeerThatHasEndedForLimitedTime.

--- a/node/src/main/java/tulipshed/limits/LineProtocolLimits.java
+++ b/node/src/main/java/tulipshed/limits/LineProtocolLimits.java
@@ -11,6 +11,10 @@
  * @param maxRedials the maximum number of times that an attempt dials again after a local failure to start connecting
  * @param firstRedialPauseMs the pause before the second redial, as the first follows immediately; each further pause
  *     is twice as long as the previous one
+ * @param executedIdRetentionMs how long the ID of an ended request that must not be executed twice stays in use; longer
+ *     than clients take to come again
+ * @param maxExecutedIds the maximum number of such IDs; the oldest is released first. Leaves half of the IDs that a process
+ *     can publish to the other one to open requests
  */
 public record LineProtocolLimits(
         int maxLineBytes,
@@ -19,7 +23,9 @@
         double maxClientTimeoutMs,
         double protocolErrorLogMs,
         int maxRedials,
-        double firstRedialPauseMs) {
+        double firstRedialPauseMs,
+        double executedIdRetentionMs,
+        int maxExecutedIds) {
     private static final int KIBIBYTE = 1024;
 
     /** The default limits. */
@@ -31,6 +37,8 @@
                 /* maxClientTimeoutMs= */ 120_000,
                 /* protocolErrorLogMs= */ 10_000,
                 /* maxRedials= */ 5,
-                /* firstRedialPauseMs= */ 2);
+                /* firstRedialPauseMs= */ 2,
+                /* executedIdRetentionMs= */ 60_000,
+                /* maxExecutedIds= */ 2_048);
     }
 }
--- a/node/src/main/java/tulipshed/lineprotocol/ClientCloser.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientCloser.java
@@ -30,7 +30,7 @@
     /** Marks the session as closing before its last line is sent, and releases the ID of its request. */
     void beginClosing() {
         session.markClosing();
-        registration.releaseId();
+        registration.releaseId(session.forbidsRepetition());
     }
 
     /**
@@ -62,7 +62,7 @@
     /** Closes the connection immediately and releases the client slot and the request ID. */
     void close() {
         session.markClosing();
-        registration.releaseId();
+        registration.releaseId(session.forbidsRepetition());
         if (lingerTimeout != null) {
             lingerTimeout.cancel();
         }
--- a/node/src/main/java/tulipshed/lineprotocol/ClientRegistration.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientRegistration.java
@@ -24,10 +24,18 @@
         return true;
     }
 
-    /** Releases the ID, if one was claimed; the client slot is kept. */
-    void releaseId() {
+    /**
+     * Releases the ID, if one was claimed; the client slot is kept.
+     *
+     * @param forbidsRepetition whether the ID must not be claimed again for some time
+     */
+    void releaseId(boolean forbidsRepetition) {
         if (requestId != null) {
-            frontend.openRequestIds().release(requestId);
+            if (forbidsRepetition) {
+                frontend.openRequestIds().retain(requestId);
+            } else {
+                frontend.openRequestIds().release(requestId);
+            }
             requestId = null;
         }
     }
--- a/node/src/main/java/tulipshed/lineprotocol/ClientRequest.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientRequest.java
@@ -45,6 +45,11 @@
         return request != null;
     }
 
+    /** Whether the request must not be forwarded again, even if a client sends it a second time with the same ID. */
+    boolean forbidsRepetition() {
+        return request != null && request.forbidsRepetition();
+    }
+
     /** Cancels the request; the core treats the client as disconnected. */
     void cancel() {
         context.core().clientDisconnected(request);
--- a/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
+++ b/node/src/main/java/tulipshed/lineprotocol/ClientSession.java
@@ -52,6 +52,11 @@
         state = ClientState.CLOSING;
     }
 
+    /** Whether the ID of the request must not be used again for some time, see {@link ClientRequest#forbidsRepetition}. */
+    boolean forbidsRepetition() {
+        return request.forbidsRepetition();
+    }
+
     /** Whether the client has ended its output. */
     boolean isInputEnded() {
         return isInputEnded;
@@ -118,12 +123,12 @@
     /**
      * Starts the request of an open command.
      *
-     * @throws MalformedLineException if its ID is that of another open request
+     * @throws MalformedLineException if its ID is that of another open request, or of one that may have executed
      */
     void startRequest(OpenCommand command) {
         if (!closer.registration().claimId(command.id())) {
             // Otherwise the request would be retried on one endpoint after another, and each would fail it.
-            throw new MalformedLineException("an ID that another open request has");
+            throw new MalformedLineException("an ID of a request that is open or may have executed");
         }
         state = ClientState.PENDING;
         frontend.unservedConnections().removeOpening(this);
--- a/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
+++ b/node/src/main/java/tulipshed/lineprotocol/LineProtocolFrontend.java
@@ -61,7 +61,7 @@
                 new ProtocolErrorLog("upstream", "malformed upstream lines ignored", limits, log),
                 new ProtocolErrorLog("client", "connections ended by a defect", limits, log),
                 log.logger("upstream"));
-        openRequestIds = new OpenRequestIds(eventLoop.hotRestartState());
+        openRequestIds = new OpenRequestIds(eventLoop.hotRestartState(), clock, limits.lineProtocol());
         unservedConnections = new UnservedConnections(limits);
         lingerTimeouts = new LingerTimeouts(eventLoop, clock, limits.sockets().lingerTimeoutMs());
         healthCheckConnections = new HealthCheckConnections(context);
@@ -181,7 +181,7 @@
         return context;
     }
 
-    /** The IDs of open requests. */
+    /** The IDs that no new request may have. */
     OpenRequestIds openRequestIds() {
         return openRequestIds;
     }
@@ -224,6 +224,7 @@
     private void sweep() {
         // Rescheduled first, so that an exception in this sweep does not prevent all later ones.
         scheduleSweep();
+        openRequestIds.releaseExpired();
         double nowMs = context.clock().nowMs();
         List.copyOf(establishedUpstreams).forEach(upstream -> upstream.relay().checkInactivity(nowMs));
         unservedConnections.overdue(nowMs).forEach(ClientSession::onOpenTimeout);
--- a/node/src/main/java/tulipshed/proxy/ExecutionRecord.java
+++ b/node/src/main/java/tulipshed/proxy/ExecutionRecord.java
@@ -1,5 +1,6 @@
 package tulipshed.proxy;
 
+import tulipshed.decision.api.Idempotency;
 import tulipshed.decision.api.RequestClass;
 import tulipshed.time.Clock;
 
@@ -29,6 +30,11 @@
         }
     }
 
+    /** Whether the request may have executed and its class forbids a second execution. */
+    boolean forbidsRepetition(boolean attemptConnected) {
+        return (mayHaveExecuted() || attemptConnected) && requestClass.idempotency() != Idempotency.IDEMPOTENT;
+    }
+
     private boolean mayHaveExecuted() {
         return !Double.isNaN(firstExecutionMs);
     }
--- a/node/src/main/java/tulipshed/proxy/Request.java
+++ b/node/src/main/java/tulipshed/proxy/Request.java
@@ -134,6 +134,14 @@
         return execution.permitsRejection(attempt != null && attempt.isConnected());
     }
 
+    /**
+     * Whether the same request must not be forwarded again, even if its client sends it a second time: it may have executed,
+     * or its open attempt may be executing, and its class is not idempotent.
+     */
+    public boolean forbidsRepetition() {
+        return execution.forbidsRepetition(attempt != null && attempt.isConnected());
+    }
+
     /** Sets the slot in which this connection is published to the other process of a hot restart; negative for none. */
     void setHotRestartSlot(int slot) {
         hotRestartSlot = slot;
--- a/node/src/main/java/tulipshed/transport/PeerHotRestartSlot.java
+++ b/node/src/main/java/tulipshed/transport/PeerHotRestartSlot.java
@@ -5,8 +5,11 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongPredicate;
 import tulipshed.proxy.HotRestartPeer.EstablishedConnection;
 
 /**
@@ -48,12 +51,28 @@
 
     /** Whether an ID with this hash is claimed in the slot. */
     boolean containsIdHash(long hash) throws IOException {
+        return anyIdHash(claimed -> claimed == hash);
+    }
+
+    /** Returns the hashes of all IDs that are claimed in the slot. */
+    Set<Long> idHashes() throws IOException {
+        Set<Long> hashes = new HashSet<>();
+        anyIdHash(claimed -> {
+            hashes.add(claimed);
+            return false;
+        });
+        hashes.remove(HotRestartLayout.NO_ID);
+        return hashes;
+    }
+
+    /** Passes the entries to the predicate up to the first that it accepts; returns whether there is one. */
+    private boolean anyIdHash(LongPredicate predicate) throws IOException {
         int count = usedEntries(HotRestartLayout.ID_COUNT_OFFSET);
         for (int first = 0; first < count; first += IDS_PER_READ) {
             int entries = Math.min(IDS_PER_READ, count - first);
             read(HotRestartLayout.idOffset(first), ids.clear().limit(entries * HotRestartLayout.ID_ENTRY_BYTES));
             for (int entry = 0; entry < entries; entry++) {
-                if (ids.getLong(entry * HotRestartLayout.ID_ENTRY_BYTES) == hash) {
+                if (predicate.test(ids.getLong(entry * HotRestartLayout.ID_ENTRY_BYTES))) {
                     return true;
                 }
             }
--- a/node/src/main/java/tulipshed/transport/PeerProcess.java
+++ b/node/src/main/java/tulipshed/transport/PeerProcess.java
@@ -1,7 +1,9 @@
 package tulipshed.transport;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import tulipshed.proxy.HotRestartPeer.EstablishedConnection;
 
 /**
@@ -15,6 +17,9 @@
      */
     private static final int MAX_FAILED_CHECKS = 40;
 
+    /** Number of checks for which the IDs of an ended process stay claimed: 1 min at the refresh interval of a node. */
+    private static final int CHECKS_OF_INHERITED_IDS = 240;
+
     private final HotRestartFailureLog failures;
 
     /** Null until {@link #attach}, as is {@link #slot}. */
@@ -25,6 +30,10 @@
     /** Whether the process was alive at the last {@link #checkAlive}. */
     private boolean isAlive;
 
+    /** Hashes of the IDs that the process had claimed when it ended. */
+    private final Set<Long> inheritedIdHashes = new HashSet<>();
+
+    private int checksUntilRelease;
     private int failedChecks;
     private int openConnections;
     private Map<Integer, EstablishedConnection> connections = Map.of();
@@ -52,9 +61,14 @@
         if (storage == null) {
             return;
         }
+        releaseInheritedIds();
+        boolean wasAlive = isAlive;
         try {
             isAlive = storage.isPeerAlive();
             failedChecks = 0;
+            if (wasAlive && !isAlive) {
+                inheritIds();
+            }
         } catch (IOException e) {
             // A process that was alive may still be; this is assumed for a limited time only.
             failedChecks++;
@@ -67,6 +81,19 @@
         }
     }
 
+    /** Its requests may have executed, and this process must not execute those again that are not idempotent. */
+    private void inheritIds() throws IOException {
+        inheritedIdHashes.addAll(slot.idHashes());
+        checksUntilRelease = CHECKS_OF_INHERITED_IDS;
+    }
+
+    private void releaseInheritedIds() {
+        checksUntilRelease--;
+        if (checksUntilRelease <= 0) {
+            inheritedIdHashes.clear();
+        }
+    }
+
     /** Whether the process was alive at the last {@link #checkAlive}. */
     boolean isAlive() {
         return isAlive;
@@ -110,8 +137,14 @@
         return openConnections;
     }
 
-    /** Whether the process has claimed an ID with this hash; false if the slot cannot be read. */
+    /**
+     * Whether the process has claimed an ID with this hash, or had claimed it when it ended; false if the slot cannot be
+     * read.
+     */
     boolean hasClaimed(long idHash) {
+        if (inheritedIdHashes.contains(idHash)) {
+            return true;
+        }
         try {
             return isAlive && slot.containsIdHash(idHash);
         } catch (IOException e) {
--- a/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
+++ b/node/src/test/java/tulipshed/cli/NodeLifecycleTest.java
@@ -222,7 +222,9 @@
                         defaults.lineProtocol().maxClientTimeoutMs(),
                         defaults.lineProtocol().protocolErrorLogMs(),
                         defaults.lineProtocol().maxRedials(),
-                        defaults.lineProtocol().firstRedialPauseMs())),
+                        defaults.lineProtocol().firstRedialPauseMs(),
+                        defaults.lineProtocol().executedIdRetentionMs(),
+                        defaults.lineProtocol().maxExecutedIds())),
                 OperatorsFile.EMPTY);
         try (Socket idle = connectClient("PING\r\n");
                 Socket incomplete = connectClient("OPEN ha")) {
--- a/node/src/test/java/tulipshed/transport/HotRestartStateTest.java
+++ b/node/src/test/java/tulipshed/transport/HotRestartStateTest.java
@@ -84,6 +84,26 @@
         }
     }
 
+    /** Guards against a request of the old process that its client repeats at the new one and that is executed twice. */
+    @Test
+    void rejectsIdClaimedByPeerThatHasEndedForLimitedTime() throws IOException {
+        HotRestartState second = new HotRestartState(file, 8);
+        second.refresh();
+        first.claimId("a");
+        first.close();
+        assertFalse(second.claimId("a"), "before the end of the peer is noticed");
+        second.refresh();
+        assertFalse(second.hasPeer());
+        assertFalse(second.claimId("a"), "after it");
+        assertTrue(second.claimId("b"));
+        int refreshesInAMinute = 240;
+        for (int i = 0; i < refreshesInAMinute; i++) {
+            second.refresh();
+        }
+        assertTrue(second.claimId("a"));
+        second.close();
+    }
+
     /** State left in the file by a process that has ended must not affect the next one. */
     @Test
     void ignoresStateOfEndedProcess() throws IOException {
